--- /dev/null
+++ b/crates/cranberrygap-agreement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, membership and snapshots without I/O.
--- /dev/null
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -0,0 +1,33 @@
+//! Measurements: each prints one JSON document on standard output.
+
+use clap::Parser;
+
+/// One measurement, found by its name.
+pub trait Measurement {
+    /// Name on the command line.
+    fn name(&self) -> &'static str;
+    /// What is measured, in a sentence.
+    fn description(&self) -> &'static str;
+    /// Measures with the arguments that follow the name.
+    ///
+    /// # Errors
+    ///
+    /// Wrong arguments, or a measurement that could not be carried out.
+    fn run(&self, arguments: &[String]) -> eyre::Result<serde_json::Value>;
+}
+
+/// All measurements; a new one is a file and a line here.
+#[must_use]
+pub fn registry() -> Vec<Box<dyn Measurement>> {
+    Vec::new()
+}
+
+/// Reads the arguments of one measurement with `clap`.
+///
+/// # Errors
+///
+/// What `clap` says of wrong arguments.
+pub fn arguments<T: Parser>(name: &str, rest: &[String]) -> eyre::Result<T> {
+    let words = std::iter::once(name.to_owned()).chain(rest.iter().cloned());
+    Ok(T::try_parse_from(words)?)
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: callers, keys, limits, routing and streams.
--- /dev/null
+++ b/crates/cranberrygap-generator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generator of the message and settings types.
--- /dev/null
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated connections between the processes over jsonrpsee.
--- /dev/null
+++ b/crates/cranberrygap-placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet decisions without I/O: memory ledger, orders, placement, forecasts.
--- /dev/null
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request decisions without I/O: limits, fairness, routing, retries, quarantine, bookings.
--- /dev/null
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions without I/O: load, prefix affinity, latency targets.
--- /dev/null
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state: configuration, keys, endpoints, shares, claims, orders.
--- /dev/null
+++ b/crates/cranberrygap-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data folder: checksummed log segments and snapshots, synced.
--- /dev/null
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -0,0 +1,44 @@
+//! Names of the methods that the system's processes offer each other.
+
+/// An entry subscribes to the view (`view::Subscribe`, frames `view::Frame`).
+pub const VIEW_SUBSCRIBE: &str = "view_subscribe";
+/// An entry's heartbeat to the leader (`view::Confirm` to `view::Confirmed`).
+pub const VIEW_CONFIRM: &str = "view_confirm";
+/// An entry renews its shares (`share::Renew` to `share::Granted`).
+pub const SHARE_RENEW: &str = "share_renew";
+/// An entry asks to run a booking (`claim::Open` to `claim::Verdict`).
+pub const CLAIM_OPEN: &str = "claim_open";
+/// An entry tells a booking's outcome (`claim::Close` to nothing).
+pub const CLAIM_CLOSE: &str = "claim_close";
+/// An entry tells what ran on a dead endpoint (`claim::Crash` to nothing).
+pub const CRASH_REPORT: &str = "crash_report";
+/// A message of the agreement protocol between control processes.
+pub const AGREEMENT: &str = "agreement";
+
+/// An operator applies a configuration (`operator::Apply` to `operator::Applied`).
+pub const APPLY: &str = "apply";
+/// An operator asks how far a revision is in force (`number::Revision` to `operator::Force`).
+pub const FORCE: &str = "force";
+/// An operator issues a key (`operator::Issue` to `operator::Issued`).
+pub const KEY_ISSUE: &str = "key_issue";
+/// An operator withdraws a key (`operator::Withdraw` to `operator::Withdrawn`).
+pub const KEY_WITHDRAW: &str = "key_withdraw";
+/// An operator lists keys (nothing to a list of `view::Key` without hashes).
+pub const KEY_LIST: &str = "key_list";
+/// An operator reads what the fleet looks like (nothing to `view::State`).
+pub const SHOW: &str = "show";
+/// An operator reads accepted changes (nothing to a list of `operator::Record`).
+pub const HISTORY: &str = "history";
+/// An operator takes an instance or endpoint out of service (`operator::Drain`).
+pub const DRAIN: &str = "drain";
+/// Any process prints its whole state (nothing to a JSON object).
+pub const DUMP: &str = "dump";
+
+/// Error code of an answer from a control process that is not the leader. Its
+/// data is the leader's `address::Peer`, or null when none is known.
+pub const NOT_LEADER: i32 = -32_001;
+/// Error code of an answer when no quorum could be reached; nothing was changed
+/// as far as is known.
+pub const NO_QUORUM: i32 = -32_002;
+/// Error code of a request that the replicated state refuses; the message says why.
+pub const REFUSED: i32 = -32_003;
--- /dev/null
+++ b/crates/cranberrygap/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving system that runs many models on fewer accelerators.
