--- a/crates/cranberrygap/src/lib.rs
+++ b/crates/cranberrygap/src/lib.rs
@@ -1,1 +1,3 @@
-//! Serving system that runs many models on fewer accelerators.
+//! cranberrygap as a library: everything that its thin binaries call.
+
+pub mod daemon;
