Connect the processes over authenticated jsonrpsee links

Cause: entries, controls and operators need connections on which a stranger gets nothing and which never send the secret that proves a process belongs. Change: cranberrygap-link with a mutual challenge-response under keyed BLAKE3, session keys for each direction, counters and keyed hashes on every message, several secrets at once, bounds on messages, connections and time to prove. Content is not encrypted.

--- /dev/null
+++ b/crates/cranberrygap-link/src/client.rs
@@ -0,0 +1,335 @@
+//! The connecting end of a link.
+
+use std::fmt;
+use std::marker::PhantomData;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cranberrygap_model::{address, duration};
+use jsonrpsee::core::client as rpc;
+use jsonrpsee::core::client::{ClientT as _, SubscriptionClientT as _};
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::credential;
+use crate::error::Error;
+use crate::handshake;
+use crate::message;
+use crate::session;
+
+/// Time for a connection and its handshake together.
+const CONNECT_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Time for the first frame of a stream.
+const OPEN_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Upper bound that the library puts on any call; the caller's own deadline is
+/// shorter.
+const LONGEST_CALL: Duration = Duration::from_hours(1);
+
+/// Calls under way on one connection.
+const LARGEST_CONCURRENCY: usize = 4_096;
+
+/// Tries to open a connection; the library counts them as redirections.
+const ATTEMPTS: usize = 1;
+
+/// Frames that wait for a slow reader before its stream ends.
+const FRAME_BUFFER: usize = 1_024;
+
+/// A connection on which both ends have proven themselves.
+pub struct Client {
+    rpc: ws_client::WsClient,
+    keys: session::Keys,
+    counter: AtomicU64,
+}
+
+/// A stream of frames.
+pub struct Subscription<F> {
+    frames: rpc::Subscription<session::Envelope>,
+    keys: session::Keys,
+    counter: u64,
+    sequence: u64,
+    finished: bool,
+    frame: PhantomData<fn() -> F>,
+}
+
+impl Client {
+    /// Connects to `address` and proves to be of `role`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] or [`Error::NotAuthentic`]; nothing was asked.
+    pub async fn connect(
+        address: address::Socket,
+        role: credential::Role,
+        secret: &credential::Secret,
+    ) -> Result<Self, Error> {
+        let connecting = Self::connect_unbounded(address, role, secret);
+        let connected = tokio::time::timeout(CONNECT_DEADLINE, connecting).await;
+        connected.unwrap_or_else(|_elapsed| Err(unreachable(&"no connection in time")))
+    }
+
+    async fn connect_unbounded(
+        address: address::Socket,
+        role: credential::Role,
+        secret: &credential::Secret,
+    ) -> Result<Self, Error> {
+        let ping = rpc::async_client::PingConfig::new()
+            .ping_interval(message::PING_INTERVAL)
+            .inactive_limit(message::SILENCE_LIMIT);
+        let rpc = ws_client::WsClientBuilder::new()
+            .connection_timeout(CONNECT_DEADLINE)
+            .request_timeout(LONGEST_CALL)
+            .max_request_size(message::LARGEST_MESSAGE)
+            .max_response_size(message::LARGEST_MESSAGE)
+            .max_concurrent_requests(LARGEST_CONCURRENCY)
+            .max_buffer_capacity_per_subscription(FRAME_BUFFER)
+            .max_redirections(ATTEMPTS)
+            .enable_ws_ping(ping)
+            .build(format!("ws://{address}"))
+            .await
+            .map_err(|cause| unreachable(&cause))?;
+        let keys = prove(&rpc, role, secret).await?;
+        Ok(Self {
+            rpc,
+            keys,
+            counter: AtomicU64::new(0),
+        })
+    }
+
+    /// Calls `method` and waits for the answer until `deadline` has passed.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`]; [`Error::not_sent`] tells whether the call may have run.
+    pub async fn call<P: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+        deadline: duration::Span,
+    ) -> Result<R, Error> {
+        let envelope = self.envelope(method, params)?;
+        let counter = envelope.counter;
+        let calling = self.rpc.request(message::CALL, rpc_params![envelope]);
+        let answer = tokio::time::timeout(deadline.to_std(), calling).await;
+        let answer: session::Envelope = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(rpc::Error::RequestTimeout)) | Err(_) => return Err(Error::TimedOut),
+            Ok(Err(_cause)) => return Err(Error::Closed),
+        };
+        // Something between the ends altered the answer or gave that of another
+        // call. What the call did is then as unknown as after a lost answer.
+        let fits = answer.counter == counter && answer.sequence == 0;
+        if !fits || !self.keys.is_authentic(session::Purpose::Answer, &answer) {
+            return Err(Error::Closed);
+        }
+        decode(&answer)?.ok_or_else(|| malformed(&"an answer without content"))
+    }
+
+    /// Opens a stream of frames.
+    ///
+    /// # Errors
+    ///
+    /// See [`Error`].
+    pub async fn subscribe<P: Serialize + Sync, F: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+    ) -> Result<Subscription<F>, Error> {
+        let envelope = self.envelope(method, params)?;
+        let counter = envelope.counter;
+        let opening = self
+            .rpc
+            .subscribe(message::OPEN, rpc_params![envelope], message::CLOSE);
+        let frames = match tokio::time::timeout(OPEN_DEADLINE, opening).await {
+            Ok(Ok(frames)) => frames,
+            Ok(Err(_cause)) => return Err(Error::Closed),
+            Err(_elapsed) => return Err(Error::TimedOut),
+        };
+        let mut subscription = Subscription {
+            frames,
+            keys: self.keys.clone(),
+            counter,
+            sequence: 0,
+            finished: false,
+            frame: PhantomData,
+        };
+        // The first frame is empty and tells that the stream was granted.
+        let opened = tokio::time::timeout(OPEN_DEADLINE, subscription.receive());
+        match opened.await {
+            Ok(Some(Ok(envelope))) => decode::<()>(&envelope).map(drop)?,
+            Ok(Some(Err(error))) => return Err(error),
+            Ok(None) => return Err(Error::Closed),
+            Err(_elapsed) => return Err(Error::TimedOut),
+        }
+        Ok(subscription)
+    }
+
+    /// Whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        !self.rpc.is_connected()
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) {
+        self.rpc.on_disconnect().await;
+    }
+
+    fn envelope<P: Serialize>(
+        &self,
+        method: &'static str,
+        params: &P,
+    ) -> Result<session::Envelope, Error> {
+        if self.is_closed() {
+            return Err(unreachable(&"the connection has ended"));
+        }
+        let params =
+            serde_json::value::to_raw_value(params).map_err(|cause| unreachable(&cause))?;
+        let call = message::Call {
+            method: method.into(),
+            params,
+        };
+        let body = message::raw(&call);
+        let size = body.get().len() + message::ENVELOPE_ROOM;
+        let limit = message::LARGEST_MESSAGE as usize;
+        if size > limit {
+            return Err(Error::TooLarge { size, limit });
+        }
+        let counter = self.counter.fetch_add(1, Ordering::Relaxed);
+        Ok(self.keys.seal(session::Purpose::Call, counter, 0, body))
+    }
+}
+
+impl<F: DeserializeOwned> Subscription<F> {
+    /// The next frame; `None` after the stream's orderly end.
+    pub async fn next(&mut self) -> Option<Result<F, Error>> {
+        if self.finished {
+            return None;
+        }
+        match self.receive().await {
+            Some(Ok(envelope)) => self.content(&envelope),
+            Some(Err(error)) => Some(self.fail(error)),
+            None => Some(self.fail(Error::Closed)),
+        }
+    }
+
+    fn content(&mut self, envelope: &session::Envelope) -> Option<Result<F, Error>> {
+        match decode(envelope) {
+            Ok(Some(frame)) => Some(Ok(frame)),
+            Ok(None) => {
+                self.finished = true;
+                None
+            }
+            Err(error) => Some(self.fail(error)),
+        }
+    }
+
+    fn fail(&mut self, error: Error) -> Result<F, Error> {
+        self.finished = true;
+        Err(error)
+    }
+}
+
+impl<F> Subscription<F> {
+    /// Takes the next envelope; one that is altered, left out or repeated on the
+    /// way ends the stream, since a view with a missing change would be wrong.
+    async fn receive(&mut self) -> Option<Result<session::Envelope, Error>> {
+        let envelope = match self.frames.next().await? {
+            Ok(envelope) => envelope,
+            Err(cause) => return Some(Err(malformed(&cause))),
+        };
+        let fits = envelope.counter == self.counter && envelope.sequence == self.sequence;
+        if !fits || !self.keys.is_authentic(session::Purpose::Frame, &envelope) {
+            return Some(Err(Error::Closed));
+        }
+        self.sequence += 1;
+        Some(Ok(envelope))
+    }
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client")
+            .field("closed", &self.is_closed())
+            .finish_non_exhaustive()
+    }
+}
+
+impl<F> fmt::Debug for Subscription<F> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Subscription")
+            .field("sequence", &self.sequence)
+            .finish_non_exhaustive()
+    }
+}
+
+async fn prove(
+    rpc: &ws_client::WsClient,
+    role: credential::Role,
+    secret: &credential::Secret,
+) -> Result<session::Keys, Error> {
+    let client = handshake::Nonce::draw().map_err(|cause| unreachable(&cause))?;
+    let hello = handshake::Hello {
+        role,
+        nonce: client.to_hex(),
+    };
+    let challenge: handshake::Challenge = rpc
+        .request(message::HELLO, rpc_params![hello])
+        .await
+        .map_err(refused_by_stranger)?;
+    let server = handshake::Nonce::from_hex(&challenge.nonce).ok_or(Error::NotAuthentic)?;
+    let transcript = handshake::Transcript {
+        role,
+        client,
+        server,
+    };
+    let proof: handshake::Proof = rpc
+        .request(message::PROVE, rpc_params![transcript.client_proof(secret)])
+        .await
+        .map_err(refused_by_stranger)?;
+    if !transcript.is_server(secret, &proof) {
+        return Err(Error::NotAuthentic);
+    }
+    Ok(transcript.session(secret))
+}
+
+fn refused_by_stranger(cause: rpc::Error) -> Error {
+    match cause {
+        rpc::Error::Call(_) | rpc::Error::ParseError(_) => Error::NotAuthentic,
+        other => unreachable(&other),
+    }
+}
+
+fn decode<R: DeserializeOwned>(envelope: &session::Envelope) -> Result<Option<R>, Error> {
+    let answer: message::Answer =
+        serde_json::from_str(envelope.body.get()).map_err(|cause| malformed(&cause))?;
+    if let Some(fault) = answer.fault {
+        return Err(Error::Refused {
+            code: fault.code,
+            message: fault.message,
+            data: fault.data,
+        });
+    }
+    if answer.end {
+        return Ok(None);
+    }
+    let content = answer.ok.as_ref().map_or("null", |ok| ok.get());
+    serde_json::from_str(content)
+        .map(Some)
+        .map_err(|cause| malformed(&cause))
+}
+
+fn unreachable(reason: &dyn fmt::Display) -> Error {
+    Error::Unreachable {
+        reason: reason.to_string().into(),
+    }
+}
+
+fn malformed(reason: &dyn fmt::Display) -> Error {
+    Error::Malformed {
+        reason: reason.to_string().into(),
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-link/src/credential.rs
@@ -0,0 +1,116 @@
+//! Secrets that prove a process's or an operator's right to connect.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::os::unix::fs::PermissionsExt as _;
+use std::path::{Path, PathBuf};
+
+use serde::{Deserialize, Serialize};
+
+/// Shortest secret that is taken, in bytes. Shorter ones could be found by
+/// trying all of them against one recorded handshake.
+pub const SHORTEST_SECRET: usize = 16;
+
+/// Mode bits of group and others; a secret's file must have none of them.
+const FOREIGN_MODE: u32 = 0o077;
+
+/// Separates keys made from secrets from every other use of BLAKE3.
+const CONTEXT: &str = "cranberrygap 2026-12 link secret";
+
+/// Who may call a method.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// The system's own processes.
+    Fleet,
+    /// People who operate the fleet, and their command line.
+    Operator,
+}
+
+/// A shared secret; it is never printed or sent.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret {
+    key: [u8; blake3::KEY_LEN],
+}
+
+/// Why a secret's file was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file could not be read.
+    #[error("{path}: {cause}", path = path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        cause: io::Error,
+    },
+    /// Others than the owner may read the file.
+    #[error("{path}: mode {mode:04o} lets others read it; run chmod 0600 on it", path = path.display())]
+    Exposed {
+        /// The file.
+        path: PathBuf,
+        /// The mode that was found.
+        mode: u32,
+    },
+    /// The file holds too little.
+    #[error("{path}: holds fewer than {SHORTEST_SECRET} bytes", path = path.display())]
+    TooShort {
+        /// The file.
+        path: PathBuf,
+    },
+}
+
+impl Secret {
+    /// Reads a secret from a file that only its owner may read.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, others may read it, or it is too short.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, Error> {
+        let path = path.as_ref();
+        let unreadable = |cause| Error::Unreadable {
+            path: path.to_owned(),
+            cause,
+        };
+        let metadata = fs::metadata(path).map_err(unreadable)?;
+        let mode = metadata.permissions().mode() & 0o7777;
+        if mode & FOREIGN_MODE != 0 {
+            let path = path.to_owned();
+            return Err(Error::Exposed { path, mode });
+        }
+        let content = fs::read(path).map_err(unreadable)?;
+        Self::new(content.trim_ascii()).ok_or_else(|| Error::TooShort {
+            path: path.to_owned(),
+        })
+    }
+
+    /// A secret from its bytes; `None` when there are too few.
+    #[must_use]
+    pub fn new(content: &[u8]) -> Option<Self> {
+        if content.len() < SHORTEST_SECRET {
+            return None;
+        }
+        let key = blake3::derive_key(CONTEXT, content);
+        Some(Self { key })
+    }
+
+    pub(crate) const fn key(&self) -> &[u8; blake3::KEY_LEN] {
+        &self.key
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Fleet => "fleet",
+            Self::Operator => "operator",
+        })
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-link/src/server/accept.rs
@@ -0,0 +1,262 @@
+//! Accepts connections and hands each to the JSON-RPC library.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_model::address;
+use jsonrpsee::RpcModule;
+use jsonrpsee::server;
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::net;
+use tokio::sync::watch;
+
+use super::connection::Connection;
+use super::registry::Registry;
+use super::{Error, Fault, stream};
+use crate::credential;
+use crate::handshake;
+use crate::message;
+use crate::session;
+
+/// Time in which a connection must prove itself. A stranger could otherwise
+/// hold connections open until no process of the fleet finds a free one.
+const PROOF_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Streams that one connection may hold open.
+const LARGEST_STREAMS: u32 = 16;
+
+/// Messages that wait for a slow reader before the sender waits too.
+const MESSAGE_BUFFER: u32 = 256;
+
+/// Pause after a failed accept, such as when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A running listener; it stops when the handle is dropped.
+pub struct Handle {
+    registry: Arc<Registry>,
+    address: address::Socket,
+    stop: watch::Sender<bool>,
+}
+
+impl Handle {
+    pub(super) async fn listen(
+        registry: Arc<Registry>,
+        address: address::Socket,
+    ) -> Result<Self, Error> {
+        let failed = |cause| Error::Listen { address, cause };
+        let listener = net::TcpListener::bind(address.0).await.map_err(failed)?;
+        let local = listener.local_addr().map_err(failed)?;
+        let (stop, stopped) = watch::channel(false);
+        tokio::spawn(accept(listener, Arc::clone(&registry), stopped));
+        Ok(Self {
+            registry,
+            address: address::Socket(local),
+            stop,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> address::Socket {
+        self.address
+    }
+
+    /// Open connections, proven or not.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.registry.count()
+    }
+
+    /// Changes the secrets of a role at run time. Connections that rest on a
+    /// secret that is no longer taken end.
+    pub fn replace_secrets(&self, role: credential::Role, secrets: Vec<credential::Secret>) {
+        self.registry.replace(role, secrets);
+    }
+
+    /// Stops listening and ends all connections.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+        self.registry.end_all();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl fmt::Debug for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Handle")
+            .field("address", &self.address)
+            .field("connections", &self.connections())
+            .finish_non_exhaustive()
+    }
+}
+
+async fn accept(
+    listener: net::TcpListener,
+    registry: Arc<Registry>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let module = module(&registry);
+    let mut next: u32 = 0;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        let Ok((socket, _peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        next = next.wrapping_add(1);
+        serve(socket, next, &registry, module.clone());
+    }
+}
+
+fn serve(socket: net::TcpStream, id: u32, registry: &Arc<Registry>, module: server::Methods) {
+    let (stop, handle) = server::stop_channel();
+    let connection = Arc::new(Connection::new(handle));
+    if !registry.open(id, Arc::clone(&connection)) {
+        spdlog::warn!("link: too many connections, one was refused");
+        return;
+    }
+    // Fails only on a socket that is already closed.
+    drop(socket.set_nodelay(true));
+    let mut service = server::Server::builder()
+        .set_config(config())
+        .to_service_builder()
+        .connection_id(id)
+        .build(module, stop.clone());
+    let closed = service.on_session_closed();
+    let registry = Arc::clone(registry);
+    tokio::spawn(async move {
+        let serving = async {
+            let stopped = stop.shutdown();
+            let served = server::serve_with_graceful_shutdown(socket, service, stopped).await;
+            if let Err(cause) = served {
+                spdlog::debug!("link: a connection ended: {cause}");
+            }
+            closed.await;
+        };
+        tokio::pin!(serving);
+        tokio::select! {
+            () = &mut serving => {}
+            () = until_unproven(&connection) => {
+                spdlog::warn!("link: a connection that did not prove itself was closed");
+                connection.end();
+            }
+        }
+        registry.forget(id);
+    });
+}
+
+/// Ends when the connection has not proven itself in time, else never.
+async fn until_unproven(connection: &Connection) {
+    let proven = tokio::time::timeout(PROOF_DEADLINE, connection.proven());
+    if proven.await.is_ok() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn config() -> server::ServerConfig {
+    let ping = server::PingConfig::new()
+        .ping_interval(message::PING_INTERVAL)
+        .inactive_limit(message::SILENCE_LIMIT);
+    server::ServerConfig::builder()
+        .ws_only()
+        .max_request_body_size(message::LARGEST_MESSAGE)
+        .max_response_body_size(message::LARGEST_MESSAGE)
+        .max_subscriptions_per_connection(LARGEST_STREAMS)
+        .set_batch_request_config(server::BatchRequestConfig::Disabled)
+        .set_message_buffer_capacity(MESSAGE_BUFFER)
+        .enable_ws_ping(ping)
+        .build()
+}
+
+fn module(registry: &Arc<Registry>) -> server::Methods {
+    let mut module = RpcModule::from_arc(Arc::clone(registry));
+    let distinct = "the names on a link are distinct";
+    module
+        .register_method(message::HELLO, |params, registry, extensions| {
+            let hello: handshake::Hello = params.one()?;
+            let connection = find(registry, extensions)?;
+            connection.challenge(&hello).ok_or_else(stranger)
+        })
+        .expect(distinct);
+    module
+        .register_method(message::PROVE, |params, registry, extensions| {
+            let proof: handshake::Proof = params.one()?;
+            prove(registry, extensions, &proof)
+        })
+        .expect(distinct);
+    module
+        .register_async_method(message::CALL, |params, registry, extensions| async move {
+            let envelope: session::Envelope = params.one()?;
+            let connection = find(&registry, &extensions)?;
+            let Some(authentic) = connection.check(&envelope) else {
+                // An altered or repeated message means that something between
+                // the ends plays with the connection; it is of no more use.
+                connection.end();
+                return Err(stranger());
+            };
+            let result = tokio::select! {
+                result = call(&registry, authentic.role, &envelope) => result,
+                () = connection.ended() => return Err(stranger()),
+            };
+            let body = message::raw(&message::Answer::new(result));
+            let purpose = session::Purpose::Answer;
+            Ok(authentic.keys.seal(purpose, envelope.counter, 0, body))
+        })
+        .expect(distinct);
+    module
+        .register_subscription(message::OPEN, message::FRAME, message::CLOSE, stream::run)
+        .expect(distinct);
+    module.into()
+}
+
+fn prove(
+    registry: &Registry,
+    extensions: &jsonrpsee::Extensions,
+    proof: &handshake::Proof,
+) -> Result<handshake::Proof, ErrorObjectOwned> {
+    let connection = find(registry, extensions)?;
+    let role = connection.claimed().ok_or_else(stranger)?;
+    let answer = connection.prove(proof, registry.secrets(role));
+    if answer.is_none() {
+        spdlog::warn!("link: a stranger that claimed the role {role} was refused");
+    }
+    answer.ok_or_else(stranger)
+}
+
+async fn call(
+    registry: &Registry,
+    role: credential::Role,
+    envelope: &session::Envelope,
+) -> Result<Box<serde_json::value::RawValue>, Fault> {
+    let wrong = |cause: serde_json::Error| Fault::new(message::WRONG_PARAMS, cause.to_string());
+    let call: message::Call = serde_json::from_str(envelope.body.get()).map_err(wrong)?;
+    let method = registry
+        .method(&call.method)
+        .filter(|method| method.role == role);
+    let unknown = || Fault::new(message::UNKNOWN_METHOD, "no such method for this role");
+    let method = method.ok_or_else(unknown)?;
+    (method.run)(call.params).await
+}
+
+pub(super) fn find(
+    registry: &Registry,
+    extensions: &jsonrpsee::Extensions,
+) -> Result<Arc<Connection>, ErrorObjectOwned> {
+    let id = extensions.get::<server::ConnectionId>();
+    let id = id.and_then(|id| u32::try_from(id.0).ok());
+    let connection = id.and_then(|id| registry.connection(id));
+    connection.ok_or_else(stranger)
+}
+
+pub(super) fn stranger() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(message::STRANGER, "prove yourself first", None::<()>)
+}
--- /dev/null
+++ b/crates/cranberrygap-link/src/server/registry.rs
@@ -0,0 +1,91 @@
+//! What a listener knows: secrets, methods and open connections.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+use super::connection::Connection;
+use super::{Method, Stream};
+use crate::credential;
+
+/// Shared by all connections of one listener.
+pub(super) struct Registry {
+    secrets: Mutex<BTreeMap<credential::Role, Vec<credential::Secret>>>,
+    methods: BTreeMap<SmolStr, Method>,
+    streams: BTreeMap<SmolStr, Stream>,
+    connections: Mutex<BTreeMap<u32, Arc<Connection>>>,
+    most: usize,
+}
+
+impl Registry {
+    pub(super) const fn new(
+        secrets: BTreeMap<credential::Role, Vec<credential::Secret>>,
+        methods: BTreeMap<SmolStr, Method>,
+        streams: BTreeMap<SmolStr, Stream>,
+        most: usize,
+    ) -> Self {
+        Self {
+            secrets: Mutex::new(secrets),
+            methods,
+            streams,
+            connections: Mutex::new(BTreeMap::new()),
+            most,
+        }
+    }
+
+    pub(super) fn method(&self, name: &str) -> Option<&Method> {
+        self.methods.get(name)
+    }
+
+    pub(super) fn stream(&self, name: &str) -> Option<&Stream> {
+        self.streams.get(name)
+    }
+
+    /// Secrets that prove `role` at this moment.
+    pub(super) fn secrets(&self, role: credential::Role) -> Vec<credential::Secret> {
+        self.secrets.lock().get(&role).cloned().unwrap_or_default()
+    }
+
+    /// Changes the secrets of a role and ends connections that rest on one that
+    /// is no longer taken; else a leaked secret would go on for as long as its
+    /// finder keeps a connection open.
+    pub(super) fn replace(&self, role: credential::Role, secrets: Vec<credential::Secret>) {
+        let open: Vec<Arc<Connection>> = self.connections.lock().values().cloned().collect();
+        for connection in open {
+            if connection.rests_on_other(role, &secrets) {
+                connection.end();
+            }
+        }
+        self.secrets.lock().insert(role, secrets);
+    }
+
+    pub(super) fn connection(&self, id: u32) -> Option<Arc<Connection>> {
+        self.connections.lock().get(&id).cloned()
+    }
+
+    /// Notes a connection unless there are too many.
+    pub(super) fn open(&self, id: u32, connection: Arc<Connection>) -> bool {
+        let mut connections = self.connections.lock();
+        if connections.len() >= self.most {
+            return false;
+        }
+        connections.insert(id, connection);
+        true
+    }
+
+    pub(super) fn forget(&self, id: u32) {
+        self.connections.lock().remove(&id);
+    }
+
+    pub(super) fn end_all(&self) {
+        for connection in self.connections.lock().values() {
+            connection.end();
+        }
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.connections.lock().len()
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-link/src/session.rs
@@ -0,0 +1,124 @@
+//! Sealing of messages once both ends have proven themselves.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use smol_str::SmolStr;
+
+/// Calls that may be under way out of order on one connection. An older
+/// counter than that is refused, so the memory of used counters stays bounded.
+const WINDOW: usize = 4_096;
+
+/// Which way and for what a message goes; a message of one kind is never taken
+/// for one of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A call or the opening of a stream, from the connecting end.
+    Call,
+    /// The answer to a call.
+    Answer,
+    /// One frame of a stream.
+    Frame,
+}
+
+/// A message with its place and the proof that it was not altered.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Number of the call that this is, answers or streams to.
+    pub counter: u64,
+    /// Position within a stream, 0 elsewhere.
+    pub sequence: u64,
+    /// The content.
+    pub body: Box<RawValue>,
+    /// Keyed hash over all of it, in hex.
+    pub seal: SmolStr,
+}
+
+/// The keys of one session, one for each direction.
+#[derive(Clone)]
+pub struct Keys {
+    client: [u8; blake3::KEY_LEN],
+    server: [u8; blake3::KEY_LEN],
+}
+
+/// Remembers which counters were used.
+#[derive(Debug, Default)]
+pub struct Window {
+    floor: u64,
+    used: BTreeSet<u64>,
+}
+
+impl Keys {
+    pub(crate) fn new(session: blake3::Hash) -> Self {
+        let derive =
+            |direction: &[u8]| *blake3::keyed_hash(session.as_bytes(), direction).as_bytes();
+        Self {
+            client: derive(b"client to server"),
+            server: derive(b"server to client"),
+        }
+    }
+
+    /// Puts `body` into an envelope.
+    #[must_use]
+    pub fn seal(
+        &self,
+        purpose: Purpose,
+        counter: u64,
+        sequence: u64,
+        body: Box<RawValue>,
+    ) -> Envelope {
+        let seal = self.hash(purpose, counter, sequence, &body);
+        Envelope {
+            counter,
+            sequence,
+            body,
+            seal: SmolStr::new(seal.to_hex().as_str()),
+        }
+    }
+
+    /// Whether an envelope was sealed by the other end and is unaltered.
+    #[must_use]
+    pub fn is_authentic(&self, purpose: Purpose, envelope: &Envelope) -> bool {
+        let expected = self.hash(purpose, envelope.counter, envelope.sequence, &envelope.body);
+        blake3::Hash::from_hex(envelope.seal.as_str()).is_ok_and(|found| found == expected)
+    }
+
+    fn hash(&self, purpose: Purpose, counter: u64, sequence: u64, body: &RawValue) -> blake3::Hash {
+        let (key, label) = match purpose {
+            Purpose::Call => (&self.client, 0),
+            Purpose::Answer => (&self.server, 1),
+            Purpose::Frame => (&self.server, 2),
+        };
+        let mut hasher = blake3::Hasher::new_keyed(key);
+        hasher.update(&[label]);
+        hasher.update(&counter.to_le_bytes());
+        hasher.update(&sequence.to_le_bytes());
+        hasher.update(body.get().as_bytes());
+        hasher.finalize()
+    }
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Keys(..)")
+    }
+}
+
+impl Window {
+    /// Takes a counter unless it was used before or is too old.
+    pub fn accept(&mut self, counter: u64) -> bool {
+        if counter < self.floor || !self.used.insert(counter) {
+            return false;
+        }
+        while self.used.remove(&self.floor) {
+            self.floor += 1;
+        }
+        while self.used.len() > WINDOW {
+            if let Some(oldest) = self.used.pop_first() {
+                self.floor = oldest + 1;
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-link/tests/link.rs
@@ -0,0 +1,195 @@
+//! Calls and streams between two ends that hold the same secret.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use cranberrygap_link::{Error, client, credential, server};
+use cranberrygap_model::{address, duration};
+use futures_util::StreamExt as _;
+use futures_util::stream;
+
+const DEADLINE: duration::Span = duration::Span::from_secs(20);
+
+fn secret(name: &str) -> credential::Secret {
+    credential::Secret::new(format!("{name}-0123456789abcdef").as_bytes()).unwrap()
+}
+
+fn loopback() -> address::Socket {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+async fn listener() -> server::Handle {
+    let fleet = credential::Role::Fleet;
+    server::Builder::new()
+        .secrets(fleet, vec![secret("fleet")])
+        .secrets(credential::Role::Operator, vec![secret("operator")])
+        .method("double", fleet, |number: u64| async move { Ok(number * 2) })
+        .method("refuse", fleet, |(): ()| async {
+            Err::<(), _>(server::Fault::new(-7, "no").with_data(serde_json::json!("why")))
+        })
+        .method("silent", fleet, |(): ()| {
+            std::future::pending::<Result<(), _>>()
+        })
+        .method("operate", credential::Role::Operator, |(): ()| async {
+            Ok(())
+        })
+        .subscription("count", fleet, |until: u64| async move {
+            Ok(stream::iter(0..until).boxed())
+        })
+        .start(loopback())
+        .await
+        .unwrap()
+}
+
+async fn connect(listener: &server::Handle, name: &str) -> Result<client::Client, Error> {
+    let role = credential::Role::Fleet;
+    client::Client::connect(listener.address(), role, &secret(name)).await
+}
+
+#[tokio::test]
+async fn call_is_answered() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let answer: u64 = client.call("double", &21_u64, DEADLINE).await.unwrap();
+
+    assert_eq!(answer, 42);
+}
+
+#[tokio::test]
+async fn fault_reaches_the_caller_whole() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let error = client.call::<_, ()>("refuse", &(), DEADLINE).await;
+
+    let expected = Error::Refused {
+        code: -7,
+        message: "no".into(),
+        data: "why".into(),
+    };
+    assert_eq!(error, Err(expected));
+}
+
+#[tokio::test]
+async fn stream_brings_every_frame_and_then_ends() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let mut frames = client.subscribe::<_, u64>("count", &3_u64).await.unwrap();
+
+    assert_eq!(frames.next().await, Some(Ok(0)));
+    assert_eq!(frames.next().await, Some(Ok(1)));
+    assert_eq!(frames.next().await, Some(Ok(2)));
+    assert_eq!(frames.next().await, None);
+}
+
+// The fleet's secret must not open what is meant for operators.
+#[tokio::test]
+async fn method_of_another_role_is_not_found() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let error = client.call::<_, ()>("operate", &(), DEADLINE).await;
+
+    assert!(matches!(error, Err(Error::Refused { .. })));
+}
+
+// The other end takes the call and never answers. The caller must not take it
+// for a call that did not run.
+#[tokio::test]
+async fn call_without_answer_is_of_unknown_effect() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let short = duration::Span::from_millis(50);
+    let error = client
+        .call::<_, ()>("silent", &(), short)
+        .await
+        .unwrap_err();
+
+    assert_eq!(error, Error::TimedOut);
+    assert!(!error.not_sent());
+}
+
+// The listener's process ends while a call runs.
+#[tokio::test]
+async fn call_on_a_connection_that_ends_is_of_unknown_effect() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let calling = client.call::<_, ()>("silent", &(), DEADLINE);
+    let ending = async {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        drop(listener);
+    };
+    let (error, ()) = tokio::join!(calling, ending);
+
+    assert!(matches!(error, Err(Error::Closed | Error::TimedOut)));
+}
+
+#[tokio::test]
+async fn call_after_the_end_is_known_not_to_have_been_sent() {
+    let listener = listener().await;
+    let client = connect(&listener, "fleet").await.unwrap();
+    drop(listener);
+    client.closed().await;
+
+    let error = client.call::<_, u64>("double", &1_u64, DEADLINE).await;
+
+    assert!(error.unwrap_err().not_sent());
+}
+
+#[tokio::test]
+async fn nobody_listens_there() {
+    let listener = listener().await;
+    let address = listener.address();
+    drop(listener);
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+
+    let role = credential::Role::Fleet;
+    let error = client::Client::connect(address, role, &secret("fleet")).await;
+
+    assert!(matches!(error, Err(Error::Unreachable { .. })));
+}
+
+#[tokio::test]
+async fn wrong_secret_is_refused() {
+    let listener = listener().await;
+
+    let error = connect(&listener, "other").await.unwrap_err();
+
+    assert_eq!(error, Error::NotAuthentic);
+}
+
+// Operators change the fleet's secret while all processes run: listeners first
+// take both, clients change over, and then the old secret goes. Connections of
+// clients that changed over must not be cut, those that did not must be.
+#[tokio::test]
+async fn secret_is_changed_while_connected() {
+    let listener = listener().await;
+    let role = credential::Role::Fleet;
+    let old = connect(&listener, "fleet").await.unwrap();
+
+    listener.replace_secrets(role, vec![secret("fleet"), secret("next")]);
+    let new = connect(&listener, "next").await.unwrap();
+    let still: u64 = old.call("double", &1_u64, DEADLINE).await.unwrap();
+    listener.replace_secrets(role, vec![secret("next")]);
+    old.closed().await;
+    let after: u64 = new.call("double", &2_u64, DEADLINE).await.unwrap();
+    let refused = connect(&listener, "fleet").await;
+
+    assert_eq!((still, after), (2, 4));
+    assert!(matches!(refused, Err(Error::NotAuthentic)));
+}
+
+#[tokio::test]
+async fn connections_are_bounded() {
+    let role = credential::Role::Fleet;
+    let builder = server::Builder::new().secrets(role, vec![secret("fleet")]);
+    let listener = builder.connections(1).start(loopback()).await.unwrap();
+    let first = connect(&listener, "fleet").await.unwrap();
+
+    let second = connect(&listener, "fleet").await;
+
+    second.unwrap_err();
+    assert!(!first.is_closed());
+}
--- /dev/null
+++ b/crates/cranberrygap-link/tests/stranger.rs
@@ -0,0 +1,186 @@
+//! What somebody without the secret, or between the two ends, can do: nothing.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cranberrygap_link::{credential, handshake, server, session};
+use cranberrygap_model::address;
+use jsonrpsee::core::client::ClientT as _;
+use jsonrpsee::rpc_params;
+use jsonrpsee::ws_client;
+use serde_json::value::RawValue;
+
+struct Fixture {
+    listener: server::Handle,
+    calls: Arc<AtomicU64>,
+}
+
+struct Raw {
+    rpc: ws_client::WsClient,
+    keys: session::Keys,
+}
+
+fn secret() -> credential::Secret {
+    credential::Secret::new(b"fleet-0123456789abcdef").unwrap()
+}
+
+async fn fixture() -> Fixture {
+    let role = credential::Role::Fleet;
+    let calls = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&calls);
+    let address: address::Socket = "127.0.0.1:0".parse().unwrap();
+    let listener = server::Builder::new()
+        .secrets(role, vec![secret()])
+        .method("touch", role, move |(): ()| {
+            let count = counted.fetch_add(1, Ordering::SeqCst);
+            async move { Ok(count) }
+        })
+        .start(address)
+        .await
+        .unwrap();
+    Fixture { listener, calls }
+}
+
+async fn rpc(fixture: &Fixture) -> ws_client::WsClient {
+    let url = format!("ws://{}", fixture.listener.address());
+    ws_client::WsClientBuilder::new().build(url).await.unwrap()
+}
+
+async fn hello(rpc: &ws_client::WsClient, client: handshake::Nonce) -> handshake::Transcript {
+    let role = credential::Role::Fleet;
+    let nonce = client.to_hex();
+    let hello = handshake::Hello { role, nonce };
+    let challenge: handshake::Challenge =
+        rpc.request("link_hello", rpc_params![hello]).await.unwrap();
+    let server = handshake::Nonce::from_hex(&challenge.nonce).unwrap();
+    handshake::Transcript {
+        role,
+        client,
+        server,
+    }
+}
+
+async fn proven(fixture: &Fixture) -> Raw {
+    let rpc = rpc(fixture).await;
+    let transcript = hello(&rpc, handshake::Nonce::draw().unwrap()).await;
+    let proof = transcript.client_proof(&secret());
+    let answer: handshake::Proof = rpc.request("link_prove", rpc_params![proof]).await.unwrap();
+    assert!(transcript.is_server(&secret(), &answer));
+    let keys = transcript.session(&secret());
+    Raw { rpc, keys }
+}
+
+fn touch() -> Box<RawValue> {
+    RawValue::from_string(r#"{"method":"touch","params":null}"#.to_owned()).unwrap()
+}
+
+async fn send(rpc: &ws_client::WsClient, envelope: &session::Envelope) -> bool {
+    let answer = rpc.request::<session::Envelope, _>("link_call", rpc_params![envelope]);
+    answer.await.is_ok()
+}
+
+#[tokio::test]
+async fn call_before_the_handshake_runs_nothing() {
+    let fixture = fixture().await;
+    let known = proven(&fixture).await;
+    let envelope = known.keys.seal(session::Purpose::Call, 0, 0, touch());
+    let stranger = rpc(&fixture).await;
+
+    let taken = send(&stranger, &envelope).await;
+
+    assert!(!taken);
+    assert_eq!(fixture.calls.load(Ordering::SeqCst), 0);
+}
+
+// Somebody recorded a handshake on the wire and plays its proof again, with
+// the same nonce of the connecting end, on a connection of its own.
+#[tokio::test]
+async fn replayed_proof_is_refused() {
+    let fixture = fixture().await;
+    let first = rpc(&fixture).await;
+    let nonce = handshake::Nonce::draw().unwrap();
+    let recorded = hello(&first, nonce).await.client_proof(&secret());
+    let taken = first.request::<handshake::Proof, _>("link_prove", rpc_params![&recorded]);
+    assert!(taken.await.is_ok(), "the recorded proof was good");
+
+    let second = rpc(&fixture).await;
+    hello(&second, nonce).await;
+    let again = second.request::<handshake::Proof, _>("link_prove", rpc_params![&recorded]);
+
+    again.await.unwrap_err();
+}
+
+// A challenge that could be answered again and again would let a stranger try
+// one guess after the other on one connection.
+#[tokio::test]
+async fn challenge_can_be_answered_once_only() {
+    let fixture = fixture().await;
+    let rpc = rpc(&fixture).await;
+    let transcript = hello(&rpc, handshake::Nonce::draw().unwrap()).await;
+    let other = credential::Secret::new(b"guess-0123456789abcdef").unwrap();
+    let guess = transcript.client_proof(&other);
+    let first = rpc.request::<handshake::Proof, _>("link_prove", rpc_params![guess]);
+    first.await.unwrap_err();
+
+    let right = transcript.client_proof(&secret());
+    let second = rpc.request::<handshake::Proof, _>("link_prove", rpc_params![right]);
+
+    second.await.unwrap_err();
+}
+
+// Something between the two ends changes a call on its way. It must not run,
+// and the connection must not go on.
+#[tokio::test]
+async fn altered_call_runs_nothing_and_ends_the_connection() {
+    let fixture = fixture().await;
+    let raw = proven(&fixture).await;
+    let mut envelope = raw.keys.seal(session::Purpose::Call, 0, 0, touch());
+    envelope.counter = 1;
+
+    let taken = send(&raw.rpc, &envelope).await;
+
+    assert!(!taken);
+    assert_eq!(fixture.calls.load(Ordering::SeqCst), 0);
+    raw.rpc.on_disconnect().await;
+}
+
+// Something between the two ends sends a good call a second time. A change
+// would be made twice.
+#[tokio::test]
+async fn repeated_call_runs_once() {
+    let fixture = fixture().await;
+    let raw = proven(&fixture).await;
+    let envelope = raw.keys.seal(session::Purpose::Call, 0, 0, touch());
+
+    let first = send(&raw.rpc, &envelope).await;
+    let second = send(&raw.rpc, &envelope).await;
+
+    assert!(first);
+    assert!(!second);
+    assert_eq!(fixture.calls.load(Ordering::SeqCst), 1);
+}
+
+// An answer sent back as if it were a call must not be taken for one.
+#[tokio::test]
+async fn seal_of_an_answer_does_not_open_a_call() {
+    let fixture = fixture().await;
+    let raw = proven(&fixture).await;
+    let envelope = raw.keys.seal(session::Purpose::Answer, 0, 0, touch());
+
+    let taken = send(&raw.rpc, &envelope).await;
+
+    assert!(!taken);
+    assert_eq!(fixture.calls.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn counters_may_come_out_of_order_but_once_each() {
+    let mut window = session::Window::default();
+
+    let taken: Vec<bool> = [2, 0, 2, 1, 0, 3]
+        .map(|counter| window.accept(counter))
+        .into();
+
+    assert_eq!(taken, [true, true, false, true, false, true]);
+}
