--- /dev/null
+++ b/crates/cranberrygap-entry/src/caller/addresses.rs
@@ -0,0 +1,55 @@
+//! `GET /v1/addresses`: which entries to use.
+
+use std::sync::Arc;
+
+use cranberrygap_model::duration;
+use cranberrygap_wire::caller;
+use rand::seq::SliceRandom as _;
+use salvo::http::{Request, Response};
+use salvo::{Depot, FlowCtrl, Handler};
+
+use crate::core;
+use crate::refusal::Refusal;
+
+/// Tells callers the entries that take requests. It needs no key, since a caller
+/// asks before anything else and learns only addresses.
+#[derive(Debug)]
+pub(crate) struct Addresses {
+    pub core: Arc<core::Core>,
+}
+
+#[salvo::async_trait]
+impl Handler for Addresses {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.answer() {
+            Ok(answer) => super::write_json(res, answer),
+            Err(refusal) => refusal.write(None, res),
+        }
+    }
+}
+
+impl Addresses {
+    fn answer(&self) -> Result<String, Refusal> {
+        let view = self.core.serving_view()?;
+        let entries = view.active_entries().map(|member| caller::Address {
+            address: member.address,
+            domain: member.domain.clone(),
+        });
+        let mut addresses: Vec<caller::Address> = entries.collect();
+        // Callers take the first that works; the order spreads them.
+        addresses.shuffle(&mut rand::rng());
+        let second = duration::Span::from_secs(1).0;
+        let lifetime = (view.defaults().address_lifetime.0 / second).max(1);
+        let answer = caller::Addresses {
+            addresses,
+            lifetime,
+        };
+        Ok(serde_json::json!(answer).to_string())
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -0,0 +1,154 @@
+//! `POST /v1/chat/completions` and `POST /v1/completions`.
+
+use std::sync::Arc;
+
+use cranberrygap_model::{duration, id, token};
+use cranberrygap_wire::configuration;
+use salvo::http::{HeaderValue, Request, Response, header};
+use salvo::{Depot, FlowCtrl, Handler};
+
+use crate::admission;
+use crate::attainment;
+use crate::core;
+use crate::engine;
+use crate::refusal::Refusal;
+use crate::relay;
+use crate::view;
+
+use super::{auth, body};
+
+/// Answers model requests on one path.
+#[derive(Debug)]
+pub(crate) struct Generate {
+    pub core: Arc<core::Core>,
+    pub path: &'static str,
+    /// Key of the body that holds the prompt.
+    pub prompt_key: &'static str,
+}
+
+#[salvo::async_trait]
+impl Handler for Generate {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = super::request_id(req);
+        super::write_request_id(&id, res);
+        if let Err(refusal) = self.answer(&id, req, res).await {
+            refusal.write(Some(&id), res);
+        }
+    }
+}
+
+impl Generate {
+    fn check_quarantine(
+        &self,
+        view: &view::Snapshot,
+        workspace: &id::Workspace,
+        body: &body::Body,
+    ) -> Result<(), Refusal> {
+        let Some(quarantine) = view.quarantine(&body.fingerprint(workspace, self.path)) else {
+            return Ok(());
+        };
+        let left = quarantine.until.saturating_sub(core::Core::unix_millis());
+        if left == 0 {
+            return Ok(());
+        }
+        Err(Refusal::Quarantined {
+            retry_after: duration::Span::from_millis(left),
+        })
+    }
+
+    async fn answer(
+        &self,
+        id: &id::Request,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), Refusal> {
+        let view = self.core.serving_view()?;
+        let (workspace, secret) = auth::workspace(request, &view)?;
+        let bytes = crate::server::read_body(request, &self.core).await?;
+        auth::check_hidden(&secret, &[&bytes, id.as_str().as_bytes()])?;
+        let default_max = max_tokens(&view, &workspace);
+        let body = body::Body::read(&bytes, self.prompt_key, default_max)?;
+        if !view.has_model(&body.model) {
+            return Err(Refusal::ModelUnknown(body.model.as_str().into()));
+        }
+        self.check_quarantine(&view, &workspace, &body)?;
+        let clock = self.core.clock;
+        let permit =
+            admission::Permit::reserve(&self.core.limiter, clock, &workspace, body.bound())?;
+        let progress = attainment::Progress::arrived(&self.core, &body.model, view.defaults());
+        let call = engine::Call {
+            request: id.clone(),
+            path: self.path,
+            body,
+        };
+        let answer = engine::dispatch(&self.core, &call).await?;
+        if call.body.stream {
+            stream(response, &call, answer, permit, progress);
+            return Ok(());
+        }
+        whole(response, answer, permit, progress).await
+    }
+}
+
+fn stream(
+    response: &mut Response,
+    call: &engine::Call,
+    answer: engine::Answer,
+    permit: admission::Permit,
+    progress: attainment::Progress,
+) {
+    let events = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, events);
+    let fresh = HeaderValue::from_static("no-cache");
+    response.headers_mut().insert(header::CACHE_CONTROL, fresh);
+    let prompt = call.body.prompt.0;
+    let relay = relay::Relay::new(answer, permit, call.request.clone(), prompt, progress);
+    response.stream(relay.into_stream());
+}
+
+/// Reads the whole answer before a byte goes out, so that a cut one is a failure
+/// and not a shorter answer.
+async fn whole(
+    response: &mut Response,
+    answer: engine::Answer,
+    mut permit: admission::Permit,
+    mut progress: attainment::Progress,
+) -> Result<(), Refusal> {
+    let engine::Answer {
+        response: upstream,
+        mut sent,
+    } = answer;
+    let Ok(bytes) = upstream.bytes().await else {
+        sent.fail();
+        permit.use_all();
+        return Err(Refusal::EndpointFailed);
+    };
+    let Ok(parsed) = serde_json::from_slice::<serde_json::Value>(&bytes) else {
+        sent.fail();
+        permit.use_all();
+        return Err(Refusal::EndpointFailed);
+    };
+    match parsed["usage"]["total_tokens"].as_u64() {
+        Some(used) => permit.set_used(token::Count(used)),
+        None => permit.use_all(),
+    }
+    progress.token();
+    progress.finish();
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response.body(bytes.to_vec());
+    Ok(())
+}
+
+fn max_tokens(view: &view::Snapshot, workspace: &id::Workspace) -> u64 {
+    let exception = view.exception(configuration::Target::Workspace, workspace.as_str());
+    exception
+        .and_then(|exception| exception.max_tokens)
+        .unwrap_or(view.defaults().max_tokens)
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -0,0 +1,355 @@
+//! `/services/{name}/...`: calls of plain services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrygap_model::{duration, id, token};
+use cranberrygap_wire::{claim, configuration};
+use salvo::http::{HeaderValue, Request, Response, StatusCode, header};
+use salvo::{Depot, FlowCtrl, Handler};
+use smol_str::SmolStr;
+
+use crate::admission;
+use crate::booking;
+use crate::core;
+use crate::engine;
+use crate::refusal::Refusal;
+use crate::route;
+use crate::view;
+
+use super::{auth, pattern};
+
+/// Header by which callers name a booking.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Longest idempotency key, in bytes. Bounds what a claim stores.
+const LONGEST_KEY: usize = 200;
+
+/// Endpoints that one idempotent call may be sent to.
+const MOST_ATTEMPTS: usize = 3;
+
+/// Wait before callers may try again when no endpoint serves.
+const NO_ENDPOINT_WAIT: duration::Span = duration::Span::from_secs(1);
+
+/// Passes calls on to a plain service.
+#[derive(Debug)]
+pub(crate) struct Services {
+    pub core: Arc<core::Core>,
+}
+
+/// One call, checked and admitted.
+#[derive(Debug)]
+struct Call {
+    id: id::Request,
+    workspace: id::Workspace,
+    service: id::Service,
+    method: salvo::http::Method,
+    /// Path and query as the service sees them.
+    path: String,
+    content_type: Option<HeaderValue>,
+    key: Option<SmolStr>,
+    body: Bytes,
+    deadline: duration::Span,
+}
+
+/// How a dispatch ended.
+enum Ending {
+    Answered {
+        status: StatusCode,
+        content_type: HeaderValue,
+        body: Bytes,
+    },
+    /// The connection was refused before a byte was written.
+    NotRun,
+    Unknown,
+}
+
+#[salvo::async_trait]
+impl Handler for Services {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = super::request_id(req);
+        super::write_request_id(&id, res);
+        if let Err(refusal) = self.answer(&id, req, res).await {
+            refusal.write(Some(&id), res);
+        }
+    }
+}
+
+impl Services {
+    async fn answer(
+        &self,
+        id: &id::Request,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), Refusal> {
+        let view = self.core.serving_view()?;
+        let (workspace, secret) = auth::workspace(request, &view)?;
+        let call = self.read(id, workspace, request, &view).await?;
+        let key = call.key.as_deref().unwrap_or_default();
+        auth::check_hidden(&secret, &[&call.body, call.path.as_bytes(), key.as_bytes()])?;
+        let cost = token::Count(cost(&view, &call.service));
+        let clock = self.core.clock;
+        let mut permit =
+            admission::Permit::reserve(&self.core.limiter, clock, &call.workspace, cost)?;
+        let outcome = if is_idempotent(&view, &call) {
+            self.look_up(&call).await
+        } else {
+            self.book(call).await
+        };
+        if !matches!(&outcome, Err(refusal) if is_not_run(refusal)) {
+            permit.use_all();
+        }
+        write(outcome?, response);
+        Ok(())
+    }
+
+    async fn read(
+        &self,
+        id: &id::Request,
+        workspace: id::Workspace,
+        request: &mut Request,
+        view: &view::Snapshot,
+    ) -> Result<Call, Refusal> {
+        let name: Option<String> = request.param("name");
+        let service: id::Service = name
+            .and_then(|name| name.parse().ok())
+            .ok_or(Refusal::PathUnknown)?;
+        let known = view.endpoints().values();
+        if !known
+            .into_iter()
+            .any(|e| e.announcement.service.as_ref() == Some(&service))
+        {
+            return Err(Refusal::PathUnknown);
+        }
+        let body = crate::server::read_body(request, &self.core).await?;
+        Ok(Call {
+            id: id.clone(),
+            workspace,
+            method: request.method().clone(),
+            path: passed_path(request, &service),
+            content_type: request.headers().get(header::CONTENT_TYPE).cloned(),
+            key: idempotency_key(request)?,
+            body,
+            deadline: deadline(view, &service),
+            service,
+        })
+    }
+
+    /// Sends a call that may be repeated to one endpoint after another.
+    async fn look_up(&self, call: &Call) -> Result<Ending, Refusal> {
+        let mut tried = route::Tried::new();
+        for _attempt in 0..MOST_ATTEMPTS {
+            let Some(choice) = self.choose(call, &tried) else {
+                break;
+            };
+            tried.push(choice.endpoint.clone());
+            let client = self.core.upstream.pooled();
+            let ending = self.dispatch(call, &choice, client).await;
+            let failed = !matches!(ending, Ending::Answered { .. });
+            self.core.router.ended(self.core.now(), &choice, failed);
+            if !failed {
+                return Ok(ending);
+            }
+        }
+        if tried.is_empty() {
+            return Err(Refusal::NoEndpoint {
+                retry_after: NO_ENDPOINT_WAIT,
+            });
+        }
+        Err(Refusal::EndpointFailed)
+    }
+
+    /// Runs a call that may run at most once, in a task of its own: a caller that
+    /// leaves must not stop it half way, with its outcome unrecorded.
+    async fn book(&self, call: Call) -> Result<Ending, Refusal> {
+        let core = Arc::clone(&self.core);
+        let task = tokio::spawn(async move { Self { core }.book_once(&call).await });
+        task.await.unwrap_or(Err(Refusal::BookingUnknown))
+    }
+
+    async fn book_once(&self, call: &Call) -> Result<Ending, Refusal> {
+        let key = call.key.clone().ok_or(Refusal::IdempotencyKeyMissing)?;
+        let booking = booking::Booking {
+            workspace: call.workspace.clone(),
+            key,
+            body_hash: booking::body_hash(call.method.as_str(), &call.path, &call.body),
+            request: call.id.clone(),
+        };
+        let claim = match booking.open(&self.core).await? {
+            booking::Permission::Run(claim) => claim,
+            booking::Permission::Stored(stored) => return Ok(from_stored(&stored)),
+        };
+        let ending = match self.choose(call, &route::Tried::new()) {
+            Some(choice) => {
+                let ending = self
+                    .dispatch(call, &choice, self.core.upstream.fresh())
+                    .await;
+                let failed = !matches!(ending, Ending::Answered { .. });
+                self.core.router.ended(self.core.now(), &choice, failed);
+                ending
+            }
+            None => Ending::NotRun,
+        };
+        let outcome = to_outcome(&ending);
+        booking.close(&self.core, claim, outcome).await;
+        match ending {
+            Ending::NotRun => Err(Refusal::BookingNotRun),
+            Ending::Unknown => Err(Refusal::BookingUnknown),
+            answered @ Ending::Answered { .. } => Ok(answered),
+        }
+    }
+
+    fn choose(&self, call: &Call, tried: &route::Tried) -> Option<route::Choice> {
+        let wanted = route::Wanted {
+            model: None,
+            service: Some(&call.service),
+            tried,
+        };
+        self.core.router.choose(self.core.now(), &wanted)
+    }
+
+    async fn dispatch(
+        &self,
+        call: &Call,
+        choice: &route::Choice,
+        client: &reqwest::Client,
+    ) -> Ending {
+        let url = format!("http://{}{}", choice.address, call.path);
+        let mut sending = client
+            .request(call.method.clone(), url)
+            .timeout(Duration::from_micros(call.deadline.0))
+            .header(engine::REQUEST, call.id.as_str())
+            .body(Bytes::clone(&call.body));
+        if let Some(content_type) = &call.content_type {
+            sending = sending.header(header::CONTENT_TYPE, content_type);
+        }
+        if let Some(key) = &call.key {
+            sending = sending.header(IDEMPOTENCY_KEY, key.as_str());
+        }
+        match sending.send().await {
+            Ok(answer) => read_answer(answer).await,
+            Err(cause) if cause.is_connect() => Ending::NotRun,
+            Err(_cause) => Ending::Unknown,
+        }
+    }
+}
+
+async fn read_answer(answer: reqwest::Response) -> Ending {
+    let status = answer.status();
+    let default = HeaderValue::from_static("application/octet-stream");
+    let content_type = answer
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .cloned()
+        .unwrap_or(default);
+    // A body shorter than its announced length fails here; it must not be taken
+    // for the whole answer.
+    match answer.bytes().await {
+        Ok(body) => Ending::Answered {
+            status,
+            content_type,
+            body,
+        },
+        Err(_cause) => Ending::Unknown,
+    }
+}
+
+fn to_outcome(ending: &Ending) -> claim::Outcome {
+    match ending {
+        Ending::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            let content_type = content_type.to_str().unwrap_or_default();
+            claim::Outcome::Answered(booking::response(status.as_u16(), content_type, body))
+        }
+        Ending::NotRun => claim::Outcome::NotRun,
+        Ending::Unknown => claim::Outcome::Unknown,
+    }
+}
+
+fn from_stored(stored: &claim::Response) -> Ending {
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let content_type = HeaderValue::from_str(&stored.content_type);
+    let content_type = content_type.unwrap_or(HeaderValue::from_static("application/octet-stream"));
+    Ending::Answered {
+        status,
+        content_type,
+        body: booking::stored_body(stored),
+    }
+}
+
+fn write(ending: Ending, response: &mut Response) {
+    if let Ending::Answered {
+        status,
+        content_type,
+        body,
+    } = ending
+    {
+        response.status_code(status);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+        response.body(body.to_vec());
+    }
+}
+
+fn is_not_run(refusal: &Refusal) -> bool {
+    refusal.outcome() == cranberrygap_wire::caller::Outcome::NotRun
+}
+
+fn passed_path(request: &Request, service: &id::Service) -> String {
+    let path = request.uri().path();
+    let prefix = format!("/services/{service}");
+    let rest = path.strip_prefix(prefix.as_str()).unwrap_or(path);
+    let rest = if rest.is_empty() { "/" } else { rest };
+    match request.uri().query() {
+        Some(query) => format!("{rest}?{query}"),
+        None => rest.to_owned(),
+    }
+}
+
+fn idempotency_key(request: &Request) -> Result<Option<SmolStr>, Refusal> {
+    let Some(value) = request.headers().get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_cause| Refusal::IdempotencyKeyMissing)?;
+    if text.is_empty() || text.len() > LONGEST_KEY {
+        return Err(Refusal::IdempotencyKeyMissing);
+    }
+    Ok(Some(SmolStr::new(text)))
+}
+
+fn exception<'view>(
+    view: &'view view::Snapshot,
+    service: &id::Service,
+) -> Option<&'view configuration::Exception> {
+    view.exception(configuration::Target::Service, service.as_str())
+}
+
+fn is_idempotent(view: &view::Snapshot, call: &Call) -> bool {
+    let path = call.path.split('?').next().unwrap_or_default();
+    let patterns = exception(view, &call.service).map(|exception| &exception.idempotent);
+    let mut patterns = patterns.into_iter().flatten();
+    patterns.any(|pattern| pattern::covers(pattern, call.method.as_str(), path))
+}
+
+fn cost(view: &view::Snapshot, service: &id::Service) -> u64 {
+    let excepted = exception(view, service).and_then(|exception| exception.service_cost);
+    excepted.unwrap_or(view.defaults().service_cost)
+}
+
+fn deadline(view: &view::Snapshot, service: &id::Service) -> duration::Span {
+    let excepted = exception(view, service).and_then(|exception| exception.booking_deadline);
+    excepted.unwrap_or(view.defaults().booking_deadline)
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/control.rs
@@ -0,0 +1,11 @@
+//! This entry's conversations with the control processes.
+
+mod demand;
+mod heartbeat;
+mod session;
+mod subscription;
+
+pub(crate) use demand::Demand;
+pub(crate) use heartbeat::Heartbeat;
+pub(crate) use session::Session;
+pub(crate) use subscription::Subscription;
--- /dev/null
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -0,0 +1,120 @@
+//! Tells the leader that this entry lives and what is in force here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_model::{duration, number};
+use cranberrygap_wire::{method, view};
+use spdlog::{info, warn};
+
+use crate::announce;
+use crate::core;
+
+/// Time between heartbeats. A third of the lease, so that two may be lost.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between looks for news that should not wait for the next heartbeat.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Longest wait for an answer; then the lease has nearly run out.
+const DEADLINE: duration::Span = duration::Span::from_millis(1000);
+
+/// The task that sends heartbeats.
+#[derive(Debug)]
+pub(crate) struct Heartbeat {
+    core: Arc<core::Core>,
+    confirmed: number::Revision,
+    reached: bool,
+}
+
+impl Heartbeat {
+    /// A task that has not started yet.
+    pub(crate) fn new(core: Arc<core::Core>) -> Self {
+        Self {
+            core,
+            confirmed: number::Revision::default(),
+            reached: false,
+        }
+    }
+
+    /// Sends heartbeats for ever.
+    pub(crate) async fn run(mut self) {
+        loop {
+            self.beat().await;
+            self.wait().await;
+        }
+    }
+
+    /// Waits for the next period, or less when an operator waits for a revision
+    /// to be in force or an endpoint has news.
+    async fn wait(&self) {
+        let started = tokio::time::Instant::now();
+        while started.elapsed() < PERIOD {
+            let has_news = self.core.announcements.has_fresh();
+            if has_news || (self.reached && self.core.view.revision() != self.confirmed) {
+                tokio::time::sleep(LOOK).await;
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Sends one heartbeat and takes the lease that comes back.
+    pub(crate) async fn beat(&mut self) {
+        let batch = self.core.announcements.drain();
+        let demands = self.core.demand.drain();
+        let message = self.message(&batch, demands);
+        let sent = self.core.now();
+        let answer: Result<view::Confirmed, cranberrygap_link::Error> = self
+            .core
+            .leader
+            .call(method::VIEW_CONFIRM, &message, DEADLINE)
+            .await;
+        match answer {
+            Ok(confirmed) => {
+                self.core.view.confirm(sent, &confirmed);
+                self.confirmed = message.revision;
+                self.note(true, "");
+            }
+            Err(cause) => {
+                self.core.announcements.restore(batch);
+                self.core.demand.restore(message.demands);
+                self.note(false, &cause.to_string());
+            }
+        }
+    }
+
+    fn note(&mut self, reached: bool, cause: &str) {
+        if reached && !self.reached {
+            info!(
+                "view: the leader answers, lease to {}",
+                self.core.view.lease_end()
+            );
+        }
+        if !reached && self.reached {
+            warn!("view: the leader does not answer: {cause}");
+        }
+        self.reached = reached;
+    }
+
+    fn message(&self, batch: &announce::Batch, demands: Vec<view::Demand>) -> view::Confirm {
+        let core = &self.core;
+        let phase = if core.is_draining() {
+            view::Phase::Draining
+        } else {
+            view::Phase::Active
+        };
+        view::Confirm {
+            instance: core.instance().clone(),
+            boot: core.boot,
+            domain: core.settings.entry.domain.clone(),
+            address: core.advertised(),
+            endpoints: Some(core.settings.listen.endpoints),
+            phase,
+            revision: core.view.revision(),
+            seen: batch.seen.clone(),
+            announcements: batch.announcements.clone(),
+            demands,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -0,0 +1,164 @@
+//! Calls to the control leader, wherever it is.
+
+use std::sync::Arc;
+
+use cranberrygap_link::{client, credential};
+use cranberrygap_model::{address, duration};
+use cranberrygap_wire::method;
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Processes asked for the leader before a call gives up. One round over seven
+/// control processes and one more for a leader that changed meanwhile.
+const MOST_HOPS: usize = 8;
+
+/// Keeps one connection to the process that was leader last.
+#[derive(Debug)]
+pub(crate) struct Session {
+    peers: Vec<address::Peer>,
+    secret: credential::Secret,
+    inner: Mutex<Inner>,
+    connecting: tokio::sync::Mutex<()>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    target: Option<address::Socket>,
+    client: Option<Arc<client::Client>>,
+    position: usize,
+}
+
+impl Session {
+    /// A session that will find the leader among `peers`.
+    pub(crate) fn new(peers: Vec<address::Peer>, secret: credential::Secret) -> Self {
+        Self {
+            peers,
+            secret,
+            inner: Mutex::default(),
+            connecting: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Calls the leader; follows redirections and tries other processes while it
+    /// is certain that the call has not run.
+    ///
+    /// # Errors
+    ///
+    /// The last error; `not_sent` or a refusal prove that the call did not run.
+    pub(crate) async fn call<P: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+        deadline: duration::Span,
+    ) -> Result<R, cranberrygap_link::Error> {
+        let mut last = unreachable();
+        for _hop in 0..MOST_HOPS {
+            let client = match self.connected().await {
+                Ok(client) => client,
+                Err(error) => {
+                    self.rotate();
+                    last = error;
+                    continue;
+                }
+            };
+            match client.call(method, params, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => {
+                    let again = self.learn(&client, &error);
+                    last = error;
+                    if !again {
+                        break;
+                    }
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// Chooses where to go after `error`; true when the call surely did not run.
+    fn learn(&self, failed: &Arc<client::Client>, error: &cranberrygap_link::Error) -> bool {
+        match error {
+            cranberrygap_link::Error::Refused {
+                code: method::NOT_LEADER,
+                data,
+                ..
+            } => {
+                let leader = serde_json::from_value::<Option<address::Peer>>(data.clone());
+                match leader.ok().flatten() {
+                    Some(leader) => self.turn_to(leader.address),
+                    None => self.rotate(),
+                }
+                true
+            }
+            cranberrygap_link::Error::Refused { .. } => false,
+            other => {
+                self.forget(failed);
+                other.not_sent()
+            }
+        }
+    }
+
+    async fn connected(&self) -> Result<Arc<client::Client>, cranberrygap_link::Error> {
+        if let Some(client) = self.live() {
+            return Ok(client);
+        }
+        // One task connects; the others wait and then use its connection.
+        let _guard = self.connecting.lock().await;
+        if let Some(client) = self.live() {
+            return Ok(client);
+        }
+        let target = self.target().ok_or_else(unreachable)?;
+        let role = credential::Role::Fleet;
+        let client = Arc::new(client::Client::connect(target, role, &self.secret).await?);
+        self.inner.lock().client = Some(Arc::clone(&client));
+        Ok(client)
+    }
+
+    fn live(&self) -> Option<Arc<client::Client>> {
+        let inner = self.inner.lock();
+        inner
+            .client
+            .as_ref()
+            .filter(|client| !client.is_closed())
+            .cloned()
+    }
+
+    fn target(&self) -> Option<address::Socket> {
+        let inner = self.inner.lock();
+        let next = || self.peers.get(inner.position % self.peers.len().max(1));
+        inner.target.or_else(|| next().map(|peer| peer.address))
+    }
+
+    fn turn_to(&self, target: address::Socket) {
+        let mut inner = self.inner.lock();
+        inner.target = Some(target);
+        inner.client = None;
+    }
+
+    fn rotate(&self) {
+        let mut inner = self.inner.lock();
+        inner.position = inner.position.wrapping_add(1);
+        inner.target = None;
+        inner.client = None;
+    }
+
+    fn forget(&self, failed: &Arc<client::Client>) {
+        let mut inner = self.inner.lock();
+        let is_held = inner
+            .client
+            .as_ref()
+            .is_some_and(|held| Arc::ptr_eq(held, failed));
+        if is_held {
+            inner.client = None;
+            inner.target = None;
+            inner.position = inner.position.wrapping_add(1);
+        }
+    }
+}
+
+fn unreachable() -> cranberrygap_link::Error {
+    cranberrygap_link::Error::Unreachable {
+        reason: "no control process answered".into(),
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -0,0 +1,87 @@
+//! Keeps the view current over a subscription to any control process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_link::{client, credential};
+use cranberrygap_model::address;
+use cranberrygap_wire::{method, view as wire_view};
+use spdlog::{info, warn};
+
+use crate::core;
+
+/// Silence after which another control process is asked. Control processes send
+/// a heartbeat each half second, so this is three missed ones.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Pause before the next process is asked, so that a fleet without control is
+/// not asked in a tight loop.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The task that follows the view.
+#[derive(Debug)]
+pub(crate) struct Subscription {
+    core: Arc<core::Core>,
+    secret: credential::Secret,
+}
+
+impl Subscription {
+    /// A task that has not started yet.
+    pub(crate) fn new(core: Arc<core::Core>, secret: credential::Secret) -> Self {
+        Self { core, secret }
+    }
+
+    /// Follows the view for ever, from one control process or another.
+    pub(crate) async fn run(self) {
+        let peers = self.core.settings.control.peers.clone();
+        let start = usize::try_from(self.core.boot.0).unwrap_or_default();
+        for peer in peers.iter().cycle().skip(start % peers.len().max(1)) {
+            if let Err(cause) = self.follow(peer).await {
+                warn!("view: lost {}: {cause}", peer.instance);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn follow(&self, peer: &address::Peer) -> Result<(), cranberrygap_link::Error> {
+        let role = credential::Role::Fleet;
+        let client = client::Client::connect(peer.address, role, &self.secret).await?;
+        let wanted = wire_view::Subscribe {
+            instance: self.core.instance().clone(),
+            boot: self.core.boot,
+            revision: self.core.view.revision(),
+        };
+        let mut frames = client
+            .subscribe::<_, wire_view::Frame>(method::VIEW_SUBSCRIBE, &wanted)
+            .await?;
+        info!(
+            "view: follows {} from revision {}",
+            peer.instance, wanted.revision
+        );
+        loop {
+            // A connection that something between the ends has forgotten stays open
+            // and silent. The view would grow stale without any error; the missing
+            // heartbeat shows it.
+            let next = tokio::time::timeout(SILENCE, frames.next()).await;
+            let Ok(next) = next else {
+                return Err(cranberrygap_link::Error::TimedOut);
+            };
+            let Some(frame) = next else {
+                return Ok(());
+            };
+            if let Err(cause) = self.core.view.take(frame?) {
+                warn!("view: starts anew: {cause}");
+                return Ok(());
+            }
+            self.publish();
+        }
+    }
+
+    fn publish(&self) {
+        let Some(view) = self.core.view.latest() else {
+            return;
+        };
+        self.core.limiter.follow(self.core.now(), &view);
+        self.core.router.follow(&view);
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -0,0 +1,87 @@
+//! What all parts of an entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use cadence::StatsdClient;
+use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_wire::settings;
+
+use crate::admission;
+use crate::announce;
+use crate::clock;
+use crate::control;
+use crate::refusal::Refusal;
+use crate::route;
+use crate::upstream;
+use crate::view;
+
+/// The shared parts of one entry process.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) settings: settings::Entry,
+    pub(crate) boot: number::Boot,
+    pub(crate) clock: clock::Clock,
+    pub(crate) view: view::Holder,
+    pub(crate) leader: control::Session,
+    pub(crate) limiter: Arc<dyn admission::Limiter>,
+    pub(crate) router: Arc<dyn route::Router>,
+    pub(crate) upstream: upstream::Clients,
+    pub(crate) announcements: announce::Inbox,
+    pub(crate) demand: control::Demand,
+    pub(crate) metrics: Arc<StatsdClient>,
+    pub(crate) draining: AtomicBool,
+}
+
+impl Core {
+    /// The view that requests are served from.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoLease`] when the lease is out, with entries to ask instead.
+    pub(crate) fn serving_view(&self) -> Result<Arc<view::Snapshot>, Refusal> {
+        let current = self.view.current(self.clock.now());
+        current.ok_or_else(|| Refusal::NoLease {
+            addresses: self.other_entries(),
+        })
+    }
+
+    /// Callers' addresses of the other entries, as far as this one knows.
+    pub(crate) fn other_entries(&self) -> Vec<address::Socket> {
+        let latest = self.view.latest();
+        latest
+            .map(|view| view.others(self.instance()))
+            .unwrap_or_default()
+    }
+
+    /// This entry's name.
+    pub(crate) fn instance(&self) -> &id::Instance {
+        &self.settings.entry.instance
+    }
+
+    /// The address that callers are told.
+    pub(crate) fn advertised(&self) -> address::Socket {
+        self.settings
+            .listen
+            .advertise
+            .unwrap_or(self.settings.listen.callers)
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// The time now.
+    pub(crate) fn now(&self) -> duration::Instant {
+        self.clock.now()
+    }
+
+    /// Milliseconds since 1970, for times that processes share.
+    pub(crate) fn unix_millis() -> u64 {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        since.map_or(0, |span| {
+            u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+}
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -1,1 +1,26 @@
 //! The entry process: callers, keys, limits, routing and streams.
+//!
+//! [`process::Process`] is the whole entry; the daemon and the embedded form
+//! both start one. Decisions live in `cranberrygap-policy` and
+//! `cranberrygap-routing`; this crate carries them out.
+
+pub mod announce;
+pub mod clock;
+pub mod core;
+pub mod process;
+pub mod refusal;
+pub mod view;
+
+mod admin;
+mod admission;
+mod attainment;
+mod booking;
+mod caller;
+mod control;
+mod engine;
+mod load;
+mod relay;
+mod route;
+mod server;
+mod sse;
+mod upstream;
--- /dev/null
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -0,0 +1,235 @@
+//! A whole entry: start, dump, planned stop.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use cadence::StatsdClient;
+use cranberrygap_link::{credential, server as link_server};
+use cranberrygap_model::{address, number};
+use cranberrygap_wire::settings;
+use spdlog::info;
+
+use crate::admin;
+use crate::admission;
+use crate::announce;
+use crate::clock;
+use crate::control;
+use crate::core;
+use crate::load;
+use crate::route;
+use crate::server;
+use crate::upstream;
+use crate::view;
+
+/// Connections without a setting; the schema's default is the same.
+const DEFAULT_CONNECTIONS: u32 = 4096;
+
+/// Connections of endpoints; each keeps one.
+const ENDPOINT_CONNECTIONS: usize = 4096;
+
+/// Secrets that an entry needs, already read.
+#[derive(Debug, Clone)]
+pub struct Secrets {
+    /// Shared by the system's processes.
+    pub fleet: credential::Secret,
+    /// Tokens of operators; without one only this process's signals give a dump.
+    pub operators: Vec<credential::Secret>,
+    /// Token that endpoints show when they announce themselves.
+    pub endpoint: Option<String>,
+}
+
+/// Why an entry did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A listener could not be opened.
+    #[error(
+        "cannot listen on {address}: {cause}\nhelp: is the address of this instance, and free?"
+    )]
+    Listen {
+        /// The address.
+        address: address::Socket,
+        /// Why.
+        cause: String,
+    },
+    /// The HTTP client could not be set up.
+    #[error("cannot set up the HTTP client: {0}")]
+    Client(#[from] reqwest::Error),
+}
+
+/// A running entry.
+pub struct Process {
+    core: Arc<core::Core>,
+    callers: server::Listening,
+    endpoints: server::Listening,
+    admin: Option<link_server::Handle>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl std::fmt::Debug for Process {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Process")
+            .field("callers", &self.callers.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Process {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// When a listener cannot be opened.
+    pub async fn start(
+        settings: settings::Entry,
+        secrets: Secrets,
+        metrics: Arc<StatsdClient>,
+    ) -> Result<Self, Error> {
+        let core = Arc::new(build(settings, &secrets, metrics)?);
+        let endpoints = listen_endpoints(&core, &secrets).await?;
+        let callers = listen_callers(&core).await?;
+        let admin = listen_admin(&core, &secrets).await?;
+        let subscription = control::Subscription::new(Arc::clone(&core), secrets.fleet.clone());
+        let tasks = vec![
+            tokio::spawn(subscription.run()),
+            tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
+            tokio::spawn(load::Poller::new(Arc::clone(&core)).run()),
+        ];
+        info!(
+            "entry: {} serves callers at {}",
+            core.instance(),
+            callers.address
+        );
+        Ok(Self {
+            core,
+            callers,
+            endpoints,
+            admin,
+            tasks,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn callers(&self) -> address::Socket {
+        self.callers.address
+    }
+
+    /// Where endpoints announce themselves.
+    #[must_use]
+    pub fn endpoints(&self) -> address::Socket {
+        self.endpoints.address
+    }
+
+    /// Whether the entry has a view and a lease to serve from it.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.core.view.current(self.core.now()).is_some()
+    }
+
+    /// The whole state as JSON, without secrets.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        dump(&self.core)
+    }
+
+    /// Stops without cutting a request: leaves the address list, waits until no
+    /// caller holds an answer that names this entry, then finishes what runs.
+    pub async fn stop(self) {
+        self.core.draining.store(true, Ordering::Release);
+        info!("entry: drains");
+        control::Heartbeat::new(Arc::clone(&self.core)).beat().await;
+        let lifetime = self
+            .core
+            .view
+            .latest()
+            .map(|view| view.defaults().address_lifetime);
+        tokio::time::sleep(lifetime.unwrap_or_default().to_std()).await;
+        self.callers.finish().await;
+        self.endpoints.finish().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        drop(self.admin);
+        info!("entry: stopped");
+    }
+}
+
+fn build(
+    settings: settings::Entry,
+    secrets: &Secrets,
+    metrics: Arc<StatsdClient>,
+) -> Result<core::Core, Error> {
+    let peers = settings.control.peers.clone();
+    Ok(core::Core {
+        boot: number::Boot(rand::random::<u64>() >> BOOT_SHIFT),
+        clock: clock::Clock::start(),
+        view: view::Holder::default(),
+        leader: control::Session::new(peers, secrets.fleet.clone()),
+        limiter: Arc::new(admission::Split::default()),
+        router: Arc::new(route::Least::default()),
+        upstream: upstream::Clients::new()?,
+        announcements: announce::Inbox::default(),
+        demand: control::Demand::default(),
+        metrics,
+        draining: AtomicBool::new(false),
+        settings,
+    })
+}
+
+/// Boots stay below 2^53, so that every JSON reader keeps them exactly.
+const BOOT_SHIFT: u32 = 11;
+
+async fn listen_callers(core: &Arc<core::Core>) -> Result<server::Listening, Error> {
+    let wanted = core.settings.listen.callers;
+    let limits = core.settings.limits.as_ref();
+    let connections = limits.map_or(DEFAULT_CONNECTIONS, |limits| limits.connections);
+    let router = server::callers(core);
+    let listening = server::Listening::start(wanted, router, connections as usize).await;
+    listening.map_err(|cause| cannot_listen(wanted, &cause))
+}
+
+async fn listen_endpoints(
+    core: &Arc<core::Core>,
+    secrets: &Secrets,
+) -> Result<server::Listening, Error> {
+    let wanted = core.settings.listen.endpoints;
+    let router = server::endpoints(core, secrets.endpoint.clone());
+    let listening = server::Listening::start(wanted, router, ENDPOINT_CONNECTIONS).await;
+    listening.map_err(|cause| cannot_listen(wanted, &cause))
+}
+
+async fn listen_admin(
+    core: &Arc<core::Core>,
+    secrets: &Secrets,
+) -> Result<Option<link_server::Handle>, Error> {
+    if secrets.operators.is_empty() {
+        return Ok(None);
+    }
+    let wanted = core.settings.listen.admin;
+    let started = admin::start(core, wanted, secrets.operators.clone()).await;
+    started
+        .map(Some)
+        .map_err(|cause| cannot_listen(wanted, &cause))
+}
+
+fn cannot_listen(address: address::Socket, cause: &dyn std::fmt::Display) -> Error {
+    Error::Listen {
+        address,
+        cause: cause.to_string(),
+    }
+}
+
+pub(crate) fn dump(core: &core::Core) -> serde_json::Value {
+    let view = core.view.latest().map(|view| view.dump());
+    serde_json::json!({
+        "process": "cranberrygap-entry",
+        "instance": core.instance(),
+        "boot": core.boot,
+        "now": core.now(),
+        "lease_end": core.view.lease_end(),
+        "draining": core.is_draining(),
+        "view": view,
+        "limits": core.limiter.dump(),
+        "routing": core.router.dump(),
+    })
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/route.rs
@@ -0,0 +1,56 @@
+//! Which endpoint serves a request.
+
+mod least;
+
+use std::fmt;
+
+use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_wire::endpoint;
+use smallvec::SmallVec;
+
+use crate::view;
+
+pub(crate) use least::Least;
+
+/// Endpoints that a request was already sent to. Retries are few.
+pub(crate) type Tried = SmallVec<[id::Endpoint; 3]>;
+
+/// What is wanted.
+#[derive(Debug)]
+pub(crate) struct Wanted<'request> {
+    /// The model, when a runner is wanted.
+    pub model: Option<&'request id::Model>,
+    /// The plain service, when one is wanted.
+    pub service: Option<&'request id::Service>,
+    /// Endpoints not to use again.
+    pub tried: &'request Tried,
+}
+
+/// The endpoint that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Choice {
+    /// Its name.
+    pub endpoint: id::Endpoint,
+    /// Where it listens.
+    pub address: address::Socket,
+    /// The boot that the choice was made for.
+    pub boot: number::Boot,
+}
+
+/// Chooses endpoints and learns from what becomes of the requests.
+pub(crate) trait Router: fmt::Debug + Send + Sync {
+    /// An endpoint for the request, and counts the request as sent there.
+    fn choose(&self, now: duration::Instant, wanted: &Wanted<'_>) -> Option<Choice>;
+    /// A request that was sent has ended; `failed` tells that the endpoint broke it.
+    fn ended(&self, now: duration::Instant, choice: &Choice, failed: bool);
+    /// Takes over the endpoints of a new view.
+    fn follow(&self, view: &view::Snapshot);
+    /// Takes a report of an endpoint.
+    fn report(&self, now: duration::Instant, report: &endpoint::Report);
+    /// The endpoint told this entry that it leaves.
+    fn leaving(&self, endpoint: &id::Endpoint);
+    /// Runners whose load should be asked for.
+    fn runners(&self) -> Vec<(id::Endpoint, address::Socket)>;
+    /// The whole state for a dump.
+    fn dump(&self) -> serde_json::Value;
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/server.rs
@@ -0,0 +1,121 @@
+//! The HTTP listeners.
+
+mod announcements;
+mod bound;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranberrygap_model::address;
+use salvo::conn::tcp::TcpListener;
+use salvo::conn::{Acceptor as _, Listener as _};
+use salvo::http::Request;
+use salvo::server::ServerHandle;
+use salvo::{Router, Server};
+
+use crate::caller;
+use crate::core;
+use crate::refusal::Refusal;
+
+pub(crate) use announcements::Announcements;
+
+/// A listener that serves.
+pub(crate) struct Listening {
+    pub address: address::Socket,
+    handle: ServerHandle,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Listening {
+    /// Serves `router` at `wanted`, at most `connections` at a time.
+    pub(crate) async fn start(
+        wanted: address::Socket,
+        router: Router,
+        connections: usize,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::new(wanted.0).try_bind().await;
+        let acceptor = listener.map_err(std::io::Error::other)?;
+        let local = acceptor
+            .holdings()
+            .first()
+            .and_then(|held| held.local_addr.clone().into_std());
+        let server = Server::new(acceptor).max_connections(connections);
+        let handle = server.handle();
+        let task = tokio::spawn(server.serve(router));
+        let address = local.map_or(wanted, address::Socket);
+        Ok(Self {
+            address,
+            handle,
+            task,
+        })
+    }
+
+    /// Takes no new connections and waits until all requests have ended.
+    pub(crate) async fn finish(self) {
+        self.handle.stop_graceful(None);
+        drop(self.task.await);
+    }
+}
+
+/// The callers' paths.
+pub(crate) fn callers(core: &Arc<core::Core>) -> Router {
+    let chat = caller::generate::Generate {
+        core: Arc::clone(core),
+        path: "/v1/chat/completions",
+        prompt_key: "messages",
+    };
+    let completions = caller::generate::Generate {
+        core: Arc::clone(core),
+        path: "/v1/completions",
+        prompt_key: "prompt",
+    };
+    let services = caller::services::Services {
+        core: Arc::clone(core),
+    };
+    let v1 = Router::with_path("v1")
+        .push(Router::with_path("chat/completions").post(chat))
+        .push(Router::with_path("completions").post(completions))
+        .push(Router::with_path("models").get(caller::models::Models {
+            core: Arc::clone(core),
+        }))
+        .push(
+            Router::with_path("addresses").get(caller::addresses::Addresses {
+                core: Arc::clone(core),
+            }),
+        );
+    Router::new()
+        .hoop(bound::Bound::new(core))
+        .push(v1)
+        .push(Router::with_path("services/{name}/{**rest}").goal(services))
+        .push(Router::with_path("{**rest}").goal(bound::Unknown))
+}
+
+/// The endpoints' paths.
+pub(crate) fn endpoints(core: &Arc<core::Core>, token: Option<String>) -> Router {
+    let announcements = Announcements {
+        core: Arc::clone(core),
+        token,
+    };
+    Router::with_path("announce").post(announcements)
+}
+
+/// Reads a body up to the bound in the settings.
+pub(crate) async fn read_body(
+    request: &mut Request,
+    core: &Arc<core::Core>,
+) -> Result<Bytes, Refusal> {
+    let limit = core
+        .settings
+        .limits
+        .as_ref()
+        .map_or(DEFAULT_BODY, |limits| limits.body.0);
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match request.payload_with_max_size(limit).await {
+        Ok(bytes) => Ok(Bytes::clone(bytes)),
+        Err(salvo::http::ParseError::PayloadTooLarge) => Err(Refusal::BodyTooLarge),
+        Err(cause) => Err(Refusal::BodyMalformed(cause.to_string().into())),
+    }
+}
+
+/// Largest body without a setting; the schema's default is the same.
+const DEFAULT_BODY: u64 = 1 << 20;
--- /dev/null
+++ b/crates/cranberrygap-entry/src/server/announcements.rs
@@ -0,0 +1,94 @@
+//! `POST /announce`: endpoints say that they exist.
+
+use std::sync::Arc;
+
+use cranberrygap_model::{address, duration};
+use cranberrygap_wire::{endpoint, view};
+use salvo::http::{Request, Response, StatusCode, header};
+use salvo::{Depot, FlowCtrl, Handler};
+
+use crate::core;
+
+/// Time until an endpoint's next announcement.
+const HEARTBEAT: duration::Span = duration::Span::from_secs(1);
+
+/// Largest announcement, in bytes; one with thousands of adapters fits.
+const LARGEST: usize = 256 * 1024;
+
+/// Takes announcements.
+#[derive(Debug)]
+pub(crate) struct Announcements {
+    pub core: Arc<core::Core>,
+    /// Token that endpoints must show, when there is one.
+    pub token: Option<String>,
+}
+
+#[salvo::async_trait]
+impl Handler for Announcements {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if !self.is_allowed(req) {
+            res.status_code(StatusCode::UNAUTHORIZED);
+            return;
+        }
+        let read: Result<endpoint::Announcement, _> = req.parse_json_with_max_size(LARGEST).await;
+        let Ok(announcement) = read else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        self.take(announcement, res);
+    }
+}
+
+impl Announcements {
+    fn is_allowed(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else {
+            return true;
+        };
+        let shown = request.headers().get(header::AUTHORIZATION);
+        let shown = shown.and_then(|value| value.to_str().ok());
+        let shown = shown
+            .and_then(|text| text.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        // Hashes are compared in place of the texts, so that the time it takes
+        // tells nothing about the token.
+        blake3::hash(shown.as_bytes()) == blake3::hash(token.as_bytes())
+    }
+
+    fn take(&self, announcement: endpoint::Announcement, response: &mut Response) {
+        // A leave is acted on here at once; the others learn it through the log.
+        if announcement.phase == endpoint::Phase::Leaving {
+            self.core.router.leaving(&announcement.endpoint);
+        }
+        if let Err(cause) = self.core.announcements.take(announcement) {
+            response.status_code(StatusCode::CONFLICT);
+            crate::caller::write_json(response, serde_json::json!(cause.to_string()).to_string());
+            return;
+        }
+        let welcome = endpoint::Welcome {
+            addresses: self.listeners(),
+            heartbeat: HEARTBEAT,
+        };
+        crate::caller::write_json(response, serde_json::json!(welcome).to_string());
+    }
+
+    /// This entry's listener first, then those of the others.
+    fn listeners(&self) -> Vec<address::Socket> {
+        let own = self.core.settings.listen.endpoints;
+        let view = self.core.view.latest();
+        let members: Vec<view::Member> = view
+            .map(|view| view.active_entries().cloned().collect())
+            .unwrap_or_default();
+        let others = members.iter().filter_map(|member| member.endpoints);
+        let mut all: Vec<address::Socket> = others.filter(|other| *other != own).collect();
+        if !self.core.is_draining() {
+            all.insert(0, own);
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -0,0 +1,123 @@
+//! What this entry knows of the replicated state, and until when it may use it.
+
+mod snapshot;
+
+use std::sync::Arc;
+
+use cranberrygap_model::{duration, number};
+use cranberrygap_wire::view;
+use parking_lot::RwLock;
+
+pub use snapshot::Snapshot;
+
+/// The view and the lease under which it may be used.
+#[derive(Debug, Default)]
+pub struct Holder {
+    inner: RwLock<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    snapshot: Option<Arc<Snapshot>>,
+    lease_end: duration::Instant,
+    /// Revision that the leader had committed when it last answered.
+    committed: number::Revision,
+}
+
+/// A frame that does not follow what was seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// A delta came before any snapshot.
+    #[error("a delta came before a snapshot")]
+    NoSnapshot,
+    /// The frame is older than what this entry has in force.
+    #[error("revision {offered} is older than {held}")]
+    Older {
+        /// Revision of the frame.
+        offered: number::Revision,
+        /// Revision that is in force here.
+        held: number::Revision,
+    },
+}
+
+impl Holder {
+    /// The newest snapshot, whether or not the lease runs.
+    pub fn latest(&self) -> Option<Arc<Snapshot>> {
+        self.inner.read().snapshot.clone()
+    }
+
+    /// The snapshot to serve from, `None` when the lease is out.
+    pub fn current(&self, now: duration::Instant) -> Option<Arc<Snapshot>> {
+        let inner = self.inner.read();
+        if now >= inner.lease_end {
+            return None;
+        }
+        inner.snapshot.clone()
+    }
+
+    /// The revision in force here, 0 before the first snapshot.
+    pub fn revision(&self) -> number::Revision {
+        self.inner
+            .read()
+            .snapshot
+            .as_ref()
+            .map_or_else(number::Revision::default, |s| s.revision())
+    }
+
+    /// End of the lease.
+    pub fn lease_end(&self) -> duration::Instant {
+        self.inner.read().lease_end
+    }
+
+    /// Takes a frame of the subscription.
+    ///
+    /// # Errors
+    ///
+    /// A frame out of order; the subscription must then start anew.
+    pub fn take(&self, frame: view::Frame) -> Result<(), Error> {
+        let mut inner = self.inner.write();
+        let held = inner.snapshot.as_ref().map(|snapshot| snapshot.revision());
+        let next = match frame {
+            view::Frame::Heartbeat { .. } => return Ok(()),
+            view::Frame::Snapshot { revision, state } => {
+                check_order(revision, held.unwrap_or_default())?;
+                Snapshot::new(revision, state)
+            }
+            view::Frame::Delta { revision, changes } => {
+                let base = inner.snapshot.as_ref().ok_or(Error::NoSnapshot)?;
+                check_order(revision, base.revision())?;
+                base.with(revision, changes)
+            }
+        };
+        inner.snapshot = Some(Arc::new(next));
+        Ok(())
+    }
+
+    /// Takes the leader's answer to a confirmation that was sent at `sent`.
+    ///
+    /// The lease is counted from sending, so that it ends here before the leader
+    /// may think it over. It is not renewed while this entry lags behind what the
+    /// leader had committed at the answer before: an entry whose subscription
+    /// hangs at an old revision, while its heartbeats reach the leader, would
+    /// otherwise go on accepting a key that was withdrawn.
+    pub fn confirm(&self, sent: duration::Instant, confirmed: &view::Confirmed) {
+        let mut inner = self.inner.write();
+        let held = inner
+            .snapshot
+            .as_ref()
+            .map_or_else(number::Revision::default, |s| s.revision());
+        let lags = held < inner.committed;
+        inner.committed = inner.committed.max(confirmed.revision);
+        if lags {
+            return;
+        }
+        inner.lease_end = inner.lease_end.max(sent.after(confirmed.lease));
+    }
+}
+
+fn check_order(offered: number::Revision, held: number::Revision) -> Result<(), Error> {
+    if offered < held {
+        return Err(Error::Older { offered, held });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -0,0 +1,188 @@
+//! The view at one revision with the indexes that requests need.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cranberrygap_model::{address, id, number};
+use cranberrygap_wire::{configuration, endpoint, view};
+use smol_str::SmolStr;
+
+/// The view at one revision. It never changes; the next revision is a new one.
+///
+/// Parts are shared between revisions, so that a change copies only its part.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    revision: number::Revision,
+    configuration: Arc<configuration::Configuration>,
+    catalogue: Arc<BTreeMap<id::Model, endpoint::Weights>>,
+    keys: Arc<BTreeMap<SmolStr, view::Key>>,
+    endpoints: Arc<BTreeMap<id::Endpoint, view::Endpoint>>,
+    members: Arc<BTreeMap<id::Instance, view::Member>>,
+    quarantines: Arc<BTreeMap<SmolStr, view::Quarantine>>,
+    workspaces: Arc<Vec<id::Workspace>>,
+}
+
+impl Snapshot {
+    pub(super) fn new(revision: number::Revision, state: view::State) -> Self {
+        Self {
+            revision,
+            configuration: Arc::new(state.configuration),
+            catalogue: Arc::new(catalogue(state.catalogue)),
+            keys: Arc::new(keyed(state.keys, |key| key.hash.clone())),
+            endpoints: Arc::new(keyed(state.endpoints, |e| e.announcement.endpoint.clone())),
+            members: Arc::new(keyed(state.members, |member| member.instance.clone())),
+            quarantines: Arc::new(keyed(state.quarantines, |q| q.fingerprint.clone())),
+            workspaces: Arc::new(state.workspaces),
+        }
+    }
+
+    pub(super) fn with(&self, revision: number::Revision, changes: Vec<view::Change>) -> Self {
+        let mut next = self.clone();
+        next.revision = revision;
+        for change in changes {
+            next.apply(change);
+        }
+        next
+    }
+
+    fn apply(&mut self, change: view::Change) {
+        match change {
+            view::Change::Configured { configuration } => {
+                self.configuration = Arc::new(configuration);
+            }
+            view::Change::Catalogued { catalogue: listed } => {
+                self.catalogue = Arc::new(catalogue(listed));
+            }
+            view::Change::KeyIssued { key } => {
+                Arc::make_mut(&mut self.keys).insert(key.hash.clone(), key);
+            }
+            view::Change::KeyWithdrawn { key } => {
+                Arc::make_mut(&mut self.keys).retain(|_, held| held.key != key);
+            }
+            view::Change::EndpointChanged { endpoint } => {
+                let name = endpoint.announcement.endpoint.clone();
+                Arc::make_mut(&mut self.endpoints).insert(name, endpoint);
+            }
+            view::Change::EndpointRemoved { endpoint } => {
+                Arc::make_mut(&mut self.endpoints).remove(&endpoint);
+            }
+            view::Change::MemberChanged { member } => {
+                Arc::make_mut(&mut self.members).insert(member.instance.clone(), member);
+            }
+            view::Change::Quarantined { quarantine } => {
+                let fingerprint = quarantine.fingerprint.clone();
+                Arc::make_mut(&mut self.quarantines).insert(fingerprint, quarantine);
+            }
+            view::Change::Released { fingerprint } => {
+                Arc::make_mut(&mut self.quarantines).remove(&fingerprint);
+            }
+            view::Change::WorkspaceAdded { workspace } => {
+                Arc::make_mut(&mut self.workspaces).push(workspace);
+            }
+        }
+    }
+
+    /// The revision of this view.
+    #[must_use]
+    pub fn revision(&self) -> number::Revision {
+        self.revision
+    }
+
+    /// The fleet-wide defaults.
+    #[must_use]
+    pub fn defaults(&self) -> &configuration::Defaults {
+        &self.configuration.defaults
+    }
+
+    /// The exception for a workspace, model or service, if there is one.
+    #[must_use]
+    pub fn exception(
+        &self,
+        target: configuration::Target,
+        name: &str,
+    ) -> Option<&configuration::Exception> {
+        let mut exceptions = self.configuration.exceptions.iter();
+        exceptions.find(|exception| exception.target == target && exception.name == name)
+    }
+
+    /// The key whose secret has this hash.
+    #[must_use]
+    pub fn key(&self, hash: &str) -> Option<&view::Key> {
+        self.keys.get(hash)
+    }
+
+    /// Whether the weight store offers a model.
+    #[must_use]
+    pub fn has_model(&self, model: &id::Model) -> bool {
+        self.catalogue.contains_key(model)
+    }
+
+    /// All models by name.
+    #[must_use]
+    pub fn catalogue(&self) -> &BTreeMap<id::Model, endpoint::Weights> {
+        &self.catalogue
+    }
+
+    /// All endpoints by name.
+    #[must_use]
+    pub fn endpoints(&self) -> &BTreeMap<id::Endpoint, view::Endpoint> {
+        &self.endpoints
+    }
+
+    /// The refusal of a request that crashed endpoints, if there is one.
+    #[must_use]
+    pub fn quarantine(&self, fingerprint: &str) -> Option<&view::Quarantine> {
+        self.quarantines.get(fingerprint)
+    }
+
+    /// All workspaces.
+    #[must_use]
+    pub fn workspaces(&self) -> &[id::Workspace] {
+        &self.workspaces
+    }
+
+    /// Entries that take callers.
+    pub fn active_entries(&self) -> impl Iterator<Item = &view::Member> {
+        let members = self.members.values();
+        members.filter(|m| m.role == view::Role::Entry && m.phase == view::Phase::Active)
+    }
+
+    /// Callers' addresses of other entries that take callers.
+    #[must_use]
+    pub fn others(&self, own: &id::Instance) -> Vec<address::Socket> {
+        let others = self
+            .active_entries()
+            .filter(|member| member.instance != *own);
+        others.map(|member| member.address).collect()
+    }
+
+    /// The members by name.
+    #[must_use]
+    pub fn members(&self) -> &BTreeMap<id::Instance, view::Member> {
+        &self.members
+    }
+
+    /// The view without hashes of keys, for a dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let keys: Vec<&id::Key> = self.keys.values().map(|key| &key.key).collect();
+        serde_json::json!({
+            "revision": self.revision,
+            "configuration": *self.configuration,
+            "catalogue": *self.catalogue,
+            "keys": keys,
+            "endpoints": *self.endpoints,
+            "members": *self.members,
+            "quarantines": *self.quarantines,
+            "workspaces": *self.workspaces,
+        })
+    }
+}
+
+fn keyed<K: Ord, V>(items: Vec<V>, key: impl Fn(&V) -> K) -> BTreeMap<K, V> {
+    items.into_iter().map(|item| (key(&item), item)).collect()
+}
+
+fn catalogue(listed: Vec<endpoint::Weights>) -> BTreeMap<id::Model, endpoint::Weights> {
+    keyed(listed, |weights| weights.model.clone())
+}
--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -8,9 +8,11 @@
 
 pub mod client;
 pub mod credential;
-pub mod error;
 pub mod handshake;
 pub mod server;
 pub mod session;
 
+mod error;
 mod message;
+
+pub use error::Error;
--- a/crates/cranberrygap-wire/src/lib.rs
+++ b/crates/cranberrygap-wire/src/lib.rs
@@ -17,6 +17,4 @@
 pub mod ini;
 pub mod method;
 
-pub use generated::{
-    audit, caller, claim, configuration, endpoint, operator, settings, share, view,
-};
+pub use generated::{caller, claim, configuration, endpoint, operator, settings, share, view};
