Replicate the log: protocol, data folder and driver

Cause: the thin path needs a log that is agreed on by the control processes and survives them. The log's errors gain Full and TooLarge.

--- /dev/null
+++ b/crates/cranberrygap-agreement/src/node/leader.rs
@@ -0,0 +1,404 @@
+//! What a leader does: proposals, replication, commit.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use cranberrygap_model::{duration, number};
+
+use super::Node;
+use crate::{entry, message, output, position, progress, replica, role};
+
+/// What is sent to one follower next.
+enum Next {
+    Nothing,
+    Entries { first: number::Index, flying: bool },
+    Snapshot,
+}
+
+impl Node {
+    pub(super) fn tick_leader(&mut self, now: duration::Instant) {
+        if self.without_quorum(now) {
+            self.become_follower(now, self.hard.term, None);
+            return;
+        }
+        self.tick_transfer(now);
+        let role::Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if now < leader.beat {
+            return;
+        }
+        leader.beat = now.after(self.timing.heartbeat);
+        for progress in leader.progress.values_mut() {
+            progress.retry();
+        }
+        for follower in self.followers() {
+            self.heartbeat(now, follower);
+        }
+    }
+
+    /// Whether no quorum has answered for the longest election timeout.
+    ///
+    /// A leader behind a connection that swallows everything would go on
+    /// believing in its office, and callers would wait for changes that never
+    /// commit. Stepping down lets them be refused at once.
+    fn without_quorum(&self, now: duration::Instant) -> bool {
+        let role::Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let since = self.contact().max(Some(leader.elected));
+        since.is_some_and(|since| now >= since.after(self.timing.election_max))
+    }
+
+    fn followers(&self) -> Vec<replica::Id> {
+        match &self.role {
+            role::Role::Leader(leader) => leader.progress.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn replicate_all(&mut self, now: duration::Instant) {
+        for follower in self.followers() {
+            self.replicate(now, follower);
+        }
+    }
+
+    /// Sends something in any case, so that the follower knows its leader.
+    fn heartbeat(&mut self, now: duration::Instant, to: replica::Id) {
+        if self.replicate(now, to) {
+            return;
+        }
+        let Some(next) = self.progress_of(to).map(|progress| progress.next) else {
+            return;
+        };
+        let before = number::Index(next.0 - 1);
+        let Some(previous) = self.log.position(before) else {
+            return;
+        };
+        self.send_append(now, to, previous, Vec::new());
+    }
+
+    /// Sends what the window allows; false if there was nothing to send.
+    fn replicate(&mut self, now: duration::Instant, to: replica::Id) -> bool {
+        let mut sent = false;
+        loop {
+            match self.next_for(to) {
+                Next::Nothing => return sent,
+                Next::Snapshot => {
+                    self.send_chunk(now, to);
+                    return true;
+                }
+                Next::Entries { first, flying } => {
+                    self.send_entries(now, to, first, flying);
+                    sent = true;
+                }
+            }
+        }
+    }
+
+    fn next_for(&mut self, to: replica::Id) -> Next {
+        let last = self.log.last().index;
+        let base = self.log.base().index;
+        let window = self.limits.window;
+        let snapshot = self.snapshot.clone();
+        let Some(progress) = self.progress_mut(to) else {
+            return Next::Nothing;
+        };
+        let compacted = progress.next <= base;
+        if compacted && !matches!(progress.mode, progress::Mode::Snapshot { .. }) {
+            let Some(snapshot) = snapshot else {
+                return Next::Nothing;
+            };
+            progress.mode = progress::Mode::Snapshot {
+                snapshot,
+                held: 0,
+                waiting: false,
+            };
+        }
+        let first = progress.next;
+        match &mut progress.mode {
+            progress::Mode::Snapshot { waiting, .. } if *waiting => Next::Nothing,
+            progress::Mode::Snapshot { waiting, .. } => {
+                *waiting = true;
+                Next::Snapshot
+            }
+            progress::Mode::Probe { waiting } if *waiting => Next::Nothing,
+            progress::Mode::Probe { waiting } => {
+                *waiting = true;
+                Next::Entries {
+                    first,
+                    flying: false,
+                }
+            }
+            progress::Mode::Replicate { flying } => {
+                if first > last || flying.len() >= window {
+                    return Next::Nothing;
+                }
+                Next::Entries {
+                    first,
+                    flying: true,
+                }
+            }
+        }
+    }
+
+    fn send_entries(
+        &mut self,
+        now: duration::Instant,
+        to: replica::Id,
+        first: number::Index,
+        fly: bool,
+    ) {
+        let before = number::Index(first.0 - 1);
+        let Some(previous) = self.log.position(before) else {
+            return;
+        };
+        let entries = self.bounded(first);
+        let last = number::Index(before.0 + entries.len() as u64);
+        if let Some(progress) = self.progress_mut(to)
+            && let (true, progress::Mode::Replicate { flying }) = (fly, &mut progress.mode)
+        {
+            flying.push_back(last);
+            progress.next = last.next();
+        }
+        self.send_append(now, to, previous, entries);
+    }
+
+    fn bounded(&self, first: number::Index) -> Vec<entry::Entry> {
+        let mut size = 0;
+        let mut entries = Vec::new();
+        for entry in self.log.slice(first, self.log.last().index) {
+            size += entry.size();
+            if size > self.limits.message && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    fn send_append(
+        &mut self,
+        now: duration::Instant,
+        to: replica::Id,
+        previous: position::Position,
+        entries: Vec<entry::Entry>,
+    ) {
+        let body = message::Body::Append {
+            previous,
+            entries,
+            committed: self.committed,
+            sent: now,
+        };
+        self.send(to, body);
+    }
+
+    fn send_chunk(&mut self, now: duration::Instant, to: replica::Id) {
+        let size = self.limits.chunk;
+        let Some(progress::Mode::Snapshot { snapshot, held, .. }) =
+            self.progress_of(to).map(|progress| &progress.mode)
+        else {
+            return;
+        };
+        let total = snapshot.data.len();
+        let start = usize::try_from(*held).unwrap_or(total).min(total);
+        let end = (start + size).min(total);
+        let body = message::Body::Chunk {
+            position: snapshot.position,
+            members: snapshot.members.clone(),
+            offset: start as u64,
+            total: total as u64,
+            data: snapshot.data.slice(start..end),
+            sent: now,
+        };
+        self.send(to, body);
+    }
+
+    pub(super) fn appended(
+        &mut self,
+        now: duration::Instant,
+        from: replica::Id,
+        matched: number::Index,
+        sent: duration::Instant,
+    ) {
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        progress.acknowledge(sent);
+        progress.accept(matched);
+        self.advance_commit(now);
+        self.advance_transfer(now);
+        self.replicate(now, from);
+    }
+
+    pub(super) fn rejected(
+        &mut self,
+        now: duration::Instant,
+        from: replica::Id,
+        previous: number::Index,
+        hint: number::Index,
+        sent: duration::Instant,
+    ) {
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        progress.acknowledge(sent);
+        progress.reject(previous, hint);
+        self.replicate(now, from);
+    }
+
+    pub(super) fn chunked(
+        &mut self,
+        now: duration::Instant,
+        from: replica::Id,
+        position: position::Position,
+        held: u64,
+        sent: duration::Instant,
+    ) {
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        progress.acknowledge(sent);
+        let progress::Mode::Snapshot {
+            snapshot,
+            held: known,
+            waiting,
+        } = &mut progress.mode
+        else {
+            return;
+        };
+        if snapshot.position != position {
+            return;
+        }
+        if held >= snapshot.data.len() as u64 {
+            progress.accept(position.index);
+        } else if held != *known || *waiting {
+            *known = held;
+            *waiting = false;
+        }
+        self.advance_commit(now);
+        self.replicate(now, from);
+    }
+
+    pub(super) fn propose(&mut self, now: duration::Instant, payloads: Vec<Bytes>) {
+        if let Err(refusal) = self.admit(&payloads) {
+            self.outputs.push(output::Output::Refused(refusal));
+            return;
+        }
+        let first = position::Position {
+            term: self.hard.term,
+            index: self.log.last().index.next(),
+        };
+        for payload in payloads {
+            self.append_own(entry::Payload::Data(payload));
+        }
+        self.outputs.push(output::Output::Taken(first));
+        self.replicate_all(now);
+    }
+
+    fn admit(&self, payloads: &[Bytes]) -> Result<(), output::Refusal> {
+        let leader = self.office()?;
+        let limit = self.limits.proposal;
+        if payloads.iter().any(|payload| payload.len() > limit) {
+            return Err(output::Refusal::TooLarge { limit });
+        }
+        let size: usize = payloads.iter().map(Bytes::len).sum();
+        if leader.uncommitted + size > self.limits.uncommitted {
+            return Err(output::Refusal::Full);
+        }
+        Ok(())
+    }
+
+    /// The office, if this node leads and is not handing over.
+    pub(super) fn office(&self) -> Result<&role::Leader, output::Refusal> {
+        let role::Role::Leader(leader) = &self.role else {
+            let leader = self.leader;
+            return Err(output::Refusal::NotLeader { leader });
+        };
+        if leader.transfer.is_some() {
+            return Err(output::Refusal::Transferring);
+        }
+        Ok(leader)
+    }
+
+    pub(super) fn append_own(&mut self, payload: entry::Payload) {
+        let position = position::Position {
+            term: self.hard.term,
+            index: self.log.last().index.next(),
+        };
+        let entry = entry::Entry { position, payload };
+        if let role::Role::Leader(leader) = &mut self.role {
+            leader.uncommitted += entry.size();
+        }
+        self.log.append(entry);
+        self.mark_entries(position.index);
+    }
+
+    /// Commits what a quorum holds, if it ends with an entry of this term.
+    ///
+    /// An entry of an earlier term on a quorum can still be replaced by a leader
+    /// that lacks it; an accepted change would be gone. Counting only entries of
+    /// the own term prevents it.
+    pub(super) fn advance_commit(&mut self, now: duration::Instant) {
+        let role::Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let reached = self.members().quorum_value(|voter| {
+            if voter == self.id {
+                return self.durable;
+            }
+            let progress = leader.progress.get(&voter);
+            progress
+                .map(|progress| progress.matched)
+                .unwrap_or_default()
+        });
+        let reached = reached.unwrap_or_default();
+        let own_term = |found: position::Position| found.term == self.hard.term;
+        if reached <= self.committed || !self.log.position(reached).is_some_and(own_term) {
+            return;
+        }
+        let settled = self.log.slice(self.committed.next(), reached);
+        let size: usize = settled.iter().map(entry::Entry::size).sum();
+        self.committed = reached;
+        if let role::Role::Leader(leader) = &mut self.role {
+            leader.uncommitted = leader.uncommitted.saturating_sub(size);
+        }
+        self.leave_if_removed(now);
+    }
+
+    /// A leader that took itself out steps down once that is committed.
+    fn leave_if_removed(&mut self, now: duration::Instant) {
+        let settled = self.log.members_index() <= self.committed;
+        if settled && !self.members().is_voter(self.id) {
+            self.become_follower(now, self.hard.term, None);
+        }
+    }
+
+    pub(super) fn progress_of(&self, id: replica::Id) -> Option<&progress::Progress> {
+        match &self.role {
+            role::Role::Leader(leader) => leader.progress.get(&id),
+            _ => None,
+        }
+    }
+
+    fn progress_mut(&mut self, id: replica::Id) -> Option<&mut progress::Progress> {
+        match &mut self.role {
+            role::Role::Leader(leader) => leader.progress.get_mut(&id),
+            _ => None,
+        }
+    }
+
+    /// Begins to send to a new member.
+    pub(super) fn meet(&mut self, id: replica::Id) {
+        let last = self.log.last().index;
+        if let role::Role::Leader(leader) = &mut self.role {
+            let progress = progress::Progress {
+                mode: progress::Mode::Replicate {
+                    flying: VecDeque::new(),
+                },
+                ..progress::Progress::unknown(last)
+            };
+            leader.progress.insert(id, progress);
+        }
+    }
+}
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod log;
 pub mod machine;
+pub mod replica;
 pub mod transport;
--- a/crates/cranberrygap-control/src/log.rs
+++ b/crates/cranberrygap-control/src/log.rs
@@ -16,6 +16,15 @@
     /// The proposal was taken, but whether it commits is not known.
     #[error("no quorum answered in time; whether the change commits is not known")]
     Unknown,
+    /// Too many proposals are waiting to be committed; this one was not taken.
+    #[error("too many changes are waiting to be committed")]
+    Full,
+    /// The proposal is too large and was not taken.
+    #[error("the change is larger than {limit} bytes")]
+    TooLarge {
+        /// Largest proposal, in bytes.
+        limit: usize,
+    },
     /// The process is stopping; the proposal was not taken.
     #[error("this control process is stopping")]
     Stopping,
--- /dev/null
+++ b/crates/cranberrygap-control/src/replica/dump.rs
@@ -0,0 +1,69 @@
+//! The replica's state as JSON.
+
+use cranberrygap_agreement::{node, progress, role};
+use cranberrygap_model::duration;
+use serde_json::{Value, json};
+
+/// State of a running node.
+pub(super) fn node(node: &node::Node, now: duration::Instant) -> Value {
+    let followers: serde_json::Map<String, Value> = node
+        .progress()
+        .iter()
+        .map(|(id, progress)| (id.to_string(), follower(progress, now)))
+        .collect();
+    json!({
+        "replica": node.id().to_string(),
+        "role": role_name(node.role()),
+        "term": node.hard().term,
+        "vote": node.hard().vote.map(|id| id.to_string()),
+        "leader": node.leader().map(|id| id.to_string()),
+        "lease_left_us": node.lease_end().map(|end| end.since(now).0),
+        "may_grant": node.may_grant(now),
+        "last": node.log().last(),
+        "durable": node.durable(),
+        "committed": node.committed(),
+        "applied": node.applied(),
+        "snapshot": node.snapshot_position(),
+        "members": members(node),
+        "followers": followers,
+    })
+}
+
+fn members(node: &node::Node) -> Value {
+    let members = &node.members().0;
+    let list = members.iter().map(|(id, member)| {
+        json!({
+            "replica": id.to_string(),
+            "peer": member.peer,
+            "voter": member.voter,
+        })
+    });
+    list.collect()
+}
+
+fn follower(progress: &progress::Progress, now: duration::Instant) -> Value {
+    json!({
+        "matched": progress.matched,
+        "next": progress.next,
+        "mode": mode_name(&progress.mode),
+        "silent_us": progress.acknowledged.map(|sent| now.since(sent).0),
+    })
+}
+
+fn mode_name(mode: &progress::Mode) -> &'static str {
+    match mode {
+        progress::Mode::Probe { .. } => "probe",
+        progress::Mode::Replicate { .. } => "replicate",
+        progress::Mode::Snapshot { .. } => "snapshot",
+    }
+}
+
+/// Name of a role for logs and dumps.
+pub(super) fn role_name(role: &role::Role) -> &'static str {
+    match role {
+        role::Role::Follower => "follower",
+        role::Role::PreCandidate { .. } => "pre-candidate",
+        role::Role::Candidate { .. } => "candidate",
+        role::Role::Leader(_) => "leader",
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/replica/formation.rs
@@ -0,0 +1,63 @@
+//! Forming or finding the group before the protocol can run.
+
+use std::collections::BTreeMap;
+use std::time;
+
+use cranberrygap_agreement::{formation, packet, replica};
+use cranberrygap_model::{address, id};
+
+/// Time between two presentations of a replica without a group. Short, since a
+/// new group serves nobody before it is formed.
+pub(super) const PRESENT: time::Duration = time::Duration::from_millis(200);
+
+/// Time between two presentations of a replica that is not a member yet.
+pub(super) const PRESENT_LEARNER: time::Duration = time::Duration::from_secs(1);
+
+/// Replicas that are remembered without being members; bounds what strangers
+/// can make this process keep.
+const STRANGERS: usize = 64;
+
+/// Replicas that presented themselves or sent something, and their addresses.
+#[derive(Debug, Default)]
+pub(super) struct Directory {
+    addresses: BTreeMap<replica::Id, address::Peer>,
+    presented: BTreeMap<id::Instance, formation::Hello>,
+}
+
+impl Directory {
+    /// Remembers where a replica can be reached.
+    pub(super) fn note(&mut self, id: replica::Id, peer: &address::Peer) {
+        if self.addresses.len() < STRANGERS || self.addresses.contains_key(&id) {
+            self.addresses.insert(id, peer.clone());
+        }
+    }
+
+    /// Remembers a replica that presented itself.
+    pub(super) fn present(&mut self, hello: formation::Hello) {
+        let instance = hello.peer.instance.clone();
+        if self.presented.len() < STRANGERS || self.presented.contains_key(&instance) {
+            self.presented.insert(instance, hello);
+        }
+    }
+
+    pub(super) fn address(&self, id: replica::Id) -> Option<&address::Peer> {
+        self.addresses.get(&id)
+    }
+
+    pub(super) fn presented(&self, instance: &id::Instance) -> Option<&formation::Hello> {
+        self.presented.get(instance)
+    }
+
+    pub(super) fn all_presented(&self) -> impl Iterator<Item = &formation::Hello> {
+        self.presented.values()
+    }
+}
+
+/// Who a packet's sender says it is.
+pub(super) fn sender(packet: &packet::Packet) -> Option<replica::Id> {
+    match packet {
+        packet::Packet::Hello(hello) => Some(hello.id),
+        packet::Packet::Formed(_) => None,
+        packet::Packet::Protocol(message) => Some(message.from),
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/replica/request.rs
@@ -0,0 +1,43 @@
+//! What the handle asks the protocol's task.
+
+use bytes::Bytes;
+use cranberrygap_model::{address, id};
+use tokio::sync::oneshot;
+
+use super::Error;
+use crate::log;
+
+/// Answer to a proposal.
+pub(super) type Committed = oneshot::Sender<Result<log::Committed, log::Error>>;
+
+/// Answer to anything else that may be refused.
+pub(super) type Done = oneshot::Sender<Result<(), Error>>;
+
+/// A change of the membership by instance name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Change {
+    AddLearner,
+    Promote,
+    Remove,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(super) enum Request {
+    Deliver {
+        from: address::Peer,
+        message: Bytes,
+    },
+    Propose {
+        payload: Bytes,
+        answer: Committed,
+    },
+    Change {
+        change: Change,
+        instance: id::Instance,
+        answer: Done,
+    },
+    Transfer(Done),
+    Dump(oneshot::Sender<serde_json::Value>),
+    Stop(oneshot::Sender<()>),
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/replica/settings.rs
@@ -0,0 +1,31 @@
+//! Settings of a replica.
+
+use std::path::PathBuf;
+
+use cranberrygap_agreement::{limits, timing};
+use cranberrygap_model::address;
+
+/// Entries after which a snapshot is taken. Bounds the time of a restart; the
+/// snapshot itself is a few megabytes.
+const SNAPSHOT_AFTER: u64 = 5_000;
+
+/// Settings of a replica.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct Settings {
+    /// This process.
+    pub own: address::Peer,
+    /// The voters that form the group the first time, this one among them; for
+    /// a replica that joins later, whom to present itself to.
+    pub voters: Vec<address::Peer>,
+    /// Data folder.
+    pub folder: PathBuf,
+    /// Timeouts, the same in the whole group.
+    #[builder(default)]
+    pub timing: timing::Timing,
+    /// Bounds.
+    #[builder(default)]
+    pub limits: limits::Limits,
+    /// Entries after which a snapshot is taken.
+    #[builder(default = SNAPSHOT_AFTER)]
+    pub snapshot_after: u64,
+}
