--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -8,11 +8,9 @@
 
 pub mod client;
 pub mod credential;
+pub mod error;
 pub mod handshake;
 pub mod server;
 pub mod session;
 
-mod error;
 mod message;
-
-pub use error::Error;
--- a/crates/cranberrygap-link/tests/link.rs
+++ b/crates/cranberrygap-link/tests/link.rs
@@ -1,7 +1,8 @@
 //! Calls and streams between two ends that hold the same secret.
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
-use cranberrygap_link::{Error, client, credential, server};
+use cranberrygap_link::error::Error;
+use cranberrygap_link::{client, credential, server};
 use cranberrygap_model::{address, duration};
 use futures_util::StreamExt as _;
 use futures_util::stream;
--- /dev/null
+++ b/crates/cranberrygap-placement/src/forecast.rs
@@ -0,0 +1,16 @@
+//! Expected demand of each model from what was counted.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id};
+
+pub mod decayed;
+pub mod heat;
+
+/// Estimates demand; the implementations are compared by `measure policy`.
+pub trait Estimator: Send + std::fmt::Debug {
+    /// Counts `amount` of demand for a model at `now`.
+    fn count(&mut self, now: duration::Instant, model: &id::Model, amount: f64);
+    /// Expected demand a second for each model at `now`.
+    fn rates(&self, now: duration::Instant) -> BTreeMap<id::Model, f64>;
+}
--- /dev/null
+++ b/crates/cranberrygap-placement/src/journal.rs
@@ -0,0 +1,96 @@
+//! The replicated part: which orders may still take effect.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{id, number};
+use cranberrygap_wire::endpoint;
+use serde::{Deserialize, Serialize};
+
+/// Why an order can take effect no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Evidence {
+    /// A report newer than the order shows its result.
+    Reported,
+    /// The endpoint refused it for good.
+    Refused,
+    /// The process that could have run it is gone; another boot answers.
+    Rebooted,
+}
+
+/// One entry of the replicated log about orders.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// An order is about to be sent; logged before the first byte goes out.
+    Intended {
+        /// The order, unchanged in all its sendings.
+        order: endpoint::Order,
+    },
+    /// It is proven that an order can take effect no longer.
+    Ended {
+        /// The order.
+        order: id::Order,
+        /// Its endpoint.
+        endpoint: id::Endpoint,
+        /// The boot that gave the evidence.
+        boot: number::Boot,
+        /// Residency number of the evidence; reports below it are outdated.
+        residency: number::Sequence,
+        /// What proved it.
+        evidence: Evidence,
+    },
+}
+
+/// The newest evidence about an endpoint that reached the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Floor {
+    /// The boot that gave it.
+    pub boot: number::Boot,
+    /// Its residency number.
+    pub residency: number::Sequence,
+}
+
+/// All orders whose end is not proven. Grows and shrinks by [`Record`]s alone.
+///
+/// A new leader may not have seen what its predecessor sent. One would notice
+/// by an endpoint that runs out of memory when a forgotten load lands. Each
+/// order therefore stands here before it is sent, in every replica.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Journal {
+    /// Orders that may still take effect.
+    pub open: BTreeMap<id::Order, endpoint::Order>,
+    /// Newest evidence for each endpoint.
+    pub floors: BTreeMap<id::Endpoint, Floor>,
+}
+
+impl Journal {
+    /// Applies one committed record.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Intended { order } => {
+                self.open.insert(order.order.clone(), order.clone());
+            }
+            Record::Ended {
+                order,
+                endpoint,
+                boot,
+                residency,
+                evidence,
+            } => {
+                self.open.remove(order);
+                if *evidence != Evidence::Refused {
+                    self.raise(endpoint, *boot, *residency);
+                }
+            }
+        }
+    }
+
+    fn raise(&mut self, endpoint: &id::Endpoint, boot: number::Boot, residency: number::Sequence) {
+        let known = self.floors.get(endpoint);
+        let same = known.filter(|floor| floor.boot == boot);
+        let residency = same.map_or(residency, |floor| floor.residency.max(residency));
+        self.floors
+            .insert(endpoint.clone(), Floor { boot, residency });
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-placement/src/plan/room.rs
@@ -0,0 +1,104 @@
+//! Which copies go to make room for others.
+
+use crate::plan;
+use crate::plan::board;
+
+/// Unloads copies on the one of `runners` where that costs least, so that
+/// `wanted` bytes become free. A model keeps at least `spare` serving copies.
+///
+/// Does nothing where room is being made already: the same want comes again
+/// each round until the unload is reported.
+pub fn make(board: &mut board::Board<'_>, runners: &[usize], wanted: u64, spare: usize) -> bool {
+    if runners.iter().any(|runner| is_clearing(board, *runner)) {
+        return false;
+    }
+    let choices = runners.iter().filter_map(|runner| {
+        let victims = victims(board, *runner, wanted, spare)?;
+        let cost: f64 = victims
+            .iter()
+            .map(|number| share(board, *runner, *number))
+            .sum();
+        Some((*runner, victims, cost))
+    });
+    let best = choices.min_by(|a, b| a.2.total_cmp(&b.2).then(a.1.len().cmp(&b.1.len())));
+    let Some((runner, victims, _)) = best else {
+        return false;
+    };
+    for number in victims {
+        board.remove(runner, number, plan::Reason::Room);
+    }
+    true
+}
+
+fn is_clearing(board: &board::Board<'_>, runner: usize) -> bool {
+    let endpoint = &board.runners[runner].endpoint;
+    let account = board.ledger.accounts().get(endpoint);
+    account.is_some_and(|account| {
+        let mut resident = account.resident.keys();
+        resident.any(|model| account.unloads(model))
+    })
+}
+
+fn share(board: &board::Board<'_>, runner: usize, number: usize) -> f64 {
+    let mut copies = board.models[number].copies.iter();
+    let copy = copies.find(|copy| copy.runner == runner);
+    copy.map_or(0.0, |copy| copy.share)
+}
+
+/// The least used copies that together free enough, or none.
+fn victims(
+    board: &board::Board<'_>,
+    runner: usize,
+    wanted: u64,
+    spare: usize,
+) -> Option<Vec<usize>> {
+    let mut candidates: Vec<usize> = board.runners[runner]
+        .models
+        .iter()
+        .copied()
+        .filter(|number| can_spare(board, runner, *number, spare))
+        .collect();
+    candidates.sort_by(|a, b| {
+        let (a, b) = (share(board, runner, *a), share(board, runner, *b));
+        a.total_cmp(&b)
+    });
+    let mut free = board.runners[runner].free;
+    let mut victims = Vec::new();
+    for number in candidates {
+        if free >= wanted {
+            break;
+        }
+        free += board.models[number].footprint;
+        victims.push(number);
+    }
+    (free >= wanted).then_some(victims)
+}
+
+fn can_spare(board: &board::Board<'_>, runner: usize, number: usize, spare: usize) -> bool {
+    let model = &board.models[number];
+    let others = model.copies.iter().filter(|copy| copy.runner != runner);
+    let here = model.copies.iter().find(|copy| copy.runner == runner);
+    if !here.is_some_and(|copy| copy.serves) {
+        return false;
+    }
+    let rest: Vec<&board::Copy> = others.filter(|copy| copy.serves).collect();
+    if rest.len() < spare.max(1) {
+        return false;
+    }
+    if spare >= 2 && !spans_domains(board, &rest) {
+        return false;
+    }
+    // The rest must bear the load, or the copy would come back at once.
+    let room = rest.iter().map(|copy| {
+        let runner = &board.runners[copy.runner];
+        (board.settings.high * runner.capacity - runner.load).max(0.0)
+    });
+    let moved = here.map_or(0.0, |copy| copy.share);
+    spare < 2 || room.sum::<f64>() >= moved
+}
+
+fn spans_domains(board: &board::Board<'_>, copies: &[&board::Copy]) -> bool {
+    let mut domains = copies.iter().map(|copy| board.runners[copy.runner].domain);
+    let first = domains.next();
+    domains.any(|domain| Some(domain) != first)
+}
--- a/crates/cranberrygap-wire/src/lib.rs
+++ b/crates/cranberrygap-wire/src/lib.rs
@@ -17,4 +17,6 @@
 pub mod ini;
 pub mod method;
 
-pub use generated::{caller, claim, configuration, endpoint, operator, settings, share, view};
+pub use generated::{
+    audit, caller, claim, configuration, endpoint, operator, settings, share, view,
+};
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -29,8 +29,19 @@
 pub const SHOW: &str = "show";
 /// An operator reads accepted changes (nothing to a list of `operator::Record`).
 pub const HISTORY: &str = "history";
-/// An operator takes an instance or endpoint out of service (`operator::Drain`).
+/// An operator takes an instance or endpoint out of service (`operator::Drain` to
+/// `operator::Drained`).
 pub const DRAIN: &str = "drain";
+/// An operator reads an accepted configuration (`operator::Read` to `operator::Page`).
+pub const CONFIGURATION: &str = "configuration";
+/// An operator reads the audit trail (`audit::Read` to `audit::Trail`).
+pub const AUDIT: &str = "audit";
+/// An operator adds a control process to the group (`operator::Join` to `operator::Group`).
+pub const MEMBER_ADD: &str = "member_add";
+/// An operator removes a control process (`operator::Leave` to `operator::Group`).
+pub const MEMBER_REMOVE: &str = "member_remove";
+/// An operator lists members and the group (nothing to `operator::Group`).
+pub const MEMBER_LIST: &str = "member_list";
 /// Any process prints its whole state (nothing to a JSON object).
 pub const DUMP: &str = "dump";
 
