Name the link's error by its module

Cause: the link's error module became public while the entry was written. Change: the entry names it through its module.

--- a/crates/cranberrygap-entry/src/booking.rs
+++ b/crates/cranberrygap-entry/src/booking.rs
@@ -48,7 +48,7 @@
             instance: core.instance().clone(),
             boot: core.boot,
         };
-        let verdict: Result<claim::Verdict, cranberrygap_link::Error> = core
+        let verdict: Result<claim::Verdict, cranberrygap_link::error::Error> = core
             .leader
             .call(method::CLAIM_OPEN, &open, CLAIM_DEADLINE)
             .await;
@@ -77,7 +77,7 @@
             outcome,
         };
         for _try in 0..CLOSE_TRIES {
-            let answer: Result<(), cranberrygap_link::Error> = core
+            let answer: Result<(), cranberrygap_link::error::Error> = core
                 .leader
                 .call(method::CLAIM_CLOSE, &close, CLAIM_DEADLINE)
                 .await;
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -65,7 +65,7 @@
         let demands = self.core.demand.drain();
         let message = self.message(&batch, demands);
         let sent = self.core.now();
-        let answer: Result<view::Confirmed, cranberrygap_link::Error> = self
+        let answer: Result<view::Confirmed, cranberrygap_link::error::Error> = self
             .core
             .leader
             .call(method::VIEW_CONFIRM, &message, DEADLINE)
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -51,7 +51,7 @@
         method: &'static str,
         params: &P,
         deadline: duration::Span,
-    ) -> Result<R, cranberrygap_link::Error> {
+    ) -> Result<R, cranberrygap_link::error::Error> {
         let mut last = unreachable();
         for _hop in 0..MOST_HOPS {
             let client = match self.connected().await {
@@ -77,9 +77,9 @@
     }
 
     /// Chooses where to go after `error`; true when the call surely did not run.
-    fn learn(&self, failed: &Arc<client::Client>, error: &cranberrygap_link::Error) -> bool {
+    fn learn(&self, failed: &Arc<client::Client>, error: &cranberrygap_link::error::Error) -> bool {
         match error {
-            cranberrygap_link::Error::Refused {
+            cranberrygap_link::error::Error::Refused {
                 code: method::NOT_LEADER,
                 data,
                 ..
@@ -91,7 +91,7 @@
                 }
                 true
             }
-            cranberrygap_link::Error::Refused { .. } => false,
+            cranberrygap_link::error::Error::Refused { .. } => false,
             other => {
                 self.forget(failed);
                 other.not_sent()
@@ -99,7 +99,7 @@
         }
     }
 
-    async fn connected(&self) -> Result<Arc<client::Client>, cranberrygap_link::Error> {
+    async fn connected(&self) -> Result<Arc<client::Client>, cranberrygap_link::error::Error> {
         if let Some(client) = self.live() {
             return Ok(client);
         }
@@ -157,8 +157,8 @@
     }
 }
 
-fn unreachable() -> cranberrygap_link::Error {
-    cranberrygap_link::Error::Unreachable {
+fn unreachable() -> cranberrygap_link::error::Error {
+    cranberrygap_link::error::Error::Unreachable {
         reason: "no control process answered".into(),
     }
 }
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    async fn follow(&self, peer: &address::Peer) -> Result<(), cranberrygap_link::Error> {
+    async fn follow(&self, peer: &address::Peer) -> Result<(), cranberrygap_link::error::Error> {
         let role = credential::Role::Fleet;
         let client = client::Client::connect(peer.address, role, &self.secret).await?;
         let wanted = wire_view::Subscribe {
@@ -64,7 +64,7 @@
             // heartbeat shows it.
             let next = tokio::time::timeout(SILENCE, frames.next()).await;
             let Ok(next) = next else {
-                return Err(cranberrygap_link::Error::TimedOut);
+                return Err(cranberrygap_link::error::Error::TimedOut);
             };
             let Some(frame) = next else {
                 return Ok(());
