Keep configuration, keys, endpoints, members, claims and trail as replicated state

Cause: every replica must come to the same state from the committed commands, and resends, races and late messages must not change what was accepted. Change: cranberrygap-state with one module and one apply for each subject, answers remembered by change id, configurations by compare-and-set with their old texts, a reader that refuses a text whole with every mistake, claims whose keys cannot run again after they were dropped, and a hash-chained trail. Conclusion: the control process can drive it through its log.

--- /dev/null
+++ b/crates/cranberrygap-state/src/catalogue.rs
@@ -0,0 +1,52 @@
+//! What the weight store can load.
+
+use cranberrygap_wire::{endpoint, view};
+use serde::{Deserialize, Serialize};
+
+/// Models, adapters and versions that are taken; five times the planned number.
+const MOST_MODELS: usize = 16_384;
+
+/// The store's list, sorted by name.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Catalogue {
+    models: Vec<endpoint::Weights>,
+}
+
+/// The store was read again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// What it lists.
+    pub models: Vec<endpoint::Weights>,
+}
+
+impl Catalogue {
+    /// Replaces the list; nothing changes when it is the same.
+    pub fn apply(&mut self, step: &Step) -> Vec<view::Change> {
+        let models = sorted(&step.models);
+        if models == self.models {
+            return Vec::new();
+        }
+        self.models.clone_from(&models);
+        vec![view::Change::Catalogued { catalogue: models }]
+    }
+
+    /// Whether a list differs from what is held.
+    #[must_use]
+    pub fn differs(&self, listed: &[endpoint::Weights]) -> bool {
+        sorted(listed) != self.models
+    }
+
+    /// The models by name.
+    #[must_use]
+    pub fn models(&self) -> &[endpoint::Weights] {
+        &self.models
+    }
+}
+
+fn sorted(listed: &[endpoint::Weights]) -> Vec<endpoint::Weights> {
+    let mut models = listed.to_vec();
+    models.sort_by(|one, other| one.model.cmp(&other.model));
+    models.dedup_by(|one, other| one.model == other.model);
+    models.truncate(MOST_MODELS);
+    models
+}
--- /dev/null
+++ b/crates/cranberrygap-state/src/command.rs
@@ -0,0 +1,73 @@
+//! Commands that the replicated log carries.
+
+use cranberrygap_wire::operator;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{catalogue, claim, configuration, endpoint, key, member, quarantine};
+
+/// A command and the leader's clock when it was proposed.
+///
+/// Replicas never read their own clocks while they apply; they would come to
+/// different states.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Unix time in milliseconds.
+    pub at: u64,
+    /// What shall change.
+    pub command: Command,
+}
+
+/// What shall change, by subject.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "subject", content = "step", rename_all = "snake_case")]
+pub enum Command {
+    /// A new configuration.
+    Configuration(configuration::Step),
+    /// The weight store's list.
+    Catalogue(catalogue::Step),
+    /// Keys of callers.
+    Key(key::Step),
+    /// Endpoints and their health.
+    Endpoint(endpoint::Step),
+    /// Entries and controls.
+    Member(member::Step),
+    /// Bookings.
+    Claim(claim::Step),
+    /// Requests that crash endpoints.
+    Quarantine(quarantine::Step),
+    /// Takes an entry, control or endpoint out of service by its name.
+    Drain(operator::Drain),
+}
+
+impl Command {
+    /// Who asks, for commands of operators; these are remembered by change id.
+    #[must_use]
+    pub const fn author(&self) -> Option<&operator::Author> {
+        match self {
+            Self::Configuration(step) => Some(&step.author),
+            Self::Key(step) => Some(step.author()),
+            Self::Drain(drain) => Some(&drain.author),
+            Self::Catalogue(_)
+            | Self::Endpoint(_)
+            | Self::Member(_)
+            | Self::Claim(_)
+            | Self::Quarantine(_) => None,
+        }
+    }
+
+    /// What the command is about, in a few words for the history.
+    #[must_use]
+    pub fn summary(&self) -> SmolStr {
+        match self {
+            Self::Configuration(_) => SmolStr::new_static("configuration"),
+            Self::Key(step) => step.summary(),
+            Self::Drain(drain) => format!("drain {}", drain.name).into(),
+            Self::Catalogue(_) => SmolStr::new_static("catalogue"),
+            Self::Endpoint(_) => SmolStr::new_static("endpoint"),
+            Self::Member(_) => SmolStr::new_static("member"),
+            Self::Claim(_) => SmolStr::new_static("claim"),
+            Self::Quarantine(_) => SmolStr::new_static("quarantine"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-state/src/configuration.rs
@@ -0,0 +1,138 @@
+//! The fleet's configuration: defaults and exceptions, by compare-and-set.
+
+use std::collections::VecDeque;
+
+use cranberrygap_model::{id, number};
+use cranberrygap_wire::{configuration, operator, view};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::answer;
+
+mod facts;
+mod promise;
+mod reader;
+
+pub use facts::Facts;
+pub use reader::read;
+
+/// Accepted configurations that are kept for reading.
+const MOST_PAGES: usize = 256;
+
+/// Bytes of kept configurations.
+const MOST_BYTES: usize = 2 << 20;
+
+/// Largest text of one configuration.
+pub const LARGEST_TEXT: usize = 256 << 10;
+
+/// The configuration in force and those before it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    current: Option<configuration::Configuration>,
+    pages: VecDeque<operator::Page>,
+}
+
+/// A new configuration, already read and checked by the leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Who asks and why.
+    pub author: operator::Author,
+    /// Revision that it replaces.
+    pub expect: number::Revision,
+    /// The text as it was written.
+    pub text: SmolStr,
+    /// What was read from it; its revision is set when it is applied.
+    pub configuration: configuration::Configuration,
+}
+
+impl State {
+    /// Takes a configuration if it replaces the current one.
+    ///
+    /// Two operators may both read revision N, and both apply. Without the
+    /// comparison the later one would undo the earlier one unseen.
+    pub fn apply(
+        &mut self,
+        revision: number::Revision,
+        at: u64,
+        step: &Step,
+    ) -> (answer::Answer, Vec<view::Change>) {
+        if step.expect != self.revision() {
+            let applied = self.conflict();
+            return (answer::Answer::Applied(applied), Vec::new());
+        }
+        let mut configuration = step.configuration.clone();
+        configuration.revision = revision;
+        self.current = Some(configuration.clone());
+        self.pages.push_back(operator::Page {
+            revision,
+            at,
+            author: step.author.clone(),
+            text: step.text.clone(),
+        });
+        self.forget_oldest();
+        let applied = operator::Applied::Accepted { revision };
+        let changes = vec![view::Change::Configured { configuration }];
+        (answer::Answer::Applied(applied), changes)
+    }
+
+    fn conflict(&self) -> operator::Applied {
+        let winner = self.pages.back().map(|page| page.author.clone());
+        let nobody = || operator::Author {
+            change: "none"
+                .parse::<id::Change>()
+                .expect("a plain word is a name"),
+            by: SmolStr::default(),
+            why: SmolStr::default(),
+        };
+        let winner = winner.unwrap_or_else(nobody);
+        operator::Applied::Conflict {
+            current: self.revision(),
+            by: winner.by,
+            change: winner.change,
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.pages.len() > 1 && self.is_full() {
+            self.pages.pop_front();
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        let bytes: usize = self.pages.iter().map(|page| page.text.len()).sum();
+        self.pages.len() > MOST_PAGES || bytes > MOST_BYTES
+    }
+
+    /// Revision of the current configuration; 0 before the first.
+    #[must_use]
+    pub fn revision(&self) -> number::Revision {
+        self.current
+            .as_ref()
+            .map_or(number::Revision(0), |held| held.revision)
+    }
+
+    /// The current configuration.
+    #[must_use]
+    pub fn current(&self) -> configuration::Configuration {
+        let default = || configuration::Configuration {
+            revision: number::Revision(0),
+            defaults: configuration::Defaults::default(),
+            exceptions: Vec::new(),
+        };
+        self.current.clone().unwrap_or_else(default)
+    }
+
+    /// An accepted configuration that is still kept; the latest for `None`.
+    #[must_use]
+    pub fn page(&self, revision: Option<number::Revision>) -> Option<&operator::Page> {
+        let Some(revision) = revision else {
+            return self.pages.back();
+        };
+        self.pages.iter().find(|page| page.revision == revision)
+    }
+
+    /// Revisions that are kept, oldest first.
+    pub fn revisions(&self) -> impl Iterator<Item = number::Revision> + '_ {
+        self.pages.iter().map(|page| page.revision)
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -0,0 +1,297 @@
+//! The whole replicated state.
+
+use cranberrygap_model::{duration, number, size};
+use cranberrygap_wire::{configuration as wire, endpoint as announced, operator, view};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::{
+    answer, audit, catalogue, change, claim, command, configuration, endpoint, history, key,
+    member, quarantine,
+};
+
+/// Everything that the fleet has agreed on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Position of the last command that was applied.
+    pub revision: number::Revision,
+    /// The largest time of any command; it never goes back.
+    pub clock: u64,
+    /// The configuration and those before it.
+    pub configuration: configuration::State,
+    /// What the weight store can load.
+    pub catalogue: catalogue::Catalogue,
+    /// Keys and workspaces.
+    pub keys: key::Keys,
+    /// Endpoints.
+    pub endpoints: endpoint::Endpoints,
+    /// Entries and controls.
+    pub members: member::Members,
+    /// Bookings.
+    pub claims: claim::Claims,
+    /// Requests that crash endpoints.
+    pub quarantines: quarantine::Quarantines,
+    /// First answers by change id.
+    pub changes: change::Memory,
+    /// What operators changed.
+    pub history: history::History,
+    /// The hash-chained trail.
+    pub audit: audit::Trail,
+}
+
+type Outcome = (answer::Answer, Vec<view::Change>);
+
+impl Fleet {
+    /// Applies a committed command; gives the answer and what entries learn.
+    pub fn apply(&mut self, index: number::Index, proposal: &command::Proposal) -> Outcome {
+        self.revision = number::Revision(index.0);
+        self.clock = self.clock.max(proposal.at);
+        let command = &proposal.command;
+        let Some(author) = command.author() else {
+            return self.carry_out(command);
+        };
+        if let Some(first) = self.changes.recall(&author.change, command) {
+            return (first, Vec::new());
+        }
+        let outcome = self.carry_out(command);
+        self.changes.keep(&author.change, command, &outcome.0);
+        if is_taken(&outcome.0) {
+            self.history.push(operator::Record {
+                revision: self.revision,
+                at: self.clock,
+                author: author.clone(),
+                subject: command.summary(),
+            });
+        }
+        outcome
+    }
+
+    fn carry_out(&mut self, command: &command::Command) -> Outcome {
+        let (revision, at) = (self.revision, self.clock);
+        let outcome = match command {
+            command::Command::Configuration(step) => self.configuration.apply(revision, at, step),
+            command::Command::Catalogue(step) => (answer::Answer::Done, self.catalogue.apply(step)),
+            command::Command::Key(step) => self.keys.apply(revision, step),
+            command::Command::Endpoint(step) => self.endpoints.apply(step),
+            command::Command::Member(step) => self.apply_member(step),
+            command::Command::Claim(step) => {
+                let terms = self.claim_terms();
+                (self.claims.apply(at, terms, step), Vec::new())
+            }
+            command::Command::Quarantine(step) => {
+                let term = self.configuration.current().defaults.quarantine;
+                (answer::Answer::Done, self.quarantines.apply(at, term, step))
+            }
+            command::Command::Drain(drain) => self.drain(drain),
+        };
+        if let Some(fact) = fact(command, &outcome) {
+            self.audit.push(revision, at, fact);
+        }
+        outcome
+    }
+
+    fn apply_member(&mut self, step: &member::Step) -> Outcome {
+        let outcome = self.members.apply(step);
+        if let Some((instance, boot)) = &outcome.ended {
+            self.claims.lose(self.clock, instance, *boot);
+        }
+        (answer::Answer::Done, outcome.changes)
+    }
+
+    fn drain(&mut self, drain: &operator::Drain) -> Outcome {
+        let drained = |subject: &str| {
+            answer::Answer::Drained(operator::Drained {
+                name: drain.name.clone(),
+                subject: subject.into(),
+                revision: self.revision,
+            })
+        };
+        if let Some((role, changes)) = self.members.drain(&drain.name) {
+            return (drained(&role.to_string()), changes);
+        }
+        if let Some(changes) = self.endpoints.drain(&drain.name) {
+            return (drained("endpoint"), changes);
+        }
+        let reason = format!("nothing is named {}; show lists all names", drain.name);
+        (answer::Answer::Refused(reason.into()), Vec::new())
+    }
+
+    fn claim_terms(&self) -> claim::Terms {
+        let current = self.configuration.current();
+        let exceptions = current.exceptions.iter();
+        let longest = exceptions.filter_map(|exception| exception.booking_deadline);
+        claim::Terms {
+            deadline: longest.fold(current.defaults.booking_deadline, duration::Span::max),
+            retention: current.defaults.claim_retention,
+        }
+    }
+
+    /// What entries keep of the state.
+    #[must_use]
+    pub fn view(&self) -> view::State {
+        view::State {
+            configuration: self.configuration.current(),
+            catalogue: self.catalogue.models().to_vec(),
+            keys: self.keys.keys().cloned().collect(),
+            endpoints: self.endpoints.iter().collect(),
+            members: self.members.iter().cloned().collect(),
+            quarantines: self.quarantines.refused().collect(),
+            workspaces: self.keys.workspaces().cloned().collect(),
+        }
+    }
+
+    /// What a configuration's promises are held against.
+    #[must_use]
+    pub fn facts(&self) -> configuration::Facts {
+        let runners = self.endpoints.announcements();
+        let runners = runners.filter(|(found, _)| found.kind == announced::Kind::Runner);
+        let largest: Option<size::Bytes> = runners.map(|(found, _)| found.memory).max();
+        let models = self.catalogue.models().iter();
+        configuration::Facts {
+            largest_memory: largest,
+            models: models
+                .map(|found| (found.model.clone(), found.size))
+                .collect(),
+            workspaces: self.keys.workspaces().cloned().collect(),
+        }
+    }
+
+    /// The defaults in force.
+    #[must_use]
+    pub fn defaults(&self) -> wire::Defaults {
+        self.configuration.current().defaults
+    }
+
+    /// The whole state as bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never; the state has text keys only.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("the state has text keys only")
+    }
+
+    /// The state of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are not a snapshot.
+    pub fn restore(snapshot: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(snapshot)
+    }
+}
+
+fn is_taken(answer: &answer::Answer) -> bool {
+    let refused = matches!(answer, answer::Answer::Refused(_));
+    let lost = matches!(
+        answer,
+        answer::Answer::Applied(operator::Applied::Conflict { .. })
+    );
+    !refused && !lost
+}
+
+/// What the trail keeps of a command that was taken. Claims are kept by key
+/// hash, so that the trail shows no content of a caller.
+fn fact(command: &command::Command, outcome: &Outcome) -> Option<audit::Fact> {
+    let (answer, changes) = outcome;
+    if !is_taken(answer) {
+        return None;
+    }
+    let (subject, by, detail) = match command {
+        command::Command::Configuration(step) => (
+            "configuration",
+            step.author.by.clone(),
+            serde_json::json!({
+                "change": step.author.change, "why": step.author.why, "text": step.text,
+            }),
+        ),
+        command::Command::Key(step) => (
+            "key",
+            step.author().by.clone(),
+            serde_json::json!({
+                "change": step.author().change, "why": step.author().why, "what": step.summary(),
+            }),
+        ),
+        command::Command::Drain(drain) => (
+            "member",
+            drain.author.by.clone(),
+            serde_json::json!({
+                "change": drain.author.change, "why": drain.author.why, "drained": drain.name,
+            }),
+        ),
+        command::Command::Member(_) if !changes.is_empty() => (
+            "member",
+            SmolStr::new_static("leader"),
+            serde_json::json!(changes),
+        ),
+        command::Command::Quarantine(step) if !changes.is_empty() => (
+            "quarantine",
+            step.crash.instance.to_string().into(),
+            serde_json::json!({
+                "endpoint": step.crash.endpoint, "changes": changes,
+            }),
+        ),
+        command::Command::Claim(step) => claim_fact(step, answer),
+        command::Command::Member(_)
+        | command::Command::Quarantine(_)
+        | command::Command::Catalogue(_)
+        | command::Command::Endpoint(_) => return None,
+    };
+    Some(audit::Fact {
+        subject,
+        by,
+        detail,
+    })
+}
+
+fn claim_fact(
+    step: &claim::Step,
+    answer: &answer::Answer,
+) -> (&'static str, SmolStr, serde_json::Value) {
+    match step {
+        claim::Step::Open(open) => (
+            "claim",
+            open.instance.to_string().into(),
+            serde_json::json!({
+                "workspace": open.workspace, "key": short_hash(&open.key),
+                "request": open.request, "verdict": verdict(answer),
+            }),
+        ),
+        claim::Step::Close(close) => (
+            "claim",
+            SmolStr::default(),
+            serde_json::json!({
+                "workspace": close.workspace, "key": short_hash(&close.key),
+                "claim": close.claim, "outcome": outcome_kind(close),
+            }),
+        ),
+    }
+}
+
+fn verdict(answer: &answer::Answer) -> serde_json::Value {
+    match answer {
+        answer::Answer::Claimed(verdict) => {
+            let mut verdict = serde_json::json!(verdict);
+            // The stored answer is the caller's content.
+            if let Some(verdict) = verdict.as_object_mut() {
+                verdict.remove("outcome");
+            }
+            verdict
+        }
+        _ => serde_json::Value::Null,
+    }
+}
+
+fn outcome_kind(close: &cranberrygap_wire::claim::Close) -> &'static str {
+    match close.outcome {
+        cranberrygap_wire::claim::Outcome::Answered(_) => "answered",
+        cranberrygap_wire::claim::Outcome::NotRun => "not_run",
+        cranberrygap_wire::claim::Outcome::Unknown => "unknown",
+    }
+}
+
+fn short_hash(text: &str) -> String {
+    let hash = blake3::hash(text.as_bytes()).to_hex();
+    hash.chars().take(16).collect()
+}
--- /dev/null
+++ b/crates/cranberrygap-state/tests/trail.rs
@@ -0,0 +1,118 @@
+//! The audit trail and quarantines.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod fixture;
+
+use cranberrygap_model::number;
+use cranberrygap_state::{audit, command, quarantine};
+use cranberrygap_wire::{audit as wire, claim, view};
+
+fn trail() -> wire::Trail {
+    let mut group = fixture::Group::default();
+    group.commit(fixture::issue("c-1", "fjordtall", &fixture::secret(7)));
+    group.commit(fixture::configure("c-2", "ada", 0, "[defaults]\n"));
+    group.commit(fixture::open("k", "body"));
+    group.fleet.audit.read(&wire::Read {
+        from: 0,
+        limit: 100,
+    })
+}
+
+fn crash(boot: u64, fingerprints: &[&str]) -> command::Command {
+    command::Command::Quarantine(quarantine::Step {
+        crash: claim::Crash {
+            endpoint: "runner-1".parse().unwrap(),
+            boot: number::Boot(boot),
+            instance: "entry-1".parse().unwrap(),
+            fingerprints: fingerprints.iter().map(|text| (*text).into()).collect(),
+        },
+    })
+}
+
+fn refused(group: &fixture::Group) -> Vec<String> {
+    let refused = group.fleet.quarantines.refused();
+    refused.map(|found| found.fingerprint.to_string()).collect()
+}
+
+#[test]
+fn trail_is_chained_and_covers_what_was_accepted() {
+    let trail = trail();
+
+    let subjects: Vec<&str> = trail
+        .records
+        .iter()
+        .map(|record| record.subject.as_str())
+        .collect();
+
+    assert_eq!(subjects, ["key", "configuration", "claim"]);
+    assert_eq!(audit::verify(&trail.records), Ok(()));
+    assert_eq!(trail.head, trail.records[2].hash);
+}
+
+// Somebody with access to a replica's disk alters what was accepted, or leaves
+// a record out, and hands the trail to the regulator.
+#[test]
+fn altered_and_missing_records_are_found() {
+    let mut altered = trail().records;
+    altered[1].by = "somebody".into();
+    let mut missing = trail().records;
+    missing.remove(1);
+    let mut replaced = trail().records;
+    replaced[1].by = "somebody".into();
+    replaced[1].hash = audit::hash(&replaced[1]);
+
+    assert_eq!(
+        audit::verify(&altered),
+        Err(audit::Break::Altered { number: 2 })
+    );
+    assert_eq!(
+        audit::verify(&missing),
+        Err(audit::Break::Unchained { number: 3 })
+    );
+    assert_eq!(
+        audit::verify(&replaced),
+        Err(audit::Break::Unchained { number: 3 })
+    );
+}
+
+// One request crashes each engine that runs it; others only shared the engine.
+// Its second crash names it, and the innocents go on.
+#[test]
+fn second_crash_condemns_the_culprit_and_spares_innocents() {
+    let mut group = fixture::Group::default();
+    group.commit(crash(1, &["culprit", "innocent"]));
+
+    let (_, changes) = group.commit(crash(2, &["culprit", "bystander"]));
+
+    assert!(matches!(
+        changes.as_slice(),
+        [view::Change::Quarantined { .. }]
+    ));
+    assert_eq!(refused(&group), ["culprit"]);
+}
+
+// Two entries tell of the same dead process.
+#[test]
+fn one_crash_that_is_reported_twice_condemns_nobody() {
+    let mut group = fixture::Group::default();
+
+    group.commit(crash(1, &["one"]));
+    group.commit(crash(1, &["one"]));
+
+    assert!(refused(&group).is_empty());
+}
+
+#[test]
+fn quarantine_ends_after_its_term() {
+    let mut group = fixture::Group::default();
+    group.commit(crash(1, &["culprit"]));
+    group.commit(crash(2, &["culprit"]));
+    group.at += 600_001;
+
+    let (_, changes) = group.commit(crash(3, &["other"]));
+
+    assert!(matches!(
+        changes.as_slice(),
+        [view::Change::Released { .. }]
+    ));
+}
--- a/crates/cranberrygap-wire/src/ini.rs
+++ b/crates/cranberrygap-wire/src/ini.rs
@@ -8,7 +8,7 @@
 use serde_json::{Map, Value};
 
 pub use schema::Schema;
-pub use table::{Entry, Table};
+pub use table::{Entry, Table, parse};
 
 use crate::operator;
 
