Hold rate and burst over all entries by leased shares

Cause: a limit that each entry keeps for itself lets a workspace spend it once per entry; a central bucket asked on each request stops with its leader. Change: limits::granter and limits::holder move tokens between a pool and leased shares; allocations go into the log before the answer; a refund is cut to what the share would hold had the smaller amount been reserved. Tests show that a forgotten log, an endless lease and minted tokens are found.

--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -1,5 +1,7 @@
 //! Long seeded runs of the decision logic; invariants are asserted inside.
 
+pub mod limits;
+
 use std::fmt;
 
 /// One part of the system under a seeded run.
@@ -44,5 +46,5 @@
 /// All parts; a new one is a file and a line here.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Part>> {
-    Vec::new()
+    vec![Box::new(limits::Limits)]
 }
--- /dev/null
+++ b/crates/cranberrygap-bench/src/soak/limits/world.rs
@@ -0,0 +1,368 @@
+//! Entries, leaders, their log and the network between them, in virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_policy::limits::{self, granter, holder};
+use cranberrygap_wire::share;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+
+use super::entry;
+use super::window;
+use crate::soak::Violation;
+
+pub(super) const ENTRIES: usize = 6;
+const TRACE: usize = 60;
+
+/// Time for which requests wait for tokens.
+const PATIENCE: duration::Span = duration::Span::from_millis(500);
+
+/// A mistake built into the run, to show that the check finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// No mistake.
+    None,
+    /// A new leader starts without the allocations in the log.
+    ForgottenLog,
+    /// Holders go on after their lease.
+    EndlessLease,
+    /// Answers bring twice the tokens that left the pool.
+    MintedTokens,
+}
+
+/// What happened in a run.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Counts {
+    pub(super) seed: u64,
+    pub(super) steps: u64,
+    pub(super) admitted: u64,
+    pub(super) refused: u64,
+    pub(super) renewals: u64,
+    pub(super) late: u64,
+    pub(super) lost: u64,
+    pub(super) records: u64,
+    pub(super) leaders: u64,
+    pub(super) restarts: u64,
+    pub(super) partitions: u64,
+    pub(super) configured: u64,
+    /// Highest excess over all windows, in thousandths of the burst.
+    pub(super) highest_permille: u64,
+}
+
+pub(super) enum Message {
+    Renewal(usize, share::Renew),
+    Answer(usize, number::Boot, share::Granted),
+}
+
+pub(super) struct World {
+    pub(super) random: SmallRng,
+    pub(super) fault: Fault,
+    pub(super) now: duration::Instant,
+    pub(super) workspace: id::Workspace,
+    pub(super) limit: limits::Limit,
+    pub(super) entries: Vec<entry::Entry>,
+    pub(super) granter: Option<granter::Granter>,
+    pub(super) elects: duration::Instant,
+    pub(super) term: number::Term,
+    pub(super) log: BTreeMap<(id::Instance, number::Boot), share::Allocation>,
+    pub(super) network: Vec<(duration::Instant, Message)>,
+    pub(super) window: window::Window,
+    pub(super) busy: usize,
+    /// One in this many steps brings requests.
+    pub(super) rarity: u32,
+    /// Whether all entries get requests, or mostly one.
+    pub(super) spread: bool,
+    pub(super) counts: Counts,
+    pub(super) trace: VecDeque<String>,
+}
+
+/// Runs so many steps; the promise is checked at each admission.
+///
+/// # Errors
+///
+/// The first admission that breaks the promise.
+pub fn run(seed: u64, steps: u64, fault: Fault) -> Result<serde_json::Value, Violation> {
+    let mut world = World::new(seed, fault);
+    for step in 0..steps {
+        world.step().map_err(|invariant| Violation {
+            invariant,
+            seed,
+            step,
+            trace: world.trace.iter().cloned().collect(),
+        })?;
+    }
+    world.counts.seed = seed;
+    world.counts.steps = steps;
+    Ok(serde_json::to_value(&world.counts).unwrap_or_default())
+}
+
+impl World {
+    fn new(seed: u64, fault: Fault) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let now = duration::Instant(1);
+        let limit = limits::Limit {
+            rate: token::Rate(5_000.0),
+            burst: token::Count(20_000),
+        };
+        let entries = (0..ENTRIES).map(|number| entry::Entry::new(number, &mut random));
+        let entries = entries.collect();
+        Self {
+            random,
+            fault,
+            now,
+            workspace: "rink".parse().expect("a valid name"),
+            limit,
+            entries,
+            granter: None,
+            elects: now,
+            term: number::Term(0),
+            log: BTreeMap::new(),
+            network: Vec::new(),
+            window: window::Window::new(now, limit),
+            busy: 0,
+            rarity: 1,
+            spread: true,
+            counts: Counts::default(),
+            trace: VecDeque::new(),
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        let quiet = self.random.random_ratio(1, 400);
+        let longest = if quiet { 4_000_000 } else { 8_000 };
+        self.now = self
+            .now
+            .after(duration::Span(self.random.random_range(0..longest)));
+        self.elect();
+        self.deliver();
+        self.renew();
+        self.settle();
+        self.disturb();
+        self.poll()?;
+        self.arrive()
+    }
+
+    pub(super) fn note(&mut self, event: &str) {
+        if self.trace.len() == TRACE {
+            self.trace.pop_front();
+        }
+        self.trace.push_back(format!("{} {event}", self.now));
+    }
+
+    fn elect(&mut self) {
+        if self.granter.is_some() || self.now < self.elects {
+            return;
+        }
+        self.term = self.term.next();
+        self.counts.leaders += 1;
+        let first = self.term == number::Term(1);
+        let known = BTreeMap::from([(self.workspace.clone(), self.limit)]);
+        let known = if first { BTreeMap::new() } else { known };
+        let logged: Vec<share::Allocation> = self.log.values().cloned().collect();
+        let logged = if self.fault == Fault::ForgottenLog {
+            Vec::new()
+        } else {
+            logged
+        };
+        let mut granter = granter::Granter::new(self.now, self.term, &known, &logged);
+        if first {
+            granter.configure(
+                self.now,
+                &self.workspace,
+                self.limit,
+                granter::Origin::Added,
+            );
+        }
+        self.granter = Some(granter);
+        self.note(&format!("leader of term {}", self.term));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.network = later;
+        for (_, message) in due {
+            match message {
+                Message::Renewal(entry, renew) => self.answer(entry, &renew),
+                Message::Answer(entry, boot, granted) => self.accept(entry, boot, granted),
+            }
+        }
+    }
+
+    fn answer(&mut self, entry: usize, renew: &share::Renew) {
+        let Some(granter) = self.granter.as_mut() else {
+            return;
+        };
+        let Ok(answer) = granter.renew(self.now, renew) else {
+            self.counts.late += 1;
+            return;
+        };
+        let fails = !answer.records.is_empty() && self.random.random_ratio(1, 30);
+        let written = !fails || self.random.random_bool(0.5);
+        if written {
+            self.commit(answer.records);
+        }
+        if !fails {
+            let message = Message::Answer(entry, renew.boot, answer.granted);
+            self.send(entry, message);
+        }
+    }
+
+    pub(super) fn commit(&mut self, records: Vec<share::Allocation>) {
+        for record in records {
+            self.counts.records += 1;
+            let owner = (record.instance.clone(), record.boot);
+            if record.rate.0 == 0.0 && record.cap.0 == 0 {
+                self.log.remove(&owner);
+            } else {
+                self.log.insert(owner, record);
+            }
+        }
+    }
+
+    fn accept(&mut self, entry: usize, boot: number::Boot, mut granted: share::Granted) {
+        let now = self.now;
+        let fault = self.fault;
+        let entry = &mut self.entries[entry];
+        if entry.boot != boot {
+            return;
+        }
+        if fault == Fault::MintedTokens {
+            for grant in &mut granted.grants {
+                grant.tokens.0 *= 2;
+                grant.cap.0 *= 2;
+            }
+        }
+        if fault == Fault::EndlessLease {
+            granted.lease = duration::Span::from_secs(3_600);
+        }
+        entry.holder.granted(now, &granted);
+    }
+
+    fn send(&mut self, entry: usize, message: Message) {
+        let cut = self.now < self.entries[entry].cut_until;
+        if cut || self.random.random_ratio(1, 40) {
+            self.counts.lost += 1;
+            return;
+        }
+        let slow = self.random.random_ratio(1, 30);
+        let longest = if slow { 5_000_000 } else { 4_000 };
+        let delay = duration::Span(self.random.random_range(200..longest));
+        self.network.push((self.now.after(delay), message));
+    }
+
+    fn renew(&mut self) {
+        for number in 0..ENTRIES {
+            if self.entries[number].holder.due() > self.now {
+                continue;
+            }
+            self.counts.renewals += 1;
+            let renew = self.entries[number].holder.renew(self.now);
+            self.send(number, Message::Renewal(number, renew));
+        }
+    }
+
+    fn settle(&mut self) {
+        let now = self.now;
+        for entry in &mut self.entries {
+            let (done, running) = std::mem::take(&mut entry.running)
+                .into_iter()
+                .partition(|request| request.ends <= now);
+            entry.running = running;
+            for request in done {
+                entry.holder.settle(now, &request.reservation, request.used);
+                self.window.settle(request.admission, request.used);
+            }
+        }
+    }
+
+    fn arrive(&mut self) -> Result<(), String> {
+        if !self.random.random_ratio(1, self.rarity) {
+            return Ok(());
+        }
+        let spread = self.spread || self.random.random_ratio(1, 4);
+        let anywhere = self.random.random_range(0..ENTRIES);
+        let number = if spread { anywhere } else { self.busy };
+        let cost = token::Count(self.random.random_range(1..400));
+        let burst = if self.random.random_ratio(1, 20) {
+            200
+        } else {
+            4
+        };
+        for _ in 0..self.random.random_range(0..burst) {
+            self.request(number, cost)?;
+        }
+        Ok(())
+    }
+
+    fn poll(&mut self) -> Result<(), String> {
+        for number in 0..ENTRIES {
+            let entry = &mut self.entries[number];
+            for (ticket, decision) in entry.holder.poll(self.now) {
+                let entry = &mut self.entries[number];
+                let cost = entry.waiting.remove(&ticket).unwrap_or_default();
+                match decision {
+                    holder::Decision::Admitted(reservation) => {
+                        self.admitted(number, cost, reservation)?;
+                    }
+                    holder::Decision::Refused(_) => self.counts.refused += 1,
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn request(&mut self, number: usize, cost: token::Count) -> Result<(), String> {
+        let deadline = self.now.after(PATIENCE);
+        let entry = &mut self.entries[number];
+        match entry
+            .holder
+            .admit(self.now, &self.workspace, cost, deadline)
+        {
+            holder::Verdict::Admitted(reservation) => self.admitted(number, cost, reservation),
+            holder::Verdict::Waiting(ticket) => {
+                entry.waiting.insert(ticket, cost);
+                Ok(())
+            }
+        }
+    }
+
+    fn admitted(
+        &mut self,
+        number: usize,
+        cost: token::Count,
+        reservation: holder::Reservation,
+    ) -> Result<(), String> {
+        self.counts.admitted += 1;
+        let (admission, excess) = self.window.admit(self.now, cost);
+        let burst = self.window.burst();
+        self.note(&format!(
+            "entry {number} admits {cost}, excess {excess} of {burst}"
+        ));
+        let permille = excess * 1_000 / burst;
+        self.counts.highest_permille = self.counts.highest_permille.max(permille);
+        if excess > burst {
+            return Err(format!(
+                "over any window at most rate * t + burst: {excess} tokens above the rate, burst {burst}"
+            ));
+        }
+        let long = self.random.random_ratio(1, 10);
+        let longest = if long { 9_000_000 } else { 400_000 };
+        let ends = self
+            .now
+            .after(duration::Span(self.random.random_range(0..longest)));
+        let used = token::Count(self.random.random_range(0..=cost.0));
+        self.entries[number].running.push(entry::Running {
+            ends,
+            reservation,
+            admission,
+            cost,
+            used,
+        });
+        Ok(())
+    }
+}
--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -1,1 +1,3 @@
 //! Request decisions without I/O: limits, fairness, routing, retries, quarantine, bookings.
+
+pub mod limits;
--- /dev/null
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -0,0 +1,355 @@
+//! One workspace's bucket at the leader: the pool and the shares taken out of it.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_wire::share;
+
+use super::amount::{Amount, Flow};
+use super::{LEASE, Limit};
+
+/// Part of the rate that no share ever gets: clocks of two instances differ by
+/// up to some hundred millionths, and a holder whose clock is fast would accrue
+/// more than its rate. One in this many is kept back against that.
+const DRIFT: u64 = 2_000;
+
+/// Part of the lease that the leader waits longer than the holder, for the same reason.
+const LEASE_MARGIN: u64 = 64;
+
+/// Part of the rate, in tenths, that shares get at most. The rest accrues in
+/// the pool, from where an entry with new demand gets tokens at once.
+const SHARED_TENTHS: u64 = 9;
+
+/// What a share gets above the demand of its entry, so that small swings need
+/// no new allocation.
+const HEADROOM: f64 = 1.15;
+
+/// Time of its demand that a share may hold. Covers two renewals; more would be
+/// out of the other entries' reach.
+const STOCK: duration::Span = duration::Span::from_millis(500);
+
+/// Time after which the memory of a shortage has halved.
+const HALVING: duration::Span = duration::Span::from_millis(1_000);
+
+/// A share is left as it is while its target is within this part of it, because
+/// each change is an entry in the replicated log.
+const TOLERANCE: f64 = 0.25;
+
+/// Who holds a share: an instance and the boot of its process.
+pub(super) type Owner = (id::Instance, number::Boot);
+
+/// Rate and cap under a share number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Part {
+    pub(super) number: u64,
+    pub(super) rate: Flow,
+    pub(super) cap: Amount,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Share {
+    /// What the holder said that it has.
+    held: Part,
+    /// What it has as well if the last answer arrived.
+    offered: Part,
+    /// What the log says that it may have.
+    logged: (Flow, Amount),
+    /// Taken over from the log; the holder has not reported yet.
+    inherited: bool,
+    until: duration::Instant,
+    demand: f64,
+    /// Space that requests needed of late, halving with time.
+    needed: f64,
+    renewed: duration::Instant,
+}
+
+impl Share {
+    fn rate(&self) -> Flow {
+        self.held.rate.max(self.offered.rate)
+    }
+
+    fn cap(&self) -> Amount {
+        self.held.cap.max(self.offered.cap)
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Bucket {
+    rate: Flow,
+    burst: Amount,
+    pool: Amount,
+    accrued: duration::Instant,
+    shares: BTreeMap<Owner, Share>,
+}
+
+impl Bucket {
+    pub(super) fn new(now: duration::Instant, limit: Limit) -> Self {
+        let mut bucket = Self {
+            rate: Flow::ZERO,
+            burst: Amount::ZERO,
+            pool: Amount::ZERO,
+            accrued: now,
+            shares: BTreeMap::new(),
+        };
+        bucket.configure(now, limit);
+        bucket
+    }
+
+    /// Takes a new rate and burst. Shares above them shrink at their next
+    /// renewals, so a smaller limit holds after one lease at the latest.
+    pub(super) fn configure(&mut self, now: duration::Instant, limit: Limit) {
+        self.accrue(now);
+        let rate = Flow::from_rate(limit.rate);
+        self.rate = rate.minus(Flow(rate.0.div_ceil(DRIFT)));
+        self.burst = Amount::from_count(limit.burst);
+        self.cut();
+    }
+
+    /// Fills the pool. Only right for a workspace that never had a share.
+    pub(super) fn fill(&mut self) {
+        self.pool = self.burst;
+        self.cut();
+    }
+
+    /// Takes over a share from the log as if it had been renewed just now.
+    pub(super) fn inherit(&mut self, now: duration::Instant, logged: &share::Allocation) {
+        let part = Part {
+            number: logged.share,
+            rate: Flow::from_rate(logged.rate),
+            cap: Amount::from_count(logged.cap),
+        };
+        let share = Share {
+            held: part,
+            offered: part,
+            logged: (part.rate, part.cap),
+            inherited: true,
+            until: expiry(now),
+            renewed: now,
+            ..Share::default()
+        };
+        self.shares
+            .insert((logged.instance.clone(), logged.boot), share);
+        self.cut();
+    }
+
+    /// Answers one demand; `next` numbers a share that changes.
+    pub(super) fn renew(
+        &mut self,
+        now: duration::Instant,
+        owner: &Owner,
+        demand: &share::Demand,
+        next: &mut u64,
+    ) -> share::Grant {
+        self.accrue(now);
+        self.confirm(owner, demand);
+        self.note(now, owner, demand);
+        let target = self.target(owner);
+        let share = self.shares.entry(owner.clone()).or_default();
+        let held = share.held;
+        if (target.rate, target.cap) == (held.rate, held.cap) {
+            share.offered = held;
+        } else {
+            share.offered = Part {
+                number: *next,
+                ..target
+            };
+            *next += 1;
+        }
+        share.until = expiry(now);
+        let offered = share.offered;
+        let tokens = self.move_tokens(demand, held, offered);
+        share::Grant {
+            workspace: demand.workspace.clone(),
+            share: offered.number,
+            rate: offered.rate.to_rate(),
+            cap: offered.cap.whole(),
+            tokens,
+        }
+    }
+
+    /// Drops shares whose lease has run out for certain; their tokens are spent.
+    pub(super) fn expire(&mut self, now: duration::Instant) {
+        self.accrue(now);
+        for share in self.shares.values_mut() {
+            if now >= share.until {
+                share.held = Part::default();
+                share.offered = Part::default();
+                share.inherited = false;
+                share.demand = 0.0;
+            }
+        }
+    }
+
+    /// Allocations that differ from the log; they count as logged from now on.
+    ///
+    /// Shrunk shares come first, so that no prefix of the log adds up to more
+    /// than the limit.
+    pub(super) fn unlogged(&mut self, workspace: &id::Workspace) -> Vec<share::Allocation> {
+        let mut smaller = Vec::new();
+        let mut larger = Vec::new();
+        for ((instance, boot), share) in &mut self.shares {
+            let most = (share.rate(), share.cap());
+            if most == share.logged {
+                continue;
+            }
+            let grows = most.0 > share.logged.0 || most.1 > share.logged.1;
+            share.logged = most;
+            let list = if grows { &mut larger } else { &mut smaller };
+            list.push(share::Allocation {
+                workspace: workspace.clone(),
+                instance: instance.clone(),
+                boot: *boot,
+                share: share.held.number.max(share.offered.number),
+                rate: most.0.to_rate(),
+                cap: most.1.covering(),
+            });
+        }
+        let nothing = (Flow::ZERO, Amount::ZERO);
+        self.shares
+            .retain(|_, share| share.logged != nothing || share.demand >= 1.0);
+        smaller.append(&mut larger);
+        smaller
+    }
+
+    /// Sum of the rates and caps that holders may have, and the pool.
+    pub(super) fn totals(&self) -> (Flow, Amount, Amount) {
+        (self.shared_rate(), self.shared_cap(), self.pool)
+    }
+
+    pub(super) fn shares(&self) -> usize {
+        self.shares.len()
+    }
+
+    fn accrue(&mut self, now: duration::Instant) {
+        let gained = self
+            .rate
+            .minus(self.shared_rate())
+            .over(now.since(self.accrued));
+        self.accrued = self.accrued.max(now);
+        self.pool = self.pool.plus(gained);
+        self.cut();
+    }
+
+    fn cut(&mut self) {
+        self.pool = self.pool.min(self.burst.minus(self.shared_cap()));
+    }
+
+    fn shared_rate(&self) -> Flow {
+        self.shares
+            .values()
+            .fold(Flow::ZERO, |sum, share| sum.plus(share.rate()))
+    }
+
+    fn shared_cap(&self) -> Amount {
+        self.shares
+            .values()
+            .fold(Amount::ZERO, |sum, share| sum.plus(share.cap()))
+    }
+
+    /// Takes the reported share number as evidence of what the holder has.
+    ///
+    /// A holder ignores answers to all but its last renewal, so it has just this
+    /// share until the answer to this renewal arrives.
+    fn confirm(&mut self, owner: &Owner, demand: &share::Demand) {
+        let share = self.shares.entry(owner.clone()).or_default();
+        let numbers = [share.held.number, share.offered.number];
+        let lives = share.rate() > Flow::ZERO || share.cap() > Amount::ZERO;
+        let known = share.inherited || demand.share == 0 || numbers.contains(&demand.share);
+        if demand.share == 0 || !known {
+            share.held = Part::default();
+        } else if share.inherited {
+            share.held.number = demand.share;
+        } else if demand.share == share.offered.number {
+            share.held = share.offered;
+        }
+        share.inherited = false;
+        share.offered = share.held;
+        self.cut();
+        // Tokens of a share that was given up here count as spent already.
+        if lives && known {
+            self.pool = self.pool.plus(Amount::from_count(demand.returned));
+            self.cut();
+        }
+    }
+
+    fn note(&mut self, now: duration::Instant, owner: &Owner, demand: &share::Demand) {
+        let share = self.shares.entry(owner.clone()).or_default();
+        let halvings = now.since(share.renewed).as_secs_f64() / HALVING.as_secs_f64();
+        share.renewed = now;
+        share.demand = demand.rate.0;
+        share.needed *= 0.5_f64.powf(halvings);
+        if demand.wanted.0 == 0 && demand.rate.0 <= 0.0 {
+            share.needed = 0.0;
+        }
+        if demand.wanted.0 > 0 {
+            let used = share.held.cap.minus(Amount::from_count(demand.room));
+            let needed = used.plus(Amount::from_count(demand.wanted));
+            share.needed = share.needed.max(needed.as_f64());
+        }
+    }
+
+    /// Rate and cap that the share is to have from now on.
+    fn target(&self, owner: &Owner) -> Part {
+        let Some(share) = self.shares.get(owner) else {
+            return Part::default();
+        };
+        let held = share.held;
+        let others_rate = self.shared_rate().minus(share.rate());
+        let others_cap = self.shared_cap().minus(share.cap());
+        let asked: f64 = self
+            .shares
+            .values()
+            .map(|share| share.demand * HEADROOM)
+            .sum();
+        let sharable = self.rate.0 / 10 * SHARED_TENTHS;
+        let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
+        let wanted_rate = share.demand * HEADROOM * shrink;
+        let wanted_cap = (share.demand * STOCK.as_secs_f64()).max(share.needed);
+        let rate = Flow::from_rate(token::Rate(settle(held.rate.to_rate().0, wanted_rate)));
+        let cap = whole(settle(held.cap.as_f64(), wanted_cap));
+        Part {
+            number: held.number,
+            rate: rate.min(self.rate.minus(others_rate)),
+            cap: Amount::from_count(cap)
+                .min(Amount::from_count(self.burst.minus(others_cap).whole())),
+        }
+    }
+
+    /// Moves tokens from the pool into space that the holder keeps free.
+    fn move_tokens(&mut self, demand: &share::Demand, held: Part, offered: Part) -> token::Count {
+        let growth = offered.cap.minus(held.cap);
+        let space = Amount::from_count(demand.room).plus(growth);
+        let shrinks = offered.cap < held.cap;
+        let most = if shrinks { Amount::ZERO } else { space };
+        let tokens = self.pool.min(most).whole();
+        self.pool = self.pool.minus(Amount::from_count(tokens));
+        self.cut();
+        tokens
+    }
+}
+
+fn expiry(now: duration::Instant) -> duration::Instant {
+    now.after(LEASE)
+        .after(duration::Span(LEASE.0 / LEASE_MARGIN))
+}
+
+/// The old value while the new one is close to it, else the new one.
+fn settle(old: f64, new: f64) -> f64 {
+    if new < 1.0 {
+        return 0.0;
+    }
+    if (new - old).abs() <= old * TOLERANCE {
+        return old;
+    }
+    new
+}
+
+fn whole(tokens: f64) -> token::Count {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the float is not negative and the conversion saturates"
+    )]
+    let count = tokens.ceil().max(0.0) as u64;
+    token::Count(count)
+}
--- /dev/null
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -0,0 +1,288 @@
+//! The entry's side: admits requests from leased shares.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_wire::share;
+use serde::Serialize;
+
+use super::amount::Amount;
+use super::stock::Stock;
+use super::{LEASE, PERIOD};
+
+/// Least time between two renewals, so that a shortage does not flood the leader.
+const LEAST_GAP: duration::Span = duration::Span::from_millis(10);
+
+/// Time after which an unanswered renewal is given up. Well below the lease, so
+/// that several renewals fit into one.
+const PATIENCE: duration::Span = duration::Span::from_millis(700);
+
+/// Shares of one entry.
+#[derive(Debug)]
+pub struct Holder {
+    instance: id::Instance,
+    boot: number::Boot,
+    sequence: number::Sequence,
+    stocks: BTreeMap<id::Workspace, Stock>,
+    awaited: Option<Awaited>,
+    sent: Option<duration::Instant>,
+    numbers: u64,
+    closed: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Awaited {
+    sequence: number::Sequence,
+    sent: duration::Instant,
+}
+
+/// Tokens taken for one request; handed back to [`Holder::settle`] at its end.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reservation {
+    workspace: id::Workspace,
+    number: u64,
+    cost: token::Count,
+}
+
+/// Answer to a request for tokens.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The tokens are taken.
+    Admitted(Reservation),
+    /// The tokens are not here; [`Holder::poll`] decides on this ticket.
+    Waiting(u64),
+}
+
+/// What becomes of a request that waited for tokens.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The tokens are taken.
+    Admitted(Reservation),
+    /// They will not be there in time; after so long they could be.
+    Refused(duration::Span),
+}
+
+/// State of one share for a dump.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Dump {
+    /// Whose bucket.
+    pub workspace: id::Workspace,
+    /// Number of the share, 0 for none.
+    pub share: u64,
+    /// Rate of the share.
+    pub rate: token::Rate,
+    /// Most tokens that the share may hold.
+    pub cap: token::Count,
+    /// Tokens that are there.
+    pub level: token::Count,
+    /// End of the lease on this process's clock.
+    pub until: duration::Instant,
+}
+
+impl Holder {
+    /// A holder without any tokens, as after each start of the process.
+    #[must_use]
+    pub fn new(instance: id::Instance, boot: number::Boot) -> Self {
+        Self {
+            instance,
+            boot,
+            sequence: number::Sequence::default(),
+            stocks: BTreeMap::new(),
+            awaited: None,
+            sent: None,
+            numbers: 0,
+            closed: false,
+        }
+    }
+
+    /// Takes `cost` tokens of `workspace`, or lets the request wait for them
+    /// until `deadline`.
+    pub fn admit(
+        &mut self,
+        now: duration::Instant,
+        workspace: &id::Workspace,
+        cost: token::Count,
+        deadline: duration::Instant,
+    ) -> Verdict {
+        let stock = self
+            .stocks
+            .entry(workspace.clone())
+            .or_insert_with(|| Stock::new(now));
+        stock.advance(now);
+        let amount = Amount::from_count(cost);
+        stock.ask(amount);
+        self.numbers += 1;
+        if stock.line.is_empty() && stock.take(amount, self.numbers) {
+            return Verdict::Admitted(Reservation {
+                workspace: workspace.clone(),
+                number: self.numbers,
+                cost,
+            });
+        }
+        stock.line.push(self.numbers, amount, deadline);
+        Verdict::Waiting(self.numbers)
+    }
+
+    /// Decides on waiting requests; to be called after each answer and at [`Holder::wake`].
+    pub fn poll(&mut self, now: duration::Instant) -> Vec<(u64, Decision)> {
+        let mut decided = Vec::new();
+        for (workspace, stock) in &mut self.stocks {
+            stock.advance(now);
+            while let Some(waiter) = stock.line.front() {
+                if !stock.take(waiter.cost, waiter.ticket) {
+                    break;
+                }
+                stock.line.pop();
+                let reservation = Reservation {
+                    workspace: workspace.clone(),
+                    number: waiter.ticket,
+                    cost: waiter.cost.whole(),
+                };
+                decided.push((waiter.ticket, Decision::Admitted(reservation)));
+            }
+            let hopeless = stock.line.hopeless(now, stock.level, stock.rate);
+            let refused = hopeless.into_iter();
+            decided.extend(refused.map(|(ticket, wait)| (ticket, Decision::Refused(wait))));
+        }
+        decided
+    }
+
+    /// When [`Holder::poll`] can next decide something by the passing of time.
+    #[must_use]
+    pub fn wake(&self) -> Option<duration::Instant> {
+        self.stocks.values().filter_map(Stock::wake).min()
+    }
+
+    /// Forgets a waiting request whose caller has left.
+    pub fn abandon(&mut self, ticket: u64) {
+        for stock in self.stocks.values_mut() {
+            stock.line.remove(ticket);
+        }
+    }
+
+    /// Ends a reservation of which `used` tokens were spent; refunds the rest.
+    pub fn settle(
+        &mut self,
+        now: duration::Instant,
+        reservation: &Reservation,
+        used: token::Count,
+    ) {
+        let Some(stock) = self.stocks.get_mut(&reservation.workspace) else {
+            return;
+        };
+        stock.advance(now);
+        let unused = token::Count(reservation.cost.0.saturating_sub(used.0));
+        stock.refund(reservation.number, Amount::from_count(unused));
+    }
+
+    /// When the next renewal is to be sent.
+    #[must_use]
+    pub fn due(&self) -> duration::Instant {
+        let Some(sent) = self.sent else {
+            return duration::Instant::default();
+        };
+        if self.awaited.is_some() {
+            return sent.after(PATIENCE);
+        }
+        let urgent = |stock: &Stock| stock.short() > Amount::ZERO || stock.owes();
+        if self.stocks.values().any(urgent) {
+            return sent.after(LEAST_GAP);
+        }
+        sent.after(PERIOD)
+    }
+
+    /// The renewal to send now. An answer that is still awaited is given up: if
+    /// it comes late it is dropped with its tokens.
+    pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
+        self.sequence = self.sequence.next();
+        self.sent = Some(now);
+        self.awaited = Some(Awaited {
+            sequence: self.sequence,
+            sent: now,
+        });
+        self.stocks
+            .values_mut()
+            .for_each(|stock| stock.advance(now));
+        self.stocks.retain(|_, stock| !stock.idle());
+        let mut demands = Vec::new();
+        for (workspace, stock) in &mut self.stocks {
+            let mut demand = stock.demand(now, workspace);
+            if self.closed {
+                demand.rate = token::Rate(0.0);
+                demand.wanted = token::Count(0);
+                demand.room = token::Count(0);
+            }
+            demands.push(demand);
+        }
+        share::Renew {
+            instance: self.instance.clone(),
+            boot: self.boot,
+            sequence: self.sequence,
+            demands,
+        }
+    }
+
+    /// Applies an answer; true when it was the awaited one. [`Holder::poll`] is
+    /// to be called then.
+    ///
+    /// The lease runs from the sending of the renewal. The leader counts from
+    /// its answer, which is later, so this holder stops first.
+    pub fn granted(&mut self, now: duration::Instant, answer: &share::Granted) -> bool {
+        let Some(awaited) = self.awaited else {
+            return false;
+        };
+        if awaited.sequence != answer.sequence {
+            return false;
+        }
+        self.awaited = None;
+        let until = awaited.sent.after(answer.lease);
+        for stock in self.stocks.values_mut() {
+            stock.advance(now);
+            stock.answered();
+        }
+        if now >= until || self.closed {
+            return true;
+        }
+        for grant in &answer.grants {
+            if let Some(stock) = self.stocks.get_mut(&grant.workspace) {
+                stock.apply(grant, until);
+            }
+        }
+        true
+    }
+
+    /// Admits nothing more and hands all tokens back with the next renewal.
+    pub fn close(&mut self, now: duration::Instant) {
+        self.closed = true;
+        for stock in self.stocks.values_mut() {
+            stock.advance(now);
+            stock.close();
+        }
+    }
+
+    /// Number of the last renewal that was sent.
+    #[must_use]
+    pub fn sequence(&self) -> number::Sequence {
+        self.sequence
+    }
+
+    /// Longest time that this holder may still admit after its last answer.
+    #[must_use]
+    pub const fn lease() -> duration::Span {
+        LEASE
+    }
+
+    /// All shares, for a dump.
+    #[must_use]
+    pub fn dump(&self) -> Vec<Dump> {
+        let dump = |(workspace, stock): (&id::Workspace, &Stock)| Dump {
+            workspace: workspace.clone(),
+            share: stock.share,
+            rate: stock.rate.to_rate(),
+            cap: stock.cap.whole(),
+            level: stock.level.whole(),
+            until: stock.until,
+        };
+        self.stocks.iter().map(dump).collect()
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -0,0 +1,201 @@
+//! What one entry holds of one workspace's bucket.
+
+use cranberrygap_model::{duration, id, token};
+use cranberrygap_wire::share;
+
+use super::amount::{Amount, Flow};
+use super::line::Line;
+use super::room::Room;
+
+/// Time over which the asked rate is averaged. Long enough to smooth single
+/// requests, short enough to follow demand that moves between entries.
+const AVERAGE: duration::Span = duration::Span::from_millis(1_500);
+
+/// Space that stays free for accrual while an answer is awaited, as time of the
+/// share's own rate. Covers the usual round trip, so that no accrual is lost.
+const SPARE: duration::Span = duration::Span::from_millis(100);
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Stock {
+    pub(super) share: u64,
+    pub(super) rate: Flow,
+    pub(super) cap: Amount,
+    pub(super) level: Amount,
+    pub(super) until: duration::Instant,
+    /// Space kept free for tokens that may come with the awaited answer.
+    aside: Amount,
+    /// Tokens to hand back with the next renewal, after the share shrank.
+    surplus: Amount,
+    /// The share changed and the leader does not know yet that it arrived.
+    unconfirmed: bool,
+    pub(super) line: Line,
+    accrued: duration::Instant,
+    asked: Amount,
+    demand: f64,
+    measured: duration::Instant,
+    pub(super) room: Room,
+}
+
+impl Stock {
+    pub(super) fn new(now: duration::Instant) -> Self {
+        Self {
+            accrued: now,
+            measured: now,
+            ..Self::default()
+        }
+    }
+
+    /// Brings the stock up to `now`: the lease may have run out, else tokens accrue.
+    pub(super) fn advance(&mut self, now: duration::Instant) {
+        if self.share != 0 && now >= self.until {
+            self.lapse();
+        }
+        let gained = self.rate.over(now.since(self.accrued));
+        self.accrued = self.accrued.max(now);
+        self.level = self.level.plus(gained).min(self.ceiling());
+        self.room.observe(self.free());
+    }
+
+    /// Takes `cost` if it is there.
+    pub(super) fn take(&mut self, cost: Amount, number: u64) -> bool {
+        if cost > self.level {
+            return false;
+        }
+        self.level = self.level.minus(cost);
+        self.room.open(number, self.free());
+        true
+    }
+
+    /// Notes that callers asked for `cost`.
+    pub(super) fn ask(&mut self, cost: Amount) {
+        self.asked = self.asked.plus(cost);
+    }
+
+    /// Gives back the unused part of reservation `number`, as far as it may return.
+    pub(super) fn refund(&mut self, number: u64, unused: Amount) {
+        self.asked = self.asked.minus(unused);
+        let back = self.room.refund(number, unused.min(self.free()));
+        self.level = self.level.plus(back);
+        self.room.observe(self.free());
+    }
+
+    /// What the next renewal says; space is set aside for its answer.
+    pub(super) fn demand(
+        &mut self,
+        now: duration::Instant,
+        workspace: &id::Workspace,
+    ) -> share::Demand {
+        self.measure(now);
+        self.line.asked();
+        self.aside = Amount::ZERO;
+        self.aside = Amount::from_count(self.free().minus(self.rate.over(SPARE)).whole());
+        self.unconfirmed = false;
+        let returned = std::mem::take(&mut self.surplus).whole();
+        share::Demand {
+            workspace: workspace.clone(),
+            rate: token::Rate(self.demand),
+            wanted: self.short().covering(),
+            returned,
+            room: self.aside.whole(),
+            share: self.share,
+        }
+    }
+
+    /// Takes over what an answer grants until `until`.
+    pub(super) fn apply(&mut self, grant: &share::Grant, until: duration::Instant) {
+        let cap = Amount::from_count(grant.cap);
+        let shrinks = cap < self.cap;
+        self.unconfirmed = grant.share != self.share;
+        self.aside = Amount::ZERO;
+        self.share = grant.share;
+        self.rate = Flow::from_rate(grant.rate);
+        self.cap = cap;
+        self.until = until;
+        self.level = self.level.plus(Amount::from_count(grant.tokens));
+        if shrinks {
+            self.surplus = self.surplus.plus(self.level.minus(cap));
+        }
+        self.level = self.level.min(cap);
+        self.room.observe(self.free());
+    }
+
+    /// Ends the wait for an answer.
+    pub(super) fn answered(&mut self) {
+        self.aside = Amount::ZERO;
+        self.line.answered();
+    }
+
+    /// When the first in line can be served from accrual, or a deadline passes.
+    pub(super) fn wake(&self) -> Option<duration::Instant> {
+        let first = self.line.front()?;
+        let served = self
+            .accrued
+            .after(self.rate.time_for(first.cost.minus(self.level)));
+        let deadline = self.line.next_deadline()?;
+        Some(served.min(deadline))
+    }
+
+    /// Tokens that waiting requests lack.
+    pub(super) fn short(&self) -> Amount {
+        self.line.total().minus(self.level)
+    }
+
+    /// Stops admitting and offers all tokens for return.
+    pub(super) fn close(&mut self) {
+        self.surplus = self.surplus.plus(self.level);
+        self.unconfirmed = true;
+        self.share = 0;
+        self.level = Amount::ZERO;
+        self.rate = Flow::ZERO;
+        self.cap = Amount::ZERO;
+        self.room.clear();
+    }
+
+    /// Whether the leader should hear soon of a changed share, so that another
+    /// entry may get what this one has no longer.
+    pub(super) fn owes(&self) -> bool {
+        self.unconfirmed
+    }
+
+    /// Whether there is nothing to hold, ask for or confirm.
+    pub(super) fn idle(&self) -> bool {
+        let holds = self.rate > Flow::ZERO || self.cap > Amount::ZERO;
+        let asks = self.asked > Amount::ZERO || !self.line.is_empty() || self.demand >= 1.0;
+        !holds && !asks && !self.unconfirmed
+    }
+
+    /// Forgets everything that the lease carried.
+    ///
+    /// The leader may give rate and tokens of a lost share to another entry as
+    /// soon as the lease has run out. A holder that went on would be seen as a
+    /// workspace above its burst. Tokens and refunds end with the lease.
+    fn lapse(&mut self) {
+        self.share = 0;
+        self.rate = Flow::ZERO;
+        self.cap = Amount::ZERO;
+        self.level = Amount::ZERO;
+        self.aside = Amount::ZERO;
+        self.surplus = Amount::ZERO;
+        self.unconfirmed = false;
+        self.room.clear();
+    }
+
+    fn ceiling(&self) -> Amount {
+        self.cap.minus(self.aside)
+    }
+
+    fn free(&self) -> Amount {
+        self.ceiling().minus(self.level)
+    }
+
+    fn measure(&mut self, now: duration::Instant) {
+        let span = now.since(self.measured).as_secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        let asked = std::mem::take(&mut self.asked).as_f64() / span;
+        let part = 1.0 - (-span / AVERAGE.as_secs_f64()).exp();
+        self.demand += (asked - self.demand) * part;
+        self.measured = now;
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-policy/tests/limits_shares.rs
@@ -0,0 +1,204 @@
+//! Shares of rate and burst between one leader and its entries.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_policy::limits::{self, granter, holder};
+
+fn at(millis: u64) -> duration::Instant {
+    duration::Instant(millis * 1_000)
+}
+
+fn workspace() -> id::Workspace {
+    "rink".parse().expect("a valid name")
+}
+
+fn limit() -> limits::Limit {
+    limits::Limit {
+        rate: token::Rate(1_000.0),
+        burst: token::Count(4_000),
+    }
+}
+
+fn leader() -> granter::Granter {
+    let mut granter = granter::Granter::new(at(0), number::Term(1), &BTreeMap::new(), &[]);
+    granter.configure(at(0), &workspace(), limit(), granter::Origin::Added);
+    granter
+}
+
+fn entry(name: &str) -> holder::Holder {
+    holder::Holder::new(name.parse().expect("a valid name"), number::Boot(7))
+}
+
+fn ask(holder: &mut holder::Holder, now: duration::Instant, cost: u64) -> holder::Verdict {
+    let deadline = now.after(duration::Span::from_millis(500));
+    holder.admit(now, &workspace(), token::Count(cost), deadline)
+}
+
+fn renew(holder: &mut holder::Holder, granter: &mut granter::Granter, now: duration::Instant) {
+    let renew = holder.renew(now);
+    let answer = granter.renew(now, &renew).expect("the renewal is in order");
+    assert!(holder.granted(now, &answer.granted));
+}
+
+fn reservation(decisions: Vec<(u64, holder::Decision)>) -> holder::Reservation {
+    match decisions.into_iter().next() {
+        Some((_, holder::Decision::Admitted(reservation))) => reservation,
+        other => panic!("nothing admitted: {other:?}"),
+    }
+}
+
+#[test]
+fn whole_burst_reaches_the_entry_that_asks() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+
+    let verdict = ask(&mut holder, at(0), 4_000);
+    renew(&mut holder, &mut granter, at(0));
+    let decisions = holder.poll(at(0));
+
+    assert!(matches!(verdict, holder::Verdict::Waiting(_)));
+    reservation(decisions);
+}
+
+// A workspace has spent its burst at one entry and its caller goes to another
+// one at once. The second entry must not find the burst there once more.
+#[test]
+fn spent_burst_is_spent_everywhere() {
+    let mut granter = leader();
+    let (mut first, mut second) = (entry("a"), entry("b"));
+    ask(&mut first, at(0), 4_000);
+    renew(&mut first, &mut granter, at(0));
+    reservation(first.poll(at(0)));
+
+    ask(&mut second, at(1), 500);
+    renew(&mut second, &mut granter, at(1));
+    let decisions = second.poll(at(1));
+
+    let refused =
+        matches!(decisions[..], [(_, holder::Decision::Refused(wait))] if wait > duration::Span(0));
+    assert!(refused, "{decisions:?}");
+}
+
+// A request reserves 4,000 tokens, runs for long and spends none. Meanwhile the
+// share has filled up again. Were all refunded, 8,000 tokens could be spent at
+// once, twice the burst.
+#[test]
+fn refund_does_not_exceed_what_would_have_overflowed() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 4_000);
+    renew(&mut holder, &mut granter, at(0));
+    let reservation = reservation(holder.poll(at(0)));
+    for millis in (250..8_000).step_by(250) {
+        ask(&mut holder, at(millis), 1);
+        renew(&mut holder, &mut granter, at(millis));
+        holder.poll(at(millis));
+    }
+
+    holder.settle(at(8_000), &reservation, token::Count(0));
+
+    let dump = holder.dump();
+    assert!(dump[0].level <= dump[0].cap, "{dump:?}");
+    let held = dump[0].level.0 + granter.dump()[0].pool.0;
+    assert!(held <= 4_000, "{held}");
+}
+
+// The network delays an answer until the entry has given the renewal up and
+// sent another. Its tokens may have been counted as lost by then.
+#[test]
+fn late_answer_is_dropped() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 100);
+    let first = holder.renew(at(0));
+    let late = granter.renew(at(1), &first).unwrap().granted;
+    holder.renew(at(800));
+
+    let taken = holder.granted(at(801), &late);
+
+    assert!(!taken);
+    let verdict = ask(&mut holder, at(801), 1);
+    assert!(matches!(verdict, holder::Verdict::Waiting(_)));
+}
+
+#[test]
+fn delayed_renewal_gets_no_answer() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    let first = holder.renew(at(0));
+    let second = holder.renew(at(800));
+    granter.renew(at(801), &second).unwrap();
+
+    let answer = granter.renew(at(802), &first);
+
+    assert_eq!(answer, Err(granter::Error::Late(number::Sequence(1))));
+}
+
+// An entry is cut off from the leader. It must stop by itself before the leader
+// gives its share to another entry.
+#[test]
+fn cut_off_entry_stops_before_its_share_is_given_away() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 100);
+    renew(&mut holder, &mut granter, at(0));
+    holder.abandon(1);
+    let lease = limits::LEASE.0 / 1_000;
+
+    let just_before = ask(&mut holder, at(lease - 1), 1);
+    let freed_early = granter.expire(at(lease));
+    let after = ask(&mut holder, at(lease), 1);
+    let freed = granter.expire(at(lease + 100));
+
+    assert!(matches!(just_before, holder::Verdict::Admitted(_)));
+    assert!(matches!(after, holder::Verdict::Waiting(_)));
+    assert!(freed_early.is_empty(), "{freed_early:?}");
+    assert_eq!(freed.len(), 1);
+    assert_eq!(freed[0].cap, token::Count(0));
+}
+
+// The leader dies after it has granted a share. Its successor reads the share in
+// the log and must keep it apart until the lease has certainly run out.
+#[test]
+fn new_leader_keeps_logged_shares_apart() {
+    let (mut old, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 3_000);
+    let renewal = holder.renew(at(0));
+    let logged = old.renew(at(0), &renewal).unwrap().records;
+    let known = BTreeMap::from([(workspace(), limit())]);
+
+    let new = granter::Granter::new(at(500), number::Term(2), &known, &logged);
+
+    let dump = &new.dump()[0];
+    assert_eq!(dump.pool, token::Count(0));
+    assert_eq!(dump.cap, token::Count(3_000));
+}
+
+#[test]
+fn closing_entry_hands_its_tokens_back() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 3_000);
+    renew(&mut holder, &mut granter, at(0));
+    let before = granter.dump()[0].pool;
+
+    holder.close(at(10));
+    let last = holder.renew(at(10));
+    granter.renew(at(10), &last).unwrap();
+
+    let after = granter.dump()[0].pool;
+    assert!(after.0 >= before.0 + 2_999, "{before} {after}");
+}
+
+#[test]
+fn smaller_limit_shrinks_shares_at_their_next_renewal() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 3_000);
+    renew(&mut holder, &mut granter, at(0));
+    let small = limits::Limit {
+        rate: token::Rate(10.0),
+        burst: token::Count(50),
+    };
+
+    granter.configure(at(100), &workspace(), small, granter::Origin::Inherited);
+    renew(&mut holder, &mut granter, at(250));
+
+    let share = &holder.dump()[0];
+    assert!(share.cap <= token::Count(50), "{share:?}");
+    assert!(share.rate.0 <= 10.0, "{share:?}");
+}
