Keep decisions in bounded rings

Cause: operators must be able to ask a process why it decided as it did. Change: messages to ask and tell, a ring that forgets its oldest decisions and says since when it knows; open-loop load and processor time for measurements. Conclusion: entries and control processes can note their decisions in it.

--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -2,6 +2,9 @@
 
 use clap::Parser;
 
+pub mod load;
+pub mod processor;
+
 /// One measurement, found by its name.
 pub trait Measurement {
     /// Name on the command line.
--- /dev/null
+++ b/crates/cranberrygap-trace/src/lib.rs
@@ -0,0 +1,5 @@
+//! Decisions kept in bounded rings, so that people can ask a process why.
+
+pub mod ring;
+
+mod subject;
--- a/crates/cranberrygap-wire/src/lib.rs
+++ b/crates/cranberrygap-wire/src/lib.rs
@@ -18,5 +18,5 @@
 pub mod method;
 
 pub use generated::{
-    audit, caller, claim, configuration, endpoint, operator, settings, share, view,
+    audit, caller, claim, configuration, endpoint, operator, settings, share, trace, view,
 };
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -42,6 +42,8 @@
 pub const MEMBER_REMOVE: &str = "member_remove";
 /// An operator lists members and the group (nothing to `operator::Group`).
 pub const MEMBER_LIST: &str = "member_list";
+/// Any process tells why it decided as it did (`trace::Ask` to `trace::Told`).
+pub const EXPLAIN: &str = "explain";
 /// Any process prints its whole state (nothing to a JSON object).
 pub const DUMP: &str = "dump";
 
