--- a/crates/cranberrygap-entry/src/caller.rs
+++ b/crates/cranberrygap-entry/src/caller.rs
@@ -2,10 +2,10 @@
 
 pub(crate) mod addresses;
 pub(crate) mod auth;
-pub(crate) mod body;
+pub mod body;
 pub(crate) mod generate;
 pub(crate) mod models;
-pub(crate) mod pattern;
+pub mod pattern;
 pub(crate) mod services;
 
 use cranberrygap_model::id;
--- a/crates/cranberrygap-entry/src/caller/auth.rs
+++ b/crates/cranberrygap-entry/src/caller/auth.rs
@@ -22,7 +22,7 @@
         .ok_or(Refusal::KeyUnknown)?;
     let text = header.to_str().map_err(|_cause| Refusal::KeyUnknown)?;
     let secret = text.strip_prefix(SCHEME).ok_or(Refusal::KeyUnknown)?.trim();
-    let hash = key_hash(secret);
+    let hash = cranberrygap_state::key::hash(secret);
     let key = view.key(&hash).ok_or(Refusal::KeyUnknown)?;
     Ok((key.workspace.clone(), secret.to_owned()))
 }
@@ -46,7 +46,3 @@
         Ok(())
     }
 }
-
-fn key_hash(secret: &str) -> String {
-    blake3::hash(secret.as_bytes()).to_hex().to_string()
-}
--- a/crates/cranberrygap-entry/src/caller/body.rs
+++ b/crates/cranberrygap-entry/src/caller/body.rs
@@ -18,8 +18,10 @@
 
 /// A checked body and what is sent to the engine in its place.
 #[derive(Debug, Clone)]
-pub(crate) struct Body {
+pub struct Body {
+    /// The model that the caller named.
     pub model: id::Model,
+    /// Whether the answer shall come as events.
     pub stream: bool,
     /// Bound on the prompt's tokens: a token is at least one byte.
     pub prompt: token::Count,
@@ -31,7 +33,11 @@
 
 impl Body {
     /// Reads a body; `prompt_key` is the key that holds the prompt.
-    pub(crate) fn read(bytes: &[u8], prompt_key: &str, default_max: u64) -> Result<Self, Refusal> {
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::BodyMalformed`] with what is wrong.
+    pub fn read(bytes: &[u8], prompt_key: &str, default_max: u64) -> Result<Self, Refusal> {
         let mut fields: BTreeMap<SmolStr, Box<RawValue>> =
             serde_json::from_slice(bytes).map_err(|cause| malformed(&cause.to_string()))?;
         let model = field::<id::Model>(&fields, MODEL)?.ok_or_else(|| missing(MODEL))?;
@@ -68,14 +74,14 @@
     }
 
     /// Upper bound of what the request can cost.
-    pub(crate) fn bound(&self) -> token::Count {
+    pub fn bound(&self) -> token::Count {
         token::Count(self.prompt.0.saturating_add(self.max_tokens.0))
     }
 }
 
 impl Body {
     /// Names the request wherever in the fleet it arrives again.
-    pub(crate) fn fingerprint(&self, workspace: &id::Workspace, path: &str) -> SmolStr {
+    pub fn fingerprint(&self, workspace: &id::Workspace, path: &str) -> SmolStr {
         let mut hasher = blake3::Hasher::new();
         for part in [
             workspace.as_str().as_bytes(),
--- a/crates/cranberrygap-entry/src/caller/pattern.rs
+++ b/crates/cranberrygap-entry/src/caller/pattern.rs
@@ -3,7 +3,8 @@
 /// Whether `pattern`, such as `GET /lookup/*`, covers a call.
 ///
 /// A star at the end stands for any rest of the path without `..`.
-pub(crate) fn covers(pattern: &str, method: &str, path: &str) -> bool {
+#[must_use]
+pub fn covers(pattern: &str, method: &str, path: &str) -> bool {
     let Some((wanted_method, wanted_path)) = pattern.split_once(' ') else {
         return false;
     };
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -5,22 +5,24 @@
 //! `cranberrygap-routing`; this crate carries them out.
 
 pub mod announce;
+pub mod caller;
 pub mod clock;
 pub mod core;
 pub mod process;
 pub mod refusal;
+pub mod sse;
 pub mod view;
 
 mod admin;
 mod admission;
 mod attainment;
 mod booking;
-mod caller;
+
 mod control;
 mod engine;
 mod load;
 mod relay;
 mod route;
 mod server;
-mod sse;
+
 mod upstream;
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -94,7 +94,7 @@
     fn whole_events(&mut self) -> Bytes {
         let mut first = Bytes::new();
         let mut joined = BytesMut::new();
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.next_event() {
             self.note(&event);
             if first.is_empty() {
                 first = event;
--- a/crates/cranberrygap-entry/src/sse.rs
+++ b/crates/cranberrygap-entry/src/sse.rs
@@ -14,17 +14,21 @@
 /// An event grew beyond the bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("an event is longer than {LONGEST_EVENT} bytes")]
-pub(crate) struct TooLong;
+pub struct TooLong;
 
 /// Collects bytes and gives whole events.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     buffer: BytesMut,
 }
 
 impl Splitter {
     /// Adds bytes as they arrived.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
+    ///
+    /// # Errors
+    ///
+    /// When an event has no end within the bound.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLong> {
         if self.buffer.len() + bytes.len() > LONGEST_EVENT {
             return Err(TooLong);
         }
@@ -33,20 +37,22 @@
     }
 
     /// The next whole event with its border.
-    pub(crate) fn next(&mut self) -> Option<Bytes> {
+    pub fn next_event(&mut self) -> Option<Bytes> {
         let end = find(&self.buffer, BORDER)? + BORDER.len();
         Some(self.buffer.split_to(end).freeze())
     }
 }
 
 /// The data of an event; `None` for comments and other fields.
-pub(crate) fn data(event: &[u8]) -> Option<&[u8]> {
+#[must_use]
+pub fn data(event: &[u8]) -> Option<&[u8]> {
     let rest = event.strip_prefix(DATA)?;
     Some(rest.trim_ascii())
 }
 
 /// Whether an event's data marks the end of a stream.
-pub(crate) fn is_done(data: &[u8]) -> bool {
+#[must_use]
+pub fn is_done(data: &[u8]) -> bool {
     data == DONE
 }
 
--- /dev/null
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -0,0 +1,126 @@
+//! The view, its order and its lease.
+
+use cranberrygap_entry::view;
+use cranberrygap_model::{duration, number};
+use cranberrygap_wire::{configuration, view as wire_view};
+
+fn state() -> wire_view::State {
+    wire_view::State {
+        configuration: configuration::Configuration {
+            revision: number::Revision(1),
+            defaults: configuration::Defaults::default(),
+            exceptions: Vec::new(),
+        },
+        catalogue: Vec::new(),
+        keys: vec![key()],
+        endpoints: Vec::new(),
+        members: Vec::new(),
+        quarantines: Vec::new(),
+        workspaces: Vec::new(),
+    }
+}
+
+fn key() -> wire_view::Key {
+    wire_view::Key {
+        key: "key-1".parse().expect("a plain name"),
+        workspace: "rink-a".parse().expect("a plain name"),
+        hash: "hash-1".into(),
+    }
+}
+
+fn snapshot(revision: u64) -> wire_view::Frame {
+    wire_view::Frame::Snapshot {
+        revision: number::Revision(revision),
+        state: state(),
+    }
+}
+
+fn delta(revision: u64, changes: Vec<wire_view::Change>) -> wire_view::Frame {
+    wire_view::Frame::Delta {
+        revision: number::Revision(revision),
+        changes,
+    }
+}
+
+fn confirmed(committed: u64) -> wire_view::Confirmed {
+    wire_view::Confirmed {
+        revision: number::Revision(committed),
+        term: number::Term(1),
+        lease: duration::Span::from_millis(1500),
+    }
+}
+
+const fn millis(count: u64) -> duration::Instant {
+    duration::Instant(count * 1_000)
+}
+
+#[test]
+fn view_serves_only_while_its_lease_runs() {
+    let holder = view::Holder::default();
+    holder.take(snapshot(5)).unwrap();
+
+    holder.confirm(millis(100), &confirmed(5));
+
+    assert!(holder.current(millis(1599)).is_some());
+    assert!(holder.current(millis(1600)).is_none());
+    assert!(holder.latest().is_some());
+}
+
+// The subscription hangs at an old revision while the heartbeats still reach the
+// leader. A key is withdrawn meanwhile; the caller would see it work on this
+// entry for as long as the heartbeats go on.
+#[test]
+fn lagging_view_loses_its_lease_though_the_leader_answers() {
+    let holder = view::Holder::default();
+    holder.take(snapshot(5)).unwrap();
+    holder.confirm(millis(0), &confirmed(5));
+
+    for beat in 1..10 {
+        holder.confirm(millis(beat * 500), &confirmed(6));
+    }
+
+    assert!(holder.current(millis(2000)).is_none());
+}
+
+#[test]
+fn withdrawn_key_is_gone_from_the_next_revision_only() {
+    let holder = view::Holder::default();
+    holder.take(snapshot(5)).unwrap();
+    let before = holder.latest().unwrap();
+
+    let withdrawn = wire_view::Change::KeyWithdrawn {
+        key: "key-1".parse().unwrap(),
+    };
+    holder.take(delta(6, vec![withdrawn])).unwrap();
+
+    let after = holder.latest().unwrap();
+    assert!(before.key("hash-1").is_some());
+    assert!(after.key("hash-1").is_none());
+    assert_eq!(after.revision(), number::Revision(6));
+}
+
+// A control process that was restarted or is cut off serves an older state. An
+// accepted change would be undone in this entry.
+#[test]
+fn older_frames_are_refused() {
+    let holder = view::Holder::default();
+    holder.take(snapshot(5)).unwrap();
+
+    let outcome = holder.take(snapshot(4));
+
+    let expected = view::Error::Older {
+        offered: number::Revision(4),
+        held: number::Revision(5),
+    };
+    assert_eq!(outcome.unwrap_err(), expected);
+    assert_eq!(holder.revision(), number::Revision(5));
+}
+
+#[test]
+fn delta_without_a_snapshot_is_refused() {
+    let holder = view::Holder::default();
+
+    let outcome = holder.take(delta(1, Vec::new()));
+
+    assert_eq!(outcome.unwrap_err(), view::Error::NoSnapshot);
+}
