Decide fairness, retries, bookings, streams and quarantine without I/O

Change: cranberrygap-policy gets outcome, retry, fairness, claims, stream and quarantine (the entry's watch, the leader's leaves for suspects).

--- /dev/null
+++ b/crates/cranberrygap-policy/src/quarantine/watch.rs
@@ -0,0 +1,141 @@
+//! What runs on each endpoint, as one entry knows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cranberrygap_model::{duration, id, number};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Time for which a fingerprint stays suspect here. Longer than callers keep on
+/// sending a request again; short enough that a common harmless request, such
+/// as a health check, is not held against for ever.
+const SUSPICION: duration::Span = duration::Span::from_secs(600);
+
+/// Suspects that are remembered; the oldest go first.
+const MOST_SUSPECTS: usize = 4_096;
+
+/// One life of one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Place {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// Its boot.
+    pub boot: number::Boot,
+}
+
+/// An endpoint died; the leader is to be told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Crash {
+    /// Which one.
+    pub place: Place,
+    /// Fingerprints of what ran there from this entry.
+    pub fingerprints: Vec<SmolStr>,
+}
+
+/// What runs where, and who is suspected.
+#[derive(Debug, Default)]
+pub struct Watch {
+    running: BTreeMap<Place, BTreeMap<u64, SmolStr>>,
+    dead: BTreeMap<Place, duration::Instant>,
+    suspects: BTreeMap<SmolStr, duration::Instant>,
+    next: u64,
+}
+
+impl Watch {
+    /// Notes that a request runs; the number is for [`Watch::ended`].
+    pub fn started(&mut self, place: &Place, fingerprint: &SmolStr) -> u64 {
+        self.next += 1;
+        self.running
+            .entry(place.clone())
+            .or_default()
+            .insert(self.next, fingerprint.clone());
+        self.next
+    }
+
+    /// Notes that a request ended without harm to its endpoint; a suspect that
+    /// was answered whole is innocent, since a culprit crashes every endpoint.
+    ///
+    /// True if it was suspected.
+    pub fn ended(&mut self, place: &Place, number: u64, answered: bool) -> bool {
+        let Some(requests) = self.running.get_mut(place) else {
+            return false;
+        };
+        let fingerprint = requests.remove(&number);
+        if requests.is_empty() {
+            self.running.remove(place);
+        }
+        match fingerprint {
+            Some(fingerprint) if answered => self.suspects.remove(&fingerprint).is_some(),
+            _ => false,
+        }
+    }
+
+    /// Notes that the endpoint is dead: it refuses connections or came back with
+    /// another boot. All that runs there becomes suspect.
+    ///
+    /// A broken connection alone is no evidence; something on the way may have
+    /// cut it, and innocents would be suspected.
+    pub fn died(&mut self, now: duration::Instant, place: &Place) -> Option<Crash> {
+        let requests = self.running.remove(place)?;
+        self.dead.insert(place.clone(), now);
+        let fingerprints: BTreeSet<SmolStr> = requests.into_values().collect();
+        for fingerprint in &fingerprints {
+            self.suspects.insert(fingerprint.clone(), now);
+        }
+        self.forget(now);
+        Some(Crash {
+            place: place.clone(),
+            fingerprints: fingerprints.into_iter().collect(),
+        })
+    }
+
+    /// Notes the boot with which an endpoint announces itself now; gives the
+    /// crash of an earlier one.
+    pub fn booted(&mut self, now: duration::Instant, place: &Place) -> Vec<Crash> {
+        let is_earlier =
+            |other: &&Place| other.endpoint == place.endpoint && other.boot != place.boot;
+        let earlier: Vec<Place> = self.running.keys().filter(is_earlier).cloned().collect();
+        let crashes = earlier.iter().filter_map(|place| self.died(now, place));
+        crashes.collect()
+    }
+
+    /// Whether a request needs the leader's leave before it is sent again.
+    #[must_use]
+    pub fn is_suspect(&self, now: duration::Instant, fingerprint: &str) -> bool {
+        let since = self.suspects.get(fingerprint);
+        since.is_some_and(|since| now.since(*since) < SUSPICION)
+    }
+
+    /// Notes that another entry's crash made these suspect.
+    pub fn suspect(&mut self, now: duration::Instant, fingerprints: &[SmolStr]) {
+        for fingerprint in fingerprints {
+            self.suspects.insert(fingerprint.clone(), now);
+        }
+        self.forget(now);
+    }
+
+    /// Whether this life of the endpoint is known to be over.
+    #[must_use]
+    pub fn is_dead(&self, place: &Place) -> bool {
+        self.dead.contains_key(place)
+    }
+
+    /// Number of suspects, for a dump.
+    #[must_use]
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    fn forget(&mut self, now: duration::Instant) {
+        self.suspects
+            .retain(|_, since| now.since(*since) < SUSPICION);
+        self.dead.retain(|_, since| now.since(*since) < SUSPICION);
+        while self.suspects.len() > MOST_SUSPECTS {
+            let oldest = self.suspects.iter().min_by_key(|(_, since)| **since);
+            let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
+                return;
+            };
+            self.suspects.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-policy/tests/outcomes_and_retries.rs
@@ -0,0 +1,123 @@
+//! What evidence proves, and what is sent again.
+
+use cranberrygap_model::duration;
+use cranberrygap_policy::outcome::{Evidence, Outcome};
+use cranberrygap_policy::retry;
+use expect_test::expect;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const EVIDENCE: [Evidence; 9] = [
+    Evidence::NeverDispatched,
+    Evidence::ConnectFailed,
+    Evidence::EndpointRefused,
+    Evidence::WholeAnswer,
+    Evidence::ConnectionBroke,
+    Evidence::CutAnswer,
+    Evidence::CrossedAnswer,
+    Evidence::Silence,
+    Evidence::DeadlinePassed,
+];
+
+fn attempt(class: retry::Class, number: u32, outcome: Outcome) -> retry::Attempt {
+    retry::Attempt {
+        class,
+        number,
+        outcome,
+        deadline: duration::Instant(10_000_000),
+    }
+}
+
+fn decide(budget: &mut retry::Budget, attempt: retry::Attempt) -> retry::Decision {
+    let mut random = SmallRng::seed_from_u64(1);
+    budget.decide(duration::Instant(0), attempt, &mut random)
+}
+
+// A connection breaks while the request is being written. The caller is told
+// that a booking did not run, sends it again, and two firms get the letter.
+#[test]
+fn only_proof_makes_not_run() {
+    let table: Vec<String> = EVIDENCE
+        .iter()
+        .map(|evidence| format!("{evidence:?}: {}", Outcome::of(*evidence)))
+        .collect();
+
+    expect![[r"
+        NeverDispatched: not_run
+        ConnectFailed: not_run
+        EndpointRefused: not_run
+        WholeAnswer: answered
+        ConnectionBroke: unknown
+        CutAnswer: unknown
+        CrossedAnswer: unknown
+        Silence: unknown
+        DeadlinePassed: unknown"]]
+    .assert_eq(&table.join("\n"));
+}
+
+#[test]
+fn one_unknown_attempt_makes_the_request_unknown() {
+    let outcome = Outcome::Unknown.and_then(Outcome::NotRun);
+
+    assert_eq!(outcome, Outcome::Unknown);
+    assert_eq!(Outcome::NotRun.and_then(Outcome::NotRun), Outcome::NotRun);
+    assert_eq!(
+        Outcome::Unknown.and_then(Outcome::Answered),
+        Outcome::Answered
+    );
+}
+
+#[test]
+fn booking_that_may_have_run_is_not_sent_again() {
+    let mut budget = retry::Budget::new(1.0);
+
+    let unknown = decide(
+        &mut budget,
+        attempt(retry::Class::Once, 1, Outcome::Unknown),
+    );
+    let not_run = decide(&mut budget, attempt(retry::Class::Once, 1, Outcome::NotRun));
+
+    assert_eq!(unknown, retry::Decision::GiveUp(retry::Reason::MayHaveRun));
+    assert!(matches!(not_run, retry::Decision::Again(_)));
+}
+
+// All endpoints of a model fail at once. If every request were sent three times
+// the rest of the fleet would get three times the load.
+#[test]
+fn retries_stay_below_their_share_of_the_traffic() {
+    let mut budget = retry::Budget::new(0.1);
+    while budget.saved() > 0 {
+        decide(
+            &mut budget,
+            attempt(retry::Class::Idempotent, 1, Outcome::Unknown),
+        );
+    }
+
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.request();
+        let decision = decide(
+            &mut budget,
+            attempt(retry::Class::Idempotent, 1, Outcome::Unknown),
+        );
+        retries += u32::from(matches!(decision, retry::Decision::Again(_)));
+    }
+
+    assert!((90..=101).contains(&retries), "{retries}");
+}
+
+#[test]
+fn retry_does_not_outlive_the_deadline_or_the_attempts() {
+    let mut budget = retry::Budget::new(1.0);
+    let mut late = attempt(retry::Class::Idempotent, 1, Outcome::Unknown);
+    late.deadline = duration::Instant(0);
+
+    let late = decide(&mut budget, late);
+    let third = decide(
+        &mut budget,
+        attempt(retry::Class::Idempotent, 3, Outcome::Unknown),
+    );
+
+    assert_eq!(late, retry::Decision::GiveUp(retry::Reason::Deadline));
+    assert_eq!(third, retry::Decision::GiveUp(retry::Reason::Attempts));
+}
--- /dev/null
+++ b/crates/cranberrygap-policy/tests/suspects.rs
@@ -0,0 +1,109 @@
+//! Requests that crash endpoints, and the innocents beside them.
+
+use cranberrygap_model::{duration, id, number};
+use cranberrygap_policy::quarantine::{probe, watch};
+use smol_str::SmolStr;
+
+fn at(millis: u64) -> duration::Instant {
+    duration::Instant(millis * 1_000)
+}
+
+fn place(boot: u64) -> watch::Place {
+    watch::Place {
+        endpoint: "runner-1".parse().expect("a valid name"),
+        boot: number::Boot(boot),
+    }
+}
+
+fn endpoint(name: &str) -> id::Endpoint {
+    name.parse().expect("a valid name")
+}
+
+fn leave(fingerprint: &str, instance: &str) -> probe::Leave {
+    probe::Leave {
+        fingerprint: fingerprint.into(),
+        instance: instance.parse().expect("a valid name"),
+        boot: number::Boot(1),
+        until: at(0),
+    }
+}
+
+fn open_table() -> (probe::Table, duration::Instant) {
+    (probe::Table::new(at(0)), at(6_000))
+}
+
+#[test]
+fn all_that_ran_on_a_dead_endpoint_is_suspect() {
+    let mut watch = watch::Watch::default();
+    watch.started(&place(1), &SmolStr::new("culprit"));
+    watch.started(&place(1), &SmolStr::new("innocent"));
+    let done = watch.started(&place(1), &SmolStr::new("finished"));
+    watch.ended(&place(1), done, true);
+
+    let crash = watch.booted(at(5), &place(2));
+
+    assert_eq!(crash.len(), 1);
+    assert_eq!(crash[0].fingerprints, ["culprit", "innocent"]);
+    assert!(watch.is_suspect(at(6), "innocent"));
+    assert!(!watch.is_suspect(at(6), "finished"));
+    assert!(watch.is_dead(&place(1)));
+}
+
+// An innocent shared an engine with a culprit and is retried. Once it is answered
+// whole it must be free of suspicion: one that is sent often would otherwise be
+// condemned at the next crash beside it.
+#[test]
+fn answered_suspect_is_cleared() {
+    let mut watch = watch::Watch::default();
+    let innocent = SmolStr::new("innocent");
+    watch.started(&place(1), &innocent);
+    watch.died(at(0), &place(1));
+
+    let again = watch.started(&place(2), &innocent);
+    let cleared = watch.ended(&place(2), again, true);
+
+    assert!(cleared);
+    assert!(!watch.is_suspect(at(1), "innocent"));
+}
+
+// Two suspects of two entries run on one endpoint, and it dies. Nothing would
+// tell which of them did it.
+#[test]
+fn one_suspect_at_a_time_has_an_endpoint() {
+    let (mut table, now) = open_table();
+
+    let first = table.ask(now, &endpoint("a"), &leave("culprit", "entry-1"));
+    let second = table.ask(now, &endpoint("a"), &leave("innocent", "entry-2"));
+    let elsewhere = table.ask(now, &endpoint("b"), &leave("innocent", "entry-2"));
+    let twice = table.ask(now, &endpoint("c"), &leave("innocent", "entry-3"));
+
+    assert!(first && elsewhere);
+    assert!(!second && !twice);
+}
+
+// The leader that gave a leave is replaced; its successor knows nothing of it.
+#[test]
+fn new_leader_waits_for_the_leaves_of_the_old_one() {
+    let mut table = probe::Table::new(at(0));
+
+    let early = table.ask(at(4_999), &endpoint("a"), &leave("x", "entry-1"));
+    let later = table.ask(at(5_200), &endpoint("a"), &leave("x", "entry-1"));
+
+    assert!(!early);
+    assert!(later);
+}
+
+#[test]
+fn leave_ends_with_its_lease_or_its_request() {
+    let (mut table, now) = open_table();
+    table.ask(now, &endpoint("a"), &leave("x", "entry-1"));
+    table.ask(now, &endpoint("b"), &leave("y", "entry-1"));
+
+    table.end(&endpoint("a"), &leave("x", "entry-1"));
+    let after_end = table.ask(now, &endpoint("a"), &leave("z", "entry-2"));
+    let lapsed = now.after(probe::LEASE).after(duration::Span::from_secs(1));
+    let after_lease = table.ask(lapsed, &endpoint("b"), &leave("z", "entry-2"));
+
+    assert!(after_end);
+    assert!(after_lease);
+}
