Write the configuration page from the schemas

Cause: a page kept by hand would drift from the settings. Measured: the check fails when a default in the schema changes and passes after the generator ran. Conclusion: the page and the reader share one source.

--- a/crates/cranberrygap-generator/src/main.rs
+++ b/crates/cranberrygap-generator/src/main.rs
@@ -1,9 +1,11 @@
-//! Writes the Rust types of `schema/*.json` into `crates/cranberrygap-wire`.
+//! Writes the Rust types of `schema/*.json` into `crates/cranberrygap-wire`, and
+//! the page that lists every setting.
 //!
 //! `cargo run -p cranberrygap-generator` writes; with `--check` it compares and
 //! exits 1 when what is committed is not what the schemas give.
 
 mod module;
+mod page;
 mod reference;
 
 use std::fs;
@@ -13,6 +15,7 @@
 use eyre::WrapErr;
 
 const SCHEMA_FOLDER: &str = "schema";
+const CONFIGURATION_PAGE: &str = "docs/CONFIGURATION.md";
 const OUTPUT_FOLDER: &str = "crates/cranberrygap-wire/src/generated";
 
 fn main() -> eyre::Result<ExitCode> {
@@ -27,6 +30,8 @@
         names.push(name);
     }
     settle(&output("mod"), &module::index(&names), check, &mut stale)?;
+    let page = page::generate(Path::new(SCHEMA_FOLDER))?;
+    settle(Path::new(CONFIGURATION_PAGE), &page, check, &mut stale)?;
     for path in &stale {
         eprintln!(
             "{} is not what the schemas give; run cranberrygap-generator",
