--- /dev/null
+++ b/crates/cranberrygap-control/src/keeper.rs
@@ -0,0 +1,130 @@
+//! What the leader does by itself: notices silence, reads the store's list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_model::duration;
+use cranberrygap_state::{catalogue, command};
+use futures_util::future;
+use parking_lot::Mutex;
+
+use crate::clock;
+use crate::office;
+use crate::proposer;
+use crate::replicated;
+use crate::store;
+
+/// Time between two looks. It is part of the time in which a withdrawn key
+/// stops working, see [`office::LEASE`].
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Time between two readings of the store's list.
+const STORE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The leader's office, shared with those who serve entries.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    state: Arc<replicated::State>,
+    proposer: proposer::Proposer,
+    clock: clock::Clock,
+    office: Mutex<Option<office::Office>>,
+}
+
+impl Keeper {
+    pub(crate) fn new(
+        state: Arc<replicated::State>,
+        proposer: proposer::Proposer,
+        clock: clock::Clock,
+    ) -> Self {
+        Self {
+            state,
+            proposer,
+            clock,
+            office: Mutex::new(None),
+        }
+    }
+
+    /// The office of the current term, if this process leads.
+    ///
+    /// Knowledge of an earlier term is dropped: another leader may have given
+    /// leases since.
+    pub(crate) fn with_office<R>(
+        &self,
+        work: impl FnOnce(duration::Instant, &mut office::Office) -> R,
+    ) -> Option<R> {
+        let status = self.proposer.status();
+        let seen = self.state.seen();
+        let now = self.clock.now();
+        let mut office = self.office.lock();
+        if !status.leads {
+            *office = None;
+            return None;
+        }
+        let held = office.take().filter(|held| held.term() == status.term);
+        let mut current = held.unwrap_or_else(|| {
+            spdlog::info!("leader: takes office in term {}", status.term);
+            office::Office::new(status.term, now, seen)
+        });
+        current.mark(now, seen);
+        let result = work(now, &mut current);
+        *office = Some(current);
+        Some(result)
+    }
+
+    /// Looks for silence until the process stops.
+    pub(crate) async fn watch(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            let found = self
+                .with_office(|now, office| self.state.read(|fleet| office.findings(now, fleet)));
+            let Some(found) = found else {
+                continue;
+            };
+            let endpoints = found.endpoints.into_iter().map(command::Command::Endpoint);
+            let members = found.members.into_iter().map(command::Command::Member);
+            let proposals = endpoints.chain(members).map(|command| self.note(command));
+            future::join_all(proposals).await;
+        }
+    }
+
+    async fn note(&self, command: command::Command) {
+        spdlog::info!("leader: finds {command:?}");
+        if let Err(fault) = self.proposer.propose(command).await {
+            // It is found again at the next look.
+            spdlog::warn!("leader: could not note it: {}", fault.message);
+        }
+    }
+
+    /// Follows the store's list until the process stops.
+    pub(crate) async fn follow_store(self: Arc<Self>, store: store::Store) {
+        let mut reached = true;
+        loop {
+            tokio::time::sleep(STORE_PERIOD).await;
+            if !self.proposer.status().leads {
+                continue;
+            }
+            match store.list().await {
+                Ok(models) => {
+                    reached = true;
+                    self.take_list(models).await;
+                }
+                Err(cause) if reached => {
+                    reached = false;
+                    spdlog::warn!("store: {cause}");
+                }
+                Err(_still_not_reached) => {}
+            }
+        }
+    }
+
+    async fn take_list(&self, models: Vec<cranberrygap_wire::endpoint::Weights>) {
+        if !self.state.read(|fleet| fleet.catalogue.differs(&models)) {
+            return;
+        }
+        spdlog::info!("store: lists {} models", models.len());
+        let command = command::Command::Catalogue(catalogue::Step { models });
+        if let Err(fault) = self.proposer.propose(command).await {
+            spdlog::warn!("store: could not note the list: {}", fault.message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/lines.rs
@@ -0,0 +1,178 @@
+//! Carries the agreement protocol's messages over authenticated links.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrygap_link::{client, credential, server};
+use cranberrygap_model::{address, duration};
+use cranberrygap_wire::method;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::replica;
+use crate::transport;
+
+/// Messages that wait for one peer; more are dropped, the protocol resends.
+const QUEUE: usize = 256;
+
+/// Messages under way to one peer.
+const WINDOW: usize = 32;
+
+/// Peers that are remembered; more than a group ever has, also while it changes.
+const MOST_PEERS: usize = 32;
+
+/// Time after which a message counts as lost. Longer than a full disk queue,
+/// far shorter than what something between the ends takes to forget a flow.
+const DEADLINE: duration::Span = duration::Span::from_secs(2);
+
+/// Pause after a failed connection.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A message as it goes over a link. The text is base64, which JSON carries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Packet {
+    from: address::Peer,
+    message: String,
+}
+
+/// Lines to all peers; each is opened when the first message goes over it.
+#[derive(Debug)]
+pub struct Lines {
+    own: address::Peer,
+    secret: Mutex<credential::Secret>,
+    queues: Mutex<BTreeMap<address::Peer, mpsc::Sender<Bytes>>>,
+    own_weak: Weak<Self>,
+}
+
+impl Lines {
+    /// Lines from `own`; must be used within tokio.
+    #[must_use]
+    pub fn new(own: address::Peer, secret: credential::Secret) -> Arc<Self> {
+        Arc::new_cyclic(|weak| Self {
+            own,
+            secret: Mutex::new(secret),
+            queues: Mutex::default(),
+            own_weak: Weak::clone(weak),
+        })
+    }
+
+    /// Shows another secret from the next connection on.
+    pub fn replace_secret(&self, secret: credential::Secret) {
+        *self.secret.lock() = secret;
+    }
+
+    fn queue(&self, peer: &address::Peer) -> Option<mpsc::Sender<Bytes>> {
+        let mut queues = self.queues.lock();
+        if let Some(queue) = queues.get(peer) {
+            return Some(queue.clone());
+        }
+        if queues.len() >= MOST_PEERS {
+            return None;
+        }
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        let line = Line {
+            lines: Weak::clone(&self.own_weak),
+            own: self.own.clone(),
+            peer: peer.clone(),
+            receiver,
+        };
+        tokio::spawn(line.run());
+        queues.insert(peer.clone(), sender.clone());
+        Some(sender)
+    }
+}
+
+impl transport::Transport for Lines {
+    fn send(&self, peer: &address::Peer, message: Bytes) {
+        if let Some(queue) = self.queue(peer) {
+            // Fails only when the queue is full; the protocol sends again.
+            drop(queue.try_send(message));
+        }
+    }
+}
+
+/// One line; it lives until the process stops.
+struct Line {
+    lines: Weak<Lines>,
+    own: address::Peer,
+    peer: address::Peer,
+    receiver: mpsc::Receiver<Bytes>,
+}
+
+impl Line {
+    async fn run(mut self) {
+        loop {
+            let Some(lines) = self.lines.upgrade() else {
+                return;
+            };
+            let secret = lines.secret.lock().clone();
+            drop(lines);
+            let role = credential::Role::Fleet;
+            match client::Client::connect(self.peer.address, role, &secret).await {
+                Ok(client) => self.carry(&client).await,
+                Err(cause) => {
+                    spdlog::debug!("agreement: no line to {}: {cause}", self.peer);
+                    // What waited is old by now; newer messages stand for it.
+                    while self.receiver.try_recv().is_ok() {}
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+            if self.receiver.is_closed() {
+                return;
+            }
+        }
+    }
+
+    /// Sends until the connection fails. A call without an answer in time means
+    /// that the connection may be silently dead, so it is given up.
+    async fn carry(&mut self, client: &client::Client) {
+        let mut under_way = FuturesUnordered::new();
+        loop {
+            tokio::select! {
+                message = self.receiver.recv(), if under_way.len() < WINDOW => {
+                    let Some(message) = message else {
+                        return;
+                    };
+                    let packet = Packet {
+                        from: self.own.clone(),
+                        message: base64::Engine::encode(&base64::prelude::BASE64_STANDARD, message),
+                    };
+                    under_way.push(async move {
+                        client.call::<_, ()>(method::AGREEMENT, &packet, DEADLINE).await
+                    });
+                }
+                Some(outcome) = under_way.next() => {
+                    if let Err(cause) = outcome {
+                        spdlog::debug!("agreement: lost the line to {}: {cause}", self.peer);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Takes the messages of other control processes into `replica`.
+#[must_use]
+pub(crate) fn receive(
+    builder: server::Builder,
+    replica: &Arc<replica::Replica>,
+) -> server::Builder {
+    let replica = Arc::clone(replica);
+    let role = credential::Role::Fleet;
+    builder.method(method::AGREEMENT, role, move |packet: Packet| {
+        let replica = Arc::clone(&replica);
+        async move {
+            let decoded = base64::Engine::decode(&base64::prelude::BASE64_STANDARD, packet.message);
+            let wrong =
+                |cause: base64::DecodeError| server::Fault::new(method::REFUSED, cause.to_string());
+            replica.deliver(&packet.from, Bytes::from(decoded.map_err(wrong)?));
+            Ok(())
+        }
+    })
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/office.rs
@@ -0,0 +1,254 @@
+//! What a leader knows during its term and does not replicate: who was heard.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use cranberrygap_model::{duration, id, number};
+use cranberrygap_state::{endpoint, fleet, member};
+use cranberrygap_wire::view;
+
+/// Time from sending its confirmation for which an entry may serve. Three
+/// confirmations fit into it. Together with [`LAG`] and the leader's own period
+/// it bounds the time for which a withdrawn key works: below 2 s.
+pub const LEASE: duration::Span = duration::Span::from_millis(1_500);
+
+/// Time by which an entry's view may be behind when its lease is renewed.
+pub const LAG: duration::Span = duration::Span::from_millis(200);
+
+/// Time without a confirmation after which an entry leaves the address list.
+/// Longer than the lease, so that it serves nobody by then.
+pub const ABSENCE: duration::Span = duration::Span::from_secs(3);
+
+/// Silence after which an endpoint is forgotten that was not leaving.
+pub const OBLIVION: duration::Span = duration::Span::from_secs(600);
+
+/// Marks that are kept; one a leader's period, so far more than [`LAG`] needs.
+const MOST_MARKS: usize = 64;
+
+/// One leader's term.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Office {
+    term: number::Term,
+    since: duration::Instant,
+    entries: BTreeMap<id::Instance, Entry>,
+    endpoints: BTreeMap<id::Endpoint, Heard>,
+    marks: VecDeque<Mark>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct Entry {
+    boot: number::Boot,
+    revision: number::Revision,
+    heard: duration::Instant,
+    lease_end: duration::Instant,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct Heard {
+    seen: view::Seen,
+    at: duration::Instant,
+}
+
+/// The view's revision as it was at a time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Mark {
+    at: duration::Instant,
+    revision: number::Revision,
+}
+
+/// Commands that the leader should propose.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Findings {
+    /// News of endpoints.
+    pub endpoints: Vec<endpoint::Step>,
+    /// News of entries.
+    pub members: Vec<member::Step>,
+}
+
+impl Office {
+    /// Takes office at `now`, with the view at `revision`.
+    #[must_use]
+    pub fn new(term: number::Term, now: duration::Instant, revision: number::Revision) -> Self {
+        let mark = Mark { at: now, revision };
+        Self {
+            term,
+            since: now,
+            entries: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            marks: VecDeque::from([mark]),
+        }
+    }
+
+    /// The term of this office.
+    #[must_use]
+    pub const fn term(&self) -> number::Term {
+        self.term
+    }
+
+    /// Notes the view's revision; called at least once a period.
+    pub fn mark(&mut self, now: duration::Instant, revision: number::Revision) {
+        if self
+            .marks
+            .back()
+            .is_some_and(|last| last.revision == revision)
+        {
+            return;
+        }
+        self.marks.push_back(Mark { at: now, revision });
+        while self.marks.len() > MOST_MARKS {
+            self.marks.pop_front();
+        }
+    }
+
+    /// Notes a heartbeat of an endpoint that an entry passed on.
+    pub fn hear(&mut self, now: duration::Instant, seen: &view::Seen) {
+        let heard = self.endpoints.get(&seen.endpoint);
+        let old = heard.is_some_and(|heard| {
+            heard.seen.boot == seen.boot && heard.seen.sequence >= seen.sequence
+        });
+        if old {
+            return;
+        }
+        let heard = Heard {
+            seen: seen.clone(),
+            at: now,
+        };
+        self.endpoints.insert(seen.endpoint.clone(), heard);
+    }
+
+    /// Takes an entry's confirmation and gives the lease for it.
+    ///
+    /// An entry may follow a control process that was cut off, and still reach
+    /// the leader. It would serve withdrawn keys for as long as it is given
+    /// leases. So an entry whose view is behind by more than [`LAG`] gets none.
+    pub fn confirm(&mut self, now: duration::Instant, confirm: &view::Confirm) -> duration::Span {
+        let lease = if confirm.revision >= self.required(now) {
+            LEASE
+        } else {
+            duration::Span(0)
+        };
+        let end = now.after(lease);
+        let before = self.entries.get(&confirm.instance);
+        // A lease that was given before holds on, also for an earlier process.
+        let held = before.map_or(end, |before| before.lease_end.max(end));
+        let entry = Entry {
+            boot: confirm.boot,
+            revision: confirm.revision,
+            heard: now,
+            lease_end: held,
+        };
+        self.entries.insert(confirm.instance.clone(), entry);
+        lease
+    }
+
+    /// The revision that an entry must have to get a lease.
+    fn required(&self, now: duration::Instant) -> number::Revision {
+        let mut marks = self.marks.iter().rev();
+        let old = marks.find(|mark| mark.at.after(LAG) <= now);
+        let first = self.marks.front();
+        old.or(first)
+            .map_or(number::Revision(0), |mark| mark.revision)
+    }
+
+    /// Entries that may still serve from a view before `revision`.
+    ///
+    /// Entries that were not heard in this term may hold a lease of the term
+    /// before, which ends at the latest one lease after this term's start.
+    #[must_use]
+    pub fn waiting(
+        &self,
+        now: duration::Instant,
+        revision: number::Revision,
+        fleet: &fleet::Fleet,
+    ) -> Vec<id::Instance> {
+        let entries = fleet.members.iter();
+        let entries = entries.filter(|member| member.role == view::Role::Entry);
+        let waiting = entries.filter(|member| match self.entries.get(&member.instance) {
+            Some(entry) => entry.revision < revision && now < entry.lease_end,
+            None => now < self.since.after(LEASE),
+        });
+        waiting.map(|member| member.instance.clone()).collect()
+    }
+
+    /// What became of endpoints and entries that were not heard.
+    #[must_use]
+    pub fn findings(&self, now: duration::Instant, fleet: &fleet::Fleet) -> Findings {
+        let silence = fleet.defaults().endpoint_silence;
+        let endpoints = fleet.endpoints.announcements();
+        let endpoints = endpoints.filter_map(|(announcement, health)| {
+            let seen = view::Seen {
+                endpoint: announcement.endpoint.clone(),
+                boot: announcement.boot,
+                sequence: announcement.sequence,
+            };
+            self.judge(now, silence, &seen, health)
+        });
+        Findings {
+            endpoints: endpoints.collect(),
+            members: self.absent(now, fleet),
+        }
+    }
+
+    fn judge(
+        &self,
+        now: duration::Instant,
+        silence: duration::Span,
+        known: &view::Seen,
+        health: view::Health,
+    ) -> Option<endpoint::Step> {
+        let heard = self.endpoints.get(&known.endpoint);
+        let heard = heard.filter(|heard| heard.seen.boot == known.boot);
+        let quiet = now.since(heard.map_or(self.since, |heard| heard.at));
+        let latest = heard.map_or(known.sequence, |heard| {
+            heard.seen.sequence.max(known.sequence)
+        });
+        let seen = view::Seen {
+            sequence: latest,
+            ..known.clone()
+        };
+        match health {
+            view::Health::Suspect if heard.is_some() && quiet < silence => {
+                Some(endpoint::Step::Heard(seen))
+            }
+            view::Health::Suspect if quiet > OBLIVION => Some(endpoint::Step::Forgotten(seen)),
+            view::Health::Leaving if quiet > silence => Some(endpoint::Step::Forgotten(seen)),
+            view::Health::Ready if quiet > silence => Some(endpoint::Step::Silent(seen)),
+            _ => None,
+        }
+    }
+
+    fn absent(&self, now: duration::Instant, fleet: &fleet::Fleet) -> Vec<member::Step> {
+        let mut steps = Vec::new();
+        for (member, boot) in fleet.members.boots() {
+            let counts = member.role == view::Role::Entry && member.phase != view::Phase::Left;
+            let heard = self.entries.get(&member.instance);
+            let heard = heard.filter(|heard| heard.boot == boot);
+            let last = heard.map_or(self.since, |heard| heard.heard);
+            if counts && now.since(last) > ABSENCE {
+                let instance = member.instance.clone();
+                steps.push(member::Step::Gone { instance, boot });
+            }
+        }
+        steps
+    }
+
+    /// The office for people.
+    #[must_use]
+    pub fn dump(&self, now: duration::Instant) -> serde_json::Value {
+        let entries = self.entries.iter().map(|(instance, entry)| {
+            serde_json::json!({
+                "instance": instance, "boot": entry.boot, "revision": entry.revision,
+                "silent": now.since(entry.heard), "lease_left": entry.lease_end.since(now),
+            })
+        });
+        let endpoints = self
+            .endpoints
+            .values()
+            .map(|heard| serde_json::json!({ "seen": heard.seen, "silent": now.since(heard.at) }));
+        serde_json::json!({
+            "term": self.term,
+            "since": self.since,
+            "entries": entries.collect::<Vec<_>>(),
+            "endpoints": endpoints.collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -0,0 +1,168 @@
+//! What entries ask of a control process.
+
+use std::sync::Arc;
+
+use cranberrygap_link::{credential, server};
+use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
+use cranberrygap_wire::{claim as wire_claim, method, view};
+use futures_util::future;
+
+use crate::keeper;
+use crate::office;
+use crate::proposer;
+use crate::replicated;
+use crate::subscription;
+
+/// Announcements that one confirmation may bring.
+const MOST_ANNOUNCEMENTS: usize = 4_096;
+
+/// What the handlers work with.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    pub(crate) state: Arc<replicated::State>,
+    pub(crate) proposer: proposer::Proposer,
+    pub(crate) keeper: Arc<keeper::Keeper>,
+}
+
+/// Offers the entries' methods.
+pub(crate) fn offer(builder: server::Builder, desk: &Arc<Desk>) -> server::Builder {
+    let role = credential::Role::Fleet;
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.subscription(
+            method::VIEW_SUBSCRIBE,
+            role,
+            move |wanted: view::Subscribe| {
+                let desk = Arc::clone(&desk);
+                async move { subscription::open(&desk.state, &desk.proposer, &wanted).await }
+            },
+        )
+    };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(method::VIEW_CONFIRM, role, move |confirm: view::Confirm| {
+            let desk = Arc::clone(&desk);
+            async move { desk.confirm(confirm).await }
+        })
+    };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(method::CLAIM_OPEN, role, move |open: wire_claim::Open| {
+            let desk = Arc::clone(&desk);
+            async move { desk.open_claim(open).await }
+        })
+    };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(
+            method::CLAIM_CLOSE,
+            role,
+            move |close: wire_claim::Close| {
+                let desk = Arc::clone(&desk);
+                let command = command::Command::Claim(claim::Step::Close(close));
+                async move { desk.proposer.propose(command).await.map(drop) }
+            },
+        )
+    };
+    let desk = Arc::clone(desk);
+    builder.method(
+        method::CRASH_REPORT,
+        role,
+        move |crash: wire_claim::Crash| {
+            let desk = Arc::clone(&desk);
+            let command = command::Command::Quarantine(quarantine::Step { crash });
+            async move { desk.proposer.propose(command).await.map(drop) }
+        },
+    )
+}
+
+impl Desk {
+    async fn open_claim(
+        &self,
+        open: wire_claim::Open,
+    ) -> Result<wire_claim::Verdict, server::Fault> {
+        let command = command::Command::Claim(claim::Step::Open(open));
+        match self.proposer.propose(command).await? {
+            answer::Answer::Claimed(verdict) => Ok(verdict),
+            other => Err(proposer::unexpected(&other)),
+        }
+    }
+
+    /// Takes a confirmation: first everything new goes into the log, then the
+    /// entry gets its lease.
+    async fn confirm(&self, confirm: view::Confirm) -> Result<view::Confirmed, server::Fault> {
+        self.proposer.check_leads()?;
+        self.note_member(&confirm).await?;
+        self.note_announcements(&confirm).await?;
+        // Committing may have taken long; only who leads now may grant.
+        let status = self.proposer.check_leads()?;
+        let lease = self
+            .keeper
+            .with_office(|now, office| grant(now, office, &confirm));
+        let Some(lease) = lease else {
+            return Err(server::Fault::new(
+                method::NO_QUORUM,
+                "the leader's lease ran out",
+            ));
+        };
+        Ok(view::Confirmed {
+            revision: self.state.seen(),
+            term: status.term,
+            lease,
+        })
+    }
+
+    /// An entry must be known before it gets a lease: a new leader takes from
+    /// the state who may hold one.
+    async fn note_member(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
+        let member = view::Member {
+            instance: confirm.instance.clone(),
+            domain: confirm.domain.clone(),
+            role: view::Role::Entry,
+            address: confirm.address,
+            endpoints: confirm.endpoints,
+            phase: confirm.phase,
+        };
+        let boot = confirm.boot;
+        if !self
+            .state
+            .read(|fleet| fleet.members.is_news(&member, boot))
+        {
+            return Ok(());
+        }
+        let step = member::Step::Seen { member, boot };
+        let proposed = self.proposer.propose(command::Command::Member(step));
+        proposed.await.map(drop)
+    }
+
+    async fn note_announcements(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
+        if confirm.announcements.len() > MOST_ANNOUNCEMENTS {
+            let sentence = "too many announcements at once";
+            return Err(server::Fault::new(method::REFUSED, sentence));
+        }
+        let steps = confirm.announcements.iter().cloned();
+        let commands =
+            steps.map(|step| command::Command::Endpoint(endpoint::Step::Announced(step)));
+        let proposals = commands.map(|command| self.proposer.propose(command));
+        future::try_join_all(proposals).await.map(drop)
+    }
+}
+
+fn grant(
+    now: cranberrygap_model::duration::Instant,
+    office: &mut office::Office,
+    confirm: &view::Confirm,
+) -> cranberrygap_model::duration::Span {
+    for announcement in &confirm.announcements {
+        let seen = view::Seen {
+            endpoint: announcement.endpoint.clone(),
+            boot: announcement.boot,
+            sequence: announcement.sequence,
+        };
+        office.hear(now, &seen);
+    }
+    for seen in &confirm.seen {
+        office.hear(now, seen);
+    }
+    office.confirm(now, confirm)
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/proposer.rs
@@ -0,0 +1,100 @@
+//! Puts commands into the log and turns what comes back into answers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranberrygap_link::server;
+use cranberrygap_model::address;
+use cranberrygap_state::{answer, command};
+use cranberrygap_wire::method;
+
+use crate::clock;
+use crate::log;
+use crate::replicated;
+
+/// Proposes commands in the name of this process.
+#[derive(Debug, Clone)]
+pub struct Proposer {
+    log: Arc<dyn log::Log>,
+}
+
+impl Proposer {
+    /// A proposer for `log`.
+    #[must_use]
+    pub fn new(log: Arc<dyn log::Log>) -> Self {
+        Self { log }
+    }
+
+    /// What is known of the group.
+    #[must_use]
+    pub fn status(&self) -> log::Status {
+        self.log.status()
+    }
+
+    /// Refuses unless this process leads at this moment.
+    ///
+    /// # Errors
+    ///
+    /// A fault that names the leader.
+    pub fn check_leads(&self) -> Result<log::Status, server::Fault> {
+        let status = self.log.status();
+        if status.leads {
+            return Ok(status);
+        }
+        Err(not_leader(status.leader.as_ref()))
+    }
+
+    /// Commits a command and gives the state's answer.
+    ///
+    /// # Errors
+    ///
+    /// A fault that tells whether the command may still be committed.
+    ///
+    /// # Panics
+    ///
+    /// Never; commands have text keys only.
+    pub async fn propose(
+        &self,
+        command: command::Command,
+    ) -> Result<answer::Answer, server::Fault> {
+        self.check_leads()?;
+        let at = clock::unix_millis();
+        let proposal = command::Proposal { at, command };
+        let payload = serde_json::to_vec(&proposal).expect("commands have text keys only");
+        let committed = self.log.propose(Bytes::from(payload)).await;
+        let committed = committed.map_err(|cause| fault(&cause))?;
+        match replicated::answer(&committed.answer) {
+            answer::Answer::Refused(reason) => Err(server::Fault::new(method::REFUSED, reason)),
+            answer => Ok(answer),
+        }
+    }
+}
+
+fn fault(cause: &log::Error) -> server::Fault {
+    let sentence = cause.to_string();
+    match cause {
+        log::Error::NotLeader { leader } => not_leader(leader.as_ref()),
+        log::Error::Unknown => server::Fault::new(method::UNKNOWN_OUTCOME, sentence),
+        log::Error::TooLarge { .. } => server::Fault::new(method::REFUSED, sentence),
+        log::Error::Full | log::Error::Stopping => server::Fault::new(method::NO_QUORUM, sentence),
+    }
+}
+
+fn not_leader(leader: Option<&address::Peer>) -> server::Fault {
+    let sentence = match leader {
+        Some(leader) => format!(
+            "this control process is not the leader; {} is",
+            leader.instance
+        ),
+        None => "there is no leader now; ask again in a second".to_owned(),
+    };
+    let data = serde_json::json!(leader);
+    server::Fault::new(method::NOT_LEADER, sentence).with_data(data)
+}
+
+/// A fault for an answer that does not belong to its command.
+#[must_use]
+pub fn unexpected(answer: &answer::Answer) -> server::Fault {
+    let sentence = format!("the state gave an answer of another kind: {answer:?}");
+    server::Fault::new(method::REFUSED, sentence)
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -0,0 +1,116 @@
+//! The replicated state of this process, and news of it for subscribers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranberrygap_model::number;
+use cranberrygap_state::{answer, command, fleet};
+use cranberrygap_wire::view;
+use parking_lot::RwLock;
+use tokio::sync::broadcast;
+
+use crate::machine;
+
+/// News that a slow subscriber may be behind before it gets a new snapshot.
+const NEWS_BUFFER: usize = 1_024;
+
+/// News of the state.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// These changes lead to a revision.
+    Changed(number::Revision, Arc<Vec<view::Change>>),
+    /// The whole state was replaced by a leader's snapshot.
+    Replaced,
+}
+
+/// The state, applied up to what this process knows to be committed.
+#[derive(Debug)]
+pub struct State {
+    fleet: RwLock<fleet::Fleet>,
+    news: broadcast::Sender<News>,
+}
+
+impl State {
+    /// An empty state.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            fleet: RwLock::default(),
+            news: broadcast::Sender::new(NEWS_BUFFER),
+        }
+    }
+
+    /// Reads the state; short work only, since nothing is applied meanwhile.
+    pub fn read<R>(&self, work: impl FnOnce(&fleet::Fleet) -> R) -> R {
+        work(&self.fleet.read())
+    }
+
+    /// The whole view and everything that comes after it.
+    #[must_use]
+    pub fn subscribe(&self) -> (view::Frame, broadcast::Receiver<News>) {
+        let fleet = self.fleet.read();
+        let news = self.news.subscribe();
+        let frame = view::Frame::Snapshot {
+            revision: fleet.seen,
+            state: fleet.view(),
+        };
+        drop(fleet);
+        (frame, news)
+    }
+
+    /// Revision of the last change that entries learn of.
+    #[must_use]
+    pub fn seen(&self) -> number::Revision {
+        self.fleet.read().seen
+    }
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl machine::Machine for State {
+    fn apply(&self, index: number::Index, payload: &[u8]) -> Bytes {
+        let answer = match serde_json::from_slice::<command::Proposal>(payload) {
+            Ok(proposal) => {
+                let mut fleet = self.fleet.write();
+                let (answer, changes) = fleet.apply(index, &proposal);
+                if !changes.is_empty() {
+                    let news = News::Changed(fleet.seen, Arc::new(changes));
+                    // Sent under the lock, so that no subscriber misses it. Fails
+                    // only while there is no subscriber.
+                    drop(self.news.send(news));
+                }
+                answer
+            }
+            // A replica of an older version does not know the command. Leaving it
+            // out would make the replicas differ, without anybody noticing.
+            Err(cause) => panic!("the log holds a command that this version cannot read: {cause}"),
+        };
+        Bytes::from(serde_json::to_vec(&answer).expect("answers have text keys only"))
+    }
+
+    fn snapshot(&self) -> Bytes {
+        Bytes::from(self.fleet.read().snapshot())
+    }
+
+    fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
+        let restored = fleet::Fleet::restore(snapshot).map_err(|cause| cause.to_string())?;
+        let mut fleet = self.fleet.write();
+        *fleet = restored;
+        drop(self.news.send(News::Replaced));
+        Ok(())
+    }
+}
+
+/// Reads the answer of [`State::apply`].
+///
+/// # Panics
+///
+/// When the bytes are not an answer, which `apply` rules out.
+#[must_use]
+pub fn answer(bytes: &[u8]) -> answer::Answer {
+    serde_json::from_slice(bytes).expect("the state machine answers in this form")
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/store.rs
@@ -0,0 +1,58 @@
+//! Reads the weight store's list.
+
+use std::time::Duration;
+
+use cranberrygap_model::address;
+use cranberrygap_wire::endpoint;
+
+/// Longest time for one reading.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// Largest list that is taken, in bytes; 16,384 models stay below it.
+const LARGEST_LIST: usize = 4 << 20;
+
+/// A weight store.
+#[derive(Debug, Clone)]
+pub(crate) struct Store {
+    http: reqwest::Client,
+    url: String,
+}
+
+/// Why the list could not be read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error("the store does not answer: {0}")]
+    Http(#[from] reqwest::Error),
+    #[error("the store's list is not in the expected form: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error("the store's list has more than {LARGEST_LIST} bytes")]
+    TooLarge,
+}
+
+impl Store {
+    pub(crate) fn new(address: address::Socket) -> Result<Self, Error> {
+        // A fresh connection each time: a pooled one may be silently dead, and
+        // the list is read once a second only.
+        let http = reqwest::Client::builder()
+            .timeout(DEADLINE)
+            .pool_max_idle_per_host(0)
+            .no_proxy()
+            .build()?;
+        let url = format!("http://{address}/models");
+        Ok(Self { http, url })
+    }
+
+    pub(crate) async fn list(&self) -> Result<Vec<endpoint::Weights>, Error> {
+        let answer = self.http.get(&self.url).send().await?;
+        let mut answer = answer.error_for_status()?;
+        let mut body = Vec::new();
+        while let Some(part) = answer.chunk().await? {
+            body.extend_from_slice(&part);
+            if body.len() > LARGEST_LIST {
+                return Err(Error::TooLarge);
+            }
+        }
+        let listing: endpoint::Listing = serde_json::from_slice(&body)?;
+        Ok(listing.models)
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -0,0 +1,138 @@
+//! The stream of frames that one entry gets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_link::server;
+use cranberrygap_model::number;
+use cranberrygap_wire::{method, view};
+use futures_util::StreamExt as _;
+use futures_util::stream::{self, BoxStream};
+use tokio::sync::broadcast;
+use tokio::time;
+
+use crate::proposer;
+use crate::replicated;
+
+/// Time between heartbeats when nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Time that a subscriber waits for this process to catch up with what the
+/// subscriber has already seen elsewhere.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
+/// Time between looks while catching up.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Time without a known leader after which this process serves no view. It is
+/// longer than an ordinary election.
+const LEADERLESS: Duration = Duration::from_secs(2);
+
+struct Feed {
+    state: Arc<replicated::State>,
+    proposer: proposer::Proposer,
+    news: broadcast::Receiver<replicated::News>,
+    next: Option<view::Frame>,
+    revision: number::Revision,
+    led: time::Instant,
+}
+
+/// Opens the stream for an entry that has seen `wanted.revision`.
+///
+/// # Errors
+///
+/// A fault when this process lags behind what the entry has seen: an entry that
+/// changed over from a process that is ahead would otherwise go back in time.
+pub(crate) async fn open(
+    state: &Arc<replicated::State>,
+    proposer: &proposer::Proposer,
+    wanted: &view::Subscribe,
+) -> Result<BoxStream<'static, view::Frame>, server::Fault> {
+    let deadline = time::Instant::now() + CATCH_UP;
+    while state.seen() < wanted.revision || proposer.status().leader.is_none() {
+        if time::Instant::now() >= deadline {
+            let sentence = "this control process is behind; ask another one";
+            return Err(server::Fault::new(method::NO_QUORUM, sentence));
+        }
+        time::sleep(LOOK).await;
+    }
+    spdlog::info!("view: {} follows from here", wanted.instance);
+    let (snapshot, news) = state.subscribe();
+    let feed = Feed {
+        state: Arc::clone(state),
+        proposer: proposer.clone(),
+        news,
+        next: Some(snapshot),
+        revision: number::Revision(0),
+        led: time::Instant::now(),
+    };
+    Ok(stream::unfold(feed, Feed::step).boxed())
+}
+
+impl Feed {
+    async fn step(mut self) -> Option<(view::Frame, Self)> {
+        if let Some(frame) = self.next.take() {
+            return Some(self.give(frame));
+        }
+        let waited = time::timeout(HEARTBEAT, self.news.recv()).await;
+        let frame = match waited {
+            Ok(Ok(replicated::News::Changed(revision, changes))) => self.delta(revision, &changes),
+            Ok(Ok(replicated::News::Replaced) | Err(broadcast::error::RecvError::Lagged(_))) => {
+                let (snapshot, news) = self.state.subscribe();
+                self.news = news;
+                snapshot
+            }
+            Ok(Err(broadcast::error::RecvError::Closed)) => return None,
+            Err(_elapsed) => view::Frame::Heartbeat {
+                revision: self.revision,
+            },
+        };
+        // A process that was cut off from the group goes on with an old view and
+        // healthy connections. Ending the stream makes its entries look elsewhere.
+        if self.proposer.status().leader.is_some() {
+            self.led = time::Instant::now();
+        } else if self.led.elapsed() > LEADERLESS {
+            return None;
+        }
+        Some(self.give(frame))
+    }
+
+    fn give(mut self, frame: view::Frame) -> (view::Frame, Self) {
+        self.revision = match &frame {
+            view::Frame::Snapshot { revision, .. }
+            | view::Frame::Delta { revision, .. }
+            | view::Frame::Heartbeat { revision } => *revision,
+        };
+        (frame, self)
+    }
+
+    /// Everything that waits goes into one frame.
+    fn delta(
+        &mut self,
+        revision: number::Revision,
+        changes: &Arc<Vec<view::Change>>,
+    ) -> view::Frame {
+        let mut revision = revision;
+        let mut changes = changes.as_ref().clone();
+        while let Some((later, more)) = self.take_waiting() {
+            revision = later;
+            changes.extend(more.iter().cloned());
+        }
+        view::Frame::Delta { revision, changes }
+    }
+
+    /// The next change if it waits already; after a gap the next frame is a
+    /// snapshot.
+    fn take_waiting(&mut self) -> Option<(number::Revision, Arc<Vec<view::Change>>)> {
+        match self.news.try_recv() {
+            Ok(replicated::News::Changed(revision, changes)) => Some((revision, changes)),
+            Ok(replicated::News::Replaced) | Err(broadcast::error::TryRecvError::Lagged(_)) => {
+                let (snapshot, news) = self.state.subscribe();
+                self.news = news;
+                self.next = Some(snapshot);
+                None
+            }
+            Err(_empty_or_closed) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-control/tests/fleet/mod.rs
@@ -0,0 +1,259 @@
+//! Control processes in this process, with clients for entries and operators.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::Duration;
+
+use cranberrygap_control::process;
+use cranberrygap_link::error::Error;
+use cranberrygap_link::{client, credential};
+use cranberrygap_model::{address, duration, number};
+use cranberrygap_state::key;
+use cranberrygap_wire::{method, operator, settings, view};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Far beyond what anything here takes, also on a busy machine.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+
+const CALL: duration::Span = duration::Span::from_secs(5);
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub fn fleet_secret() -> credential::Secret {
+    credential::Secret::new(b"fleet-0123456789abcdef").unwrap()
+}
+
+pub fn operator_secret() -> credential::Secret {
+    credential::Secret::new(b"operator-0123456789abcdef").unwrap()
+}
+
+/// Control processes that form one group.
+pub struct Group {
+    pub folder: tempfile::TempDir,
+    pub settings: Vec<settings::Control>,
+    pub running: Vec<Option<process::Process>>,
+}
+
+impl Group {
+    pub async fn start(count: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let ports = free_ports(count);
+        let voters: Vec<address::Peer> = (1..=count)
+            .zip(&ports)
+            .map(|(number, port)| {
+                format!("control-{number}@127.0.0.1:{port}")
+                    .parse()
+                    .unwrap()
+            })
+            .collect();
+        let settings = voters
+            .iter()
+            .map(|own| control_settings(folder.path(), own, &voters, false))
+            .collect();
+        let running = (0..count).map(|_| None).collect();
+        let mut group = Self {
+            folder,
+            settings,
+            running,
+        };
+        for position in 0..count {
+            group.run(position).await;
+        }
+        group
+    }
+
+    pub async fn run(&mut self, position: usize) {
+        let secrets = process::Secrets {
+            fleet: vec![fleet_secret()],
+            operators: vec![operator_secret()],
+        };
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let settings = self.settings[position].clone();
+            match process::Process::start(settings, secrets.clone()).await {
+                Ok(started) => {
+                    self.running[position] = Some(started);
+                    return;
+                }
+                // The thread for the disk of the one before may still hold the
+                // folder, or the port is not free yet.
+                Err(cause) => assert!(tokio::time::Instant::now() < deadline, "{cause}"),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Adds a process that waits to be added to the group.
+    pub async fn join(&mut self, name: &str) -> address::Peer {
+        let [port] = free_ports(1).try_into().unwrap();
+        let own: address::Peer = format!("{name}@127.0.0.1:{port}").parse().unwrap();
+        let voters = self.settings[0].group.voters.clone();
+        let settings = control_settings(self.folder.path(), &own, &voters, true);
+        self.settings.push(settings);
+        self.running.push(None);
+        self.run(self.settings.len() - 1).await;
+        own
+    }
+
+    /// Position of the leader, once there is one.
+    pub async fn leader(&self) -> usize {
+        until(|| {
+            let mut running = self.running.iter();
+            running.position(|found| found.as_ref().is_some_and(process::Process::leads))
+        })
+        .await
+    }
+
+    pub async fn stop(&mut self, position: usize) {
+        self.running[position].take().unwrap().stop().await;
+    }
+
+    /// Asks as an operator, wherever the leader is, until there is an answer.
+    pub async fn ask<P: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+    ) -> Result<R, Error> {
+        self.ask_leader(method, params, credential::Role::Operator)
+            .await
+    }
+
+    /// Asks as an entry.
+    pub async fn tell<P: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+    ) -> Result<R, Error> {
+        self.ask_leader(method, params, credential::Role::Fleet)
+            .await
+    }
+
+    async fn ask_leader<P: Serialize + Sync, R: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: &P,
+        role: credential::Role,
+    ) -> Result<R, Error> {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let position = self.leader().await;
+            let outcome = match self.client(position, role).await {
+                Ok(client) => client.call(method, params, CALL).await,
+                Err(cause) => Err(cause),
+            };
+            let elsewhere = match &outcome {
+                Err(Error::Refused { code, .. }) => *code == method::NOT_LEADER,
+                Err(cause) => cause.not_sent(),
+                Ok(_) => false,
+            };
+            if !elsewhere || tokio::time::Instant::now() > deadline {
+                return outcome;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    pub async fn client(
+        &self,
+        position: usize,
+        role: credential::Role,
+    ) -> Result<client::Client, Error> {
+        let process = self.running[position].as_ref().unwrap();
+        match role {
+            credential::Role::Fleet => {
+                client::Client::connect(process.peers(), role, &fleet_secret()).await
+            }
+            credential::Role::Operator => {
+                client::Client::connect(process.admin(), role, &operator_secret()).await
+            }
+        }
+    }
+
+    pub async fn issue(&self, change: &str, secret: &key::Secret) -> operator::Issued {
+        let issue = operator::Issue {
+            author: author(change),
+            workspace: "fjordtall".parse().unwrap(),
+            key: secret.key().clone(),
+            hash: secret.hash(),
+        };
+        self.ask(method::KEY_ISSUE, &issue).await.unwrap()
+    }
+
+    pub async fn withdraw(&self, change: &str, secret: &key::Secret) -> operator::Withdrawn {
+        let withdraw = operator::Withdraw {
+            author: author(change),
+            key: secret.key().clone(),
+        };
+        self.ask(method::KEY_WITHDRAW, &withdraw).await.unwrap()
+    }
+}
+
+pub fn author(change: &str) -> operator::Author {
+    operator::Author {
+        change: change.parse().unwrap(),
+        by: "ada".into(),
+        why: "because".into(),
+    }
+}
+
+pub fn secret(number: u8) -> key::Secret {
+    key::Secret::new([number; key::RANDOM_LENGTH])
+}
+
+/// An entry's confirmation that `revision` is in force there.
+pub fn confirm(revision: number::Revision) -> view::Confirm {
+    view::Confirm {
+        instance: "entry-1".parse().unwrap(),
+        boot: number::Boot(1),
+        domain: "oslo-1".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        endpoints: None,
+        phase: view::Phase::Active,
+        revision,
+        seen: Vec::new(),
+        announcements: Vec::new(),
+        demands: Vec::new(),
+    }
+}
+
+/// Polls until there is something.
+pub async fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "waited in vain");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn control_settings(
+    folder: &Path,
+    own: &address::Peer,
+    voters: &[address::Peer],
+    join: bool,
+) -> settings::Control {
+    let data = folder.join(own.instance.as_str());
+    std::fs::create_dir_all(&data).unwrap();
+    let text = serde_json::json!({
+        "control": { "instance": own.instance, "domain": "oslo-1" },
+        "listen": { "peers": own.address, "admin": "127.0.0.1:0" },
+        "group": { "data": data, "voters": voters, "join": join },
+        "secrets": { "fleet": "unused" },
+    });
+    serde_json::from_value(text).unwrap()
+}
+
+/// Ports that nobody listens on at this moment.
+fn free_ports(count: usize) -> Vec<u16> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let ports = listeners
+        .iter()
+        .map(|found| found.local_addr().unwrap().port());
+    ports.collect()
+}
--- /dev/null
+++ b/crates/cranberrygap-control/tests/office.rs
@@ -0,0 +1,156 @@
+//! What a leader grants and notices, as a pure step by step.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod fleet;
+
+use cranberrygap_control::office;
+use cranberrygap_model::{duration, number};
+use cranberrygap_state::{command, endpoint, fleet as state, member};
+use cranberrygap_wire::view;
+
+const START: duration::Instant = duration::Instant(1_000_000_000);
+
+fn at(millis: u64) -> duration::Instant {
+    START.after(duration::Span::from_millis(millis))
+}
+
+fn revision(number: u64) -> number::Revision {
+    number::Revision(number)
+}
+
+fn new_office() -> office::Office {
+    office::Office::new(number::Term(1), START, revision(5))
+}
+
+/// A fleet of one entry and one runner.
+fn known() -> state::Fleet {
+    let mut fleet = state::Fleet::default();
+    let confirm = fleet::confirm(revision(0));
+    let member = view::Member {
+        instance: confirm.instance,
+        domain: confirm.domain,
+        role: view::Role::Entry,
+        address: confirm.address,
+        endpoints: None,
+        phase: view::Phase::Active,
+    };
+    let boot = confirm.boot;
+    let announcement = serde_json::json!({
+        "endpoint": "runner-1", "boot": 1, "sequence": 1,
+        "address": "127.0.0.1:9", "domain": "oslo-1", "kind": "runner", "phase": "ready",
+        "memory": "80GiB", "checks_fence": true, "resident": [],
+    });
+    let announcement = serde_json::from_value(announcement).unwrap();
+    let commands = [
+        command::Command::Member(member::Step::Seen { member, boot }),
+        command::Command::Endpoint(endpoint::Step::Announced(announcement)),
+    ];
+    for (index, command) in (1..).zip(commands) {
+        let proposal = command::Proposal { at: index, command };
+        fleet.apply(number::Index(index), &proposal);
+    }
+    fleet
+}
+
+fn seen(sequence: u64) -> view::Seen {
+    view::Seen {
+        endpoint: "runner-1".parse().unwrap(),
+        boot: number::Boot(1),
+        sequence: number::Sequence(sequence),
+    }
+}
+
+#[test]
+fn entry_that_is_current_gets_a_lease() {
+    let mut office = new_office();
+
+    let lease = office.confirm(at(0), &fleet::confirm(revision(5)));
+
+    assert_eq!(lease, office::LEASE);
+}
+
+// An entry follows a control process that was cut off, yet still reaches the
+// leader. With leases it would go on accepting a key that was withdrawn.
+#[test]
+fn entry_whose_view_stands_still_gets_no_lease() {
+    let mut office = new_office();
+    office.mark(at(10), revision(6));
+
+    let within = office.confirm(at(100), &fleet::confirm(revision(5)));
+    let beyond = office.confirm(at(300), &fleet::confirm(revision(5)));
+
+    assert_eq!(within, office::LEASE);
+    assert_eq!(beyond, duration::Span(0));
+}
+
+#[test]
+fn revision_waits_for_an_entry_until_its_lease_ran_out() {
+    let mut office = new_office();
+    let fleet = known();
+    office.confirm(at(0), &fleet::confirm(revision(5)));
+
+    let during = office.waiting(at(1_499), revision(6), &fleet);
+    let after = office.waiting(at(1_500), revision(6), &fleet);
+
+    assert_eq!(during.len(), 1);
+    assert!(after.is_empty());
+}
+
+// A leader takes over right after its predecessor gave an entry a lease. It
+// must not tell an operator that a withdrawn key is out of use everywhere while
+// that entry, of which it has not heard, still serves.
+#[test]
+fn new_leader_waits_for_leases_of_its_predecessor() {
+    let office = new_office();
+    let fleet = known();
+
+    let early = office.waiting(at(1_499), revision(5), &fleet);
+    let late = office.waiting(at(1_500), revision(5), &fleet);
+
+    assert_eq!(early.len(), 1);
+    assert!(late.is_empty());
+}
+
+#[test]
+fn confirmed_revision_does_not_wait() {
+    let mut office = new_office();
+    office.confirm(at(0), &fleet::confirm(revision(6)));
+
+    assert!(office.waiting(at(1), revision(6), &known()).is_empty());
+}
+
+// An endpoint's process dies without a word; its heartbeats stop.
+#[test]
+fn silent_endpoint_becomes_suspect_and_an_audible_one_does_not() {
+    let mut office = new_office();
+    let fleet = known();
+    office.hear(at(2_000), &seen(2));
+
+    let audible = office.findings(at(4_000), &fleet).endpoints;
+    let silent = office.findings(at(5_001), &fleet).endpoints;
+
+    assert!(audible.is_empty());
+    assert_eq!(silent, [endpoint::Step::Silent(seen(2))]);
+}
+
+#[test]
+fn suspect_that_is_heard_again_is_ready() {
+    let mut office = new_office();
+    let mut fleet = known();
+    let command = command::Command::Endpoint(endpoint::Step::Silent(seen(1)));
+    fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
+    office.hear(at(9_000), &seen(7));
+
+    let found = office.findings(at(9_100), &fleet).endpoints;
+
+    assert_eq!(found, [endpoint::Step::Heard(seen(7))]);
+}
+
+#[test]
+fn entry_that_is_gone_leaves_the_address_list() {
+    let office = new_office();
+
+    let found = office.findings(at(3_001), &known()).members;
+
+    assert!(matches!(found.as_slice(), [member::Step::Gone { .. }]));
+}
--- a/crates/cranberrygap-link/src/credential.rs
+++ b/crates/cranberrygap-link/src/credential.rs
@@ -54,7 +54,7 @@
         mode: u32,
     },
     /// The file holds too little.
-    #[error("{path}: holds fewer than {SHORTEST_SECRET} bytes", path = path.display())]
+    #[error("{path}: each line must hold a secret of at least {SHORTEST_SECRET} bytes", path = path.display())]
     TooShort {
         /// The file.
         path: PathBuf,
@@ -62,12 +62,29 @@
 }
 
 impl Secret {
-    /// Reads a secret from a file that only its owner may read.
+    /// Reads the first secret of a file that only its owner may read.
     ///
     /// # Errors
     ///
     /// When the file cannot be read, others may read it, or it is too short.
     pub fn read(path: impl AsRef<Path>) -> Result<Self, Error> {
+        let path = path.as_ref();
+        let secrets = Self::read_all(path)?;
+        secrets.into_iter().next().ok_or_else(|| Error::TooShort {
+            path: path.to_owned(),
+        })
+    }
+
+    /// Reads all secrets of a file, one a line.
+    ///
+    /// The first is shown to others, any is taken from them. So a secret is
+    /// changed while all processes run: the new one becomes the second line
+    /// everywhere, then the first everywhere, and then the old one goes.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, others may read it, or a line is too short.
+    pub fn read_all(path: impl AsRef<Path>) -> Result<Vec<Self>, Error> {
         let path = path.as_ref();
         let unreadable = |cause| Error::Unreadable {
             path: path.to_owned(),
@@ -80,11 +97,24 @@
             return Err(Error::Exposed { path, mode });
         }
         let content = fs::read(path).map_err(unreadable)?;
-        Self::new(content.trim_ascii()).ok_or_else(|| Error::TooShort {
+        let lines = content.split(|byte| *byte == b'\n');
+        let lines = lines.map(<[u8]>::trim_ascii);
+        let secrets = lines.filter(|line| !line.is_empty()).map(Self::new);
+        let secrets: Option<Vec<Self>> = secrets.collect();
+        let secrets = secrets.filter(|secrets| !secrets.is_empty());
+        secrets.ok_or_else(|| Error::TooShort {
             path: path.to_owned(),
         })
     }
 
+    /// What operators on loopback show when no token was set. It is no secret;
+    /// a listener may take it on loopback only.
+    #[must_use]
+    pub fn loopback() -> Self {
+        let key = blake3::derive_key(CONTEXT, b"loopback without a token");
+        Self { key }
+    }
+
     /// A secret from its bytes; `None` when there are too few.
     #[must_use]
     pub fn new(content: &[u8]) -> Option<Self> {
--- a/crates/cranberrygap-state/src/change.rs
+++ b/crates/cranberrygap-state/src/change.rs
@@ -46,6 +46,12 @@
         Some(answer::Answer::Refused(refusal.into()))
     }
 
+    /// Whether a change was taken before.
+    #[must_use]
+    pub fn knows(&self, change: &id::Change) -> bool {
+        self.answers.contains_key(change)
+    }
+
     /// Keeps the answer to `change`.
     pub fn keep(
         &mut self,
--- a/crates/cranberrygap-state/src/claim.rs
+++ b/crates/cranberrygap-state/src/claim.rs
@@ -38,6 +38,9 @@
 /// Largest stored answer of one booking.
 pub const LARGEST_ANSWER: usize = 64 << 10;
 
+/// Running claims that a dump lists.
+const LONGEST_DUMP: usize = 1_000;
+
 /// Longest idempotency key that is taken, in bytes.
 pub const LONGEST_KEY: usize = 256;
 
@@ -245,6 +248,26 @@
         self.held.get(workspace)?.get(key)
     }
 
+    /// Counts, and the claims that run, without anything of callers.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let all = self.held.iter();
+        let all =
+            all.flat_map(|(workspace, held)| held.values().map(move |held| (workspace, held)));
+        let running = all.filter(|(_, held)| held.is_running());
+        let running: Vec<serde_json::Value> = running
+            .take(LONGEST_DUMP)
+            .map(|(workspace, held)| held.dump(workspace))
+            .collect();
+        serde_json::json!({
+            "count": self.count,
+            "answer_bytes": self.answer_bytes,
+            "fingerprints": self.fingerprints.len(),
+            "horizon": self.horizon,
+            "running": running,
+        })
+    }
+
     /// Claims that are held, running or with an outcome.
     #[must_use]
     pub const fn count(&self) -> usize {
--- a/crates/cranberrygap-state/src/claim/held.rs
+++ b/crates/cranberrygap-state/src/claim/held.rs
@@ -65,6 +65,13 @@
         self.phase = Phase::Ended(outcome);
     }
 
+    pub(super) fn dump(&self, workspace: &id::Workspace) -> serde_json::Value {
+        serde_json::json!({
+            "claim": self.claim, "workspace": workspace,
+            "instance": self.instance, "boot": self.boot, "at": self.at,
+        })
+    }
+
     /// Gives up the stored answer to make room.
     pub(super) fn give_up(&mut self) {
         self.phase = Phase::Ended(claim::Outcome::Unknown);
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -15,6 +15,8 @@
 pub struct Fleet {
     /// Position of the last command that was applied.
     pub revision: number::Revision,
+    /// Position of the last command from which entries learned something.
+    pub seen: number::Revision,
     /// The largest time of any command; it never goes back.
     pub clock: u64,
     /// The configuration and those before it.
@@ -47,6 +49,14 @@
         self.revision = number::Revision(index.0);
         self.clock = self.clock.max(proposal.at);
         let command = &proposal.command;
+        let outcome = self.take(command);
+        if !outcome.1.is_empty() {
+            self.seen = self.revision;
+        }
+        outcome
+    }
+
+    fn take(&mut self, command: &command::Command) -> Outcome {
         let Some(author) = command.author() else {
             return self.carry_out(command);
         };
@@ -140,6 +150,31 @@
         }
     }
 
+    /// The state for people: without hashes of keys and without what services
+    /// answered to callers.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "revision": self.revision,
+            "seen": self.seen,
+            "clock": self.clock,
+            "view": self.shown(),
+            "configurations": self.configuration.revisions().collect::<Vec<_>>(),
+            "claims": self.claims.dump(),
+            "trail": self.audit.read(&cranberrygap_wire::audit::Read { from: u64::MAX, limit: 0 }),
+        })
+    }
+
+    /// The view without hashes of keys.
+    #[must_use]
+    pub fn shown(&self) -> view::State {
+        let mut view = self.view();
+        for key in &mut view.keys {
+            key.hash = SmolStr::default();
+        }
+        view
+    }
+
     /// What a configuration's promises are held against.
     #[must_use]
     pub fn facts(&self) -> configuration::Facts {
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -53,5 +53,8 @@
 /// Error code of an answer when no quorum could be reached; nothing was changed
 /// as far as is known.
 pub const NO_QUORUM: i32 = -32_002;
+/// Error code of an answer when a change was proposed and it is not known whether
+/// it commits; a resend with the same change id tells.
+pub const UNKNOWN_OUTCOME: i32 = -32_004;
 /// Error code of a request that the replicated state refuses; the message says why.
 pub const REFUSED: i32 = -32_003;
--- a/crates/cranberrygap/src/daemon.rs
+++ b/crates/cranberrygap/src/daemon.rs
@@ -1,5 +1,6 @@
 //! What both daemons share: settings, logs, metrics and signals.
 
+pub mod control;
 pub mod entry;
 pub mod log;
 pub mod metrics;
