--- a/crates/cranberrygap-generator/src/page.rs
+++ b/crates/cranberrygap-generator/src/page.rs
@@ -103,12 +103,19 @@
             form(property),
             default(property, must),
             range(property),
-            property["description"].as_str().unwrap_or_default(),
+            meaning(document, key, property),
         )?;
     }
     Ok(())
 }
 
+/// What a key means; an exception's key without a text means the same as the default's.
+fn meaning<'page>(document: &'page Value, key: &str, property: &'page Value) -> &'page str {
+    let inherited = &document["definitions"]["Defaults"]["properties"][key]["description"];
+    let own = property["description"].as_str();
+    own.or_else(|| inherited.as_str()).unwrap_or_default()
+}
+
 fn form(property: &Value) -> String {
     if let Some(target) = property["$ref"].as_str() {
         return referred(target).to_owned();
