Let operators steer the fleet from the command line

Cause: operators need to apply, show, issue and withdraw keys, drain, and change members, and to know after a lost answer whether a change was made.

--- a/crates/cranberrygap/src/lib.rs
+++ b/crates/cranberrygap/src/lib.rs
@@ -1,3 +1,4 @@
 //! cranberrygap as a library: everything that its thin binaries call.
 
+pub mod command;
 pub mod daemon;
