--- a/crates/cranberrygap/src/lib.rs
+++ b/crates/cranberrygap/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod command;
 pub mod daemon;
+pub mod local;
