Measure what an entry adds to a request

Cause: the entry's goal is 0.5 ms at the median and 2 ms at the 99th percentile added to the first token, and nothing measured it. Change: `measure path` sends the same open-loop load straight at an engine and through an entry in turns, with a runtime for each kind of process, so that the entry's processor time is its own. Conclusion: changes of the hot path can be held against it.

--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -3,6 +3,7 @@
 use clap::Parser;
 
 pub mod load;
+pub mod path;
 pub mod processor;
 
 /// One measurement, found by its name.
@@ -22,7 +23,7 @@
 /// All measurements; a new one is a file and a line here.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Measurement>> {
-    Vec::new()
+    vec![Box::new(path::Path)]
 }
 
 /// Reads the arguments of one measurement with `clap`.
