Change secrets while all processes run

Cause: a fleet secret that leaked must be replaced without stopping the fleet, and two clocks may run at rates that differ a little. The leader counts leases 50 ms longer than the holder does. Reading the defaults no longer copies the configuration.

--- a/crates/cranberrygap-control/src/lines.rs
+++ b/crates/cranberrygap-control/src/lines.rs
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub struct Lines {
     own: address::Peer,
-    secret: Mutex<credential::Secret>,
+    secret: credential::Holder,
     queues: Mutex<BTreeMap<address::Peer, mpsc::Sender<Bytes>>>,
     own_weak: Weak<Self>,
 }
@@ -55,7 +55,7 @@
     pub fn new(own: address::Peer, secret: credential::Secret) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             own,
-            secret: Mutex::new(secret),
+            secret: credential::Holder::new(secret),
             queues: Mutex::default(),
             own_weak: Weak::clone(weak),
         })
@@ -63,7 +63,7 @@
 
     /// Shows another secret from the next connection on.
     pub fn replace_secret(&self, secret: credential::Secret) {
-        *self.secret.lock() = secret;
+        self.secret.replace(secret);
     }
 
     fn queue(&self, peer: &address::Peer) -> Option<mpsc::Sender<Bytes>> {
@@ -110,7 +110,7 @@
             let Some(lines) = self.lines.upgrade() else {
                 return;
             };
-            let secret = lines.secret.lock().clone();
+            let secret = lines.secret.shown();
             drop(lines);
             let role = credential::Role::Fleet;
             match client::Client::connect(self.peer.address, role, &secret).await {
--- a/crates/cranberrygap-control/src/office.rs
+++ b/crates/cranberrygap-control/src/office.rs
@@ -14,6 +14,11 @@
 /// Time by which an entry's view may be behind when its lease is renewed.
 pub const LAG: duration::Span = duration::Span::from_millis(200);
 
+/// Time beyond a lease that the leader counts it as held. The clocks of two
+/// instances may run at rates that differ a little; an entry with a slow clock
+/// would serve on while an operator is told that nobody does.
+pub const DRIFT: duration::Span = duration::Span::from_millis(50);
+
 /// Time without a confirmation after which an entry leaves the address list.
 /// Longer than the lease, so that it serves nobody by then.
 pub const ABSENCE: duration::Span = duration::Span::from_secs(3);
@@ -126,7 +131,10 @@
         } else {
             duration::Span(0)
         };
-        let end = now.after(lease);
+        let end = match lease {
+            duration::Span(0) => now,
+            lease => now.after(lease).after(DRIFT),
+        };
         let before = self.entries.get(&confirm.instance);
         // A lease that was given before holds on, also for an earlier process.
         let held = before.map_or(end, |before| before.lease_end.max(end));
@@ -164,7 +172,7 @@
         let entries = entries.filter(|member| member.role == view::Role::Entry);
         let waiting = entries.filter(|member| match self.entries.get(&member.instance) {
             Some(entry) => entry.revision < revision && now < entry.lease_end,
-            None => now < self.since.after(LEASE),
+            None => now < self.since.after(LEASE).after(DRIFT),
         });
         waiting.map(|member| member.instance.clone()).collect()
     }
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct Session {
     peers: Vec<address::Peer>,
-    secret: credential::Secret,
+    secret: Arc<credential::Holder>,
     inner: Mutex<Inner>,
     connecting: tokio::sync::Mutex<()>,
 }
@@ -31,7 +31,7 @@
 
 impl Session {
     /// A session that will find the leader among `peers`.
-    pub(crate) fn new(peers: Vec<address::Peer>, secret: credential::Secret) -> Self {
+    pub(crate) fn new(peers: Vec<address::Peer>, secret: Arc<credential::Holder>) -> Self {
         Self {
             peers,
             secret,
@@ -110,7 +110,7 @@
         }
         let target = self.target().ok_or_else(unreachable)?;
         let role = credential::Role::Fleet;
-        let client = Arc::new(client::Client::connect(target, role, &self.secret).await?);
+        let client = Arc::new(client::Client::connect(target, role, &self.secret.shown()).await?);
         self.inner.lock().client = Some(Arc::clone(&client));
         Ok(client)
     }
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -22,12 +22,12 @@
 #[derive(Debug)]
 pub(crate) struct Subscription {
     core: Arc<core::Core>,
-    secret: credential::Secret,
+    secret: Arc<credential::Holder>,
 }
 
 impl Subscription {
     /// A task that has not started yet.
-    pub(crate) fn new(core: Arc<core::Core>, secret: credential::Secret) -> Self {
+    pub(crate) fn new(core: Arc<core::Core>, secret: Arc<credential::Holder>) -> Self {
         Self { core, secret }
     }
 
@@ -45,7 +45,7 @@
 
     async fn follow(&self, peer: &address::Peer) -> Result<(), cranberrygap_link::error::Error> {
         let role = credential::Role::Fleet;
-        let client = client::Client::connect(peer.address, role, &self.secret).await?;
+        let client = client::Client::connect(peer.address, role, &self.secret.shown()).await?;
         let wanted = wire_view::Subscribe {
             instance: self.core.instance().clone(),
             boot: self.core.boot,
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -62,6 +62,7 @@
     callers: server::Listening,
     endpoints: server::Listening,
     admin: Option<link_server::Handle>,
+    fleet: Arc<credential::Holder>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -84,11 +85,12 @@
         secrets: Secrets,
         metrics: Arc<StatsdClient>,
     ) -> Result<Self, Error> {
-        let core = Arc::new(build(settings, &secrets, metrics)?);
+        let fleet = Arc::new(credential::Holder::new(secrets.fleet.clone()));
+        let core = Arc::new(build(settings, &fleet, metrics)?);
         let endpoints = listen_endpoints(&core, &secrets).await?;
         let callers = listen_callers(&core).await?;
         let admin = listen_admin(&core, &secrets).await?;
-        let subscription = control::Subscription::new(Arc::clone(&core), secrets.fleet.clone());
+        let subscription = control::Subscription::new(Arc::clone(&core), Arc::clone(&fleet));
         let tasks = vec![
             tokio::spawn(subscription.run()),
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
@@ -104,6 +106,7 @@
             callers,
             endpoints,
             admin,
+            fleet,
             tasks,
         })
     }
@@ -126,6 +129,15 @@
         self.core.view.current(self.core.now()).is_some()
     }
 
+    /// Changes the secrets while the entry runs.
+    pub fn replace_secrets(&self, secrets: &Secrets) {
+        self.fleet.replace(secrets.fleet.clone());
+        if let Some(admin) = &self.admin {
+            let operators = secrets.operators.clone();
+            admin.replace_secrets(credential::Role::Operator, operators);
+        }
+    }
+
     /// The whole state as JSON, without secrets.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -156,7 +168,7 @@
 
 fn build(
     settings: settings::Entry,
-    secrets: &Secrets,
+    fleet: &Arc<credential::Holder>,
     metrics: Arc<StatsdClient>,
 ) -> Result<core::Core, Error> {
     let peers = settings.control.peers.clone();
@@ -164,7 +176,7 @@
         boot: number::Boot(rand::random::<u64>() >> BOOT_SHIFT),
         clock: clock::Clock::start(),
         view: view::Holder::default(),
-        leader: control::Session::new(peers, secrets.fleet.clone()),
+        leader: control::Session::new(peers, Arc::clone(fleet)),
         limiter: Arc::new(admission::Split::default()),
         router: Arc::new(route::Least::default()),
         upstream: upstream::Clients::new()?,
--- a/crates/cranberrygap-link/src/credential.rs
+++ b/crates/cranberrygap-link/src/credential.rs
@@ -6,6 +6,7 @@
 use std::os::unix::fs::PermissionsExt as _;
 use std::path::{Path, PathBuf};
 
+use parking_lot::RwLock;
 use serde::{Deserialize, Serialize};
 
 /// Shortest secret that is taken, in bytes. Shorter ones could be found by
@@ -34,6 +35,12 @@
     key: [u8; blake3::KEY_LEN],
 }
 
+/// The secret that a process shows; it may be changed while the process runs.
+#[derive(Debug)]
+pub struct Holder {
+    shown: RwLock<Secret>,
+}
+
 /// Why a secret's file was not taken.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -130,6 +137,26 @@
     }
 }
 
+impl Holder {
+    /// Shows `secret` from now on.
+    #[must_use]
+    pub const fn new(secret: Secret) -> Self {
+        let shown = RwLock::new(secret);
+        Self { shown }
+    }
+
+    /// The secret to show on a new connection.
+    #[must_use]
+    pub fn shown(&self) -> Secret {
+        self.shown.read().clone()
+    }
+
+    /// Shows another secret from the next connection on.
+    pub fn replace(&self, secret: Secret) {
+        *self.shown.write() = secret;
+    }
+}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Secret(..)")
--- a/crates/cranberrygap-link/tests/credential.rs
+++ b/crates/cranberrygap-link/tests/credential.rs
@@ -51,3 +51,16 @@
 
     assert_eq!(format!("{secret:?}"), "Secret(..)");
 }
+
+// While a secret is changed, a file holds the old and the new one.
+#[test]
+fn file_may_hold_several_secrets() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = file(&folder, 0o600, "0123456789abcdef\n\nfedcba9876543210\n");
+
+    let first = credential::Secret::read(&path).unwrap();
+    let all = credential::Secret::read_all(&path).unwrap();
+
+    assert_eq!(all.len(), 2);
+    assert_eq!(all[0], first);
+}
--- a/crates/cranberrygap-state/src/configuration.rs
+++ b/crates/cranberrygap-state/src/configuration.rs
@@ -26,9 +26,9 @@
 pub const LARGEST_TEXT: usize = 256 << 10;
 
 /// The configuration in force and those before it.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    current: Option<configuration::Configuration>,
+    current: configuration::Configuration,
     pages: VecDeque<operator::Page>,
 }
 
@@ -45,6 +45,19 @@
     pub configuration: configuration::Configuration,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            current: configuration::Configuration {
+                revision: number::Revision(0),
+                defaults: configuration::Defaults::default(),
+                exceptions: Vec::new(),
+            },
+            pages: VecDeque::new(),
+        }
+    }
+}
+
 impl State {
     /// Takes a configuration if it replaces the current one.
     ///
@@ -62,7 +75,7 @@
         }
         let mut configuration = step.configuration.clone();
         configuration.revision = revision;
-        self.current = Some(configuration.clone());
+        self.current = configuration.clone();
         self.pages.push_back(operator::Page {
             revision,
             at,
@@ -105,21 +118,14 @@
 
     /// Revision of the current configuration; 0 before the first.
     #[must_use]
-    pub fn revision(&self) -> number::Revision {
-        self.current
-            .as_ref()
-            .map_or(number::Revision(0), |held| held.revision)
+    pub const fn revision(&self) -> number::Revision {
+        self.current.revision
     }
 
     /// The current configuration.
     #[must_use]
-    pub fn current(&self) -> configuration::Configuration {
-        let default = || configuration::Configuration {
-            revision: number::Revision(0),
-            defaults: configuration::Defaults::default(),
-            exceptions: Vec::new(),
-        };
-        self.current.clone().unwrap_or_else(default)
+    pub const fn current(&self) -> &configuration::Configuration {
+        &self.current
     }
 
     /// An accepted configuration that is still kept; the latest for `None`.
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -140,7 +140,7 @@
     #[must_use]
     pub fn view(&self) -> view::State {
         view::State {
-            configuration: self.configuration.current(),
+            configuration: self.configuration.current().clone(),
             catalogue: self.catalogue.models().to_vec(),
             keys: self.keys.keys().cloned().collect(),
             endpoints: self.endpoints.iter().collect(),
@@ -193,8 +193,8 @@
 
     /// The defaults in force.
     #[must_use]
-    pub fn defaults(&self) -> wire::Defaults {
-        self.configuration.current().defaults
+    pub const fn defaults(&self) -> &wire::Defaults {
+        &self.configuration.current().defaults
     }
 
     /// The whole state as bytes.
--- a/crates/cranberrygap/src/daemon/entry.rs
+++ b/crates/cranberrygap/src/daemon/entry.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use cranberrygap_entry::process;
 use cranberrygap_link::credential;
@@ -10,6 +11,9 @@
 
 use super::{WRONG_SETTINGS, log, metrics, settings as file, signal};
 
+/// Time between two looks at the files with secrets.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// Checks the settings in `path`, and unless `check` is set runs the entry.
 ///
 /// # Errors
@@ -37,25 +41,42 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn serve(settings: settings::Entry, secrets: process::Secrets) -> eyre::Result<()> {
+async fn serve(settings: settings::Entry, mut held: process::Secrets) -> eyre::Result<()> {
     let mut signals = signal::Listener::new()?;
     let prefix = format!("cranberrygap.entry.{}", settings.entry.instance);
     let metrics = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
-    let entry = process::Process::start(settings, secrets, metrics).await?;
-    while signals.next().await == signal::Wish::Dump {
-        println!("{}", entry.dump());
+    let entry = process::Process::start(settings.clone(), held.clone(), metrics).await?;
+    loop {
+        match tokio::time::timeout(LOOK, signals.next()).await {
+            Ok(signal::Wish::Stop) => break,
+            Ok(signal::Wish::Dump) => println!("{}", entry.dump()),
+            Err(_elapsed) => refresh(&settings, &entry, &mut held),
+        }
     }
     entry.stop().await;
     Ok(())
 }
 
+/// Takes changed secrets; a file that cannot be used changes nothing.
+fn refresh(settings: &settings::Entry, entry: &process::Process, held: &mut process::Secrets) {
+    match secrets(settings) {
+        Ok(found) if found.fleet != held.fleet || found.operators != held.operators => {
+            spdlog::info!("entry: takes changed secrets");
+            entry.replace_secrets(&found);
+            *held = found;
+        }
+        Ok(_unchanged) => {}
+        Err(cause) => spdlog::warn!("entry: keeps the secrets as they were: {cause:#}"),
+    }
+}
+
 /// Reads the files that the settings name and checks who may reach operators' methods.
 fn secrets(settings: &settings::Entry) -> eyre::Result<process::Secrets> {
     let named = &settings.secrets;
     let fleet = credential::Secret::read(named.fleet.as_str()).wrap_err("[secrets] fleet")?;
     let mut operators = Vec::new();
     if let Some(path) = &named.operator {
-        operators.push(credential::Secret::read(path.as_str()).wrap_err("[secrets] operator")?);
+        operators = credential::Secret::read_all(path.as_str()).wrap_err("[secrets] operator")?;
     } else if !settings.listen.admin.0.ip().is_loopback() {
         eyre::bail!(
             "[listen] admin: {} is not on loopback, and [secrets] operator is not set; \
