Put back the command line and offer local in it

Change: all files of these commands are back as they were; local stands in the same list; operators of a local fleet need no token, as it is on loopback.

--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -3,13 +3,30 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use futures_util::future::BoxFuture;
 
+pub mod apply;
+pub mod diff;
+pub mod drain;
+pub mod dump;
+pub mod failure;
+pub mod force;
+pub mod history;
+pub mod key;
 pub mod local;
+pub mod member;
+pub mod session;
+pub mod show;
 
 /// Serves many models from fewer accelerators.
+///
+/// Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 another change won,
+/// 4 it is not known whether the change was made.
 #[derive(Debug, Parser)]
 #[command(name = "cranberrygap", version)]
 pub struct Arguments {
+    #[command(flatten)]
+    reach: session::Arguments,
     #[command(subcommand)]
     command: Command,
 }
@@ -17,17 +34,73 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Put a new configuration in force.
+    Apply(apply::Arguments),
+    /// Show the fleet, or an accepted configuration.
+    Show(show::Arguments),
+    /// Issue, withdraw or list callers' keys.
+    #[command(subcommand)]
+    Key(key::Command),
+    /// List accepted changes: who, when and why.
+    History(history::Arguments),
+    /// Compare two accepted configurations.
+    Diff(diff::Arguments),
+    /// Print the whole state of a process as JSON.
+    Dump(dump::Arguments),
+    /// Take an entry or endpoint out of service without cutting a request.
+    Drain(drain::Arguments),
+    /// Add, remove or list control processes and entries.
+    #[command(subcommand)]
+    Member(member::Command),
     /// Run a whole fleet in this process, to try it out.
     Local(local::Arguments),
 }
 
+/// A command that asks control processes.
+pub trait Ask {
+    /// Asks and prints what came back.
+    ///
+    /// # Errors
+    ///
+    /// See [`failure::Failure`].
+    fn run<'a>(
+        &'a self,
+        session: &'a session::Session,
+    ) -> BoxFuture<'a, Result<(), failure::Failure>>;
+}
+
 /// Runs the command that the arguments name.
 ///
 /// # Errors
 ///
-/// Whatever kept the command from its end.
+/// Whatever kept the command from its end, except what its exit code tells.
 pub fn run(arguments: &Arguments) -> eyre::Result<ExitCode> {
-    match &arguments.command {
-        Command::Local(wanted) => local::run(wanted),
+    let asked: &dyn Ask = match &arguments.command {
+        Command::Apply(wanted) => wanted,
+        Command::Show(wanted) => wanted,
+        Command::Key(wanted) => wanted.chosen(),
+        Command::History(wanted) => wanted,
+        Command::Diff(wanted) => wanted,
+        Command::Dump(wanted) => wanted,
+        Command::Drain(wanted) => wanted,
+        Command::Member(wanted) => wanted.chosen(),
+        Command::Local(wanted) => return local::run(wanted),
+    };
+    ask(&arguments.reach, asked)
+}
+
+fn ask(reach: &session::Arguments, asked: &dyn Ask) -> eyre::Result<ExitCode> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let outcome = runtime.block_on(async {
+        let session = session::Session::new(reach)?;
+        asked.run(&session).await
+    });
+    let Err(failure) = outcome else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    eprintln!("cranberrygap: {failure}");
+    if let Some(help) = failure.help() {
+        eprintln!("help: {help}");
     }
+    Ok(failure.code())
 }
--- a/crates/cranberrygap/src/command/local.rs
+++ b/crates/cranberrygap/src/command/local.rs
@@ -57,7 +57,10 @@
 fn print_greeting(fleet: &local::Local) {
     println!("callers connect to  http://{}", fleet.callers());
     println!("key of a workspace  {}", fleet.secret());
-    println!("operators connect to {}", fleet.admin());
+    println!(
+        "operators run       cranberrygap show --control {}",
+        fleet.admin()
+    );
     println!();
 }
 
--- a/crates/cranberrygap/src/local.rs
+++ b/crates/cranberrygap/src/local.rs
@@ -110,7 +110,6 @@
     service: booking::Handle,
     store: store::Store,
     secret: key::Secret,
-    operator: String,
     folder: tempfile::TempDir,
 }
 
@@ -128,8 +127,7 @@
             endpoints: here,
         });
         let folder = tempfile::tempdir()?;
-        let operator = draw_token()?;
-        let page = page::Page::new(&wanted, folder.path(), draw_token()?, operator.clone());
+        let page = page::Page::new(&wanted, folder.path(), draw_token()?);
         let store = start_store(&page, &runtimes).await?;
         let control = start_control(&page, store.address(), &runtimes).await?;
         let entry = start_entry(&page, &runtimes).await?;
@@ -143,7 +141,6 @@
             service,
             store,
             secret,
-            operator,
             folder,
         };
         local.configure().await?;
@@ -157,18 +154,12 @@
         self.entry.callers()
     }
 
-    /// Where operators connect.
+    /// Where operators of this instance connect; no token is needed.
     #[must_use]
     pub fn admin(&self) -> address::Socket {
         self.control.admin()
     }
 
-    /// Token of operators.
-    #[must_use]
-    pub fn operator(&self) -> &str {
-        &self.operator
-    }
-
     /// Secret of the callers' key.
     #[must_use]
     pub fn secret(&self) -> &str {
@@ -236,8 +227,7 @@
         P: serde::Serialize + Sync,
         R: serde::de::DeserializeOwned,
     {
-        let secret = credential::Secret::new(self.operator.as_bytes())
-            .expect("a drawn token is long enough");
+        let secret = credential::Secret::loopback();
         let begin = tokio::time::Instant::now();
         loop {
             let role = credential::Role::Operator;
@@ -293,7 +283,7 @@
     fs::create_dir_all(settings.group.data.as_str())?;
     let secrets = control::Secrets {
         fleet: vec![page.fleet()],
-        operators: vec![page.operator()],
+        operators: vec![credential::Secret::loopback()],
     };
     let starting = async move { control::Process::start(settings, secrets).await };
     Ok(runtimes.control.spawn(starting).await??)
@@ -303,7 +293,7 @@
     let settings = page.entry();
     let secrets = entry::Secrets {
         fleet: page.fleet(),
-        operators: vec![page.operator()],
+        operators: vec![credential::Secret::loopback()],
         endpoint: None,
     };
     let metrics = Arc::new(StatsdClient::from_sink("cranberrygap", NopMetricSink));
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -34,13 +34,12 @@
     requests: u32,
     data: PathBuf,
     fleet: String,
-    operator: String,
 }
 
 impl Page {
-    /// Addresses that nobody else uses, and the given secrets.
+    /// Addresses that nobody else uses, and the secret that they share.
     #[must_use]
-    pub fn new(wanted: &local::Settings, folder: &Path, fleet: String, operator: String) -> Self {
+    pub fn new(wanted: &local::Settings, folder: &Path, fleet: String) -> Self {
         Self {
             callers: wanted.callers,
             endpoints: loopback::unique(),
@@ -51,20 +50,17 @@
             requests: wanted.requests,
             data: folder.join("data"),
             fleet,
-            operator,
         }
     }
 
     /// The secret that the processes share.
+    ///
+    /// # Panics
+    ///
+    /// Never; the token was drawn long enough.
     #[must_use]
     pub fn fleet(&self) -> credential::Secret {
-        secret(&self.fleet)
-    }
-
-    /// The token of operators.
-    #[must_use]
-    pub fn operator(&self) -> credential::Secret {
-        secret(&self.operator)
+        credential::Secret::new(self.fleet.as_bytes()).expect("a drawn token is long enough")
     }
 
     /// Settings of the control process.
@@ -136,7 +132,3 @@
         operator: None,
     }
 }
-
-fn secret(text: &str) -> credential::Secret {
-    credential::Secret::new(text.as_bytes()).expect("a drawn token is long enough")
-}
