--- a/crates/cranberrygap/tests/support/mod.rs
+++ b/crates/cranberrygap/tests/support/mod.rs
@@ -14,5 +14,6 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod group;
 pub mod process;
 pub mod wait;
