--- a/crates/cranberrygap-agreement/src/node.rs
+++ b/crates/cranberrygap-agreement/src/node.rs
@@ -320,6 +320,10 @@
                 self.send(message.from, body);
                 return false;
             }
+            // A voter that missed a term tells so with its grant and still counts;
+            // else a group whose voters stand in different terms stays without a
+            // leader for good. The term asked about tells a late answer apart.
+            message::Body::PreVoted { .. } if older => {}
             _ if older => return false,
             _ => {}
         }
--- a/crates/cranberrygap-agreement/src/node/change.rs
+++ b/crates/cranberrygap-agreement/src/node/change.rs
@@ -52,9 +52,36 @@
         if !(1..=most).contains(&members.voters().count()) {
             return Err(output::Refusal::VoterCount { most });
         }
+        self.check_quorum_answers(now, &members)?;
         Ok(members)
     }
 
+    /// Whether a quorum of the new membership answers at present.
+    ///
+    /// A membership is in force as soon as it is in a log. If an operator takes
+    /// a live voter out while another one is dead, the change may never commit,
+    /// and the voter with the longest log can neither win nor let another win:
+    /// the group stays without a leader for good.
+    fn check_quorum_answers(
+        &self,
+        now: duration::Instant,
+        members: &members::Members,
+    ) -> Result<(), output::Refusal> {
+        let answers = |voter: &replica::Id| *voter == self.id || self.answers(now, *voter);
+        let answering = members.voters().filter(answers).count();
+        if answering < members.quorum() {
+            return Err(output::Refusal::QuorumAtRisk);
+        }
+        Ok(())
+    }
+
+    /// Whether a member answered within the longest election timeout.
+    fn answers(&self, now: duration::Instant, id: replica::Id) -> bool {
+        let progress = self.progress_of(id);
+        let acknowledged = progress.and_then(|progress| progress.acknowledged);
+        acknowledged.is_some_and(|sent| now < sent.after(self.timing.election_max))
+    }
+
     /// Whether a learner holds nearly the whole log and answers.
     ///
     /// A voter with an empty log counts in the quorum but cannot acknowledge.
@@ -69,10 +96,7 @@
         };
         let near = progress.matched.0 + self.limits.lag >= self.log.last().index.0;
         let flows = matches!(progress.mode, progress::Mode::Replicate { .. });
-        let answers = progress
-            .acknowledged
-            .is_some_and(|sent| now < sent.after(self.timing.election_max));
-        if near && flows && answers {
+        if near && flows && self.answers(now, id) {
             return Ok(());
         }
         Err(output::Refusal::LearnerLags)
--- a/crates/cranberrygap-agreement/src/node/election.rs
+++ b/crates/cranberrygap-agreement/src/node/election.rs
@@ -35,7 +35,9 @@
         self.leader = None;
         if self.sole_voter() {
             // The candidacy is under way until its vote is durable.
-            if !matches!(self.role, role::Role::Candidate { .. }) {
+            if matches!(self.role, role::Role::Candidate { .. }) {
+                self.postpone_election(now);
+            } else {
                 self.campaign(now, false);
             }
             return;
@@ -79,9 +81,21 @@
         term: number::Term,
         last: position::Position,
     ) {
-        let granted = term >= self.hard.term && last >= self.log.last() && !self.protected(now);
+        let protected = self.protected(now);
+        let current = last >= self.log.last();
+        let granted = term >= self.hard.term && current && !protected;
         let asked = term.next();
         self.send(from, message::Body::PreVoted { granted, asked });
+        // A learner was sent entries by a leader that died before any voter had
+        // them. A candidate whose log says that it votes needs its vote, but
+        // its log is ahead, and by its own log it may not stand itself: the
+        // group would stay without a leader for good. So it stands; it wins by
+        // the voters of its log, without a vote of its own.
+        let learner = !self.members().is_voter(self.id);
+        let idle = matches!(self.role, role::Role::Follower) || now >= self.deadline;
+        if learner && !current && !protected && idle && !self.is_leader() {
+            self.pre_campaign(now);
+        }
     }
 
     pub(super) fn pre_voted(
--- a/crates/cranberrygap-agreement/src/output.rs
+++ b/crates/cranberrygap-agreement/src/output.rs
@@ -40,6 +40,9 @@
     /// The replica is a member already.
     #[error("the replica is a member already")]
     AlreadyMember,
+    /// The new membership would have no quorum at present.
+    #[error("too many voters of the new membership do not answer; replace those first")]
+    QuorumAtRisk,
     /// The group would have no voter, or too many.
     #[error("a group has 1 to {most} voters")]
     VoterCount {
--- a/crates/cranberrygap-agreement/src/progress.rs
+++ b/crates/cranberrygap-agreement/src/progress.rs
@@ -88,7 +88,11 @@
             Mode::Replicate { .. } => previous <= self.matched,
             Mode::Snapshot { .. } => true,
         };
-        if stale {
+        // A follower whose disk forgot what it acknowledged, or that was given an
+        // old copy of its folder, rejects what it once held. Sent again at once,
+        // the two would exchange messages as fast as the network carries them;
+        // so it is left to the next heartbeat.
+        if stale || hint < self.matched {
             return;
         }
         let back = hint.next().min(previous);
--- a/crates/cranberrygap-agreement/src/role.rs
+++ b/crates/cranberrygap-agreement/src/role.rs
@@ -27,6 +27,19 @@
     Leader(Leader),
 }
 
+impl Role {
+    /// Name for logs and dumps.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Follower => "follower",
+            Self::PreCandidate { .. } => "pre-candidate",
+            Self::Candidate { .. } => "candidate",
+            Self::Leader(_) => "leader",
+        }
+    }
+}
+
 /// What a leader keeps.
 #[derive(Debug, Clone)]
 pub struct Leader {
--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -1,5 +1,6 @@
 //! Long seeded runs of the decision logic; invariants are asserted inside.
 
+pub mod agreement;
 pub mod limits;
 
 use std::fmt;
@@ -46,5 +47,8 @@
 /// All parts; a new one is a file and a line here.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Part>> {
-    vec![Box::new(limits::Limits)]
+    vec![
+        Box::new(agreement::Agreement::default()),
+        Box::new(limits::Limits),
+    ]
 }
--- a/crates/cranberrygap-control/src/replica/dump.rs
+++ b/crates/cranberrygap-control/src/replica/dump.rs
@@ -1,6 +1,6 @@
 //! The replica's state as JSON.
 
-use cranberrygap_agreement::{node, progress, role};
+use cranberrygap_agreement::{node, progress};
 use cranberrygap_model::duration;
 use serde_json::{Value, json};
 
@@ -13,7 +13,7 @@
         .collect();
     json!({
         "replica": node.id().to_string(),
-        "role": role_name(node.role()),
+        "role": node.role().name(),
         "term": node.hard().term,
         "vote": node.hard().vote.map(|id| id.to_string()),
         "leader": node.leader().map(|id| id.to_string()),
@@ -57,13 +57,3 @@
         progress::Mode::Snapshot { .. } => "snapshot",
     }
 }
-
-/// Name of a role for logs and dumps.
-pub(super) fn role_name(role: &role::Role) -> &'static str {
-    match role {
-        role::Role::Follower => "follower",
-        role::Role::PreCandidate { .. } => "pre-candidate",
-        role::Role::Candidate { .. } => "candidate",
-        role::Role::Leader(_) => "leader",
-    }
-}
--- a/crates/cranberrygap-storage/src/disk.rs
+++ b/crates/cranberrygap-storage/src/disk.rs
@@ -94,10 +94,6 @@
         fs::File::open(&self.folder)?.sync_all()
     }
 
-    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        self.file(name)?.set_len(length)
-    }
-
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         self.open.remove(from);
         self.open.remove(to);
--- a/crates/cranberrygap-storage/src/files.rs
+++ b/crates/cranberrygap-storage/src/files.rs
@@ -37,12 +37,6 @@
     ///
     /// What the operating system says.
     fn sync_folder(&mut self) -> io::Result<()>;
-    /// Cuts a file to a length.
-    ///
-    /// # Errors
-    ///
-    /// What the operating system says.
-    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
     /// Renames a file over another.
     ///
     /// # Errors
--- a/crates/cranberrygap-storage/src/folder.rs
+++ b/crates/cranberrygap-storage/src/folder.rs
@@ -59,7 +59,7 @@
         let snapshot = snapshot.transpose()?;
         let segments = reader::read(files.as_ref(), &names, identity.replica)?;
         let joined = reader::Joined::new(&segments, snapshot.as_deref())?;
-        let cut = cut_tail(files.as_mut(), &segments)?;
+        let cut = renew_tail(files.as_mut(), &segments)?;
         let mut folder = Self {
             files,
             identity: identity.clone(),
@@ -218,9 +218,12 @@
             let wrap = error::Error::io(&name, "remove");
             self.files.remove(&name).map_err(wrap)?;
             self.kept.remove(0);
+            // One after the other, lest a crash leave a gap between segments,
+            // which would look like a lost one.
+            let wrap = error::Error::io("folder", "sync");
+            self.files.sync_folder().map_err(wrap)?;
         }
-        let wrap = error::Error::io("folder", "sync");
-        self.files.sync_folder().map_err(wrap)
+        Ok(())
     }
 }
 
@@ -262,15 +265,8 @@
 ) -> Result<identity::Identity, error::Error> {
     // The identity is written before anything else. Data without it means that
     // it was removed, and with a new one the replica would forget its votes.
-    let data = |name: &&String| {
-        name::segment_sequence(name).is_some() || name::snapshot_index(name).is_some()
-    };
-    if let Some(found) = names.iter().find(data) {
-        return Err(error::Error::damaged(
-            found,
-            0,
-            "the file `identity` is missing",
-        ));
+    if let Some(found) = names.iter().find(|name| name::is_data(name)) {
+        return Err(error::Error::damaged(found, 0, name::NO_IDENTITY));
     }
     let identity = identity::Identity {
         replica: drawn,
@@ -301,21 +297,26 @@
     Ok(())
 }
 
-fn cut_tail(
+/// Writes the last segment anew, without a torn tail.
+///
+/// A process that was killed between a write and its sync, or whose sync
+/// failed, leaves data that can be read but is not on the disk. Taken for
+/// durable and acknowledged, it would be gone after the next loss of power.
+fn renew_tail(
     files: &mut dyn files::Files,
     segments: &reader::Segments,
 ) -> Result<u64, error::Error> {
     if let Some(name) = &segments.stillborn {
-        files
-            .remove(name)
-            .map_err(error::Error::io(name, "remove"))?;
+        let wrap = error::Error::io(name, "remove");
+        files.remove(name).map_err(wrap)?;
     }
-    let Some(segment) = segments.list.last().filter(|segment| segment.torn > 0) else {
+    let Some(segment) = segments.list.last() else {
         return Ok(0);
     };
     let name = &segment.name;
-    let wrap = |action| error::Error::io(name, action);
-    files.truncate(name, segment.whole).map_err(wrap("cut"))?;
-    files.sync(name).map_err(wrap("sync"))?;
+    let bytes = files.read(name).map_err(error::Error::io(name, "read"))?;
+    let whole = usize::try_from(segment.whole).unwrap_or(usize::MAX);
+    let whole = bytes.get(..whole).unwrap_or(&bytes);
+    snapshots::replace(files, name, whole)?;
     Ok(segment.torn)
 }
--- a/crates/cranberrygap-storage/src/lib.rs
+++ b/crates/cranberrygap-storage/src/lib.rs
@@ -4,6 +4,7 @@
 //! cut, since nothing in it was acknowledged; any other damage stops the replica
 //! with a message that names the file and the offset.
 
+pub mod check;
 pub mod disk;
 pub mod error;
 pub mod files;
--- a/crates/cranberrygap-storage/src/name.rs
+++ b/crates/cranberrygap-storage/src/name.rs
@@ -12,6 +12,14 @@
 const SEGMENT: (&str, &str) = ("log-", ".seg");
 const SNAPSHOT: (&str, &str) = ("snapshot-", ".snap");
 
+/// What is wrong with data whose identity is gone.
+pub(crate) const NO_IDENTITY: &str = "the file `identity` is missing";
+
+/// Whether a file with that name holds a part of the log or the state.
+pub(crate) fn is_data(name: &str) -> bool {
+    segment_sequence(name).is_some() || snapshot_index(name).is_some()
+}
+
 /// Name of a log segment.
 pub(crate) fn segment(sequence: u64) -> String {
     format!("{}{sequence:016x}{}", SEGMENT.0, SEGMENT.1)
--- a/crates/cranberrygap-storage/src/reader.rs
+++ b/crates/cranberrygap-storage/src/reader.rs
@@ -138,7 +138,7 @@
         for (at, segment) in segments.list.iter().enumerate() {
             joined.begin(segment, at == 0)?;
             for record in &segment.records {
-                joined.take(segment, record, at == 0)?;
+                joined.take(segment, record)?;
             }
         }
         joined.join(segments, snapshot)?;
@@ -160,12 +160,7 @@
         Ok(())
     }
 
-    fn take(
-        &mut self,
-        segment: &Segment,
-        record: &record::Record,
-        first: bool,
-    ) -> Result<(), error::Error> {
+    fn take(&mut self, segment: &Segment, record: &record::Record) -> Result<(), error::Error> {
         let entry = match record {
             record::Record::Hard(hard) => {
                 self.hard = *hard;
@@ -174,8 +169,9 @@
             record::Record::Entry(entry) => entry,
         };
         let index = entry.position.index.0;
-        if first && (1..=self.base.index.0).contains(&index) {
-            // It replaced entries of a segment that a snapshot made needless.
+        if (1..=self.base.index.0).contains(&index) {
+            // It replaced entries of a segment that a snapshot made needless;
+            // `join` sees to it that the snapshot reaches this far.
             self.entries.clear();
             self.base = position::Position {
                 term: number::Term(0),
