Tell why a request went where, and what shows that promises were kept

Cause: operators could not ask an entry for its decisions, and a regulator could not see from the trail whether a promise was kept. Change: entries note admissions, refusals, dispatches, claims and endings in a ring of 20,000 and tell them on `explain`; the command merges them with the trail's records that name the thing. `audit` verifies the hash chain and judges bookings, keys, configuration and quarantine over all records; `--json` output can be judged again with `--file`.

--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_trace::note;
 use cranberrygap_wire::configuration;
 use salvo::http::{HeaderValue, Request, Response, header};
 use salvo::{Depot, FlowCtrl, Handler};
@@ -37,7 +38,9 @@
     ) {
         let id = super::request_id(req);
         super::write_request_id(&id, res);
-        if let Err(refusal) = self.answer(&id, req, res).await {
+        let mut about = note::About::request(&id);
+        if let Err(refusal) = self.answer(&id, req, res, &mut about).await {
+            self.core.trace.refused(&about, &refusal);
             refusal.write(Some(&id), res);
         }
     }
@@ -62,14 +65,30 @@
         })
     }
 
+    fn note_admitted(&self, about: &note::About, body: &body::Body) {
+        self.core.trace.note(
+            about,
+            "admitted",
+            "admitted: the share of its workspace covers the most it can cost",
+            &[
+                ("reserved_tokens", &body.bound()),
+                ("prompt_tokens_at_most", &body.prompt),
+                ("max_tokens", &body.max_tokens),
+                ("streamed", &body.stream),
+            ],
+        );
+    }
+
     async fn answer(
         &self,
         id: &id::Request,
         request: &mut Request,
         response: &mut Response,
+        about: &mut note::About,
     ) -> Result<(), Refusal> {
         let view = self.core.serving_view()?;
         let (workspace, secret) = auth::workspace(request, &view)?;
+        about.workspace = Some(workspace.clone());
         let bytes = crate::server::read_body(request, &self.core).await?;
         auth::check_hidden(&secret, &[&bytes, id.as_str().as_bytes()])?;
         let default_max = max_tokens(&view, &workspace);
@@ -77,13 +96,16 @@
         if !view.has_model(&body.model) {
             return Err(Refusal::ModelUnknown(body.model.as_str().into()));
         }
+        about.model = Some(body.model.clone());
         self.check_quarantine(&view, &workspace, &body)?;
         let clock = self.core.clock;
         let permit =
             admission::Permit::reserve(&self.core.limiter, clock, &workspace, body.bound())?;
+        self.note_admitted(about, &body);
         let progress = attainment::Progress::arrived(&self.core, &body.model, view.defaults());
         let call = engine::Call {
             request: id.clone(),
+            about: about.clone(),
             path: self.path,
             body,
         };
--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_trace::note;
 use cranberrygap_wire::{claim, configuration};
 use salvo::http::{HeaderValue, Request, Response, StatusCode, header};
 use salvo::{Depot, FlowCtrl, Handler};
@@ -65,6 +66,15 @@
     Unknown,
 }
 
+impl Call {
+    fn about(&self) -> note::About {
+        note::About {
+            workspace: Some(self.workspace.clone()),
+            ..note::About::request(&self.id)
+        }
+    }
+}
+
 #[salvo::async_trait]
 impl Handler for Services {
     async fn handle(
@@ -76,7 +86,9 @@
     ) {
         let id = super::request_id(req);
         super::write_request_id(&id, res);
-        if let Err(refusal) = self.answer(&id, req, res).await {
+        let mut about = note::About::request(&id);
+        if let Err(refusal) = self.answer(&id, req, res, &mut about).await {
+            self.core.trace.refused(&about, &refusal);
             refusal.write(Some(&id), res);
         }
     }
@@ -88,9 +100,11 @@
         id: &id::Request,
         request: &mut Request,
         response: &mut Response,
+        about: &mut note::About,
     ) -> Result<(), Refusal> {
         let view = self.core.serving_view()?;
         let (workspace, secret) = auth::workspace(request, &view)?;
+        about.workspace = Some(workspace.clone());
         let call = self.read(id, workspace, request, &view).await?;
         let key = call.key.as_deref().unwrap_or_default();
         auth::check_hidden(&secret, &[&call.body, call.path.as_bytes(), key.as_bytes()])?;
@@ -182,10 +196,16 @@
             body_hash: booking::body_hash(call.method.as_str(), &call.path, &call.body),
             request: call.id.clone(),
         };
+        let about = call.about();
         let claim = match booking.open(&self.core).await? {
             booking::Permission::Run(claim) => claim,
-            booking::Permission::Stored(stored) => return Ok(from_stored(&stored)),
+            booking::Permission::Stored(stored) => {
+                let sentence = "the booking has run before; its stored answer was given";
+                self.core.trace.note(&about, "stored", sentence, &[]);
+                return Ok(from_stored(&stored));
+            }
         };
+        self.note_claimed(&about, claim);
         let ending = match self.choose(call, &route::Tried::new()) {
             Some(choice) => {
                 let ending = self
@@ -221,6 +241,26 @@
         choice: &route::Choice,
         client: &reqwest::Client,
     ) -> Ending {
+        let about = call.about().at(&choice.endpoint);
+        let sentence = "sent to the endpoint";
+        self.core.trace.note(&about, "sent", sentence, &[]);
+        let ending = self.send(call, choice, client).await;
+        let sentence = match &ending {
+            Ending::Answered { .. } => "the endpoint answered",
+            Ending::NotRun => "the endpoint refused the connection, so the call did not run",
+            Ending::Unknown => "no whole answer came; the call may have run",
+        };
+        self.core.trace.note(&about, "ended", sentence, &[]);
+        ending
+    }
+
+    fn note_claimed(&self, about: &note::About, claim: u64) {
+        let sentence = "the right to run the booking once was committed";
+        let trace = &self.core.trace;
+        trace.note(about, "claimed", sentence, &[("claim", &claim)]);
+    }
+
+    async fn send(&self, call: &Call, choice: &route::Choice, client: &reqwest::Client) -> Ending {
         let url = format!("http://{}{}", choice.address, call.path);
         let mut sending = client
             .request(call.method.clone(), url)
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -13,6 +13,7 @@
 use crate::control;
 use crate::refusal::Refusal;
 use crate::route;
+use crate::trace;
 use crate::upstream;
 use crate::view;
 
@@ -30,6 +31,7 @@
     pub(crate) announcements: announce::Inbox,
     pub(crate) demand: control::Demand,
     pub(crate) metrics: Arc<StatsdClient>,
+    pub(crate) trace: trace::Trace,
     pub(crate) draining: AtomicBool,
 }
 
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrygap_model::id;
+use cranberrygap_model::{duration, id};
+use cranberrygap_trace::note;
 use salvo::http::{StatusCode, header};
 
 use crate::caller::body;
@@ -23,13 +24,14 @@
 pub(crate) const REQUEST: &str = "x-request-id";
 
 /// Wait before callers may try again when no engine holds the model.
-const NO_ENGINE_WAIT: cranberrygap_model::duration::Span =
-    cranberrygap_model::duration::Span::from_secs(1);
+const NO_ENGINE_WAIT: duration::Span = duration::Span::from_secs(1);
 
 /// One model request on its way.
 #[derive(Debug)]
 pub(crate) struct Call {
     pub request: id::Request,
+    /// What decisions about it are about.
+    pub about: note::About,
     pub path: &'static str,
     pub body: body::Body,
 }
@@ -46,6 +48,8 @@
 pub(crate) struct Sent {
     core: Arc<core::Core>,
     choice: route::Choice,
+    about: note::About,
+    at: duration::Instant,
     failed: bool,
 }
 
@@ -58,6 +62,14 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
+        let time = self.core.now().since(self.at);
+        let (code, sentence) = if self.failed {
+            ("broken", "the endpoint failed, or its answer was not whole")
+        } else {
+            ("ended", "the endpoint's part ended")
+        };
+        let facts: [(&'static str, &dyn std::fmt::Display); 1] = [("took", &time)];
+        self.core.trace.note(&self.about, code, sentence, &facts);
         self.core
             .router
             .ended(self.core.now(), &self.choice, self.failed);
@@ -77,8 +89,17 @@
             break;
         };
         tried.push(choice.endpoint.clone());
+        let about = call.about.at(&choice.endpoint);
+        core.trace.note(
+            &about,
+            "sent",
+            format_args!("sent to {}, the best endpoint by load", choice.endpoint),
+            &[("attempt", &tried.len()), ("address", &choice.address)],
+        );
         let sent = Sent {
             core: Arc::clone(core),
+            about,
+            at: core.now(),
             choice,
             failed: false,
         };
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -24,5 +24,6 @@
 mod relay;
 mod route;
 mod server;
+mod trace;
 
 mod upstream;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -18,6 +18,7 @@
 use crate::load;
 use crate::route;
 use crate::server;
+use crate::trace;
 use crate::upstream;
 use crate::view;
 
@@ -183,6 +184,7 @@
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
         metrics,
+        trace: trace::Trace::default(),
         draining: AtomicBool::new(false),
         settings,
     })
@@ -237,6 +239,7 @@
         "now": core.now(),
         "lease_end": core.view.lease_end(),
         "draining": core.is_draining(),
+        "decisions": core.trace.len(),
         "view": view,
         "limits": core.limiter.dump(),
         "routing": core.router.dump(),
--- a/crates/cranberrygap-entry/src/server/announcements.rs
+++ b/crates/cranberrygap-entry/src/server/announcements.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{address, duration};
+use cranberrygap_trace::note;
 use cranberrygap_wire::{endpoint, view};
 use salvo::http::{Request, Response, StatusCode, header};
 use salvo::{Depot, FlowCtrl, Handler};
@@ -64,6 +65,9 @@
         // A leave is acted on here at once; the others learn it through the log.
         if announcement.phase == endpoint::Phase::Leaving {
             self.core.router.leaving(&announcement.endpoint);
+            let about = note::About::default().at(&announcement.endpoint);
+            let sentence = "it said that it leaves, and gets no new work from here";
+            self.core.trace.note(&about, "leaving", sentence, &[]);
         }
         if let Err(cause) = self.core.announcements.take(announcement) {
             response.status_code(StatusCode::CONFLICT);
--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -6,9 +6,11 @@
 use futures_util::future::BoxFuture;
 
 pub mod apply;
+pub mod audit;
 pub mod diff;
 pub mod drain;
 pub mod dump;
+pub mod explain;
 pub mod failure;
 pub mod force;
 pub mod history;
@@ -17,6 +19,8 @@
 pub mod member;
 pub mod session;
 pub mod show;
+pub mod time;
+pub mod trail;
 
 /// Serves many models from fewer accelerators.
 ///
@@ -52,6 +56,10 @@
     /// Add, remove or list control processes and entries.
     #[command(subcommand)]
     Member(member::Command),
+    /// Tell what was decided about a request, model, workspace or endpoint.
+    Explain(explain::Arguments),
+    /// Print what shows that promises were kept, for a regulator.
+    Audit(audit::Arguments),
     /// Run a whole fleet in this process, to try it out.
     Local(local::Arguments),
 }
@@ -84,6 +92,8 @@
         Command::Dump(wanted) => wanted,
         Command::Drain(wanted) => wanted,
         Command::Member(wanted) => wanted.chosen(),
+        Command::Explain(wanted) => wanted,
+        Command::Audit(wanted) => wanted,
         Command::Local(wanted) => return local::run(wanted),
     };
     ask(&arguments.reach, asked)
