Note changes of the group, and bound what the trail and the state keep

Cause: a regulator asks who added or removed a control process; and a trail that held each configuration's whole text could grow to a gigabyte. Conclusion: what operators do to the group is kept like any other change.

--- a/crates/cranberrygap-control/src/operators/group.rs
+++ b/crates/cranberrygap-control/src/operators/group.rs
@@ -4,6 +4,7 @@
 
 use cranberrygap_link::server;
 use cranberrygap_model::{address, id};
+use cranberrygap_state::{command, group};
 use cranberrygap_wire::{method, operator};
 use serde::Deserialize;
 use spdlog::info;
@@ -71,7 +72,7 @@
     }
     promote(parts, instance).await?;
     info!("group: {instance} votes, asked by {}", join.author.by);
-    list(parts, ()).await
+    note(parts, join.author, instance, group::Change::Added).await
 }
 
 async fn promote(parts: &process::Parts, instance: &id::Instance) -> Result<(), server::Fault> {
@@ -109,6 +110,23 @@
         "group: {instance} was removed, asked by {}",
         leave.author.by
     );
+    note(parts, leave.author, instance, group::Change::Removed).await
+}
+
+/// Notes a change of the group for history and trail.
+async fn note(
+    parts: &process::Parts,
+    author: operator::Author,
+    instance: &id::Instance,
+    change: group::Change,
+) -> Result<operator::Group, server::Fault> {
+    let step = group::Step {
+        author,
+        instance: instance.clone(),
+        change,
+    };
+    let proposer = &parts.desk.proposer;
+    proposer.propose(command::Command::Group(step)).await?;
     list(parts, ()).await
 }
 
--- a/crates/cranberrygap-control/src/store.rs
+++ b/crates/cranberrygap-control/src/store.rs
@@ -8,7 +8,7 @@
 /// Longest time for one reading.
 const DEADLINE: Duration = Duration::from_secs(5);
 
-/// Largest list that is taken, in bytes; 16,384 models stay below it.
+/// Largest list that is taken, in bytes; 4,096 models stay below it.
 const LARGEST_LIST: usize = 4 << 20;
 
 /// A weight store.
--- a/crates/cranberrygap-state/src/audit.rs
+++ b/crates/cranberrygap-state/src/audit.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Records that are kept; about 2 MiB. Of older ones the hash remains, in the
+/// Records that are kept; a few megabytes, since a record holds at most an
+/// operator's reason and a short description. Of older ones the hash remains, in the
 /// `previous` of the oldest record.
 const MOST_RECORDS: usize = 8_192;
 
--- a/crates/cranberrygap-state/src/catalogue.rs
+++ b/crates/cranberrygap-state/src/catalogue.rs
@@ -3,8 +3,9 @@
 use cranberrygap_wire::{endpoint, view};
 use serde::{Deserialize, Serialize};
 
-/// Models, adapters and versions that are taken; five times the planned number.
-const MOST_MODELS: usize = 16_384;
+/// Models, adapters and versions that are taken: three times the planned
+/// number. The whole list is one command, which must fit into one proposal.
+const MOST_MODELS: usize = 4_096;
 
 /// The store's list, sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{catalogue, claim, configuration, endpoint, key, member, quarantine};
+use crate::{catalogue, claim, configuration, endpoint, group, key, member, quarantine};
 
 /// A command and the leader's clock when it was proposed.
 ///
@@ -36,6 +36,8 @@
     Claim(claim::Step),
     /// Requests that crash endpoints.
     Quarantine(quarantine::Step),
+    /// A change of the replicated group, noted once it was made.
+    Group(group::Step),
     /// Takes an entry, control or endpoint out of service by its name.
     Drain(operator::Drain),
 }
@@ -47,6 +49,7 @@
         match self {
             Self::Configuration(step) => Some(&step.author),
             Self::Key(step) => Some(step.author()),
+            Self::Group(step) => Some(&step.author),
             Self::Drain(drain) => Some(&drain.author),
             Self::Catalogue(_)
             | Self::Endpoint(_)
@@ -62,6 +65,7 @@
         match self {
             Self::Configuration(_) => SmolStr::new_static("configuration"),
             Self::Key(step) => step.summary(),
+            Self::Group(step) => format!("{} {}", step.instance, step.change).into(),
             Self::Drain(drain) => format!("drain {}", drain.name).into(),
             Self::Catalogue(_) => SmolStr::new_static("catalogue"),
             Self::Endpoint(_) => SmolStr::new_static("endpoint"),
--- a/crates/cranberrygap-state/src/configuration.rs
+++ b/crates/cranberrygap-state/src/configuration.rs
@@ -22,8 +22,9 @@
 /// Bytes of kept configurations.
 const MOST_BYTES: usize = 2 << 20;
 
-/// Largest text of one configuration.
-pub const LARGEST_TEXT: usize = 256 << 10;
+/// Largest text of one configuration, in bytes. Text and what was read from it
+/// are one command, which must fit into one proposal.
+pub const LARGEST_TEXT: usize = 128 << 10;
 
 /// The configuration in force and those before it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/cranberrygap-state/src/fact.rs
@@ -0,0 +1,125 @@
+//! What the audit trail keeps of each command.
+
+use cranberrygap_wire::{claim as wire, view};
+use smol_str::SmolStr;
+
+use crate::{answer, audit, claim, command};
+
+/// What the trail keeps of a command that was taken; `None` for news that are
+/// no promise, such as heartbeats.
+pub(crate) fn of(
+    command: &command::Command,
+    answer: &answer::Answer,
+    changes: &[view::Change],
+) -> Option<audit::Fact> {
+    let (subject, by, detail) = match command {
+        command::Command::Configuration(step) => (
+            "configuration",
+            step.author.by.clone(),
+            serde_json::json!({
+                "change": step.author.change, "why": step.author.why,
+                "text": full_hash(&step.text),
+            }),
+        ),
+        command::Command::Key(step) => (
+            "key",
+            step.author().by.clone(),
+            serde_json::json!({
+                "change": step.author().change, "why": step.author().why, "what": step.summary(),
+            }),
+        ),
+        command::Command::Group(step) => (
+            "member",
+            step.author.by.clone(),
+            serde_json::json!({
+                "change": step.author.change, "why": step.author.why, "what": command.summary(),
+            }),
+        ),
+        command::Command::Drain(drain) => (
+            "member",
+            drain.author.by.clone(),
+            serde_json::json!({
+                "change": drain.author.change, "why": drain.author.why, "drained": drain.name,
+            }),
+        ),
+        command::Command::Member(_) if !changes.is_empty() => (
+            "member",
+            SmolStr::new_static("leader"),
+            serde_json::json!(changes),
+        ),
+        command::Command::Quarantine(step) if !changes.is_empty() => (
+            "quarantine",
+            step.crash.instance.to_string().into(),
+            serde_json::json!({
+                "endpoint": step.crash.endpoint, "changes": changes,
+            }),
+        ),
+        command::Command::Claim(step) => claim_fact(step, answer),
+        command::Command::Member(_)
+        | command::Command::Quarantine(_)
+        | command::Command::Catalogue(_)
+        | command::Command::Endpoint(_) => return None,
+    };
+    Some(audit::Fact {
+        subject,
+        by,
+        detail,
+    })
+}
+
+fn claim_fact(
+    step: &claim::Step,
+    answer: &answer::Answer,
+) -> (&'static str, SmolStr, serde_json::Value) {
+    match step {
+        claim::Step::Open(open) => (
+            "claim",
+            open.instance.to_string().into(),
+            serde_json::json!({
+                "workspace": open.workspace, "key": short_hash(&open.key),
+                "request": open.request, "verdict": verdict(answer),
+            }),
+        ),
+        claim::Step::Close(close) => (
+            "claim",
+            SmolStr::default(),
+            serde_json::json!({
+                "workspace": close.workspace, "key": short_hash(&close.key),
+                "claim": close.claim, "outcome": outcome_kind(close),
+            }),
+        ),
+    }
+}
+
+fn verdict(answer: &answer::Answer) -> serde_json::Value {
+    match answer {
+        answer::Answer::Claimed(verdict) => {
+            let mut verdict = serde_json::json!(verdict);
+            // The stored answer is the caller's content.
+            if let Some(verdict) = verdict.as_object_mut() {
+                verdict.remove("outcome");
+            }
+            verdict
+        }
+        _ => serde_json::Value::Null,
+    }
+}
+
+fn outcome_kind(close: &wire::Close) -> &'static str {
+    match close.outcome {
+        wire::Outcome::Answered(_) => "answered",
+        wire::Outcome::NotRun => "not_run",
+        wire::Outcome::Unknown => "unknown",
+    }
+}
+
+/// Hash of a configuration's text; the text itself is read by its revision.
+fn full_hash(text: &str) -> String {
+    blake3::hash(text.as_bytes()).to_hex().to_string()
+}
+
+/// Callers' idempotency keys stay out of the trail.
+fn short_hash(text: &str) -> String {
+    let hash = blake3::hash(text.as_bytes()).to_hex();
+    hash.chars().take(16).collect()
+}
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    answer, audit, catalogue, change, claim, command, configuration, endpoint, history, key,
+    answer, audit, catalogue, change, claim, command, configuration, endpoint, fact, history, key,
     member, quarantine,
 };
 
@@ -92,9 +92,12 @@
                 let term = self.configuration.current().defaults.quarantine;
                 (answer::Answer::Done, self.quarantines.apply(at, term, step))
             }
+            command::Command::Group(_) => (answer::Answer::Done, Vec::new()),
             command::Command::Drain(drain) => self.drain(drain),
         };
-        if let Some(fact) = fact(command, &outcome) {
+        if is_taken(&outcome.0)
+            && let Some(fact) = fact::of(command, &outcome.0, &outcome.1)
+        {
             self.audit.push(revision, at, fact);
         }
         outcome
@@ -225,108 +228,3 @@
     );
     !refused && !lost
 }
-
-/// What the trail keeps of a command that was taken. Claims are kept by key
-/// hash, so that the trail shows no content of a caller.
-fn fact(command: &command::Command, outcome: &Outcome) -> Option<audit::Fact> {
-    let (answer, changes) = outcome;
-    if !is_taken(answer) {
-        return None;
-    }
-    let (subject, by, detail) = match command {
-        command::Command::Configuration(step) => (
-            "configuration",
-            step.author.by.clone(),
-            serde_json::json!({
-                "change": step.author.change, "why": step.author.why, "text": step.text,
-            }),
-        ),
-        command::Command::Key(step) => (
-            "key",
-            step.author().by.clone(),
-            serde_json::json!({
-                "change": step.author().change, "why": step.author().why, "what": step.summary(),
-            }),
-        ),
-        command::Command::Drain(drain) => (
-            "member",
-            drain.author.by.clone(),
-            serde_json::json!({
-                "change": drain.author.change, "why": drain.author.why, "drained": drain.name,
-            }),
-        ),
-        command::Command::Member(_) if !changes.is_empty() => (
-            "member",
-            SmolStr::new_static("leader"),
-            serde_json::json!(changes),
-        ),
-        command::Command::Quarantine(step) if !changes.is_empty() => (
-            "quarantine",
-            step.crash.instance.to_string().into(),
-            serde_json::json!({
-                "endpoint": step.crash.endpoint, "changes": changes,
-            }),
-        ),
-        command::Command::Claim(step) => claim_fact(step, answer),
-        command::Command::Member(_)
-        | command::Command::Quarantine(_)
-        | command::Command::Catalogue(_)
-        | command::Command::Endpoint(_) => return None,
-    };
-    Some(audit::Fact {
-        subject,
-        by,
-        detail,
-    })
-}
-
-fn claim_fact(
-    step: &claim::Step,
-    answer: &answer::Answer,
-) -> (&'static str, SmolStr, serde_json::Value) {
-    match step {
-        claim::Step::Open(open) => (
-            "claim",
-            open.instance.to_string().into(),
-            serde_json::json!({
-                "workspace": open.workspace, "key": short_hash(&open.key),
-                "request": open.request, "verdict": verdict(answer),
-            }),
-        ),
-        claim::Step::Close(close) => (
-            "claim",
-            SmolStr::default(),
-            serde_json::json!({
-                "workspace": close.workspace, "key": short_hash(&close.key),
-                "claim": close.claim, "outcome": outcome_kind(close),
-            }),
-        ),
-    }
-}
-
-fn verdict(answer: &answer::Answer) -> serde_json::Value {
-    match answer {
-        answer::Answer::Claimed(verdict) => {
-            let mut verdict = serde_json::json!(verdict);
-            // The stored answer is the caller's content.
-            if let Some(verdict) = verdict.as_object_mut() {
-                verdict.remove("outcome");
-            }
-            verdict
-        }
-        _ => serde_json::Value::Null,
-    }
-}
-
-fn outcome_kind(close: &cranberrygap_wire::claim::Close) -> &'static str {
-    match close.outcome {
-        cranberrygap_wire::claim::Outcome::Answered(_) => "answered",
-        cranberrygap_wire::claim::Outcome::NotRun => "not_run",
-        cranberrygap_wire::claim::Outcome::Unknown => "unknown",
-    }
-}
-
-fn short_hash(text: &str) -> String {
-    let hash = blake3::hash(text.as_bytes()).to_hex();
-    hash.chars().take(16).collect()
-}
--- a/crates/cranberrygap-state/src/key.rs
+++ b/crates/cranberrygap-state/src/key.rs
@@ -13,6 +13,9 @@
 /// Keys that are taken. Bounds the view of every entry.
 const MOST_KEYS: usize = 65_536;
 
+/// Workspaces that are taken; each is in the view of every entry.
+const MOST_WORKSPACES: usize = 4_096;
+
 /// Separates these hashes from every other use of BLAKE3.
 const CONTEXT: &str = "cranberrygap 2026-12 caller key";
 
@@ -148,6 +151,10 @@
         if self.keys.values().any(|key| key.hash == issue.hash) {
             return Some("there is a key with this secret already".into());
         }
+        let new = !self.workspaces.contains(&issue.workspace);
+        if new && self.workspaces.len() >= MOST_WORKSPACES {
+            return Some(format!("there are {MOST_WORKSPACES} workspaces already").into());
+        }
         let full = self.keys.len() >= MOST_KEYS;
         full.then(|| format!("there are {MOST_KEYS} keys; withdraw some first").into())
     }
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -13,7 +13,10 @@
 pub mod configuration;
 pub mod endpoint;
 pub mod fleet;
+pub mod group;
 pub mod history;
 pub mod key;
 pub mod member;
 pub mod quarantine;
+
+mod fact;
--- a/crates/cranberrygap/tests/agreement.rs
+++ b/crates/cranberrygap/tests/agreement.rs
@@ -161,12 +161,18 @@
         replace(&mut fleet, lost).await;
     }
     let after = group::list(&fleet).await;
+    let history: Vec<operator::Record> = fleet.ask_leader(method::HISTORY, &()).await;
 
     for failing in ["control-2", "control-3"] {
         fleet.process(failing).kill();
     }
 
     assert_eq!(after.voters.len(), 5, "{after:?}");
+    assert_eq!(
+        history.len(),
+        issued.len() + 4,
+        "each step is in the history"
+    );
     assert_eq!(keys(&fleet).await, issued);
     let later = issue(&fleet, 1).await;
     assert!(keys(&fleet).await.is_superset(&later));
