Reach each control process at the address in one's own settings

Cause: the group's membership holds the addresses as its founder reaches them, and all others used these. Where instances reach each other at different addresses, a cut between the founder and one more cut the others as well: with the founder cut off, the two others found no leader for 40 s in a test run. Ruled out: the election itself, which passed whenever another one led. Change: control processes and entries look up an instance in their own settings first, and take the membership's address only for instances not named there. Conclusion: a cut reaches only the instance that is cut off.

--- a/crates/cranberrygap-control/src/lines.rs
+++ b/crates/cranberrygap-control/src/lines.rs
@@ -44,6 +44,7 @@
 #[derive(Debug)]
 pub struct Lines {
     own: address::Peer,
+    known: Vec<address::Peer>,
     secret: credential::Holder,
     queues: Mutex<BTreeMap<address::Peer, mpsc::Sender<Bytes>>>,
     own_weak: Weak<Self>,
@@ -51,10 +52,18 @@
 
 impl Lines {
     /// Lines from `own`; must be used within tokio.
+    ///
+    /// Instances in `known` are reached at the address there, others at the one
+    /// in the group's membership, which is how the founder reaches them.
     #[must_use]
-    pub fn new(own: address::Peer, secret: credential::Secret) -> Arc<Self> {
+    pub fn new(
+        own: address::Peer,
+        known: Vec<address::Peer>,
+        secret: credential::Secret,
+    ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             own,
+            known,
             secret: credential::Holder::new(secret),
             queues: Mutex::default(),
             own_weak: Weak::clone(weak),
@@ -66,6 +75,12 @@
         self.secret.replace(secret);
     }
 
+    fn reached(&self, peer: &address::Peer) -> address::Peer {
+        let mut known = self.known.iter();
+        let known = known.find(|known| known.instance == peer.instance);
+        known.unwrap_or(peer).clone()
+    }
+
     fn queue(&self, peer: &address::Peer) -> Option<mpsc::Sender<Bytes>> {
         let mut queues = self.queues.lock();
         if let Some(queue) = queues.get(peer) {
@@ -89,7 +104,7 @@
 
 impl transport::Transport for Lines {
     fn send(&self, peer: &address::Peer, message: Bytes) {
-        if let Some(queue) = self.queue(peer) {
+        if let Some(queue) = self.queue(&self.reached(peer)) {
             // Fails only when the queue is full; the protocol sends again.
             drop(queue.try_send(message));
         }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -74,7 +74,7 @@
     pub async fn start(settings: settings::Control, secrets: Secrets) -> Result<Self, Error> {
         let own = own(&settings);
         let shown = secrets.fleet.first().cloned().ok_or(Error::NoSecret)?;
-        let lines = lines::Lines::new(own.clone(), shown);
+        let lines = lines::Lines::new(own.clone(), settings.group.voters.clone(), shown);
         let state = Arc::new(replicated::State::new());
         let replica = start_replica(&settings, own, &state, &lines)?;
         let parts = Arc::new(Parts::new(settings, state, replica));
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -86,7 +86,7 @@
             } => {
                 let leader = serde_json::from_value::<Option<address::Peer>>(data.clone());
                 match leader.ok().flatten() {
-                    Some(leader) => self.turn_to(leader.address),
+                    Some(leader) => self.turn_to(self.reached(&leader)),
                     None => self.rotate(),
                 }
                 true
@@ -130,6 +130,14 @@
         inner.target.or_else(|| next().map(|peer| peer.address))
     }
 
+    /// Where this entry reaches a control process: by its own settings, or else
+    /// as the control processes reach it.
+    fn reached(&self, leader: &address::Peer) -> address::Socket {
+        let mut peers = self.peers.iter();
+        let known = peers.find(|peer| peer.instance == leader.instance);
+        known.unwrap_or(leader).address
+    }
+
     fn turn_to(&self, target: address::Socket) {
         let mut inner = self.inner.lock();
         inner.target = Some(target);
