Keep a caller's key out of every header that a service sees

Cause: a search of everything that a fleet shows, for a marked key, found that a draw with the key as its X-Request-Id or Content-Type was passed on: status 200 where 400 was due. Ruled out: body, path and idempotency key, which were checked. Change: all parts of a call that are passed on are listed in one place and checked there. The test searches logs, dumps, metrics, decisions, the key list and what engines and services saw for a key that works, one that does not, the fleet secret and both tokens. Result: before, the test failed with status 200; after, it passes. With the guard in the decision ring switched off, it fails and names the explanation.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -67,6 +67,19 @@
 }
 
 impl Call {
+    /// Everything of the caller's that the service will see.
+    fn passed_on(&self) -> [&[u8]; 5] {
+        let key = self.key.as_deref().unwrap_or_default();
+        let content_type = self.content_type.as_ref();
+        [
+            &self.body,
+            self.path.as_bytes(),
+            key.as_bytes(),
+            self.id.as_str().as_bytes(),
+            content_type.map_or(&[], HeaderValue::as_bytes),
+        ]
+    }
+
     fn about(&self) -> note::About {
         note::About {
             workspace: Some(self.workspace.clone()),
@@ -106,8 +119,7 @@
         let (workspace, secret) = auth::workspace(request, &view)?;
         about.workspace = Some(workspace.clone());
         let call = self.read(id, workspace, request, &view).await?;
-        let key = call.key.as_deref().unwrap_or_default();
-        auth::check_hidden(&secret, &[&call.body, call.path.as_bytes(), key.as_bytes()])?;
+        auth::check_hidden(&secret, &call.passed_on())?;
         let cost = token::Count(cost(&view, &call.service));
         let clock = self.core.clock;
         let mut permit =
