Measure the limits and keep the space that refunds need

Space set aside for an awaited answer counted as taken, which cut nearly all refunds; small shares overflowed. Change: measure limits compares shares, a static split and a central bucket; refunds see the space really taken; shares hold 2 s of demand, accrue half of it themselves, and caps change only by half or more.

--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 
+pub mod limits;
 pub mod load;
 pub mod path;
 pub mod processor;
@@ -23,7 +24,7 @@
 /// All measurements; a new one is a file and a line here.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Measurement>> {
-    vec![Box::new(path::Path)]
+    vec![Box::new(limits::Limits), Box::new(path::Path)]
 }
 
 /// Reads the arguments of one measurement with `clap`.
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -20,13 +20,15 @@
 /// the pool, from where an entry with new demand gets tokens at once.
 const SHARED_TENTHS: u64 = 9;
 
-/// What a share gets above the demand of its entry, so that small swings need
-/// no new allocation.
-const HEADROOM: f64 = 1.15;
+/// Part of its entry's demand that a share gets as a rate of its own. What
+/// accrues in a full share is lost; what accrues in the pool goes to whoever is
+/// short. The own part carries the entry through a time without a leader.
+const OWN_PART: f64 = 0.5;
 
-/// Time of its demand that a share may hold. Covers two renewals; more would be
-/// out of the other entries' reach.
-const STOCK: duration::Span = duration::Span::from_millis(500);
+/// Time of its demand that a share may hold. Space in it is what refunds need:
+/// in shorter ones more of them were lost, in longer ones more tokens were out
+/// of the other entries' reach (`measure limits`).
+const STOCK: duration::Span = duration::Span::from_millis(2_000);
 
 /// Time after which the memory of a shortage has halved.
 const HALVING: duration::Span = duration::Span::from_millis(1_000);
@@ -35,6 +37,10 @@
 /// each change is an entry in the replicated log.
 const TOLERANCE: f64 = 0.25;
 
+/// The same for the cap. A share that shrinks cuts the refunds of what runs, so
+/// caps change only when demand has really moved.
+const CAP_TOLERANCE: f64 = 0.5;
+
 /// Who holds a share: an instance and the boot of its process.
 pub(super) type Owner = (id::Instance, number::Boot);
 
@@ -299,14 +305,18 @@
         let asked: f64 = self
             .shares
             .values()
-            .map(|share| share.demand * HEADROOM)
+            .map(|share| share.demand * OWN_PART)
             .sum();
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
-        let wanted_rate = share.demand * HEADROOM * shrink;
+        let wanted_rate = share.demand * OWN_PART * shrink;
         let wanted_cap = (share.demand * STOCK.as_secs_f64()).max(share.needed);
-        let rate = Flow::from_rate(token::Rate(settle(held.rate.to_rate().0, wanted_rate)));
-        let cap = whole(settle(held.cap.as_f64(), wanted_cap));
+        let rate = Flow::from_rate(token::Rate(settle(
+            held.rate.to_rate().0,
+            wanted_rate,
+            TOLERANCE,
+        )));
+        let cap = whole(settle(held.cap.as_f64(), wanted_cap, CAP_TOLERANCE));
         Part {
             number: held.number,
             rate: rate.min(self.rate.minus(others_rate)),
@@ -334,11 +344,11 @@
 }
 
 /// The old value while the new one is close to it, else the new one.
-fn settle(old: f64, new: f64) -> f64 {
+fn settle(old: f64, new: f64, tolerance: f64) -> f64 {
     if new < 1.0 {
         return 0.0;
     }
-    if (new - old).abs() <= old * TOLERANCE {
+    if (new - old).abs() <= old * tolerance {
         return old;
     }
     new
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -24,6 +24,8 @@
     pub(super) until: duration::Instant,
     /// Space kept free for tokens that may come with the awaited answer.
     aside: Amount,
+    /// Least space beside the tokens since the awaited answer was asked for.
+    least: Amount,
     /// Tokens to hand back with the next renewal, after the share shrank.
     surplus: Amount,
     /// The share changed and the leader does not know yet that it arrived.
@@ -53,7 +55,7 @@
         let gained = self.rate.over(now.since(self.accrued));
         self.accrued = self.accrued.max(now);
         self.level = self.level.plus(gained).min(self.ceiling());
-        self.room.observe(self.free());
+        self.observe();
     }
 
     /// Takes `cost` if it is there.
@@ -62,7 +64,7 @@
             return false;
         }
         self.level = self.level.minus(cost);
-        self.room.open(number, self.free());
+        self.room.open(number, self.space());
         true
     }
 
@@ -74,9 +76,17 @@
     /// Gives back the unused part of reservation `number`, as far as it may return.
     pub(super) fn refund(&mut self, number: u64, unused: Amount) {
         self.asked = self.asked.minus(unused);
-        let back = self.room.refund(number, unused.min(self.free()));
+        // Tokens that are on their way here count as if they had arrived when they
+        // were asked for.
+        let open = self.least.min(self.space()).minus(self.aside);
+        let limit = if self.aside > Amount::ZERO {
+            open
+        } else {
+            self.space()
+        };
+        let back = self.room.refund(number, unused.min(limit));
         self.level = self.level.plus(back);
-        self.room.observe(self.free());
+        self.observe();
     }
 
     /// What the next renewal says; space is set aside for its answer.
@@ -88,7 +98,8 @@
         self.measure(now);
         self.line.asked();
         self.aside = Amount::ZERO;
-        self.aside = Amount::from_count(self.free().minus(self.rate.over(SPARE)).whole());
+        self.aside = Amount::from_count(self.space().minus(self.rate.over(SPARE)).whole());
+        self.least = self.space();
         self.unconfirmed = false;
         let returned = std::mem::take(&mut self.surplus).whole();
         share::Demand {
@@ -106,17 +117,20 @@
         let cap = Amount::from_count(grant.cap);
         let shrinks = cap < self.cap;
         self.unconfirmed = grant.share != self.share;
+        let tokens = Amount::from_count(grant.tokens);
+        let growth = cap.minus(self.cap);
+        self.room.observe(self.least.plus(growth).minus(tokens));
         self.aside = Amount::ZERO;
         self.share = grant.share;
         self.rate = Flow::from_rate(grant.rate);
         self.cap = cap;
         self.until = until;
-        self.level = self.level.plus(Amount::from_count(grant.tokens));
+        self.level = self.level.plus(tokens);
         if shrinks {
             self.surplus = self.surplus.plus(self.level.minus(cap));
         }
         self.level = self.level.min(cap);
-        self.room.observe(self.free());
+        self.observe();
     }
 
     /// Ends the wait for an answer.
@@ -184,8 +198,15 @@
         self.cap.minus(self.aside)
     }
 
-    fn free(&self) -> Amount {
-        self.ceiling().minus(self.level)
+    /// Space that is not taken by tokens, set aside or not.
+    fn space(&self) -> Amount {
+        self.cap.minus(self.level)
+    }
+
+    fn observe(&mut self) {
+        let space = self.space();
+        self.least = self.least.min(space);
+        self.room.observe(space);
     }
 
     fn measure(&mut self, now: duration::Instant) {
