Grant shares over the link and admit from them

Change: the leader answers SHARE_RENEW from limits::granter, with allocations committed as Command::Share before the answer; the entry admits from limits::holder, waits up to half a second for tokens and hands them back when it stops. A request that may cost more than the burst is refused as malformed. A failed commit drops the granter; the next one starts from the log.

--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -14,5 +14,6 @@
 mod keeper;
 mod operators;
 mod peers;
+mod shares;
 mod store;
 mod subscription;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -4,13 +4,14 @@
 
 use cranberrygap_link::{credential, server};
 use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
-use cranberrygap_wire::{claim as wire_claim, method, view};
+use cranberrygap_wire::{claim as wire_claim, method, share, view};
 use futures_util::future;
 
 use crate::keeper;
 use crate::office;
 use crate::proposer;
 use crate::replicated;
+use crate::shares;
 use crate::subscription;
 
 /// Announcements that one confirmation may bring.
@@ -22,6 +23,7 @@
     pub(crate) state: Arc<replicated::State>,
     pub(crate) proposer: proposer::Proposer,
     pub(crate) keeper: Arc<keeper::Keeper>,
+    pub(crate) shares: Arc<shares::Shares>,
 }
 
 /// Offers the entries' methods.
@@ -45,6 +47,13 @@
             async move { desk.confirm(confirm).await }
         })
     };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(method::SHARE_RENEW, role, move |renew: share::Renew| {
+            let desk = Arc::clone(&desk);
+            async move { desk.shares.renew(renew).await }
+        })
+    };
     let builder = {
         let desk = Arc::clone(desk);
         builder.method(method::CLAIM_OPEN, role, move |open: wire_claim::Open| {
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -16,6 +16,7 @@
 use crate::proposer;
 use crate::replica;
 use crate::replicated;
+use crate::shares;
 use crate::store;
 use crate::transport;
 
@@ -165,10 +166,12 @@
         let log: Arc<dyn crate::log::Log> = Arc::clone(&replica) as _;
         let proposer = proposer::Proposer::new(log);
         let keeper = keeper::Keeper::new(Arc::clone(&state), proposer.clone(), clock);
+        let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
         let desk = peers::Desk {
             state,
             proposer,
             keeper: Arc::new(keeper),
+            shares: Arc::new(shares),
         };
         Self {
             settings,
@@ -180,7 +183,10 @@
 
     fn spawn_tasks(&self) -> Result<Vec<tokio::task::JoinHandle<()>>, Error> {
         let keeper = &self.desk.keeper;
-        let mut tasks = vec![tokio::spawn(Arc::clone(keeper).watch())];
+        let mut tasks = vec![
+            tokio::spawn(Arc::clone(keeper).watch()),
+            tokio::spawn(Arc::clone(&self.desk.shares).watch()),
+        ];
         let address = self.settings.store.as_ref().and_then(|store| store.address);
         if let Some(address) = address {
             let failed = |cause: store::Error| Error::Store(cause.to_string());
@@ -204,6 +210,7 @@
             "term": status.term,
             "failure": self.replica.failure(),
             "office": office,
+            "shares": self.desk.shares.dump().await,
             "fleet": self.desk.state.read(cranberrygap_state::fleet::Fleet::dump),
             "replica": self.replica.dump().await,
         })
--- a/crates/cranberrygap-entry/src/admission.rs
+++ b/crates/cranberrygap-entry/src/admission.rs
@@ -1,31 +1,47 @@
 //! Whether a workspace may spend tokens now.
 
 mod permit;
-mod split;
+mod shares;
 
 use std::fmt;
 
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_policy::limits::holder;
+use futures_util::future::BoxFuture;
 
 use crate::view;
 
 pub(crate) use permit::Permit;
-pub(crate) use split::Split;
+pub(crate) use shares::Shares;
+
+/// Why tokens were not given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refused {
+    /// The workspace is above its rate.
+    Now {
+        /// Time after which the same request may fit.
+        retry_after: duration::Span,
+    },
+    /// The request may cost more than the workspace can ever hold.
+    Never {
+        /// The workspace's burst.
+        burst: token::Count,
+    },
+}
 
 /// Spends tokens of workspaces; what it allows over all entries together stays
 /// within each workspace's rate and burst.
 pub(crate) trait Limiter: fmt::Debug + Send + Sync {
-    /// Takes the upper bound of a request, or says after what time it may fit.
-    fn reserve(
-        &self,
-        now: duration::Instant,
-        workspace: &id::Workspace,
+    /// Takes the upper bound of a request; may wait a moment for tokens.
+    fn reserve<'call>(
+        &'call self,
+        workspace: &'call id::Workspace,
         tokens: token::Count,
-    ) -> Result<(), duration::Span>;
-    /// Gives back what a request reserved and did not use.
-    fn refund(&self, now: duration::Instant, workspace: &id::Workspace, tokens: token::Count);
+    ) -> BoxFuture<'call, Result<holder::Reservation, Refused>>;
+    /// Ends a reservation; what was not used goes back.
+    fn settle(&self, reservation: &holder::Reservation, used: token::Count);
     /// Takes over rates and bursts of a new view.
-    fn follow(&self, now: duration::Instant, view: &view::Snapshot);
+    fn follow(&self, view: &view::Snapshot);
     /// The whole state for a dump.
     fn dump(&self) -> serde_json::Value;
 }
--- a/crates/cranberrygap-entry/src/admission/permit.rs
+++ b/crates/cranberrygap-entry/src/admission/permit.rs
@@ -2,37 +2,34 @@
 
 use std::sync::Arc;
 
-use cranberrygap_model::{duration, id, token};
+use cranberrygap_model::{id, token};
+use cranberrygap_policy::limits::holder;
 
-use crate::clock;
 use crate::refusal::Refusal;
 
-use super::Limiter;
+use super::{Limiter, Refused};
 
 /// A reservation; what was not used goes back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
     limiter: Arc<dyn Limiter>,
-    clock: clock::Clock,
-    workspace: id::Workspace,
+    reservation: holder::Reservation,
     reserved: token::Count,
     used: token::Count,
 }
 
 impl Permit {
     /// Reserves the upper bound of a request.
-    pub(crate) fn reserve(
+    pub(crate) async fn reserve(
         limiter: &Arc<dyn Limiter>,
-        clock: clock::Clock,
         workspace: &id::Workspace,
         tokens: token::Count,
     ) -> Result<Self, Refusal> {
-        let outcome = limiter.reserve(clock.now(), workspace, tokens);
-        outcome.map_err(|retry_after: duration::Span| Refusal::RateExceeded { retry_after })?;
+        let outcome = limiter.reserve(workspace, tokens).await;
+        let reservation = outcome.map_err(|refused| refusal(refused, tokens))?;
         Ok(Self {
             limiter: Arc::clone(limiter),
-            clock,
-            workspace: workspace.clone(),
+            reservation,
             reserved: tokens,
             used: token::Count(0),
         })
@@ -51,10 +48,16 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let rest = self.reserved.0.saturating_sub(self.used.0);
-        if rest > 0 {
-            self.limiter
-                .refund(self.clock.now(), &self.workspace, token::Count(rest));
-        }
+        self.limiter.settle(&self.reservation, self.used);
+    }
+}
+
+fn refusal(refused: Refused, tokens: token::Count) -> Refusal {
+    match refused {
+        Refused::Now { retry_after } => Refusal::RateExceeded { retry_after },
+        Refused::Never { burst } => Refusal::BodyMalformed(
+            format!("it may cost {tokens} tokens, more than the workspace's burst of {burst}")
+                .into(),
+        ),
     }
 }
--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -98,9 +98,8 @@
         }
         about.model = Some(body.model.clone());
         self.check_quarantine(&view, &workspace, &body)?;
-        let clock = self.core.clock;
-        let permit =
-            admission::Permit::reserve(&self.core.limiter, clock, &workspace, body.bound())?;
+        let limiter = &self.core.limiter;
+        let permit = admission::Permit::reserve(limiter, &workspace, body.bound()).await?;
         self.note_admitted(about, &body);
         let progress = attainment::Progress::arrived(&self.core, &body.model, view.defaults());
         let call = engine::Call {
--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -121,9 +121,8 @@
         let call = self.read(id, workspace, request, &view).await?;
         auth::check_hidden(&secret, &call.passed_on())?;
         let cost = token::Count(cost(&view, &call.service));
-        let clock = self.core.clock;
-        let mut permit =
-            admission::Permit::reserve(&self.core.limiter, clock, &call.workspace, cost)?;
+        let limiter = &self.core.limiter;
+        let mut permit = admission::Permit::reserve(limiter, &call.workspace, cost).await?;
         let outcome = if is_idempotent(&view, &call) {
             self.look_up(&call).await
         } else {
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -81,7 +81,7 @@
         let Some(view) = self.core.view.latest() else {
             return;
         };
-        self.core.limiter.follow(self.core.now(), &view);
+        self.core.limiter.follow(&view);
         self.core.router.follow(&view);
     }
 }
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -64,6 +64,7 @@
     endpoints: server::Listening,
     admin: Option<link_server::Handle>,
     fleet: Arc<credential::Holder>,
+    shares: Arc<admission::Shares>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -87,7 +88,11 @@
         metrics: Arc<StatsdClient>,
     ) -> Result<Self, Error> {
         let fleet = Arc::new(credential::Holder::new(secrets.fleet.clone()));
-        let core = Arc::new(build(settings, &fleet, metrics)?);
+        let boot = number::Boot(rand::random::<u64>() >> BOOT_SHIFT);
+        let clock = clock::Clock::start();
+        let instance = settings.entry.instance.clone();
+        let shares = Arc::new(admission::Shares::new(clock, instance, boot));
+        let core = Arc::new(build(settings, &fleet, metrics, boot, clock, &shares)?);
         let endpoints = listen_endpoints(&core, &secrets)?;
         let callers = listen_callers(&core)?;
         let admin = listen_admin(&core, &secrets).await?;
@@ -96,6 +101,7 @@
             tokio::spawn(subscription.run()),
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
             tokio::spawn(load::Poller::new(Arc::clone(&core)).run()),
+            tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
         ];
         info!(
             "entry: {} serves callers at {}",
@@ -108,6 +114,7 @@
             endpoints,
             admin,
             fleet,
+            shares,
             tasks,
         })
     }
@@ -162,6 +169,7 @@
         for task in &self.tasks {
             task.abort();
         }
+        self.shares.close(&self.core).await;
         drop(self.admin);
         info!("entry: stopped");
     }
@@ -171,14 +179,17 @@
     settings: settings::Entry,
     fleet: &Arc<credential::Holder>,
     metrics: Arc<StatsdClient>,
+    boot: number::Boot,
+    clock: clock::Clock,
+    shares: &Arc<admission::Shares>,
 ) -> Result<core::Core, Error> {
     let peers = settings.control.peers.clone();
     Ok(core::Core {
-        boot: number::Boot(rand::random::<u64>() >> BOOT_SHIFT),
-        clock: clock::Clock::start(),
+        boot,
+        clock,
         view: view::Holder::default(),
         leader: control::Session::new(peers, Arc::clone(fleet)),
-        limiter: Arc::new(admission::Split::default()),
+        limiter: Arc::clone(shares) as _,
         router: Arc::new(route::Least::default()),
         upstream: upstream::Clients::new()?,
         announcements: announce::Inbox::default(),
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -27,6 +27,8 @@
     awaited: Option<Awaited>,
     sent: Option<duration::Instant>,
     numbers: u64,
+    /// The last renewal got no answer, so there may be no leader now.
+    failed: bool,
     closed: bool,
 }
 
@@ -91,6 +93,7 @@
             awaited: None,
             sent: None,
             numbers: 0,
+            failed: false,
             closed: false,
         }
     }
@@ -184,6 +187,9 @@
         if self.awaited.is_some() {
             return sent.after(PATIENCE);
         }
+        if self.failed {
+            return sent.after(PERIOD);
+        }
         let urgent = |stock: &Stock| stock.short() > Amount::ZERO || stock.owes();
         if self.stocks.values().any(urgent) {
             return sent.after(LEAST_GAP);
@@ -196,6 +202,7 @@
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
         self.sequence = self.sequence.next();
         self.sent = Some(now);
+        self.failed = false;
         self.awaited = Some(Awaited {
             sequence: self.sequence,
             sent: now,
@@ -251,6 +258,18 @@
         true
     }
 
+    /// Notes that a renewal got no answer; should one come after all, it is
+    /// dropped with its tokens.
+    pub fn failed(&mut self, sequence: number::Sequence) {
+        if self
+            .awaited
+            .is_some_and(|awaited| awaited.sequence == sequence)
+        {
+            self.awaited = None;
+            self.failed = true;
+        }
+    }
+
     /// Admits nothing more and hands all tokens back with the next renewal.
     pub fn close(&mut self, now: duration::Instant) {
         self.closed = true;
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{catalogue, claim, configuration, endpoint, group, key, member, quarantine};
+use crate::{catalogue, claim, configuration, endpoint, group, key, member, quarantine, share};
 
 /// A command and the leader's clock when it was proposed.
 ///
@@ -38,6 +38,8 @@
     Quarantine(quarantine::Step),
     /// A change of the replicated group, noted once it was made.
     Group(group::Step),
+    /// Shares of the workspaces' rates and bursts.
+    Share(share::Step),
     /// Takes an entry, control or endpoint out of service by its name.
     Drain(operator::Drain),
 }
@@ -55,7 +57,8 @@
             | Self::Endpoint(_)
             | Self::Member(_)
             | Self::Claim(_)
-            | Self::Quarantine(_) => None,
+            | Self::Quarantine(_)
+            | Self::Share(_) => None,
         }
     }
 
@@ -72,6 +75,7 @@
             Self::Member(_) => SmolStr::new_static("member"),
             Self::Claim(_) => SmolStr::new_static("claim"),
             Self::Quarantine(_) => SmolStr::new_static("quarantine"),
+            Self::Share(_) => SmolStr::new_static("share"),
         }
     }
 }
--- a/crates/cranberrygap-state/src/fact.rs
+++ b/crates/cranberrygap-state/src/fact.rs
@@ -57,6 +57,7 @@
         command::Command::Claim(step) => claim_fact(step, answer),
         command::Command::Member(_)
         | command::Command::Quarantine(_)
+        | command::Command::Share(_)
         | command::Command::Catalogue(_)
         | command::Command::Endpoint(_) => return None,
     };
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     answer, audit, catalogue, change, claim, command, configuration, endpoint, fact, history, key,
-    member, quarantine,
+    member, quarantine, share,
 };
 
 /// Everything that the fleet has agreed on.
@@ -33,6 +33,9 @@
     pub claims: claim::Claims,
     /// Requests that crash endpoints.
     pub quarantines: quarantine::Quarantines,
+    /// Shares of the workspaces' rates and bursts.
+    #[serde(default)]
+    pub shares: share::Shares,
     /// First answers by change id.
     pub changes: change::Memory,
     /// What operators changed.
@@ -93,6 +96,10 @@
                 (answer::Answer::Done, self.quarantines.apply(at, term, step))
             }
             command::Command::Group(_) => (answer::Answer::Done, Vec::new()),
+            command::Command::Share(step) => {
+                self.shares.apply(step);
+                (answer::Answer::Done, Vec::new())
+            }
             command::Command::Drain(drain) => self.drain(drain),
         };
         if is_taken(&outcome.0)
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod key;
 pub mod member;
 pub mod quarantine;
+pub mod share;
 
 mod fact;
