Keep silent strangers from taking the fleet's places; prove drains and stops

Change: the oldest connection without a proof makes room once one in 16 places is taken by such; process tests of a drained entry, of a planned stop of the leader, and of an entry that follows a control process which lost the others while a key is withdrawn. Conclusion: a withdrawn key does not work on an entry with a stale view.

--- a/crates/cranberrygap-link/src/server/connection.rs
+++ b/crates/cranberrygap-link/src/server/connection.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Whether the other end has not proven itself yet.
+    pub(super) fn is_unproven(&self) -> bool {
+        matches!(*self.phase.lock(), Phase::Fresh | Phase::Challenged(_))
+    }
+
     /// Ends the connection; nothing is taken from it any more.
     pub(super) fn end(&self) {
         *self.phase.lock() = Phase::Ended;
--- a/crates/cranberrygap-link/src/server/registry.rs
+++ b/crates/cranberrygap-link/src/server/registry.rs
@@ -10,6 +10,9 @@
 use super::{Method, Stream};
 use crate::credential;
 
+/// Part of all places that connections without a proof may take: one in so many.
+const UNPROVEN_PART: usize = 16;
+
 /// Shared by all connections of one listener.
 pub(super) struct Registry {
     secrets: Mutex<BTreeMap<credential::Role, Vec<credential::Secret>>>,
@@ -66,8 +69,21 @@
     }
 
     /// Notes a connection unless there are too many.
+    ///
+    /// Strangers that open connections and say nothing could take all places.
+    /// One would see that no process of the fleet gets in. So the oldest that
+    /// has not proven itself makes room for the next one; a process of the fleet
+    /// needs its place unproven for milliseconds only.
     pub(super) fn open(&self, id: u32, connection: Arc<Connection>) -> bool {
         let mut connections = self.connections.lock();
+        let unproven = connections.iter().filter(|(_, held)| held.is_unproven());
+        let unproven: Vec<u32> = unproven.map(|(id, _)| *id).collect();
+        if unproven.len() >= self.most_unproven() {
+            let oldest = unproven.first().and_then(|id| connections.remove(id));
+            if let Some(oldest) = oldest {
+                oldest.end();
+            }
+        }
         if connections.len() >= self.most {
             return false;
         }
@@ -75,6 +91,10 @@
         true
     }
 
+    fn most_unproven(&self) -> usize {
+        (self.most / UNPROVEN_PART).max(1)
+    }
+
     pub(super) fn forget(&self, id: u32) {
         self.connections.lock().remove(&id);
     }
--- a/crates/cranberrygap-link/tests/stranger.rs
+++ b/crates/cranberrygap-link/tests/stranger.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use cranberrygap_link::{credential, handshake, server, session};
+use cranberrygap_link::{client, credential, handshake, server, session};
 use cranberrygap_model::address;
 use jsonrpsee::core::client::ClientT as _;
 use jsonrpsee::rpc_params;
@@ -184,3 +184,27 @@
 
     assert_eq!(taken, [true, true, false, true, false, true]);
 }
+
+// Strangers open connections and say nothing. The processes of the fleet must
+// find a place all the same.
+#[tokio::test]
+async fn silent_strangers_do_not_keep_the_fleet_out() {
+    let role = credential::Role::Fleet;
+    let builder = server::Builder::new().secrets(role, vec![secret()]);
+    let address: address::Socket = "127.0.0.1:0".parse().unwrap();
+    let listener = builder.connections(8).start(address).await.unwrap();
+    let mut strangers = Vec::new();
+    for _ in 0..30 {
+        strangers.push(
+            tokio::net::TcpStream::connect(listener.address().0)
+                .await
+                .unwrap(),
+        );
+    }
+
+    let first = client::Client::connect(listener.address(), role, &secret()).await;
+    let second = client::Client::connect(listener.address(), role, &secret()).await;
+
+    assert!(first.is_ok() && second.is_ok(), "{first:?} {second:?}");
+    assert!(listener.connections() <= 8);
+}
--- a/crates/cranberrygap/tests/operators.rs
+++ b/crates/cranberrygap/tests/operators.rs
@@ -234,3 +234,108 @@
 fn taken(log: &str) -> usize {
     log.matches("takes changed secrets").count()
 }
+
+// An operator drains an entry. Callers that ask for addresses must not be sent
+// to it any more, although its process runs on.
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_entry_leaves_the_address_list() {
+    let fleet = fleet(1, 2).await;
+    let gone = fleet.entries[0].callers.to_string();
+
+    let drained = group::run(&fleet, &["drain", "entry-1", "--why", "repair"]).await;
+
+    assert!(drained.status.success(), "{drained:?}");
+    let url = format!("http://{}/v1/addresses", fleet.entries[1].callers);
+    wait::until("the address is gone", async || {
+        let answer = reqwest::get(&url).await.unwrap().text().await.unwrap();
+        !answer.contains(&gone)
+    })
+    .await;
+}
+
+// Operators restart the leader's process as planned. It hands over first, so
+// that nobody waits for an election.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_of_the_leader_hands_over_and_exits_0() {
+    let mut fleet = fleet(3, 0).await;
+    let (name, _) = group::leader(&fleet).await;
+
+    fleet.process(&name).terminate();
+    let status = fleet.process(&name).ended().await;
+    let (successor, _) = group::leader(&fleet).await;
+
+    assert_eq!(status.code(), Some(0));
+    assert_ne!(successor, name);
+    assert!(
+        fleet
+            .process(&name)
+            .log()
+            .contains("handed leadership over")
+    );
+}
+
+// A control process is cut off from the others, silently, and an entry goes on
+// following it over a healthy connection. A key that is withdrawn meanwhile must
+// not work there once the operator heard so, and the entry must find its way to
+// the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_follows_a_lost_control_does_not_take_a_withdrawn_key() {
+    let shape = fleet::Shape::builder()
+        .controls(3)
+        .entries(1)
+        .engines(0)
+        .services(0);
+    let mut fleet = fleet::Fleet::start(shape.proxied(true).build()).await;
+    let secret = fleet.issue("statistics").await;
+    let followed = follow_a_follower(&mut fleet).await;
+    let url = format!("http://{}/v1/models", fleet.entries[0].callers);
+    let ask = || {
+        reqwest::Client::new()
+            .get(&url)
+            .bearer_auth(secret.reveal())
+            .send()
+    };
+
+    for ((from, to), proxy) in &fleet.proxies {
+        let between_controls =
+            from.starts_with("control") && (*from == followed || *to == followed);
+        if between_controls {
+            proxy.blackhole(proxy::Direction::Both);
+        }
+    }
+    let withdrawn = group::run(&fleet, &["key", "withdraw", secret.key().as_str()]).await;
+    let status = ask().await.unwrap().status();
+
+    assert!(withdrawn.status.success(), "{withdrawn:?}");
+    assert!(!status.is_success(), "{status}");
+    wait::until("the entry serves again and knows it", async || {
+        ask()
+            .await
+            .is_ok_and(|answer| answer.status() == reqwest::StatusCode::UNAUTHORIZED)
+    })
+    .await;
+}
+
+/// Restarts the entry until it follows a control process that does not lead.
+async fn follow_a_follower(fleet: &mut fleet::Fleet) -> String {
+    let (leader, _) = group::leader(fleet).await;
+    loop {
+        fleet.serving().await;
+        let log = fleet.process("entry-1").log();
+        let followed = log
+            .lines()
+            .rev()
+            .find_map(|line| line.split_once("view: follows "));
+        let followed = followed
+            .unwrap()
+            .1
+            .split_whitespace()
+            .next()
+            .unwrap()
+            .to_owned();
+        if followed != leader {
+            return followed;
+        }
+        fleet.process("entry-1").restart();
+    }
+}
