Check data folders by command and show lost, damaged and shared disks

Change: cranberrygap storage check DIR; removing an instance that came back with a new folder takes its dead replica out, not the new one; a founder is reached by the address in the own settings. Replica::start_on takes any file operations, so that tests can let a sync fail.

--- a/crates/cranberrygap-control/src/replica.rs
+++ b/crates/cranberrygap-control/src/replica.rs
@@ -19,7 +19,7 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{address, duration, id};
-use cranberrygap_storage::{disk, folder};
+use cranberrygap_storage::{disk, files, folder};
 use futures_util::future::BoxFuture;
 use parking_lot::RwLock;
 use tokio::sync::{mpsc, oneshot};
@@ -79,9 +79,23 @@
         transport: Arc<dyn transport::Transport>,
     ) -> Result<Arc<Self>, Error> {
         let disk = disk::Disk::lock(&settings.folder)?;
+        Self::start_on(Box::new(disk), settings, machine, transport)
+    }
+
+    /// Starts the protocol on files that need not be in a real folder.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub fn start_on(
+        files: Box<dyn files::Files>,
+        settings: Settings,
+        machine: Arc<dyn machine::Machine>,
+        transport: Arc<dyn transport::Transport>,
+    ) -> Result<Arc<Self>, Error> {
         let drawn = cranberrygap_agreement::replica::Id(random()?);
         let instance = settings.own.instance.clone();
-        let (folder, recovered) = folder::Folder::open(Box::new(disk), &instance, drawn)?;
+        let (folder, recovered) = folder::Folder::open(files, &instance, drawn)?;
         if recovered.cut > 0 {
             spdlog::warn!("storage: cut a torn tail of {} bytes", recovered.cut);
         }
--- a/crates/cranberrygap-control/src/replica/core/membership.rs
+++ b/crates/cranberrygap-control/src/replica/core/membership.rs
@@ -97,8 +97,7 @@
                 learner.map(change::Change::Promote).ok_or_else(missing)
             }
             request::Change::Remove => {
-                let voter = self.member(instance, true);
-                let found = voter.or_else(|| self.member(instance, false));
+                let found = self.most_silent(instance);
                 found.map(change::Change::Remove).ok_or_else(missing)
             }
         }
@@ -111,6 +110,25 @@
         }
     }
 
+    /// The member of that name that answered longest ago, voters first.
+    ///
+    /// An instance that came back after the loss of its disk has two replicas in
+    /// the group for a time. Taking the new one out would leave the dead one.
+    fn most_silent(&self, instance: &id::Instance) -> Option<replica::Id> {
+        let Phase::Running(node) = &self.phase else {
+            return None;
+        };
+        let progress = node.progress();
+        let named = node.members().0.iter();
+        let named = named.filter(|(_, member)| member.peer.instance == *instance);
+        let chosen = named.min_by_key(|(id, member)| {
+            let own = **id == self.own;
+            let answered = progress.get(id).and_then(|found| found.acknowledged);
+            (own, !member.voter, answered)
+        });
+        chosen.map(|(id, _)| *id)
+    }
+
     pub(super) fn begin_transfer(&mut self, answer: request::Done) {
         match self.ask(input::Input::Transfer(None)) {
             Ok(_) => self.transfer = Some(answer),
@@ -121,12 +139,22 @@
     }
 
     /// Name and address of a member, or of a replica that was heard.
+    ///
+    /// A founder is reached by the address in this process's own settings: the
+    /// membership holds the one by which another founder reaches it. A later
+    /// member may be newer than the settings.
     pub(super) fn peer(&self, id: replica::Id) -> Option<address::Peer> {
+        let founder = self.formed.as_ref()?.founders.0.get(&id);
+        let listed = founder.and_then(|member| {
+            let instance = &member.peer.instance;
+            let mut voters = self.parts.settings.voters.iter();
+            voters.find(|voter| voter.instance == *instance)
+        });
         let member = match &self.phase {
             Phase::Running(node) => node.members().0.get(&id),
             _ => None,
         };
-        let peer = member.map(|member| &member.peer);
+        let peer = listed.or_else(|| member.map(|member| &member.peer));
         peer.or_else(|| self.directory.address(id)).cloned()
     }
 }
--- a/crates/cranberrygap-control/tests/replica.rs
+++ b/crates/cranberrygap-control/tests/replica.rs
@@ -1,9 +1,10 @@
 //! The replica with real folders over a network in one process.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 mod support;
 
 use bytes::Bytes;
-use cranberrygap_control::log::Log;
+use cranberrygap_control::{log, log::Log};
 
 const NO_SNAPSHOT: u64 = u64::MAX;
 
@@ -55,3 +56,142 @@
     assert_ne!(new.peer, old.peer);
     assert_eq!(*old.recorder.payloads.lock(), *new.recorder.payloads.lock());
 }
+
+// A voter's disk is lost and its instance comes back with an empty folder. It
+// must not vote under its old id, whose votes it has forgotten; it is replaced
+// through learner and voter, and then another voter may fail.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn voter_with_a_lost_disk_comes_back_under_a_new_id() {
+    let group = support::group(3, 10);
+    let mut running = group.start_all();
+    for number in 0..30 {
+        support::commit(&running, &number.to_string()).await;
+    }
+    let leader = support::await_leader(&running).await;
+    let place = running.iter().position(|one| one.peer != leader.peer);
+    let lost = running.remove(place.unwrap());
+    let before = lost.replica.dump().await;
+
+    lost.replica.stop().await;
+    std::fs::remove_dir_all(group.folder(&lost.peer)).unwrap();
+    let back = support::reopen(&group, &lost.peer).await;
+    running.push(back.clone());
+    support::settle("joins", async || {
+        back.replica.dump().await["phase"] == "running"
+    })
+    .await;
+    let alone = back.replica.dump().await;
+    support::replace(&running, &lost.peer.instance).await;
+
+    let leader = support::await_leader(&running).await;
+    let failing = running
+        .iter()
+        .find(|one| one.peer != lost.peer && one.peer != leader.peer);
+    group.network.cut(&failing.unwrap().peer.instance);
+    support::commit(&running, "after").await;
+    support::wait_for("the new replica has all", || {
+        back.recorder.payloads.lock().len() == 31
+    })
+    .await;
+    assert_ne!(before["replica"], alone["replica"]);
+    assert_eq!(alone["state"]["members"], serde_json::json!([]));
+}
+
+// A replica was away while the others compacted their logs. It gets a snapshot
+// and goes on from there, also after a restart.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replica_that_was_away_gets_a_snapshot() {
+    let mut group = support::group(3, 10);
+    group.trailing = 2;
+    let running = group.start_all();
+    let leader = support::await_leader(&running).await;
+    let away = running.iter().find(|one| one.peer != leader.peer).unwrap();
+    group.network.cut(&away.peer.instance);
+    for number in 0..60 {
+        support::commit(&running, &number.to_string()).await;
+    }
+
+    group.network.heal();
+    support::wait_for("all entries", || away.recorder.payloads.lock().len() == 60).await;
+    let dump = away.replica.dump().await;
+    away.replica.stop().await;
+    let again = support::reopen(&group, &away.peer).await;
+
+    support::wait_for("all entries again", || {
+        again.recorder.payloads.lock().len() == 60
+    })
+    .await;
+    assert!(dump["state"]["snapshot"]["index"].as_u64().unwrap() > 0);
+}
+
+// The leader's instance is taken out of service. Without a hand-over all changes
+// and leases would wait for an election.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_hands_over_before_a_planned_stop() {
+    let group = support::group(3, NO_SNAPSHOT);
+    let running = group.start_all();
+    support::commit(&running, "one").await;
+    let old = support::await_leader(&running).await;
+
+    old.replica.transfer().await.unwrap();
+    let led = old.replica.status().leads;
+    old.replica.stop().await;
+    let others: Vec<_> = running
+        .into_iter()
+        .filter(|one| one.peer != old.peer)
+        .collect();
+    support::commit(&others, "two").await;
+
+    assert!(!led);
+}
+
+// The leader's disk fails in the middle of a sync. What it cannot write it must
+// not acknowledge, and the others must take over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn failed_disk_ends_the_part_of_its_replica_only() {
+    let group = support::group(3, NO_SNAPSHOT);
+    let disk = support::Faulty::default();
+    let faulty = group.start_on(Box::new(disk.clone()), &group.voters[0]);
+    let mut running: Vec<_> = group.voters[1..]
+        .iter()
+        .map(|peer| group.start(peer))
+        .collect();
+    running.push(faulty.clone());
+    support::commit(&running, "one").await;
+
+    disk.fail();
+    for number in 0..5 {
+        support::commit(&running, &number.to_string()).await;
+    }
+    support::wait_for("the failure is known", || {
+        faulty.replica.failure().is_some()
+    })
+    .await;
+
+    assert!(!faulty.replica.status().leads);
+    let healthy = &running[0];
+    support::wait_for("all entries", || {
+        healthy.recorder.payloads.lock().len() == 6
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn proposals_at_a_follower_are_refused_with_the_leaders_name() {
+    let group = support::group(3, NO_SNAPSHOT);
+    let running = group.start_all();
+    support::commit(&running, "one").await;
+    let leader = support::await_leader(&running).await;
+    let follower = running.iter().find(|one| one.peer != leader.peer).unwrap();
+
+    support::wait_for("the follower knows the leader", || {
+        follower.replica.status().leader.is_some()
+    })
+    .await;
+    let refused = follower.replica.propose(Bytes::from("two")).await;
+
+    let expected = log::Error::NotLeader {
+        leader: Some(leader.peer.clone()),
+    };
+    assert_eq!(refused, Err(expected));
+}
--- a/crates/cranberrygap-control/tests/support/mod.rs
+++ b/crates/cranberrygap-control/tests/support/mod.rs
@@ -3,13 +3,17 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
+use cranberrygap_agreement::limits;
 use cranberrygap_control::{log, log::Log, machine, replica, transport};
 use cranberrygap_model::{address, id, number};
+use cranberrygap_storage::{disk, files};
 use parking_lot::Mutex;
 
 /// Keeps all payloads and answers with their count.
@@ -97,6 +101,7 @@
     pub voters: Vec<address::Peer>,
     pub root: tempfile::TempDir,
     pub snapshot_after: u64,
+    pub trailing: u64,
 }
 
 pub fn peer(number: usize) -> address::Peer {
@@ -111,6 +116,7 @@
         voters: (1..=voters).map(peer).collect(),
         root: tempfile::tempdir().unwrap(),
         snapshot_after,
+        trailing: limits::Limits::default().trailing,
     }
 }
 
@@ -120,11 +126,20 @@
     }
 
     pub fn start(&self, peer: &address::Peer) -> Running {
+        let disk = disk::Disk::lock(&self.folder(peer)).unwrap();
+        self.start_on(Box::new(disk), peer)
+    }
+
+    pub fn start_on(&self, files: Box<dyn files::Files>, peer: &address::Peer) -> Running {
         let settings = replica::Settings::builder()
             .own(peer.clone())
             .voters(self.voters.clone())
             .folder(self.folder(peer))
             .snapshot_after(self.snapshot_after)
+            .limits(limits::Limits {
+                trailing: self.trailing,
+                ..limits::Limits::default()
+            })
             .build();
         let recorder = Arc::new(Recorder::default());
         let line = Line {
@@ -132,7 +147,8 @@
             network: Arc::clone(&self.network),
         };
         let machine: Arc<dyn machine::Machine> = Arc::<Recorder>::clone(&recorder);
-        let replica = replica::Replica::start(settings, machine, Arc::new(line)).unwrap();
+        let line = Arc::new(line);
+        let replica = replica::Replica::start_on(files, settings, machine, line).unwrap();
         self.network.attach(&peer.instance, &replica);
         Running {
             peer: peer.clone(),
@@ -184,9 +200,92 @@
 /// Starts a replica again; waits until the folder's lock is free.
 pub async fn reopen(group: &Group, peer: &address::Peer) -> Running {
     let folder = group.folder(peer);
-    wait_for("the folder's lock", || {
-        cranberrygap_storage::disk::Disk::lock(&folder).is_ok()
+    wait_for("the folder's lock", || disk::Disk::lock(&folder).is_ok()).await;
+    group.start(peer)
+}
+
+/// A disk whose syncs can be made to fail; it has no content that lasts.
+#[derive(Debug, Clone, Default)]
+pub struct Faulty {
+    files: Arc<Mutex<BTreeMap<String, Vec<u8>>>>,
+    failing: Arc<AtomicBool>,
+}
+
+impl Faulty {
+    /// Lets every sync fail from now on.
+    pub fn fail(&self) {
+        self.failing.store(true, Ordering::SeqCst);
+    }
+}
+
+impl files::Files for Faulty {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.files.lock().keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let found = self.files.lock().get(name).cloned();
+        found.ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut files = self.files.lock();
+        files.entry(name.to_owned()).or_default().extend(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, _name: &str) -> io::Result<()> {
+        if self.failing.load(Ordering::SeqCst) {
+            return Err(io::Error::other("the device failed"));
+        }
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.files.lock();
+        let content = files.remove(from).unwrap_or_default();
+        files.insert(to.to_owned(), content);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files.lock().remove(name);
+        Ok(())
+    }
+}
+
+/// Waits for a condition that has to be asked for.
+pub async fn settle(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..1_500 {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("never came: {what}");
+}
+
+/// Takes an instance's lost replica out and its new one in, as an operator does.
+pub async fn replace(replicas: &[Running], instance: &id::Instance) {
+    settle("the lost replica is out", async || match leader(replicas) {
+        Some(leader) => leader.replica.remove(instance).await.is_ok(),
+        None => false,
+    })
+    .await;
+    settle("the new replica is added", async || {
+        match leader(replicas) {
+            Some(leader) => leader.replica.add_learner(instance).await.is_ok(),
+            None => false,
+        }
+    })
+    .await;
+    settle("the new replica votes", async || match leader(replicas) {
+        Some(leader) => leader.replica.promote(instance).await.is_ok(),
+        None => false,
     })
     .await;
-    group.start(peer)
 }
--- a/crates/cranberrygap-storage/src/check.rs
+++ b/crates/cranberrygap-storage/src/check.rs
@@ -63,14 +63,13 @@
             }
         }
         self.identity = folder::read_identity(files, &names)?;
-        let Some(identity) = &self.identity else {
+        let Some(identity) = self.identity.clone() else {
             let data = names.iter().find(|name| name::is_data(name));
             let lost = data.map(|name| error::Error::damaged(name, 0, name::NO_IDENTITY));
             return lost.map_or(Ok(()), Err);
         };
-        let replica = identity.replica;
         let snapshot = self.read_snapshots(files, &names);
-        let segments = reader::read(files, &names, replica)?;
+        let segments = reader::read(files, &names, &identity)?;
         let torn = segments.list.iter().map(|segment| segment.torn);
         self.torn = torn.sum();
         let joined = reader::Joined::new(&segments, snapshot.as_ref())?;
--- a/crates/cranberrygap-storage/src/folder.rs
+++ b/crates/cranberrygap-storage/src/folder.rs
@@ -57,7 +57,7 @@
         let index = snapshots::latest(&names);
         let snapshot = index.map(|index| snapshots::read(files.as_ref(), index));
         let snapshot = snapshot.transpose()?;
-        let segments = reader::read(files.as_ref(), &names, identity.replica)?;
+        let segments = reader::read(files.as_ref(), &names, &identity)?;
         let joined = reader::Joined::new(&segments, snapshot.as_deref())?;
         let cut = renew_tail(files.as_mut(), &segments)?;
         let mut folder = Self {
--- a/crates/cranberrygap-storage/src/reader.rs
+++ b/crates/cranberrygap-storage/src/reader.rs
@@ -1,10 +1,10 @@
 //! Reads log segments and joins them with the snapshot.
 
-use cranberrygap_agreement::{entry, hard, position, replica, snapshot};
+use cranberrygap_agreement::{entry, hard, position, snapshot};
 use cranberrygap_model::number;
 use serde::de::DeserializeOwned;
 
-use crate::{error, files, frame, name, record};
+use crate::{error, files, frame, identity, name, record};
 
 /// One segment as read.
 #[derive(Debug)]
@@ -30,7 +30,7 @@
 pub(crate) fn read(
     files: &dyn files::Files,
     names: &[String],
-    replica: replica::Id,
+    identity: &identity::Identity,
 ) -> Result<Segments, error::Error> {
     let mut sequences: Vec<u64> = names
         .iter()
@@ -51,11 +51,20 @@
         let bytes = files.read(&name).map_err(error::Error::io(&name, "read"))?;
         let last = at + 1 == sequences.len();
         if last && frame::decode(&bytes, 0).is_none() && frame::find_after(&bytes, 0).is_none() {
+            // Term and vote may stand in the header only. It can be torn while
+            // an earlier segment holds them, or before there was a vote.
+            if at == 0 && identity.formed.is_some() {
+                return Err(error::Error::damaged(
+                    &name,
+                    0,
+                    "the header's checksum is wrong",
+                ));
+            }
             segments.stillborn = Some(name);
             break;
         }
         let segment = parse(name, &bytes, last)?;
-        if segment.header.replica != replica {
+        if segment.header.replica != identity.replica {
             return Err(error::Error::damaged(
                 &segment.name,
                 0,
--- a/crates/cranberrygap-storage/tests/recovery.rs
+++ b/crates/cranberrygap-storage/tests/recovery.rs
@@ -70,6 +70,20 @@
     assert!(report.to_string().contains("wrong: log-"));
 }
 
+// The only segment has nothing but its header, which holds the term and the vote,
+// and the header goes bad. Taken for a torn tail, the vote could be given again.
+#[test]
+fn damaged_header_of_the_only_segment_stops() {
+    let disk = support::Disk::default();
+    let (mut folder, _) = support::open(&disk).unwrap();
+    folder.join(support::formed()).unwrap();
+    disk.change(SEGMENT, |bytes| bytes[20] ^= 1);
+
+    let error = support::open(&disk).unwrap_err();
+
+    assert!(error.to_string().contains("damaged at byte 0"), "{error}");
+}
+
 #[test]
 fn damaged_snapshot_stops() {
     let disk = support::Disk::default();
--- a/crates/cranberrygap-storage/tests/support/mod.rs
+++ b/crates/cranberrygap-storage/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use cranberrygap_agreement::{entry, hard, members, position, replica, snapshot, write};
+use cranberrygap_agreement::{entry, formation, hard, members, position, replica, snapshot, write};
 use cranberrygap_model::{id, number};
 use cranberrygap_storage::{error, files, folder, recovered};
 
@@ -123,6 +123,13 @@
     folder::Folder::open(Box::new(disk.clone()), &instance(), OWN)
 }
 
+pub fn formed() -> formation::Formed {
+    formation::Formed {
+        group: replica::Group(7),
+        founders: members::Members::default(),
+    }
+}
+
 pub fn position(term: u64, index: u64) -> position::Position {
     position::Position {
         term: number::Term(term),
--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -19,6 +19,7 @@
 pub mod member;
 pub mod session;
 pub mod show;
+pub mod storage;
 pub mod time;
 pub mod trail;
 
@@ -60,6 +61,9 @@
     Explain(explain::Arguments),
     /// Print what shows that promises were kept, for a regulator.
     Audit(audit::Arguments),
+    /// Look into the data folder of a control process.
+    #[command(subcommand)]
+    Storage(storage::Command),
     /// Run a whole fleet in this process, to try it out.
     Local(local::Arguments),
 }
@@ -94,6 +98,7 @@
         Command::Member(wanted) => wanted.chosen(),
         Command::Explain(wanted) => wanted,
         Command::Audit(wanted) => wanted,
+        Command::Storage(wanted) => return Ok(storage::run(wanted)),
         Command::Local(wanted) => return local::run(wanted),
     };
     ask(&arguments.reach, asked)
