--- a/crates/cranberrygap/tests/agreement.rs
+++ b/crates/cranberrygap/tests/agreement.rs
@@ -192,3 +192,42 @@
     };
     let _with: operator::Group = fleet.ask_leader(method::MEMBER_ADD, &join).await;
 }
+
+// A control instance comes back with an empty disk under its old settings. It
+// has forgotten its votes, so it must not vote before operators took it in anew;
+// right after that another instance fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn voter_that_lost_its_disk_comes_back_as_a_new_replica() {
+    let mut fleet = controls(3, false).await;
+    let issued = issue(&fleet, 20).await;
+    let (leader, _) = group::leader(&fleet).await;
+    let lost = if leader == "control-3" {
+        "control-2"
+    } else {
+        "control-3"
+    };
+    fleet.process(lost).kill();
+    std::fs::remove_dir_all(fleet.folder().join(format!("data-{lost}"))).unwrap();
+    fleet.process(lost).restart();
+    let position: usize = lost.rsplit_once('-').unwrap().1.parse().unwrap();
+    let address = fleet.controls[position - 1].peers;
+
+    let leave = operator::Leave {
+        author: author("remove"),
+        instance: lost.parse().unwrap(),
+    };
+    let without: operator::Group = fleet.ask_leader(method::MEMBER_REMOVE, &leave).await;
+    let join = operator::Join {
+        author: author("add"),
+        peer: format!("{lost}@{address}").parse().unwrap(),
+        domain: "oslo-3".parse().unwrap(),
+    };
+    let with: operator::Group = fleet.ask_leader(method::MEMBER_ADD, &join).await;
+    let (leader, _) = group::leader(&fleet).await;
+    fleet.process(&leader).kill();
+
+    assert_eq!((without.voters.len(), with.voters.len()), (2, 3));
+    assert_eq!(keys(&fleet).await, issued);
+    let later = issue(&fleet, 1).await;
+    assert!(keys(&fleet).await.is_superset(&later));
+}
