--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -2,6 +2,7 @@
 
 pub mod agreement;
 pub mod limits;
+pub mod placement;
 
 use std::fmt;
 
@@ -50,5 +51,6 @@
     vec![
         Box::new(agreement::Agreement::default()),
         Box::new(limits::Limits),
+        Box::new(placement::Placement::new(placement::Variant::Sound)),
     ]
 }
--- a/crates/cranberrygap-placement/src/ledger.rs
+++ b/crates/cranberrygap-placement/src/ledger.rs
@@ -63,6 +63,7 @@
             .or_insert_with(|| account::Account::new(announcement, reserve));
         account.health = known.health;
         account.address = announcement.address;
+        account.void_other_boots(announcement.boot);
         for order in self.journal.open.values() {
             if order.endpoint == announcement.endpoint {
                 account.count(order);
@@ -189,25 +190,43 @@
     /// Unloading the last copy that is proven to serve would make the model
     /// unreachable until another load ends. Callers would see refusals. So
     /// another copy must be confirmed first, or, for an old version, a copy of
-    /// the version that takes its place.
+    /// the version that takes its place. An adapter serves only beside its base
+    /// model, so a base model takes the adapters that are with it along.
     fn may_unload(
         &self,
         catalogue: &catalogue::Catalogue,
         endpoint: &id::Endpoint,
         model: &id::Model,
     ) -> Result<(), Refusal> {
-        let others = self.accounts.iter().filter(|(name, _)| *name != endpoint);
-        let mut others = others.map(|(_, account)| account);
-        let successor = catalogue.successor(model);
-        let replaced = |account: &account::Account| {
-            account.serves(model) || successor.is_some_and(|newer| account.serves(newer))
-        };
-        if others.any(replaced) {
+        let account = self.accounts.get(endpoint);
+        let account = account.ok_or(Refusal::UnknownEndpoint)?;
+        let adapters = catalogue.adapters(model).iter();
+        let mut taken = adapters
+            .filter(|adapter| account.serves(adapter))
+            .chain(std::iter::once(model));
+        if taken.all(|taken| self.serves_elsewhere(catalogue, endpoint, taken)) {
             return Ok(());
         }
         Err(Refusal::LastCopy)
     }
 
+    fn serves_elsewhere(
+        &self,
+        catalogue: &catalogue::Catalogue,
+        endpoint: &id::Endpoint,
+        model: &id::Model,
+    ) -> bool {
+        let others = self.accounts.iter().filter(|(name, _)| *name != endpoint);
+        let mut others = others.map(|(_, account)| account);
+        let successor = catalogue.successor(model);
+        let base = catalogue.base(model);
+        others.any(|account| {
+            let based = base.is_none_or(|base| account.serves(base));
+            let replaced = successor.is_some_and(|newer| account.serves(newer));
+            based && account.serves(model) || replaced
+        })
+    }
+
     /// The residency number that an account was last seen with.
     #[must_use]
     pub fn residency(&self, endpoint: &id::Endpoint) -> Option<number::Sequence> {
--- a/crates/cranberrygap-placement/src/ledger/account.rs
+++ b/crates/cranberrygap-placement/src/ledger/account.rs
@@ -107,6 +107,16 @@
         actions.any(|action| matches!(action, endpoint::Action::Unload { model: m } if m == model))
     }
 
+    /// An endpoint restarts between two reports, and its announcement is heard
+    /// first. Its models are gone, but the last report still shows them; another
+    /// endpoint's copy could be unloaded on the strength of that. Until the new
+    /// process reports, nothing here counts as serving, and no order goes out.
+    pub(super) fn void_other_boots(&mut self, announced: number::Boot) {
+        if self.boot != Some(announced) {
+            self.boot = None;
+        }
+    }
+
     pub(super) fn count(&mut self, order: &endpoint::Order) {
         self.open.insert(order.order.clone(), order.clone());
     }
--- a/crates/cranberrygap-placement/src/plan.rs
+++ b/crates/cranberrygap-placement/src/plan.rs
@@ -13,6 +13,7 @@
 use crate::catalogue;
 use crate::ledger;
 
+pub mod assign;
 pub mod board;
 mod demand;
 mod repair;
@@ -22,22 +23,35 @@
 /// How placement weighs things.
 #[derive(Debug, Clone, Copy, PartialEq, bon::Builder)]
 pub struct Settings {
-    /// Demand a second that one accelerator serves within the latency targets.
+    /// Demand a second that one accelerator serves within the latency targets,
+    /// were there no weights to read.
     pub demand_per_accelerator: f64,
+    /// Demand a second that a runner serves less for each GiB of active weights.
+    #[builder(default = 0.0)]
+    pub demand_per_gib: f64,
     /// Copies that each model has wherever memory allows.
     #[builder(default = 2)]
     pub copies: usize,
-    /// Utilisation of a runner above which its models get more copies.
-    #[builder(default = 0.7)]
+    /// Part of a runner's capacity that is assigned; the rest is for bursts.
+    #[builder(default = 0.8)]
     pub high: f64,
-    /// Utilisation by which another runner must be below before a copy goes there.
-    #[builder(default = 0.25)]
+    /// Part of a model's demand that must be left over before a copy is added.
+    #[builder(default = 0.1)]
     pub margin: f64,
     /// Copies that are added for demand in one round at most.
     #[builder(default = 6)]
     pub added_at_once: usize,
 }
 
+/// What one round wants.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Plan {
+    /// Changes, the most urgent first.
+    pub moves: Vec<Move>,
+    /// Endpoints that should take each model's requests.
+    pub preferred: assign::Preferred,
+}
+
 /// Why a change is wanted; the most urgent first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
@@ -66,23 +80,27 @@
     pub reason: Reason,
 }
 
-/// Plans one round; the most urgent change comes first.
+/// Plans one round.
 ///
-/// `demand` is the expected demand a second by model and adapter.
+/// `demand` is the expected demand a second by model and adapter, `previous`
+/// the preference that the entries follow now.
 #[must_use]
 pub fn plan(
     ledger: &ledger::Ledger,
     catalogue: &catalogue::Catalogue,
     demand: &BTreeMap<id::Model, f64>,
+    previous: &assign::Preferred,
     settings: &Settings,
-) -> Vec<Move> {
+) -> Plan {
     let mut board = board::Board::new(ledger, catalogue, demand, settings);
+    assign::all(&mut board, previous);
+    let preferred = assign::preferred(&board);
     repair::unreachable(&mut board);
     repair::risk(&mut board);
     repair::adapters(&mut board);
     retire::old_versions(&mut board);
     demand::spread(&mut board);
-    let mut moves = board.into_moves();
+    let mut moves = board.take_moves();
     moves.sort_by_key(|wish| wish.reason);
-    moves
+    Plan { moves, preferred }
 }
--- a/crates/cranberrygap-placement/src/plan/board.rs
+++ b/crates/cranberrygap-placement/src/plan/board.rs
@@ -9,11 +9,8 @@
 use crate::ledger;
 use crate::plan;
 
-/// Times that the division of demand over copies is evened out.
-const PASSES: usize = 6;
-
-/// Utilisation that an idle runner is taken to have, so that weights stay finite.
-const IDLE: f64 = 0.05;
+/// Bytes of a GiB.
+const GIB: f64 = (1_u64 << 30) as f64;
 
 /// One runner on the board.
 #[derive(Debug)]
@@ -26,9 +23,9 @@
     pub usable: bool,
     /// Memory for further loads, with what this round wants already taken off.
     pub free: u64,
-    /// Demand a second that it serves within the targets.
+    /// Demand a second that it should serve.
     pub capacity: f64,
-    /// Demand a second that falls on it.
+    /// Demand a second that is assigned to it, the cost of weights included.
     pub load: f64,
     /// Numbers of the base models that it has or will have.
     pub models: Vec<usize>,
@@ -40,6 +37,12 @@
     pub fn utilisation(&self) -> f64 {
         self.load / self.capacity.max(f64::MIN_POSITIVE)
     }
+
+    /// Demand a second that may still be assigned.
+    #[must_use]
+    pub fn left(&self) -> f64 {
+        self.capacity - self.load
+    }
 }
 
 /// One copy of a base model.
@@ -49,7 +52,7 @@
     pub runner: usize,
     /// Whether it serves now, as against being loaded.
     pub serves: bool,
-    /// Demand a second that falls on it.
+    /// Demand a second that is assigned to it; zero where it only stands by.
     pub share: f64,
 }
 
@@ -62,6 +65,10 @@
     pub footprint: u64,
     /// Expected demand a second, its adapters' included.
     pub demand: f64,
+    /// Demand that found no place on its copies.
+    pub overflow: f64,
+    /// Demand that having it active costs a runner beside what it serves.
+    pub weight: f64,
     /// Its copies on usable runners.
     pub copies: Vec<Copy>,
 }
@@ -79,6 +86,7 @@
     pub runners: Vec<Runner>,
     /// Base models in the order of their names.
     pub models: Vec<Model>,
+    pub(super) numbers: BTreeMap<id::Model, usize>,
     moves: Vec<plan::Move>,
 }
 
@@ -91,7 +99,9 @@
         demand: &BTreeMap<id::Model, f64>,
         settings: &'a plan::Settings,
     ) -> Self {
-        let models = models(catalogue, demand);
+        let models = models(catalogue, demand, settings);
+        let names = models.iter().map(|model| model.name.clone());
+        let numbers = names.zip(0..).collect();
         let runners = runners(ledger, settings);
         let mut board = Self {
             ledger,
@@ -99,27 +109,21 @@
             settings,
             runners,
             models,
+            numbers,
             moves: Vec::new(),
         };
         board.place_copies();
-        board.divide_all();
         board
     }
 
     fn place_copies(&mut self) {
-        let numbers: BTreeMap<id::Model, usize> = self
-            .models
-            .iter()
-            .enumerate()
-            .map(|(number, model)| (model.name.clone(), number))
-            .collect();
         for (runner, account) in self.ledger.accounts().values().enumerate() {
             if !self.runners[runner].usable {
                 continue;
             }
             let loading = account.open.values().filter_map(loaded_model);
             for name in account.resident.keys().chain(loading) {
-                let Some(&number) = numbers.get(name) else {
+                let Some(&number) = self.numbers.get(name) else {
                     continue;
                 };
                 if !account.expects(name) || self.runners[runner].models.contains(&number) {
@@ -152,54 +156,6 @@
         runner.free = runner.free.saturating_sub(room);
     }
 
-    /// Divides every model's demand over its copies, away from loaded runners.
-    pub fn divide_all(&mut self) {
-        for runner in &mut self.runners {
-            runner.load = 0.0;
-        }
-        for number in 0..self.models.len() {
-            self.divide_evenly(number);
-        }
-        for _pass in 0..PASSES {
-            for number in 0..self.models.len() {
-                self.divide(number);
-            }
-        }
-    }
-
-    fn divide_evenly(&mut self, number: usize) {
-        let model = &mut self.models[number];
-        let share = model.demand / model.copies.len().max(1) as f64;
-        for copy in &mut model.copies {
-            copy.share = share;
-            self.runners[copy.runner].load += share;
-        }
-    }
-
-    /// Moves one model's demand towards its less loaded copies.
-    pub fn divide(&mut self, number: usize) {
-        let model = &mut self.models[number];
-        if model.copies.len() < 2 {
-            return;
-        }
-        let runners = &mut self.runners;
-        let weight = |copy: &Copy| {
-            let floor = model.demand * IDLE;
-            (copy.share + floor) / (runners[copy.runner].utilisation() + IDLE)
-        };
-        let weights: smallvec::SmallVec<[f64; 8]> = model.copies.iter().map(weight).collect();
-        let total: f64 = weights.iter().sum();
-        if total <= 0.0 {
-            return;
-        }
-        for (copy, weight) in model.copies.iter_mut().zip(weights) {
-            // Half way only; a full step would swing from one copy to the other.
-            let share = f64::midpoint(copy.share, model.demand * weight / total);
-            runners[copy.runner].load += share - copy.share;
-            copy.share = share;
-        }
-    }
-
     /// Whether the runner has or will have the model.
     #[must_use]
     pub fn has(&self, runner: usize, number: usize) -> bool {
@@ -223,9 +179,6 @@
         };
         let endpoint = target.endpoint.clone();
         self.want(endpoint, action, reason);
-        for _pass in 0..PASSES {
-            self.divide(number);
-        }
     }
 
     /// Wants a copy and the adapters beside it unloaded.
@@ -236,11 +189,9 @@
         let model = &mut self.models[number];
         if let Some(position) = model.copies.iter().position(|copy| copy.runner == runner) {
             let copy = model.copies.remove(position);
-            self.runners[runner].load -= copy.share;
-            let left = model.copies.len().max(1) as f64;
-            for other in &mut model.copies {
-                other.share += copy.share / left;
-                self.runners[other.runner].load += copy.share / left;
+            if copy.share > 0.0 {
+                self.runners[runner].load -= copy.share + model.weight;
+                model.overflow += copy.share;
             }
         }
         let name = self.models[number].name.clone();
@@ -279,10 +230,9 @@
         });
     }
 
-    /// What the round wants.
-    #[must_use]
-    pub fn into_moves(self) -> Vec<plan::Move> {
-        self.moves
+    /// Takes out what the round wants.
+    pub fn take_moves(&mut self) -> Vec<plan::Move> {
+        std::mem::take(&mut self.moves)
     }
 }
 
@@ -293,7 +243,11 @@
     }
 }
 
-fn models(catalogue: &catalogue::Catalogue, demand: &BTreeMap<id::Model, f64>) -> Vec<Model> {
+fn models(
+    catalogue: &catalogue::Catalogue,
+    demand: &BTreeMap<id::Model, f64>,
+    settings: &plan::Settings,
+) -> Vec<Model> {
     let of = |name: &id::Model| demand.get(name).copied().unwrap_or_default();
     let bases = catalogue.bases();
     bases
@@ -303,6 +257,8 @@
                 name: name.clone(),
                 footprint: catalogue.footprint(name).0,
                 demand: of(name) + adapters.map(of).sum::<f64>(),
+                overflow: 0.0,
+                weight: catalogue.size(name).0 as f64 / GIB * settings.demand_per_gib,
                 copies: Vec::new(),
             }
         })
@@ -320,7 +276,9 @@
                 domain: *domains.entry(&account.domain).or_insert(next),
                 usable: account.is_usable(),
                 free: account.free().0,
-                capacity: f64::from(account.accelerators.max(1)) * settings.demand_per_accelerator,
+                capacity: f64::from(account.accelerators.max(1))
+                    * settings.demand_per_accelerator
+                    * settings.high,
                 load: 0.0,
                 models: Vec::new(),
             }
--- a/crates/cranberrygap-placement/src/plan/demand.rs
+++ b/crates/cranberrygap-placement/src/plan/demand.rs
@@ -1,81 +1,55 @@
 //! More copies where demand presses.
 
 use crate::plan;
+use crate::plan::assign;
 use crate::plan::board;
 use crate::plan::room;
 
-/// Adds copies of models on overloaded runners to lightly loaded ones.
+/// Adds copies of models whose demand found no place on those that they have.
 ///
 /// Each move costs a load from the store and the cache of what it pushes out,
-/// so nothing moves below [`plan::Settings::high`], and only to a runner that
-/// is better by [`plan::Settings::margin`].
+/// so nothing moves while the copies bear the demand, and only to a runner that
+/// takes a good part of what is left over.
 pub fn spread(board: &mut board::Board<'_>) {
-    let mut skipped: Vec<usize> = Vec::new();
-    for _added in 0..board.settings.added_at_once {
-        board.divide_all();
-        let Some(hot) = hottest(board, &skipped) else {
-            return;
-        };
-        if !relieve(board, hot) {
-            skipped.push(hot);
-        }
+    let mut numbers: Vec<usize> = (0..board.models.len())
+        .filter(|number| presses(board, *number))
+        .collect();
+    let overflow = |number: &usize| board.models[*number].overflow;
+    numbers.sort_by(|a, b| overflow(b).total_cmp(&overflow(a)));
+    numbers.truncate(board.settings.added_at_once);
+    for number in numbers {
+        add(board, number);
     }
 }
 
-fn hottest(board: &board::Board<'_>, skipped: &[usize]) -> Option<usize> {
-    let runners = 0..board.runners.len();
-    let busy = runners.filter(|runner| {
-        let state = &board.runners[*runner];
-        state.usable && state.utilisation() > board.settings.high && !skipped.contains(runner)
-    });
-    busy.max_by(|a, b| {
-        let (a, b) = (&board.runners[*a], &board.runners[*b]);
-        a.utilisation().total_cmp(&b.utilisation())
-    })
+fn presses(board: &board::Board<'_>, number: usize) -> bool {
+    let model = &board.models[number];
+    // A copy that is being loaded will bring relief, and was counted with it.
+    let loading = model.copies.iter().any(|copy| !copy.serves);
+    !loading && model.overflow > board.settings.margin * model.demand
 }
 
-/// Adds a copy of one of the runner's models elsewhere, the heaviest that can.
-fn relieve(board: &mut board::Board<'_>, hot: usize) -> bool {
-    let mut numbers = board.runners[hot].models.clone();
-    let share = |number: &usize| {
-        let mut copies = board.models[*number].copies.iter();
-        copies
-            .find(|copy| copy.runner == hot)
-            .map_or(0.0, |copy| copy.share)
-    };
-    numbers.sort_by(|a, b| share(b).total_cmp(&share(a)));
-    let worth: Vec<usize> = numbers
-        .into_iter()
-        .filter(|number| share(number) > 0.0)
-        .collect();
-    worth
-        .into_iter()
-        .any(|number| copy_elsewhere(board, hot, number))
-}
-
-fn copy_elsewhere(board: &mut board::Board<'_>, hot: usize, number: usize) -> bool {
-    let limit = board.runners[hot].utilisation() - board.settings.margin;
-    let footprint = board.models[number].footprint;
-    // A copy that is being loaded already will bring the relief.
-    let loading = board.models[number].copies.iter();
-    if loading.filter(|copy| !copy.serves).count() >= 2 {
-        return false;
-    }
+fn add(board: &mut board::Board<'_>, number: usize) {
+    let model = &board.models[number];
+    let footprint = model.footprint;
+    let least = model.weight + board.settings.margin * model.overflow;
     let mut targets: Vec<usize> = (0..board.runners.len())
         .filter(|runner| {
             let state = &board.runners[*runner];
-            state.usable && state.utilisation() < limit && !board.has(*runner, number)
+            state.usable && !board.has(*runner, number) && state.left() > least
         })
         .collect();
-    let utilisation = |runner: &usize| board.runners[*runner].utilisation();
-    targets.sort_by(|a, b| utilisation(a).total_cmp(&utilisation(b)));
+    let left = |runner: &usize| board.runners[*runner].left();
+    targets.sort_by(|a, b| left(b).total_cmp(&left(a)));
     let fits = targets
         .iter()
         .copied()
         .find(|runner| board.runners[*runner].free >= footprint);
     if let Some(runner) = fits {
         board.add(runner, number, plan::Reason::Demand);
-        return true;
+        assign::fill(board, number, runner);
+        return;
     }
-    room::make(board, &targets, footprint, board.settings.copies)
+    let keep = room::Keep::Spread(board.settings.copies);
+    room::make(board, &targets, footprint, keep);
 }
--- a/crates/cranberrygap-placement/src/plan/repair.rs
+++ b/crates/cranberrygap-placement/src/plan/repair.rs
@@ -94,15 +94,15 @@
         board.add(runner, number, reason);
         return;
     }
-    let spare = if reason == plan::Reason::Unreachable {
-        1
+    let keep = if reason == plan::Reason::Unreachable {
+        room::Keep::One
     } else {
-        board.settings.copies
+        room::Keep::Spread(board.settings.copies)
     };
     let elsewhere: Vec<usize> = candidates
         .filter(|runner| {
             reason == plan::Reason::Unreachable || !taken.contains(&board.runners[*runner].domain)
         })
         .collect();
-    room::make(board, &elsewhere, footprint, spare);
+    room::make(board, &elsewhere, footprint, keep);
 }
--- a/crates/cranberrygap-placement/src/plan/room.rs
+++ b/crates/cranberrygap-placement/src/plan/room.rs
@@ -3,17 +3,26 @@
 use crate::plan;
 use crate::plan::board;
 
+/// What a model that gives up a copy must keep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Keep {
+    /// One serving copy, however loaded; for a model that has none at all.
+    One,
+    /// So many copies over two failure domains that bear the load.
+    Spread(usize),
+}
+
 /// Unloads copies on the one of `runners` where that costs least, so that
-/// `wanted` bytes become free. A model keeps at least `spare` serving copies.
+/// `wanted` bytes become free.
 ///
 /// Does nothing where room is being made already: the same want comes again
 /// each round until the unload is reported.
-pub fn make(board: &mut board::Board<'_>, runners: &[usize], wanted: u64, spare: usize) -> bool {
+pub fn make(board: &mut board::Board<'_>, runners: &[usize], wanted: u64, keep: Keep) -> bool {
     if runners.iter().any(|runner| is_clearing(board, *runner)) {
         return false;
     }
     let choices = runners.iter().filter_map(|runner| {
-        let victims = victims(board, *runner, wanted, spare)?;
+        let victims = victims(board, *runner, wanted, keep)?;
         let cost: f64 = victims
             .iter()
             .map(|number| share(board, *runner, *number))
@@ -46,17 +55,12 @@
 }
 
 /// The least used copies that together free enough, or none.
-fn victims(
-    board: &board::Board<'_>,
-    runner: usize,
-    wanted: u64,
-    spare: usize,
-) -> Option<Vec<usize>> {
+fn victims(board: &board::Board<'_>, runner: usize, wanted: u64, keep: Keep) -> Option<Vec<usize>> {
     let mut candidates: Vec<usize> = board.runners[runner]
         .models
         .iter()
         .copied()
-        .filter(|number| can_spare(board, runner, *number, spare))
+        .filter(|number| can_spare(board, runner, *number, keep))
         .collect();
     candidates.sort_by(|a, b| {
         let (a, b) = (share(board, runner, *a), share(board, runner, *b));
@@ -74,27 +78,28 @@
     (free >= wanted).then_some(victims)
 }
 
-fn can_spare(board: &board::Board<'_>, runner: usize, number: usize, spare: usize) -> bool {
+fn can_spare(board: &board::Board<'_>, runner: usize, number: usize, keep: Keep) -> bool {
     let model = &board.models[number];
-    let others = model.copies.iter().filter(|copy| copy.runner != runner);
     let here = model.copies.iter().find(|copy| copy.runner == runner);
-    if !here.is_some_and(|copy| copy.serves) {
+    let Some(here) = here.filter(|copy| copy.serves) else {
         return false;
-    }
+    };
+    let others = model.copies.iter().filter(|copy| copy.runner != runner);
     let rest: Vec<&board::Copy> = others.filter(|copy| copy.serves).collect();
-    if rest.len() < spare.max(1) {
-        return false;
-    }
-    if spare >= 2 && !spans_domains(board, &rest) {
-        return false;
+    match keep {
+        Keep::One => !rest.is_empty(),
+        Keep::Spread(copies) => {
+            rest.len() >= copies && spans_domains(board, &rest) && bears(board, &rest, here.share)
+        }
     }
-    // The rest must bear the load, or the copy would come back at once.
-    let room = rest.iter().map(|copy| {
-        let runner = &board.runners[copy.runner];
-        (board.settings.high * runner.capacity - runner.load).max(0.0)
-    });
-    let moved = here.map_or(0.0, |copy| copy.share);
-    spare < 2 || room.sum::<f64>() >= moved
+}
+
+/// Whether the copies have room for a share; else it would come back at once.
+fn bears(board: &board::Board<'_>, copies: &[&board::Copy], share: f64) -> bool {
+    let left = copies
+        .iter()
+        .map(|copy| board.runners[copy.runner].left().max(0.0));
+    left.sum::<f64>() >= share
 }
 
 fn spans_domains(board: &board::Board<'_>, copies: &[&board::Copy]) -> bool {
--- a/crates/cranberrygap-placement/tests/ledger.rs
+++ b/crates/cranberrygap-placement/tests/ledger.rs
@@ -176,3 +176,30 @@
 
     assert_eq!(ledger.accounts()["a"].free(), gib(80));
 }
+
+// A base model and its adapter are on two endpoints, the adapter on one of them
+// only. Unloading the base there would leave the adapter without its base.
+#[test]
+fn base_is_kept_where_its_adapter_has_no_other_place() {
+    let known = catalogue(&[weights("m", 10), fixture::adapter("t", "m")]);
+    let mut ledger = fixture::ledger(&[("a", &["m", "t"]), ("c", &["m"])]);
+
+    let refused = ledger.intend(&known, &unload("o1", "a", "m"));
+
+    assert_eq!(refused, Err(ledger::Refusal::LastCopy));
+}
+
+// An endpoint restarts between two reports, and its announcement comes first.
+// On the strength of its old report another endpoint's last copy would go.
+#[test]
+fn announced_restart_voids_the_old_report() {
+    let known = catalogue(&[weights("m", 10)]);
+    let mut ledger = fixture::ledger(&[("a", &["m"]), ("c", &["m"])]);
+    let mut restarted = fixture::runner("a", "x");
+    restarted.announcement.boot = number::Boot(2);
+    ledger.enroll(&restarted);
+
+    let refused = ledger.intend(&known, &unload("o1", "c", "m"));
+
+    assert_eq!(refused, Err(ledger::Refusal::LastCopy));
+}
--- a/crates/cranberrygap-routing/src/pending.rs
+++ b/crates/cranberrygap-routing/src/pending.rs
@@ -1,6 +1,6 @@
 //! Requests that wait at an entry for a seat or a load.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use cranberrygap_model::{duration, id};
 
@@ -19,6 +19,32 @@
     pub deadline: duration::Instant,
 }
 
+/// Whether a request's first token can still come in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// It can.
+    Timely,
+    /// It can no longer.
+    Late,
+}
+
+impl Waiting {
+    /// Whether so much of the time until its deadline is gone that it should
+    /// run even where that makes a batch too large for the latency targets.
+    ///
+    /// Under overload late requests would wait behind all timely ones until
+    /// their deadline, and be refused although their workspace is within its
+    /// rate. A third of the time leaves the rest for a slow answer.
+    #[must_use]
+    pub fn is_urgent(&self, now: duration::Instant) -> bool {
+        let whole = self.deadline.since(self.arrived);
+        now.since(self.arrived).0 > whole.0 / URGENT_PART
+    }
+}
+
+/// Part of the time until the deadline after which a request is urgent.
+const URGENT_PART: u64 = 3;
+
 /// Waiting requests of one model, fair among workspaces.
 ///
 /// A request whose first token can still come in time goes before those that
@@ -27,89 +53,128 @@
 #[derive(Debug, Clone)]
 pub struct Queue {
     first_token: duration::Span,
-    waiting: BTreeMap<id::Workspace, Vec<Waiting>>,
+    lines: BTreeMap<id::Workspace, Line>,
+    earliest: duration::Instant,
+}
+
+/// Waiting requests of one workspace, each part in order of arrival.
+#[derive(Debug, Clone, Default)]
+struct Line {
+    timely: VecDeque<Waiting>,
+    late: VecDeque<Waiting>,
 }
 
+const NEVER: duration::Instant = duration::Instant(u64::MAX);
+
 impl Queue {
     /// A queue for a target time to the first token.
     #[must_use]
     pub fn new(first_token: duration::Span) -> Self {
         Self {
             first_token,
-            waiting: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            earliest: NEVER,
         }
     }
 
     /// Adds a request.
     pub fn push(&mut self, waiting: Waiting) {
-        let line = self.waiting.entry(waiting.workspace.clone()).or_default();
-        line.push(waiting);
+        self.earliest = self.earliest.min(waiting.deadline);
+        let line = self.lines.entry(waiting.workspace.clone()).or_default();
+        line.timely.push_back(waiting);
     }
 
     /// Number of waiting requests.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.values().map(Vec::len).sum()
+        self.lines.values().map(Line::len).sum()
     }
 
     /// Whether none waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiting.values().all(Vec::is_empty)
+        self.len() == 0
     }
 
     /// Takes out all whose deadline has come; their final answer is due at once.
     pub fn expire(&mut self, now: duration::Instant) -> Vec<Waiting> {
+        if now < self.earliest {
+            return Vec::new();
+        }
         let mut expired = Vec::new();
-        for line in self.waiting.values_mut() {
-            expired.extend(line.extract_if(.., |waiting| waiting.deadline <= now));
+        let mut earliest = NEVER;
+        for line in self.lines.values_mut() {
+            for part in [&mut line.timely, &mut line.late] {
+                let all = std::mem::take(part);
+                let (gone, kept): (VecDeque<_>, VecDeque<_>) =
+                    all.into_iter().partition(|waiting| waiting.deadline <= now);
+                expired.extend(gone);
+                let first = kept.iter().map(|waiting| waiting.deadline).min();
+                earliest = earliest.min(first.unwrap_or(NEVER));
+                *part = kept;
+            }
         }
-        self.waiting.retain(|_, line| !line.is_empty());
+        self.earliest = earliest;
         expired
     }
 
-    /// The next request to send, and whether its first token can be in time.
+    /// The next request of a class.
     ///
     /// `served` is each workspace's virtual token counter: least served first.
-    #[must_use]
     pub fn next(
-        &self,
+        &mut self,
         now: duration::Instant,
+        class: Class,
         served: &BTreeMap<id::Workspace, f64>,
-    ) -> Option<(&Waiting, bool)> {
-        let of = |workspace: &id::Workspace| served.get(workspace).copied().unwrap_or_default();
-        let timely = self.best(of, |waiting| !self.is_late(now, waiting));
-        if let Some(waiting) = timely {
-            return Some((waiting, true));
+    ) -> Option<&Waiting> {
+        for line in self.lines.values_mut() {
+            line.age(now, self.first_token);
         }
-        self.best(of, |_| true).map(|waiting| (waiting, false))
+        let of = |waiting: &&Waiting| served.get(&waiting.workspace).copied().unwrap_or_default();
+        let fronts = self.lines.values().filter_map(|line| line.front(class));
+        fronts.min_by(|a, b| of(a).total_cmp(&of(b)))
     }
 
     /// Removes a request that was sent or cancelled.
     pub fn remove(&mut self, workspace: &id::Workspace, request: &id::Request) -> Option<Waiting> {
-        let line = self.waiting.get_mut(workspace)?;
-        let position = line
-            .iter()
-            .position(|waiting| waiting.request == *request)?;
-        let waiting = line.remove(position);
-        if line.is_empty() {
-            self.waiting.remove(workspace);
+        let line = self.lines.get_mut(workspace)?;
+        let waiting = line.remove(request)?;
+        if line.len() == 0 {
+            self.lines.remove(workspace);
         }
         Some(waiting)
     }
+}
 
-    /// Whether the first token can no longer come in time.
-    fn is_late(&self, now: duration::Instant, waiting: &Waiting) -> bool {
-        now.since(waiting.arrived) >= self.first_token
+impl Line {
+    fn front(&self, class: Class) -> Option<&Waiting> {
+        match class {
+            Class::Timely => self.timely.front(),
+            Class::Late => self.late.front(),
+        }
     }
 
-    fn best(
-        &self,
-        served: impl Fn(&id::Workspace) -> f64,
-        eligible: impl Fn(&Waiting) -> bool,
-    ) -> Option<&Waiting> {
-        let firsts = self.waiting.values();
-        let firsts = firsts.filter_map(|line| line.iter().find(|waiting| eligible(waiting)));
-        firsts.min_by(|a, b| served(&a.workspace).total_cmp(&served(&b.workspace)))
+    fn len(&self) -> usize {
+        self.timely.len() + self.late.len()
+    }
+
+    /// Moves those whose first token can no longer come in time.
+    fn age(&mut self, now: duration::Instant, first_token: duration::Span) {
+        while let Some(first) = self.timely.front() {
+            if now.since(first.arrived) < first_token {
+                return;
+            }
+            self.late.extend(self.timely.pop_front());
+        }
+    }
+
+    fn remove(&mut self, request: &id::Request) -> Option<Waiting> {
+        for part in [&mut self.timely, &mut self.late] {
+            let position = part.iter().position(|waiting| waiting.request == *request);
+            if let Some(position) = position {
+                return part.remove(position);
+            }
+        }
+        None
     }
 }
--- a/crates/cranberrygap-routing/src/router.rs
+++ b/crates/cranberrygap-routing/src/router.rs
@@ -50,6 +50,18 @@
     },
 }
 
+/// How full an endpoint may be to get a request, as parts of its batch limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fill {
+    /// Up to this part; the emptiest is best.
+    UpTo(f64),
+    /// Up to this part, which may be above one; the fullest is best.
+    ///
+    /// For requests that have to run although their batch will be too large:
+    /// one overfull endpoint misses its targets, rather than all of them.
+    Crowd(f64),
+}
+
 /// A request as routing sees it.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
@@ -59,8 +71,13 @@
     pub prompt: &'a [u64],
     /// Time until the caller's deadline.
     pub left: duration::Span,
-    /// Part of the batch limit up to which it may be sent.
-    pub fill: f64,
+    /// Endpoints that the plan wants to take the model's requests.
+    pub preferred: &'a [id::Endpoint],
+    /// How full an endpoint may be.
+    pub fill: Fill,
+    /// Part of its batch limit up to which an endpoint may be full that is not
+    /// preferred; zero for none.
+    pub spill: f64,
 }
 
 /// One endpoint as an entry knows it.
@@ -112,7 +129,17 @@
                 };
             }
         };
-        let best = self.best(rng, question, endpoints);
+        let preferred = endpoints.iter();
+        let preferred: Vec<id::Endpoint> = preferred
+            .filter(|endpoint| question.preferred.contains(endpoint))
+            .cloned()
+            .collect();
+        let best = if preferred.is_empty() {
+            self.best(rng, question, endpoints)
+        } else {
+            let best = self.best(rng, question, &preferred);
+            best.or_else(|| self.spill(rng, question, endpoints))
+        };
         match best {
             Some(endpoint) => Choice::Dispatch(endpoint),
             None => Choice::Wait,
@@ -168,6 +195,29 @@
         })
     }
 
+    /// An endpoint beside the preferred ones, where it has seats to spare.
+    ///
+    /// A request there makes one more model active, and all steps longer. Under
+    /// overload every model would become active everywhere, all batches shrink,
+    /// and the overload would outlast its cause; one would see a fleet that
+    /// stays late long after a failure domain came back. So only spare seats
+    /// are taken, and only for requests that may go anywhere.
+    fn spill(
+        &self,
+        rng: &mut impl Rng,
+        question: &Question<'_>,
+        endpoints: &[id::Endpoint],
+    ) -> Option<id::Endpoint> {
+        if question.spill <= 0.0 {
+            return None;
+        }
+        let question = Question {
+            fill: Fill::UpTo(question.spill),
+            ..*question
+        };
+        self.best(rng, &question, endpoints)
+    }
+
     /// The best of a few endpoints drawn at random, and of the one that has
     /// most of the prompt cached. With all compared, entries with the same
     /// lagging reports would all pick the same endpoint.
@@ -182,9 +232,9 @@
         let open = drawn
             .chain(cached)
             .filter(|endpoint| self.has_seat(endpoint, question.fill));
-        let score = |endpoint: &id::Endpoint| self.score(question, endpoint);
-        let best = open.min_by(|a, b| score(a).total_cmp(&score(b)))?;
-        Some(best.clone())
+        let scored = open.map(|endpoint| (self.score(question, endpoint), endpoint));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some(best.1.clone())
     }
 
     fn most_cached<'a>(
@@ -202,11 +252,12 @@
         (hit > 0.0).then_some(endpoint)
     }
 
-    fn has_seat(&self, endpoint: &id::Endpoint, fill: f64) -> bool {
+    fn has_seat(&self, endpoint: &id::Endpoint, fill: Fill) -> bool {
         let Some(peer) = self.peers.get(endpoint) else {
             return true;
         };
-        f64::from(peer.load.requests()) < f64::from(peer.batch.limit()) * fill
+        let (Fill::UpTo(part) | Fill::Crowd(part)) = fill;
+        f64::from(peer.load.requests()) < f64::from(peer.batch.limit()) * part
     }
 
     /// Part of the batch that is taken, less what the cached prefix is worth.
@@ -215,6 +266,9 @@
             return 0.0;
         };
         let taken = f64::from(peer.load.requests()) / f64::from(peer.batch.limit());
+        if let Fill::Crowd(_) = question.fill {
+            return -taken;
+        }
         taken - self.settings.prefix_weight * self.hit(question, endpoint)
     }
 
