Show parts of the fleet as tables, live, and complete commands in shells

Cause: operators of a large fleet need one part at a time, programs need JSON, and a long command line needs completion. Conclusion: a further part is a function in one file.

--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -7,6 +7,7 @@
 
 pub mod apply;
 pub mod audit;
+pub mod completions;
 pub mod diff;
 pub mod drain;
 pub mod dump;
@@ -64,6 +65,8 @@
     /// Look into the data folder of a control process.
     #[command(subcommand)]
     Storage(storage::Command),
+    /// Print the completion script of a shell.
+    Completions(completions::Arguments),
     /// Run a whole fleet in this process, to try it out.
     Local(local::Arguments),
 }
@@ -99,6 +102,7 @@
         Command::Explain(wanted) => wanted,
         Command::Audit(wanted) => wanted,
         Command::Storage(wanted) => return Ok(storage::run(wanted)),
+        Command::Completions(wanted) => return Ok(completions::run(wanted)),
         Command::Local(wanted) => return local::run(wanted),
     };
     ask(&arguments.reach, asked)
--- a/crates/cranberrygap/src/command/session.rs
+++ b/crates/cranberrygap/src/command/session.rs
@@ -101,6 +101,12 @@
         })
     }
 
+    /// Whether answers are printed as JSON.
+    #[must_use]
+    pub const fn is_json(&self) -> bool {
+        self.json
+    }
+
     /// Addresses that may be asked.
     #[must_use]
     pub fn control(&self) -> &[address::Socket] {
--- a/crates/cranberrygap/src/command/show.rs
+++ b/crates/cranberrygap/src/command/show.rs
@@ -1,6 +1,7 @@
 //! `cranberrygap show`: the fleet, or an accepted configuration.
 
 use std::fmt::Write as _;
+use std::time::Duration;
 
 use clap::Args;
 use cranberrygap_model::number;
@@ -10,9 +11,23 @@
 use super::failure::Failure;
 use super::{Ask, force, session};
 
+pub mod part;
+pub mod table;
+
+/// Time between two looks of `--watch`.
+const WATCH_PERIOD: Duration = Duration::from_secs(1);
+/// Moves the cursor home and clears a terminal.
+const CLEAR: &str = "\x1b[H\x1b[2J";
+
 /// Shows the fleet, or an accepted configuration.
 #[derive(Debug, Args)]
 pub struct Arguments {
+    /// Part of the fleet.
+    #[arg(value_enum, default_value = "fleet")]
+    part: part::Part,
+    /// Show it again each second until Ctrl-C.
+    #[arg(long, conflicts_with_all = ["revision", "force"])]
+    watch: bool,
     /// Show the configuration as it was accepted under this revision.
     #[arg(long, value_name = "REVISION")]
     revision: Option<number::Revision>,
@@ -29,7 +44,8 @@
             }
             match self.revision {
                 Some(revision) => show_page(session, revision).await,
-                None => show_fleet(session).await,
+                None if self.watch => watch(session, self.part).await,
+                None => show_part(session, self.part).await,
             }
         })
     }
@@ -49,12 +65,35 @@
     Ok(())
 }
 
-async fn show_fleet(session: &session::Session) -> Result<(), Failure> {
+async fn show_part(session: &session::Session, wanted: part::Part) -> Result<(), Failure> {
     let state: view::State = session.ask(method::SHOW, &()).await?;
-    session.print(&state, text);
+    print_part(session, wanted, &state);
     Ok(())
 }
 
+fn print_part(session: &session::Session, wanted: part::Part, state: &view::State) {
+    match part::table(wanted, state) {
+        Some(table) => session.print(&table, ToString::to_string),
+        None => session.print(state, text),
+    }
+}
+
+/// A leader that is being replaced must not end the watch: its operator wants to
+/// see just that.
+async fn watch(session: &session::Session, wanted: part::Part) -> Result<(), Failure> {
+    loop {
+        let shown = session.ask::<_, view::State>(method::SHOW, &()).await;
+        if !session.is_json() {
+            session::write(CLEAR);
+        }
+        match shown {
+            Ok(state) => print_part(session, wanted, &state),
+            Err(failure) => eprintln!("cranberrygap: {failure}"),
+        }
+        tokio::time::sleep(WATCH_PERIOD).await;
+    }
+}
+
 fn text(state: &view::State) -> String {
     let mut text = String::new();
     let configuration = &state.configuration;
--- a/crates/cranberrygap/src/command/trail.rs
+++ b/crates/cranberrygap/src/command/trail.rs
@@ -55,8 +55,20 @@
         "" => String::new(),
         by => format!(" by {by}"),
     };
-    format!(
-        "record {}: {}{by}: {}",
-        record.number, record.subject, record.detail
-    )
+    let (number, subject) = (record.number, &record.subject);
+    format!("record {number}: {subject}{by}: {}", detail(record))
+}
+
+/// The fields of a record's detail, each as its name and value.
+fn detail(record: &audit::Record) -> String {
+    let fields: Result<serde_json::Map<String, serde_json::Value>, _> =
+        serde_json::from_str(&record.detail);
+    let Ok(fields) = fields else {
+        return record.detail.to_string();
+    };
+    let shown = fields.iter().map(|(name, value)| match value.as_str() {
+        Some(text) => format!("{name} {text}"),
+        None => format!("{name} {value}"),
+    });
+    shown.collect::<Vec<String>>().join(", ")
 }
--- a/crates/cranberrygap/tests/evidence.rs
+++ b/crates/cranberrygap/tests/evidence.rs
@@ -205,3 +205,51 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(errors.contains("bookings, keys, configuration, quarantine"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_of_the_fleet_are_tables_and_json() {
+    let (fleet, _caller) = small_fleet().await;
+
+    let models = text(&run(&fleet, &["show", "models"]));
+    let endpoints = text(&run(&fleet, &["show", "endpoints"]));
+    let entries = text(&run(&fleet, &["show", "entries", "--json"]));
+    let workspaces = text(&run(&fleet, &["show", "workspaces", "--json"]));
+
+    let titles: Vec<&str> = models.lines().next().unwrap().split_whitespace().collect();
+    assert_eq!(
+        titles,
+        ["MODEL", "SIZE", "BASE", "COPIES", "DOMAINS", "ENDPOINTS"]
+    );
+    assert!(models.contains("runner-1 runner-2"), "{models}");
+    assert!(endpoints.contains("draws-1"));
+    let entries: Value = serde_json::from_str(&entries).unwrap();
+    let workspaces: Value = serde_json::from_str(&workspaces).unwrap();
+    let instances = entries.as_array().unwrap().iter();
+    let mut instances = instances.map(|entry| entry["instance"].as_str().unwrap());
+    assert!(instances.any(|instance| instance == "entry-1"));
+    assert_eq!(workspaces[0]["workspace"], "statistics");
+    assert_eq!(workspaces[0]["keys"], "1");
+}
+
+#[test]
+fn shells_complete_every_command_and_each_has_help() {
+    let cranberrygap = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cranberrygap"));
+        text(&command.args(words).output().unwrap())
+    };
+    let script = cranberrygap(&["completions", "fish"]);
+    let help = cranberrygap(&["--help"]);
+    let (_, listed) = help.split_once("Commands:").unwrap();
+    let (listed, _) = listed.split_once("Options:").unwrap();
+    let commands = listed
+        .lines()
+        .filter_map(|line| line.split_whitespace().next());
+
+    // `help` is the argument parser's own.
+    for command in commands.filter(|command| *command != "help") {
+        let completed = script.contains(&format!("-a \"{command}\""));
+        assert!(completed, "{command} is not completed");
+        let own = cranberrygap(&[command, "--help"]);
+        assert!(own.contains("Usage:"), "{command} has no help");
+    }
+}
