Start both daemons by one piece of code

Cause: arguments, settings, logs and exit codes of the daemons stood twice. Change: daemon::launch holds them; each daemon says only what is its own. Conclusion: a third daemon would be one implementation of the trait.

--- a/crates/cranberrygap/src/daemon/control.rs
+++ b/crates/cranberrygap/src/daemon/control.rs
@@ -1,7 +1,5 @@
 //! Runs a control process until a signal stops it.
 
-use std::path::Path;
-use std::process::ExitCode;
 use std::time::Duration;
 
 use cranberrygap_control::process;
@@ -10,39 +8,37 @@
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
-use super::{WRONG_SETTINGS, log, settings as file, signal};
+use super::{launch, signal};
 
 /// Time between two looks at the files with secrets, and at the replica.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// Checks the settings in `path`, and unless `check` is set runs the process.
-///
-/// # Errors
-///
-/// When the process cannot start, or its replica stopped taking part.
-pub fn run(path: &Path, check: bool) -> eyre::Result<ExitCode> {
-    let prepared = file::read::<settings::Control>(path, "Control").map_err(eyre::Report::from);
-    let prepared = prepared.and_then(|settings| {
-        check_settings(&settings)?;
-        let secrets = secrets(&settings)?;
-        Ok((settings, secrets))
-    });
-    let (settings, secrets) = match prepared {
-        Ok(prepared) => prepared,
-        Err(cause) => {
-            eprintln!("cranberrygap-control: {cause:#}");
-            return Ok(ExitCode::from(WRONG_SETTINGS));
-        }
-    };
-    if check {
-        println!("{} is right", path.display());
-        return Ok(ExitCode::SUCCESS);
+/// The daemon's start, see [`launch::main`].
+#[derive(Debug)]
+pub struct Daemon;
+
+impl launch::Daemon for Daemon {
+    type Settings = settings::Control;
+    type Secrets = process::Secrets;
+
+    const NAME: &'static str = "cranberrygap-control";
+    const DEFINITION: &'static str = "Control";
+
+    fn prepare(settings: &settings::Control) -> eyre::Result<process::Secrets> {
+        check_settings(settings)?;
+        secrets(settings)
+    }
+
+    fn log(settings: &settings::Control) -> Option<settings::Log> {
+        settings.log.clone()
+    }
+
+    async fn serve(settings: settings::Control, secrets: process::Secrets) -> eyre::Result<()> {
+        serve(settings, secrets).await
     }
-    log::install(&settings.log.clone().unwrap_or_default())?;
-    tokio::runtime::Runtime::new()?.block_on(serve(settings, secrets))
 }
 
-async fn serve(settings: settings::Control, mut held: process::Secrets) -> eyre::Result<ExitCode> {
+async fn serve(settings: settings::Control, mut held: process::Secrets) -> eyre::Result<()> {
     let mut signals = signal::Listener::new()?;
     let control = process::Process::start(settings.clone(), held.clone()).await?;
     loop {
@@ -60,7 +56,7 @@
         }
     }
     control.stop().await;
-    Ok(ExitCode::SUCCESS)
+    Ok(())
 }
 
 /// Takes changed secrets; a file that cannot be used changes nothing.
--- a/crates/cranberrygap/src/daemon/entry.rs
+++ b/crates/cranberrygap/src/daemon/entry.rs
@@ -1,7 +1,5 @@
 //! Runs an entry until a signal stops it.
 
-use std::path::Path;
-use std::process::ExitCode;
 use std::time::Duration;
 
 use cranberrygap_entry::process;
@@ -9,36 +7,33 @@
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
-use super::{WRONG_SETTINGS, log, metrics, settings as file, signal};
+use super::{launch, metrics, signal};
 
 /// Time between two looks at the files with secrets.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// Checks the settings in `path`, and unless `check` is set runs the entry.
-///
-/// # Errors
-///
-/// When the entry cannot start.
-pub fn run(path: &Path, check: bool) -> eyre::Result<ExitCode> {
-    let prepared = file::read::<settings::Entry>(path, "Entry").map_err(eyre::Report::from);
-    let prepared = prepared.and_then(|settings| {
-        let secrets = secrets(&settings)?;
-        Ok((settings, secrets))
-    });
-    let (settings, secrets) = match prepared {
-        Ok(prepared) => prepared,
-        Err(cause) => {
-            eprintln!("cranberrygap-entry: {cause:#}");
-            return Ok(ExitCode::from(WRONG_SETTINGS));
-        }
-    };
-    if check {
-        println!("{} is right", path.display());
-        return Ok(ExitCode::SUCCESS);
+/// The daemon's start, see [`launch::main`].
+#[derive(Debug)]
+pub struct Daemon;
+
+impl launch::Daemon for Daemon {
+    type Settings = settings::Entry;
+    type Secrets = process::Secrets;
+
+    const NAME: &'static str = "cranberrygap-entry";
+    const DEFINITION: &'static str = "Entry";
+
+    fn prepare(settings: &settings::Entry) -> eyre::Result<process::Secrets> {
+        secrets(settings)
+    }
+
+    fn log(settings: &settings::Entry) -> Option<settings::Log> {
+        settings.log.clone()
+    }
+
+    async fn serve(settings: settings::Entry, secrets: process::Secrets) -> eyre::Result<()> {
+        serve(settings, secrets).await
     }
-    log::install(&settings.log.clone().unwrap_or_default())?;
-    tokio::runtime::Runtime::new()?.block_on(serve(settings, secrets))?;
-    Ok(ExitCode::SUCCESS)
 }
 
 async fn serve(settings: settings::Entry, mut held: process::Secrets) -> eyre::Result<()> {
