Resume streams, keep to a retry budget and refuse what crashes engines

Cause: a stream whose engine died ended in an error event; every failed dispatch was repeated up to three times whatever the rest did; a request that crashes engines was sent from one to the next, and its neighbours failed with it; a service's own refusal of a booking was stored as its answer. Change: engine::Course sends by retry::Budget, the outcome of all dispatches and the deadline; a relay goes on behind the last delivered token on another engine or a fresh connection, with limits for the first byte and between tokens; quarantine::watch tells the leader what ran on a dead engine, suspects run alone, a second crash ends the request; n other than 1 is refused. Conclusion: leave for suspects over all entries is decided in policy but not yet asked for on the link.

--- a/crates/cranberrygap-entry/src/caller/body.rs
+++ b/crates/cranberrygap-entry/src/caller/body.rs
@@ -16,6 +16,12 @@
 const MAX_COMPLETION_TOKENS: &str = "max_completion_tokens";
 const STREAM_OPTIONS: &str = "stream_options";
 
+/// Number of answers to one prompt. More than one cannot be resumed, and their
+/// tokens would not be covered by the bound.
+const CHOICES: &str = "n";
+/// Tokens that the caller has already.
+const RESUME_FROM: &str = "resume_from";
+
 /// A checked body and what is sent to the engine in its place.
 #[derive(Debug, Clone)]
 pub struct Body {
@@ -44,6 +50,10 @@
         let stream = field::<bool>(&fields, STREAM)?.unwrap_or(false);
         let prompt = fields.get(prompt_key).ok_or_else(|| missing(prompt_key))?;
         let prompt = token::Count(prompt.get().len() as u64);
+        if field::<u64>(&fields, CHOICES)?.is_some_and(|choices| choices != 1) {
+            return Err(malformed("n must be 1"));
+        }
+        fields.remove(RESUME_FROM);
         let completion = field::<u64>(&fields, MAX_COMPLETION_TOKENS)?;
         let asked = completion.or(field::<u64>(&fields, MAX_TOKENS)?);
         let max_tokens = asked.unwrap_or(default_max);
@@ -73,6 +83,17 @@
         })
     }
 
+    /// The body for an engine that goes on behind the first `delivered` tokens.
+    pub(crate) fn resumed(&self, delivered: u64) -> Bytes {
+        if delivered == 0 {
+            return Bytes::clone(&self.dispatched);
+        }
+        let fields = serde_json::from_slice::<BTreeMap<SmolStr, Box<RawValue>>>(&self.dispatched);
+        let mut fields = fields.unwrap_or_default();
+        set(&mut fields, RESUME_FROM, &delivered);
+        serde_json::to_vec(&fields).unwrap_or_default().into()
+    }
+
     /// Upper bound of what the request can cost.
     pub fn bound(&self) -> token::Count {
         token::Count(self.prompt.0.saturating_add(self.max_tokens.0))
--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_policy::outcome::Evidence;
 use cranberrygap_trace::note;
 use cranberrygap_wire::configuration;
 use salvo::http::{HeaderValue, Request, Response, header};
@@ -106,56 +108,50 @@
             request: id.clone(),
             about: about.clone(),
             path: self.path,
+            fingerprint: body.fingerprint(&workspace, self.path),
+            deadline: self.core.now().after(deadline(&view, &body.model)),
             body,
         };
-        let answer = engine::dispatch(&self.core, &call).await?;
-        if call.body.stream {
-            stream(response, &call, answer, permit, progress);
-            return Ok(());
+        let course = engine::Course::new(&self.core, &Arc::new(call));
+        if course.call().body.stream {
+            return stream(response, course, permit, progress).await;
         }
-        whole(response, answer, permit, progress).await
+        whole(response, course, permit, progress).await
     }
 }
 
-fn stream(
+async fn stream(
     response: &mut Response,
-    call: &engine::Call,
-    answer: engine::Answer,
-    permit: admission::Permit,
+    mut course: engine::Course,
+    mut permit: admission::Permit,
     progress: attainment::Progress,
-) {
+) -> Result<(), Refusal> {
+    let answer = match course.send(0).await {
+        Ok(answer) => answer,
+        Err(refusal) => return Err(refused(&course, &mut permit, refusal)),
+    };
     let events = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, events);
     let fresh = HeaderValue::from_static("no-cache");
     response.headers_mut().insert(header::CACHE_CONTROL, fresh);
-    let prompt = call.body.prompt.0;
-    let relay = relay::Relay::new(answer, permit, call.request.clone(), prompt, progress);
+    let relay = relay::Relay::new(course, answer, permit, progress);
     response.stream(relay.into_stream());
+    Ok(())
 }
 
 /// Reads the whole answer before a byte goes out, so that a cut one is a failure
 /// and not a shorter answer.
 async fn whole(
     response: &mut Response,
-    answer: engine::Answer,
+    mut course: engine::Course,
     mut permit: admission::Permit,
     mut progress: attainment::Progress,
 ) -> Result<(), Refusal> {
-    let engine::Answer {
-        response: upstream,
-        mut sent,
-    } = answer;
-    let Ok(bytes) = upstream.bytes().await else {
-        sent.fail();
-        permit.use_all();
-        return Err(Refusal::EndpointFailed);
-    };
-    let Ok(parsed) = serde_json::from_slice::<serde_json::Value>(&bytes) else {
-        sent.fail();
-        permit.use_all();
-        return Err(Refusal::EndpointFailed);
+    let (bytes, total) = match read_whole(&mut course).await {
+        Ok(read) => read,
+        Err(refusal) => return Err(refused(&course, &mut permit, refusal)),
     };
-    match parsed["usage"]["total_tokens"].as_u64() {
+    match total {
         Some(used) => permit.set_used(token::Count(used)),
         None => permit.use_all(),
     }
@@ -167,6 +163,40 @@
     Ok(())
 }
 
+/// The whole answer and the tokens that it used.
+async fn read_whole(course: &mut engine::Course) -> Result<(Bytes, Option<u64>), Refusal> {
+    loop {
+        let answer = course.send(0).await?;
+        let mut sent = answer.sent;
+        let evidence = match answer.response.bytes().await {
+            Ok(bytes) => match serde_json::from_slice::<serde_json::Value>(&bytes) {
+                Ok(parsed) => {
+                    sent.answer();
+                    return Ok((bytes, parsed["usage"]["total_tokens"].as_u64()));
+                }
+                Err(_malformed) => Evidence::CutAnswer,
+            },
+            Err(_cause) => Evidence::ConnectionBroke,
+        };
+        course.failed(evidence, sent).await?;
+    }
+}
+
+/// Counts the whole reservation as used unless it is proven that nothing ran.
+fn refused(course: &engine::Course, permit: &mut admission::Permit, refusal: Refusal) -> Refusal {
+    if !course.is_not_run() {
+        permit.use_all();
+    }
+    refusal
+}
+
+fn deadline(view: &view::Snapshot, model: &id::Model) -> duration::Span {
+    let exception = view.exception(configuration::Target::Model, model.as_str());
+    exception
+        .and_then(|exception| exception.request_deadline)
+        .unwrap_or(view.defaults().request_deadline)
+}
+
 fn max_tokens(view: &view::Snapshot, workspace: &id::Workspace) -> u64 {
     let exception = view.exception(configuration::Target::Workspace, workspace.as_str());
     exception
--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -1,13 +1,15 @@
 //! `/services/{name}/...`: calls of plain services.
 
+mod ending;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_trace::note;
-use cranberrygap_wire::{claim, configuration};
-use salvo::http::{HeaderValue, Request, Response, StatusCode, header};
+use cranberrygap_wire::configuration;
+use salvo::http::{HeaderValue, Request, Response, header};
 use salvo::{Depot, FlowCtrl, Handler};
 use smol_str::SmolStr;
 
@@ -54,18 +56,6 @@
     deadline: duration::Span,
 }
 
-/// How a dispatch ended.
-enum Ending {
-    Answered {
-        status: StatusCode,
-        content_type: HeaderValue,
-        body: Bytes,
-    },
-    /// The connection was refused before a byte was written.
-    NotRun,
-    Unknown,
-}
-
 impl Call {
     /// Everything of the caller's that the service will see.
     fn passed_on(&self) -> [&[u8]; 5] {
@@ -131,7 +121,7 @@
         if !matches!(&outcome, Err(refusal) if is_not_run(refusal)) {
             permit.use_all();
         }
-        write(outcome?, response);
+        ending::write(outcome?, response);
         Ok(())
     }
 
@@ -168,7 +158,7 @@
     }
 
     /// Sends a call that may be repeated to one endpoint after another.
-    async fn look_up(&self, call: &Call) -> Result<Ending, Refusal> {
+    async fn look_up(&self, call: &Call) -> Result<ending::Ending, Refusal> {
         let mut tried = route::Tried::new();
         for _attempt in 0..MOST_ATTEMPTS {
             let Some(choice) = self.choose(call, &tried) else {
@@ -177,7 +167,7 @@
             tried.push(choice.endpoint.clone());
             let client = self.core.upstream.pooled();
             let ending = self.dispatch(call, &choice, client).await;
-            let failed = !matches!(ending, Ending::Answered { .. });
+            let failed = !matches!(ending, ending::Ending::Answered { .. });
             self.core.router.ended(self.core.now(), &choice, failed);
             if !failed {
                 return Ok(ending);
@@ -193,13 +183,13 @@
 
     /// Runs a call that may run at most once, in a task of its own: a caller that
     /// leaves must not stop it half way, with its outcome unrecorded.
-    async fn book(&self, call: Call) -> Result<Ending, Refusal> {
+    async fn book(&self, call: Call) -> Result<ending::Ending, Refusal> {
         let core = Arc::clone(&self.core);
         let task = tokio::spawn(async move { Self { core }.book_once(&call).await });
         task.await.unwrap_or(Err(Refusal::BookingUnknown))
     }
 
-    async fn book_once(&self, call: &Call) -> Result<Ending, Refusal> {
+    async fn book_once(&self, call: &Call) -> Result<ending::Ending, Refusal> {
         let key = call.key.clone().ok_or(Refusal::IdempotencyKeyMissing)?;
         let booking = booking::Booking {
             workspace: call.workspace.clone(),
@@ -213,7 +203,7 @@
             booking::Permission::Stored(stored) => {
                 let sentence = "the booking has run before; its stored answer was given";
                 self.core.trace.note(&about, "stored", sentence, &[]);
-                return Ok(from_stored(&stored));
+                return Ok(ending::from_stored(&stored));
             }
         };
         self.note_claimed(&about, claim);
@@ -222,18 +212,18 @@
                 let ending = self
                     .dispatch(call, &choice, self.core.upstream.fresh())
                     .await;
-                let failed = !matches!(ending, Ending::Answered { .. });
+                let failed = !matches!(ending, ending::Ending::Answered { .. });
                 self.core.router.ended(self.core.now(), &choice, failed);
                 ending
             }
-            None => Ending::NotRun,
+            None => ending::Ending::NotRun,
         };
-        let outcome = to_outcome(&ending);
+        let outcome = ending::to_outcome(&ending);
         booking.close(&self.core, claim, outcome).await;
         match ending {
-            Ending::NotRun => Err(Refusal::BookingNotRun),
-            Ending::Unknown => Err(Refusal::BookingUnknown),
-            answered @ Ending::Answered { .. } => Ok(answered),
+            ending::Ending::NotRun => Err(Refusal::BookingNotRun),
+            ending::Ending::Unknown => Err(Refusal::BookingUnknown),
+            answered @ ending::Ending::Answered { .. } => Ok(answered),
         }
     }
 
@@ -251,15 +241,17 @@
         call: &Call,
         choice: &route::Choice,
         client: &reqwest::Client,
-    ) -> Ending {
+    ) -> ending::Ending {
         let about = call.about().at(&choice.endpoint);
         let sentence = "sent to the endpoint";
         self.core.trace.note(&about, "sent", sentence, &[]);
         let ending = self.send(call, choice, client).await;
         let sentence = match &ending {
-            Ending::Answered { .. } => "the endpoint answered",
-            Ending::NotRun => "the endpoint refused the connection, so the call did not run",
-            Ending::Unknown => "no whole answer came; the call may have run",
+            ending::Ending::Answered { .. } => "the endpoint answered",
+            ending::Ending::NotRun => {
+                "the endpoint refused the connection, so the call did not run"
+            }
+            ending::Ending::Unknown => "no whole answer came; the call may have run",
         };
         self.core.trace.note(&about, "ended", sentence, &[]);
         ending
@@ -271,7 +263,12 @@
         trace.note(about, "claimed", sentence, &[("claim", &claim)]);
     }
 
-    async fn send(&self, call: &Call, choice: &route::Choice, client: &reqwest::Client) -> Ending {
+    async fn send(
+        &self,
+        call: &Call,
+        choice: &route::Choice,
+        client: &reqwest::Client,
+    ) -> ending::Ending {
         let url = format!("http://{}{}", choice.address, call.path);
         let mut sending = client
             .request(call.method.clone(), url)
@@ -285,74 +282,13 @@
             sending = sending.header(IDEMPOTENCY_KEY, key.as_str());
         }
         match sending.send().await {
-            Ok(answer) => read_answer(answer).await,
-            Err(cause) if cause.is_connect() => Ending::NotRun,
-            Err(_cause) => Ending::Unknown,
+            Ok(answer) => ending::read_answer(answer).await,
+            Err(cause) if cause.is_connect() => ending::Ending::NotRun,
+            Err(_cause) => ending::Ending::Unknown,
         }
     }
 }
 
-async fn read_answer(answer: reqwest::Response) -> Ending {
-    let status = answer.status();
-    let default = HeaderValue::from_static("application/octet-stream");
-    let content_type = answer
-        .headers()
-        .get(header::CONTENT_TYPE)
-        .cloned()
-        .unwrap_or(default);
-    // A body shorter than its announced length fails here; it must not be taken
-    // for the whole answer.
-    match answer.bytes().await {
-        Ok(body) => Ending::Answered {
-            status,
-            content_type,
-            body,
-        },
-        Err(_cause) => Ending::Unknown,
-    }
-}
-
-fn to_outcome(ending: &Ending) -> claim::Outcome {
-    match ending {
-        Ending::Answered {
-            status,
-            content_type,
-            body,
-        } => {
-            let content_type = content_type.to_str().unwrap_or_default();
-            claim::Outcome::Answered(booking::response(status.as_u16(), content_type, body))
-        }
-        Ending::NotRun => claim::Outcome::NotRun,
-        Ending::Unknown => claim::Outcome::Unknown,
-    }
-}
-
-fn from_stored(stored: &claim::Response) -> Ending {
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
-    let content_type = HeaderValue::from_str(&stored.content_type);
-    let content_type = content_type.unwrap_or(HeaderValue::from_static("application/octet-stream"));
-    Ending::Answered {
-        status,
-        content_type,
-        body: booking::stored_body(stored),
-    }
-}
-
-fn write(ending: Ending, response: &mut Response) {
-    if let Ending::Answered {
-        status,
-        content_type,
-        body,
-    } = ending
-    {
-        response.status_code(status);
-        response
-            .headers_mut()
-            .insert(header::CONTENT_TYPE, content_type);
-        response.body(body.to_vec());
-    }
-}
-
 fn is_not_run(refusal: &Refusal) -> bool {
     refusal.outcome() == cranberrygap_wire::caller::Outcome::NotRun
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/caller/services/ending.rs
@@ -0,0 +1,96 @@
+//! How a call of a plain service ended.
+
+use bytes::Bytes;
+use cranberrygap_wire::claim;
+use salvo::http::{HeaderValue, Response, StatusCode, header};
+
+use crate::booking;
+
+/// How a dispatch ended.
+#[derive(Debug)]
+pub(super) enum Ending {
+    Answered {
+        status: StatusCode,
+        content_type: HeaderValue,
+        body: Bytes,
+    },
+    /// The connection was refused before a byte was written.
+    NotRun,
+    Unknown,
+}
+
+pub(super) async fn read_answer(answer: reqwest::Response) -> Ending {
+    let status = answer.status();
+    let default = HeaderValue::from_static("application/octet-stream");
+    let content_type = answer
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .cloned()
+        .unwrap_or(default);
+    // A body shorter than its announced length fails here; it must not be taken
+    // for the whole answer.
+    match answer.bytes().await {
+        Ok(body) if says_not_run(status, &body) => Ending::NotRun,
+        Ok(body) => Ending::Answered {
+            status,
+            content_type,
+            body,
+        },
+        Err(_cause) => Ending::Unknown,
+    }
+}
+
+/// Whether the service itself says that it did not run the call. The status alone
+/// proves nothing; something between may have set it.
+fn says_not_run(status: StatusCode, body: &[u8]) -> bool {
+    let refuses = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if !refuses.contains(&status) {
+        return false;
+    }
+    let said = serde_json::from_slice::<serde_json::Value>(body);
+    said.is_ok_and(|said| said["outcome"] == "not_run")
+}
+
+pub(super) fn to_outcome(ending: &Ending) -> claim::Outcome {
+    match ending {
+        Ending::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            let content_type = content_type.to_str().unwrap_or_default();
+            claim::Outcome::Answered(booking::response(status.as_u16(), content_type, body))
+        }
+        Ending::NotRun => claim::Outcome::NotRun,
+        Ending::Unknown => claim::Outcome::Unknown,
+    }
+}
+
+pub(super) fn from_stored(stored: &claim::Response) -> Ending {
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let content_type = HeaderValue::from_str(&stored.content_type);
+    let content_type = content_type.unwrap_or(HeaderValue::from_static("application/octet-stream"));
+    Ending::Answered {
+        status,
+        content_type,
+        body: booking::stored_body(stored),
+    }
+}
+
+pub(super) fn write(ending: Ending, response: &mut Response) {
+    if let Ending::Answered {
+        status,
+        content_type,
+        body,
+    } = ending
+    {
+        response.status_code(status);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+        response.body(body.to_vec());
+    }
+}
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -5,7 +5,10 @@
 
 use cadence::StatsdClient;
 use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_policy::quarantine::watch;
+use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
+use parking_lot::Mutex;
 
 use crate::admission;
 use crate::announce;
@@ -28,6 +31,10 @@
     pub(crate) limiter: Arc<dyn admission::Limiter>,
     pub(crate) router: Arc<dyn route::Router>,
     pub(crate) upstream: upstream::Clients,
+    /// Retries that may still be made.
+    pub(crate) retries: Mutex<retry::Budget>,
+    /// What runs on which endpoint, and who is suspected to crash them.
+    pub(crate) watch: Mutex<watch::Watch>,
     pub(crate) announcements: announce::Inbox,
     pub(crate) demand: control::Demand,
     pub(crate) metrics: Arc<StatsdClient>,
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod attainment;
 mod booking;
 
+mod chunk;
 mod control;
 mod engine;
 mod load;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -6,7 +6,9 @@
 use cadence::StatsdClient;
 use cranberrygap_link::{credential, server as link_server};
 use cranberrygap_model::{address, number};
+use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
+use parking_lot::Mutex;
 use spdlog::info;
 
 use crate::admin;
@@ -192,6 +194,8 @@
         limiter: Arc::clone(shares) as _,
         router: Arc::new(route::Least::default()),
         upstream: upstream::Clients::new()?,
+        retries: Mutex::new(retry::Budget::new(FIRST_RETRY_SHARE)),
+        watch: Mutex::default(),
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
         metrics,
@@ -201,6 +205,9 @@
     })
 }
 
+/// Share of retries until the configuration is known; it is the default there.
+const FIRST_RETRY_SHARE: f64 = 0.1;
+
 /// Boots stay below 2^53, so that every JSON reader keeps them exactly.
 const BOOT_SHIFT: u32 = 11;
 
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -3,63 +3,58 @@
 use std::pin::Pin;
 
 use bytes::{Bytes, BytesMut};
-use cranberrygap_model::{id, token};
+use cranberrygap_model::{duration, token};
+use cranberrygap_policy::outcome::Evidence;
+use cranberrygap_policy::stream as policy;
 use futures_util::stream;
 use futures_util::{Stream, StreamExt as _};
-use serde::Deserialize;
 
 use crate::admission;
 use crate::attainment;
+use crate::chunk;
 use crate::engine;
 use crate::refusal::Refusal;
 use crate::sse;
 
 type Upstream = Pin<Box<dyn Stream<Item = reqwest::Result<Bytes>> + Send>>;
 
-/// A stream on its way from an engine to a caller.
+const END: &[u8] = b"data: [DONE]\n\n";
+
+/// A stream on its way from engines to a caller.
 ///
 /// Dropping it, which happens when the caller leaves, closes the connection to
 /// the engine, which then stops generating.
 pub(crate) struct Relay {
+    course: engine::Course,
     upstream: Upstream,
+    sent: Option<engine::Sent>,
     splitter: sse::Splitter,
+    progress: policy::Stream,
     permit: admission::Permit,
-    sent: engine::Sent,
-    request: id::Request,
-    tokens: u64,
-    prompt: u64,
-    progress: attainment::Progress,
+    attained: attainment::Progress,
+    /// Nothing came yet over the connection of this attempt.
+    opening: bool,
     finished: bool,
 }
 
-#[derive(Deserialize)]
-struct Chunk {
-    usage: Option<Usage>,
-}
-
-#[derive(Deserialize)]
-struct Usage {
-    total_tokens: u64,
-}
-
 impl Relay {
-    /// A relay of `answer`; `prompt` is the bound on the prompt's tokens.
+    /// A relay of `answer`, which goes on over other engines when it breaks.
     pub(crate) fn new(
+        course: engine::Course,
         answer: engine::Answer,
         permit: admission::Permit,
-        request: id::Request,
-        prompt: u64,
-        progress: attainment::Progress,
+        attained: attainment::Progress,
     ) -> Self {
+        let limit = course.call().body.max_tokens.0;
         Self {
+            course,
+            progress: policy::Stream::new(answer.attempt, limit),
             upstream: Box::pin(answer.response.bytes_stream()),
+            sent: Some(answer.sent),
             splitter: sse::Splitter::default(),
             permit,
-            sent: answer.sent,
-            request,
-            tokens: 0,
-            prompt,
-            progress,
+            attained,
+            opening: true,
             finished: false,
         }
     }
@@ -75,73 +70,139 @@
     /// The next whole events, `None` after the end.
     async fn next(&mut self) -> Option<Bytes> {
         while !self.finished {
-            match self.upstream.next().await {
-                Some(Ok(bytes)) if self.splitter.push(&bytes).is_ok() => {
-                    let events = self.whole_events();
-                    if !events.is_empty() {
-                        return Some(events);
-                    }
-                }
-                // The engine's stream broke, ended without its end mark, or sent an
-                // event without end. A clean end here would let the caller take a
-                // part for the whole answer, so it gets an error event.
-                _ => return Some(self.broken()),
+            let limit = self.limit();
+            let evidence = match tokio::time::timeout(limit.to_std(), self.upstream.next()).await {
+                Err(_elapsed) => Evidence::Silence,
+                Ok(None) => Evidence::CutAnswer,
+                Ok(Some(Err(_cause))) => Evidence::ConnectionBroke,
+                Ok(Some(Ok(bytes))) => match self.take(&bytes) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) => return Some(events),
+                    Err(evidence) => evidence,
+                },
+            };
+            if let Some(last) = self.go_on(evidence).await {
+                return Some(last);
             }
         }
         None
     }
 
-    fn whole_events(&mut self) -> Bytes {
+    fn limit(&self) -> duration::Span {
+        let limit = if self.opening {
+            engine::FIRST_BYTE
+        } else {
+            engine::BETWEEN_TOKENS
+        };
+        limit.min(self.course.remaining())
+    }
+
+    /// The events in `bytes` that the caller gets.
+    fn take(&mut self, bytes: &[u8]) -> Result<Bytes, Evidence> {
+        self.opening = false;
+        if self.splitter.push(bytes).is_err() {
+            return Err(Evidence::CutAnswer);
+        }
         let mut first = Bytes::new();
         let mut joined = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
-            self.note(&event);
-            if first.is_empty() {
-                first = event;
-                continue;
-            }
-            if joined.is_empty() {
-                joined.extend_from_slice(&first);
+            match self.judge(&event) {
+                policy::Decision::Deliver if first.is_empty() => first = event,
+                policy::Decision::Deliver => {
+                    if joined.is_empty() {
+                        joined.extend_from_slice(&first);
+                    }
+                    joined.extend_from_slice(&event);
+                }
+                policy::Decision::Skip => {}
+                // What came before it is the caller's; the next read finds the rest.
+                policy::Decision::Broken if !first.is_empty() => {
+                    self.upstream = Box::pin(stream::empty());
+                    break;
+                }
+                policy::Decision::Broken => return Err(Evidence::CutAnswer),
             }
-            joined.extend_from_slice(&event);
         }
         if joined.is_empty() {
-            first
+            Ok(first)
         } else {
-            joined.freeze()
+            Ok(joined.freeze())
         }
     }
 
-    fn note(&mut self, event: &[u8]) {
+    fn judge(&mut self, event: &[u8]) -> policy::Decision {
         let Some(data) = sse::data(event) else {
-            return;
+            return policy::Decision::Deliver;
         };
+        let attempt = self.progress.attempt().clone();
         if sse::is_done(data) {
-            self.progress.finish();
-            self.finished = true;
-            return;
+            let decision = self.progress.take(&attempt, policy::Event::End);
+            if decision == policy::Decision::Deliver {
+                self.end();
+            }
+            return decision;
         }
-        self.tokens += 1;
-        self.progress.token();
-        let used = usage(data).unwrap_or(self.prompt + self.tokens);
-        self.permit.set_used(token::Count(used));
+        let chunk = chunk::Chunk::read(data);
+        let mut decision = policy::Decision::Skip;
+        for event in chunk.events() {
+            let next = self.progress.take(&attempt, event);
+            if next == policy::Decision::Broken {
+                return next;
+            }
+            if next == policy::Decision::Deliver {
+                decision = next;
+            }
+            if event == policy::Event::Token {
+                self.attained.token();
+            }
+        }
+        let estimate = self.course.call().body.prompt.0 + self.progress.delivered();
+        self.permit
+            .set_used(token::Count(chunk.total_tokens().unwrap_or(estimate)));
+        decision
     }
 
-    fn broken(&mut self) -> Bytes {
+    fn end(&mut self) {
+        self.attained.finish();
+        if let Some(sent) = self.sent.as_mut() {
+            sent.answer();
+        }
         self.finished = true;
-        self.sent.fail();
-        let refusal = Refusal::EndpointFailed.to_wire(Some(&self.request));
-        let event = serde_json::json!({ "error": refusal });
-        Bytes::from(format!("data: {event}\n\n"))
     }
-}
 
-/// Tokens that the engine says it used, in the last chunk before the end mark.
-fn usage(data: &[u8]) -> Option<u64> {
-    const MARK: &[u8] = b"\"usage\"";
-    if !data.windows(MARK.len()).any(|window| window == MARK) {
-        return None;
+    /// Resumes on another engine or connection behind the last token that the
+    /// caller has; gives the last event if that cannot be.
+    async fn go_on(&mut self, evidence: Evidence) -> Option<Bytes> {
+        if self.progress.is_finished() {
+            // All tokens and the reason of the end are there, only the mark is not.
+            self.end();
+            return Some(Bytes::from_static(END));
+        }
+        let Some(sent) = self.sent.take() else {
+            return Some(self.broken(&Refusal::EndpointFailed));
+        };
+        if let Err(refusal) = self.course.failed(evidence, sent).await {
+            return Some(self.broken(&refusal));
+        }
+        match self.course.send(self.progress.delivered()).await {
+            Err(refusal) => Some(self.broken(&refusal)),
+            Ok(answer) => {
+                self.progress.resume(answer.attempt);
+                self.upstream = Box::pin(answer.response.bytes_stream());
+                self.sent = Some(answer.sent);
+                self.splitter = sse::Splitter::default();
+                self.opening = true;
+                None
+            }
+        }
+    }
+
+    /// An error event. A clean end here would let the caller take a part for the
+    /// whole answer.
+    fn broken(&mut self, refusal: &Refusal) -> Bytes {
+        self.finished = true;
+        let refusal = refusal.to_wire(Some(&self.course.call().request));
+        let event = serde_json::json!({ "error": refusal });
+        Bytes::from(format!("data: {event}\n\n"))
     }
-    let chunk: Chunk = serde_json::from_slice(data).ok()?;
-    chunk.usage.map(|usage| usage.total_tokens)
 }
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -13,6 +13,11 @@
 /// Time without acknowledgement after which the kernel ends a connection.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 
+/// Time without traffic after which the kernel asks whether the other end is
+/// still there, so that a silent connection ends also while nothing is sent.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+
 /// The clients of one entry.
 #[derive(Debug, Clone)]
 pub(crate) struct Clients {
@@ -47,5 +52,8 @@
         .connect_timeout(CONNECT)
         .tcp_nodelay(true)
         .tcp_user_timeout(UNACKNOWLEDGED)
+        .tcp_keepalive(KEEPALIVE)
+        .tcp_keepalive_interval(KEEPALIVE)
+        .tcp_keepalive_retries(KEEPALIVE_RETRIES)
         .http1_only()
 }
--- a/crates/cranberrygap-policy/src/quarantine/watch.rs
+++ b/crates/cranberrygap-policy/src/quarantine/watch.rs
@@ -32,6 +32,15 @@
     pub fingerprints: Vec<SmolStr>,
 }
 
+/// Why a request may not be sent to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// This life of the endpoint is over.
+    Dead,
+    /// The request is suspect, and so is another one that runs there.
+    Shared,
+}
+
 /// What runs where, and who is suspected.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -42,14 +51,29 @@
 }
 
 impl Watch {
-    /// Notes that a request runs; the number is for [`Watch::ended`].
-    pub fn started(&mut self, place: &Place, fingerprint: &SmolStr) -> u64 {
+    /// Notes that a request runs from now on; the number is for [`Watch::ended`].
+    ///
+    /// # Errors
+    ///
+    /// Why it must not be sent there.
+    pub fn start(
+        &mut self,
+        now: duration::Instant,
+        place: &Place,
+        fingerprint: &SmolStr,
+    ) -> Result<u64, Denial> {
+        if self.dead.contains_key(place) {
+            return Err(Denial::Dead);
+        }
+        if self.is_suspect(now, fingerprint) && self.has_other_suspect(now, place, fingerprint) {
+            return Err(Denial::Shared);
+        }
         self.next += 1;
         self.running
             .entry(place.clone())
             .or_default()
             .insert(self.next, fingerprint.clone());
-        self.next
+        Ok(self.next)
     }
 
     /// Notes that a request ended without harm to its endpoint; a suspect that
@@ -126,6 +150,11 @@
         self.suspects.len()
     }
 
+    fn has_other_suspect(&self, now: duration::Instant, place: &Place, fingerprint: &str) -> bool {
+        let mut running = self.running.get(place).into_iter().flatten();
+        running.any(|(_, other)| other != fingerprint && self.is_suspect(now, other))
+    }
+
     fn forget(&mut self, now: duration::Instant) {
         self.suspects
             .retain(|_, since| now.since(*since) < SUSPICION);
--- a/crates/cranberrygap-policy/tests/suspects.rs
+++ b/crates/cranberrygap-policy/tests/suspects.rs
@@ -15,6 +15,12 @@
     }
 }
 
+fn start(watch: &mut watch::Watch, place: &watch::Place, fingerprint: &SmolStr) -> u64 {
+    watch
+        .start(at(0), place, fingerprint)
+        .expect("it may run there")
+}
+
 fn endpoint(name: &str) -> id::Endpoint {
     name.parse().expect("a valid name")
 }
@@ -35,9 +41,9 @@
 #[test]
 fn all_that_ran_on_a_dead_endpoint_is_suspect() {
     let mut watch = watch::Watch::default();
-    watch.started(&place(1), &SmolStr::new("culprit"));
-    watch.started(&place(1), &SmolStr::new("innocent"));
-    let done = watch.started(&place(1), &SmolStr::new("finished"));
+    start(&mut watch, &place(1), &SmolStr::new("culprit"));
+    start(&mut watch, &place(1), &SmolStr::new("innocent"));
+    let done = start(&mut watch, &place(1), &SmolStr::new("finished"));
     watch.ended(&place(1), done, true);
 
     let crash = watch.booted(at(5), &place(2));
@@ -56,16 +62,36 @@
 fn answered_suspect_is_cleared() {
     let mut watch = watch::Watch::default();
     let innocent = SmolStr::new("innocent");
-    watch.started(&place(1), &innocent);
+    start(&mut watch, &place(1), &innocent);
     watch.died(at(0), &place(1));
 
-    let again = watch.started(&place(2), &innocent);
+    let again = start(&mut watch, &place(2), &innocent);
     let cleared = watch.ended(&place(2), again, true);
 
     assert!(cleared);
     assert!(!watch.is_suspect(at(1), "innocent"));
 }
 
+// Two suspects are retried on one endpoint, and it dies. Nothing would tell
+// which of them did it. And on a dead one nothing should be tried at all.
+#[test]
+fn suspect_runs_neither_beside_another_nor_on_a_dead_endpoint() {
+    let mut watch = watch::Watch::default();
+    let (first, second) = (SmolStr::new("first"), SmolStr::new("second"));
+    start(&mut watch, &place(1), &first);
+    start(&mut watch, &place(1), &second);
+    watch.died(at(0), &place(1));
+
+    let dead = watch.start(at(1), &place(1), &first);
+    let alone = watch.start(at(1), &place(2), &first);
+    let shared = watch.start(at(1), &place(2), &second);
+    let innocent = watch.start(at(1), &place(2), &SmolStr::new("innocent"));
+
+    assert_eq!(dead, Err(watch::Denial::Dead));
+    assert_eq!(shared, Err(watch::Denial::Shared));
+    assert!(alone.is_ok() && innocent.is_ok());
+}
+
 // Two suspects of two entries run on one endpoint, and it dies. Nothing would
 // tell which of them did it.
 #[test]
