Let suspects run by the leader's leave, and list entries only while they serve

Change: a suspect runs by a leave of the leader (SUSPECT_LEAVE, renewed, one on each endpoint), a crash names the suspect that held it, and only that one is condemned; suspects that were answered whole are cleared.

--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -1,8 +1,10 @@
 //! Long seeded runs of the decision logic; invariants are asserted inside.
 
 pub mod agreement;
+pub mod bookings;
 pub mod limits;
 pub mod placement;
+pub mod quarantine;
 
 use std::fmt;
 
@@ -51,6 +53,8 @@
     vec![
         Box::new(agreement::Agreement::default()),
         Box::new(limits::Limits),
+        Box::new(bookings::Bookings),
+        Box::new(quarantine::Quarantine),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
     ]
 }
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod clock;
 mod keeper;
+mod leaves;
 mod operators;
 mod peers;
 mod shares;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -8,6 +8,7 @@
 use futures_util::future;
 
 use crate::keeper;
+use crate::leaves;
 use crate::office;
 use crate::proposer;
 use crate::replicated;
@@ -24,6 +25,7 @@
     pub(crate) proposer: proposer::Proposer,
     pub(crate) keeper: Arc<keeper::Keeper>,
     pub(crate) shares: Arc<shares::Shares>,
+    pub(crate) leaves: leaves::Leaves,
 }
 
 /// Offers the entries' methods.
@@ -54,6 +56,17 @@
             async move { desk.shares.renew(renew).await }
         })
     };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(
+            method::SUSPECT_LEAVE,
+            role,
+            move |leave: wire_claim::Leave| {
+                let desk = Arc::clone(&desk);
+                async move { desk.leaves.take(&leave) }
+            },
+        )
+    };
     let builder = {
         let desk = Arc::clone(desk);
         builder.method(method::CLAIM_OPEN, role, move |open: wire_claim::Open| {
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::keeper;
+use crate::leaves;
 use crate::lines;
 use crate::operators;
 use crate::peers;
@@ -167,11 +168,13 @@
         let proposer = proposer::Proposer::new(log);
         let keeper = keeper::Keeper::new(Arc::clone(&state), proposer.clone(), clock);
         let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
+        let leaves = leaves::Leaves::new(proposer.clone(), clock);
         let desk = peers::Desk {
             state,
             proposer,
             keeper: Arc::new(keeper),
             shares: Arc::new(shares),
+            leaves,
         };
         Self {
             settings,
--- a/crates/cranberrygap-entry/src/caller/addresses.rs
+++ b/crates/cranberrygap-entry/src/caller/addresses.rs
@@ -42,6 +42,13 @@
             domain: member.domain.clone(),
         });
         let mut addresses: Vec<caller::Address> = entries.collect();
+        if addresses.is_empty() && !self.core.is_draining() {
+            // The fleet has just started; this entry serves, as its lease shows.
+            addresses.push(caller::Address {
+                address: self.core.advertised(),
+                domain: self.core.settings.entry.domain.clone(),
+            });
+        }
         // Callers take the first that works; the order spreads them.
         addresses.shuffle(&mut rand::rng());
         let second = duration::Span::from_secs(1).0;
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -99,10 +99,14 @@
 
     fn message(&self, batch: &announce::Batch, demands: Vec<view::Demand>) -> view::Confirm {
         let core = &self.core;
-        let phase = if core.is_draining() {
-            view::Phase::Draining
-        } else {
+        // An entry that has just started, or was cut off, has no lease yet and
+        // refuses everybody. Named in the address answers already then, it would
+        // get callers that another entry could serve.
+        let serves = core.view.current(core.now()).is_some();
+        let phase = if serves && !core.is_draining() {
             view::Phase::Active
+        } else {
+            view::Phase::Draining
         };
         view::Confirm {
             instance: core.instance().clone(),
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -1,6 +1,7 @@
 //! Sends a model request to engines until one answers it.
 
 mod course;
+mod leave;
 mod sent;
 
 use cranberrygap_model::{duration, id};
--- a/crates/cranberrygap-entry/src/engine/course.rs
+++ b/crates/cranberrygap-entry/src/engine/course.rs
@@ -11,7 +11,7 @@
 use crate::refusal::Refusal;
 use crate::route;
 
-use super::{ATTEMPT, Answer, Call, FIRST_BYTE, REQUEST, Sent};
+use super::{ATTEMPT, Answer, Call, FIRST_BYTE, REQUEST, Sent, leave, sent};
 
 /// Wait before callers may try again when no engine holds the model.
 const NO_ENGINE_WAIT: duration::Span = duration::Span::from_secs(1);
@@ -77,9 +77,9 @@
     pub(crate) async fn send(&mut self, delivered: u64) -> Result<Answer, Refusal> {
         loop {
             self.check_quarantine()?;
-            let (choice, running) = self.choose().await?;
+            let (choice, started) = self.choose().await?;
             self.attempts += 1;
-            let sent = Sent::new(&self.core, choice, &self.call, self.attempts, running);
+            let sent = Sent::new(&self.core, choice, &self.call, self.attempts, started);
             match self.attempt(sent, delivered).await {
                 Ok(answer) => return Ok(answer),
                 Err((evidence, sent)) => self.failed(evidence, sent).await?,
@@ -161,16 +161,13 @@
 
     /// An engine to send to, with the note that the request runs there; a suspect
     /// waits for one without another suspect.
-    async fn choose(&mut self) -> Result<(route::Choice, u64), Refusal> {
+    async fn choose(&mut self) -> Result<(route::Choice, sent::Started), Refusal> {
         loop {
             let choice = self.choose_once()?;
-            let place = super::sent::place(&choice);
-            let now = self.core.now();
-            let fingerprint = &self.call.fingerprint;
-            let started = self.core.watch.lock().start(now, &place, fingerprint);
-            if let Ok(running) = started {
-                return Ok((choice, running));
+            if let Some(started) = self.start(&choice).await {
+                return Ok((choice, started));
             }
+            let now = self.core.now();
             self.core.router.ended(now, &choice, false);
             if self.remaining() <= SUSPECT_WAIT {
                 return Err(self.refusal(retry::Reason::Deadline));
@@ -181,6 +178,28 @@
         }
     }
 
+    /// Notes that the request runs there, if it may.
+    async fn start(&self, choice: &route::Choice) -> Option<sent::Started> {
+        let place = sent::place(choice);
+        let now = self.core.now();
+        let fingerprint = &self.call.fingerprint;
+        let (running, is_suspect) = {
+            let mut watch = self.core.watch.lock();
+            let started = watch.start(now, &place, fingerprint);
+            (started.ok()?, watch.is_suspect(now, fingerprint))
+        };
+        if !is_suspect {
+            let leave = None;
+            return Some(sent::Started { running, leave });
+        }
+        let leave = leave::Leave::ask(&self.core, &place, fingerprint).await;
+        if leave.is_none() {
+            self.core.watch.lock().ended(&place, running, false);
+            return None;
+        }
+        Some(sent::Started { running, leave })
+    }
+
     /// Whether no engine is left that was not looked at.
     fn all_tried(&self) -> bool {
         let Some(choice) = self.ask_router() else {
--- a/crates/cranberrygap-entry/src/engine/sent.rs
+++ b/crates/cranberrygap-entry/src/engine/sent.rs
@@ -8,12 +8,13 @@
 use cranberrygap_policy::quarantine::watch;
 use cranberrygap_trace::note;
 use cranberrygap_wire::{claim, endpoint, method};
+use smol_str::SmolStr;
 use spdlog::warn;
 
 use crate::core;
 use crate::route;
 
-use super::Call;
+use super::{Call, leave};
 
 /// Longest look at whether an endpoint is dead; it is about a millisecond away.
 const LOOK: Duration = Duration::from_millis(500);
@@ -29,8 +30,10 @@
     about: note::About,
     at: duration::Instant,
     running: u64,
+    fingerprint: SmolStr,
+    /// Ends with the request, when that is suspect.
+    _leave: Option<leave::Leave>,
     failed: bool,
-    answered: bool,
 }
 
 /// The life of the endpoint that a choice was made for.
@@ -41,6 +44,13 @@
     }
 }
 
+/// The note that a request runs on an endpoint.
+#[derive(Debug)]
+pub(super) struct Started {
+    pub(super) running: u64,
+    pub(super) leave: Option<leave::Leave>,
+}
+
 impl Sent {
     /// Notes that `call` goes to `choice` now.
     pub(super) fn new(
@@ -48,7 +58,7 @@
         choice: route::Choice,
         call: &Call,
         attempt: u32,
-        running: u64,
+        started: Started,
     ) -> Self {
         let about = call.about.at(&choice.endpoint);
         core.trace.note(
@@ -62,9 +72,10 @@
             about,
             at: core.now(),
             choice,
-            running,
+            running: started.running,
+            _leave: started.leave,
+            fingerprint: call.fingerprint.clone(),
             failed: false,
-            answered: false,
         }
     }
 
@@ -73,9 +84,20 @@
         self.choice.address
     }
 
-    /// The whole answer has arrived.
+    /// The whole answer has arrived; a suspect is innocent then, and the leader is
+    /// told.
     pub(crate) fn answer(&mut self) {
-        self.answered = true;
+        let place = place(&self.choice);
+        let fingerprint = self.fingerprint.clone();
+        let cleared = self.core.watch.lock().ended(&place, self.running, true);
+        if cleared {
+            let message = claim::Crash {
+                cleared: vec![fingerprint],
+                ..self.message(place)
+            };
+            let core = Arc::clone(&self.core);
+            tokio::spawn(async move { report(&core, &message).await });
+        }
     }
 
     /// The engine broke the request; true when it is dead.
@@ -101,7 +123,17 @@
         }
         let crash = self.core.watch.lock().died(self.core.now(), &place);
         if let Some(crash) = crash {
-            self.report(crash).await;
+            warn!(
+                "quarantine: {} died with {} requests of this entry",
+                crash.place.endpoint,
+                crash.fingerprints.len()
+            );
+            let message = claim::Crash {
+                fingerprints: crash.fingerprints,
+                probed: crash.probed,
+                ..self.message(crash.place)
+            };
+            report(&self.core, &message).await;
         }
         evidence != Evidence::ConnectFailed
     }
@@ -126,27 +158,27 @@
         report.is_ok_and(|report| report.boot != self.choice.boot)
     }
 
-    async fn report(&self, crash: watch::Crash) {
-        warn!(
-            "quarantine: {} died with {} requests of this entry",
-            crash.place.endpoint,
-            crash.fingerprints.len()
-        );
-        let message = claim::Crash {
-            endpoint: crash.place.endpoint,
-            boot: crash.place.boot,
+    fn message(&self, place: watch::Place) -> claim::Crash {
+        claim::Crash {
+            endpoint: place.endpoint,
+            boot: place.boot,
             instance: self.core.instance().clone(),
-            fingerprints: crash.fingerprints,
-        };
-        let leader = &self.core.leader;
-        let told: Result<(), cranberrygap_link::error::Error> =
-            leader.call(method::CRASH_REPORT, &message, REPORT).await;
-        if let Err(cause) = told {
-            warn!("quarantine: the leader was not told: {cause}");
+            fingerprints: Vec::new(),
+            cleared: Vec::new(),
+            probed: None,
         }
     }
 }
 
+async fn report(core: &core::Core, message: &claim::Crash) {
+    let leader = &core.leader;
+    let told: Result<(), cranberrygap_link::error::Error> =
+        leader.call(method::CRASH_REPORT, message, REPORT).await;
+    if let Err(cause) = told {
+        warn!("quarantine: the leader was not told: {cause}");
+    }
+}
+
 impl Drop for Sent {
     fn drop(&mut self) {
         let time = self.core.now().since(self.at);
@@ -158,10 +190,7 @@
         let facts: [(&'static str, &dyn std::fmt::Display); 1] = [("took", &time)];
         self.core.trace.note(&self.about, code, sentence, &facts);
         let place = place(&self.choice);
-        self.core
-            .watch
-            .lock()
-            .ended(&place, self.running, self.answered);
+        self.core.watch.lock().ended(&place, self.running, false);
         self.core
             .router
             .ended(self.core.now(), &self.choice, self.failed);
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -5,7 +5,7 @@
 
 use cadence::StatsdClient;
 use cranberrygap_link::{credential, server as link_server};
-use cranberrygap_model::{address, number};
+use cranberrygap_model::{address, duration, number};
 use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
@@ -166,6 +166,7 @@
             .latest()
             .map(|view| view.defaults().address_lifetime);
         tokio::time::sleep(lifetime.unwrap_or_default().to_std()).await;
+        tokio::time::sleep(LATE_VIEWS.to_std()).await;
         self.callers.finish().await;
         self.endpoints.finish().await;
         for task in &self.tasks {
@@ -208,6 +209,10 @@
 /// Share of retries until the configuration is known; it is the default there.
 const FIRST_RETRY_SHARE: f64 = 0.1;
 
+/// Time after which no entry still names one that drains: an entry whose view is
+/// older than its lease answers nobody.
+const LATE_VIEWS: duration::Span = duration::Span::from_secs(2);
+
 /// Boots stay below 2^53, so that every JSON reader keeps them exactly.
 const BOOT_SHIFT: u32 = 11;
 
--- a/crates/cranberrygap-policy/src/quarantine/watch.rs
+++ b/crates/cranberrygap-policy/src/quarantine/watch.rs
@@ -30,6 +30,8 @@
     pub place: Place,
     /// Fingerprints of what ran there from this entry.
     pub fingerprints: Vec<SmolStr>,
+    /// The suspect that ran there by the leader's leave.
+    pub probed: Option<SmolStr>,
 }
 
 /// Why a request may not be sent to an endpoint.
@@ -46,6 +48,7 @@
 pub struct Watch {
     running: BTreeMap<Place, BTreeMap<u64, SmolStr>>,
     dead: BTreeMap<Place, duration::Instant>,
+    leases: BTreeMap<Place, (SmolStr, duration::Instant)>,
     suspects: BTreeMap<SmolStr, duration::Instant>,
     next: u64,
 }
@@ -107,8 +110,13 @@
             self.suspects.insert(fingerprint.clone(), now);
         }
         self.forget(now);
+        let lease = self.leases.remove(place);
+        let probed = lease
+            .filter(|(_, until)| now < *until)
+            .map(|(probed, _)| probed);
         Some(Crash {
             place: place.clone(),
+            probed,
             fingerprints: fingerprints.into_iter().collect(),
         })
     }
@@ -130,6 +138,20 @@
         since.is_some_and(|since| now.since(*since) < SUSPICION)
     }
 
+    /// Notes that the leader lets a suspect run there until then, and no other.
+    pub fn lease(&mut self, place: &Place, fingerprint: &SmolStr, until: duration::Instant) {
+        self.leases
+            .insert(place.clone(), (fingerprint.clone(), until));
+    }
+
+    /// Notes that a suspect runs there no longer.
+    pub fn release(&mut self, place: &Place, fingerprint: &str) {
+        let held = self.leases.get(place);
+        if held.is_some_and(|(holder, _)| holder == fingerprint) {
+            self.leases.remove(place);
+        }
+    }
+
     /// Notes that another entry's crash made these suspect.
     pub fn suspect(&mut self, now: duration::Instant, fingerprints: &[SmolStr]) {
         for fingerprint in fingerprints {
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -10,10 +10,6 @@
 /// Suspects that are remembered; the oldest go first.
 const MOST_SUSPECTS: usize = 4_096;
 
-/// Crashes of which one is a suspect that ran among other suspects; with this
-/// many it is condemned all the same.
-const CERTAIN_CRASHES: usize = 3;
-
 /// Suspects and what is refused for a time.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Quarantines {
@@ -40,26 +36,22 @@
     pub fn apply(&mut self, at: u64, term: duration::Span, step: &Step) -> Vec<view::Change> {
         let mut changes = self.release(at);
         let crash = &step.crash;
+        for fingerprint in &crash.cleared {
+            self.suspects.remove(fingerprint);
+        }
         let place = (crash.endpoint.clone(), crash.boot);
-        let known: Vec<&SmolStr> = crash
-            .fingerprints
-            .iter()
-            .filter(|fingerprint| self.is_suspect_elsewhere(fingerprint, &place))
-            .collect();
-        // Innocents share the endpoint with the culprit. Suspects are retried
-        // alone among suspects, so a second crash with one suspect names it.
-        let culprit = match known.as_slice() {
-            [only] => Some((*only).clone()),
-            _ => None,
-        };
+        // Innocents share the endpoint with the culprit, and entries report apart
+        // from each other. Only of the suspect that ran there by the leader's leave
+        // is it certain that no other suspect did.
+        let probed = crash.probed.clone();
+        let culprit = probed.filter(|probed| self.is_suspect_elsewhere(probed, &place));
         for fingerprint in &crash.fingerprints {
             let suspect = self.suspects.entry(fingerprint.clone()).or_default();
             suspect.latest = at;
             suspect.crashes.insert(place.clone());
-            let certain = suspect.crashes.len() >= CERTAIN_CRASHES;
-            if certain || culprit.as_ref() == Some(fingerprint) {
-                changes.push(self.condemn(fingerprint, at + term.0 / 1_000));
-            }
+        }
+        if let Some(culprit) = culprit {
+            changes.push(self.condemn(&culprit, at + term.0 / 1_000));
         }
         self.forget_oldest();
         changes
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -12,6 +12,8 @@
 pub const CLAIM_CLOSE: &str = "claim_close";
 /// An entry tells what ran on a dead endpoint (`claim::Crash` to nothing).
 pub const CRASH_REPORT: &str = "crash_report";
+/// An entry asks to run a suspect on an endpoint (`claim::Leave` to a boolean).
+pub const SUSPECT_LEAVE: &str = "suspect_leave";
 /// A message of the agreement protocol between control processes.
 pub const AGREEMENT: &str = "agreement";
 
