Keep drained endpoints drained behind a cut, and prune the leader's memory

Cause: an endpoint that an operator drained was forgotten after 3 s of silence, so behind a short cut it came back into service; names that were heard once stayed in the leader's memory for its term; and the help for a key whose issue is in doubt named a resend that is refused. Conclusion: an operator's drain holds until the next boot or the forgetting.

--- a/crates/cranberrygap-control/src/keeper.rs
+++ b/crates/cranberrygap-control/src/keeper.rs
@@ -75,8 +75,12 @@
     pub(crate) async fn watch(self: Arc<Self>) {
         loop {
             tokio::time::sleep(PERIOD).await;
-            let found = self
-                .with_office(|now, office| self.state.read(|fleet| office.findings(now, fleet)));
+            let found = self.with_office(|now, office| {
+                self.state.read(|fleet| {
+                    office.prune(now, fleet);
+                    office.findings(now, fleet)
+                })
+            });
             let Some(found) = found else {
                 continue;
             };
--- a/crates/cranberrygap-control/src/office.rs
+++ b/crates/cranberrygap-control/src/office.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_model::{duration, id, number};
 use cranberrygap_state::{endpoint, fleet, member};
-use cranberrygap_wire::view;
+use cranberrygap_wire::{endpoint as announced, view};
 
 /// Time from sending its confirmation for which an entry may serve. Three
 /// confirmations fit into it. Together with [`LAG`] and the leader's own period
@@ -60,6 +60,19 @@
     revision: number::Revision,
 }
 
+/// How an endpoint stands when it is judged by its silence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    Ready,
+    Suspect,
+    /// It said so itself; once it is silent it has left.
+    Leaves,
+    /// An operator wants it out of service. Its process may run on behind a cut;
+    /// forgotten soon, it would come back into service when the cut ends.
+    Drained,
+    Gone,
+}
+
 /// Commands that the leader should propose.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Findings {
@@ -177,6 +190,15 @@
         waiting.map(|member| member.instance.clone()).collect()
     }
 
+    /// Drops what is known of endpoints and entries that the fleet has forgotten
+    /// and that were not heard for long, so that names of the past take no room.
+    pub fn prune(&mut self, now: duration::Instant, fleet: &fleet::Fleet) {
+        self.endpoints
+            .retain(|name, heard| now.since(heard.at) < OBLIVION || fleet.endpoints.contains(name));
+        self.entries
+            .retain(|_, entry| now.since(entry.heard) < OBLIVION);
+    }
+
     /// What became of endpoints and entries that were not heard.
     #[must_use]
     pub fn findings(&self, now: duration::Instant, fleet: &fleet::Fleet) -> Findings {
@@ -188,7 +210,8 @@
                 boot: announcement.boot,
                 sequence: announcement.sequence,
             };
-            self.judge(now, silence, &seen, health)
+            let leaves = announcement.phase == announced::Phase::Leaving;
+            self.judge(now, silence, &seen, standing(health, leaves))
         });
         Findings {
             endpoints: endpoints.collect(),
@@ -201,7 +224,7 @@
         now: duration::Instant,
         silence: duration::Span,
         known: &view::Seen,
-        health: view::Health,
+        standing: Standing,
     ) -> Option<endpoint::Step> {
         let heard = self.endpoints.get(&known.endpoint);
         let heard = heard.filter(|heard| heard.seen.boot == known.boot);
@@ -213,13 +236,15 @@
             sequence: latest,
             ..known.clone()
         };
-        match health {
-            view::Health::Suspect if heard.is_some() && quiet < silence => {
+        match standing {
+            Standing::Suspect if heard.is_some() && quiet < silence => {
                 Some(endpoint::Step::Heard(seen))
             }
-            view::Health::Suspect if quiet > OBLIVION => Some(endpoint::Step::Forgotten(seen)),
-            view::Health::Leaving if quiet > silence => Some(endpoint::Step::Forgotten(seen)),
-            view::Health::Ready if quiet > silence => Some(endpoint::Step::Silent(seen)),
+            Standing::Suspect | Standing::Drained if quiet > OBLIVION => {
+                Some(endpoint::Step::Forgotten(seen))
+            }
+            Standing::Leaves if quiet > silence => Some(endpoint::Step::Forgotten(seen)),
+            Standing::Ready if quiet > silence => Some(endpoint::Step::Silent(seen)),
             _ => None,
         }
     }
@@ -260,3 +285,13 @@
         })
     }
 }
+
+const fn standing(health: view::Health, leaves: bool) -> Standing {
+    match health {
+        view::Health::Ready => Standing::Ready,
+        view::Health::Suspect => Standing::Suspect,
+        view::Health::Leaving if leaves => Standing::Leaves,
+        view::Health::Leaving => Standing::Drained,
+        view::Health::Gone => Standing::Gone,
+    }
+}
--- a/crates/cranberrygap-control/tests/office.rs
+++ b/crates/cranberrygap-control/tests/office.rs
@@ -6,7 +6,7 @@
 use cranberrygap_control::office;
 use cranberrygap_model::{duration, number};
 use cranberrygap_state::{command, endpoint, fleet as state, member};
-use cranberrygap_wire::view;
+use cranberrygap_wire::{operator, view};
 
 const START: duration::Instant = duration::Instant(1_000_000_000);
 
@@ -154,3 +154,37 @@
 
     assert!(matches!(found.as_slice(), [member::Step::Gone { .. }]));
 }
+
+// An operator drains an endpoint, and a cut keeps its heartbeats away for a
+// while. Forgotten, it would be back in service once the cut ends.
+#[test]
+fn drained_endpoint_is_not_forgotten_when_it_falls_silent() {
+    let office = new_office();
+    let mut fleet = known();
+    let author = fleet::author("c-1");
+    let name = "runner-1".into();
+    let command = command::Command::Drain(operator::Drain { author, name });
+    fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
+
+    let silent = office.findings(at(10_000), &fleet).endpoints;
+    let long_silent = office.findings(at(600_001), &fleet).endpoints;
+
+    assert!(silent.is_empty());
+    assert!(matches!(
+        long_silent.as_slice(),
+        [endpoint::Step::Forgotten(_)]
+    ));
+}
+
+#[test]
+fn names_of_the_past_take_no_room() {
+    let mut office = new_office();
+    office.hear(at(0), &seen(1));
+    office.confirm(at(0), &fleet::confirm(revision(5)));
+
+    office.prune(at(700_000), &state::Fleet::default());
+
+    let dump = office.dump(at(700_000));
+    assert_eq!(dump["entries"], serde_json::json!([]));
+    assert_eq!(dump["endpoints"], serde_json::json!([]));
+}
--- a/crates/cranberrygap-state/src/endpoint.rs
+++ b/crates/cranberrygap-state/src/endpoint.rs
@@ -122,6 +122,12 @@
         Some(vec![changed(known)])
     }
 
+    /// Whether an endpoint is known.
+    #[must_use]
+    pub fn contains(&self, name: &id::Endpoint) -> bool {
+        self.endpoints.contains_key(name)
+    }
+
     /// One endpoint.
     #[must_use]
     pub fn get(&self, name: &id::Endpoint) -> Option<view::Endpoint> {
--- a/crates/cranberrygap/src/command/failure.rs
+++ b/crates/cranberrygap/src/command/failure.rs
@@ -28,6 +28,14 @@
         /// What the last control process said.
         last: error::Error,
     },
+    /// The key was sent; whether it was issued is not known.
+    #[error("it is not known whether key {key} was issued ({last}); its secret is lost")]
+    UnknownKey {
+        /// The key's public id.
+        key: id::Key,
+        /// What the last control process said.
+        last: error::Error,
+    },
     /// The fleet refuses it.
     #[error("refused: {0}")]
     Refused(String),
@@ -88,6 +96,9 @@
             Self::Unknown { change, .. } => {
                 format!("send it again with --change {change}; it then gets its first answer")
             }
+            Self::UnknownKey { key, .. } => {
+                format!("look for {key} with `key list`, withdraw it if it is there, issue another")
+            }
             Self::Conflict { current, .. } => format!(
                 "look at `cranberrygap show --revision {current}`, then apply with --expect {current}"
             ),
@@ -105,7 +116,7 @@
     pub fn code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Conflict { .. } => CONFLICT,
-            Self::Unknown { .. } => UNKNOWN,
+            Self::Unknown { .. } | Self::UnknownKey { .. } => UNKNOWN,
             Self::Usage(_) => WRONG_USAGE,
             _ => FAILED,
         })
--- a/crates/cranberrygap/src/command/key/issue.rs
+++ b/crates/cranberrygap/src/command/key/issue.rs
@@ -51,9 +51,14 @@
             key: secret.key().clone(),
             hash: secret.hash(),
         };
-        let issued: operator::Issued = session
-            .change(method::KEY_ISSUE, &issue.author, &issue)
-            .await?;
+        let issued = session.change(method::KEY_ISSUE, &issue.author, &issue);
+        let issued: operator::Issued = issued.await.map_err(|failure| match failure {
+            Failure::Unknown { last, .. } => Failure::UnknownKey {
+                key: issue.key.clone(),
+                last,
+            },
+            other => other,
+        })?;
         if self.wait {
             session.wait_in_force(issued.revision).await?;
         }
