Give orders to endpoints from the leading control process

Change: the control leader runs the executor over HTTP behind a trait object, with intents and their ends in the replicated log and the audit trail. Conclusion: placement runs in the product; preferred endpoints do not reach the entries yet.

--- a/crates/cranberrygap-bench/src/measure/policy/ours.rs
+++ b/crates/cranberrygap-bench/src/measure/policy/ours.rs
@@ -90,7 +90,10 @@
 
     fn begin(&mut self, fleet: &mut Fleet) {
         let names = Names::new(&fleet.deployment, &fleet.items);
-        let mut ledger = ledger::Ledger::new(journal::Journal::default(), engine::KV_RESERVE);
+        let mut ledger = ledger::Ledger::new(
+            journal::Journal::default(),
+            bytes(fleet.deployment.memory / 100 * engine::KV_RESERVE),
+        );
         for runner in 0..fleet.engines.len() {
             ledger.enroll(&known(fleet, &names, runner, view::Health::Ready));
         }
--- a/crates/cranberrygap-bench/src/soak/placement/world.rs
+++ b/crates/cranberrygap-bench/src/soak/placement/world.rs
@@ -15,7 +15,7 @@
 const RUNNERS: usize = 6;
 const MODELS: usize = 12;
 const GIB: u64 = 1 << 30;
-const RESERVE_PERCENT: u64 = 10;
+const RESERVE: size::Bytes = size::Bytes(10 * GIB);
 
 const LOADS_PER_SECOND: f64 = 3.0;
 const LOADS_AT_ONCE: usize = 4;
@@ -251,6 +251,7 @@
     fn commit(&mut self, record: &journal::Record) {
         self.journal.apply(record);
         match record {
+            journal::Record::Opened { .. } => {}
             journal::Record::Intended { order } => {
                 self.committed.insert(order.order.clone());
                 if self.is_base_load(order) {
@@ -403,7 +404,7 @@
                 }
             }
             let total: u64 = taken.values().sum();
-            if total > runner.memory.0 / 100 * (100 - RESERVE_PERCENT) {
+            if total > runner.memory.0 - RESERVE.0 {
                 found = Some(format!(
                     "{} could need {} of memory {}",
                     runner.name,
@@ -484,7 +485,7 @@
     fence: number::Fence,
     variant: Variant,
 ) -> Leader {
-    let mut ledger = ledger::Ledger::new(journal.clone(), RESERVE_PERCENT);
+    let mut ledger = ledger::Ledger::new(journal.clone(), RESERVE);
     for runner in runners {
         ledger.enroll(&known(runner, view::Health::Ready));
     }
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -14,6 +14,7 @@
 mod keeper;
 mod leaves;
 mod operators;
+mod orders;
 mod peers;
 mod shares;
 mod store;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -10,6 +10,7 @@
 use crate::keeper;
 use crate::leaves;
 use crate::office;
+use crate::orders;
 use crate::proposer;
 use crate::replicated;
 use crate::shares;
@@ -26,6 +27,7 @@
     pub(crate) keeper: Arc<keeper::Keeper>,
     pub(crate) shares: Arc<shares::Shares>,
     pub(crate) leaves: leaves::Leaves,
+    pub(crate) orders: Arc<orders::Orders>,
 }
 
 /// Offers the entries' methods.
@@ -116,6 +118,7 @@
         self.proposer.check_leads()?;
         self.note_member(&confirm).await?;
         self.note_announcements(&confirm).await?;
+        self.orders.count(&confirm.demands);
         // Committing may have taken long; only who leads now may grant.
         let status = self.proposer.check_leads()?;
         let lease = self
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -13,6 +13,7 @@
 use crate::leaves;
 use crate::lines;
 use crate::operators;
+use crate::orders;
 use crate::peers;
 use crate::proposer;
 use crate::replica;
@@ -43,6 +44,9 @@
     /// The client for the weight store could not be set up.
     #[error("cannot set up the client for the weight store: {0}")]
     Store(String),
+    /// The client for endpoints could not be set up.
+    #[error("cannot set up the client for endpoints: {0}")]
+    Endpoints(String),
     /// There is no fleet secret.
     #[error("no fleet secret was given")]
     NoSecret,
@@ -79,7 +83,8 @@
         let lines = lines::Lines::new(own.clone(), settings.group.voters.clone(), shown);
         let state = Arc::new(replicated::State::new());
         let replica = start_replica(&settings, own, &state, &lines)?;
-        let parts = Arc::new(Parts::new(settings, state, replica));
+        let platform = orders::Http::new().map_err(|cause| Error::Endpoints(cause.to_string()))?;
+        let parts = Arc::new(Parts::new(settings, state, replica, Arc::new(platform)));
         let peers = listen_peers(&parts, secrets.fleet).await?;
         let admin = listen_admin(&parts, secrets.operators).await?;
         let tasks = parts.spawn_tasks()?;
@@ -162,6 +167,7 @@
         settings: settings::Control,
         state: Arc<replicated::State>,
         replica: Arc<replica::Replica>,
+        platform: Arc<dyn orders::Platform>,
     ) -> Self {
         let clock = clock::Clock::start();
         let log: Arc<dyn crate::log::Log> = Arc::clone(&replica) as _;
@@ -169,12 +175,14 @@
         let keeper = keeper::Keeper::new(Arc::clone(&state), proposer.clone(), clock);
         let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
         let leaves = leaves::Leaves::new(proposer.clone(), clock);
+        let orders = orders::Orders::new(Arc::clone(&state), proposer.clone(), platform, clock);
         let desk = peers::Desk {
             state,
             proposer,
             keeper: Arc::new(keeper),
             shares: Arc::new(shares),
             leaves,
+            orders: Arc::new(orders),
         };
         Self {
             settings,
@@ -189,6 +197,7 @@
         let mut tasks = vec![
             tokio::spawn(Arc::clone(keeper).watch()),
             tokio::spawn(Arc::clone(&self.desk.shares).watch()),
+            tokio::spawn(Arc::clone(&self.desk.orders).watch()),
         ];
         let address = self.settings.store.as_ref().and_then(|store| store.address);
         if let Some(address) = address {
@@ -213,6 +222,7 @@
             "term": status.term,
             "failure": self.replica.failure(),
             "office": office,
+            "orders": self.desk.orders.dump(),
             "shares": self.desk.shares.dump().await,
             "fleet": self.desk.state.read(cranberrygap_state::fleet::Fleet::dump),
             "replica": self.replica.dump().await,
--- a/crates/cranberrygap-placement/src/journal.rs
+++ b/crates/cranberrygap-placement/src/journal.rs
@@ -19,9 +19,17 @@
 }
 
 /// One entry of the replicated log about orders.
+///
+/// [`Record::Opened`] comes first in each leader's time; once it is committed,
+/// the leader knows all orders of its predecessors.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Record {
+    /// A leader starts to give orders under this fence.
+    Opened {
+        /// Its fencing number, higher than all before.
+        fence: number::Fence,
+    },
     /// An order is about to be sent; logged before the first byte goes out.
     Intended {
         /// The order, unchanged in all its sendings.
@@ -58,6 +66,9 @@
 /// order therefore stands here before it is sent, in every replica.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Journal {
+    /// Highest fence that was opened.
+    #[serde(default)]
+    pub fence: number::Fence,
     /// Orders that may still take effect.
     pub open: BTreeMap<id::Order, endpoint::Order>,
     /// Newest evidence for each endpoint.
@@ -65,9 +76,15 @@
 }
 
 impl Journal {
-    /// Applies one committed record.
-    pub fn apply(&mut self, record: &Record) {
+    /// Applies one committed record; tells whether it was taken.
+    ///
+    /// An intent of a leader that was deposed may be committed after its
+    /// successor opened the journal. The successor has counted without it, so
+    /// it is not taken, and never sent.
+    pub fn apply(&mut self, record: &Record) -> bool {
         match record {
+            Record::Opened { fence } => self.fence = self.fence.max(*fence),
+            Record::Intended { order } if order.fence < self.fence => return false,
             Record::Intended { order } => {
                 self.open.insert(order.order.clone(), order.clone());
             }
@@ -84,6 +101,7 @@
                 }
             }
         }
+        true
     }
 
     fn raise(&mut self, endpoint: &id::Endpoint, boot: number::Boot, residency: number::Sequence) {
--- a/crates/cranberrygap-placement/src/ledger.rs
+++ b/crates/cranberrygap-placement/src/ledger.rs
@@ -17,15 +17,12 @@
 
 pub use refusal::Refusal;
 
-/// A whole, in percent.
-const PERCENT: u64 = 100;
-
 /// Accounts of all runners, and the orders that may still take effect.
 #[derive(Debug, Clone)]
 pub struct Ledger {
     accounts: BTreeMap<id::Endpoint, account::Account>,
     journal: journal::Journal,
-    reserve_percent: u64,
+    reserve: size::Bytes,
 }
 
 /// The question for a report that an answer belongs to.
@@ -40,13 +37,13 @@
 impl Ledger {
     /// A new leader's ledger, from the replicated journal.
     ///
-    /// `reserve_percent` is the part of each endpoint's memory that is kept for KV cache.
+    /// `reserve` is the part of each endpoint's memory that is kept for KV cache.
     #[must_use]
-    pub fn new(journal: journal::Journal, reserve_percent: u64) -> Self {
+    pub fn new(journal: journal::Journal, reserve: size::Bytes) -> Self {
         Self {
             accounts: BTreeMap::new(),
             journal,
-            reserve_percent,
+            reserve,
         }
     }
 
@@ -56,11 +53,10 @@
         if announcement.kind != endpoint::Kind::Runner {
             return;
         }
-        let reserve = size::Bytes(announcement.memory.0 / PERCENT * self.reserve_percent);
         let account = self
             .accounts
             .entry(announcement.endpoint.clone())
-            .or_insert_with(|| account::Account::new(announcement, reserve));
+            .or_insert_with(|| account::Account::new(announcement, self.reserve));
         account.health = known.health;
         account.address = announcement.address;
         account.void_other_boots(announcement.boot);
@@ -151,8 +147,11 @@
 
     /// Applies one committed record.
     pub fn apply(&mut self, record: &journal::Record) {
-        self.journal.apply(record);
+        if !self.journal.apply(record) {
+            return;
+        }
         match record {
+            journal::Record::Opened { .. } => {}
             journal::Record::Intended { order } => {
                 if let Some(account) = self.accounts.get_mut(&order.endpoint) {
                     account.count(order);
--- a/crates/cranberrygap-placement/src/orders.rs
+++ b/crates/cranberrygap-placement/src/orders.rs
@@ -47,6 +47,7 @@
     limits: limit::Limits,
     bucket: limit::Bucket,
     fence: number::Fence,
+    since: duration::Instant,
     /// Until then a predecessor may still send to endpoints that ignore fences.
     quiet_until: duration::Instant,
     wanted: Vec<plan::Move>,
@@ -90,6 +91,7 @@
             bucket: limit::Bucket::empty(now, limits.loads_per_second),
             limits,
             fence,
+            since: now,
             quiet_until: now.after(lease),
             wanted: Vec::new(),
             flights,
@@ -152,6 +154,7 @@
     fn committed(&mut self, now: duration::Instant, record: &journal::Record) -> Vec<Output> {
         self.ledger.apply(record);
         match record {
+            journal::Record::Opened { .. } => Vec::new(),
             journal::Record::Intended { order } => {
                 let flight = Flight {
                     sent: now,
@@ -237,7 +240,9 @@
         if !account.checks_fence && now < self.quiet_until {
             return None;
         }
-        let name = format!("{}-{}", self.fence, self.issued);
+        // The start of office is part of the id: a leader may take office twice
+        // in one term, and an id must never name two orders.
+        let name = format!("{}-{}-{}", self.fence, self.since.0, self.issued);
         let order = endpoint::Order {
             order: name.parse().ok()?,
             endpoint: wish.endpoint.clone(),
--- a/crates/cranberrygap-placement/tests/ledger.rs
+++ b/crates/cranberrygap-placement/tests/ledger.rs
@@ -53,7 +53,7 @@
 fn successor_counts_inherited_orders() {
     let mut first = fixture::ledger(&[]);
     commit(&mut first, &load("o1", "a", "m", 60));
-    let mut second = ledger::Ledger::new(first.journal().clone(), 0);
+    let mut second = ledger::Ledger::new(first.journal().clone(), gib(0));
     second.enroll(&fixture::runner("a", "x"));
     show(&mut second, &report("a", 1, &[]));
 
@@ -66,7 +66,7 @@
 // could overfill it, so nothing goes out before its first report.
 #[test]
 fn no_order_before_the_first_report() {
-    let mut ledger = ledger::Ledger::new(journal::Journal::default(), 0);
+    let mut ledger = ledger::Ledger::new(journal::Journal::default(), gib(0));
     ledger.enroll(&fixture::runner("a", "x"));
 
     let refused = ledger.intend(&catalogue(&[]), &load("o1", "a", "m", 10));
@@ -111,7 +111,7 @@
     let mut first = fixture::ledger(&[]);
     commit(&mut first, &load("o1", "a", "m", 10));
     show(&mut first, &report("a", 7, &["m"]));
-    let mut second = ledger::Ledger::new(first.journal().clone(), 0);
+    let mut second = ledger::Ledger::new(first.journal().clone(), gib(0));
     second.enroll(&fixture::runner("a", "x"));
 
     show(&mut second, &report("a", 6, &[]));
@@ -170,7 +170,7 @@
 
 #[test]
 fn reserve_for_the_cache_is_kept() {
-    let mut ledger = ledger::Ledger::new(journal::Journal::default(), 20);
+    let mut ledger = ledger::Ledger::new(journal::Journal::default(), gib(20));
     ledger.enroll(&fixture::runner("a", "x"));
     show(&mut ledger, &report("a", 1, &[]));
 
--- a/crates/cranberrygap-placement/tests/orders.rs
+++ b/crates/cranberrygap-placement/tests/orders.rs
@@ -125,7 +125,7 @@
 fn new_leader_waits_for_endpoints_that_ignore_fences() {
     let mut known = fixture::runner("a", "x");
     known.announcement.checks_fence = false;
-    let mut ledger = ledger::Ledger::new(journal::Journal::default(), 0);
+    let mut ledger = ledger::Ledger::new(journal::Journal::default(), gib(0));
     ledger.enroll(&known);
     fixture::show(&mut ledger, &report("a", 1, &[]));
     let mut executor = executor(ledger, seconds(10));
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands that the replicated log carries.
 
+use cranberrygap_placement::journal;
 use cranberrygap_wire::operator;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -40,6 +41,8 @@
     Group(group::Step),
     /// Shares of the workspaces' rates and bursts.
     Share(share::Step),
+    /// Orders to endpoints.
+    Order(journal::Record),
     /// Takes an entry, control or endpoint out of service by its name.
     Drain(operator::Drain),
 }
@@ -57,6 +60,7 @@
             | Self::Endpoint(_)
             | Self::Member(_)
             | Self::Claim(_)
+            | Self::Order(_)
             | Self::Quarantine(_)
             | Self::Share(_) => None,
         }
@@ -74,6 +78,7 @@
             Self::Endpoint(_) => SmolStr::new_static("endpoint"),
             Self::Member(_) => SmolStr::new_static("member"),
             Self::Claim(_) => SmolStr::new_static("claim"),
+            Self::Order(_) => SmolStr::new_static("order"),
             Self::Quarantine(_) => SmolStr::new_static("quarantine"),
             Self::Share(_) => SmolStr::new_static("share"),
         }
--- a/crates/cranberrygap-state/src/fact.rs
+++ b/crates/cranberrygap-state/src/fact.rs
@@ -54,6 +54,11 @@
                 "endpoint": step.crash.endpoint, "changes": changes,
             }),
         ),
+        command::Command::Order(record) => (
+            "order",
+            SmolStr::new_static("leader"),
+            serde_json::json!(record),
+        ),
         command::Command::Claim(step) => claim_fact(step, answer),
         command::Command::Member(_)
         | command::Command::Quarantine(_)
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The whole replicated state.
 
 use cranberrygap_model::{duration, number, size};
+use cranberrygap_placement::journal;
 use cranberrygap_wire::{configuration as wire, endpoint as announced, operator, view};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -36,6 +37,9 @@
     /// Shares of the workspaces' rates and bursts.
     #[serde(default)]
     pub shares: share::Shares,
+    /// Orders to endpoints that may still take effect.
+    #[serde(default)]
+    pub orders: journal::Journal,
     /// First answers by change id.
     pub changes: change::Memory,
     /// What operators changed.
@@ -100,6 +104,12 @@
                 self.shares.apply(step);
                 (answer::Answer::Done, Vec::new())
             }
+            command::Command::Order(record) => {
+                let taken = self.orders.apply(record);
+                let refused = answer::Answer::Refused("a newer leader gives orders".into());
+                let answer = if taken { answer::Answer::Done } else { refused };
+                (answer, Vec::new())
+            }
             command::Command::Drain(drain) => self.drain(drain),
         };
         if is_taken(&outcome.0)
--- a/crates/cranberrygap/tests/support/fleet.rs
+++ b/crates/cranberrygap/tests/support/fleet.rs
@@ -46,6 +46,9 @@
     /// Models that each engine holds from its start.
     #[builder(default = vec!["frames-7b", "codes-3b"])]
     pub models: Vec<&'static str>,
+    /// Engines that hold the models from their start; the others are empty.
+    #[builder(default = usize::MAX)]
+    pub preloaded: usize,
     /// Whether a proxy stands before each connection to a control process.
     #[builder(default)]
     pub proxied: bool,
@@ -376,7 +379,12 @@
         shape: &Shape,
         listeners: &[address::Socket],
     ) -> engine::Settings {
-        let preloaded = shape.models.iter().map(|model| endpoint::Resident {
+        let models = if place < shape.preloaded {
+            shape.models.as_slice()
+        } else {
+            &[]
+        };
+        let preloaded = models.iter().map(|model| endpoint::Resident {
             model: model.parse().unwrap(),
             size: MODEL_SIZE,
         });
