Name the metrics, list them with units, and send them each second

Cause: one counter was sent and none was listed; datagrams wait until they are full, so that a quiet control process's metrics came 13 s late in the test. Change: an entry sends requests, refusals by code, answers by attainment, tokens and the time to the first token; a control process whether it leads; both send what is collected each second. The test that searches for marked keys waits for every metric by name.

--- a/crates/cranberrygap-entry/src/attainment.rs
+++ b/crates/cranberrygap-entry/src/attainment.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use cadence::{Counted as _, Timed as _};
 use cranberrygap_model::{duration, id};
 
 use crate::core;
+use crate::metric;
 
 /// Follows one request from its arrival to its last token.
 #[derive(Debug)]
@@ -52,6 +54,22 @@
         self.finished = true;
     }
 
+    /// A metric that cannot be sent is lost; requests do not wait for metrics.
+    fn count(&self, attained: bool) {
+        let metrics = &self.core.metrics;
+        let word = if attained { "attained" } else { "missed" };
+        metrics
+            .count_with_tags(metric::ANSWERS, 1)
+            .with_tag_value(word)
+            .send();
+        let Some(first) = self.first else {
+            return;
+        };
+        let _lost = metrics.count(metric::TOKENS, self.tokens);
+        let time = first.since(self.arrived).to_std();
+        let _lost = metrics.time(metric::FIRST_TOKEN, time);
+    }
+
     fn is_attained(&self, now: duration::Instant) -> bool {
         let Some(first) = self.first else {
             return false;
@@ -67,5 +85,6 @@
     fn drop(&mut self) {
         let attained = self.is_attained(self.core.now());
         self.core.demand.ended(&self.model, self.tokens, attained);
+        self.count(attained);
     }
 }
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod clock;
 pub mod core;
+pub mod metric;
 pub mod process;
 pub mod refusal;
 pub mod sse;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -199,8 +199,8 @@
         watch: Mutex::default(),
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
+        trace: trace::Trace::new(Arc::clone(&metrics)),
         metrics,
-        trace: trace::Trace::default(),
         draining: AtomicBool::new(false),
         settings,
     })
--- a/crates/cranberrygap-entry/src/server/bound.rs
+++ b/crates/cranberrygap-entry/src/server/bound.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Semaphore;
 
 use crate::core;
+use crate::metric;
 use crate::refusal::Refusal;
 
 /// Requests in progress without a setting; the schema's default is the same.
@@ -50,7 +51,7 @@
         let status = res.status_code.unwrap_or(StatusCode::OK).as_u16();
         self.core
             .metrics
-            .count_with_tags("requests", 1)
+            .count_with_tags(metric::REQUESTS, 1)
             .with_tag_value(&status.to_string())
             .send();
     }
--- a/crates/cranberrygap-entry/src/trace.rs
+++ b/crates/cranberrygap-entry/src/trace.rs
@@ -1,12 +1,15 @@
 //! Decisions about requests, kept for a while so that operators can ask why.
 
 use std::fmt;
+use std::sync::Arc;
 
+use cadence::{Counted as _, StatsdClient};
 use cranberrygap_model::id;
 use cranberrygap_trace::{note, ring};
 use cranberrygap_wire::trace;
 
 use crate::core;
+use crate::metric;
 use crate::refusal::Refusal;
 
 /// Decisions that an entry keeps, about 10 MB. An entry notes about three for a
@@ -17,17 +20,18 @@
 #[derive(Debug)]
 pub(crate) struct Trace {
     ring: ring::Ring,
+    metrics: Arc<StatsdClient>,
 }
 
-impl Default for Trace {
-    fn default() -> Self {
+impl Trace {
+    /// No decisions yet; refusals are counted too.
+    pub(crate) fn new(metrics: Arc<StatsdClient>) -> Self {
         Self {
             ring: ring::Ring::new(KEPT),
+            metrics,
         }
     }
-}
 
-impl Trace {
     /// Notes a decision with its facts.
     pub(crate) fn note(
         &self,
@@ -45,6 +49,10 @@
 
     /// Notes why a request was refused.
     pub(crate) fn refused(&self, about: &note::About, refusal: &Refusal) {
+        self.metrics
+            .count_with_tags(metric::REFUSED, 1)
+            .with_tag_value(refusal.code())
+            .send();
         // The exposed key may stand in the request id. It would then be kept
         // here and shown to operators; without the id it is not.
         if *refusal == Refusal::KeyExposed {
--- a/crates/cranberrygap/src/daemon/control.rs
+++ b/crates/cranberrygap/src/daemon/control.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use cadence::Gauged as _;
+
 use cranberrygap_control::process;
 use cranberrygap_link::credential;
 use cranberrygap_model::address;
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
-use super::{launch, signal};
+use super::{launch, metrics, signal};
 
 /// Time between two looks at the files with secrets, and at the replica.
 const LOOK: Duration = Duration::from_secs(1);
@@ -40,13 +42,20 @@
 
 async fn serve(settings: settings::Control, mut held: process::Secrets) -> eyre::Result<()> {
     let mut signals = signal::Listener::new()?;
+    let prefix = format!("cranberrygap.control.{}", settings.control.instance);
+    let sent = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
     let control = process::Process::start(settings.clone(), held.clone()).await?;
     loop {
         let wish = tokio::time::timeout(LOOK, signals.next()).await;
         match wish {
             Ok(signal::Wish::Stop) => break,
             Ok(signal::Wish::Dump) => println!("{}", control.dump().await),
-            Err(_elapsed) => refresh(&settings, &control, &mut held),
+            Err(_elapsed) => {
+                refresh(&settings, &control, &mut held);
+                // A metric that cannot be sent is lost.
+                let _lost = sent.gauge(metrics::LEADS, u64::from(control.leads()));
+                metrics::flush(&sent);
+            }
         }
         if let Some(failure) = control.failure() {
             // It takes no part any more; as long as the process lives on, nobody
--- a/crates/cranberrygap/src/daemon/entry.rs
+++ b/crates/cranberrygap/src/daemon/entry.rs
@@ -1,5 +1,6 @@
 //! Runs an entry until a signal stops it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cranberrygap_entry::process;
@@ -40,12 +41,16 @@
     let mut signals = signal::Listener::new()?;
     let prefix = format!("cranberrygap.entry.{}", settings.entry.instance);
     let metrics = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
+    let sent = Arc::clone(&metrics);
     let entry = process::Process::start(settings.clone(), held.clone(), metrics).await?;
     loop {
         match tokio::time::timeout(LOOK, signals.next()).await {
             Ok(signal::Wish::Stop) => break,
             Ok(signal::Wish::Dump) => println!("{}", entry.dump()),
-            Err(_elapsed) => refresh(&settings, &entry, &mut held),
+            Err(_elapsed) => {
+                refresh(&settings, &entry, &mut held);
+                metrics::flush(&sent);
+            }
         }
     }
     entry.stop().await;
--- a/crates/cranberrygap/src/daemon/metrics.rs
+++ b/crates/cranberrygap/src/daemon/metrics.rs
@@ -7,6 +7,9 @@
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
+/// Gauge of a control process: 1 while it leads, else 0.
+pub const LEADS: &str = "leads";
+
 /// Any free local port; datagrams only go out.
 const ANY_PORT: &str = "0.0.0.0:0";
 const ANY_PORT_V6: &str = "[::]:0";
@@ -34,3 +37,13 @@
     let queue = QueuingMetricSink::with_capacity(datagrams, QUEUE_LENGTH);
     Ok(Arc::new(StatsdClient::from_sink(prefix, queue)))
 }
+
+/// Sends what is collected, though its datagram is not full.
+///
+/// Datagrams are filled before they go out. On a quiet process a metric would
+/// otherwise wait for the next ones, and an operator would see a leader minutes
+/// late.
+pub fn flush(client: &StatsdClient) {
+    // A metric that cannot be sent is lost.
+    let _lost = client.flush();
+}
--- a/crates/cranberrygap/tests/secrets.rs
+++ b/crates/cranberrygap/tests/secrets.rs
@@ -9,6 +9,7 @@
 
 use std::net::UdpSocket;
 
+use cranberrygap_entry::metric;
 use cranberrygap_model::address;
 use cranberrygap_wire::{method, trace};
 use serde_json::Value;
@@ -37,6 +38,10 @@
     }
 }
 
+fn sent_name(metric: &metric::Metric) -> String {
+    format!("cranberrygap.entry.entry-1.{}:", metric.name)
+}
+
 fn received(socket: &UdpSocket) -> String {
     let mut text = String::new();
     let mut datagram = vec![0; 65_536];
@@ -127,9 +132,10 @@
     let in_content_type = marked(entry, secret.reveal(), "content-type").await;
     let stranger = caller::Caller::new(wrong);
     let unknown = stranger.chat(entry, MODEL, "hello", false).await.unwrap();
-    wait::until("metrics came", async || {
+    wait::until("every metric came", async || {
         metrics.push_str(&received(&socket));
-        !metrics.is_empty()
+        let sent = |found: &metric::Metric| metrics.contains(&sent_name(found));
+        metric::ALL.iter().all(sent) && metrics.contains("control.control-1.leads:")
     })
     .await;
     let shown = collect(&fleet, metrics).await;
