Forget a replica's presentation when it is taken out

Cause: a founder that presented itself once more right after the group was formed stayed remembered; when its disk was lost and operators removed and added it before its new replica was heard, the dead replica came in as a learner that never caught up. Ruled out: the catching up itself, since the learner's id was the dead one's. Conclusion: the dead replica cannot be added by the leader that removed it.

--- a/crates/cranberrygap-control/src/replica/core/membership.rs
+++ b/crates/cranberrygap-control/src/replica/core/membership.rs
@@ -74,6 +74,9 @@
         instance: &id::Instance,
     ) -> Result<position::Position, Error> {
         let change = self.resolve(wanted, instance)?;
+        if let change::Change::Remove(id) = change {
+            self.directory.forget(id);
+        }
         let outcome = self.ask(input::Input::Change(change));
         outcome.map_err(|refusal| self.error(refusal))
     }
--- a/crates/cranberrygap-control/src/replica/formation.rs
+++ b/crates/cranberrygap-control/src/replica/formation.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Forgets that a replica presented itself, when it is taken out.
+    ///
+    /// A founder that presented itself while the group was formed may lose its
+    /// disk. Added under its name before its new replica was heard, the dead one
+    /// would come into the group as a learner that never catches up.
+    pub(super) fn forget(&mut self, id: replica::Id) {
+        self.presented.retain(|_, hello| hello.id != id);
+    }
+
     pub(super) fn address(&self, id: replica::Id) -> Option<&address::Peer> {
         self.addresses.get(&id)
     }
