--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -7,6 +7,7 @@
 pub mod path;
 pub mod policy;
 pub mod processor;
+pub mod slopes;
 
 /// One measurement, found by its name.
 pub trait Measurement {
@@ -29,6 +30,7 @@
         Box::new(limits::Limits),
         Box::new(path::Path),
         Box::new(policy::Policy),
+        Box::new(slopes::Slopes),
     ]
 }
 
