--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -193,7 +193,7 @@
         view: view::Holder::default(),
         leader: control::Session::new(peers, Arc::clone(fleet)),
         limiter: Arc::clone(shares) as _,
-        router: Arc::new(route::Least::default()),
+        router: Arc::new(route::Scored::new(rand::random())),
         upstream: upstream::Clients::new()?,
         retries: Mutex::new(retry::Budget::new(FIRST_RETRY_SHARE)),
         watch: Mutex::default(),
--- a/crates/cranberrygap-entry/src/route.rs
+++ b/crates/cranberrygap-entry/src/route.rs
@@ -1,6 +1,6 @@
 //! Which endpoint serves a request.
 
-mod least;
+mod scored;
 
 use std::fmt;
 
@@ -10,7 +10,7 @@
 
 use crate::view;
 
-pub(crate) use least::Least;
+pub(crate) use scored::Scored;
 
 /// Endpoints that a request was already sent to. Retries are few.
 pub(crate) type Tried = SmallVec<[id::Endpoint; 3]>;
@@ -37,6 +37,17 @@
     pub boot: number::Boot,
 }
 
+/// A runner whose load may be asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Runner {
+    /// Its name.
+    pub endpoint: id::Endpoint,
+    /// Where it listens.
+    pub address: address::Socket,
+    /// Whether this entry sent a request there of late.
+    pub used: bool,
+}
+
 /// Chooses endpoints and learns from what becomes of the requests.
 pub(crate) trait Router: fmt::Debug + Send + Sync {
     /// An endpoint for the request, and counts the request as sent there.
@@ -49,8 +60,8 @@
     fn report(&self, now: duration::Instant, report: &endpoint::Report);
     /// The endpoint told this entry that it leaves.
     fn leaving(&self, endpoint: &id::Endpoint);
-    /// Runners whose load should be asked for.
-    fn runners(&self) -> Vec<(id::Endpoint, address::Socket)>;
+    /// All runners, and whether this entry used them of late.
+    fn runners(&self, now: duration::Instant) -> Vec<Runner>;
     /// The whole state for a dump.
     fn dump(&self) -> serde_json::Value;
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/route/scored.rs
@@ -0,0 +1,236 @@
+//! Sends each request to the best of a few endpoints by their corrected load.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cranberrygap_model::{duration, id};
+use cranberrygap_routing::{load, router};
+use cranberrygap_wire::{endpoint, view as wire_view};
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::view;
+
+use super::{Choice, Router, Runner, Wanted};
+
+/// Time for which an endpoint that broke a request is used only when there is
+/// no other.
+const DISTRUST: duration::Span = duration::Span::from_millis(1000);
+
+/// Time after its last request for which a runner's load matters here.
+const USE: duration::Span = duration::Span::from_secs(10);
+
+/// Time that a request is taken to have left; the queue before this has its own
+/// deadline and has let the request through.
+const LEFT: duration::Span = duration::Span::from_secs(1);
+
+/// A bound that no endpoint reaches: the emptiest takes the request.
+const ANY_FILL: router::Fill = router::Fill::UpTo(f64::MAX);
+
+/// Power of few choices over lagging reports, corrected by what was sent since.
+#[derive(Debug)]
+pub(crate) struct Scored {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    router: router::Router,
+    rng: SmallRng,
+    endpoints: BTreeMap<id::Endpoint, wire_view::Endpoint>,
+    by_model: BTreeMap<id::Model, Vec<id::Endpoint>>,
+    by_service: BTreeMap<id::Service, Vec<id::Endpoint>>,
+    left: BTreeSet<id::Endpoint>,
+    failed: BTreeMap<id::Endpoint, duration::Instant>,
+    used: BTreeMap<id::Endpoint, duration::Instant>,
+}
+
+impl Scored {
+    /// A router that knows no endpoint yet.
+    pub(crate) fn new(seed: u64) -> Self {
+        let inner = Inner {
+            router: router::Router::new(router::Settings::builder().build()),
+            rng: SmallRng::seed_from_u64(seed),
+            endpoints: BTreeMap::new(),
+            by_model: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            left: BTreeSet::new(),
+            failed: BTreeMap::new(),
+            used: BTreeMap::new(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+        }
+    }
+}
+
+impl Inner {
+    /// Ready endpoints that serve what is wanted and were not tried.
+    fn candidates(&self, wanted: &Wanted<'_>) -> Vec<id::Endpoint> {
+        let by_model = wanted.model.and_then(|model| self.by_model.get(model));
+        let by_service = wanted
+            .service
+            .and_then(|service| self.by_service.get(service));
+        let holders = by_model.or(by_service).into_iter().flatten();
+        let open =
+            holders.filter(|name| !wanted.tried.contains(name) && !self.left.contains(*name));
+        open.cloned().collect()
+    }
+
+    fn is_trusted(&self, now: duration::Instant, name: &id::Endpoint) -> bool {
+        self.failed
+            .get(name)
+            .is_none_or(|at| now.since(*at) >= DISTRUST)
+    }
+
+    /// The best with a free seat, or else the emptiest.
+    fn best(&mut self, wanted: &Wanted<'_>, names: &[id::Endpoint]) -> Option<id::Endpoint> {
+        let first = match wanted.model {
+            Some(_) => router::Fill::UpTo(1.0),
+            None => ANY_FILL,
+        };
+        self.draw(wanted, names, first)
+            .or_else(|| self.draw(wanted, names, ANY_FILL))
+    }
+
+    fn draw(
+        &mut self,
+        wanted: &Wanted<'_>,
+        names: &[id::Endpoint],
+        fill: router::Fill,
+    ) -> Option<id::Endpoint> {
+        // The model matters for cached prompts only, which services don't have.
+        let none = names.first()?.as_str().parse().ok()?;
+        let question = router::Question {
+            model: wanted.model.unwrap_or(&none),
+            prompt: &[],
+            left: LEFT,
+            preferred: &[],
+            fill,
+            spill: 0.0,
+        };
+        let residency = router::Residency::Resident(names);
+        match self.router.choose(&mut self.rng, &question, &residency) {
+            router::Choice::Dispatch(name) => Some(name),
+            router::Choice::Wait | router::Choice::Refuse { .. } => None,
+        }
+    }
+
+    fn index(&mut self) {
+        self.by_model.clear();
+        self.by_service.clear();
+        let ready = self.endpoints.iter().filter(|(_, known)| is_ready(known));
+        for (name, known) in ready {
+            for resident in &known.announcement.resident {
+                self.by_model
+                    .entry(resident.model.clone())
+                    .or_default()
+                    .push(name.clone());
+            }
+            if let Some(service) = &known.announcement.service {
+                self.by_service
+                    .entry(service.clone())
+                    .or_default()
+                    .push(name.clone());
+            }
+        }
+    }
+}
+
+fn is_ready(known: &wire_view::Endpoint) -> bool {
+    known.health == wire_view::Health::Ready && known.announcement.phase == endpoint::Phase::Ready
+}
+
+impl Router for Scored {
+    fn choose(&self, now: duration::Instant, wanted: &Wanted<'_>) -> Option<Choice> {
+        let mut inner = self.inner.lock();
+        let all = inner.candidates(wanted);
+        let trusted: Vec<id::Endpoint> = all
+            .iter()
+            .filter(|name| inner.is_trusted(now, name))
+            .cloned()
+            .collect();
+        let names = if trusted.is_empty() { all } else { trusted };
+        let best = inner.best(wanted, &names)?;
+        inner.router.sent(now, &best);
+        inner.used.insert(best.clone(), now);
+        let announcement = &inner.endpoints.get(&best)?.announcement;
+        Some(Choice {
+            endpoint: best,
+            address: announcement.address,
+            boot: announcement.boot,
+        })
+    }
+
+    fn ended(&self, now: duration::Instant, choice: &Choice, failed: bool) {
+        let mut inner = self.inner.lock();
+        if !inner.endpoints.contains_key(&choice.endpoint) {
+            return;
+        }
+        inner.router.ended(now, &choice.endpoint);
+        if failed {
+            inner.failed.insert(choice.endpoint.clone(), now);
+        }
+    }
+
+    fn follow(&self, view: &view::Snapshot) {
+        let mut inner = self.inner.lock();
+        let known = view.endpoints();
+        inner.router.retain(|name| known.contains_key(name));
+        inner.failed.retain(|name, _| known.contains_key(name));
+        inner.used.retain(|name, _| known.contains_key(name));
+        // A leave that arrived here holds until the endpoint comes back with a new
+        // boot; the log may still show it as ready for a moment.
+        let before = std::mem::take(&mut inner.endpoints);
+        inner.left.retain(|name| {
+            let boot = |known: &wire_view::Endpoint| known.announcement.boot;
+            let was = before.get(name).map(boot);
+            known
+                .get(name)
+                .map(boot)
+                .is_some_and(|boot| Some(boot) == was)
+        });
+        inner.endpoints = known.clone();
+        inner.index();
+    }
+
+    fn report(&self, now: duration::Instant, report: &endpoint::Report) {
+        let mut inner = self.inner.lock();
+        if inner.endpoints.contains_key(&report.endpoint) {
+            inner.router.reported(now, report);
+        }
+    }
+
+    fn leaving(&self, endpoint: &id::Endpoint) {
+        self.inner.lock().left.insert(endpoint.clone());
+    }
+
+    fn runners(&self, now: duration::Instant) -> Vec<Runner> {
+        let inner = self.inner.lock();
+        let runners = inner.endpoints.iter().filter(|(_, known)| is_runner(known));
+        let told = runners.map(|(name, known)| Runner {
+            endpoint: name.clone(),
+            address: known.announcement.address,
+            used: inner.used.get(name).is_some_and(|at| now.since(*at) < USE),
+        });
+        told.collect()
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let inner = self.inner.lock();
+        let shown = inner.endpoints.iter().map(|(name, known)| {
+            let load = inner.router.known(name).map(|peer| &peer.load);
+            let state = serde_json::json!({
+                "ready": is_ready(known) && !inner.left.contains(name),
+                "in_flight": load.map(load::Load::own),
+                "requests": load.map(load::Load::requests),
+            });
+            (name.to_string(), state)
+        });
+        shown.collect::<serde_json::Map<_, _>>().into()
+    }
+}
+
+fn is_runner(known: &wire_view::Endpoint) -> bool {
+    known.announcement.kind == endpoint::Kind::Runner
+}
