Measure how state, messages and memory grow

Change: measure capacity: the view's bytes by runner, model, entry and key, bytes of each message, memory of a view, time of a delta at today's and the planned size, processor time of a confirmation over a link.

--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -3,6 +3,7 @@
 use clap::Parser;
 
 pub mod agreement;
+pub mod capacity;
 pub mod limits;
 pub mod load;
 pub mod path;
@@ -29,6 +30,7 @@
 pub fn registry() -> Vec<Box<dyn Measurement>> {
     vec![
         Box::new(agreement::Agreement),
+        Box::new(capacity::Capacity),
         Box::new(limits::Limits),
         Box::new(path::Path),
         Box::new(policy::Policy),
