--- a/crates/cranberrygap-entry/src/booking.rs
+++ b/crates/cranberrygap-entry/src/booking.rs
@@ -6,6 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use cranberrygap_model::{duration, id};
+use cranberrygap_policy::claims;
 use cranberrygap_wire::{claim, method};
 use smol_str::SmolStr;
 
@@ -15,10 +16,6 @@
 /// Longest wait for the control leader; a claim takes a few milliseconds.
 const CLAIM_DEADLINE: duration::Span = duration::Span::from_secs(3);
 
-/// Tries to record an outcome; without it the claim stays running until its
-/// holder is known to be gone, and then is unknown.
-const CLOSE_TRIES: usize = 3;
-
 /// One booking.
 #[derive(Debug)]
 pub(crate) struct Booking {
@@ -28,18 +25,9 @@
     pub request: id::Request,
 }
 
-/// What a claim allows.
-#[derive(Debug)]
-pub(crate) enum Permission {
-    /// Run it now, under this claim.
-    Run(u64),
-    /// It has run; this is the answer.
-    Stored(claim::Response),
-}
-
 impl Booking {
     /// Asks the control leader for the right to run this booking.
-    pub(crate) async fn open(&self, core: &Arc<core::Core>) -> Result<Permission, Refusal> {
+    pub(crate) async fn open(&self, core: &Arc<core::Core>) -> claims::Input {
         let open = claim::Open {
             workspace: self.workspace.clone(),
             key: self.key.clone(),
@@ -52,15 +40,7 @@
             .leader
             .call(method::CLAIM_OPEN, &open, CLAIM_DEADLINE)
             .await;
-        // Nothing is dispatched before the claim is granted, so that whatever went
-        // wrong on the way, this request has not run.
-        match verdict.map_err(|_cause| Refusal::NoQuorum)? {
-            claim::Verdict::Granted { claim } => Ok(Permission::Run(claim)),
-            claim::Verdict::Stored { outcome } => stored(outcome),
-            claim::Verdict::Expired => Err(Refusal::BookingExpired),
-            claim::Verdict::Running => Err(Refusal::BookingRunning),
-            claim::Verdict::Conflict => Err(Refusal::IdempotencyConflict),
-        }
+        verdict.map_or(claims::Input::OpenFailed, claims::Input::Verdict)
     }
 
     /// Records how the booking ended.
@@ -69,31 +49,31 @@
         core: &Arc<core::Core>,
         claim: u64,
         outcome: claim::Outcome,
-    ) -> bool {
+    ) -> claims::Input {
         let close = claim::Close {
             workspace: self.workspace.clone(),
             key: self.key.clone(),
             claim,
             outcome,
         };
-        for _try in 0..CLOSE_TRIES {
-            let answer: Result<(), cranberrygap_link::error::Error> = core
-                .leader
-                .call(method::CLAIM_CLOSE, &close, CLAIM_DEADLINE)
-                .await;
-            if answer.is_ok() {
-                return true;
-            }
-        }
-        false
+        let answer: Result<(), cranberrygap_link::error::Error> = core
+            .leader
+            .call(method::CLAIM_CLOSE, &close, CLAIM_DEADLINE)
+            .await;
+        answer.map_or(claims::Input::CloseFailed, |()| claims::Input::Closed)
     }
 }
 
-fn stored(outcome: claim::Outcome) -> Result<Permission, Refusal> {
-    match outcome {
-        claim::Outcome::Answered(response) => Ok(Permission::Stored(response)),
-        claim::Outcome::NotRun => Err(Refusal::BookingNotRun),
-        claim::Outcome::Unknown => Err(Refusal::BookingUnknown),
+/// What the caller gets.
+pub(crate) fn answer(reply: claims::Reply) -> Result<claim::Response, Refusal> {
+    match reply {
+        claims::Reply::Answer(response) => Ok(response),
+        claims::Reply::NotRun => Err(Refusal::BookingNotRun),
+        claims::Reply::NoQuorum => Err(Refusal::NoQuorum),
+        claims::Reply::Unknown => Err(Refusal::BookingUnknown),
+        claims::Reply::Running => Err(Refusal::BookingRunning),
+        claims::Reply::Conflict => Err(Refusal::IdempotencyConflict),
+        claims::Reply::Expired => Err(Refusal::BookingExpired),
     }
 }
 
--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_policy::outcome::{Evidence, Outcome};
+use cranberrygap_policy::{claims, retry};
 use cranberrygap_trace::note;
-use cranberrygap_wire::configuration;
+use cranberrygap_wire::{claim, configuration};
 use salvo::http::{HeaderValue, Request, Response, header};
 use salvo::{Depot, FlowCtrl, Handler};
 use smol_str::SmolStr;
@@ -29,9 +31,6 @@
 /// Longest idempotency key, in bytes. Bounds what a claim stores.
 const LONGEST_KEY: usize = 200;
 
-/// Endpoints that one idempotent call may be sent to.
-const MOST_ATTEMPTS: usize = 3;
-
 /// Wait before callers may try again when no endpoint serves.
 const NO_ENDPOINT_WAIT: duration::Span = duration::Span::from_secs(1);
 
@@ -157,23 +156,38 @@
         })
     }
 
-    /// Sends a call that may be repeated to one endpoint after another.
+    /// Sends a call that may be repeated until an endpoint answers, as far as the
+    /// retry budget and the deadline allow.
     async fn look_up(&self, call: &Call) -> Result<ending::Ending, Refusal> {
+        let deadline = self.core.now().after(call.deadline);
+        self.core.retries.lock().request();
         let mut tried = route::Tried::new();
-        for _attempt in 0..MOST_ATTEMPTS {
-            let Some(choice) = self.choose(call, &tried) else {
+        let mut outcome = Outcome::NotRun;
+        for number in 1.. {
+            let Some(choice) = self.choose_another(call, &mut tried) else {
                 break;
             };
-            tried.push(choice.endpoint.clone());
-            let client = self.core.upstream.pooled();
+            let client = if number > 1 {
+                self.core.upstream.fresh()
+            } else {
+                self.core.upstream.pooled()
+            };
             let ending = self.dispatch(call, &choice, client).await;
-            let failed = !matches!(ending, ending::Ending::Answered { .. });
-            self.core.router.ended(self.core.now(), &choice, failed);
-            if !failed {
+            let ending::Ending::Failed(evidence) = ending else {
                 return Ok(ending);
+            };
+            outcome = outcome.and_then(Outcome::of(evidence));
+            let attempt = retry::Attempt {
+                class: retry::Class::Idempotent,
+                number,
+                outcome,
+                deadline,
+            };
+            if !self.may_send_again(attempt).await {
+                break;
             }
         }
-        if tried.is_empty() {
+        if outcome == Outcome::NotRun {
             return Err(Refusal::NoEndpoint {
                 retry_after: NO_ENDPOINT_WAIT,
             });
@@ -181,6 +195,32 @@
         Err(Refusal::EndpointFailed)
     }
 
+    /// Asks the retry budget and waits as it says.
+    async fn may_send_again(&self, attempt: retry::Attempt) -> bool {
+        let now = self.core.now();
+        let decision = {
+            let mut budget = self.core.retries.lock();
+            budget.decide(now, attempt, &mut rand::rng())
+        };
+        let retry::Decision::Again(wait) = decision else {
+            return false;
+        };
+        tokio::time::sleep(wait.to_std()).await;
+        true
+    }
+
+    /// An endpoint that was not tried, or the first again when all were.
+    fn choose_another(&self, call: &Call, tried: &mut route::Tried) -> Option<route::Choice> {
+        let mut choice = self.choose(call, tried);
+        if choice.is_none() {
+            tried.clear();
+            choice = self.choose(call, tried);
+        }
+        let choice = choice?;
+        tried.push(choice.endpoint.clone());
+        Some(choice)
+    }
+
     /// Runs a call that may run at most once, in a task of its own: a caller that
     /// leaves must not stop it half way, with its outcome unrecorded.
     async fn book(&self, call: Call) -> Result<ending::Ending, Refusal> {
@@ -197,36 +237,46 @@
             body_hash: booking::body_hash(call.method.as_str(), &call.path, &call.body),
             request: call.id.clone(),
         };
-        let about = call.about();
-        let claim = match booking.open(&self.core).await? {
-            booking::Permission::Run(claim) => claim,
-            booking::Permission::Stored(stored) => {
-                let sentence = "the booking has run before; its stored answer was given";
-                self.core.trace.note(&about, "stored", sentence, &[]);
-                return Ok(ending::from_stored(&stored));
-            }
-        };
-        self.note_claimed(&about, claim);
-        let ending = match self.choose(call, &route::Tried::new()) {
-            Some(choice) => {
-                let ending = self
-                    .dispatch(call, &choice, self.core.upstream.fresh())
-                    .await;
-                let failed = !matches!(ending, ending::Ending::Answered { .. });
-                self.core.router.ended(self.core.now(), &choice, failed);
-                ending
-            }
-            None => ending::Ending::NotRun,
-        };
-        let outcome = ending::to_outcome(&ending);
-        booking.close(&self.core, claim, outcome).await;
-        match ending {
-            ending::Ending::NotRun => Err(Refusal::BookingNotRun),
-            ending::Ending::Unknown => Err(Refusal::BookingUnknown),
-            answered @ ending::Ending::Answered { .. } => Ok(answered),
+        let mut decisions = claims::Booking::new();
+        let mut input = booking.open(&self.core).await;
+        if let claims::Input::Verdict(claim::Verdict::Stored { .. }) = &input {
+            let sentence = "the booking has run before; its stored answer was given";
+            self.core.trace.note(&call.about(), "stored", sentence, &[]);
+        }
+        loop {
+            let output = decisions.step(input).pop();
+            input = match output {
+                Some(claims::Output::Dispatch) => self.run_booking(call).await,
+                Some(claims::Output::Close {
+                    claim,
+                    outcome,
+                    after,
+                }) => {
+                    tokio::time::sleep(after.to_std()).await;
+                    booking.close(&self.core, claim, outcome).await
+                }
+                Some(claims::Output::Reply(reply)) => {
+                    return booking::answer(reply).map(|stored| ending::from_stored(&stored));
+                }
+                None => return Err(Refusal::BookingUnknown),
+            };
         }
     }
 
+    /// Sends a booking, which has its claim by now, over a connection of its own.
+    async fn run_booking(&self, call: &Call) -> claims::Input {
+        let sentence = "the right to run the booking once was committed";
+        self.core
+            .trace
+            .note(&call.about(), "claimed", sentence, &[]);
+        let Some(choice) = self.choose(call, &route::Tried::new()) else {
+            return claims::Input::Ended(Evidence::NeverDispatched);
+        };
+        let client = self.core.upstream.fresh();
+        let ending = self.dispatch(call, &choice, client).await;
+        ending::to_input(&ending)
+    }
+
     fn choose(&self, call: &Call, tried: &route::Tried) -> Option<route::Choice> {
         let wanted = route::Wanted {
             model: None,
@@ -248,21 +298,17 @@
         let ending = self.send(call, choice, client).await;
         let sentence = match &ending {
             ending::Ending::Answered { .. } => "the endpoint answered",
-            ending::Ending::NotRun => {
-                "the endpoint refused the connection, so the call did not run"
-            }
-            ending::Ending::Unknown => "no whole answer came; the call may have run",
+            ending::Ending::Failed(evidence) => match Outcome::of(*evidence) {
+                Outcome::NotRun => "it is proven that the call did not run",
+                _ => "no whole answer came; the call may have run",
+            },
         };
         self.core.trace.note(&about, "ended", sentence, &[]);
+        let failed = matches!(ending, ending::Ending::Failed(_));
+        self.core.router.ended(self.core.now(), choice, failed);
         ending
     }
 
-    fn note_claimed(&self, about: &note::About, claim: u64) {
-        let sentence = "the right to run the booking once was committed";
-        let trace = &self.core.trace;
-        trace.note(about, "claimed", sentence, &[("claim", &claim)]);
-    }
-
     async fn send(
         &self,
         call: &Call,
@@ -283,8 +329,7 @@
         }
         match sending.send().await {
             Ok(answer) => ending::read_answer(answer).await,
-            Err(cause) if cause.is_connect() => ending::Ending::NotRun,
-            Err(_cause) => ending::Ending::Unknown,
+            Err(cause) => ending::Ending::Failed(engine::evidence(&cause)),
         }
     }
 }
--- a/crates/cranberrygap-entry/src/caller/services/ending.rs
+++ b/crates/cranberrygap-entry/src/caller/services/ending.rs
@@ -1,6 +1,8 @@
 //! How a call of a plain service ended.
 
 use bytes::Bytes;
+use cranberrygap_policy::claims;
+use cranberrygap_policy::outcome::Evidence;
 use cranberrygap_wire::claim;
 use salvo::http::{HeaderValue, Response, StatusCode, header};
 
@@ -14,9 +16,8 @@
         content_type: HeaderValue,
         body: Bytes,
     },
-    /// The connection was refused before a byte was written.
-    NotRun,
-    Unknown,
+    /// No whole answer came; the evidence tells what may have happened.
+    Failed(Evidence),
 }
 
 pub(super) async fn read_answer(answer: reqwest::Response) -> Ending {
@@ -30,13 +31,13 @@
     // A body shorter than its announced length fails here; it must not be taken
     // for the whole answer.
     match answer.bytes().await {
-        Ok(body) if says_not_run(status, &body) => Ending::NotRun,
+        Ok(body) if says_not_run(status, &body) => Ending::Failed(Evidence::EndpointRefused),
         Ok(body) => Ending::Answered {
             status,
             content_type,
             body,
         },
-        Err(_cause) => Ending::Unknown,
+        Err(_cause) => Ending::Failed(Evidence::CutAnswer),
     }
 }
 
@@ -54,7 +55,8 @@
     said.is_ok_and(|said| said["outcome"] == "not_run")
 }
 
-pub(super) fn to_outcome(ending: &Ending) -> claim::Outcome {
+/// What the decisions about bookings are told of it.
+pub(super) fn to_input(ending: &Ending) -> claims::Input {
     match ending {
         Ending::Answered {
             status,
@@ -62,10 +64,9 @@
             body,
         } => {
             let content_type = content_type.to_str().unwrap_or_default();
-            claim::Outcome::Answered(booking::response(status.as_u16(), content_type, body))
+            claims::Input::Answered(booking::response(status.as_u16(), content_type, body))
         }
-        Ending::NotRun => claim::Outcome::NotRun,
-        Ending::Unknown => claim::Outcome::Unknown,
+        Ending::Failed(evidence) => claims::Input::Ended(*evidence),
     }
 }
 
--- a/crates/cranberrygap-entry/src/engine/course.rs
+++ b/crates/cranberrygap-entry/src/engine/course.rs
@@ -274,7 +274,7 @@
 }
 
 /// What an error of the client proves.
-pub(super) fn evidence(cause: &reqwest::Error) -> Evidence {
+pub(crate) fn evidence(cause: &reqwest::Error) -> Evidence {
     if cause.is_connect() {
         return Evidence::ConnectFailed;
     }
