Queue model requests at the entry in fair order

Cause: requests went straight to engines, so a workspace that sends many at once filled their batches and the others waited behind it. Change: queue::Queues keeps a fairness::Queue for each model with places for 256 requests at each engine over all entries; a request that cannot be served in time, or does not fit, is refused at once with the time to come back. Conclusion: the number of places is nominal; engines do not report their batch.

--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -14,12 +14,20 @@
 use crate::attainment;
 use crate::core;
 use crate::engine;
+use crate::queue;
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::view;
 
 use super::{auth, body};
 
+/// Requests that all entries together keep at one engine. Engines batch some
+/// hundred requests; what is above waits here, where it is put in fair order.
+const AT_ONE_ENGINE: usize = 256;
+
+/// Places that one entry has at one engine at least.
+const LEAST_PLACES: usize = 4;
+
 /// Answers model requests on one path.
 #[derive(Debug)]
 pub(crate) struct Generate {
@@ -81,6 +89,37 @@
         );
     }
 
+    /// A place at the model's engines, in fair order among the workspaces.
+    async fn place(
+        &self,
+        view: &view::Snapshot,
+        workspace: &id::Workspace,
+        call: &engine::Call,
+    ) -> Result<Option<queue::Place>, Refusal> {
+        let engines = view.holders(&call.body.model);
+        if engines == 0 {
+            // Whether to wait for a load is the router's to say.
+            return Ok(None);
+        }
+        let entries = view.active_entries().count().max(1);
+        let defaults = view.defaults();
+        let target = configuration::Target::Workspace;
+        let exception = view.exception(target, workspace.as_str());
+        let weight = exception.and_then(|exception| exception.weight);
+        let wish = queue::Wish {
+            model: call.body.model.clone(),
+            workspace: workspace.clone(),
+            weight: weight.unwrap_or(defaults.weight),
+            cost: call.body.bound(),
+            patience: defaults.queue_deadline,
+            capacity: engines * (AT_ONE_ENGINE / entries).max(LEAST_PLACES),
+            length: defaults.queue_length as usize,
+        };
+        let entered = self.core.queues.enter(&wish).await;
+        let refused = |retry_after| Refusal::NoEndpoint { retry_after };
+        entered.map(Some).map_err(refused)
+    }
+
     async fn answer(
         &self,
         id: &id::Request,
@@ -112,7 +151,8 @@
             deadline: self.core.now().after(deadline(&view, &body.model)),
             body,
         };
-        let course = engine::Course::new(&self.core, &Arc::new(call));
+        let place = self.place(&view, &workspace, &call).await?;
+        let course = engine::Course::new(&self.core, &Arc::new(call), place);
         if course.call().body.stream {
             return stream(response, course, permit, progress).await;
         }
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -14,6 +14,7 @@
 use crate::announce;
 use crate::clock;
 use crate::control;
+use crate::queue;
 use crate::refusal::Refusal;
 use crate::route;
 use crate::trace;
@@ -31,6 +32,8 @@
     pub(crate) limiter: Arc<dyn admission::Limiter>,
     pub(crate) router: Arc<dyn route::Router>,
     pub(crate) upstream: upstream::Clients,
+    /// Requests that wait for a place at the engines.
+    pub(crate) queues: Arc<queue::Queues>,
     /// Retries that may still be made.
     pub(crate) retries: Mutex<retry::Budget>,
     /// What runs on which endpoint, and who is suspected to crash them.
--- a/crates/cranberrygap-entry/src/engine/course.rs
+++ b/crates/cranberrygap-entry/src/engine/course.rs
@@ -8,6 +8,7 @@
 use salvo::http::{StatusCode, header};
 
 use crate::core;
+use crate::queue;
 use crate::refusal::Refusal;
 use crate::route;
 
@@ -32,11 +33,17 @@
     attempts: u32,
     crashes: u32,
     outcome: Outcome,
+    /// Free for the next request when this one ends.
+    _place: Option<queue::Place>,
 }
 
 impl Course {
     /// Nothing was sent yet.
-    pub(crate) fn new(core: &Arc<core::Core>, call: &Arc<Call>) -> Self {
+    pub(crate) fn new(
+        core: &Arc<core::Core>,
+        call: &Arc<Call>,
+        place: Option<queue::Place>,
+    ) -> Self {
         let mut budget = core.retries.lock();
         if let Some(view) = core.view.latest() {
             budget.set_share(view.defaults().retry_share);
@@ -50,6 +57,7 @@
             attempts: 0,
             crashes: 0,
             outcome: Outcome::NotRun,
+            _place: place,
         }
     }
 
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod metric;
 pub mod process;
+pub mod queue;
 pub mod refusal;
 pub mod sse;
 pub mod view;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -18,6 +18,7 @@
 use crate::control;
 use crate::core;
 use crate::load;
+use crate::queue;
 use crate::route;
 use crate::server;
 use crate::trace;
@@ -195,6 +196,7 @@
         limiter: Arc::clone(shares) as _,
         router: Arc::new(route::Scored::new(rand::random())),
         upstream: upstream::Clients::new()?,
+        queues: Arc::new(queue::Queues::new(clock)),
         retries: Mutex::new(retry::Budget::new(FIRST_RETRY_SHARE)),
         watch: Mutex::default(),
         announcements: announce::Inbox::default(),
@@ -266,5 +268,6 @@
         "view": view,
         "limits": core.limiter.dump(),
         "routing": core.router.dump(),
+        "queues": core.queues.dump(),
     })
 }
