Look at all engines in the test that searches for secrets

Cause: the test looked at the first engine's record for the request that was served; since the router draws among engines, either may have served it. Change: the text of a place is that of all places of its name. Conclusion: the search for secrets itself covered all engines before and after.

--- a/crates/cranberrygap/tests/secrets.rs
+++ b/crates/cranberrygap/tests/secrets.rs
@@ -25,9 +25,10 @@
         self.0.push((place.to_owned(), text));
     }
 
-    fn text_of(&self, place: &str) -> &str {
-        let found = self.0.iter().find(|(known, _)| known == place);
-        found.map_or("", |(_, text)| text)
+    /// All that is shown at places of this name; there may be several engines.
+    fn text_of(&self, place: &str) -> String {
+        let found = self.0.iter().filter(|(known, _)| known == place);
+        found.map(|(_, text)| text.as_str()).collect()
     }
 
     /// Places where the secret, or its part behind the dot, can be read.
