--- a/crates/cranberrygap-bench/src/bin/measure.rs
+++ b/crates/cranberrygap-bench/src/bin/measure.rs
@@ -20,7 +20,15 @@
         }
         return Ok(ExitCode::from(USAGE_EXIT));
     };
-    let result = found.run(words.get(1..).unwrap_or_default())?;
+    let result = found.run(words.get(1..).unwrap_or_default());
+    if let Some(wrong) = result
+        .as_ref()
+        .err()
+        .and_then(|cause| cause.downcast_ref::<clap::Error>())
+    {
+        wrong.exit();
+    }
+    let result = result?;
     println!("{}", serde_json::to_string_pretty(&result)?);
     Ok(ExitCode::SUCCESS)
 }
