--- a/crates/cranberrygap/tests/secrets.rs
+++ b/crates/cranberrygap/tests/secrets.rs
@@ -129,6 +129,11 @@
     let in_key = caller.draw(entry, secret.reveal(), 1).await.unwrap();
     let path = format!("/services/draws/lookup/{}", secret.reveal());
     let in_path = caller.get(entry, &path).await.unwrap();
+    let encoded = format!(
+        "/services/draws/lookup/{}",
+        secret.reveal().replace('.', "%2e").replace('c', "%63")
+    );
+    let in_encoded_path = caller.get(entry, &encoded).await.unwrap();
     let in_request_id = marked(entry, secret.reveal(), "x-request-id").await;
     let in_content_type = marked(entry, secret.reveal(), "content-type").await;
     let stranger = caller::Caller::new(wrong);
@@ -141,7 +146,15 @@
     .await;
     let shown = collect(&fleet, metrics).await;
 
-    for refused in [in_body, in_key, in_path, in_request_id, in_content_type] {
+    let exposed = [
+        in_body,
+        in_key,
+        in_path,
+        in_encoded_path,
+        in_request_id,
+        in_content_type,
+    ];
+    for refused in exposed {
         assert_eq!(refused.status(), 400, "{refused:?}");
     }
     assert_eq!(unknown.status(), 401);
