Do each request's work in the entry once, by one piece of code

Cause: read as a whole, the entry hashed a request's body twice for its fingerprint, looked through all endpoints for each request to count a model's holders, copied whole answers, parsed a name for each draw, and indexed all endpoints anew for every revision. The quarantine check and the hash over parts stood twice, the measured confirmation as well. Change: one digest, one quarantine check, one fingerprint a request; holders come from the router's index; the router shares the view's endpoints and returns when they are the same; answers go out without a copy; one confirmation fixture. The confirmation's bytes are those of before.

--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -99,6 +99,34 @@
     }
 }
 
+/// A confirmation that tells of so many runners heard and models asked for.
+pub(super) fn confirm(runners: usize, models: usize) -> view::Confirm {
+    let entry = entry(1);
+    let seen = (0..runners).map(|number| view::Seen {
+        endpoint: runner(number, 1).announcement.endpoint,
+        boot: number::Boot(1 << 52),
+        sequence: number::Sequence(123_456),
+    });
+    let demands = (0..models).map(|number| view::Demand {
+        model: model(number).model,
+        requests: 12,
+        tokens: 3_456,
+        attained: 11,
+    });
+    view::Confirm {
+        instance: entry.instance,
+        boot: number::Boot(1 << 52),
+        domain: entry.domain,
+        address: entry.address,
+        endpoints: entry.endpoints,
+        phase: entry.phase,
+        revision: number::Revision(123_456),
+        seen: seen.collect(),
+        announcements: Vec::new(),
+        demands: demands.collect(),
+    }
+}
+
 pub(super) fn key(number: usize) -> view::Key {
     view::Key {
         key: name(&format!("cg-{number:016x}")),
--- a/crates/cranberrygap-bench/src/measure/capacity/links.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/links.rs
@@ -48,7 +48,7 @@
         .await?;
     let role = credential::Role::Fleet;
     let client = client::Client::connect(server.address(), role, &secret).await?;
-    let confirm = confirm();
+    let confirm = fixture::confirm(0, 0);
     let before = processor_seconds();
     for _call in 0..calls {
         client
@@ -63,22 +63,6 @@
     }))
 }
 
-fn confirm() -> view::Confirm {
-    let entry = fixture::entry(1);
-    view::Confirm {
-        instance: entry.instance,
-        boot: number::Boot(1 << 52),
-        domain: entry.domain,
-        address: entry.address,
-        endpoints: entry.endpoints,
-        phase: entry.phase,
-        revision: number::Revision(123_456),
-        seen: Vec::new(),
-        announcements: Vec::new(),
-        demands: Vec::new(),
-    }
-}
-
 /// Processor time of this process so far.
 fn processor_seconds() -> f64 {
     let text = fs::read_to_string(STAT).unwrap_or_default();
--- a/crates/cranberrygap-bench/src/measure/capacity/messages.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/messages.rs
@@ -11,8 +11,8 @@
     Ok(json!({
         "view_heartbeat": bytes(&view::Frame::Heartbeat { revision: number::Revision(123_456) })?,
         "view_delta_of_one_runner": bytes(&delta())?,
-        "confirm_by_runner_seen": Line::through(2, 600, |n| size(&confirm(n, 0))),
-        "confirm_by_model_asked_for": Line::through(2, 1_300, |n| size(&confirm(0, n))),
+        "confirm_by_runner_seen": Line::through(2, 600, |n| size(&fixture::confirm(n, 0))),
+        "confirm_by_model_asked_for": Line::through(2, 1_300, |n| size(&fixture::confirm(0, n))),
         "share_renewal_by_workspace": Line::through(1, 50, |n| size(&renewal(n))),
         "report": bytes(&report(0))?,
         "report_by_cache_event": Line::through(1, 100, |n| size(&report(n))),
@@ -36,33 +36,6 @@
     }
 }
 
-fn confirm(runners: usize, models: usize) -> view::Confirm {
-    let entry = fixture::entry(1);
-    let seen = (0..runners).map(|number| view::Seen {
-        endpoint: fixture::runner(number, 1).announcement.endpoint,
-        boot: number::Boot(1 << 52),
-        sequence: number::Sequence(123_456),
-    });
-    let demands = (0..models).map(|number| view::Demand {
-        model: fixture::model(number).model,
-        requests: 12,
-        tokens: 3_456,
-        attained: 11,
-    });
-    view::Confirm {
-        instance: entry.instance,
-        boot: number::Boot(1 << 52),
-        domain: entry.domain,
-        address: entry.address,
-        endpoints: entry.endpoints,
-        phase: entry.phase,
-        revision: number::Revision(123_456),
-        seen: seen.collect(),
-        announcements: Vec::new(),
-        demands: demands.collect(),
-    }
-}
-
 fn renewal(workspaces: usize) -> share::Renew {
     let demands = (0..workspaces).map(|number| share::Demand {
         workspace: fixture::name(&format!("workspace-{number:03}")),
--- a/crates/cranberrygap-entry/src/booking.rs
+++ b/crates/cranberrygap-entry/src/booking.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::core;
+use crate::digest;
 use crate::refusal::Refusal;
 
 /// Longest wait for the control leader; a claim takes a few milliseconds.
@@ -97,10 +98,5 @@
 
 /// Hash of what the call asks for, to tell a resend from another call.
 pub(crate) fn body_hash(method: &str, path: &str, body: &[u8]) -> SmolStr {
-    let mut hasher = blake3::Hasher::new();
-    for part in [method.as_bytes(), path.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().to_hex().as_str().into()
+    digest::of([method.as_bytes(), path.as_bytes(), body])
 }
--- a/crates/cranberrygap-entry/src/caller/body.rs
+++ b/crates/cranberrygap-entry/src/caller/body.rs
@@ -7,6 +7,7 @@
 use serde_json::value::RawValue;
 use smol_str::{SmolStr, ToSmolStr as _};
 
+use crate::digest;
 use crate::refusal::Refusal;
 
 /// Keys of the body that this system reads or sets.
@@ -103,16 +104,8 @@
 impl Body {
     /// Names the request wherever in the fleet it arrives again.
     pub fn fingerprint(&self, workspace: &id::Workspace, path: &str) -> SmolStr {
-        let mut hasher = blake3::Hasher::new();
-        for part in [
-            workspace.as_str().as_bytes(),
-            path.as_bytes(),
-            &self.dispatched,
-        ] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        hasher.finalize().to_hex().as_str().into()
+        let workspace = workspace.as_str().as_bytes();
+        digest::of([workspace, path.as_bytes(), &self.dispatched])
     }
 }
 
--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -58,24 +58,6 @@
 }
 
 impl Generate {
-    fn check_quarantine(
-        &self,
-        view: &view::Snapshot,
-        workspace: &id::Workspace,
-        body: &body::Body,
-    ) -> Result<(), Refusal> {
-        let Some(quarantine) = view.quarantine(&body.fingerprint(workspace, self.path)) else {
-            return Ok(());
-        };
-        let left = quarantine.until.saturating_sub(core::Core::unix_millis());
-        if left == 0 {
-            return Ok(());
-        }
-        Err(Refusal::Quarantined {
-            retry_after: duration::Span::from_millis(left),
-        })
-    }
-
     fn note_admitted(&self, about: &note::About, body: &body::Body) {
         self.core.trace.note(
             about,
@@ -97,7 +79,7 @@
         workspace: &id::Workspace,
         call: &engine::Call,
     ) -> Result<Option<queue::Place>, Refusal> {
-        let engines = view.holders(&call.body.model);
+        let engines = self.core.router.holders(&call.body.model);
         if engines == 0 {
             // Whether to wait for a load is the router's to say.
             return Ok(None);
@@ -139,7 +121,8 @@
             return Err(Refusal::ModelUnknown(body.model.as_str().into()));
         }
         about.model = Some(body.model.clone());
-        self.check_quarantine(&view, &workspace, &body)?;
+        let fingerprint = body.fingerprint(&workspace, self.path);
+        core::Core::check_quarantine(&view, &fingerprint)?;
         let limiter = &self.core.limiter;
         let permit = admission::Permit::reserve(limiter, &workspace, body.bound()).await?;
         self.note_admitted(about, &body);
@@ -148,7 +131,7 @@
             request: id.clone(),
             about: about.clone(),
             path: self.path,
-            fingerprint: body.fingerprint(&workspace, self.path),
+            fingerprint,
             deadline: self.core.now().after(deadline(&view, &body.model)),
             body,
         };
@@ -200,7 +183,7 @@
     progress.finish();
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response.body(bytes.to_vec());
+    response.body(bytes);
     Ok(())
 }
 
--- a/crates/cranberrygap-entry/src/caller/services/ending.rs
+++ b/crates/cranberrygap-entry/src/caller/services/ending.rs
@@ -92,6 +92,6 @@
         response
             .headers_mut()
             .insert(header::CONTENT_TYPE, content_type);
-        response.body(body.to_vec());
+        response.body(body);
     }
 }
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -89,6 +89,25 @@
         self.clock.now()
     }
 
+    /// Refuses a request that crashed endpoints, until its time is over.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Quarantined`] with the time that is left.
+    pub(crate) fn check_quarantine(
+        view: &view::Snapshot,
+        fingerprint: &str,
+    ) -> Result<(), Refusal> {
+        let until = view.quarantine(fingerprint).map_or(0, |found| found.until);
+        let left = until.saturating_sub(Self::unix_millis());
+        if left == 0 {
+            return Ok(());
+        }
+        Err(Refusal::Quarantined {
+            retry_after: duration::Span::from_millis(left),
+        })
+    }
+
     /// Milliseconds since 1970, for times that processes share.
     pub(crate) fn unix_millis() -> u64 {
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/cranberrygap-entry/src/engine/course.rs
+++ b/crates/cranberrygap-entry/src/engine/course.rs
@@ -152,19 +152,10 @@
     }
 
     fn check_quarantine(&self) -> Result<(), Refusal> {
-        let view = self.core.view.latest();
-        let found = view
-            .as_ref()
-            .and_then(|view| view.quarantine(&self.call.fingerprint));
-        let left = found.map_or(0, |found| {
-            found.until.saturating_sub(core::Core::unix_millis())
-        });
-        if left == 0 {
+        let Some(view) = self.core.view.latest() else {
             return Ok(());
-        }
-        Err(Refusal::Quarantined {
-            retry_after: duration::Span::from_millis(left),
-        })
+        };
+        core::Core::check_quarantine(&view, &self.call.fingerprint)
     }
 
     /// An engine to send to, with the note that the request runs there; a suspect
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod chunk;
 mod control;
+mod digest;
 mod engine;
 mod load;
 mod relay;
--- a/crates/cranberrygap-entry/src/route.rs
+++ b/crates/cranberrygap-entry/src/route.rs
@@ -60,6 +60,8 @@
     fn report(&self, now: duration::Instant, report: &endpoint::Report);
     /// The endpoint told this entry that it leaves.
     fn leaving(&self, endpoint: &id::Endpoint);
+    /// Number of ready runners that hold a model.
+    fn holders(&self, model: &id::Model) -> usize;
     /// All runners, and whether this entry used them of late.
     fn runners(&self, now: duration::Instant) -> Vec<Runner>;
     /// The whole state for a dump.
--- a/crates/cranberrygap-entry/src/route/scored.rs
+++ b/crates/cranberrygap-entry/src/route/scored.rs
@@ -1,6 +1,7 @@
 //! Sends each request to the best of a few endpoints by their corrected load.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use cranberrygap_model::{duration, id};
 use cranberrygap_routing::{load, router};
@@ -37,7 +38,8 @@
 struct Inner {
     router: router::Router,
     rng: SmallRng,
-    endpoints: BTreeMap<id::Endpoint, wire_view::Endpoint>,
+    /// As the view has them, shared with it.
+    endpoints: Arc<BTreeMap<id::Endpoint, wire_view::Endpoint>>,
     by_model: BTreeMap<id::Model, Vec<id::Endpoint>>,
     by_service: BTreeMap<id::Service, Vec<id::Endpoint>>,
     left: BTreeSet<id::Endpoint>,
@@ -51,7 +53,7 @@
         let inner = Inner {
             router: router::Router::new(router::Settings::builder().build()),
             rng: SmallRng::seed_from_u64(seed),
-            endpoints: BTreeMap::new(),
+            endpoints: Arc::default(),
             by_model: BTreeMap::new(),
             by_service: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -99,10 +101,16 @@
         names: &[id::Endpoint],
         fill: router::Fill,
     ) -> Option<id::Endpoint> {
-        // The model matters for cached prompts only, which services don't have.
-        let none = names.first()?.as_str().parse().ok()?;
+        let none;
+        let model = if let Some(model) = wanted.model {
+            model
+        } else {
+            // It matters for cached prompts only, which services don't have.
+            none = names.first()?.as_str().parse().ok()?;
+            &none
+        };
         let question = router::Question {
-            model: wanted.model.unwrap_or(&none),
+            model,
             prompt: &[],
             left: LEFT,
             preferred: &[],
@@ -144,13 +152,10 @@
 impl Router for Scored {
     fn choose(&self, now: duration::Instant, wanted: &Wanted<'_>) -> Option<Choice> {
         let mut inner = self.inner.lock();
-        let all = inner.candidates(wanted);
-        let trusted: Vec<id::Endpoint> = all
-            .iter()
-            .filter(|name| inner.is_trusted(now, name))
-            .cloned()
-            .collect();
-        let names = if trusted.is_empty() { all } else { trusted };
+        let candidates = inner.candidates(wanted).into_iter();
+        let (trusted, doubted): (Vec<_>, Vec<_>) =
+            candidates.partition(|name| inner.is_trusted(now, name));
+        let names = if trusted.is_empty() { doubted } else { trusted };
         let best = inner.best(wanted, &names)?;
         inner.router.sent(now, &best);
         inner.used.insert(best.clone(), now);
@@ -176,6 +181,10 @@
     fn follow(&self, view: &view::Snapshot) {
         let mut inner = self.inner.lock();
         let known = view.endpoints();
+        // Most revisions change something else; nothing is indexed anew for them.
+        if Arc::ptr_eq(known, &inner.endpoints) {
+            return;
+        }
         inner.router.retain(|name| known.contains_key(name));
         inner.failed.retain(|name, _| known.contains_key(name));
         inner.used.retain(|name, _| known.contains_key(name));
@@ -190,7 +199,7 @@
                 .map(boot)
                 .is_some_and(|boot| Some(boot) == was)
         });
-        inner.endpoints = known.clone();
+        inner.endpoints = Arc::clone(known);
         inner.index();
     }
 
@@ -205,6 +214,10 @@
         self.inner.lock().left.insert(endpoint.clone());
     }
 
+    fn holders(&self, model: &id::Model) -> usize {
+        self.inner.lock().by_model.get(model).map_or(0, Vec::len)
+    }
+
     fn runners(&self, now: duration::Instant) -> Vec<Runner> {
         let inner = self.inner.lock();
         let runners = inner.endpoints.iter().filter(|(_, known)| is_runner(known));
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -125,7 +125,7 @@
 
     /// All endpoints by name.
     #[must_use]
-    pub fn endpoints(&self) -> &BTreeMap<id::Endpoint, view::Endpoint> {
+    pub fn endpoints(&self) -> &Arc<BTreeMap<id::Endpoint, view::Endpoint>> {
         &self.endpoints
     }
 
@@ -147,17 +147,6 @@
         members.filter(|m| m.role == view::Role::Entry && m.phase == view::Phase::Active)
     }
 
-    /// Number of ready runners that hold a model.
-    #[must_use]
-    pub fn holders(&self, model: &id::Model) -> usize {
-        let endpoints = self.endpoints.values();
-        let ready = endpoints.filter(|endpoint| endpoint.health == view::Health::Ready);
-        let holds = |resident: &endpoint::Resident| resident.model == *model;
-        ready
-            .filter(|endpoint| endpoint.announcement.resident.iter().any(holds))
-            .count()
-    }
-
     /// Callers' addresses of other entries that take callers.
     #[must_use]
     pub fn others(&self, own: &id::Instance) -> Vec<address::Socket> {
