--- a/crates/cranberrygap-agreement/src/lib.rs
+++ b/crates/cranberrygap-agreement/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod replica;
 pub mod role;
 pub mod snapshot;
+pub mod steward;
 pub mod timing;
 pub mod write;
--- a/crates/cranberrygap-bench/src/measure/agreement/group.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/group.rs
@@ -53,7 +53,8 @@
 fn unread() -> settings::Secrets {
     settings::Secrets {
         endpoint: None,
-        fleet: "passed in".into(),
+        fleet: Some("passed in".into()),
+        trusted_network: false,
         operator: None,
     }
 }
@@ -92,11 +93,15 @@
                 settings: settings::Control {
                     control: identity(&name),
                     group: settings::ControlGroup {
+                        first: true,
+                        tend: false,
                         data: data.to_string_lossy().into(),
                         join: false,
                         voters: peers(&reached[place]),
                     },
                     listen: settings::ControlListen {
+                        public: None,
+                        port: 0,
                         admin: loopback::unique(),
                         peers: *own,
                     },
@@ -210,11 +215,16 @@
 ) -> eyre::Result<entry::Process> {
     let settings = settings::Entry {
         control: settings::EntryControl {
+            port: 0,
             peers: peers(controls),
         },
         entry: identity(&format!("entry-{number}")),
         limits: None,
         listen: settings::EntryListen {
+            gateway: None,
+            directory: None,
+            ready: None,
+            gossip: None,
             admin: loopback::unique(),
             advertise: None,
             callers: loopback::unique(),
--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -35,6 +35,7 @@
 pub(super) fn runner(number: usize, models: usize) -> view::Endpoint {
     view::Endpoint {
         announcement: endpoint::Announcement {
+            details: None,
             accelerators: 8,
             address: name(&format!("10.{}.{}.7:8000", number / 250, number % 250)),
             boot: number::Boot(1),
@@ -108,6 +109,9 @@
         sequence: number::Sequence(123_456),
     });
     let demands = (0..models).map(|number| view::Demand {
+        waiting: 0,
+        refused: 0,
+        unread: 0,
         model: model(number).model,
         requests: 12,
         tokens: 3_456,
@@ -142,6 +146,8 @@
 /// A view with so many of each.
 pub(super) fn view(runners: usize, models: usize, entries: usize, keys: usize) -> view::State {
     view::State {
+        traffic: None,
+        residencies: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-bench/src/measure/policy/ours.rs
+++ b/crates/cranberrygap-bench/src/measure/policy/ours.rs
@@ -431,6 +431,7 @@
 fn known(fleet: &Fleet, names: &Names, runner: usize, health: view::Health) -> view::Endpoint {
     let domain = fleet.deployment.domain(runner);
     let announcement = endpoint::Announcement {
+        details: None,
         accelerators: fleet.deployment.accelerators,
         address: "127.0.0.1:1".parse().expect("a well-formed address"),
         boot: number::Boot(fleet.engines[runner].boot),
--- a/crates/cranberrygap-bench/src/measure/slopes.rs
+++ b/crates/cranberrygap-bench/src/measure/slopes.rs
@@ -182,6 +182,7 @@
 
     fn known(&self, runner: usize, report: &endpoint::Report) -> eyre::Result<view::Endpoint> {
         let announcement = endpoint::Announcement {
+            details: None,
             accelerators: self.accelerators,
             address: address::Socket(([127, 0, 0, 1], 1).into()),
             boot: report.boot,
--- a/crates/cranberrygap-bench/src/soak/placement/world.rs
+++ b/crates/cranberrygap-bench/src/soak/placement/world.rs
@@ -419,6 +419,7 @@
 
 fn known(runner: &Runner, health: view::Health) -> view::Endpoint {
     let announcement = endpoint::Announcement {
+        details: None,
         accelerators: 1,
         address: address::Socket(([127, 0, 0, 1], 1).into()),
         boot: runner.boot,
--- a/crates/cranberrygap-control/src/keeper.rs
+++ b/crates/cranberrygap-control/src/keeper.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrygap_link::clock;
 use cranberrygap_model::duration;
 use cranberrygap_state::{catalogue, command};
 use futures_util::future;
 use parking_lot::Mutex;
 
-use crate::clock;
 use crate::office;
 use crate::proposer;
 use crate::replicated;
--- a/crates/cranberrygap-control/src/leaves.rs
+++ b/crates/cranberrygap-control/src/leaves.rs
@@ -1,12 +1,12 @@
 //! Gives suspects leave to run while this process leads.
 
+use cranberrygap_link::clock;
 use cranberrygap_link::server;
 use cranberrygap_model::number;
 use cranberrygap_policy::quarantine::probe;
 use cranberrygap_wire::claim;
 use parking_lot::Mutex;
 
-use crate::clock;
 use crate::proposer;
 
 /// Who runs as a suspect on each endpoint, in the current term.
--- a/crates/cranberrygap-control/src/orders.rs
+++ b/crates/cranberrygap-control/src/orders.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_placement::{catalogue, forecast, journal, ledger, orders, plan};
 use cranberrygap_state::{command, fleet};
@@ -14,7 +15,6 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::clock;
 use crate::office;
 use crate::proposer;
 use crate::replicated;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_link::{credential, server};
 use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
-use cranberrygap_wire::{claim as wire_claim, method, share, view};
+use cranberrygap_wire::{claim as wire_claim, method, share, traffic, view};
 use futures_util::future;
 
 use crate::keeper;
@@ -13,6 +13,7 @@
 use crate::orders;
 use crate::proposer;
 use crate::replicated;
+use crate::residency;
 use crate::shares;
 use crate::subscription;
 
@@ -28,6 +29,7 @@
     pub(crate) shares: Arc<shares::Shares>,
     pub(crate) leaves: leaves::Leaves,
     pub(crate) orders: Arc<orders::Orders>,
+    pub(crate) residency: Arc<residency::Residency>,
 }
 
 /// Offers the entries' methods.
@@ -88,6 +90,13 @@
             },
         )
     };
+    let builder = {
+        let desk = Arc::clone(desk);
+        builder.method(method::ADAPTER_WANT, role, move |want: traffic::Want| {
+            let desk = Arc::clone(&desk);
+            async move { desk.residency.want(want).await }
+        })
+    };
     let desk = Arc::clone(desk);
     builder.method(
         method::CRASH_REPORT,
@@ -119,6 +128,7 @@
         self.note_member(&confirm).await?;
         self.note_announcements(&confirm).await?;
         self.orders.count(&confirm.demands);
+        self.residency.count(&confirm.demands);
         // Committing may have taken long; only who leads now may grant.
         let status = self.proposer.check_leads()?;
         let lease = self
@@ -167,7 +177,7 @@
         }
         let steps = confirm.announcements.iter().cloned();
         let commands =
-            steps.map(|step| command::Command::Endpoint(endpoint::Step::Announced(step)));
+            steps.map(|step| command::Command::Endpoint(endpoint::Step::Announced(Box::new(step))));
         let proposals = commands.map(|command| self.proposer.propose(command));
         future::try_join_all(proposals).await.map(drop)
     }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -3,12 +3,12 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use cranberrygap_link::clock;
 use cranberrygap_link::{credential, server};
 use cranberrygap_model::address;
 use cranberrygap_wire::settings;
 use serde_json::json;
 
-use crate::clock;
 use crate::keeper;
 use crate::leaves;
 use crate::lines;
@@ -16,9 +16,12 @@
 use crate::orders;
 use crate::peers;
 use crate::proposer;
+use crate::public;
 use crate::replica;
 use crate::replicated;
+use crate::residency;
 use crate::shares;
+use crate::steward;
 use crate::store;
 use crate::transport;
 
@@ -78,13 +81,33 @@
     ///
     /// When the data folder cannot be used or a listener cannot be opened.
     pub async fn start(settings: settings::Control, secrets: Secrets) -> Result<Self, Error> {
+        Self::start_with(settings, secrets, Arc::new(residency::NoRunners)).await
+    }
+
+    /// Starts a control process that orders models through `runners`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
+    pub async fn start_with(
+        mut settings: settings::Control,
+        secrets: Secrets,
+        runners: Arc<dyn residency::Runners>,
+    ) -> Result<Self, Error> {
+        settle(&mut settings);
         let own = own(&settings);
         let shown = secrets.fleet.first().cloned().ok_or(Error::NoSecret)?;
         let lines = lines::Lines::new(own.clone(), settings.group.voters.clone(), shown);
         let state = Arc::new(replicated::State::new());
         let replica = start_replica(&settings, own, &state, &lines)?;
         let platform = orders::Http::new().map_err(|cause| Error::Endpoints(cause.to_string()))?;
-        let parts = Arc::new(Parts::new(settings, state, replica, Arc::new(platform)));
+        let parts = Arc::new(Parts::new(
+            settings,
+            state,
+            replica,
+            Arc::new(platform),
+            runners,
+        ));
         let peers = listen_peers(&parts, secrets.fleet).await?;
         let admin = listen_admin(&parts, secrets.operators).await?;
         let tasks = parts.spawn_tasks()?;
@@ -115,6 +138,12 @@
         self.admin.address()
     }
 
+    /// What a translator of operators' and endpoints' calls works with.
+    #[must_use]
+    pub fn public(&self) -> public::Public {
+        public::Public::new(Arc::clone(&self.parts.desk))
+    }
+
     /// Whether this process leads.
     #[must_use]
     pub fn leads(&self) -> bool {
@@ -168,6 +197,7 @@
         state: Arc<replicated::State>,
         replica: Arc<replica::Replica>,
         platform: Arc<dyn orders::Platform>,
+        runners: Arc<dyn residency::Runners>,
     ) -> Self {
         let clock = clock::Clock::start();
         let log: Arc<dyn crate::log::Log> = Arc::clone(&replica) as _;
@@ -176,6 +206,9 @@
         let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
         let leaves = leaves::Leaves::new(proposer.clone(), clock);
         let orders = orders::Orders::new(Arc::clone(&state), proposer.clone(), platform, clock);
+        let holder = settings.control.instance.clone();
+        let residency =
+            residency::Residency::new(Arc::clone(&state), proposer.clone(), runners, holder, clock);
         let desk = peers::Desk {
             state,
             proposer,
@@ -183,6 +216,7 @@
             shares: Arc::new(shares),
             leaves,
             orders: Arc::new(orders),
+            residency: Arc::new(residency),
         };
         Self {
             settings,
@@ -197,8 +231,23 @@
         let mut tasks = vec![
             tokio::spawn(Arc::clone(keeper).watch()),
             tokio::spawn(Arc::clone(&self.desk.shares).watch()),
-            tokio::spawn(Arc::clone(&self.desk.orders).watch()),
         ];
+        // Runners are moved either by the traffic plan or by the store's list; the
+        // public listener brings the former.
+        if self.settings.listen.public.is_some() {
+            tasks.push(tokio::spawn(Arc::clone(&self.desk.residency).watch()));
+        } else {
+            tasks.push(tokio::spawn(Arc::clone(&self.desk.orders).watch()));
+        }
+        if self.settings.group.tend {
+            let steward = steward::Steward::new(
+                Arc::clone(&self.desk.state),
+                self.desk.proposer.clone(),
+                Arc::clone(&self.replica),
+                self.settings.control.domain.clone(),
+            );
+            tasks.push(tokio::spawn(steward.watch()));
+        }
         let address = self.settings.store.as_ref().and_then(|store| store.address);
         if let Some(address) = address {
             let failed = |cause: store::Error| Error::Store(cause.to_string());
@@ -223,6 +272,7 @@
             "failure": self.replica.failure(),
             "office": office,
             "orders": self.desk.orders.dump(),
+            "residency": self.desk.residency.dump(),
             "shares": self.desk.shares.dump().await,
             "fleet": self.desk.state.read(cranberrygap_state::fleet::Fleet::dump),
             "replica": self.replica.dump().await,
@@ -230,6 +280,25 @@
     }
 }
 
+/// Puts the group's own port into the addresses of its members, and leaves out of
+/// the founders who must not found.
+///
+/// Where only the public addresses of control processes are told, the port between
+/// them is the same everywhere. A process that starts with an empty folder after
+/// the fleet's first start has lost its disk, or is new: were it a founder, three
+/// such could found a second group beside one that holds what was accepted.
+fn settle(settings: &mut settings::Control) {
+    let port = u16::try_from(settings.listen.port).unwrap_or_default();
+    if port != 0 {
+        for voter in &mut settings.group.voters {
+            voter.address.0.set_port(port);
+        }
+    }
+    if !settings.group.first {
+        settings.group.join = true;
+    }
+}
+
 /// This process as the others reach it: by the address in the list of voters,
 /// which may differ from where it listens, or else by where it listens.
 fn own(settings: &settings::Control) -> address::Peer {
@@ -251,6 +320,7 @@
     let wanted = replica::Settings::builder()
         .own(own)
         .voters(settings.group.voters.clone())
+        .founds(!settings.group.join)
         .folder(PathBuf::from(settings.group.data.as_str()))
         .build();
     let machine: Arc<dyn crate::machine::Machine> = Arc::clone(state) as _;
--- a/crates/cranberrygap-control/src/proposer.rs
+++ b/crates/cranberrygap-control/src/proposer.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cranberrygap_link::clock;
 use cranberrygap_link::server;
 use cranberrygap_model::address;
 use cranberrygap_state::{answer, command};
 use cranberrygap_wire::method;
 
-use crate::clock;
 use crate::log;
 use crate::replicated;
 
--- /dev/null
+++ b/crates/cranberrygap-control/src/public.rs
@@ -0,0 +1,176 @@
+//! Operators' and endpoints' calls, free of any form in which they arrive.
+//!
+//! A translator reads a call of its own form, asks here, and writes the answer.
+
+use std::sync::Arc;
+
+use cranberrygap_link::server;
+use cranberrygap_model::{address, id, number};
+use cranberrygap_state::{command, endpoint, traffic as state};
+use cranberrygap_wire::{endpoint as announced, method, traffic, view};
+use smol_str::SmolStr;
+
+use crate::peers;
+
+/// Why a call was not carried out here.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// Another process leads; the call may be repeated there.
+    #[error("{leader} leads")]
+    Elsewhere {
+        /// The leader, as the group's members reach it.
+        leader: address::Peer,
+    },
+    /// Nobody is known to lead, or whether the change commits is not known.
+    #[error("{0}")]
+    Unsure(SmolStr),
+    /// The call is wrong, and would be wrong elsewhere.
+    #[error("{0}")]
+    Wrong(SmolStr),
+}
+
+/// What a translator works with.
+#[derive(Debug, Clone)]
+pub struct Public {
+    desk: Arc<peers::Desk>,
+}
+
+impl Public {
+    pub(crate) const fn new(desk: Arc<peers::Desk>) -> Self {
+        Self { desk }
+    }
+
+    /// Puts a traffic plan into force; one that is not higher changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// A mistake in the plan, or this process cannot commit it.
+    pub async fn replace(&self, plan: traffic::Plan, source: SmolStr) -> Result<(), Refusal> {
+        if let Some(mistake) = state::check(&plan).first() {
+            return Err(Refusal::Wrong(SmolStr::new(mistake.to_string())));
+        }
+        let version = plan.version;
+        let held = self.leading(|fleet| fleet.traffic.version())?;
+        if held >= Some(version) {
+            // Acknowledged already, or overtaken by a higher one.
+            return Ok(());
+        }
+        let step = state::Step { plan, source };
+        let command = command::Command::Traffic(Box::new(step));
+        let outcome = self.desk.proposer.propose(command).await;
+        outcome.map(drop).map_err(|fault| refusal(&fault))?;
+        spdlog::info!("traffic: plan {version} is committed");
+        Ok(())
+    }
+
+    /// The text of the plan in force; `None` before the first.
+    ///
+    /// # Errors
+    ///
+    /// When this process cannot be sure that it knows the newest.
+    pub fn read(&self) -> Result<Option<SmolStr>, Refusal> {
+        let source = self.leading(|fleet| {
+            let known = fleet.traffic.version();
+            known.map(|_version| fleet.traffic.source().clone())
+        })?;
+        // The lease may have ended while this process stood still.
+        self.check()?;
+        Ok(source)
+    }
+
+    /// Takes an endpoint's announcement; done once all may rely on it.
+    ///
+    /// # Errors
+    ///
+    /// This process does not lead, or cannot commit it.
+    pub async fn announce(&self, announcement: announced::Announcement) -> Result<(), Refusal> {
+        let seen = view::Seen {
+            endpoint: announcement.endpoint.clone(),
+            boot: announcement.boot,
+            sequence: announcement.sequence,
+        };
+        let news = self.leading(|fleet| is_news(fleet, &announcement))?;
+        if news {
+            self.note(endpoint::Step::Announced(Box::new(announcement)))
+                .await?;
+        }
+        let heard = self
+            .desk
+            .keeper
+            .with_office(|now, office| office.hear(now, &seen));
+        heard.ok_or_else(|| Refusal::Unsure("the leader's lease ran out".into()))
+    }
+
+    /// An endpoint says that it leaves for good.
+    ///
+    /// `started` is its start, where it tells it: a process of the same name that
+    /// started later is not meant.
+    ///
+    /// # Errors
+    ///
+    /// This process does not lead, or cannot commit it.
+    pub async fn depart(
+        &self,
+        name: id::Endpoint,
+        boot: Option<number::Boot>,
+    ) -> Result<(), Refusal> {
+        let known = self.leading(|fleet| {
+            let known = fleet.endpoints.get(&name);
+            known.map(|known| known.announcement.boot)
+        })?;
+        let meant = known.is_some_and(|known| boot.is_none_or(|boot| boot == known));
+        if !meant {
+            return Ok(());
+        }
+        self.note(endpoint::Step::Departed(name)).await
+    }
+
+    /// This process, if it leads, else who does.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Elsewhere`] or [`Refusal::Unsure`].
+    pub fn check(&self) -> Result<(), Refusal> {
+        let checked = self.desk.proposer.check_leads();
+        checked.map(drop).map_err(|fault| refusal(&fault))
+    }
+
+    async fn note(&self, step: endpoint::Step) -> Result<(), Refusal> {
+        let command = command::Command::Endpoint(step);
+        let outcome = self.desk.proposer.propose(command).await;
+        outcome.map(drop).map_err(|fault| refusal(&fault))
+    }
+
+    fn leading<R>(
+        &self,
+        work: impl FnOnce(&cranberrygap_state::fleet::Fleet) -> R,
+    ) -> Result<R, Refusal> {
+        self.check()?;
+        Ok(self.desk.state.read(work))
+    }
+}
+
+/// Whether an announcement says more than that its sender lives.
+fn is_news(
+    fleet: &cranberrygap_state::fleet::Fleet,
+    announcement: &announced::Announcement,
+) -> bool {
+    let known = fleet.endpoints.get(&announcement.endpoint);
+    let Some(known) = known else {
+        return true;
+    };
+    let mut known = known.announcement;
+    known.sequence = announcement.sequence;
+    known != *announcement
+}
+
+fn refusal(fault: &server::Fault) -> Refusal {
+    if fault.code == method::REFUSED {
+        return Refusal::Wrong(fault.message.clone());
+    }
+    let leader = serde_json::from_value::<Option<address::Peer>>(fault.data.clone());
+    match leader.ok().flatten() {
+        Some(leader) if fault.code == method::NOT_LEADER => Refusal::Elsewhere { leader },
+        _ => Refusal::Unsure(fault.message.clone()),
+    }
+}
--- a/crates/cranberrygap-control/src/replica.rs
+++ b/crates/cranberrygap-control/src/replica.rs
@@ -11,6 +11,7 @@
 mod formation;
 mod request;
 mod settings;
+mod standing;
 mod waiters;
 mod writer;
 
@@ -18,7 +19,9 @@
 use std::time;
 
 use bytes::Bytes;
-use cranberrygap_model::{address, duration, id};
+use cranberrygap_agreement::change;
+use cranberrygap_link::clock;
+use cranberrygap_model::{address, id};
 use cranberrygap_storage::{disk, files, folder};
 use futures_util::future::BoxFuture;
 use parking_lot::RwLock;
@@ -26,6 +29,7 @@
 
 pub use error::Error;
 pub use settings::Settings;
+pub use standing::Standing;
 
 use crate::{log, machine, transport};
 
@@ -42,30 +46,10 @@
 pub struct Replica {
     inbox: mpsc::Sender<request::Request>,
     board: Arc<RwLock<board::Board>>,
-    clock: Clock,
+    clock: clock::Clock,
     limit: usize,
 }
 
-/// The process's monotonic clock.
-#[derive(Debug, Clone, Copy)]
-struct Clock {
-    origin: time::Instant,
-}
-
-impl Clock {
-    fn now(self) -> duration::Instant {
-        let passed = self.origin.elapsed().as_micros();
-        duration::Instant(u64::try_from(passed).unwrap_or(u64::MAX))
-    }
-
-    fn to_std(self, at: duration::Instant) -> time::Instant {
-        // An instant that far ahead means never; a day is as good.
-        let most = time::Duration::from_hours(24);
-        let ahead = time::Duration::from_micros(at.0.saturating_sub(self.now().0));
-        time::Instant::now() + ahead.min(most)
-    }
-}
-
 impl Replica {
     /// Opens the folder and starts the protocol; must be called within tokio.
     ///
@@ -105,9 +89,7 @@
         }
         let (inbox, requests) = mpsc::channel(INBOX);
         let (writer, done) = writer::start(folder)?;
-        let clock = Clock {
-            origin: time::Instant::now(),
-        };
+        let clock = clock::Clock::start();
         let board = Arc::new(RwLock::new(board::Board::default()));
         let limit = settings.limits.proposal;
         let parts = core::Parts {
@@ -177,6 +159,24 @@
         self.change(request::Change::Remove, instance).await
     }
 
+    /// Who belongs to the group and who presents itself, if this replica leads.
+    pub async fn standing(&self) -> Option<Standing> {
+        let (answer, answered) = oneshot::channel();
+        let request = request::Request::Standing(answer);
+        self.inbox.send(request).await.ok()?;
+        answered.await.ok().flatten()
+    }
+
+    /// Changes the membership by replica id.
+    ///
+    /// # Errors
+    ///
+    /// Refused, not the leader, or the outcome is not known.
+    pub async fn alter(&self, change: change::Change) -> Result<(), Error> {
+        self.ask(|answer| request::Request::Alter(change, answer))
+            .await
+    }
+
     /// The replica's whole state.
     pub async fn dump(&self) -> serde_json::Value {
         let (answer, answered) = oneshot::channel();
--- a/crates/cranberrygap-control/src/replica/core.rs
+++ b/crates/cranberrygap-control/src/replica/core.rs
@@ -10,12 +10,13 @@
 use cranberrygap_agreement::{
     entry, formation as founding, input, message, node, output, packet, replica, snapshot,
 };
-use cranberrygap_model::address;
+use cranberrygap_link::clock;
+use cranberrygap_model::{address, duration};
 use cranberrygap_storage::recovered;
 use parking_lot::RwLock;
 use tokio::sync::mpsc as channel;
 
-use super::{Clock, Settings, board, formation, request, waiters, writer};
+use super::{Settings, board, formation, request, waiters, writer};
 use crate::{machine, transport};
 
 /// Requests taken before outputs are carried out; more proposals share a sync.
@@ -26,7 +27,7 @@
     pub(super) settings: Settings,
     pub(super) machine: Arc<dyn machine::Machine>,
     pub(super) transport: Arc<dyn transport::Transport>,
-    pub(super) clock: Clock,
+    pub(super) clock: clock::Clock,
     pub(super) board: Arc<RwLock<board::Board>>,
     pub(super) writer: mpsc::Sender<writer::Job>,
     pub(super) seed: u64,
@@ -156,6 +157,8 @@
                 instance,
                 answer,
             } => self.change(change, &instance, answer),
+            request::Request::Alter(change, answer) => self.alter(change, answer),
+            request::Request::Standing(answer) => drop(answer.send(self.standing())),
             request::Request::Transfer(answer) => self.begin_transfer(answer),
             request::Request::Dump(answer) => drop(answer.send(self.dump())),
             request::Request::Stop(answer) => {
@@ -172,7 +175,7 @@
         let present = self.presented + formation::PRESENT;
         match &self.phase {
             Phase::Running(node) => {
-                let due = self.parts.clock.to_std(node.deadline());
+                let due = self.at(node.deadline());
                 if node.members().0.contains_key(&self.own) {
                     return due;
                 }
@@ -182,6 +185,14 @@
         }
     }
 
+    /// When the process's clock shows `due`.
+    fn at(&self, due: duration::Instant) -> time::Instant {
+        // An instant that far ahead means never; a day is as good.
+        let most = time::Duration::from_hours(24);
+        let ahead = due.since(self.parts.clock.now());
+        time::Instant::now() + ahead.to_std().min(most)
+    }
+
     fn tick(&mut self) {
         if time::Instant::now() >= self.presented + formation::PRESENT {
             self.present();
--- a/crates/cranberrygap-control/src/replica/core/forming.rs
+++ b/crates/cranberrygap-control/src/replica/core/forming.rs
@@ -40,6 +40,9 @@
         let Phase::Forming(forming) = &self.phase else {
             return;
         };
+        if !self.parts.settings.founds {
+            return;
+        }
         let Ok(group) = random() else {
             return;
         };
--- a/crates/cranberrygap-control/src/replica/core/membership.rs
+++ b/crates/cranberrygap-control/src/replica/core/membership.rs
@@ -5,7 +5,7 @@
 
 use super::{Core, Phase};
 use crate::log;
-use crate::replica::{Error, request};
+use crate::replica::{Error, request, standing};
 
 impl Core {
     /// Gives the node an input that it takes or refuses.
@@ -81,6 +81,38 @@
         outcome.map_err(|refusal| self.error(refusal))
     }
 
+    /// Carries out a change that names replicas, not instances.
+    pub(super) fn alter(&mut self, change: change::Change, answer: request::Done) {
+        spdlog::info!("agreement: {change:?} is proposed");
+        if let change::Change::Remove(id) = change {
+            self.directory.forget(id);
+        }
+        match self.ask(input::Input::Change(change)) {
+            Ok(at) => self.waiters.change(at, answer),
+            Err(refusal) => drop(answer.send(Err(self.error(refusal)))),
+        }
+        self.after_step();
+    }
+
+    /// What a leader knows of the members and of who would be one.
+    pub(super) fn standing(&self) -> Option<standing::Standing> {
+        let Phase::Running(node) = &self.phase else {
+            return None;
+        };
+        if !node.is_leader() {
+            return None;
+        }
+        let now = self.parts.clock.now();
+        Some(standing::Standing {
+            own: self.own,
+            now,
+            last: node.log().last().index,
+            members: node.members().clone(),
+            progress: node.progress(),
+            newcomers: self.directory.newcomers(),
+        })
+    }
+
     /// Finds the replica that is meant by an instance's name.
     fn resolve(
         &self,
--- a/crates/cranberrygap-control/src/replica/formation.rs
+++ b/crates/cranberrygap-control/src/replica/formation.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time;
 
-use cranberrygap_agreement::{formation, packet, replica};
-use cranberrygap_model::{address, id};
+use cranberrygap_agreement::{formation, packet, replica, steward};
+use cranberrygap_model::{address, duration, id};
 
 /// Time between two presentations of a replica without a group. Short, since a
 /// new group serves nobody before it is formed.
@@ -21,7 +21,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Directory {
     addresses: BTreeMap<replica::Id, address::Peer>,
-    presented: BTreeMap<id::Instance, formation::Hello>,
+    presented: BTreeMap<id::Instance, (formation::Hello, time::Instant)>,
 }
 
 impl Directory {
@@ -36,7 +36,8 @@
     pub(super) fn present(&mut self, hello: formation::Hello) {
         let instance = hello.peer.instance.clone();
         if self.presented.len() < STRANGERS || self.presented.contains_key(&instance) {
-            self.presented.insert(instance, hello);
+            self.presented
+                .insert(instance, (hello, time::Instant::now()));
         }
     }
 
@@ -46,7 +47,7 @@
     /// disk. Added under its name before its new replica was heard, the dead one
     /// would come into the group as a learner that never catches up.
     pub(super) fn forget(&mut self, id: replica::Id) {
-        self.presented.retain(|_, hello| hello.id != id);
+        self.presented.retain(|_, (hello, _)| hello.id != id);
     }
 
     pub(super) fn address(&self, id: replica::Id) -> Option<&address::Peer> {
@@ -54,11 +55,24 @@
     }
 
     pub(super) fn presented(&self, instance: &id::Instance) -> Option<&formation::Hello> {
-        self.presented.get(instance)
+        self.presented.get(instance).map(|(hello, _)| hello)
+    }
+
+    /// Who presented itself, and how long ago.
+    pub(super) fn newcomers(&self) -> Vec<steward::Newcomer> {
+        let all = self.presented.values();
+        let newcomers = all.map(|(hello, at)| {
+            let silent = u64::try_from(at.elapsed().as_micros()).unwrap_or(u64::MAX);
+            steward::Newcomer {
+                hello: hello.clone(),
+                silent: duration::Span(silent),
+            }
+        });
+        newcomers.collect()
     }
 
     pub(super) fn all_presented(&self) -> impl Iterator<Item = &formation::Hello> {
-        self.presented.values()
+        self.presented.values().map(|(hello, _)| hello)
     }
 }
 
--- a/crates/cranberrygap-control/src/replica/request.rs
+++ b/crates/cranberrygap-control/src/replica/request.rs
@@ -1,6 +1,7 @@
 //! What the handle asks the protocol's task.
 
 use bytes::Bytes;
+use cranberrygap_agreement::change;
 use cranberrygap_model::{address, id};
 use tokio::sync::oneshot;
 
@@ -37,6 +38,8 @@
         instance: id::Instance,
         answer: Done,
     },
+    Alter(change::Change, Done),
+    Standing(oneshot::Sender<Option<super::Standing>>),
     Transfer(Done),
     Dump(oneshot::Sender<serde_json::Value>),
     Stop(oneshot::Sender<()>),
--- a/crates/cranberrygap-control/src/replica/settings.rs
+++ b/crates/cranberrygap-control/src/replica/settings.rs
@@ -17,6 +17,9 @@
     /// The voters that form the group the first time, this one among them; for
     /// a replica that joins later, whom to present itself to.
     pub voters: Vec<address::Peer>,
+    /// Whether this replica may found the group.
+    #[builder(default = true)]
+    pub founds: bool,
     /// Data folder.
     pub folder: PathBuf,
     /// Timeouts, the same in the whole group.
--- /dev/null
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -0,0 +1,503 @@
+//! Moves models and adapters between runners while this process leads.
+//!
+//! One task owns the book of the term; reports, answers and wishes of entries come
+//! to it over a channel, so that a slow runner delays nobody else.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cranberrygap_link::{clock, server};
+use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_placement::forecast;
+use cranberrygap_placement::residency::{book, engine, order};
+use cranberrygap_state::{command, fleet};
+use cranberrygap_wire::{method, traffic, view};
+use futures_util::future::BoxFuture;
+use parking_lot::Mutex;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::proposer;
+use crate::replicated;
+
+/// Time between two looks.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Half-life of the demand that asks for copies. Demand moves to other models
+/// within about six seconds; a slower estimate would see it when it has moved.
+const RISE: duration::Span = duration::Span::from_millis(1_500);
+
+/// Half-life of the demand that keeps copies. A model that pauses for a few
+/// seconds keeps its copies; a load costs as much as a lost request.
+const FALL: duration::Span = duration::Span::from_secs(6);
+
+/// Time after taking office in which nothing is ordered. Runners that do not
+/// compare leaders would take orders of two; the one before may have sent its last
+/// order just before its lease ended, and orders take a moment on their way.
+const SUCCESSION: duration::Span = duration::Span::from_millis(3_300);
+
+/// News that may wait for the task.
+const QUEUE: usize = 4_096;
+
+/// Longest wait of an entry for an adapter; the book answers earlier.
+const WANT_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Why a runner did not answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The call did not come through; whether an order was taken is not known.
+    #[error("no answer: {0}")]
+    NoAnswer(SmolStr),
+    /// The answer cannot be read.
+    #[error("the answer is not in the expected form: {0}")]
+    Form(SmolStr),
+}
+
+/// Runners as a leader reaches them; another form of their calls is another
+/// translator.
+pub trait Runners: Send + Sync + std::fmt::Debug {
+    /// Sends an order under the leader's name and fencing token.
+    fn order<'call>(
+        &'call self,
+        holder: &'call id::Instance,
+        fence: number::Fence,
+        order: &'call order::Order,
+    ) -> BoxFuture<'call, Result<order::Verdict, Error>>;
+
+    /// Asks a runner what it holds.
+    fn report<'call>(
+        &'call self,
+        address: address::Socket,
+        endpoint: &'call id::Endpoint,
+    ) -> BoxFuture<'call, Result<order::Report, Error>>;
+}
+
+/// Runners that nobody can reach, for fleets without such.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NoRunners;
+
+impl Runners for NoRunners {
+    fn order<'call>(
+        &'call self,
+        _holder: &'call id::Instance,
+        _fence: number::Fence,
+        _order: &'call order::Order,
+    ) -> BoxFuture<'call, Result<order::Verdict, Error>> {
+        Box::pin(async { Err(Error::NoAnswer("no form of orders is set up".into())) })
+    }
+
+    fn report<'call>(
+        &'call self,
+        _address: address::Socket,
+        _endpoint: &'call id::Endpoint,
+    ) -> BoxFuture<'call, Result<order::Report, Error>> {
+        Box::pin(async { Err(Error::NoAnswer("no form of orders is set up".into())) })
+    }
+}
+
+/// Demand and wishes of the entries, and the leader's dump.
+#[derive(Debug)]
+pub(crate) struct Residency {
+    state: Arc<replicated::State>,
+    proposer: proposer::Proposer,
+    runners: Arc<dyn Runners>,
+    holder: id::Instance,
+    clock: clock::Clock,
+    demand: Mutex<Demand>,
+    news: mpsc::Sender<News>,
+    receiver: Mutex<Option<mpsc::Receiver<News>>>,
+    tickets: AtomicU64,
+    shown: Mutex<serde_json::Value>,
+}
+
+#[derive(Debug)]
+struct Demand {
+    rising: forecast::decayed::Decayed,
+    falling: forecast::decayed::Decayed,
+    adapters: Vec<(id::Model, SmolStr)>,
+}
+
+/// One leader's time of office.
+#[derive(Debug)]
+struct Office {
+    term: number::Term,
+    since: duration::Instant,
+    books: BTreeMap<id::Service, book::Book>,
+    plan: Option<u64>,
+    waiting: BTreeMap<u64, oneshot::Sender<Option<id::Endpoint>>>,
+}
+
+/// News for the task, of the time of office with this start.
+#[derive(Debug)]
+enum News {
+    Want(u64, traffic::Want, oneshot::Sender<Option<id::Endpoint>>),
+    Reported(duration::Instant, id::Service, id::Endpoint, order::Report),
+    Answered(
+        duration::Instant,
+        id::Service,
+        id::Endpoint,
+        u64,
+        order::Verdict,
+    ),
+    Unanswered(duration::Instant, id::Service, id::Endpoint, u64),
+    Told(duration::Instant, id::Service, id::Endpoint),
+}
+
+impl Residency {
+    pub(crate) fn new(
+        state: Arc<replicated::State>,
+        proposer: proposer::Proposer,
+        runners: Arc<dyn Runners>,
+        holder: id::Instance,
+        clock: clock::Clock,
+    ) -> Self {
+        let (news, receiver) = mpsc::channel(QUEUE);
+        Self {
+            state,
+            proposer,
+            runners,
+            holder,
+            clock,
+            demand: Mutex::new(Demand {
+                rising: forecast::decayed::Decayed::new(RISE),
+                falling: forecast::decayed::Decayed::new(FALL),
+                adapters: Vec::new(),
+            }),
+            news,
+            receiver: Mutex::new(Some(receiver)),
+            tickets: AtomicU64::new(1),
+            shown: Mutex::default(),
+        }
+    }
+
+    /// Counts demand that an entry reports.
+    pub(crate) fn count(&self, demands: &[view::Demand]) {
+        let now = self.clock.now();
+        let mut held = self.demand.lock();
+        for demand in demands {
+            if let Some((model, adapter)) = demand.model.as_str().split_once('/') {
+                if let Ok(model) = model.parse() {
+                    held.adapters.push((model, SmolStr::new(adapter)));
+                }
+                continue;
+            }
+            let work = demand.unread as f64;
+            forecast::Estimator::count(&mut held.rising, now, &demand.model, work);
+            forecast::Estimator::count(&mut held.falling, now, &demand.model, work);
+        }
+    }
+
+    /// The books for people.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        self.shown.lock().clone()
+    }
+
+    /// Finds or fetches an adapter for an entry.
+    pub(crate) async fn want(&self, want: traffic::Want) -> Result<traffic::Placed, server::Fault> {
+        self.proposer.check_leads()?;
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (answer, answered) = oneshot::channel();
+        let full = self
+            .news
+            .try_send(News::Want(ticket, want, answer))
+            .is_err();
+        if full {
+            let sentence = "too much waits for the leader";
+            return Err(server::Fault::new(method::NO_QUORUM, sentence));
+        }
+        let answered = tokio::time::timeout(WANT_DEADLINE, answered).await;
+        let endpoint = answered.ok().and_then(Result::ok).flatten();
+        Ok(traffic::Placed { endpoint })
+    }
+
+    /// Moves models and adapters until the process stops.
+    pub(crate) async fn watch(self: Arc<Self>) {
+        let Some(mut receiver) = self.receiver.lock().take() else {
+            return;
+        };
+        let mut ticker = tokio::time::interval(PERIOD);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut held: Option<Office> = None;
+        loop {
+            let wake = self.wake(held.as_ref());
+            tokio::select! {
+                news = receiver.recv() => {
+                    let Some(news) = news else { return };
+                    self.hear(&mut held, news);
+                    while let Ok(news) = receiver.try_recv() {
+                        self.hear(&mut held, news);
+                    }
+                    self.step(&mut held);
+                }
+                () = tokio::time::sleep(wake) => self.step(&mut held),
+                _ = ticker.tick() => {
+                    held = self.take_office(held);
+                    if let Some(office) = &mut held {
+                        self.follow(office);
+                    }
+                    self.step(&mut held);
+                    self.show(held.as_ref());
+                }
+            }
+        }
+    }
+
+    /// Time until somebody who waits can be answered.
+    fn wake(&self, held: Option<&Office>) -> Duration {
+        let books = held.into_iter().flat_map(|office| office.books.values());
+        let wake = books.filter_map(book::Book::wake).min();
+        wake.map_or(PERIOD, |wake| wake.since(self.clock.now()).to_std())
+    }
+
+    fn take_office(&self, held: Option<Office>) -> Option<Office> {
+        let status = self.proposer.status();
+        if !status.leads {
+            return None;
+        }
+        let held = held.filter(|office| office.term == status.term);
+        Some(held.unwrap_or_else(|| Office {
+            term: status.term,
+            since: self.clock.now(),
+            books: BTreeMap::new(),
+            plan: None,
+            waiting: BTreeMap::new(),
+        }))
+    }
+
+    /// Takes over plan, endpoints and demand.
+    fn follow(&self, office: &mut Office) {
+        let now = self.clock.now();
+        let demand = self.rates(now);
+        let used = std::mem::take(&mut self.demand.lock().adapters);
+        self.state.read(|fleet| {
+            office.follow_plan(now, fleet);
+            for book in office.books.values_mut() {
+                let endpoints = fleet.endpoints.announcements();
+                book.follow(now, endpoints, |name| fleet.residencies.get(name).cloned());
+                book.set_demand(demand.clone());
+                for adapter in &used {
+                    book.used(now, adapter);
+                }
+            }
+        });
+    }
+
+    /// Rises are taken from the quick estimate and falls from the slow one.
+    fn rates(&self, now: duration::Instant) -> BTreeMap<id::Model, f64> {
+        let demand = self.demand.lock();
+        let mut rates = forecast::Estimator::rates(&demand.falling, now);
+        for (model, rate) in forecast::Estimator::rates(&demand.rising, now) {
+            let known = rates.entry(model).or_default();
+            *known = known.max(rate);
+        }
+        rates
+    }
+
+    fn hear(&self, held: &mut Option<Office>, news: News) {
+        let now = self.clock.now();
+        let Some(office) = held else {
+            // Who waits is told by the end of its channel.
+            return;
+        };
+        let since = office.since;
+        match news {
+            News::Want(ticket, want, answer) => office.want(now, ticket, &want, answer),
+            News::Reported(of, service, name, report) if of == since => {
+                office.with(&service, |book| book.reported(now, &name, &report));
+            }
+            News::Answered(of, service, name, number, verdict) if of == since => {
+                office.with(&service, |book| {
+                    book.answered(now, &name, number, verdict);
+                });
+            }
+            News::Unanswered(of, service, name, number) if of == since => {
+                office.with(&service, |book| book.unanswered(now, &name, number));
+            }
+            News::Told(of, service, name) if of == since => {
+                office.with(&service, |book| book.told(now, &name));
+            }
+            // Of an earlier time of office.
+            _ => {}
+        }
+    }
+
+    fn step(&self, held: &mut Option<Office>) {
+        let Some(office) = held else {
+            return;
+        };
+        if self.proposer.check_leads().is_err() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut outputs = Vec::new();
+        for (service, book) in &mut office.books {
+            let due = book.tick(now);
+            outputs.extend(due.into_iter().map(|output| (service.clone(), output)));
+        }
+        for (service, output) in outputs {
+            self.carry_out(office, service, output);
+        }
+    }
+
+    fn carry_out(&self, office: &mut Office, service: id::Service, output: book::Output) {
+        match output {
+            book::Output::Place(ticket, endpoint) => {
+                if let Some(answer) = office.waiting.remove(&ticket) {
+                    // An entry that has gone needs no answer.
+                    drop(answer.send(endpoint));
+                }
+            }
+            book::Output::Ask(name) => self.ask(office, service, name),
+            book::Output::Send(order) => self.send(office, service, order),
+            book::Output::Tell(name) => self.tell(office, service, name),
+        }
+    }
+
+    fn ask(&self, office: &Office, service: id::Service, name: id::Endpoint) {
+        let runner = office
+            .books
+            .get(&service)
+            .and_then(|book| book.runner(&name));
+        let Some(address) = runner.map(|runner| runner.address) else {
+            return;
+        };
+        let (runners, news) = (Arc::clone(&self.runners), self.news.clone());
+        let since = office.since;
+        tokio::spawn(async move {
+            match runners.report(address, &name).await {
+                Ok(report) => {
+                    drop(
+                        news.send(News::Reported(since, service, name, report))
+                            .await,
+                    );
+                }
+                // Asked again; silence is noticed by the runner's heartbeats.
+                Err(cause) => spdlog::info!("residency: {name} gives no report: {cause}"),
+            }
+        });
+    }
+
+    fn send(&self, office: &Office, service: id::Service, order: order::Order) {
+        spdlog::info!(
+            "residency: orders {} from {} as its number {}",
+            order.action,
+            order.endpoint,
+            order.expect
+        );
+        let (runners, news) = (Arc::clone(&self.runners), self.news.clone());
+        let (holder, since) = (self.holder.clone(), office.since);
+        let fence = number::Fence(office.term.0);
+        let proposer = self.proposer.clone();
+        tokio::spawn(async move {
+            // The process may have slept since the order was made out.
+            if proposer.check_leads().is_err() {
+                return;
+            }
+            let (name, number) = (order.endpoint.clone(), order.number);
+            let told = match runners.order(&holder, fence, &order).await {
+                Ok(verdict) => {
+                    if verdict != order::Verdict::Accepted {
+                        spdlog::info!("residency: {name} answers {verdict:?} to {}", order.action);
+                    }
+                    News::Answered(since, service, name, number, verdict)
+                }
+                Err(cause) => {
+                    spdlog::warn!("residency: {} at {name}: {cause}", order.action);
+                    News::Unanswered(since, service, name, number)
+                }
+            };
+            drop(news.send(told).await);
+        });
+    }
+
+    /// Tells all entries what a runner is about to drop and which adapters it has.
+    fn tell(&self, office: &Office, service: id::Service, name: id::Endpoint) {
+        let runner = office
+            .books
+            .get(&service)
+            .and_then(|book| book.runner(&name));
+        let Some(runner) = runner else {
+            return;
+        };
+        let adapters = runner.adapters.keys();
+        let adapters = adapters.filter_map(|(model, adapter)| {
+            let name = format_smolstr!("{model}/{adapter}");
+            name.parse().ok()
+        });
+        let told = view::Residency {
+            endpoint: name.clone(),
+            boot: runner.boot,
+            retiring: runner.leaving().cloned().into_iter().collect(),
+            adapters: adapters.collect(),
+        };
+        let (proposer, news) = (self.proposer.clone(), self.news.clone());
+        let since = office.since;
+        tokio::spawn(async move {
+            let command = command::Command::Residency(told);
+            match proposer.propose(command).await {
+                Ok(_) => drop(news.send(News::Told(since, service, name)).await),
+                // Without it nothing is dropped; the next change tells all anew.
+                Err(fault) => spdlog::info!("residency: could not tell: {}", fault.message),
+            }
+        });
+    }
+
+    fn show(&self, held: Option<&Office>) {
+        let books = held.into_iter().flat_map(|office| office.books.values());
+        let books: Vec<serde_json::Value> = books.map(book::Book::dump).collect();
+        *self.shown.lock() = serde_json::json!(books);
+    }
+}
+
+impl Office {
+    fn with(&mut self, service: &id::Service, work: impl FnOnce(&mut book::Book)) {
+        if let Some(book) = self.books.get_mut(service) {
+            work(book);
+        }
+    }
+
+    fn want(
+        &mut self,
+        now: duration::Instant,
+        ticket: u64,
+        want: &traffic::Want,
+        answer: oneshot::Sender<Option<id::Endpoint>>,
+    ) {
+        let Some(book) = self.books.get_mut(&want.service) else {
+            return;
+        };
+        let adapter = (want.model.clone(), want.adapter.clone());
+        self.waiting.insert(ticket, answer);
+        book.want(now, ticket, &adapter, &want.endpoint, want.expires);
+    }
+
+    /// Takes over services and models, when the plan is a new one.
+    fn follow_plan(&mut self, now: duration::Instant, fleet: &fleet::Fleet) {
+        let version = fleet.traffic.version();
+        if version == self.plan {
+            return;
+        }
+        self.plan = version;
+        let services = fleet.traffic.plan().into_iter();
+        let services = services.flat_map(|plan| &plan.services);
+        let mut known = Vec::new();
+        for service in services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            known.push(service.service.clone());
+            let engine = engine::Engine::new(engine);
+            if let Some(book) = self.books.get_mut(&service.service) {
+                book.set_engine(now, engine);
+                continue;
+            }
+            let wait = self.since.after(SUCCESSION).since(now);
+            let name = service.service.clone();
+            let book = book::Book::new(name.clone(), engine, now, wait);
+            self.books.insert(name, book);
+        }
+        self.books.retain(|name, _| known.contains(name));
+    }
+}
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrygap_link::clock;
 use cranberrygap_link::server;
 use cranberrygap_model::{id, number};
 use cranberrygap_policy::limits::{self, granter};
@@ -11,7 +12,6 @@
 use cranberrygap_wire::{configuration, method, share};
 use tokio::sync::Mutex;
 
-use crate::clock;
 use crate::proposer;
 use crate::replicated;
 
@@ -163,9 +163,17 @@
 fn limits_of(fleet: &fleet::Fleet) -> BTreeMap<id::Workspace, limits::Limit> {
     let current = fleet.configuration.current();
     let workspaces = fleet.keys.workspaces();
-    workspaces
-        .map(|workspace| (workspace.clone(), limit_of(current, workspace)))
-        .collect()
+    let issued = workspaces.map(|workspace| (workspace.clone(), limit_of(current, workspace)));
+    let planned = fleet.traffic.plan().into_iter();
+    let planned = planned.flat_map(|plan| &plan.workspaces);
+    let planned = planned.map(|found| {
+        let limit = limits::Limit {
+            rate: found.rate,
+            burst: found.burst,
+        };
+        (found.workspace.clone(), limit)
+    });
+    issued.chain(planned).collect()
 }
 
 fn limit_of(current: &configuration::Configuration, workspace: &id::Workspace) -> limits::Limit {
--- a/crates/cranberrygap-control/tests/office.rs
+++ b/crates/cranberrygap-control/tests/office.rs
@@ -43,7 +43,7 @@
     let announcement = serde_json::from_value(announcement).unwrap();
     let commands = [
         command::Command::Member(member::Step::Seen { member, boot }),
-        command::Command::Endpoint(endpoint::Step::Announced(announcement)),
+        command::Command::Endpoint(endpoint::Step::Announced(Box::new(announcement))),
     ];
     for (index, command) in (1..).zip(commands) {
         let proposal = command::Proposal { at: index, command };
--- a/crates/cranberrygap-entry/src/admission.rs
+++ b/crates/cranberrygap-entry/src/admission.rs
@@ -29,14 +29,25 @@
     },
 }
 
+impl Refused {
+    /// Time after which another try makes sense.
+    pub(crate) const fn wait(self) -> duration::Span {
+        match self {
+            Self::Now { retry_after } => retry_after,
+            Self::Never { .. } => duration::Span::from_secs(60),
+        }
+    }
+}
+
 /// Spends tokens of workspaces; what it allows over all entries together stays
 /// within each workspace's rate and burst.
 pub(crate) trait Limiter: fmt::Debug + Send + Sync {
-    /// Takes the upper bound of a request; may wait a moment for tokens.
+    /// Takes the upper bound of a request; waits at most `patience` for tokens.
     fn reserve<'call>(
         &'call self,
         workspace: &'call id::Workspace,
         tokens: token::Count,
+        patience: duration::Span,
     ) -> BoxFuture<'call, Result<holder::Reservation, Refused>>;
     /// Ends a reservation; what was not used goes back.
     fn settle(&self, reservation: &holder::Reservation, used: token::Count);
--- a/crates/cranberrygap-entry/src/admission/permit.rs
+++ b/crates/cranberrygap-entry/src/admission/permit.rs
@@ -2,13 +2,17 @@
 
 use std::sync::Arc;
 
-use cranberrygap_model::{id, token};
+use cranberrygap_model::{duration, id, token};
 use cranberrygap_policy::limits::holder;
 
 use crate::refusal::Refusal;
 
 use super::{Limiter, Refused};
 
+/// Longest wait for tokens. A few renewals; whoever is still short then is above
+/// the rate and learns it at once.
+const PATIENCE: duration::Span = duration::Span::from_millis(500);
+
 /// A reservation; what was not used goes back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -25,8 +29,18 @@
         workspace: &id::Workspace,
         tokens: token::Count,
     ) -> Result<Self, Refusal> {
-        let outcome = limiter.reserve(workspace, tokens).await;
-        let reservation = outcome.map_err(|refused| refusal(refused, tokens))?;
+        let outcome = Self::reserve_within(limiter, workspace, tokens, PATIENCE).await;
+        outcome.map_err(|refused| refusal(refused, tokens))
+    }
+
+    /// Reserves the upper bound of a request; waits at most `patience`.
+    pub(crate) async fn reserve_within(
+        limiter: &Arc<dyn Limiter>,
+        workspace: &id::Workspace,
+        tokens: token::Count,
+        patience: duration::Span,
+    ) -> Result<Self, Refused> {
+        let reservation = limiter.reserve(workspace, tokens, patience).await?;
         Ok(Self {
             limiter: Arc::clone(limiter),
             reservation,
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use cranberrygap_link::clock;
 use cranberrygap_model::{duration, id, number, token};
 use cranberrygap_policy::limits::{self, holder};
 use cranberrygap_wire::{configuration, method, share};
@@ -10,16 +11,11 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
-use crate::clock;
 use crate::core;
 use crate::view;
 
 use super::{Limiter, Refused};
 
-/// Longest wait for tokens. A few renewals; whoever is still short then is above
-/// the rate and learns it at once.
-const PATIENCE: duration::Span = duration::Span::from_millis(500);
-
 /// Longest wait for the leader's answer, after which another one is asked.
 const ANSWER: duration::Span = duration::Span::from_millis(700);
 
@@ -162,6 +158,7 @@
         &self,
         workspace: &id::Workspace,
         tokens: token::Count,
+        patience: duration::Span,
     ) -> Result<holder::Reservation, Refused> {
         let burst = self
             .inner
@@ -175,7 +172,7 @@
         let (ticket, decided) = {
             let now = self.clock.now();
             let mut inner = self.inner.lock();
-            let deadline = now.after(PATIENCE);
+            let deadline = now.after(patience);
             match inner.holder.admit(now, workspace, tokens, deadline) {
                 holder::Verdict::Admitted(reservation) => return Ok(reservation),
                 holder::Verdict::Waiting(ticket) => {
@@ -204,8 +201,9 @@
         &'call self,
         workspace: &'call id::Workspace,
         tokens: token::Count,
+        patience: duration::Span,
     ) -> BoxFuture<'call, Result<holder::Reservation, Refused>> {
-        Box::pin(self.take(workspace, tokens))
+        Box::pin(self.take(workspace, tokens, patience))
     }
 
     fn settle(&self, reservation: &holder::Reservation, used: token::Count) {
@@ -225,7 +223,16 @@
             };
             (workspace.clone(), limit)
         });
-        self.inner.lock().limits = limits.collect();
+        let planned = view.traffic().into_iter();
+        let planned = planned.flat_map(|table| &table.plan().workspaces);
+        let planned = planned.map(|found| {
+            let limit = limits::Limit {
+                rate: found.rate,
+                burst: found.burst,
+            };
+            (found.workspace.clone(), limit)
+        });
+        self.inner.lock().limits = limits.chain(planned).collect();
     }
 
     fn dump(&self) -> serde_json::Value {
--- a/crates/cranberrygap-entry/src/control/demand.rs
+++ b/crates/cranberrygap-entry/src/control/demand.rs
@@ -5,6 +5,7 @@
 use cranberrygap_model::id;
 use cranberrygap_wire::view;
 use parking_lot::Mutex;
+use smol_str::{SmolStr, format_smolstr};
 
 /// Requests, tokens and attainment by model.
 #[derive(Debug, Default)]
@@ -17,6 +18,7 @@
     requests: u64,
     tokens: u64,
     attained: u64,
+    unread: u64,
 }
 
 impl Demand {
@@ -25,6 +27,28 @@
         self.update(model, |count| count.requests += 1);
     }
 
+    /// Counts a request of a route for a model, and for its adapter if it wants one.
+    ///
+    /// Its work is counted in prompt tokens: a generated one takes an engine about
+    /// as long as four that are read, shared with the other requests of its batch.
+    pub(crate) fn asked(
+        &self,
+        model: &id::Model,
+        adapter: Option<&SmolStr>,
+        prompt: u64,
+        output: u64,
+    ) {
+        const READ_FOR_ONE: u64 = 4;
+        self.update(model, |count| {
+            count.requests += 1;
+            count.unread += prompt + READ_FOR_ONE * output;
+        });
+        let named = adapter.map(|adapter| format_smolstr!("{model}/{adapter}"));
+        if let Some(Ok(named)) = named.map(|named| named.parse::<id::Model>()) {
+            self.update(&named, |count| count.requests += 1);
+        }
+    }
+
     /// Counts a request that ended.
     pub(crate) fn ended(&self, model: &id::Model, tokens: u64, attained: bool) {
         self.update(model, |count| {
@@ -46,6 +70,9 @@
     pub(crate) fn drain(&self) -> Vec<view::Demand> {
         let counts = std::mem::take(&mut *self.counts.lock());
         let to_wire = |(model, count): (id::Model, Count)| view::Demand {
+            waiting: 0,
+            refused: 0,
+            unread: count.unread,
             model,
             requests: count.requests,
             tokens: count.tokens,
@@ -61,6 +88,7 @@
                 count.requests += demand.requests;
                 count.tokens += demand.tokens;
                 count.attained += demand.attained;
+                count.unread += demand.unread;
             });
         }
     }
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::peers;
+
 /// Processes asked for the leader before a call gives up. One round over seven
 /// control processes and one more for a leader that changed meanwhile.
 const MOST_HOPS: usize = 8;
@@ -16,7 +18,7 @@
 /// Keeps one connection to the process that was leader last.
 #[derive(Debug)]
 pub(crate) struct Session {
-    peers: Vec<address::Peer>,
+    peers: Arc<peers::Peers>,
     secret: Arc<credential::Holder>,
     inner: Mutex<Inner>,
     connecting: tokio::sync::Mutex<()>,
@@ -31,7 +33,7 @@
 
 impl Session {
     /// A session that will find the leader among `peers`.
-    pub(crate) fn new(peers: Vec<address::Peer>, secret: Arc<credential::Holder>) -> Self {
+    pub(crate) fn new(peers: Arc<peers::Peers>, secret: Arc<credential::Holder>) -> Self {
         Self {
             peers,
             secret,
@@ -86,7 +88,7 @@
             } => {
                 let leader = serde_json::from_value::<Option<address::Peer>>(data.clone());
                 match leader.ok().flatten() {
-                    Some(leader) => self.turn_to(self.reached(&leader)),
+                    Some(leader) => self.turn_to(self.peers.reached(&leader)),
                     None => self.rotate(),
                 }
                 true
@@ -126,16 +128,11 @@
 
     fn target(&self) -> Option<address::Socket> {
         let inner = self.inner.lock();
-        let next = || self.peers.get(inner.position % self.peers.len().max(1));
-        inner.target.or_else(|| next().map(|peer| peer.address))
-    }
-
-    /// Where this entry reaches a control process: by its own settings, or else
-    /// as the control processes reach it.
-    fn reached(&self, leader: &address::Peer) -> address::Socket {
-        let mut peers = self.peers.iter();
-        let known = peers.find(|peer| peer.instance == leader.instance);
-        known.unwrap_or(leader).address
+        inner.target.or_else(|| {
+            let peers = self.peers.list();
+            let next = peers.get(inner.position % peers.len().max(1));
+            next.map(|peer| self.peers.reached(peer))
+        })
     }
 
     fn turn_to(&self, target: address::Socket) {
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -33,10 +33,13 @@
 
     /// Follows the view for ever, from one control process or another.
     pub(crate) async fn run(self) {
-        let peers = self.core.settings.control.peers.clone();
-        let start = usize::try_from(self.core.boot.0).unwrap_or_default();
-        for peer in peers.iter().cycle().skip(start % peers.len().max(1)) {
-            if let Err(cause) = self.follow(peer).await {
+        let mut next = usize::try_from(self.core.boot.0).unwrap_or_default();
+        loop {
+            let peers = self.core.peers.list();
+            next = next.wrapping_add(1);
+            if let Some(peer) = peers.get(next % peers.len().max(1))
+                && let Err(cause) = self.follow(peer).await
+            {
                 warn!("view: lost {}: {cause}", peer.instance);
             }
             tokio::time::sleep(PAUSE).await;
@@ -83,5 +86,11 @@
         };
         self.core.limiter.follow(&view);
         self.core.router.follow(&view);
+        self.core.board.follow(self.core.now(), &view);
+        let controls = view.controls().map(|member| address::Peer {
+            instance: member.instance.clone(),
+            address: member.address,
+        });
+        self.core.peers.set_seen(controls.collect());
     }
 }
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cadence::StatsdClient;
+use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_policy::quarantine::watch;
 use cranberrygap_policy::retry;
@@ -12,8 +13,8 @@
 
 use crate::admission;
 use crate::announce;
-use crate::clock;
 use crate::control;
+use crate::gateway;
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::route;
@@ -28,9 +29,12 @@
     pub(crate) boot: number::Boot,
     pub(crate) clock: clock::Clock,
     pub(crate) view: view::Holder,
+    pub(crate) peers: Arc<control::Peers>,
     pub(crate) leader: control::Session,
     pub(crate) limiter: Arc<dyn admission::Limiter>,
     pub(crate) router: Arc<dyn route::Router>,
+    /// Endpoints of the traffic plan's services.
+    pub(crate) board: gateway::Board,
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a place at the engines.
     pub(crate) queues: Arc<queue::Queues>,
@@ -79,6 +83,13 @@
             .unwrap_or(self.settings.listen.callers)
     }
 
+    /// Longest time of a planned stop.
+    pub(crate) fn stop_within(&self) -> duration::Span {
+        const WITHOUT_A_SETTING: duration::Span = duration::Span::from_secs(20);
+        let limits = self.settings.limits.as_ref();
+        limits.map_or(WITHOUT_A_SETTING, |limits| limits.stop_within)
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -99,7 +110,7 @@
         fingerprint: &str,
     ) -> Result<(), Refusal> {
         let until = view.quarantine(fingerprint).map_or(0, |found| found.until);
-        let left = until.saturating_sub(Self::unix_millis());
+        let left = until.saturating_sub(clock::unix_millis());
         if left == 0 {
             return Ok(());
         }
@@ -107,12 +118,4 @@
             retry_after: duration::Span::from_millis(left),
         })
     }
-
-    /// Milliseconds since 1970, for times that processes share.
-    pub(crate) fn unix_millis() -> u64 {
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        since.map_or(0, |span| {
-            u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-        })
-    }
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -0,0 +1,49 @@
+//! Serves the routes of the traffic plan: any method, path and body.
+//!
+//! A request is read whole, checked against the plan in force, sent to one
+//! endpoint at a time over connections that this entry owns, and its answer is
+//! passed on as it comes. How callers and endpoints word the facts of a request is
+//! a [`dialect::Dialect`]'s business.
+
+mod answer;
+mod board;
+mod connection;
+mod course;
+pub mod dialect;
+mod failure;
+mod flight;
+mod gossip;
+mod line;
+mod listener;
+mod pool;
+mod request;
+mod reserve;
+mod stream;
+
+pub(crate) use board::Board;
+pub(crate) use gossip::Gossip;
+pub(crate) use listener::Listener;
+
+use std::sync::Arc;
+
+use crate::core;
+
+/// The parts of a gateway that all its requests share.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) core: Arc<core::Core>,
+    pub(crate) dialect: Arc<dyn dialect::Dialect>,
+    pub(crate) pool: pool::Pool,
+    pub(crate) reserve: reserve::Reserve,
+}
+
+impl Gateway {
+    pub(crate) fn new(core: Arc<core::Core>, dialect: Arc<dyn dialect::Dialect>) -> Arc<Self> {
+        Arc::new(Self {
+            core,
+            dialect,
+            pool: pool::Pool::default(),
+            reserve: reserve::Reserve::default(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -0,0 +1,304 @@
+//! One request of a caller: read whole, checked against the plan, answered.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cranberrygap_model::{duration, id, token};
+use cranberrygap_routing::prompt::{memory, tally};
+use cranberrygap_state::traffic as state;
+use cranberrygap_wire::traffic;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header, request};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
+use smol_str::{SmolStr, ToSmolStr as _};
+
+use crate::admission;
+use crate::view::{self, traffic as table};
+
+use super::answer;
+use super::course;
+use super::dialect;
+use super::failure::Failure;
+use super::{Gateway, stream};
+
+/// Longest time for a body. Callers are on fast networks and send some kilobytes.
+const BODY_TIME: Duration = Duration::from_secs(8);
+
+/// Largest body before a plan says so.
+const FIRST_BODY: u64 = 1 << 20;
+
+/// Time that a request waits for tokens of its workspace. A renewal takes a few
+/// milliseconds; who is above its rate learns so at once.
+const TOKEN_WAIT: duration::Span = duration::Span::from_millis(60);
+
+/// A request as it came, once its body is there.
+#[derive(Debug)]
+pub(crate) struct Facts {
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub host: SmolStr,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub ask: dialect::Ask,
+    pub chain: memory::Chain,
+    pub arrived: duration::Instant,
+    /// Draws the part of a split route, the same for all its sends.
+    pub roll: f64,
+}
+
+/// What the plan in force says about a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Resolved {
+    pub route: traffic::Route,
+    pub workspace: Option<Payer>,
+    pub service: id::Service,
+    pub has_engine: bool,
+}
+
+/// For whom a request runs.
+#[derive(Debug, Clone)]
+pub(crate) struct Payer {
+    pub name: id::Workspace,
+    pub priority: Option<u32>,
+    pub limited: bool,
+    pub plain_cost: u64,
+    pub by_tokens: bool,
+}
+
+impl Resolved {
+    /// Rank of the request, 0 is the most urgent.
+    pub(crate) fn priority(&self) -> u32 {
+        let payer = self.workspace.as_ref().and_then(|payer| payer.priority);
+        payer.unwrap_or(self.route.priority)
+    }
+
+    /// Rank as the board tells ranks apart.
+    pub(crate) fn rank(&self) -> usize {
+        (self.priority() as usize).min(tally::RANKS - 1)
+    }
+}
+
+impl Facts {
+    /// What the plan in force at this moment says.
+    pub(crate) fn resolve(&self, view: &view::Snapshot) -> Result<Resolved, Failure> {
+        let table = view.traffic().ok_or(Failure::NoView)?;
+        let route = table.route(&self.host, self.target.path());
+        let route = route.ok_or(Failure::NoRoute)?;
+        let workspace = self.payer(table, route)?;
+        let service = part(route, self.roll).ok_or(Failure::NoRoute)?;
+        let known = table.service(&service);
+        Ok(Resolved {
+            route: route.clone(),
+            workspace,
+            has_engine: known.is_some_and(|known| known.engine.is_some()),
+            service,
+        })
+    }
+
+    fn payer(
+        &self,
+        table: &table::Table,
+        route: &traffic::Route,
+    ) -> Result<Option<Payer>, Failure> {
+        if route.public || !table.has_workspaces() {
+            return Ok(None);
+        }
+        let key = self.ask.key.as_ref().ok_or(Failure::NoKey)?;
+        let key = state::hash(key);
+        let workspace = table.workspace(&key).ok_or(Failure::NoKey)?;
+        Ok(Some(Payer {
+            name: workspace.workspace.clone(),
+            priority: workspace.priority,
+            limited: workspace.rate.0 > 0.0,
+            plain_cost: workspace.plain_cost,
+            by_tokens: workspace.by_tokens,
+        }))
+    }
+
+    /// Tokens that the request costs its workspace.
+    fn cost(&self, payer: &Payer) -> token::Count {
+        if !payer.by_tokens {
+            return token::Count(1);
+        }
+        let tokens = self.ask.tokens;
+        token::Count(tokens.map_or(payer.plain_cost, |tokens| tokens.prompt + tokens.output))
+    }
+
+    /// The moment by which the caller must have its answer.
+    pub(crate) fn deadline(&self, route: &traffic::Route) -> duration::Instant {
+        let patience = self.ask.patience.unwrap_or(route.deadline);
+        self.arrived.after(patience.min(route.deadline))
+    }
+}
+
+/// The service that a split route's draw falls on.
+fn part(route: &traffic::Route, roll: f64) -> Option<id::Service> {
+    let total: u64 = route
+        .splits
+        .iter()
+        .map(|split| u64::from(split.weight))
+        .sum();
+    let mut left = roll * total as f64;
+    for split in &route.splits {
+        left -= f64::from(split.weight);
+        if left < 0.0 {
+            return Some(split.service.clone());
+        }
+    }
+    let weighted = route.splits.iter().rfind(|split| split.weight > 0);
+    weighted.map(|split| split.service.clone())
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<answer::Body> {
+    let arrived = gateway.core.now();
+    let (head, body) = request.into_parts();
+    let mut response = match answer(&gateway, arrived, head, body).await {
+        Ok(response) => response,
+        Err((id, failure)) => {
+            note(&gateway, arrived, id.as_ref(), &failure);
+            failure.answer()
+        }
+    };
+    if gateway.core.is_draining() {
+        // Callers that keep the connection would send their next request to a
+        // process that is about to end.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn note(gateway: &Gateway, arrived: duration::Instant, id: Option<&SmolStr>, failure: &Failure) {
+    let after = gateway.core.now().since(arrived);
+    let id = id.map_or("-", SmolStr::as_str);
+    spdlog::info!(
+        "gateway: request {id} fails after {after}: {} {}",
+        failure.code(),
+        failure.cause()
+    );
+}
+
+type Named = (Option<SmolStr>, Failure);
+
+async fn answer(
+    gateway: &Arc<Gateway>,
+    arrived: duration::Instant,
+    head: request::Parts,
+    body: Incoming,
+) -> Result<Response<answer::Body>, Named> {
+    let ask = gateway.dialect.read(&head.headers);
+    let ask = ask.map_err(|cause| (None, Failure::Malformed(cause)))?;
+    let id = ask.id.clone();
+    let named = |failure| (id.clone(), failure);
+    let body = read_body(gateway, body).await.map_err(named)?;
+    let facts = facts(arrived, head, body, ask).map_err(named)?;
+    let view = serving_view(gateway).map_err(named)?;
+    let resolved = facts.resolve(&view).map_err(named)?;
+    let permit = pay(gateway, &facts, &resolved).await.map_err(named)?;
+    drop(view);
+    gateway.reserve.earn(&resolved.service);
+    let course = course::Course::new(gateway, facts, resolved, permit);
+    let outcome = course.run().await;
+    outcome.map_err(named)
+}
+
+/// The view to serve from.
+pub(crate) fn serving_view(gateway: &Gateway) -> Result<Arc<view::Snapshot>, Failure> {
+    let view = gateway.core.view.current(gateway.core.now());
+    view.ok_or(Failure::NoView)
+}
+
+fn facts(
+    arrived: duration::Instant,
+    head: request::Parts,
+    body: Bytes,
+    ask: dialect::Ask,
+) -> Result<Facts, Failure> {
+    let host = host(&head).ok_or_else(|| Failure::Malformed("there is no host".into()))?;
+    let target = head.uri.path_and_query().cloned();
+    let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let model = ask.model.as_ref().map_or("", id::Model::as_str);
+    let chain = memory::Chain::new(model, ask.adapter.as_deref(), &ask.parts);
+    let mut headers = head.headers;
+    answer::strip_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    Ok(Facts {
+        method: head.method,
+        target,
+        host,
+        headers,
+        body,
+        ask,
+        chain,
+        arrived,
+        roll: rand::random(),
+    })
+}
+
+/// The host that the caller names, in lower case and without a port.
+fn host(head: &request::Parts) -> Option<SmolStr> {
+    let named = head.headers.get(header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let named = head
+        .uri
+        .authority()
+        .map(http::uri::Authority::as_str)
+        .or(named)?;
+    let name = named.split(':').next().unwrap_or(named);
+    Some(name.to_ascii_lowercase().to_smolstr())
+}
+
+async fn read_body(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, Failure> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let view = gateway.core.view.latest();
+    let table = view.as_ref().and_then(|view| view.traffic());
+    let most = table.map_or(FIRST_BODY, |table| table.plan().bounds.body);
+    if body.size_hint().lower() > most {
+        return Err(Failure::TooLarge);
+    }
+    let reading = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_broken| Failure::BrokenBody)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if (whole.len() + data.len()) as u64 > most {
+                return Err(Failure::TooLarge);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    };
+    let read = tokio::time::timeout(BODY_TIME, reading).await;
+    read.unwrap_or(Err(Failure::SlowBody))
+}
+
+/// Reserves what the request costs; none for workspaces without a limit.
+async fn pay(
+    gateway: &Gateway,
+    facts: &Facts,
+    resolved: &Resolved,
+) -> Result<Option<admission::Permit>, Failure> {
+    let Some(payer) = resolved.workspace.as_ref().filter(|payer| payer.limited) else {
+        return Ok(None);
+    };
+    let limiter = &gateway.core.limiter;
+    let cost = facts.cost(payer);
+    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, TOKEN_WAIT).await;
+    match permit {
+        Ok(permit) => Ok(Some(permit)),
+        Err(refused) => Err(Failure::OverRate {
+            wait: stream::spread(refused.wait()),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -0,0 +1,177 @@
+//! Passes a stream on as it comes, and has another engine go on when it breaks.
+
+use bytes::{Bytes, BytesMut};
+use cranberrygap_model::duration;
+use futures_util::stream;
+use http::Response;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use crate::sse;
+
+use super::answer::{self, Cut};
+use super::course;
+use super::flight;
+use super::line;
+
+/// Time beyond the deadline for which a stream is passed on.
+const GRACE: duration::Span = duration::Span::from_millis(120);
+
+/// A wait for callers, spread so that those refused together do not come together.
+pub(super) fn spread(wait: duration::Span) -> duration::Span {
+    let factor = 0.75 + rand::random::<f64>() * 0.6;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small multiple of a time of seconds"
+    )]
+    let micros = (wait.0 as f64 * factor) as u64;
+    duration::Span(micros)
+}
+
+/// A stream on its way to the caller. Dropping it, which happens when the caller
+/// leaves, closes the connection to the engine, which then stops.
+struct Relay {
+    course: course::Course,
+    upstream: Option<Upstream>,
+    /// Cuts events out of the bytes; only for streams that another engine may go
+    /// on with, which begins after a whole event.
+    splitter: Option<sse::Splitter>,
+    last_event: Option<String>,
+}
+
+struct Upstream {
+    body: Incoming,
+    line: line::Line,
+    flight: flight::Flight,
+}
+
+/// The answer whose body is the stream.
+pub(super) fn relay(
+    course: course::Course,
+    head: Response<()>,
+    body: Incoming,
+    line: line::Line,
+    flight: flight::Flight,
+) -> Response<answer::Body> {
+    let splitter = course.is_repeatable().then(sse::Splitter::default);
+    let last_event = course.facts.ask.last_event.as_deref().map(str::to_owned);
+    let relay = Relay {
+        course,
+        upstream: Some(Upstream { body, line, flight }),
+        splitter,
+        last_event,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    });
+    head.map(|()| StreamBody::new(frames).boxed_unsync())
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        loop {
+            let deadline = self.course.deadline().after(GRACE);
+            let left = deadline.since(self.course.gateway.core.now());
+            let upstream = self.upstream.as_mut()?;
+            let frame = tokio::time::timeout(left.to_std(), upstream.body.frame()).await;
+            match frame {
+                Err(_elapsed) => return Some(Err(self.cut("the deadline passed"))),
+                Ok(Some(Ok(frame))) => {
+                    upstream.flight.read();
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    match self.pass(data) {
+                        Ok(data) if data.is_empty() => {}
+                        other => return Some(other),
+                    }
+                }
+                Ok(None) if self.is_between_events() => {
+                    self.end();
+                    return None;
+                }
+                Ok(None) => {
+                    if !self.go_on("it ended within an event").await {
+                        return Some(Err(self.cut("it ended within an event")));
+                    }
+                }
+                Ok(Some(Err(_broken))) => {
+                    if !self.go_on("the connection broke").await {
+                        return Some(Err(self.cut("the connection broke")));
+                    }
+                }
+            }
+        }
+    }
+
+    /// What of the bytes may go out now.
+    fn pass(&mut self, data: Bytes) -> Result<Bytes, Cut> {
+        let Some(splitter) = &mut self.splitter else {
+            return Ok(data);
+        };
+        if splitter.push(&data).is_err() {
+            return Err(self.cut("an event is too long"));
+        }
+        let mut whole = BytesMut::new();
+        while let Some(event) = splitter.next_event() {
+            if let Some(id) = id(&event) {
+                self.last_event = Some(id);
+            }
+            whole.extend_from_slice(&event);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn is_between_events(&self) -> bool {
+        self.splitter.as_ref().is_none_or(sse::Splitter::is_empty)
+    }
+
+    /// The stream is whole; its connection is kept.
+    fn end(&mut self) {
+        if let Some(upstream) = self.upstream.take() {
+            self.course.gateway.pool.put(upstream.line);
+        }
+    }
+
+    /// Ends the answer so that the caller sees that it is not whole.
+    fn cut(&mut self, cause: &'static str) -> Cut {
+        let id = self.course.id();
+        spdlog::info!("gateway: request {id}: its stream is cut: {cause}");
+        self.upstream = None;
+        Cut::other(cause)
+    }
+
+    /// Has another engine go on behind the last whole event that the caller has.
+    async fn go_on(&mut self, cause: &'static str) -> bool {
+        // The connection is closed first: an engine that still works on it stops.
+        if let Some(upstream) = self.upstream.take() {
+            upstream.flight.judge(false);
+        }
+        if self.splitter.is_none() {
+            return false;
+        }
+        let last_event = self.last_event.clone();
+        let resumed = self.course.resume(last_event.as_deref()).await;
+        let Some(answered) = resumed else {
+            return false;
+        };
+        let id = self.course.id();
+        spdlog::info!("gateway: request {id}: another engine goes on with its stream: {cause}");
+        self.splitter = Some(sse::Splitter::default());
+        self.upstream = Some(Upstream {
+            body: answered.response.into_body(),
+            line: answered.line,
+            flight: answered.flight,
+        });
+        true
+    }
+}
+
+/// The id of an event.
+fn id(event: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(event).ok()?;
+    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    Some(id.trim().to_owned())
+}
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -6,8 +6,9 @@
 
 pub mod announce;
 pub mod caller;
-pub mod clock;
 pub mod core;
+pub mod desk;
+pub mod gateway;
 pub mod metric;
 pub mod process;
 pub mod queue;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -2,21 +2,25 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use cadence::StatsdClient;
+use cranberrygap_link::clock;
 use cranberrygap_link::{credential, server as link_server};
 use cranberrygap_model::{address, duration, number};
 use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
 use spdlog::info;
+use tokio::time;
 
 use crate::admin;
 use crate::admission;
 use crate::announce;
-use crate::clock;
 use crate::control;
 use crate::core;
+use crate::desk;
+use crate::gateway::{self, dialect};
 use crate::load;
 use crate::queue;
 use crate::route;
@@ -66,6 +70,7 @@
     callers: server::Listening,
     endpoints: server::Listening,
     admin: Option<link_server::Handle>,
+    gateway: Option<gateway::Listener>,
     fleet: Arc<credential::Holder>,
     shares: Arc<admission::Shares>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
@@ -90,6 +95,21 @@
         secrets: Secrets,
         metrics: Arc<StatsdClient>,
     ) -> Result<Self, Error> {
+        Self::start_with(settings, secrets, metrics, None).await
+    }
+
+    /// Starts an entry that serves the routes of the traffic plan in this form.
+    ///
+    /// # Errors
+    ///
+    /// When a listener cannot be opened.
+    pub async fn start_with(
+        mut settings: settings::Entry,
+        secrets: Secrets,
+        metrics: Arc<StatsdClient>,
+        dialect: Option<Arc<dyn dialect::Dialect>>,
+    ) -> Result<Self, Error> {
+        settle(&mut settings.control);
         let fleet = Arc::new(credential::Holder::new(secrets.fleet.clone()));
         let boot = number::Boot(rand::random::<u64>() >> BOOT_SHIFT);
         let clock = clock::Clock::start();
@@ -99,13 +119,19 @@
         let endpoints = listen_endpoints(&core, &secrets)?;
         let callers = listen_callers(&core)?;
         let admin = listen_admin(&core, &secrets).await?;
+        let gateway = listen_gateway(&core, dialect)?;
+        let gossip = listen_gossip(&core).await?;
         let subscription = control::Subscription::new(Arc::clone(&core), Arc::clone(&fleet));
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(subscription.run()),
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
-            tokio::spawn(load::Poller::new(Arc::clone(&core)).run()),
             tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
         ];
+        if gateway.is_none() {
+            // Endpoints of a traffic plan are known by what is sent to them.
+            tasks.push(tokio::spawn(load::Poller::new(Arc::clone(&core)).run()));
+        }
+        tasks.extend(gossip.map(|gossip| tokio::spawn(gossip.run())));
         info!(
             "entry: {} serves callers at {}",
             core.instance(),
@@ -116,6 +142,7 @@
             callers,
             endpoints,
             admin,
+            gateway,
             fleet,
             shares,
             tasks,
@@ -134,6 +161,25 @@
         self.endpoints.address
     }
 
+    /// Where callers of the traffic plan's routes connect, if they may.
+    #[must_use]
+    pub fn gateway(&self) -> Option<address::Socket> {
+        self.gateway.as_ref().map(|gateway| gateway.address)
+    }
+
+    /// Parts of the entry for other listeners of the same process.
+    #[must_use]
+    pub fn desk(&self) -> desk::Desk {
+        desk::Desk::new(Arc::clone(&self.core))
+    }
+
+    /// Takes over changed settings, as far as they can change while it runs.
+    pub fn reload(&self, settings: &settings::Entry) {
+        let mut control = settings.control.clone();
+        settle(&mut control);
+        self.core.peers.set_told(control.peers);
+    }
+
     /// Whether the entry has a view and a lease to serve from it.
     #[must_use]
     pub fn is_serving(&self) -> bool {
@@ -158,25 +204,95 @@
     /// Stops without cutting a request: leaves the address list, waits until no
     /// caller holds an answer that names this entry, then finishes what runs.
     pub async fn stop(self) {
+        let begun = time::Instant::now();
         self.core.draining.store(true, Ordering::Release);
         info!("entry: drains");
-        control::Heartbeat::new(Arc::clone(&self.core)).beat().await;
-        let lifetime = self
-            .core
-            .view
-            .latest()
-            .map(|view| view.defaults().address_lifetime);
-        tokio::time::sleep(lifetime.unwrap_or_default().to_std()).await;
-        tokio::time::sleep(LATE_VIEWS.to_std()).await;
+        let last_beat = tokio::spawn({
+            let core = Arc::clone(&self.core);
+            async move { control::Heartbeat::new(core).beat().await }
+        });
+        match &self.gateway {
+            Some(gateway) => self.finish_gateway(gateway, begun).await,
+            None => self.finish_callers().await,
+        }
+        last_beat.abort();
         self.callers.finish().await;
         self.endpoints.finish().await;
         for task in &self.tasks {
             task.abort();
         }
-        self.shares.close(&self.core).await;
+        let closing = self.shares.close(&self.core);
+        // Tokens that are not handed back count as spent, which harms nobody long.
+        drop(time::timeout(LAST_WORDS, closing).await);
         drop(self.admin);
         info!("entry: stopped");
     }
+
+    async fn finish_callers(&self) {
+        let lifetime = self
+            .core
+            .view
+            .latest()
+            .map(|view| view.defaults().address_lifetime);
+        time::sleep(lifetime.unwrap_or_default().to_std()).await;
+        time::sleep(LATE_VIEWS.to_std()).await;
+    }
+
+    /// Serves on while callers may still come with an old answer, then finishes.
+    async fn finish_gateway(&self, gateway: &gateway::Listener, begun: time::Instant) {
+        let lifetime = self.desk().lifetime().to_std();
+        // Most callers keep an answer for its lifetime, some for three times that.
+        let longest = self.core.stop_within().to_std();
+        let longest = longest.saturating_sub(LAST_WORDS * 3);
+        let most = begun + lifetime.saturating_mul(3).min(longest);
+        let least = begun + lifetime + LATE_VIEWS.to_std().min(LAST_WORDS * 2);
+        let mut quiet_since = time::Instant::now();
+        while time::Instant::now() < most {
+            time::sleep(DRAIN_LOOK).await;
+            if gateway.open() > 0 {
+                quiet_since = time::Instant::now();
+            }
+            if time::Instant::now() > least && quiet_since.elapsed() > LAST_WORDS {
+                break;
+            }
+        }
+        gateway.finish(begun + longest + LAST_WORDS).await;
+    }
+}
+
+/// Puts the group's own port into the addresses of the control processes, where
+/// only their public ones are told.
+fn settle(control: &mut settings::EntryControl) {
+    let port = u16::try_from(control.port).unwrap_or_default();
+    if port != 0 {
+        for peer in &mut control.peers {
+            peer.address.0.set_port(port);
+        }
+    }
+}
+
+fn listen_gateway(
+    core: &Arc<core::Core>,
+    dialect: Option<Arc<dyn dialect::Dialect>>,
+) -> Result<Option<gateway::Listener>, Error> {
+    let (Some(wanted), Some(dialect)) = (core.settings.listen.gateway, dialect) else {
+        return Ok(None);
+    };
+    let gateway = gateway::Gateway::new(Arc::clone(core), dialect);
+    let listening = gateway::Listener::start(&gateway, wanted);
+    listening
+        .map(Some)
+        .map_err(|cause| cannot_listen(wanted, &cause))
+}
+
+async fn listen_gossip(core: &Arc<core::Core>) -> Result<Option<gateway::Gossip>, Error> {
+    let Some(wanted) = core.settings.listen.gossip else {
+        return Ok(None);
+    };
+    let gossip = gateway::Gossip::new(Arc::clone(core), wanted).await;
+    gossip
+        .map(Some)
+        .map_err(|cause| cannot_listen(wanted, &cause))
 }
 
 fn build(
@@ -187,8 +303,10 @@
     clock: clock::Clock,
     shares: &Arc<admission::Shares>,
 ) -> Result<core::Core, Error> {
-    let peers = settings.control.peers.clone();
+    let peers = Arc::new(control::Peers::new(settings.control.peers.clone()));
     Ok(core::Core {
+        board: gateway::Board::new(settings.entry.domain.clone()),
+        peers: Arc::clone(&peers),
         boot,
         clock,
         view: view::Holder::default(),
@@ -215,6 +333,10 @@
 /// older than its lease answers nobody.
 const LATE_VIEWS: duration::Span = duration::Span::from_secs(2);
 
+/// Time for what is left to do once all requests have ended.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+/// Time between two looks whether callers are gone.
+const DRAIN_LOOK: Duration = Duration::from_millis(100);
 /// Boots stay below 2^53, so that every JSON reader keeps them exactly.
 const BOOT_SHIFT: u32 = 11;
 
@@ -269,5 +391,6 @@
         "limits": core.limiter.dump(),
         "routing": core.router.dump(),
         "queues": core.queues.dump(),
+        "board": core.board.dump(),
     })
 }
--- a/crates/cranberrygap-entry/src/queue.rs
+++ b/crates/cranberrygap-entry/src/queue.rs
@@ -3,13 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use cranberrygap_link::clock;
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_policy::fairness;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
-use crate::clock;
-
 /// Queues kept although nobody waits or runs there; the rest is forgotten.
 const MOST_IDLE: usize = 1_024;
 
--- a/crates/cranberrygap-entry/src/server.rs
+++ b/crates/cranberrygap-entry/src/server.rs
@@ -2,7 +2,7 @@
 
 mod announcements;
 mod bound;
-mod socket;
+pub(crate) mod socket;
 
 use std::sync::Arc;
 
--- a/crates/cranberrygap-entry/src/sse.rs
+++ b/crates/cranberrygap-entry/src/sse.rs
@@ -36,6 +36,12 @@
         Ok(())
     }
 
+    /// Whether nothing of a further event has arrived.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// The next whole event with its border.
     pub fn next_event(&mut self) -> Option<Bytes> {
         let end = find(&self.buffer, BORDER)? + BORDER.len();
--- a/crates/cranberrygap-entry/src/trace.rs
+++ b/crates/cranberrygap-entry/src/trace.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use cadence::{Counted as _, StatsdClient};
+use cranberrygap_link::clock;
 use cranberrygap_model::id;
 use cranberrygap_trace::{note, ring};
 use cranberrygap_wire::trace;
 
-use crate::core;
 use crate::metric;
 use crate::refusal::Refusal;
 
@@ -40,7 +40,7 @@
         sentence: impl fmt::Display,
         facts: &[(&'static str, &dyn fmt::Display)],
     ) {
-        let mut note = note::Note::new(core::Core::unix_millis(), about, code, sentence);
+        let mut note = note::Note::new(clock::unix_millis(), about, code, sentence);
         for (name, value) in facts {
             note = note.fact(name, value);
         }
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -1,6 +1,7 @@
 //! What this entry knows of the replicated state, and until when it may use it.
 
 mod snapshot;
+pub mod traffic;
 
 use std::sync::Arc;
 
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -7,6 +7,8 @@
 use cranberrygap_wire::{configuration, endpoint, view};
 use smol_str::SmolStr;
 
+use super::traffic;
+
 /// The view at one revision. It never changes; the next revision is a new one.
 ///
 /// Parts are shared between revisions, so that a change copies only its part.
@@ -20,6 +22,8 @@
     members: Arc<BTreeMap<id::Instance, view::Member>>,
     quarantines: Arc<BTreeMap<SmolStr, view::Quarantine>>,
     workspaces: Arc<Vec<id::Workspace>>,
+    traffic: Option<Arc<traffic::Table>>,
+    residencies: Arc<BTreeMap<id::Endpoint, view::Residency>>,
 }
 
 impl Snapshot {
@@ -33,6 +37,10 @@
             members: Arc::new(keyed(state.members, |member| member.instance.clone())),
             quarantines: Arc::new(keyed(state.quarantines, |q| q.fingerprint.clone())),
             workspaces: Arc::new(state.workspaces),
+            residencies: Arc::new(keyed(state.residencies, |told| told.endpoint.clone())),
+            traffic: state
+                .traffic
+                .map(|plan| Arc::new(traffic::Table::new(plan))),
         }
     }
 
@@ -65,6 +73,7 @@
             }
             view::Change::EndpointRemoved { endpoint } => {
                 Arc::make_mut(&mut self.endpoints).remove(&endpoint);
+                Arc::make_mut(&mut self.residencies).remove(&endpoint);
             }
             view::Change::MemberChanged { member } => {
                 Arc::make_mut(&mut self.members).insert(member.instance.clone(), member);
@@ -76,6 +85,13 @@
             view::Change::Released { fingerprint } => {
                 Arc::make_mut(&mut self.quarantines).remove(&fingerprint);
             }
+            view::Change::Resided { residency } => {
+                let name = residency.endpoint.clone();
+                Arc::make_mut(&mut self.residencies).insert(name, residency);
+            }
+            view::Change::Rerouted { plan } => {
+                self.traffic = Some(Arc::new(traffic::Table::new(plan)));
+            }
             view::Change::WorkspaceAdded { workspace } => {
                 Arc::make_mut(&mut self.workspaces).push(workspace);
             }
@@ -141,6 +157,24 @@
         &self.workspaces
     }
 
+    /// The traffic plan with its indexes, once there is one.
+    #[must_use]
+    pub fn traffic(&self) -> Option<&Arc<traffic::Table>> {
+        self.traffic.as_ref()
+    }
+
+    /// What the leader says of endpoints' memory beyond what they announce.
+    #[must_use]
+    pub fn residencies(&self) -> &Arc<BTreeMap<id::Endpoint, view::Residency>> {
+        &self.residencies
+    }
+
+    /// Control processes that belong to the group.
+    pub fn controls(&self) -> impl Iterator<Item = &view::Member> {
+        let members = self.members.values();
+        members.filter(|m| m.role == view::Role::Control && m.phase != view::Phase::Left)
+    }
+
     /// Entries that take callers.
     pub fn active_entries(&self) -> impl Iterator<Item = &view::Member> {
         let members = self.members.values();
--- a/crates/cranberrygap-entry/tests/queues.rs
+++ b/crates/cranberrygap-entry/tests/queues.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_entry::{clock, queue};
+use cranberrygap_entry::queue;
+use cranberrygap_link::clock;
 use cranberrygap_model::{duration, token};
 use tokio::sync::mpsc;
 
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -6,6 +6,8 @@
 
 fn state() -> wire_view::State {
     wire_view::State {
+        traffic: None,
+        residencies: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-link/src/credential.rs
+++ b/crates/cranberrygap-link/src/credential.rs
@@ -122,6 +122,14 @@
         Self { key }
     }
 
+    /// What processes show each other on a network that keeps strangers out by
+    /// itself. It is no secret; settings must ask for it by name.
+    #[must_use]
+    pub fn trusted_network() -> Self {
+        let key = blake3::derive_key(CONTEXT, b"a network that is trusted");
+        Self { key }
+    }
+
     /// A secret from its bytes; `None` when there are too few.
     #[must_use]
     pub fn new(content: &[u8]) -> Option<Self> {
--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -7,6 +7,7 @@
 //! can neither add, change nor repeat a message. The content is not encrypted.
 
 pub mod client;
+pub mod clock;
 pub mod credential;
 pub mod error;
 pub mod handshake;
--- /dev/null
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -0,0 +1,212 @@
+//! Adapters: fetched when a request needs one, dropped when room is short.
+
+use cranberrygap_model::{duration, id};
+use smol_str::SmolStr;
+
+use super::{Book, Output, Waiter};
+use crate::residency::order;
+use crate::residency::runner;
+
+/// Time from the acceptance of an adapter's load until requests may use it. The
+/// largest took 9.7 ms on the users' runners; the rest is for the way of the order.
+const FETCH: duration::Span = duration::Span::from_millis(12);
+
+/// Longest wait for an adapter; whoever asked tries another way then.
+const PATIENCE: duration::Span = duration::Span::from_millis(900);
+
+/// Time since its last use for which an adapter is not dropped. Requests for it
+/// may be under way to the runner.
+const IN_USE: duration::Span = duration::Span::from_millis(1_500);
+
+impl Book {
+    /// Asks for an adapter on behalf of a request; the ticket comes back in
+    /// [`Output::Place`].
+    ///
+    /// `missing` tells that the preferred runner said that it lacks the adapter.
+    pub fn want(
+        &mut self,
+        now: duration::Instant,
+        ticket: u64,
+        adapter: &runner::Adapter,
+        preferred: &id::Endpoint,
+        missing: bool,
+    ) {
+        if missing && let Some(runner) = self.runners.get_mut(preferred) {
+            runner.adapters.remove(adapter);
+            runner.accepted = None;
+            self.changed.insert(preferred.clone());
+        }
+        let endpoint = self.choose(now, adapter, preferred);
+        let mut waiter = Waiter {
+            ticket,
+            endpoint: endpoint.clone().unwrap_or_else(|| preferred.clone()),
+            adapter: adapter.clone(),
+            ready: None,
+            deadline: now.after(PATIENCE),
+        };
+        match endpoint.and_then(|name| self.runners.get_mut(&name)) {
+            None => waiter.deadline = now,
+            Some(runner) => match runner.adapters.get_mut(adapter) {
+                Some(used) => {
+                    *used = now;
+                    waiter.ready = Some(now);
+                }
+                None if runner.wanted.contains(adapter) => {}
+                None => runner.wanted.push_back(adapter.clone()),
+            },
+        }
+        self.waiters.push(waiter);
+    }
+
+    /// The runner that has or should get an adapter.
+    fn choose(
+        &self,
+        now: duration::Instant,
+        adapter: &runner::Adapter,
+        preferred: &id::Endpoint,
+    ) -> Option<id::Endpoint> {
+        let serving = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| runner.serves(&adapter.0));
+        let best = serving.min_by_key(|(name, runner)| {
+            let there = runner.adapters.contains_key(adapter) || runner.wanted.contains(adapter);
+            let blocked = runner.carried.is_some() || now < runner.adapters_after;
+            let full = runner.adapters.len() >= self.engine.adapter_slots;
+            // The wish of the entry goes first unless the runner cannot take it now.
+            let wished = *name == preferred;
+            (
+                blocked && !there,
+                !(wished || there),
+                !wished,
+                full,
+                runner.adapters.len(),
+            )
+        });
+        best.map(|(name, _)| name.clone())
+    }
+
+    /// Adapters that requests used of late.
+    pub fn used(&mut self, now: duration::Instant, adapter: &runner::Adapter) {
+        for runner in self.runners.values_mut() {
+            if let Some(used) = runner.adapters.get_mut(adapter) {
+                *used = now;
+            }
+        }
+    }
+
+    /// The next order about adapters at a runner.
+    pub(super) fn next_adapter(
+        &mut self,
+        now: duration::Instant,
+        name: &id::Endpoint,
+    ) -> Option<order::Action> {
+        let slots = self.engine.adapter_slots;
+        let runner = self.runners.get_mut(name)?;
+        if now < runner.adapters_after {
+            return None;
+        }
+        loop {
+            let wanted = runner.wanted.front()?.clone();
+            if runner.adapters.contains_key(&wanted) || !runner.serves(&wanted.0) {
+                runner.wanted.pop_front();
+                continue;
+            }
+            let adapters = runner.adapters.keys().map(|(model, _)| model);
+            let with_it = adapters.chain(std::iter::once(&wanted.0));
+            let coming = runner
+                .coming()
+                .filter(|model| !runner.models.contains(*model));
+            let models = runner.models.iter().chain(coming);
+            let fits = self.engine.taken(models, with_it) <= self.engine.memory.0;
+            if runner.adapters.len() < slots && fits {
+                return Some(order::Action::LoadAdapter(wanted.0, wanted.1));
+            }
+            return runner.idle_adapter(now);
+        }
+    }
+
+    pub(super) fn adapter_done(
+        &mut self,
+        now: duration::Instant,
+        name: &id::Endpoint,
+        action: &order::Action,
+    ) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        match action {
+            order::Action::LoadAdapter(model, adapter) => {
+                let key = (model.clone(), adapter.clone());
+                runner.wanted.retain(|wanted| *wanted != key);
+                runner.adapters.insert(key.clone(), now);
+                let waiting = self.waiters.iter_mut();
+                let same = |waiter: &&mut Waiter| waiter.endpoint == *name && waiter.adapter == key;
+                for waiter in waiting.filter(same) {
+                    waiter.ready.get_or_insert(now.after(FETCH));
+                }
+            }
+            order::Action::UnloadAdapter(model, adapter) => {
+                runner.adapters.remove(&(model.clone(), adapter.clone()));
+            }
+            order::Action::Load(_) | order::Action::Unload(_) => {}
+        }
+        self.changed.insert(name.clone());
+    }
+
+    /// A runner does not take an adapter; whoever waits for it learns so at once.
+    pub(super) fn give_up_adapter(&mut self, name: &id::Endpoint, action: &order::Action) {
+        let order::Action::LoadAdapter(model, adapter) = action else {
+            return;
+        };
+        let key = (model.clone(), adapter.clone());
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.wanted.retain(|wanted| *wanted != key);
+        }
+        for waiter in &mut self.waiters {
+            if waiter.endpoint == *name && waiter.adapter == key {
+                waiter.deadline = duration::Instant(0);
+            }
+        }
+    }
+
+    /// Answers who waits for an adapter that is there, or has waited too long.
+    pub(super) fn settle_waiters(&mut self, now: duration::Instant, outputs: &mut Vec<Output>) {
+        let runners = &self.runners;
+        self.waiters.retain(|waiter| {
+            let runner = runners.get(&waiter.endpoint);
+            let there = runner.is_some_and(|runner| runner.adapters.contains_key(&waiter.adapter));
+            if there && waiter.ready.is_some_and(|ready| now >= ready) {
+                outputs.push(Output::Place(waiter.ticket, Some(waiter.endpoint.clone())));
+                return false;
+            }
+            if now >= waiter.deadline {
+                outputs.push(Output::Place(waiter.ticket, None));
+                return false;
+            }
+            true
+        });
+    }
+
+    /// When somebody who waits can be answered next, if that is known.
+    #[must_use]
+    pub fn wake(&self) -> Option<duration::Instant> {
+        let ready = self.waiters.iter().filter_map(|waiter| waiter.ready);
+        ready.min()
+    }
+}
+
+impl runner::Runner {
+    /// The order that drops the adapter that was used least of late.
+    fn idle_adapter(&self, now: duration::Instant) -> Option<order::Action> {
+        let idle = self
+            .adapters
+            .iter()
+            .filter(|(_, used)| now.since(**used) >= IN_USE);
+        let ((model, adapter), _) = idle.min_by_key(|(_, used)| **used)?;
+        Some(order::Action::UnloadAdapter(
+            model.clone(),
+            SmolStr::clone(adapter),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -0,0 +1,153 @@
+//! Moves of whole models: begun by the plan, carried out step by step.
+
+use cranberrygap_model::{duration, id};
+
+use super::{Book, LOADS_AT_ONCE, Output, REPEAT_AFTER, RETIRE_AFTER};
+use crate::residency::order;
+use crate::residency::plan;
+use crate::residency::runner;
+
+/// Moves that one look may begin; the next look sees what they change.
+const MOVES_A_LOOK: usize = 6;
+
+impl Book {
+    /// Begins the moves that are worth their cost.
+    pub(super) fn plan(&mut self, now: duration::Instant) {
+        for _move in 0..MOVES_A_LOOK {
+            let open = self.ceiling.is_open(now) && self.loading_from_store() < LOADS_AT_ONCE;
+            let board = plan::Board::new(&self.engine, &self.runners, &self.demand, open);
+            let Some(wish) = board.next() else {
+                return;
+            };
+            self.begin(now, wish);
+        }
+    }
+
+    fn begin(&mut self, now: duration::Instant, wish: plan::Wish) {
+        let weights = self.engine.models.get(&wish.load).copied();
+        let Some(runner) = self.runners.get_mut(&wish.endpoint) else {
+            return;
+        };
+        let counted = weights.is_some_and(|weights| runner.load_time(&wish.load, &weights).1);
+        // Counted when the load is decided on: it begins within a second or two, and
+        // another move must not spend the same allowance meanwhile.
+        if counted {
+            self.ceiling.take(now);
+        }
+        runner.moving = Some(match wish.victim {
+            Some(victim) => runner::Move::Retiring {
+                victim,
+                load: Some(wish.load),
+                told: None,
+            },
+            None => runner::Move::Loading(wish.load),
+        });
+        self.changed.insert(wish.endpoint);
+    }
+
+    /// The entries know what a runner is about to drop.
+    pub fn told(&mut self, now: duration::Instant, name: &id::Endpoint) {
+        let runner = self.runners.get_mut(name);
+        if let Some(runner::Move::Retiring { told, .. }) =
+            runner.and_then(|runner| runner.moving.as_mut())
+        {
+            told.get_or_insert(now);
+        }
+    }
+
+    /// Sends what is due next at each runner.
+    pub(super) fn advance(&mut self, now: duration::Instant, outputs: &mut Vec<Output>) {
+        let names: Vec<id::Endpoint> = self.runners.keys().cloned().collect();
+        for name in names {
+            if let Some(order) = self.repeat(now, &name) {
+                outputs.push(Output::Send(order));
+                continue;
+            }
+            let Some(action) = self.next_action(now, &name) else {
+                continue;
+            };
+            let number = self.next_number();
+            let Some(runner) = self.runners.get_mut(&name) else {
+                continue;
+            };
+            let Some(expect) = runner.accepted else {
+                continue;
+            };
+            let order = order::Order {
+                number,
+                endpoint: name,
+                boot: runner.boot,
+                address: runner.address,
+                expect,
+                action,
+            };
+            runner.sent = Some(runner::Sent {
+                order: order.clone(),
+                at: now,
+            });
+            outputs.push(Output::Send(order));
+        }
+    }
+
+    /// The order without an answer, when it is time to send it again.
+    fn repeat(&mut self, now: duration::Instant, name: &id::Endpoint) -> Option<order::Order> {
+        let runner = self.runners.get_mut(name)?;
+        let ready = runner.ready;
+        let sent = runner.sent.as_mut()?;
+        if !ready || now < sent.at.after(REPEAT_AFTER) {
+            return None;
+        }
+        sent.at = now;
+        Some(sent.order.clone())
+    }
+
+    fn next_action(
+        &mut self,
+        now: duration::Instant,
+        name: &id::Endpoint,
+    ) -> Option<order::Action> {
+        let runner = self.runners.get_mut(name)?;
+        if runner.sent.is_some() || runner.accepted.is_none() || !runner.ready {
+            return None;
+        }
+        if runner.carried.is_none() {
+            match &runner.moving {
+                Some(runner::Move::Retiring {
+                    victim,
+                    load,
+                    told: Some(told),
+                }) if now >= told.after(RETIRE_AFTER) => {
+                    let (victim, load) = (victim.clone(), load.clone());
+                    runner.moving = Some(runner::Move::Unloading {
+                        victim: victim.clone(),
+                        load,
+                    });
+                    return Some(order::Action::Unload(victim));
+                }
+                Some(runner::Move::Unloading { victim, .. }) => {
+                    return Some(order::Action::Unload(victim.clone()));
+                }
+                Some(runner::Move::Loading(model)) => {
+                    let model = model.clone();
+                    return self.checked_load(name, model);
+                }
+                _ => {}
+            }
+        }
+        self.next_adapter(now, name)
+    }
+
+    /// The load, if it fits into what the runner certainly has; else it is dropped.
+    fn checked_load(&mut self, name: &id::Endpoint, model: id::Model) -> Option<order::Action> {
+        let size = self.engine.models.get(&model)?.size.0;
+        let runner = self.runners.get_mut(name)?;
+        let adapters = runner.adapters.keys().map(|(model, _)| model);
+        let taken = self.engine.taken(runner.models.iter(), adapters);
+        if runner.models.contains(&model) || taken + size > self.engine.memory.0 {
+            runner.moving = None;
+            self.changed.insert(name.clone());
+            return None;
+        }
+        Some(order::Action::Load(model))
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -0,0 +1,229 @@
+//! Which model a runner should load next, and which it should drop for that.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::id;
+
+use super::engine;
+use super::runner;
+
+/// Work that one runner does in a second, in prompt tokens: 22.1 are read in a
+/// millisecond by the engines that the users measured.
+pub const RUNNER_RATE: f64 = 22_100.0;
+
+/// Part of a runner's time at which its models get a further copy. Half busy, a
+/// prompt waits on average half as long as it takes to read; above that the wait
+/// grows fast, and a load takes seconds to help.
+const BUSY: f64 = 0.40;
+
+/// Load of the new place against that of the best present one, above which a
+/// further copy gains too little for the load that it costs.
+const RELIEF: f64 = 0.65;
+
+/// Loss of a victim against the gain of what takes its place. Below one, so that
+/// two models of about the same demand do not drive each other out by turns.
+const WORTH: f64 = 0.6;
+
+/// Parts into which a model's demand is cut when it is spread over its copies.
+const PARTS: u32 = 8;
+
+/// Work a second that stands for "nobody asked of late".
+const SILENT: f64 = 1.0;
+
+/// A model to load, and one to drop first if room is short.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wish {
+    /// Where.
+    pub endpoint: id::Endpoint,
+    /// What comes.
+    pub load: id::Model,
+    /// What goes.
+    pub victim: Option<id::Model>,
+}
+
+/// Runners of one service and the demand that they see.
+#[derive(Debug)]
+pub struct Board<'book> {
+    engine: &'book engine::Engine,
+    runners: &'book BTreeMap<id::Endpoint, runner::Runner>,
+    demand: &'book BTreeMap<id::Model, f64>,
+    store_open: bool,
+    copies: BTreeMap<&'book id::Model, Vec<&'book id::Endpoint>>,
+    load: BTreeMap<&'book id::Endpoint, f64>,
+}
+
+impl<'book> Board<'book> {
+    /// Spreads `demand`, in prompt tokens a second, over the copies that there are
+    /// or will be.
+    #[must_use]
+    pub fn new(
+        engine: &'book engine::Engine,
+        runners: &'book BTreeMap<id::Endpoint, runner::Runner>,
+        demand: &'book BTreeMap<id::Model, f64>,
+        store_open: bool,
+    ) -> Self {
+        let mut copies: BTreeMap<&id::Model, Vec<&id::Endpoint>> = BTreeMap::new();
+        for (name, runner) in runners.iter().filter(|(_, runner)| runner.ready) {
+            for model in runner.settled() {
+                copies.entry(model).or_default().push(name);
+            }
+        }
+        let mut board = Self {
+            engine,
+            runners,
+            demand,
+            store_open,
+            copies,
+            load: runners.keys().map(|name| (name, 0.0)).collect(),
+        };
+        board.spread();
+        board
+    }
+
+    /// Gives each part of a model's demand to its least loaded copy, models with
+    /// few copies first, since they have the least choice.
+    fn spread(&mut self) {
+        let mut models: Vec<(&id::Model, f64)> = self
+            .demand
+            .iter()
+            .map(|(model, work)| (model, *work))
+            .collect();
+        models.sort_by_key(|(model, _)| self.count(model));
+        for (model, work) in models {
+            let Some(copies) = self.copies.get(model) else {
+                continue;
+            };
+            for _part in 0..PARTS {
+                let least = copies.iter().min_by(|left, right| {
+                    let (left, right) = (self.load[**left], self.load[**right]);
+                    left.total_cmp(&right)
+                });
+                if let Some(load) = least.and_then(|name| self.load.get_mut(*name)) {
+                    *load += work / f64::from(PARTS) / RUNNER_RATE;
+                }
+            }
+        }
+    }
+
+    /// Number of copies that a model has or will have.
+    #[must_use]
+    pub fn count(&self, model: &id::Model) -> usize {
+        self.copies.get(model).map_or(0, Vec::len)
+    }
+
+    /// Part of a runner's time that its models take.
+    #[must_use]
+    pub fn load(&self, endpoint: &id::Endpoint) -> f64 {
+        self.load.get(endpoint).copied().unwrap_or_default()
+    }
+
+    /// The most useful move, if any is worth its cost.
+    #[must_use]
+    pub fn next(&self) -> Option<Wish> {
+        let mut wanted: Vec<(f64, &id::Model)> = self.pressures();
+        wanted.sort_by(|left, right| right.0.total_cmp(&left.0));
+        wanted.into_iter().find_map(|(_, model)| self.place(model))
+    }
+
+    /// Models that need a copy, with what is lost while they wait for it.
+    fn pressures(&self) -> Vec<(f64, &'book id::Model)> {
+        let models = self.engine.models.keys();
+        let pressed = models.filter_map(|model| {
+            let work = self.demand.get(model).copied().unwrap_or_default();
+            let Some(least) = self.least_load(model) else {
+                // Nobody can be served; any demand goes before mere comfort, and
+                // without demand the model must still come back in the end.
+                let pressure = if work > SILENT { 1e9 + work } else { 0.0 };
+                return Some((pressure, model));
+            };
+            (least > BUSY).then_some((least * work, model))
+        });
+        pressed.collect()
+    }
+
+    fn least_load(&self, model: &id::Model) -> Option<f64> {
+        let copies = self.copies.get(model)?.iter();
+        copies.map(|name| self.load(name)).reduce(f64::min)
+    }
+
+    fn place(&self, model: &'book id::Model) -> Option<Wish> {
+        let weights = self.engine.models.get(model)?;
+        let present = self.least_load(model);
+        let idle = self.runners.iter().filter(|(_, runner)| runner.is_idle());
+        let options = idle.filter_map(|(name, runner)| {
+            if runner.models.contains(model) {
+                return None;
+            }
+            let (time, counted) = runner.load_time(model, weights);
+            if counted && !self.store_open {
+                return None;
+            }
+            let load = self.load(name);
+            if present.is_some_and(|present| load > present * RELIEF) {
+                return None;
+            }
+            let room = runner.free(self.engine) >= weights.size.0;
+            let victim = if room {
+                None
+            } else {
+                Some(self.victim(name, runner, model)?)
+            };
+            // A second of load time weighs as much as a tenth of a runner's time.
+            let cost = load + time.as_secs_f64() * 0.1;
+            Some((cost, name, victim))
+        });
+        let best = options.min_by(|left, right| left.0.total_cmp(&right.0));
+        let (_, name, victim) = best?;
+        Some(Wish {
+            endpoint: name.clone(),
+            load: model.clone(),
+            victim: victim.cloned(),
+        })
+    }
+
+    /// The model at a runner whose copy is missed least, if `coming` is worth more.
+    ///
+    /// The last copy of a model never goes: its callers would have to wait for a
+    /// load, and if that failed it could not be reached at all.
+    fn victim(
+        &self,
+        name: &id::Endpoint,
+        runner: &'book runner::Runner,
+        coming: &id::Model,
+    ) -> Option<&'book id::Model> {
+        let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
+        let needed = size(coming)?;
+        let free = runner.free(self.engine);
+        let gain = self.gain(coming);
+        let fitting = runner.models.iter().filter(|model| {
+            let enough = free + size(model).unwrap_or_default() >= needed;
+            enough && self.count_elsewhere(name, model) > 0
+        });
+        let cheapest = fitting.min_by(|left, right| self.loss(left).total_cmp(&self.loss(right)));
+        cheapest.filter(|model| self.loss(model) < gain * WORTH)
+    }
+
+    /// Confirmed copies at other runners; one that is only on its way may fail.
+    fn count_elsewhere(&self, name: &id::Endpoint, model: &id::Model) -> usize {
+        let others = self.runners.iter().filter(|(other, _)| *other != name);
+        others.filter(|(_, runner)| runner.serves(model)).count()
+    }
+
+    /// Work that one more copy takes off each of the others.
+    fn gain(&self, model: &id::Model) -> f64 {
+        let work = self.demand.get(model).copied().unwrap_or_default();
+        match self.count(model) {
+            0 => f64::MAX,
+            copies => work / (copies * (copies + 1)) as f64,
+        }
+    }
+
+    /// Work that one copy less puts on each of the others.
+    fn loss(&self, model: &id::Model) -> f64 {
+        let work = self.demand.get(model).copied().unwrap_or_default();
+        match self.count(model) {
+            0 | 1 => f64::MAX,
+            copies => work / (copies * (copies - 1)) as f64,
+        }
+    }
+}
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod load;
 pub mod pending;
 pub mod prefix;
+pub mod prompt;
 pub mod router;
--- /dev/null
+++ b/crates/cranberrygap-routing/src/prompt/engine.rs
@@ -0,0 +1,99 @@
+//! The choice among the engines that hold a model.
+
+use cranberrygap_model::{duration, id};
+
+use super::tally;
+
+/// Part of its shared tokens that a session is taken to find at the engine that it
+/// belongs to, while this entry has not sent it there itself.
+const LIKELY_KEPT: f64 = 0.6;
+
+/// Weight of a recent failure: it counts like a wait of so long.
+const FAILURE: duration::Span = duration::Span::from_millis(400);
+
+/// What is known of one engine that could serve a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'known> {
+    /// Its name.
+    pub endpoint: &'known id::Endpoint,
+    /// What waits there.
+    pub tally: tally::Tally,
+    /// Tokens of the prompt that this entry knows to be kept there.
+    pub kept: u64,
+    /// Whether the prompt's session belongs there.
+    pub home: bool,
+    /// Whether it lies in this entry's failure domain.
+    pub near: bool,
+    /// Whether it holds the adapter that is wanted, if one is.
+    pub ready: bool,
+    /// Part of the requests sent there of late that it failed, 0 to 1.
+    pub failing: f64,
+}
+
+/// A request as the choice sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// Its rank, 0 is the most urgent.
+    pub rank: usize,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Prompt tokens that others share.
+    pub shared: u64,
+    /// What an engine in another failure domain costs beyond one that is near,
+    /// counted as waiting time.
+    pub far: duration::Span,
+    /// What an adapter that has to be fetched costs, counted as waiting time.
+    pub fetch: duration::Span,
+}
+
+/// An engine and what to expect of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The engine.
+    pub endpoint: id::Endpoint,
+    /// Predicted time to the first event.
+    pub first_event: duration::Span,
+    /// Prompt tokens that it has to read.
+    pub fresh: u64,
+}
+
+/// The engine with the earliest first event, costs counted as time.
+#[must_use]
+pub fn choose<'known>(
+    wanted: &Wanted,
+    candidates: impl Iterator<Item = Candidate<'known>>,
+) -> Option<Choice> {
+    let scored = candidates.map(|candidate| {
+        let fresh = fresh(wanted, &candidate);
+        let first_event = tally::first_event(&candidate.tally, wanted.rank, fresh);
+        let far = if candidate.near { 0 } else { wanted.far.0 };
+        let fetch = if candidate.ready { 0 } else { wanted.fetch.0 };
+        let cost = first_event.0 + far + fetch + scale(FAILURE.0, candidate.failing);
+        (cost, candidate.endpoint, first_event, fresh)
+    });
+    let best = scored.min_by_key(|(cost, endpoint, ..)| (*cost, *endpoint));
+    best.map(|(_, endpoint, first_event, fresh)| Choice {
+        endpoint: endpoint.clone(),
+        first_event,
+        fresh,
+    })
+}
+
+fn fresh(wanted: &Wanted, candidate: &Candidate<'_>) -> u64 {
+    let likely = if candidate.home {
+        scale(wanted.shared, LIKELY_KEPT)
+    } else {
+        0
+    };
+    wanted.prompt.saturating_sub(candidate.kept.max(likely))
+}
+
+fn scale(amount: u64, factor: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a positive number"
+    )]
+    let scaled = (amount as f64 * factor.clamp(0.0, 1.0)) as u64;
+    scaled
+}
--- a/crates/cranberrygap-standin/src/booking.rs
+++ b/crates/cranberrygap-standin/src/booking.rs
@@ -174,6 +174,7 @@
     fn announcement(&self) -> endpoint::Announcement {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         endpoint::Announcement {
+            details: None,
             accelerators: 0,
             address: self.settings.address,
             boot: self.boot,
--- a/crates/cranberrygap-standin/src/engine/state.rs
+++ b/crates/cranberrygap-standin/src/engine/state.rs
@@ -191,6 +191,7 @@
         let orders = self.orders.lock();
         let memory = self.memory.lock();
         endpoint::Announcement {
+            details: None,
             accelerators: self.settings.accelerators,
             address: self.settings.address,
             boot: *self.boot.lock(),
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -1,11 +1,13 @@
 //! Commands that the replicated log carries.
 
 use cranberrygap_placement::journal;
-use cranberrygap_wire::operator;
+use cranberrygap_wire::{operator, view};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{catalogue, claim, configuration, endpoint, group, key, member, quarantine, share};
+use crate::{
+    catalogue, claim, configuration, endpoint, group, key, member, quarantine, share, traffic,
+};
 
 /// A command and the leader's clock when it was proposed.
 ///
@@ -43,6 +45,10 @@
     Share(share::Step),
     /// Orders to endpoints.
     Order(journal::Record),
+    /// A new traffic plan.
+    Traffic(Box<traffic::Step>),
+    /// Models and adapters that move at an endpoint.
+    Residency(view::Residency),
     /// Takes an entry, control or endpoint out of service by its name.
     Drain(operator::Drain),
 }
@@ -62,6 +68,8 @@
             | Self::Claim(_)
             | Self::Order(_)
             | Self::Quarantine(_)
+            | Self::Traffic(_)
+            | Self::Residency(_)
             | Self::Share(_) => None,
         }
     }
@@ -81,6 +89,8 @@
             Self::Order(_) => SmolStr::new_static("order"),
             Self::Quarantine(_) => SmolStr::new_static("quarantine"),
             Self::Share(_) => SmolStr::new_static("share"),
+            Self::Residency(_) => SmolStr::new_static("residency"),
+            Self::Traffic(step) => format!("traffic plan {}", step.plan.version).into(),
         }
     }
 }
--- a/crates/cranberrygap-state/src/fact.rs
+++ b/crates/cranberrygap-state/src/fact.rs
@@ -54,6 +54,13 @@
                 "endpoint": step.crash.endpoint, "changes": changes,
             }),
         ),
+        command::Command::Traffic(step) if !changes.is_empty() => (
+            "configuration",
+            SmolStr::new_static("operator"),
+            serde_json::json!({
+                "traffic": step.plan.version, "text": full_hash(&step.source),
+            }),
+        ),
         command::Command::Order(record) => (
             "order",
             SmolStr::new_static("leader"),
@@ -63,6 +70,8 @@
         command::Command::Member(_)
         | command::Command::Quarantine(_)
         | command::Command::Share(_)
+        | command::Command::Traffic(_)
+        | command::Command::Residency(_)
         | command::Command::Catalogue(_)
         | command::Command::Endpoint(_) => return None,
     };
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     answer, audit, catalogue, change, claim, command, configuration, endpoint, fact, history, key,
-    member, quarantine, share,
+    member, quarantine, residency, share, traffic,
 };
 
 /// Everything that the fleet has agreed on.
@@ -40,6 +40,12 @@
     /// Orders to endpoints that may still take effect.
     #[serde(default)]
     pub orders: journal::Journal,
+    /// Models and adapters that move.
+    #[serde(default)]
+    pub residencies: residency::Residencies,
+    /// The traffic plan.
+    #[serde(default)]
+    pub traffic: traffic::State,
     /// First answers by change id.
     pub changes: change::Memory,
     /// What operators changed.
@@ -89,7 +95,11 @@
             command::Command::Configuration(step) => self.configuration.apply(revision, at, step),
             command::Command::Catalogue(step) => (answer::Answer::Done, self.catalogue.apply(step)),
             command::Command::Key(step) => self.keys.apply(revision, step),
-            command::Command::Endpoint(step) => self.endpoints.apply(step),
+            command::Command::Endpoint(step) => {
+                let outcome = self.endpoints.apply(step);
+                self.residencies.follow(&outcome.1);
+                outcome
+            }
             command::Command::Member(step) => self.apply_member(step),
             command::Command::Claim(step) => {
                 let terms = self.claim_terms();
@@ -110,6 +120,10 @@
                 let answer = if taken { answer::Answer::Done } else { refused };
                 (answer, Vec::new())
             }
+            command::Command::Residency(told) => {
+                (answer::Answer::Done, self.residencies.apply(told))
+            }
+            command::Command::Traffic(step) => self.traffic.apply(step),
             command::Command::Drain(drain) => self.drain(drain),
         };
         if is_taken(&outcome.0)
@@ -167,6 +181,8 @@
             members: self.members.iter().cloned().collect(),
             quarantines: self.quarantines.refused().collect(),
             workspaces: self.keys.workspaces().cloned().collect(),
+            traffic: self.traffic.plan().cloned(),
+            residencies: self.residencies.iter().cloned().collect(),
         }
     }
 
@@ -192,6 +208,13 @@
         for key in &mut view.keys {
             key.hash = SmolStr::default();
         }
+        let workspaces = view
+            .traffic
+            .iter_mut()
+            .flat_map(|plan| &mut plan.workspaces);
+        for workspace in workspaces {
+            workspace.keys.fill(SmolStr::default());
+        }
         view
     }
 
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod key;
 pub mod member;
 pub mod quarantine;
+pub mod residency;
 pub mod share;
+pub mod traffic;
 
 mod fact;
--- a/crates/cranberrygap-wire/src/lib.rs
+++ b/crates/cranberrygap-wire/src/lib.rs
@@ -18,5 +18,5 @@
 pub mod method;
 
 pub use generated::{
-    audit, caller, claim, configuration, endpoint, operator, settings, share, trace, view,
+    audit, caller, claim, configuration, endpoint, operator, settings, share, trace, traffic, view,
 };
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -14,6 +14,8 @@
 pub const CRASH_REPORT: &str = "crash_report";
 /// An entry asks to run a suspect on an endpoint (`claim::Leave` to a boolean).
 pub const SUSPECT_LEAVE: &str = "suspect_leave";
+/// An entry asks for an adapter (`traffic::Want` to `traffic::Placed`).
+pub const ADAPTER_WANT: &str = "adapter_want";
 /// A message of the agreement protocol between control processes.
 pub const AGREEMENT: &str = "agreement";
 
--- a/crates/cranberrygap/src/daemon.rs
+++ b/crates/cranberrygap/src/daemon.rs
@@ -5,5 +5,7 @@
 pub mod launch;
 pub mod log;
 pub mod metrics;
+mod secret;
 pub mod settings;
 pub mod signal;
+pub mod watch;
--- a/crates/cranberrygap/src/daemon/control.rs
+++ b/crates/cranberrygap/src/daemon/control.rs
@@ -1,15 +1,18 @@
 //! Runs a control process until a signal stops it.
 
+use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cadence::Gauged as _;
 
-use cranberrygap_control::process;
+use cranberrygap_control::{process, public, residency};
 use cranberrygap_link::credential;
 use cranberrygap_model::address;
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
+use super::secret::fleet_secrets;
 use super::{launch, metrics, signal};
 
 /// Time between two looks at the files with secrets, and at the replica.
@@ -27,29 +30,65 @@
     const DEFINITION: &'static str = "Control";
 
     fn prepare(settings: &settings::Control) -> eyre::Result<process::Secrets> {
-        check_settings(settings)?;
-        secrets(settings)
+        prepare(settings)
     }
 
     fn log(settings: &settings::Control) -> Option<settings::Log> {
         settings.log.clone()
     }
 
-    async fn serve(settings: settings::Control, secrets: process::Secrets) -> eyre::Result<()> {
-        serve(settings, secrets).await
+    async fn serve(
+        settings: settings::Control,
+        secrets: process::Secrets,
+        _file: &Path,
+    ) -> eyre::Result<()> {
+        serve(settings, secrets, None).await
     }
 }
 
-async fn serve(settings: settings::Control, mut held: process::Secrets) -> eyre::Result<()> {
+/// A form in which operators and endpoints speak beside the product's own.
+pub trait Form: std::fmt::Debug {
+    /// How runners take orders.
+    fn runners(&self) -> Arc<dyn residency::Runners>;
+
+    /// Opens the listeners of this form; they serve until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// An address that cannot be listened on.
+    fn listen(&self, settings: &settings::Control, public: public::Public) -> eyre::Result<()>;
+}
+
+/// Runs a control process until a signal stops it.
+///
+/// # Errors
+///
+/// What keeps it from starting, or the replica's failure.
+pub async fn serve(
+    settings: settings::Control,
+    mut held: process::Secrets,
+    form: Option<&dyn Form>,
+) -> eyre::Result<()> {
     let mut signals = signal::Listener::new()?;
     let prefix = format!("cranberrygap.control.{}", settings.control.instance);
     let sent = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
-    let control = process::Process::start(settings.clone(), held.clone()).await?;
+    let control = match form {
+        Some(form) => {
+            let starting =
+                process::Process::start_with(settings.clone(), held.clone(), form.runners());
+            let control = starting.await?;
+            form.listen(&settings, control.public())?;
+            control
+        }
+        None => process::Process::start(settings.clone(), held.clone()).await?,
+    };
     loop {
         let wish = tokio::time::timeout(LOOK, signals.next()).await;
         match wish {
             Ok(signal::Wish::Stop) => break,
             Ok(signal::Wish::Dump) => println!("{}", control.dump().await),
+            // The group's members come from its log; secrets are read each second.
+            Ok(signal::Wish::Reload) => refresh(&settings, &control, &mut held),
             Err(_elapsed) => {
                 refresh(&settings, &control, &mut held);
                 // A metric that cannot be sent is lost.
@@ -82,13 +121,24 @@
     }
 }
 
+/// Checks settings and reads the files that they name.
+///
+/// # Errors
+///
+/// What is wrong, with section and key.
+pub fn prepare(settings: &settings::Control) -> eyre::Result<process::Secrets> {
+    check_settings(settings)?;
+    secrets(settings)
+}
+
 /// Checks what the schema cannot say.
 fn check_settings(settings: &settings::Control) -> eyre::Result<()> {
     let voters = &settings.group.voters;
     let own = &settings.control.instance;
-    let joins = settings.group.join;
+    // A group that is tended takes in by itself who is not among its founders.
+    let joins = settings.group.join || settings.group.tend;
     let listed = voters.iter().any(|voter| voter.instance == *own);
-    if joins && listed {
+    if settings.group.join && listed {
         eyre::bail!(
             "[group] join: {own} is among the voters; write false, or leave it out of them"
         );
@@ -108,7 +158,7 @@
 /// Reads the files that the settings name and checks who may reach operators' methods.
 fn secrets(settings: &settings::Control) -> eyre::Result<process::Secrets> {
     let named = &settings.secrets;
-    let fleet = credential::Secret::read_all(named.fleet.as_str()).wrap_err("[secrets] fleet")?;
+    let fleet = fleet_secrets(named)?;
     let operators = match &named.operator {
         Some(path) => credential::Secret::read_all(path.as_str()).wrap_err("[secrets] operator")?,
         None => vec![loopback(settings.listen.admin)?],
--- a/crates/cranberrygap/src/daemon/entry.rs
+++ b/crates/cranberrygap/src/daemon/entry.rs
@@ -1,14 +1,18 @@
 //! Runs an entry until a signal stops it.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_entry::process;
+use cranberrygap_entry::gateway::dialect;
+use cranberrygap_entry::{desk, process};
 use cranberrygap_link::credential;
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 
-use super::{launch, metrics, signal};
+use super::launch::Daemon as _;
+use super::secret::fleet_secrets;
+use super::{launch, metrics, signal, watch};
 
 /// Time between two looks at the files with secrets.
 const LOOK: Duration = Duration::from_secs(1);
@@ -32,23 +36,60 @@
         settings.log.clone()
     }
 
-    async fn serve(settings: settings::Entry, secrets: process::Secrets) -> eyre::Result<()> {
-        serve(settings, secrets).await
+    async fn serve(
+        settings: settings::Entry,
+        secrets: process::Secrets,
+        file: &Path,
+    ) -> eyre::Result<()> {
+        serve(settings, secrets, file, None).await
     }
 }
 
-async fn serve(settings: settings::Entry, mut held: process::Secrets) -> eyre::Result<()> {
+/// A form in which callers and endpoints speak beside the product's own.
+pub trait Form: std::fmt::Debug {
+    /// How requests of routes are worded.
+    fn dialect(&self) -> Arc<dyn dialect::Dialect>;
+
+    /// Opens the listeners of this form; they serve until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// An address that cannot be listened on.
+    fn listen(&self, settings: &settings::Entry, desk: desk::Desk) -> eyre::Result<()>;
+}
+
+/// Runs an entry until a signal stops it.
+///
+/// # Errors
+///
+/// What keeps it from starting.
+pub async fn serve(
+    mut settings: settings::Entry,
+    mut held: process::Secrets,
+    file: &Path,
+    form: Option<&dyn Form>,
+) -> eyre::Result<()> {
     let mut signals = signal::Listener::new()?;
     let prefix = format!("cranberrygap.entry.{}", settings.entry.instance);
     let metrics = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
     let sent = Arc::clone(&metrics);
-    let entry = process::Process::start(settings.clone(), held.clone(), metrics).await?;
+    let dialect = form.map(Form::dialect);
+    let starting = process::Process::start_with(settings.clone(), held.clone(), metrics, dialect);
+    let entry = starting.await?;
+    if let Some(form) = form {
+        form.listen(&settings, entry.desk())?;
+    }
+    let mut watch = watch::Watch::new(file);
     loop {
         match tokio::time::timeout(LOOK, signals.next()).await {
             Ok(signal::Wish::Stop) => break,
             Ok(signal::Wish::Dump) => println!("{}", entry.dump()),
+            Ok(signal::Wish::Reload) => reload(&mut settings, &entry, file),
             Err(_elapsed) => {
                 refresh(&settings, &entry, &mut held);
+                if watch.has_changed() {
+                    reload(&mut settings, &entry, file);
+                }
                 metrics::flush(&sent);
             }
         }
@@ -57,6 +98,18 @@
     Ok(())
 }
 
+/// Takes changed settings; a file that cannot be used changes nothing.
+fn reload(held: &mut settings::Entry, entry: &process::Process, file: &Path) {
+    match super::settings::read::<settings::Entry>(file, Daemon::DEFINITION) {
+        Ok(found) => {
+            spdlog::info!("entry: takes changed settings");
+            entry.reload(&found);
+            held.secrets = found.secrets;
+        }
+        Err(cause) => spdlog::warn!("entry: keeps the settings as they were: {cause}"),
+    }
+}
+
 /// Takes changed secrets; a file that cannot be used changes nothing.
 fn refresh(settings: &settings::Entry, entry: &process::Process, held: &mut process::Secrets) {
     match secrets(settings) {
@@ -71,9 +124,15 @@
 }
 
 /// Reads the files that the settings name and checks who may reach operators' methods.
-fn secrets(settings: &settings::Entry) -> eyre::Result<process::Secrets> {
+///
+/// # Errors
+///
+/// A file that cannot be used, with section and key.
+pub fn secrets(settings: &settings::Entry) -> eyre::Result<process::Secrets> {
     let named = &settings.secrets;
-    let fleet = credential::Secret::read(named.fleet.as_str()).wrap_err("[secrets] fleet")?;
+    let fleet = fleet_secrets(named)?;
+    let fleet = fleet.into_iter().next();
+    let fleet = fleet.ok_or_else(|| eyre::eyre!("[secrets] fleet: it holds no secret"))?;
     let mut operators = Vec::new();
     if let Some(path) = &named.operator {
         operators = credential::Secret::read_all(path.as_str()).wrap_err("[secrets] operator")?;
--- a/crates/cranberrygap/src/daemon/launch.rs
+++ b/crates/cranberrygap/src/daemon/launch.rs
@@ -1,6 +1,6 @@
 //! The start that both daemons share: arguments, settings, logs, runtime.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -50,6 +50,7 @@
     fn serve(
         settings: Self::Settings,
         secrets: Self::Secrets,
+        file: &Path,
     ) -> impl Future<Output = eyre::Result<()>>;
 }
 
@@ -66,7 +67,7 @@
         println!("{} is right", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    match run::<D>(settings, secrets) {
+    match run::<D>(settings, secrets, &arguments.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => fail::<D>(&cause, ExitCode::FAILURE),
     }
@@ -78,9 +79,21 @@
     Ok((settings, secrets))
 }
 
-fn run<D: Daemon>(settings: D::Settings, secrets: D::Secrets) -> eyre::Result<()> {
+fn run<D: Daemon>(settings: D::Settings, secrets: D::Secrets, file: &Path) -> eyre::Result<()> {
     log::install(&D::log(&settings).unwrap_or_default())?;
-    tokio::runtime::Runtime::new()?.block_on(D::serve(settings, secrets))
+    runtime()?.block_on(D::serve(settings, secrets, file))
+}
+
+/// A runtime with a thread for each core. On an instance with one core a second
+/// thread would only cost switches between the two.
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    let cores = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    let mut builder = if cores > 1 {
+        tokio::runtime::Builder::new_multi_thread()
+    } else {
+        tokio::runtime::Builder::new_current_thread()
+    };
+    builder.enable_all().build()
 }
 
 fn fail<D: Daemon>(cause: &eyre::Report, code: ExitCode) -> ExitCode {
--- a/crates/cranberrygap/src/daemon/log.rs
+++ b/crates/cranberrygap/src/daemon/log.rs
@@ -1,4 +1,4 @@
-//! Logs on standard error, one line a message.
+//! Logs, one line a message: JSON on standard output, text on standard error.
 
 use std::sync::Arc;
 
@@ -6,7 +6,7 @@
 use spdlog::formatter::{JsonFormatter, PatternFormatter, pattern};
 use spdlog::sink::StdStreamSink;
 
-/// Sends all messages of this process to standard error in the wanted form.
+/// Sends all messages of this process where its form belongs.
 ///
 /// # Errors
 ///
@@ -24,10 +24,14 @@
 }
 
 fn sink(format: settings::LogFormat) -> spdlog::Result<Arc<StdStreamSink>> {
-    let builder = StdStreamSink::builder().stderr();
+    let builder = StdStreamSink::builder();
     match format {
-        settings::LogFormat::Json => builder.formatter(JsonFormatter::new()).build_arc(),
+        settings::LogFormat::Json => {
+            let builder = builder.stdout();
+            builder.formatter(JsonFormatter::new()).build_arc()
+        }
         settings::LogFormat::Text => {
+            let builder = builder.stderr();
             let line = pattern!("{date} {time}.{millisecond} {level} {payload}{eol}");
             builder.formatter(PatternFormatter::new(line)).build_arc()
         }
--- a/crates/cranberrygap/src/daemon/signal.rs
+++ b/crates/cranberrygap/src/daemon/signal.rs
@@ -2,12 +2,14 @@
 
 use tokio::signal::unix;
 
-/// SIGTERM and SIGINT ask for a planned stop, SIGUSR1 for a dump.
+/// SIGTERM and SIGINT ask for a planned stop, SIGUSR1 for a dump, SIGHUP for a
+/// reading of changed settings.
 #[derive(Debug)]
 pub struct Listener {
     terminate: unix::Signal,
     interrupt: unix::Signal,
     dump: unix::Signal,
+    reload: unix::Signal,
 }
 
 /// What a signal asks for.
@@ -17,6 +19,8 @@
     Stop,
     /// Print the whole state as one JSON line on standard output.
     Dump,
+    /// Read the settings file again.
+    Reload,
 }
 
 impl Listener {
@@ -30,6 +34,7 @@
             terminate: unix::signal(unix::SignalKind::terminate())?,
             interrupt: unix::signal(unix::SignalKind::interrupt())?,
             dump: unix::signal(unix::SignalKind::user_defined1())?,
+            reload: unix::signal(unix::SignalKind::hangup())?,
         })
     }
 
@@ -39,6 +44,7 @@
             _ = self.terminate.recv() => Wish::Stop,
             _ = self.interrupt.recv() => Wish::Stop,
             _ = self.dump.recv() => Wish::Dump,
+            _ = self.reload.recv() => Wish::Reload,
         }
     }
 }
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -69,11 +69,15 @@
         settings::Control {
             control: identity("control-1"),
             group: settings::ControlGroup {
+                first: true,
+                tend: false,
                 data: self.data.to_string_lossy().into(),
                 join: false,
                 voters: vec![self.peer()],
             },
             listen: settings::ControlListen {
+                public: None,
+                port: 0,
                 admin: self.control_admin,
                 peers: self.peers,
             },
@@ -89,6 +93,7 @@
     pub fn entry(&self) -> settings::Entry {
         settings::Entry {
             control: settings::EntryControl {
+                port: 0,
                 peers: vec![self.peer()],
             },
             entry: identity("entry-1"),
@@ -98,6 +103,10 @@
                 ..settings::EntryLimits::default()
             }),
             listen: settings::EntryListen {
+                gateway: None,
+                directory: None,
+                ready: None,
+                gossip: None,
                 admin: self.entry_admin,
                 advertise: None,
                 callers: self.callers,
@@ -128,7 +137,8 @@
 fn unread() -> settings::Secrets {
     settings::Secrets {
         endpoint: None,
-        fleet: "passed in".into(),
+        fleet: Some("passed in".into()),
+        trusted_network: false,
         operator: None,
     }
 }
