--- a/crates/cranberrygap-control/src/office.rs
+++ b/crates/cranberrygap-control/src/office.rs
@@ -6,10 +6,14 @@
 use cranberrygap_state::{endpoint, fleet, member};
 use cranberrygap_wire::{endpoint as announced, view};
 
-/// Time from sending its confirmation for which an entry may serve. Three
-/// confirmations fit into it. Together with [`LAG`] and the leader's own period
-/// it bounds the time for which a withdrawn key works: below 2 s.
-pub const LEASE: duration::Span = duration::Span::from_millis(1_500);
+/// Time from sending its confirmation for which an entry may serve.
+///
+/// Seven confirmations fit into it, so that entries serve on while a leader that
+/// froze or died is replaced and found, which takes up to two seconds. Together with
+/// [`LAG`] and the leader's own period it bounds the time for which a withdrawn key
+/// works at an entry that is cut off: below 4 s. Entries that are not cut off learn
+/// of it within milliseconds, whatever the lease.
+pub const LEASE: duration::Span = duration::Span::from_millis(3_500);
 
 /// Time by which an entry's view may be behind when its lease is renewed.
 pub const LAG: duration::Span = duration::Span::from_millis(200);
@@ -21,7 +25,7 @@
 
 /// Time without a confirmation after which an entry leaves the address list.
 /// Longer than the lease, so that it serves nobody by then.
-pub const ABSENCE: duration::Span = duration::Span::from_secs(3);
+pub const ABSENCE: duration::Span = duration::Span::from_millis(4_500);
 
 /// Silence after which an endpoint is forgotten that was not leaving.
 pub const OBLIVION: duration::Span = duration::Span::from_secs(600);
--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -15,7 +15,7 @@
 use crate::replicated;
 
 /// Time between heartbeats when nothing changes.
-const HEARTBEAT: Duration = Duration::from_millis(500);
+const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// Time that a subscriber waits for this process to catch up with what the
 /// subscriber has already seen elsewhere.
--- a/crates/cranberrygap-entry/src/control/demand.rs
+++ b/crates/cranberrygap-entry/src/control/demand.rs
@@ -19,6 +19,7 @@
     tokens: u64,
     attained: u64,
     unread: u64,
+    refused: u64,
 }
 
 impl Demand {
@@ -29,8 +30,8 @@
 
     /// Counts a request of a route for a model, and for its adapter if it wants one.
     ///
-    /// Its work is counted in prompt tokens: a generated one takes an engine about
-    /// as long as four that are read, shared with the other requests of its batch.
+    /// Its work is counted in prompt tokens. Generated ones cost an engine little
+    /// beside them: all requests of a batch share a step, which is made anyway.
     pub(crate) fn asked(
         &self,
         model: &id::Model,
@@ -38,10 +39,9 @@
         prompt: u64,
         output: u64,
     ) {
-        const READ_FOR_ONE: u64 = 4;
         self.update(model, |count| {
             count.requests += 1;
-            count.unread += prompt + READ_FOR_ONE * output;
+            count.unread += prompt + output;
         });
         let named = adapter.map(|adapter| format_smolstr!("{model}/{adapter}"));
         if let Some(Ok(named)) = named.map(|named| named.parse::<id::Model>()) {
@@ -49,6 +49,19 @@
         }
     }
 
+    /// A request that was counted was refused. Its caller comes back and is counted
+    /// again, so that it counts for less than one that is served; but without any
+    /// count a model that nobody can be served with would get no copy.
+    pub(crate) fn refused(&self, model: &id::Model, prompt: u64, output: u64) {
+        const REFUSED_TENTHS: u64 = 4;
+        let work = prompt + output;
+        let over = work * (10 - REFUSED_TENTHS) / 10;
+        self.update(model, |count| {
+            count.unread = count.unread.saturating_sub(over);
+            count.refused += 1;
+        });
+    }
+
     /// Counts a request that ended.
     pub(crate) fn ended(&self, model: &id::Model, tokens: u64, attained: bool) {
         self.update(model, |count| {
@@ -71,7 +84,7 @@
         let counts = std::mem::take(&mut *self.counts.lock());
         let to_wire = |(model, count): (id::Model, Count)| view::Demand {
             waiting: 0,
-            refused: 0,
+            refused: count.refused,
             unread: count.unread,
             model,
             requests: count.requests,
@@ -89,6 +102,7 @@
                 count.tokens += demand.tokens;
                 count.attained += demand.attained;
                 count.unread += demand.unread;
+                count.refused += demand.refused;
             });
         }
     }
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -10,14 +10,18 @@
 use crate::announce;
 use crate::core;
 
-/// Time between heartbeats. A third of the lease, so that two may be lost.
+/// Time between heartbeats. A seventh of the lease, so that several may be lost.
 const PERIOD: Duration = Duration::from_millis(500);
 
+/// Time between heartbeats while the leader does not answer.
+const RETRY: Duration = Duration::from_millis(60);
+
 /// Time between looks for news that should not wait for the next heartbeat.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Longest wait for an answer; then the lease has nearly run out.
-const DEADLINE: duration::Span = duration::Span::from_millis(1000);
+/// Longest wait for an answer. A healthy leader answers within some ten milliseconds;
+/// one that does not has failed, and another one must be found before the lease ends.
+const DEADLINE: duration::Span = duration::Span::from_millis(500);
 
 /// The task that sends heartbeats.
 #[derive(Debug)]
@@ -48,6 +52,10 @@
     /// Waits for the next period, or less when an operator waits for a revision
     /// to be in force or an endpoint has news.
     async fn wait(&self) {
+        if !self.reached {
+            tokio::time::sleep(RETRY).await;
+            return;
+        }
         let started = tokio::time::Instant::now();
         while started.elapsed() < PERIOD {
             let has_news = self.core.announcements.has_fresh();
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -1,6 +1,7 @@
 //! Calls to the control leader, wherever it is.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use cranberrygap_link::{client, credential};
 use cranberrygap_model::{address, duration};
@@ -15,6 +16,10 @@
 /// control processes and one more for a leader that changed meanwhile.
 const MOST_HOPS: usize = 8;
 
+/// Time for which a process that did not answer is not asked again on the word of
+/// another one; an election takes about a second.
+const AVOIDED: Duration = Duration::from_millis(1_200);
+
 /// Keeps one connection to the process that was leader last.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -29,6 +34,10 @@
     target: Option<address::Socket>,
     client: Option<Arc<client::Client>>,
     position: usize,
+    /// A process that did not answer, and when.
+    avoided: Option<(address::Socket, Instant)>,
+    /// Where the client is connected.
+    reached: Option<address::Socket>,
 }
 
 impl Session {
@@ -59,6 +68,7 @@
             let client = match self.connected().await {
                 Ok(client) => client,
                 Err(error) => {
+                    self.avoid_target();
                     self.rotate();
                     last = error;
                     continue;
@@ -87,8 +97,10 @@
                 ..
             } => {
                 let leader = serde_json::from_value::<Option<address::Peer>>(data.clone());
-                match leader.ok().flatten() {
-                    Some(leader) => self.turn_to(self.peers.reached(&leader)),
+                let leader = leader.ok().flatten();
+                let leader = leader.map(|leader| self.peers.reached(&leader));
+                match leader.filter(|leader| !self.is_avoided(*leader)) {
+                    Some(leader) => self.turn_to(leader),
                     None => self.rotate(),
                 }
                 true
@@ -101,6 +113,17 @@
         }
     }
 
+    /// Whether a process did not answer a moment ago.
+    ///
+    /// The others take a leader that stands still for the leader until they elect
+    /// another one, and send whoever asks back to it.
+    fn is_avoided(&self, target: address::Socket) -> bool {
+        let inner = self.inner.lock();
+        inner
+            .avoided
+            .is_some_and(|(at, since)| at == target && since.elapsed() < AVOIDED)
+    }
+
     async fn connected(&self) -> Result<Arc<client::Client>, cranberrygap_link::error::Error> {
         if let Some(client) = self.live() {
             return Ok(client);
@@ -113,7 +136,10 @@
         let target = self.target().ok_or_else(unreachable)?;
         let role = credential::Role::Fleet;
         let client = Arc::new(client::Client::connect(target, role, &self.secret.shown()).await?);
-        self.inner.lock().client = Some(Arc::clone(&client));
+        let mut inner = self.inner.lock();
+        inner.client = Some(Arc::clone(&client));
+        inner.reached = Some(target);
+        drop(inner);
         Ok(client)
     }
 
@@ -141,6 +167,12 @@
         inner.client = None;
     }
 
+    /// The process that is to be asked next cannot be reached.
+    fn avoid_target(&self) {
+        let target = self.target();
+        self.inner.lock().avoided = target.map(|target| (target, Instant::now()));
+    }
+
     fn rotate(&self) {
         let mut inner = self.inner.lock();
         inner.position = inner.position.wrapping_add(1);
@@ -156,6 +188,7 @@
             .is_some_and(|held| Arc::ptr_eq(held, failed));
         if is_held {
             inner.client = None;
+            inner.avoided = inner.reached.take().map(|at| (at, Instant::now()));
             inner.target = None;
             inner.position = inner.position.wrapping_add(1);
         }
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -11,8 +11,8 @@
 use crate::core;
 
 /// Silence after which another control process is asked. Control processes send
-/// a heartbeat each half second, so this is three missed ones.
-const SILENCE: Duration = Duration::from_millis(1500);
+/// a heartbeat each quarter of a second, so this is three missed ones.
+const SILENCE: Duration = Duration::from_millis(800);
 
 /// Pause before the next process is asked, so that a fleet without control is
 /// not asked in a tight loop.
--- a/crates/cranberrygap-entry/src/gateway/board.rs
+++ b/crates/cranberrygap-entry/src/gateway/board.rs
@@ -21,7 +21,7 @@
 
 /// What an engine in another failure domain costs beyond a near one. What goes
 /// between domains is paid for, and takes a millisecond or two each way.
-const FAR: duration::Span = duration::Span::from_millis(25);
+const FAR: duration::Span = duration::Span::from_millis(200);
 
 /// What an adapter that has to be fetched costs: the leader is asked, orders it, and
 /// it takes about ten milliseconds to come.
@@ -58,6 +58,8 @@
     pub first_event: duration::Span,
     /// Prompt tokens that it has to read.
     pub fresh: u64,
+    /// Prompt tokens that wait there already.
+    pub backlog: u64,
     /// Whether it holds the adapter that is wanted, if one is.
     pub ready: bool,
 }
@@ -146,6 +148,7 @@
             place: node.place(),
             first_event: choice.first_event,
             fresh: choice.fresh,
+            backlog: choice.backlog,
         })
     }
 
@@ -169,7 +172,7 @@
         let best = trusted.into_iter().min_by_key(|node| {
             let running = inner.tally(now, node).running;
             // A request more waits about as long as a near one saves and more.
-            let far = u32::from(!node.near) * 2;
+            let far = u32::from(!node.near) * 5;
             #[expect(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
--- a/crates/cranberrygap-entry/src/gateway/course.rs
+++ b/crates/cranberrygap-entry/src/gateway/course.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{duration, id};
+use cranberrygap_routing::prompt::tally;
 use cranberrygap_wire::{method, traffic};
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -40,9 +41,14 @@
 /// for what the prediction does not see: other entries' sends of the last moment.
 const IN_TIME: f64 = 0.80;
 
+/// Part of the allowed pause between events that the reading of prompts that wait
+/// already may take, by rank. An event takes three steps of the engine, so half of the
+/// pause is read in one of them; less urgent requests are refused first.
+const SPARED: [f64; 3] = [0.9, 0.8, 0.65];
+
 /// Time that a request waits for a copy of its model that is on its way. A copy
-/// from an engine's disk or host memory is there within a second.
-const COPY_WAIT: duration::Span = duration::Span::from_millis(900);
+/// from an engine's disk or host memory is there within a second or so.
+const COPY_WAIT: duration::Span = duration::Span::from_millis(1_500);
 
 /// Time between two looks for a copy.
 const COPY_LOOK: duration::Span = duration::Span::from_millis(30);
@@ -140,8 +146,20 @@
     }
 
     /// Sends until an answer is there or nothing more may be tried.
-    pub(super) async fn run(mut self) -> Result<Response<answer::Body>, Failure> {
-        self.count_demand();
+    pub(super) async fn run(self) -> Result<Response<answer::Body>, Failure> {
+        let counted = self.count_demand();
+        let core = Arc::clone(&self.gateway.core);
+        let outcome = self.attempts().await;
+        if let (Some(counted), Err(Failure::NoEndpoint { .. } | Failure::NotRun { .. })) =
+            (counted, &outcome)
+        {
+            let (model, tokens) = counted;
+            core.demand.refused(&model, tokens.prompt, tokens.output);
+        }
+        outcome
+    }
+
+    async fn attempts(mut self) -> Result<Response<answer::Body>, Failure> {
         loop {
             let aim = self.aim().await?;
             match self.send(&aim, None).await? {
@@ -248,16 +266,17 @@
         Failure::NotRun { wait }
     }
 
-    fn count_demand(&self) {
-        let (Some(model), true) = (&self.facts.ask.model, self.resolved.has_engine) else {
-            return;
-        };
+    /// Tells the leader that the request's model is wanted.
+    fn count_demand(&self) -> Option<(id::Model, dialect::Tokens)> {
+        let model = self.facts.ask.model.clone()?;
+        if !self.resolved.has_engine {
+            return None;
+        }
         let adapter = self.facts.ask.adapter.as_ref();
         let tokens = self.facts.ask.tokens.unwrap_or_default();
-        self.gateway
-            .core
-            .demand
-            .asked(model, adapter, tokens.prompt, tokens.output);
+        let demand = &self.gateway.core.demand;
+        demand.asked(&model, adapter, tokens.prompt, tokens.output);
+        Some((model, tokens))
     }
 
     /// Where to send next.
@@ -348,11 +367,36 @@
         } else {
             duration::Span(limit.0 - waited.0)
         };
-        if seat.first_event <= limit {
+        if seat.first_event > limit {
+            let over = duration::Span(seat.first_event.0 - limit.0);
+            return Err(self.no_endpoint(over.max(FULL_WAIT), "the first event would be late"));
+        }
+        self.spare_streams(seat)
+    }
+
+    /// Refuses what would make the streams that run at the engine pause too long.
+    ///
+    /// An engine reads prompts between the tokens of its streams. While prompts never
+    /// run out, each token waits for a part of them, and an event holds several
+    /// tokens: one sees every stream of that engine late, and streams that take many
+    /// times as long as usual, until their callers give up.
+    fn spare_streams(&self, seat: &board::Seat) -> Result<(), Failure> {
+        let Some(pause) = self.resolved.route.pause else {
+            return Ok(());
+        };
+        let reading = tally::reading(seat.backlog);
+        let part = SPARED[self.resolved.rank().min(SPARED.len() - 1)];
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part of a positive number"
+        )]
+        let most = duration::Span((pause.0 as f64 * part) as u64);
+        if reading <= most {
             return Ok(());
         }
-        let over = duration::Span(seat.first_event.0 - limit.0);
-        Err(self.no_endpoint(over.max(FULL_WAIT), "the first event would be late"))
+        let over = duration::Span(reading.0 - most.0);
+        Err(self.no_endpoint(over.max(FULL_WAIT), "the engine's streams would pause"))
     }
 
     fn want(
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -31,7 +31,7 @@
 
 /// Time that a request waits for tokens of its workspace. A renewal takes a few
 /// milliseconds; who is above its rate learns so at once.
-const TOKEN_WAIT: duration::Span = duration::Span::from_millis(60);
+const TOKEN_WAIT: duration::Span = duration::Span::from_millis(350);
 
 /// A request as it came, once its body is there.
 #[derive(Debug)]
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -238,25 +238,20 @@
         time::sleep(LATE_VIEWS.to_std()).await;
     }
 
-    /// Serves on while callers may still come with an old answer, then finishes.
+    /// Serves on while most callers still hold an answer that names this entry, then
+    /// takes nothing new and finishes what runs.
+    ///
+    /// A stream may last as long as the whole stop. Taken late, it would be cut at
+    /// the stop's end; its caller does better to go to another entry at once, which
+    /// it does when this one takes no more connections. So the few callers that keep
+    /// answers for longer are not waited for.
     async fn finish_gateway(&self, gateway: &gateway::Listener, begun: time::Instant) {
         let lifetime = self.desk().lifetime().to_std();
-        // Most callers keep an answer for its lifetime, some for three times that.
         let longest = self.core.stop_within().to_std();
-        let longest = longest.saturating_sub(LAST_WORDS * 3);
-        let most = begun + lifetime.saturating_mul(3).min(longest);
-        let least = begun + lifetime + LATE_VIEWS.to_std().min(LAST_WORDS * 2);
-        let mut quiet_since = time::Instant::now();
-        while time::Instant::now() < most {
-            time::sleep(DRAIN_LOOK).await;
-            if gateway.open() > 0 {
-                quiet_since = time::Instant::now();
-            }
-            if time::Instant::now() > least && quiet_since.elapsed() > LAST_WORDS {
-                break;
-            }
-        }
-        gateway.finish(begun + longest + LAST_WORDS).await;
+        let longest = longest.saturating_sub(LAST_WORDS + DRAIN_LOOK);
+        let serving = (lifetime + LAST_WORDS).min(longest / 2);
+        time::sleep_until(begun + serving).await;
+        gateway.finish(begun + longest).await;
     }
 }
 
--- a/crates/cranberrygap-link/src/client.rs
+++ b/crates/cranberrygap-link/src/client.rs
@@ -19,11 +19,13 @@
 use crate::message;
 use crate::session;
 
-/// Time for a connection and its handshake together.
-const CONNECT_DEADLINE: Duration = Duration::from_secs(2);
+/// Time for a connection and its handshake together. A few round trips, also between
+/// regions; a process that stands still would hold up whoever looks for the leader.
+const CONNECT_DEADLINE: Duration = Duration::from_millis(700);
 
-/// Time for the first frame of a stream.
-const OPEN_DEADLINE: Duration = Duration::from_secs(5);
+/// Time for the first frame of a stream. The other end may take a second to catch up
+/// with what the subscriber has seen.
+const OPEN_DEADLINE: Duration = Duration::from_millis(1_500);
 
 /// Upper bound that the library puts on any call; the caller's own deadline is
 /// shorter.
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -14,7 +14,7 @@
 /// Part of a runner's time at which its models get a further copy. Half busy, a
 /// prompt waits on average half as long as it takes to read; above that the wait
 /// grows fast, and a load takes seconds to help.
-const BUSY: f64 = 0.40;
+const BUSY: f64 = 0.60;
 
 /// Load of the new place against that of the best present one, above which a
 /// further copy gains too little for the load that it costs.
@@ -24,6 +24,15 @@
 /// two models of about the same demand do not drive each other out by turns.
 const WORTH: f64 = 0.6;
 
+/// Work a second below which a model's last copy may go to disk: a request in ten
+/// seconds or so.
+const IDLE: f64 = 250.0;
+
+/// What the return of such a model costs, in work a second: the move back, and the
+/// requests that wait for it, each for about a second.
+const RETURN: f64 = 700.0;
+const RETURN_TIMES: f64 = 6.0;
+
 /// Parts into which a model's demand is cut when it is spread over its copies.
 const PARTS: u32 = 8;
 
@@ -131,16 +140,30 @@
         let pressed = models.filter_map(|model| {
             let work = self.demand.get(model).copied().unwrap_or_default();
             let Some(least) = self.least_load(model) else {
-                // Nobody can be served; any demand goes before mere comfort, and
-                // without demand the model must still come back in the end.
+                // Nobody can be served; any demand goes before mere comfort. Without
+                // demand a copy on a runner's disk is near enough, else the model must
+                // come back in the end.
+                if work <= SILENT && self.is_stored(model) {
+                    return None;
+                }
                 let pressure = if work > SILENT { 1e9 + work } else { 0.0 };
                 return Some((pressure, model));
             };
-            (least > BUSY).then_some((least * work, model))
+            // The next copy goes where it takes most off each copy; by the whole demand
+            // alone the busiest model would get one after the other while a model with
+            // a single overloaded copy waits.
+            let relief = work / (self.count(model) + 1) as f64;
+            (least > BUSY).then_some((relief, model))
         });
         pressed.collect()
     }
 
+    /// Whether a runner can have a model back from its own disk within a second.
+    fn is_stored(&self, model: &id::Model) -> bool {
+        let mut ready = self.runners.values().filter(|runner| runner.ready);
+        ready.any(|runner| runner.stored.contains(model) || runner.cached.contains(model))
+    }
+
     fn least_load(&self, model: &id::Model) -> Option<f64> {
         let copies = self.copies.get(model)?.iter();
         copies.map(|name| self.load(name)).reduce(f64::min)
@@ -183,8 +206,10 @@
 
     /// The model at a runner whose copy is missed least, if `coming` is worth more.
     ///
-    /// The last copy of a model never goes: its callers would have to wait for a
-    /// load, and if that failed it could not be reached at all.
+    /// The last copy of a model goes only if nobody asked for it of late and the runner
+    /// keeps it on its disk, from where it is back within a second. Half of all models
+    /// are asked for by nobody at a time; each copy of them that is kept is one that a
+    /// model lacks whose callers are refused.
     fn victim(
         &self,
         name: &id::Endpoint,
@@ -197,7 +222,8 @@
         let gain = self.gain(coming);
         let fitting = runner.models.iter().filter(|model| {
             let enough = free + size(model).unwrap_or_default() >= needed;
-            enough && self.count_elsewhere(name, model) > 0
+            let returns = runner.stored.contains(*model) && self.work(model) < IDLE;
+            enough && (returns || self.count_elsewhere(name, model) > 0)
         });
         let cheapest = fitting.min_by(|left, right| self.loss(left).total_cmp(&self.loss(right)));
         cheapest.filter(|model| self.loss(model) < gain * WORTH)
@@ -209,9 +235,13 @@
         others.filter(|(_, runner)| runner.serves(model)).count()
     }
 
+    fn work(&self, model: &id::Model) -> f64 {
+        self.demand.get(model).copied().unwrap_or_default()
+    }
+
     /// Work that one more copy takes off each of the others.
     fn gain(&self, model: &id::Model) -> f64 {
-        let work = self.demand.get(model).copied().unwrap_or_default();
+        let work = self.work(model);
         match self.count(model) {
             0 => f64::MAX,
             copies => work / (copies * (copies + 1)) as f64,
@@ -220,8 +250,9 @@
 
     /// Work that one copy less puts on each of the others.
     fn loss(&self, model: &id::Model) -> f64 {
-        let work = self.demand.get(model).copied().unwrap_or_default();
+        let work = self.work(model);
         match self.count(model) {
+            0 | 1 if work < IDLE => RETURN + work * RETURN_TIMES,
             0 | 1 => f64::MAX,
             copies => work / (copies * (copies - 1)) as f64,
         }
--- /dev/null
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -0,0 +1,356 @@
+//! Moves of models and adapters by orders that name the runner's count.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, size};
+use cranberrygap_placement::residency::{book, engine, order, plan};
+use cranberrygap_wire::{endpoint, view};
+
+const GIB: u64 = 1 << 30;
+
+fn name(text: &str) -> id::Endpoint {
+    text.parse().expect("a name")
+}
+
+fn model(text: &str) -> id::Model {
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> duration::Instant {
+    duration::Instant(millis * 1_000)
+}
+
+/// Runners with room for two models of 10 GiB and two adapters.
+fn room(models: &[&str]) -> engine::Engine {
+    let weights = engine::Weights {
+        size: size::Bytes(10 * GIB),
+        adapter_size: size::Bytes(1 << 20),
+        load: duration::Span::from_secs(4),
+        warm: duration::Span::from_millis(600),
+        disk: duration::Span::from_millis(800),
+    };
+    engine::Engine {
+        memory: size::Bytes(21 * GIB),
+        adapter_slots: 2,
+        store_rate: 3.0,
+        models: models.iter().map(|text| (model(text), weights)).collect(),
+    }
+}
+
+fn announced(
+    runner: &str,
+    sequence: u64,
+    models: &[&str],
+    stored: &[&str],
+) -> endpoint::Announcement {
+    let resident: Vec<serde_json::Value> = models
+        .iter()
+        .map(|model| serde_json::json!({ "model": model, "size": "0B" }))
+        .collect();
+    let text = serde_json::json!({
+        "endpoint": runner, "boot": 1, "sequence": sequence,
+        "address": "10.0.0.9:80", "domain": "a", "kind": "runner", "phase": "ready",
+        "memory": "0B", "checks_fence": false, "resident": resident, "service": "lm",
+        "details": { "started": 1, "slots": 64, "cached": [], "stored": stored },
+    });
+    serde_json::from_value(text).expect("an announcement")
+}
+
+fn follow(book: &mut book::Book, now: u64, all: &[endpoint::Announcement]) {
+    let all = all.iter().map(|found| (found, view::Health::Ready));
+    book.follow(at(now), all, |_| None);
+}
+
+fn report(accepted: u64) -> order::Report {
+    order::Report {
+        accepted,
+        busy: false,
+        models: Vec::new(),
+        adapters: Vec::new(),
+    }
+}
+
+/// A book whose runners have reported, at a time when it may order.
+fn book(models: &[&str], all: &[endpoint::Announcement]) -> book::Book {
+    book_of(models, all, &report(0))
+}
+
+fn book_of(models: &[&str], all: &[endpoint::Announcement], report: &order::Report) -> book::Book {
+    let service = "lm".parse().expect("a name");
+    let mut book = book::Book::new(
+        service,
+        room(models),
+        at(0),
+        duration::Span::from_millis(100),
+    );
+    follow(&mut book, 0, all);
+    book.tick(at(10));
+    for found in all {
+        book.reported(at(20), &found.endpoint, report);
+    }
+    // What the reports tell is passed on here, before anything may be ordered.
+    book.tick(at(30));
+    book
+}
+
+fn demand(rates: &[(&str, f64)]) -> BTreeMap<id::Model, f64> {
+    let rates = rates.iter();
+    rates
+        .map(|(text, load)| (model(text), load * plan::RUNNER_RATE))
+        .collect()
+}
+
+fn orders(outputs: &[book::Output]) -> Vec<order::Order> {
+    let orders = outputs.iter().filter_map(|output| match output {
+        book::Output::Send(order) => Some(order.clone()),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn actions(outputs: &[book::Output]) -> Vec<String> {
+    let orders = orders(outputs);
+    orders
+        .iter()
+        .map(|order| format!("{}: {}", order.endpoint, order.action))
+        .collect()
+}
+
+#[test]
+fn pressed_model_gets_a_copy_where_there_is_room() {
+    let all = [
+        announced("r1", 1, &["hot", "cold"], &[]),
+        announced("r2", 1, &["cold"], &[]),
+    ];
+    let mut book = book(&["hot", "cold"], &all);
+    book.set_demand(demand(&[("hot", 0.9)]));
+
+    let outputs = book.tick(at(1_000));
+
+    assert_eq!(actions(&outputs), ["r2: load hot"]);
+}
+
+// A runner is full. Before it drops a model, the entries must know, or requests that
+// are under way to it are turned away.
+#[test]
+fn entries_are_told_before_a_model_is_dropped() {
+    let all = [
+        announced("r1", 1, &["hot", "spare"], &[]),
+        announced("r2", 1, &["spare", "cold"], &[]),
+    ];
+    let mut book = book(&["hot", "spare", "cold"], &all);
+    book.set_demand(demand(&[("hot", 0.9)]));
+
+    let first = book.tick(at(1_000));
+    book.told(at(1_010), &name("r2"));
+    let early = book.tick(at(1_050));
+    let later = book.tick(at(1_200));
+
+    assert_eq!(first, [book::Output::Tell(name("r2"))]);
+    assert_eq!(actions(&early), Vec::<String>::new());
+    assert_eq!(actions(&later), ["r2: unload spare"]);
+}
+
+// A model that nobody asks for has one copy, and its runner's disk does not hold it.
+// Dropped for a busy one, it could be reached only after seconds at the store.
+#[test]
+fn last_copy_stays_unless_the_disk_keeps_it() {
+    let models = ["hot", "one", "two"];
+    let runner = |stored: &[&str]| {
+        [
+            announced("r1", 1, &["hot"], &[]),
+            announced("r2", 1, &["one", "two"], stored),
+        ]
+    };
+    let mut without = book(&models, &runner(&[]));
+    let mut with = book(&models, &runner(&["one"]));
+    // The runner of the busy model has room itself, which helps it nothing.
+    without.set_demand(demand(&[("hot", 2.0)]));
+    with.set_demand(demand(&[("hot", 2.0)]));
+
+    assert_eq!(without.tick(at(1_000)), []);
+    assert_eq!(with.tick(at(1_000)), [book::Output::Tell(name("r2"))]);
+}
+
+// The answer to an order is lost. Whether the runner took it is not known; another
+// order in its place could make the runner hold both. The same one is sent again, and
+// by the count that it names it is carried out once at most.
+#[test]
+fn order_without_an_answer_is_sent_again_unchanged() {
+    let all = [
+        announced("r1", 1, &["hot"], &[]),
+        announced("r2", 1, &[], &[]),
+    ];
+    let mut book = book(&["hot"], &all);
+    book.set_demand(demand(&[("hot", 0.9)]));
+    let first = orders(&book.tick(at(1_000)));
+    book.unanswered(at(1_500), &name("r2"), first[0].number);
+
+    let too_early = orders(&book.tick(at(1_600)));
+    let again = orders(&book.tick(at(2_300)));
+
+    assert_eq!(too_early, []);
+    assert_eq!(again, first);
+}
+
+// The runner took an order whose answer was lost, and turns the repeated one down
+// because its count has moved on. What it holds now must be asked before anything
+// else is ordered.
+#[test]
+fn refused_repeat_leads_to_a_report_before_the_next_order() {
+    let all = [
+        announced("r1", 1, &["hot"], &[]),
+        announced("r2", 1, &[], &[]),
+    ];
+    let mut book = book(&["hot"], &all);
+    book.set_demand(demand(&[("hot", 0.9)]));
+    let sent = orders(&book.tick(at(1_000)));
+    book.answered(
+        at(1_100),
+        &name("r2"),
+        sent[0].number,
+        order::Verdict::Conflict,
+    );
+
+    let outputs = book.tick(at(1_200));
+    let later = book.tick(at(3_000));
+
+    assert_eq!(actions(&outputs), Vec::<String>::new());
+    assert_eq!(later, [book::Output::Ask(name("r2"))]);
+}
+
+// A runner is busy with a load. A second model order would be turned away, and the
+// memory that the first one takes is not in any report yet.
+#[test]
+fn runner_that_loads_gets_no_second_model() {
+    let all = [
+        announced("r1", 1, &["a", "b"], &[]),
+        announced("r2", 1, &[], &[]),
+    ];
+    let mut book = book(&["a", "b"], &all);
+    book.set_demand(demand(&[("a", 3.0), ("b", 0.9)]));
+    let sent = orders(&book.tick(at(1_000)));
+    book.answered(
+        at(1_010),
+        &name("r2"),
+        sent[0].number,
+        order::Verdict::Accepted,
+    );
+
+    let while_loading = book.tick(at(2_000));
+    follow(
+        &mut book,
+        5_000,
+        &[all[0].clone(), announced("r2", 2, &["a"], &[])],
+    );
+    book.want(at(5_050), 1, &(model("a"), "a1".into()), &name("r2"), false);
+    let after = orders(&book.tick(at(5_100)));
+
+    assert_eq!(actions(&while_loading), Vec::<String>::new());
+    assert_eq!(after[0].action.to_string(), "load a/a1");
+    assert_eq!(after[0].expect, 1);
+}
+
+// A new leader begins while orders of the one before may still be on their way. Runners
+// that do not compare leaders would take both by turns.
+#[test]
+fn new_leader_orders_nothing_before_the_last_one_has_stopped() {
+    let service = "lm".parse().expect("a name");
+    let wait = duration::Span::from_secs(3);
+    let mut book = book::Book::new(service, room(&["hot"]), at(0), wait);
+    follow(
+        &mut book,
+        0,
+        &[
+            announced("r1", 1, &["hot"], &[]),
+            announced("r2", 1, &[], &[]),
+        ],
+    );
+    book.tick(at(10));
+    for runner in ["r1", "r2"] {
+        book.reported(at(20), &name(runner), &report(4));
+    }
+    book.set_demand(demand(&[("hot", 0.9)]));
+
+    assert_eq!(actions(&book.tick(at(2_900))), Vec::<String>::new());
+    assert_eq!(actions(&book.tick(at(3_100))), ["r2: load hot"]);
+}
+
+// Demand moves to many models at once. The store serves a few loads a second; more of
+// them would slow all down and break what the store allows.
+#[test]
+fn loads_from_the_store_keep_to_its_rate() {
+    let models: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+    let models: Vec<&str> = models.iter().map(String::as_str).collect();
+    let runners: Vec<endpoint::Announcement> = (0..20)
+        .map(|number| announced(&format!("r{number}"), 1, &[], &[]))
+        .collect();
+    let mut book = book(&models, &runners);
+    let rates: Vec<(&str, f64)> = models.iter().map(|model| (*model, 0.5)).collect();
+    book.set_demand(demand(&rates));
+
+    let mut begun = 0;
+    for look in 1..=50 {
+        for order in orders(&book.tick(at(look * 100))) {
+            begun += 1;
+            let verdict = order::Verdict::Accepted;
+            book.answered(at(look * 100), &order.endpoint, order.number, verdict);
+        }
+    }
+
+    // Five seconds at three a second, and the two that may be saved up; but eleven at
+    // once is the most while none of them ends.
+    assert_eq!(begun, 11);
+}
+
+#[test]
+fn adapter_is_loaded_where_the_entry_wishes_it() {
+    let all = [
+        announced("r1", 1, &["m"], &[]),
+        announced("r2", 1, &["m"], &[]),
+    ];
+    let mut book = book(&["m"], &all);
+    let adapter = (model("m"), "a1".into());
+    book.want(at(1_000), 7, &adapter, &name("r2"), false);
+
+    let sent = orders(&book.tick(at(1_000)));
+    book.answered(
+        at(1_004),
+        &name("r2"),
+        sent[0].number,
+        order::Verdict::Accepted,
+    );
+    let early = book.tick(at(1_010));
+    let ready = book.tick(at(1_020));
+
+    assert_eq!(sent[0].action.to_string(), "load m/a1");
+    assert!(!early.contains(&book::Output::Place(7, Some(name("r2")))));
+    assert!(ready.contains(&book::Output::Place(7, Some(name("r2")))));
+}
+
+// All adapter places of a runner are taken. Loaded all the same, a further one makes
+// the runner crash, with everything that runs on it.
+#[test]
+fn adapter_that_was_not_used_of_late_makes_room() {
+    let all = [announced("r1", 1, &["m", "m/a1", "m/a2"], &[])];
+    let mut held = report(0);
+    held.adapters = vec![(model("m"), "a1".into()), (model("m"), "a2".into())];
+    let mut book = book_of(&["m"], &all, &held);
+    for (used, adapter) in [(2_000, "a1"), (5_000, "a2")] {
+        book.used(at(used), &(model("m"), adapter.into()));
+    }
+    book.want(at(5_200), 1, &(model("m"), "a3".into()), &name("r1"), false);
+
+    let first = orders(&book.tick(at(5_200)));
+    book.answered(
+        at(5_203),
+        &name("r1"),
+        first[0].number,
+        order::Verdict::Holds,
+    );
+    let second = orders(&book.tick(at(5_210)));
+
+    assert_eq!(first[0].action.to_string(), "unload m/a1");
+    assert_eq!(second[0].action.to_string(), "load m/a3");
+    assert_eq!(second[0].expect, 1);
+}
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -30,8 +30,12 @@
 /// of the other entries' reach (`measure limits`).
 const STOCK: duration::Span = duration::Span::from_millis(2_000);
 
+/// Part of the burst that shares hold for their demand, all together. The rest stays
+/// in the pool for whoever is short.
+const STOCKED: f64 = 0.4;
+
 /// Time after which the memory of a shortage has halved.
-const HALVING: duration::Span = duration::Span::from_millis(1_000);
+const HALVING: duration::Span = duration::Span::from_millis(500);
 
 /// A share is left as it is while its target is within this part of it, because
 /// each change is an entry in the replicated log.
@@ -310,7 +314,7 @@
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
         let wanted_rate = share.demand * OWN_PART * shrink;
-        let wanted_cap = (share.demand * STOCK.as_secs_f64()).max(share.needed);
+        let wanted_cap = self.stock(share).max(share.needed);
         let rate = Flow::from_rate(token::Rate(settle(
             held.rate.to_rate().0,
             wanted_rate,
@@ -325,6 +329,18 @@
         }
     }
 
+    /// Tokens that a share may hold for its demand.
+    ///
+    /// What shares may hold is not there for the pool. With a burst of about a
+    /// second's rate, shares for two seconds of demand left no room for the pool, and
+    /// all that accrued there was lost: workspaces at half their rate were refused.
+    fn stock(&self, share: &Share) -> f64 {
+        let asked: f64 = self.shares.values().map(|share| share.demand).sum();
+        let part = share.demand / asked.max(1.0);
+        let fair = self.burst.as_f64() * STOCKED * part;
+        fair.min(share.demand * STOCK.as_secs_f64())
+    }
+
     /// Moves tokens from the pool into space that the holder keeps free.
     fn move_tokens(&mut self, demand: &share::Demand, held: Part, offered: Part) -> token::Count {
         let growth = offered.cap.minus(held.cap);
--- a/crates/cranberrygap-routing/src/prompt/engine.rs
+++ b/crates/cranberrygap-routing/src/prompt/engine.rs
@@ -55,6 +55,8 @@
     pub first_event: duration::Span,
     /// Prompt tokens that it has to read.
     pub fresh: u64,
+    /// Prompt tokens that wait there already.
+    pub backlog: u64,
 }
 
 /// The engine with the earliest first event, costs counted as time.
@@ -69,13 +71,15 @@
         let far = if candidate.near { 0 } else { wanted.far.0 };
         let fetch = if candidate.ready { 0 } else { wanted.fetch.0 };
         let cost = first_event.0 + far + fetch + scale(FAILURE.0, candidate.failing);
-        (cost, candidate.endpoint, first_event, fresh)
+        let backlog = candidate.tally.backlog();
+        (cost, candidate.endpoint, first_event, fresh, backlog)
     });
     let best = scored.min_by_key(|(cost, endpoint, ..)| (*cost, *endpoint));
-    best.map(|(_, endpoint, first_event, fresh)| Choice {
+    best.map(|(_, endpoint, first_event, fresh, backlog)| Choice {
         endpoint: endpoint.clone(),
         first_event,
         fresh,
+        backlog,
     })
 }
 
--- a/crates/cranberrygap-routing/src/prompt/tally.rs
+++ b/crates/cranberrygap-routing/src/prompt/tally.rs
@@ -41,6 +41,12 @@
         ranks.map(|tokens| u64::from(*tokens)).sum()
     }
 
+    /// Prompt tokens of all ranks that wait to be read.
+    #[must_use]
+    pub fn backlog(&self) -> u64 {
+        self.before(RANKS - 1)
+    }
+
     /// Both tallies together.
     #[must_use]
     pub fn and(mut self, other: &Self) -> Self {
@@ -69,20 +75,31 @@
 /// users, the rest goes to steps in between.
 const READ_A_MILLI: f64 = 20.0;
 
+/// Time in which an engine reads so many tokens.
+#[must_use]
+pub fn reading(tokens: u64) -> duration::Span {
+    const MICROS_A_MILLI: f64 = 1_000.0;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a positive number that stays below hours"
+    )]
+    let micros = (tokens as f64 / READ_A_MILLI * MICROS_A_MILLI) as u64;
+    duration::Span(micros)
+}
+
 /// Predicted time until the first event of a request with `fresh` tokens to read.
 #[must_use]
 pub fn first_event(tally: &Tally, rank: usize, fresh: u64) -> duration::Span {
-    let tokens = tally.before(rank) + fresh;
-    let reading = tokens as f64 / READ_A_MILLI;
+    let reading = reading(tally.before(rank) + fresh);
     let step = STEP + STEP_A_REQUEST * f64::from(tally.running);
     // Half of the running step is still to come, and the first tokens take one more
     // for each that an event holds.
-    let millis = reading + step * 4.0;
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "a sum of positive numbers that stays below hours"
+        reason = "a few steps of some milliseconds"
     )]
-    let micros = (millis * 1_000.0) as u64;
-    duration::Span(micros)
+    let steps = (step * 4_000.0) as u64;
+    duration::Span(reading.0 + steps)
 }
--- /dev/null
+++ b/crates/cranberrygap-routing/tests/prompt.rs
@@ -0,0 +1,181 @@
+//! The choice of the engine by the time to the first event.
+
+use cranberrygap_model::{duration, id};
+use cranberrygap_routing::prompt::{engine, memory, tally};
+
+fn endpoint(name: &str) -> id::Endpoint {
+    name.parse().expect("a name")
+}
+
+fn candidate(name: &id::Endpoint, unread: u32) -> engine::Candidate<'_> {
+    let mut tally = tally::Tally::default();
+    tally.sent(2, unread);
+    engine::Candidate {
+        endpoint: name,
+        tally,
+        kept: 0,
+        home: false,
+        near: true,
+        ready: true,
+        failing: 0.0,
+    }
+}
+
+fn wanted(rank: usize) -> engine::Wanted {
+    engine::Wanted {
+        rank,
+        prompt: 1_460,
+        shared: 1_200,
+        far: duration::Span::from_millis(200),
+        fetch: duration::Span::from_millis(60),
+    }
+}
+
+fn chosen<'name>(
+    wanted: &engine::Wanted,
+    candidates: impl IntoIterator<Item = engine::Candidate<'name>>,
+) -> String {
+    let choice = engine::choose(wanted, candidates.into_iter());
+    choice.expect("a choice").endpoint.to_string()
+}
+
+fn parts(ids: &[u64]) -> Vec<memory::Part> {
+    let part = |id: &u64| memory::Part {
+        id: *id,
+        tokens: 400,
+    };
+    ids.iter().map(part).collect()
+}
+
+#[test]
+fn engine_with_fewer_unread_tokens_goes_first() {
+    let (full, free) = (endpoint("full"), endpoint("free"));
+
+    let name = chosen(&wanted(2), [candidate(&full, 9_000), candidate(&free, 500)]);
+
+    assert_eq!(name, "free");
+}
+
+// Eight entries choose between the same engines without seeing each other. The one
+// that keeps a prompt saves more than half of its reading, so it is worth a short
+// queue, but not a long one.
+#[test]
+fn kept_prompt_is_worth_a_short_queue_only() {
+    let (keeper, free) = (endpoint("keeper"), endpoint("free"));
+    let keeping = |unread| engine::Candidate {
+        kept: 1_200,
+        ..candidate(&keeper, unread)
+    };
+
+    assert_eq!(
+        chosen(&wanted(2), [keeping(1_000), candidate(&free, 0)]),
+        "keeper"
+    );
+    assert_eq!(
+        chosen(&wanted(2), [keeping(6_000), candidate(&free, 0)]),
+        "free"
+    );
+}
+
+#[test]
+fn urgent_request_does_not_count_what_is_read_after_it() {
+    let name = endpoint("one");
+    let waiting = candidate(&name, 20_000);
+
+    let urgent = tally::first_event(&waiting.tally, 0, 500);
+    let usual = tally::first_event(&waiting.tally, 2, 500);
+
+    assert!(urgent < duration::Span::from_millis(100), "{urgent}");
+    assert!(usual > duration::Span::from_millis(900), "{usual}");
+}
+
+#[test]
+fn engine_in_another_failure_domain_takes_what_the_near_one_cannot() {
+    let (near, far) = (endpoint("near"), endpoint("far"));
+    let far_away = || engine::Candidate {
+        near: false,
+        ..candidate(&far, 0)
+    };
+
+    assert_eq!(
+        chosen(&wanted(2), [candidate(&near, 2_000), far_away()]),
+        "near"
+    );
+    assert_eq!(
+        chosen(&wanted(2), [candidate(&near, 9_000), far_away()]),
+        "far"
+    );
+}
+
+// An engine answers health checks and fails two in five requests. Without a memory of
+// its answers it looks idle, since failed requests end at once, and gets all of them.
+#[test]
+fn failing_engine_is_used_less_though_it_looks_idle() {
+    let (bad, good) = (endpoint("bad"), endpoint("good"));
+    let failing = engine::Candidate {
+        failing: 0.4,
+        ..candidate(&bad, 0)
+    };
+
+    assert_eq!(
+        chosen(&wanted(2), [failing, candidate(&good, 2_000)]),
+        "good"
+    );
+}
+
+#[test]
+fn part_is_kept_only_behind_all_parts_before_it() {
+    let now = duration::Instant(1);
+    let mut kept = memory::Memory::default();
+    kept.sent(now, &memory::Chain::new("m", None, &parts(&[1, 2, 3])));
+
+    let same = memory::Chain::new("m", None, &parts(&[1, 2, 9]));
+    let behind_other = memory::Chain::new("m", None, &parts(&[8, 2, 3]));
+    let other_adapter = memory::Chain::new("m", Some("a1"), &parts(&[1, 2, 3]));
+
+    assert_eq!(kept.kept(now, &same), 800);
+    assert_eq!(kept.kept(now, &behind_other), 0);
+    assert_eq!(kept.kept(now, &other_adapter), 0);
+}
+
+#[test]
+fn part_that_nobody_used_for_long_is_not_counted_on() {
+    let mut kept = memory::Memory::default();
+    let chain = memory::Chain::new("m", None, &parts(&[1, 2]));
+    kept.sent(duration::Instant(0), &chain);
+
+    let later = duration::Instant(0).after(duration::Span::from_secs(60));
+
+    assert_eq!(kept.kept(later, &chain), 0);
+}
+
+#[test]
+fn requests_of_one_session_belong_to_one_engine() {
+    let engines = ["e1", "e2", "e3", "e4"].map(endpoint);
+    let home = |last: u64| {
+        let chain = memory::Chain::new("m", None, &parts(&[1, 2, last]));
+        let session = chain.session().expect("a session");
+        let names = engines.iter();
+        names
+            .max_by_key(|name| memory::affinity(session, name))
+            .cloned()
+    };
+
+    assert_eq!(home(10), home(11));
+}
+
+#[test]
+fn tally_is_empty_again_when_all_have_ended() {
+    let mut tally = tally::Tally::default();
+    tally.sent(1, 700);
+    tally.sent(9, 300);
+    assert_eq!(tally.before(1), 700);
+    assert_eq!(tally.before(3), 1_000);
+
+    tally.read(1, 700);
+    tally.read(9, 300);
+    tally.ended();
+    tally.ended();
+
+    assert!(tally.is_empty());
+}
--- a/crates/cranberrygap/src/daemon/secret.rs
+++ b/crates/cranberrygap/src/daemon/secret.rs
@@ -17,7 +17,7 @@
             credential::Secret::read_all(path.as_str()).wrap_err("[secrets] fleet")
         }
         (None, true) => {
-            spdlog::warn!("link: the network is trusted; whoever reaches it may join the fleet");
+            warn_once();
             Ok(vec![credential::Secret::trusted_network()])
         }
         (Some(_), true) => eyre::bail!("[secrets] fleet: leave it out, or trusted_network"),
@@ -27,3 +27,11 @@
         ),
     }
 }
+
+/// Says at the start, and not at each later reading, that there is no secret.
+fn warn_once() {
+    static SAID: std::sync::Once = std::sync::Once::new();
+    SAID.call_once(|| {
+        spdlog::warn!("link: the network is trusted; whoever reaches it may join the fleet");
+    });
+}
