Serve metrics, and tell each failed request in one log line

Cause: an operator who was given a request's id could find neither why it was refused nor which plan decided; metrics went out as datagrams only, which the users' platform does not take.

Change: a request keeps its steps while it runs and writes them in one line when it fails, or as one of 64 samples, at a bounded rate with a count of the lines left out. Metrics are served as text where [metrics] listen is set. The course of a request is told in three files: its sends, the choice of the endpoint, one send.

Weighed, not measured: a line for each step of each request; a metrics library with its own server (the product keeps cadence, whose sink trait is enough).

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use cadence::StatsdClient;
+use cadence::{Counted as _, StatsdClient, Timed as _};
 use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_policy::quarantine::watch;
@@ -90,6 +90,20 @@
         limits.map_or(WITHOUT_A_SETTING, |limits| limits.stop_within)
     }
 
+    /// Counts something by one tag. A metric that cannot be sent is lost; requests do
+    /// not wait for metrics.
+    pub(crate) fn count(&self, name: &'static str, tag: &str) {
+        self.metrics
+            .count_with_tags(name, 1)
+            .with_tag_value(tag)
+            .send();
+    }
+
+    /// Notes a length of time.
+    pub(crate) fn time(&self, name: &'static str, span: duration::Span) {
+        let _lost = self.metrics.time(name, span.to_std());
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -18,7 +18,9 @@
 mod pool;
 mod request;
 mod reserve;
+mod story;
 mod stream;
+mod volume;
 
 pub(crate) use board::Board;
 pub(crate) use gossip::Gossip;
@@ -35,6 +37,7 @@
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
     pub(crate) reserve: reserve::Reserve,
+    pub(crate) volume: volume::Volume,
 }
 
 impl Gateway {
@@ -44,6 +47,7 @@
             dialect,
             pool: pool::Pool::default(),
             reserve: reserve::Reserve::default(),
+            volume: volume::Volume::default(),
         })
     }
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/course/aim.rs
@@ -0,0 +1,243 @@
+//! Where a request is sent next, or why it is refused.
+
+use std::sync::Arc;
+
+use cranberrygap_model::{duration, id};
+use cranberrygap_routing::prompt::tally;
+use cranberrygap_wire::{method, traffic};
+use smol_str::SmolStr;
+
+use super::{Course, FULL_WAIT, Failure, LEAST_LEFT, board};
+use crate::gateway::request;
+
+/// Part of the objective within which the first event must be expected. The rest is
+/// for what the prediction does not see: other entries' sends of the last moment.
+const IN_TIME: f64 = 0.80;
+
+/// Part of the allowed pause between events that the reading of prompts that wait
+/// already may take, by rank. An event takes three steps of the engine, so half of the
+/// pause is read in one of them; less urgent requests are refused first.
+const SPARED: [f64; 3] = [0.9, 0.8, 0.65];
+
+/// Time that a request waits for a copy of its model that is on its way. A copy
+/// from an engine's disk or host memory is there within a second or so.
+const COPY_WAIT: duration::Span = duration::Span::from_millis(1_500);
+
+/// Time between two looks for a copy.
+const COPY_LOOK: duration::Span = duration::Span::from_millis(30);
+
+/// Time that callers are told when no engine holds their model: a load from the
+/// store takes about four seconds, and it may have begun.
+const LOAD_WAIT: duration::Span = duration::Span::from_millis(3_200);
+
+/// Longest wait for the leader when an adapter is missing.
+const WANT_TIME: duration::Span = duration::Span::from_secs(1);
+
+/// Where to send next.
+pub(super) struct Aim {
+    pub(super) place: board::Place,
+    pub(super) fresh: u64,
+}
+
+impl Course {
+    /// An endpoint did not have what it was thought to have.
+    pub(super) fn lacking(&self, aim: &Aim) {
+        let Some(model) = &self.facts.ask.model else {
+            return;
+        };
+        let core = &self.gateway.core;
+        let adapter = self.facts.ask.adapter.as_ref();
+        core.board.lacks(&aim.place, model, adapter);
+        let Some(adapter) = adapter else {
+            return;
+        };
+        let want = self.want(model, adapter, &aim.place.endpoint, true);
+        let core = Arc::clone(core);
+        tokio::spawn(async move {
+            // The leader learns it by the next request if this is lost.
+            let told: Result<traffic::Placed, _> = core
+                .leader
+                .call(method::ADAPTER_WANT, &want, WANT_TIME)
+                .await;
+            if let Err(cause) = told {
+                spdlog::debug!("gateway: the leader was not told of a missing adapter: {cause}");
+            }
+        });
+    }
+
+    /// Where to send next.
+    pub(super) async fn aim(&mut self) -> Result<Aim, Failure> {
+        let view = request::serving_view(&self.gateway)?;
+        // The plan may have changed while the request waited; the one in force when
+        // it is sent decides.
+        self.resolved = self.facts.resolve(&view)?;
+        self.story.plan = self.resolved.plan;
+        self.story.revision = view.revision().0;
+        drop(view);
+        let left = self.deadline().since(self.now());
+        if left <= LEAST_LEFT {
+            return Err(self.no_endpoint(FULL_WAIT, "out of time"));
+        }
+        match self.facts.ask.model.clone() {
+            Some(model) if self.resolved.has_engine => self.aim_at_engine(&model).await,
+            _ => self.aim_at_service(),
+        }
+    }
+
+    fn aim_at_service(&self) -> Result<Aim, Failure> {
+        let now = self.now();
+        let board = &self.gateway.core.board;
+        let place = board.plain(now, &self.resolved.service, &self.tried);
+        let place = place.ok_or_else(|| self.no_endpoint(FULL_WAIT, "no endpoint is ready"))?;
+        Ok(Aim { place, fresh: 0 })
+    }
+
+    async fn aim_at_engine(&mut self, model: &id::Model) -> Result<Aim, Failure> {
+        let seat = self.seat(model).await?;
+        let now = self.now();
+        self.story.step(
+            now,
+            format_args!(
+                "chooses {}, {} prompt tokens wait there, {} to read, first event in {}ms, adapter {}",
+                seat.place.endpoint,
+                seat.backlog,
+                seat.fresh,
+                seat.first_event.0 / 1_000,
+                if seat.ready { "there" } else { "missing" },
+            ),
+        );
+        self.admit(&seat)?;
+        let adapter = self.facts.ask.adapter.clone();
+        let place = match adapter.filter(|_| !seat.ready) {
+            Some(adapter) => self.fetch(model, &adapter, &seat.place).await?,
+            None => seat.place,
+        };
+        Ok(Aim {
+            place,
+            fresh: seat.fresh,
+        })
+    }
+
+    /// The best engine that holds the model; waits a moment for one.
+    async fn seat(&self, model: &id::Model) -> Result<board::Seat, Failure> {
+        let board = &self.gateway.core.board;
+        let until = self.facts.arrived.after(COPY_WAIT).min(self.deadline());
+        loop {
+            let now = self.now();
+            let query = board::Query {
+                service: &self.resolved.service,
+                model,
+                adapter: self.facts.ask.adapter.as_ref(),
+                chain: &self.facts.chain,
+                rank: self.resolved.rank(),
+                prompt: self.prompt(),
+                tried: &self.tried,
+            };
+            if let Some(seat) = board.seat(now, &query) {
+                return Ok(seat);
+            }
+            let hopeless = !self.tried.is_empty() || !board.serves(&self.resolved.service);
+            if hopeless || now >= until {
+                return Err(self.no_endpoint(LOAD_WAIT, "no engine holds the model"));
+            }
+            tokio::time::sleep(COPY_LOOK.to_std()).await;
+        }
+    }
+
+    fn prompt(&self) -> u64 {
+        let tokens = self.facts.ask.tokens;
+        tokens.map_or(0, |tokens| tokens.prompt)
+    }
+
+    /// Refuses at once what would come too late: it would only make those late that
+    /// come after it.
+    fn admit(&self, seat: &board::Seat) -> Result<(), Failure> {
+        let objective = self.resolved.route.objective;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part of a positive number"
+        )]
+        let limit = duration::Span((objective.0 as f64 * IN_TIME) as u64);
+        let waited = self.now().since(self.facts.arrived);
+        // What has waited for a copy is late already; it is served if its engine
+        // is not overloaded.
+        let limit = if waited > limit {
+            limit
+        } else {
+            duration::Span(limit.0 - waited.0)
+        };
+        if seat.first_event > limit {
+            let over = duration::Span(seat.first_event.0 - limit.0);
+            return Err(self.no_endpoint(over.max(FULL_WAIT), "the first event would be late"));
+        }
+        self.spare_streams(seat)
+    }
+
+    /// Refuses what would make the streams that run at the engine pause too long.
+    ///
+    /// An engine reads prompts between the tokens of its streams. While prompts never
+    /// run out, each token waits for a part of them, and an event holds several
+    /// tokens: one sees every stream of that engine late, and streams that take many
+    /// times as long as usual, until their callers give up.
+    fn spare_streams(&self, seat: &board::Seat) -> Result<(), Failure> {
+        let Some(pause) = self.resolved.route.pause else {
+            return Ok(());
+        };
+        let reading = tally::reading(seat.backlog);
+        let part = SPARED[self.resolved.rank().min(SPARED.len() - 1)];
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part of a positive number"
+        )]
+        let most = duration::Span((pause.0 as f64 * part) as u64);
+        if reading <= most {
+            return Ok(());
+        }
+        let over = duration::Span(reading.0 - most.0);
+        Err(self.no_endpoint(over.max(FULL_WAIT), "the engine's streams would pause"))
+    }
+
+    fn want(
+        &self,
+        model: &id::Model,
+        adapter: &SmolStr,
+        endpoint: &id::Endpoint,
+        missing: bool,
+    ) -> traffic::Want {
+        traffic::Want {
+            service: self.resolved.service.clone(),
+            model: model.clone(),
+            adapter: adapter.clone(),
+            endpoint: endpoint.clone(),
+            expires: missing,
+        }
+    }
+
+    /// Has the leader load an adapter, best at the engine that was chosen.
+    async fn fetch(
+        &self,
+        model: &id::Model,
+        adapter: &SmolStr,
+        wished: &board::Place,
+    ) -> Result<board::Place, Failure> {
+        let core = &self.gateway.core;
+        let want = self.want(model, adapter, &wished.endpoint, false);
+        let placed: Result<traffic::Placed, _> = core
+            .leader
+            .call(method::ADAPTER_WANT, &want, WANT_TIME)
+            .await;
+        let endpoint = match placed {
+            Ok(placed) => placed.endpoint,
+            Err(cause) => {
+                spdlog::info!("gateway: the leader gives no adapter {model}/{adapter}: {cause}");
+                None
+            }
+        };
+        let place = endpoint.and_then(|endpoint| core.board.place(&endpoint, model));
+        let place = place.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
+        core.board.has(&place, model, adapter);
+        Ok(place)
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -15,13 +15,14 @@
 use smol_str::{SmolStr, ToSmolStr as _};
 
 use crate::admission;
+use crate::metric;
 use crate::view::{self, traffic as table};
 
 use super::answer;
 use super::course;
 use super::dialect;
 use super::failure::Failure;
-use super::{Gateway, stream};
+use super::{Gateway, story, stream};
 
 /// Longest time for a body. Callers are on fast networks and send some kilobytes.
 const BODY_TIME: Duration = Duration::from_secs(8);
@@ -55,6 +56,8 @@
     pub workspace: Option<Payer>,
     pub service: id::Service,
     pub has_engine: bool,
+    /// Version of the plan.
+    pub plan: u64,
 }
 
 /// For whom a request runs.
@@ -94,6 +97,7 @@
             workspace,
             has_engine: known.is_some_and(|known| known.engine.is_some()),
             service,
+            plan: table.plan().version,
         })
     }
 
@@ -158,13 +162,21 @@
 ) -> Response<answer::Body> {
     let arrived = gateway.core.now();
     let (head, body) = request.into_parts();
-    let mut response = match answer(&gateway, arrived, head, body).await {
+    let mut told = story::Story::new(arrived, None);
+    let mut response = match answer(&gateway, arrived, head, body, &mut told).await {
         Ok(response) => response,
-        Err((id, failure)) => {
-            note(&gateway, arrived, id.as_ref(), &failure);
+        Err(failure) => {
+            let now = gateway.core.now();
+            let (code, cause, wait) = (failure.code(), failure.cause(), failure.wait());
+            told.failed(&gateway.volume, now, code, cause, wait);
+            gateway.core.count(metric::GATEWAY_FAILURES, code);
             failure.answer()
         }
     };
+    let status = response.status();
+    gateway
+        .core
+        .count(metric::GATEWAY_REQUESTS, status.as_str());
     if gateway.core.is_draining() {
         // Callers that keep the connection would send their next request to a
         // process that is about to end.
@@ -174,38 +186,46 @@
     response
 }
 
-fn note(gateway: &Gateway, arrived: duration::Instant, id: Option<&SmolStr>, failure: &Failure) {
-    let after = gateway.core.now().since(arrived);
-    let id = id.map_or("-", SmolStr::as_str);
-    spdlog::info!(
-        "gateway: request {id} fails after {after}: {} {}",
-        failure.code(),
-        failure.cause()
-    );
-}
-
-type Named = (Option<SmolStr>, Failure);
-
 async fn answer(
     gateway: &Arc<Gateway>,
     arrived: duration::Instant,
     head: request::Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, Named> {
+    told: &mut story::Story,
+) -> Result<Response<answer::Body>, Failure> {
     let ask = gateway.dialect.read(&head.headers);
-    let ask = ask.map_err(|cause| (None, Failure::Malformed(cause)))?;
-    let id = ask.id.clone();
-    let named = |failure| (id.clone(), failure);
-    let body = read_body(gateway, body).await.map_err(named)?;
-    let facts = facts(arrived, head, body, ask).map_err(named)?;
-    let view = serving_view(gateway).map_err(named)?;
-    let resolved = facts.resolve(&view).map_err(named)?;
-    let permit = pay(gateway, &facts, &resolved).await.map_err(named)?;
+    let ask = ask.map_err(Failure::Malformed)?;
+    told.id.clone_from(&ask.id);
+    let body = read_body(gateway, body).await?;
+    let facts = facts(arrived, head, body, ask)?;
+    let view = serving_view(gateway)?;
+    let resolved = facts.resolve(&view)?;
+    told.revision = view.revision().0;
     drop(view);
+    note(told, &facts, &resolved);
+    let permit = pay(gateway, &facts, &resolved).await?;
     gateway.reserve.earn(&resolved.service);
-    let course = course::Course::new(gateway, facts, resolved, permit);
-    let outcome = course.run().await;
-    outcome.map_err(named)
+    // The course goes on to tell the story, also after the head of a stream has gone
+    // out; what is left here is told if it fails before.
+    let course = course::Course::new(gateway, facts, resolved, permit, std::mem::take(told));
+    match course.run().await {
+        Ok(response) => Ok(response),
+        Err((story, failure)) => {
+            *told = story;
+            Err(failure)
+        }
+    }
+}
+
+fn note(told: &mut story::Story, facts: &Facts, resolved: &Resolved) {
+    told.route = resolved.route.name.clone();
+    told.plan = resolved.plan;
+    if let Some(payer) = &resolved.workspace {
+        told.workspace = SmolStr::new(payer.name.as_str());
+    }
+    if let Some(model) = &facts.ask.model {
+        told.model = SmolStr::new(model.as_str());
+    }
 }
 
 /// The view to serve from.
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use crate::metric;
 use crate::sse;
 
 use super::answer::{self, Cut};
@@ -38,6 +39,8 @@
     /// on with, which begins after a whole event.
     splitter: Option<sse::Splitter>,
     last_event: Option<String>,
+    /// Whether its first event has come.
+    begun: bool,
 }
 
 struct Upstream {
@@ -61,6 +64,7 @@
         upstream: Some(Upstream { body, line, flight }),
         splitter,
         last_event,
+        begun: false,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let next = relay.next().await?;
@@ -80,6 +84,10 @@
                 Err(_elapsed) => return Some(Err(self.cut("the deadline passed"))),
                 Ok(Some(Ok(frame))) => {
                     upstream.flight.read();
+                    if !self.begun {
+                        self.begun = true;
+                        self.course.note_first_event();
+                    }
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
@@ -133,12 +141,19 @@
         if let Some(upstream) = self.upstream.take() {
             self.course.gateway.pool.put(upstream.line);
         }
+        let now = self.course.gateway.core.now();
+        self.course.story.ended(&self.course.gateway.volume, now);
     }
 
     /// Ends the answer so that the caller sees that it is not whole.
     fn cut(&mut self, cause: &'static str) -> Cut {
-        let id = self.course.id();
-        spdlog::info!("gateway: request {id}: its stream is cut: {cause}");
+        let core = &self.course.gateway.core;
+        let now = core.now();
+        let volume = &self.course.gateway.volume;
+        self.course
+            .story
+            .failed(volume, now, "stream_cut", cause, None);
+        core.count(metric::GATEWAY_FAILURES, "stream_cut");
         self.upstream = None;
         Cut::other(cause)
     }
@@ -157,8 +172,9 @@
         let Some(answered) = resumed else {
             return false;
         };
-        let id = self.course.id();
-        spdlog::info!("gateway: request {id}: another engine goes on with its stream: {cause}");
+        let now = self.course.gateway.core.now();
+        let resumed = format_args!("another engine goes on with the stream: {cause}");
+        self.course.story.step(now, resumed);
         self.splitter = Some(sse::Splitter::default());
         self.upstream = Some(Upstream {
             body: answered.response.into_body(),
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -23,8 +23,44 @@
 pub(crate) const TOKENS: &str = "tokens";
 /// Time to the first token.
 pub(crate) const FIRST_TOKEN: &str = "first_token";
+/// Answers to requests of routes.
+pub(crate) const GATEWAY_REQUESTS: &str = "gateway_requests";
+/// Requests of routes that failed here.
+pub(crate) const GATEWAY_FAILURES: &str = "gateway_failures";
+/// Sends to endpoints.
+pub(crate) const GATEWAY_SENDS: &str = "gateway_sends";
+/// Time to the first event of a stream.
+pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
 
-/// All metrics of an entry.
+/// Metrics of the gateway, which entries without a traffic plan do not send.
+pub const GATEWAY: [Metric; 4] = [
+    Metric {
+        name: GATEWAY_REQUESTS,
+        kind: "c",
+        unit: "requests",
+        meaning: "answers to requests of routes, tagged with the status",
+    },
+    Metric {
+        name: GATEWAY_FAILURES,
+        kind: "c",
+        unit: "requests",
+        meaning: "requests of routes that failed here, tagged with the code of the log line",
+    },
+    Metric {
+        name: GATEWAY_SENDS,
+        kind: "c",
+        unit: "sends",
+        meaning: "sends to endpoints, tagged answered, not_run, unreachable or unknown",
+    },
+    Metric {
+        name: GATEWAY_FIRST_EVENT,
+        kind: "ms",
+        unit: "milliseconds",
+        meaning: "time from a request's arrival to the first event of its stream",
+    },
+];
+
+/// All other metrics of an entry.
 pub const ALL: [Metric; 5] = [
     Metric {
         name: REQUESTS,
--- a/crates/cranberrygap/src/daemon.rs
+++ b/crates/cranberrygap/src/daemon.rs
@@ -2,9 +2,11 @@
 
 pub mod control;
 pub mod entry;
+pub mod http;
 pub mod launch;
 pub mod log;
 pub mod metrics;
+pub mod scrape;
 mod secret;
 pub mod settings;
 pub mod signal;
--- a/platform/src/http.rs
+++ b/crates/cranberrygap/src/daemon/http.rs
@@ -1,4 +1,4 @@
-//! A small HTTP listener for calls that are not routes.
+//! A small HTTP listener for calls beside requests: checks, metrics, other forms.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -28,22 +28,26 @@
 
 /// A call, read whole.
 #[derive(Debug)]
-pub(crate) struct Call {
+pub struct Call {
+    /// Its method.
     pub method: Method,
+    /// Its path.
     pub path: String,
+    /// Its query; empty without one.
     pub query: String,
+    /// Its body.
     pub body: Bytes,
 }
 
 /// An answer.
-pub(crate) type Answer = Response<Full<Bytes>>;
+pub type Answer = Response<Full<Bytes>>;
 
 /// Serves `handler` at `address` until the process ends.
 ///
 /// # Errors
 ///
 /// When the address cannot be listened on.
-pub(crate) fn serve<H, A>(address: SocketAddr, handler: H) -> std::io::Result<()>
+pub fn serve<H, A>(address: SocketAddr, handler: H) -> std::io::Result<()>
 where
     H: Fn(Call) -> A + Send + Sync + 'static,
     A: Future<Output = Answer> + Send + 'static,
@@ -82,7 +86,7 @@
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(cause) = connection.await {
-                spdlog::debug!("platform: a connection ended: {cause}");
+                spdlog::debug!("http: a connection ended: {cause}");
             }
         });
     }
@@ -110,14 +114,24 @@
 }
 
 /// An answer without a body.
-pub(crate) fn empty(status: StatusCode) -> Answer {
+#[must_use]
+pub fn empty(status: StatusCode) -> Answer {
     let mut answer = Response::new(Full::new(Bytes::new()));
     *answer.status_mut() = status;
     answer
 }
 
+/// An answer of plain text.
+#[must_use]
+pub fn text(body: String) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let plain = HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(header::CONTENT_TYPE, plain);
+    answer
+}
+
 /// An answer whose body is JSON already.
-pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Answer {
     let mut answer = Response::new(Full::new(body.into()));
     *answer.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
@@ -126,7 +140,8 @@
 }
 
 /// A value of a query; names and zones need no decoding.
-pub(crate) fn query<'call>(call: &'call Call, name: &str) -> Option<&'call str> {
+#[must_use]
+pub fn query<'call>(call: &'call Call, name: &str) -> Option<&'call str> {
     let mut items = call
         .query
         .split('&')
--- a/crates/cranberrygap/src/daemon/metrics.rs
+++ b/crates/cranberrygap/src/daemon/metrics.rs
@@ -1,11 +1,14 @@
-//! Metrics as StatsD datagrams.
+//! Metrics as StatsD datagrams, or served as text.
 
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
+use http::StatusCode;
+
+use super::{http as listener, scrape};
 
 /// Gauge of a control process: 1 while it leads, else 0.
 pub const LEADS: &str = "leads";
@@ -17,12 +20,21 @@
 /// Metrics that may wait for the sending thread; more are dropped.
 const QUEUE_LENGTH: usize = 4096;
 
+/// Path at which metrics are served.
+const PATH: &str = "/metrics";
+
 /// A client that prefixes each metric's name; it drops all when no receiver is set.
 ///
+/// Where an address to serve them at is set, metrics are kept and served there, by the
+/// product's name and without the instance's: whoever reads them knows whom they ask.
+///
 /// # Errors
 ///
 /// When no UDP socket can be opened.
 pub fn client(wanted: &settings::Metrics, prefix: &str) -> eyre::Result<Arc<StatsdClient>> {
+    if let Some(listen) = wanted.listen {
+        return serve(listen.0, prefix);
+    }
     let Some(receiver) = wanted.statsd else {
         return Ok(Arc::new(StatsdClient::from_sink(prefix, NopMetricSink)));
     };
@@ -38,6 +50,25 @@
     Ok(Arc::new(StatsdClient::from_sink(prefix, queue)))
 }
 
+/// Keeps metrics and serves them.
+fn serve(address: SocketAddr, prefix: &str) -> eyre::Result<Arc<StatsdClient>> {
+    let registry = scrape::Registry::default();
+    let shown = registry.clone();
+    let listening = listener::serve(address, move |call| {
+        let found = call.path == PATH;
+        std::future::ready(if found {
+            listener::text(shown.text())
+        } else {
+            listener::empty(StatusCode::NOT_FOUND)
+        })
+    });
+    listening.wrap_err("[metrics] listen")?;
+    let program = prefix
+        .rsplit_once('.')
+        .map_or(prefix, |(program, _)| program);
+    Ok(Arc::new(StatsdClient::from_sink(program, registry)))
+}
+
 /// Sends what is collected, though its datagram is not full.
 ///
 /// Datagrams are filled before they go out. On a quiet process a metric would
--- a/crates/cranberrygap/tests/pages.rs
+++ b/crates/cranberrygap/tests/pages.rs
@@ -8,7 +8,7 @@
 fn every_metric_of_an_entry_is_on_the_operators_page() {
     let page = include_str!("../../../docs/OPERATIONS.md");
 
-    for metric in metric::ALL {
+    for metric in metric::ALL.into_iter().chain(metric::GATEWAY) {
         let metric::Metric {
             name,
             kind,
