Name a runner that has the adapter while none may be loaded

A runner whose adapter places were all in use was chosen likewise.

Change: a leader that may not order answers at once, with a runner that has the adapter or with none; runners without a place that can be freed go last; without a leader the entry takes an engine that has the adapter.

Ruled out: orders before the old leader's time is over, which the users' runners that do not compare leaders would take from two.

--- a/crates/cranberrygap-entry/src/gateway/board.rs
+++ b/crates/cranberrygap-entry/src/gateway/board.rs
@@ -40,6 +40,8 @@
     pub rank: usize,
     pub prompt: u64,
     pub tried: &'request Tried,
+    /// Whether only engines count that hold the adapter.
+    pub only_ready: bool,
 }
 
 /// An endpoint that was chosen.
@@ -115,9 +117,14 @@
         let adapter = query
             .adapter
             .map(|adapter| format_smolstr!("{}/{adapter}", query.model));
+        let ready = |node: &Node| {
+            let adapter = adapter.as_ref();
+            adapter.is_none_or(|adapter| node.adapters.contains(adapter.as_str()))
+        };
         let usable: Vec<&Node> = inner
             .untried(query.service, query.tried)
             .filter(|node| node.holds(query.model))
+            .filter(|node| !query.only_ready || ready(node))
             .collect();
         let trusted = trusted(now, &usable);
         let home = home(query, &trusted);
@@ -127,9 +134,7 @@
             kept: node.memory.kept(now, query.chain),
             home: home == Some(&node.endpoint),
             near: node.near,
-            ready: adapter
-                .as_ref()
-                .is_none_or(|adapter| node.adapters.contains(adapter.as_str())),
+            ready: ready(node),
             failing: node.failures.part(now),
         });
         let wanted = engine::Wanted {
@@ -142,9 +147,7 @@
         let choice = engine::choose(&wanted, candidates)?;
         let node = inner.nodes.get(&choice.endpoint)?;
         Some(Seat {
-            ready: adapter
-                .as_ref()
-                .is_none_or(|adapter| node.adapters.contains(adapter.as_str())),
+            ready: ready(node),
             place: node.place(),
             first_event: choice.first_event,
             fresh: choice.fresh,
--- a/crates/cranberrygap-entry/src/gateway/course/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/course/aim.rs
@@ -31,7 +31,7 @@
 const LOAD_WAIT: duration::Span = duration::Span::from_millis(3_200);
 
 /// Longest wait for the leader when an adapter is missing.
-const WANT_TIME: duration::Span = duration::Span::from_secs(1);
+const WANT_TIME: duration::Span = duration::Span::from_millis(600);
 
 /// Where to send next.
 pub(super) struct Aim {
@@ -124,15 +124,7 @@
         let until = self.facts.arrived.after(COPY_WAIT).min(self.deadline());
         loop {
             let now = self.now();
-            let query = board::Query {
-                service: &self.resolved.service,
-                model,
-                adapter: self.facts.ask.adapter.as_ref(),
-                chain: &self.facts.chain,
-                rank: self.resolved.rank(),
-                prompt: self.prompt(),
-                tried: &self.tried,
-            };
+            let query = self.query(model, false);
             if let Some(seat) = board.seat(now, &query) {
                 return Ok(seat);
             }
@@ -144,6 +136,23 @@
         }
     }
 
+    fn query<'request>(
+        &'request self,
+        model: &'request id::Model,
+        only_ready: bool,
+    ) -> board::Query<'request> {
+        board::Query {
+            service: &self.resolved.service,
+            model,
+            adapter: self.facts.ask.adapter.as_ref(),
+            chain: &self.facts.chain,
+            rank: self.resolved.rank(),
+            prompt: self.prompt(),
+            tried: &self.tried,
+            only_ready,
+        }
+    }
+
     fn prompt(&self) -> u64 {
         let tokens = self.facts.ask.tokens;
         tokens.map_or(0, |tokens| tokens.prompt)
@@ -235,9 +244,14 @@
                 None
             }
         };
-        let place = endpoint.and_then(|endpoint| core.board.place(&endpoint, model));
-        let place = place.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
-        core.board.has(&place, model, adapter);
-        Ok(place)
+        if let Some(place) = endpoint.and_then(|endpoint| core.board.place(&endpoint, model)) {
+            core.board.has(&place, model, adapter);
+            return Ok(place);
+        }
+        // Without a leader, an engine that has the adapter serves it, if later.
+        let held = core.board.seat(core.now(), &self.query(model, true));
+        let seat = held.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
+        self.admit(&seat)?;
+        Ok(seat.place)
     }
 }
--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -11,8 +11,9 @@
 /// largest took 9.7 ms on the users' runners; the rest is for the way of the order.
 const FETCH: duration::Span = duration::Span::from_millis(12);
 
-/// Longest wait for an adapter; whoever asked tries another way then.
-const PATIENCE: duration::Span = duration::Span::from_millis(900);
+/// Longest wait for an adapter; whoever asked tries another way then. An adapter
+/// behind seven others at the same runner is there within 200 ms.
+const PATIENCE: duration::Span = duration::Span::from_millis(450);
 
 /// Time since its last use for which an adapter is not dropped. Requests for it
 /// may be under way to the runner.
@@ -44,6 +45,9 @@
             ready: None,
             deadline: now.after(PATIENCE),
         };
+        // A leader that may not order yet can only name a runner that has it already;
+        // whoever asks is better told at once than after a wait in vain.
+        let may_order = now >= self.opens;
         match endpoint.and_then(|name| self.runners.get_mut(&name)) {
             None => waiter.deadline = now,
             Some(runner) => match runner.adapters.get_mut(adapter) {
@@ -51,6 +55,7 @@
                     *used = now;
                     waiter.ready = Some(now);
                 }
+                None if !may_order => waiter.deadline = now,
                 None if runner.wanted.contains(adapter) => {}
                 None => runner.wanted.push_back(adapter.clone()),
             },
@@ -71,7 +76,10 @@
             .filter(|(_, runner)| runner.serves(&adapter.0));
         let best = serving.min_by_key(|(name, runner)| {
             let there = runner.adapters.contains_key(adapter) || runner.wanted.contains(adapter);
-            let blocked = runner.carried.is_some() || now < runner.adapters_after;
+            let blocked = now < self.opens
+                || runner.carried.is_some()
+                || now < runner.adapters_after
+                || !runner.has_adapter_place(now, self.engine.adapter_slots);
             let full = runner.adapters.len() >= self.engine.adapter_slots;
             // The wish of the entry goes first unless the runner cannot take it now.
             let wished = *name == preferred;
@@ -197,6 +205,17 @@
 }
 
 impl runner::Runner {
+    /// Whether one more adapter finds a place, or one that can be dropped for it.
+    fn has_adapter_place(&self, now: duration::Instant, slots: usize) -> bool {
+        let idle = self
+            .adapters
+            .values()
+            .filter(|used| now.since(**used) >= IN_USE)
+            .count();
+        let taken = self.adapters.len() - idle;
+        taken + self.wanted.len() < slots
+    }
+
     /// The order that drops the adapter that was used least of late.
     fn idle_adapter(&self, now: duration::Instant) -> Option<order::Action> {
         let idle = self
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -76,16 +76,22 @@
 }
 
 fn book_of(models: &[&str], all: &[endpoint::Announcement], report: &order::Report) -> book::Book {
+    let reports = vec![report.clone(); all.len()];
+    opening_book(duration::Span::from_millis(100), models, all, &reports)
+}
+
+/// A book that may order after `wait`, whose runners have sent `reports`.
+fn opening_book(
+    wait: duration::Span,
+    models: &[&str],
+    all: &[endpoint::Announcement],
+    reports: &[order::Report],
+) -> book::Book {
     let service = "lm".parse().expect("a name");
-    let mut book = book::Book::new(
-        service,
-        room(models),
-        at(0),
-        duration::Span::from_millis(100),
-    );
+    let mut book = book::Book::new(service, room(models), at(0), wait);
     follow(&mut book, 0, all);
     book.tick(at(10));
-    for found in all {
+    for (found, report) in all.iter().zip(reports) {
         book.reported(at(20), &found.endpoint, report);
     }
     // What the reports tell is passed on here, before anything may be ordered.
@@ -109,7 +115,10 @@
 }
 
 fn actions(outputs: &[book::Output]) -> Vec<String> {
-    let orders = orders(outputs);
+    actions_of(&orders(outputs))
+}
+
+fn actions_of(orders: &[order::Order]) -> Vec<String> {
     orders
         .iter()
         .map(|order| format!("{}: {}", order.endpoint, order.action))
@@ -354,3 +363,47 @@
     assert_eq!(second[0].action.to_string(), "load m/a3");
     assert_eq!(second[0].expect, 1);
 }
+
+// The leader has changed, and the new one may not order anything for three seconds.
+// Requests whose adapter is missing at the engine of their choice used to wait for it
+// for a second and were refused then, though another engine had it.
+#[test]
+fn leader_that_may_not_order_names_a_runner_that_has_the_adapter() {
+    let all = [
+        announced("r1", 1, &["m"], &[]),
+        announced("r2", 1, &["m", "m/a1"], &[]),
+    ];
+    let mut held = report(1);
+    held.adapters = vec![(model("m"), "a1".into())];
+    let wait = duration::Span::from_secs(3);
+    let mut book = opening_book(wait, &["m"], &all, &[report(0), held]);
+    book.want(at(1_000), 1, &(model("m"), "a1".into()), &name("r1"), false);
+    book.want(at(1_000), 2, &(model("m"), "a2".into()), &name("r1"), false);
+
+    let outputs = book.tick(at(1_001));
+
+    assert!(outputs.contains(&book::Output::Place(1, Some(name("r2")))));
+    assert!(outputs.contains(&book::Output::Place(2, None)));
+}
+
+// All adapters of the engine of the entry's choice are in use. None may be dropped, so
+// a request that waits there for a place waits in vain while another engine has room.
+#[test]
+fn adapter_goes_elsewhere_if_all_places_are_in_use() {
+    let all = [
+        announced("r1", 1, &["m", "m/a1", "m/a2"], &[]),
+        announced("r2", 1, &["m"], &[]),
+    ];
+    let mut held = report(0);
+    held.adapters = vec![(model("m"), "a1".into()), (model("m"), "a2".into())];
+    let wait = duration::Span::from_millis(100);
+    let mut book = opening_book(wait, &["m"], &all, &[held, report(0)]);
+    for adapter in ["a1", "a2"] {
+        book.used(at(5_000), &(model("m"), adapter.into()));
+    }
+    book.want(at(5_100), 1, &(model("m"), "a3".into()), &name("r1"), false);
+
+    let sent = orders(&book.tick(at(5_100)));
+
+    assert_eq!(actions_of(&sent), ["r2: load m/a3"]);
+}
