Wait a moment for an engine that is not overloaded

Cause: a burst of a few requests filled the half pause that an engine may read between its streams' events, and the next one was refused at once, though the engine was free again within a tenth of a second. Whoever is refused comes back late.

Change: a request looks again every 15 ms, for a third of its objective and 260 ms at most, before it is refused.

--- a/crates/cranberrygap-entry/src/gateway/course/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/course/aim.rs
@@ -23,6 +23,15 @@
 /// from an engine's disk or host memory is there within a second or so.
 const COPY_WAIT: duration::Span = duration::Span::from_millis(1_500);
 
+/// Part of the objective, one in so many, for which a request waits for an engine
+/// that is not overloaded, and the longest such wait. Bursts of a few requests pass
+/// within it; a refusal would make each of them late.
+const FREE_PART: u64 = 3;
+const FREE_WAIT: duration::Span = duration::Span::from_millis(260);
+
+/// Time between two looks for such an engine.
+const FREE_LOOK: duration::Span = duration::Span::from_millis(15);
+
 /// Time between two looks for a copy.
 const COPY_LOOK: duration::Span = duration::Span::from_millis(30);
 
@@ -93,7 +102,38 @@
     }
 
     async fn aim_at_engine(&mut self, model: &id::Model) -> Result<Aim, Failure> {
-        let seat = self.seat(model).await?;
+        let seat = self.free_seat(model).await?;
+        self.tell_seat(&seat);
+        let adapter = self.facts.ask.adapter.clone();
+        let place = match adapter.filter(|_| !seat.ready) {
+            Some(adapter) => self.fetch(model, &adapter, &seat.place).await?,
+            None => seat.place,
+        };
+        Ok(Aim {
+            place,
+            fresh: seat.fresh,
+        })
+    }
+
+    /// The best engine that can take the request; waits a moment for one.
+    async fn free_seat(&mut self, model: &id::Model) -> Result<board::Seat, Failure> {
+        let objective = self.resolved.route.objective;
+        let wait = duration::Span(objective.0 / FREE_PART).min(FREE_WAIT);
+        let until = self.facts.arrived.after(wait);
+        loop {
+            let seat = self.seat(model).await?;
+            let Err(failure) = self.admit(&seat) else {
+                return Ok(seat);
+            };
+            if self.now() >= until {
+                self.tell_seat(&seat);
+                return Err(failure);
+            }
+            tokio::time::sleep(FREE_LOOK.to_std()).await;
+        }
+    }
+
+    fn tell_seat(&mut self, seat: &board::Seat) {
         let now = self.now();
         self.story.step(
             now,
@@ -106,16 +146,6 @@
                 if seat.ready { "there" } else { "missing" },
             ),
         );
-        self.admit(&seat)?;
-        let adapter = self.facts.ask.adapter.clone();
-        let place = match adapter.filter(|_| !seat.ready) {
-            Some(adapter) => self.fetch(model, &adapter, &seat.place).await?,
-            None => seat.place,
-        };
-        Ok(Aim {
-            place,
-            fresh: seat.fresh,
-        })
     }
 
     /// The best engine that holds the model; waits a moment for one.
