Choose the runner for a load by what its victim costs too

Cause: the first move of a new leader dropped one of two copies of the busiest model, since the runner that held it had the missing model on its disk; the other copy turned 300 requests away in four seconds, and the drop waited 4.5 s for the streams that ran there. The runner was chosen by its load and the load's time, the victim only afterwards.

Change: what the other copies of the victim have to take over counts as part of a runner's time.

--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -33,6 +33,9 @@
 const RETURN: f64 = 700.0;
 const RETURN_TIMES: f64 = 6.0;
 
+/// Work a second above which one victim counts as much as another.
+const MOST_MISSED: f64 = 10.0 * RUNNER_RATE;
+
 /// Parts into which a model's demand is cut when it is spread over its copies.
 const PARTS: u32 = 8;
 
@@ -191,8 +194,10 @@
             } else {
                 Some(self.victim(name, runner, model)?)
             };
-            // A second of load time weighs as much as a tenth of a runner's time.
-            let cost = load + time.as_secs_f64() * 0.1;
+            // A second of load time weighs as much as a tenth of a runner's time, and so
+            // does what the other copies of the victim have to take over.
+            let missed = victim.map_or(0.0, |victim| self.loss(victim).min(MOST_MISSED));
+            let cost = load + time.as_secs_f64() * 0.1 + missed / RUNNER_RATE;
             Some((cost, name, victim))
         });
         let best = options.min_by(|left, right| left.0.total_cmp(&right.0));
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -407,3 +407,29 @@
 
     assert_eq!(actions_of(&sent), ["r2: load m/a3"]);
 }
+
+// A model has lost its last copy. The runner that has it on its disk holds two copies of
+// busy models; dropped for it, one of them left its callers with a single copy that
+// turned hundreds away. A load that takes a few seconds longer costs less.
+#[test]
+fn copy_of_a_busy_model_is_not_dropped_for_a_quicker_load() {
+    let all = [
+        announced("r1", 1, &["hot", "warm"], &["lost"]),
+        announced("r2", 1, &["hot", "cold"], &[]),
+        announced("r3", 1, &["warm", "cold"], &[]),
+    ];
+    let mut book = book(&["hot", "warm", "cold", "lost"], &all);
+    book.set_demand(demand(&[("hot", 1.0), ("warm", 1.0), ("lost", 0.1)]));
+
+    book.tick(at(1_000));
+    for found in &all {
+        book.told(at(1_010), &found.endpoint);
+    }
+    let outputs = book.tick(at(1_200));
+
+    let unloads = actions(&outputs);
+    assert!(
+        unloads == ["r2: unload cold"] || unloads == ["r3: unload cold"],
+        "{unloads:?}"
+    );
+}
