Load models in the order of what is lost without them

Cause: after runners were taken away, models that are asked for once in ten seconds came before the busiest one, which lacked three copies; the store allows 2.8 loads a second, so that its copies came one after the other for six seconds.

Change: a model without a copy weighs four times its demand, one with overloaded copies what a further one takes off each; before, any missing model went first.

--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -33,6 +33,10 @@
 const RETURN: f64 = 700.0;
 const RETURN_TIMES: f64 = 6.0;
 
+/// Weight of demand for a model without a copy. All of it is lost; but loads from the
+/// store are few, and a busy model whose copies turn a multiple of that away goes first.
+const LOST: f64 = 4.0;
+
 /// Work a second above which one victim counts as much as another.
 const MOST_MISSED: f64 = 10.0 * RUNNER_RATE;
 
@@ -143,14 +147,12 @@
         let pressed = models.filter_map(|model| {
             let work = self.demand.get(model).copied().unwrap_or_default();
             let Some(least) = self.least_load(model) else {
-                // Nobody can be served; any demand goes before mere comfort. Without
-                // demand a copy on a runner's disk is near enough, else the model must
-                // come back in the end.
+                // Nobody can be served. Without demand a copy on a runner's disk is near
+                // enough, else the model must come back in the end.
                 if work <= SILENT && self.is_stored(model) {
                     return None;
                 }
-                let pressure = if work > SILENT { 1e9 + work } else { 0.0 };
-                return Some((pressure, model));
+                return Some((work * LOST, model));
             };
             // The next copy goes where it takes most off each copy; by the whole demand
             // alone the busiest model would get one after the other while a model with
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -433,3 +433,26 @@
         "{unloads:?}"
     );
 }
+
+// After runners were taken away, some models that are asked for once in a while have no
+// copy, and the busiest model lacks several. Loads from the store are few; served in
+// the order of "any missing model first", the busiest one turned callers away for six
+// seconds more.
+#[test]
+fn overloaded_model_goes_before_one_that_is_hardly_asked_for() {
+    let all = [
+        announced("r1", 1, &["hot"], &[]),
+        announced("r2", 1, &["hot"], &[]),
+        announced("r3", 1, &["cold"], &[]),
+    ];
+    let mut held = vec![report(0); 3];
+    held[0].busy = true;
+    held[1].busy = true;
+    let wait = duration::Span::from_millis(100);
+    let mut book = opening_book(wait, &["hot", "cold", "rare"], &all, &held);
+    book.set_demand(demand(&[("hot", 3.0), ("rare", 0.02)]));
+
+    let outputs = book.tick(at(1_000));
+
+    assert_eq!(actions(&outputs), ["r3: load hot"]);
+}
