--- a/crates/cranberrygap-control/src/keeper.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -9,28 +9,28 @@
 use futures_util::future;
 use parking_lot::Mutex;
 
-use crate::office;
+use crate::leadership;
 use crate::proposer;
 use crate::replicated;
 use crate::store;
 
 /// Time between two looks. It is part of the time in which a withdrawn key
-/// stops working, see [`office::LEASE`].
+/// stops working, see [`leadership::LEASE`].
 const PERIOD: Duration = Duration::from_millis(100);
 
 /// Time between two readings of the store's list.
 const STORE_PERIOD: Duration = Duration::from_secs(1);
 
-/// The leader's office, shared with those who serve entries.
+/// The leader's term, shared with those who serve entries.
 #[derive(Debug)]
-pub(crate) struct Keeper {
+pub(crate) struct Detector {
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
     clock: clock::Clock,
-    office: Mutex<Option<office::Office>>,
+    leadership: Mutex<Option<leadership::Leadership>>,
 }
 
-impl Keeper {
+impl Detector {
     pub(crate) fn new(
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
@@ -40,34 +40,34 @@
             state,
             proposer,
             clock,
-            office: Mutex::new(None),
+            leadership: Mutex::new(None),
         }
     }
 
-    /// The office of the current term, if this process leads.
+    /// The current term, if this process leads.
     ///
     /// Knowledge of an earlier term is dropped: another leader may have given
     /// leases since.
     pub(crate) fn with_office<R>(
         &self,
-        work: impl FnOnce(duration::Instant, &mut office::Office) -> R,
+        work: impl FnOnce(duration::Instant, &mut leadership::Leadership) -> R,
     ) -> Option<R> {
         let status = self.proposer.status();
         let seen = self.state.seen();
         let now = self.clock.now();
-        let mut office = self.office.lock();
+        let mut leadership = self.leadership.lock();
         if !status.leads {
-            *office = None;
+            *leadership = None;
             return None;
         }
-        let held = office.take().filter(|held| held.term() == status.term);
+        let held = leadership.take().filter(|held| held.term() == status.term);
         let mut current = held.unwrap_or_else(|| {
-            spdlog::info!("leader: takes office in term {}", status.term);
-            office::Office::new(status.term, now, seen)
+            spdlog::info!("leader: takes leadership in term {}", status.term);
+            leadership::Leadership::new(status.term, now, seen)
         });
         current.mark(now, seen);
         let result = work(now, &mut current);
-        *office = Some(current);
+        *leadership = Some(current);
         Some(result)
     }
 
@@ -75,10 +75,10 @@
     pub(crate) async fn watch(self: Arc<Self>) {
         loop {
             tokio::time::sleep(PERIOD).await;
-            let found = self.with_office(|now, office| {
+            let found = self.with_office(|now, leadership| {
                 self.state.read(|fleet| {
-                    office.prune(now, fleet);
-                    office.findings(now, fleet)
+                    leadership.prune(now, fleet);
+                    leadership.findings(now, fleet)
                 })
             });
             let Some(found) = found else {
--- a/crates/cranberrygap-control/src/office.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -35,7 +35,7 @@
 
 /// One leader's term.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Office {
+pub struct Leadership {
     term: number::Term,
     since: duration::Instant,
     entries: BTreeMap<id::Instance, Entry>,
@@ -86,8 +86,8 @@
     pub members: Vec<member::Step>,
 }
 
-impl Office {
-    /// Takes office at `now`, with the view at `revision`.
+impl Leadership {
+    /// Takes leadership at `now`, with the view at `revision`.
     #[must_use]
     pub fn new(term: number::Term, now: duration::Instant, revision: number::Revision) -> Self {
         let mark = Mark { at: now, revision };
@@ -100,7 +100,7 @@
         }
     }
 
-    /// The term of this office.
+    /// The number of this term.
     #[must_use]
     pub const fn term(&self) -> number::Term {
         self.term
@@ -268,7 +268,7 @@
         steps
     }
 
-    /// The office for people.
+    /// The term for people.
     #[must_use]
     pub fn dump(&self, now: duration::Instant) -> serde_json::Value {
         let entries = self.entries.iter().map(|(instance, entry)| {
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -1,9 +1,9 @@
 //! The control process: replicated state served to entries and operators.
 
-pub mod lines;
+pub mod leadership;
+pub mod links;
 pub mod log;
 pub mod machine;
-pub mod office;
 pub mod process;
 pub mod proposer;
 pub mod public;
@@ -12,11 +12,11 @@
 pub mod residency;
 pub mod transport;
 
-mod keeper;
-mod leaves;
+mod detector;
 mod operators;
 mod orders;
 mod peers;
+mod permission;
 mod shares;
 mod steward;
 mod store;
--- a/crates/cranberrygap-control/src/lines.rs
+++ b/crates/cranberrygap-control/src/links.rs
@@ -40,9 +40,9 @@
     message: String,
 }
 
-/// Lines to all peers; each is opened when the first message goes over it.
+/// Links to all peers; each is opened when the first message goes over it.
 #[derive(Debug)]
-pub struct Lines {
+pub struct Links {
     own: address::Peer,
     known: Vec<address::Peer>,
     secret: credential::Holder,
@@ -50,8 +50,8 @@
     own_weak: Weak<Self>,
 }
 
-impl Lines {
-    /// Lines from `own`; must be used within tokio.
+impl Links {
+    /// Links from `own`; must be used within tokio.
     ///
     /// Instances in `known` are reached at the address there, others at the one
     /// in the group's membership, which is how the founder reaches them.
@@ -91,7 +91,7 @@
         }
         let (sender, receiver) = mpsc::channel(QUEUE);
         let line = Line {
-            lines: Weak::clone(&self.own_weak),
+            links: Weak::clone(&self.own_weak),
             own: self.own.clone(),
             peer: peer.clone(),
             receiver,
@@ -102,7 +102,7 @@
     }
 }
 
-impl transport::Transport for Lines {
+impl transport::Transport for Links {
     fn send(&self, peer: &address::Peer, message: Bytes) {
         if let Some(queue) = self.queue(&self.reached(peer)) {
             // Fails only when the queue is full; the protocol sends again.
@@ -113,7 +113,7 @@
 
 /// One line; it lives until the process stops.
 struct Line {
-    lines: Weak<Lines>,
+    links: Weak<Links>,
     own: address::Peer,
     peer: address::Peer,
     receiver: mpsc::Receiver<Bytes>,
@@ -122,11 +122,11 @@
 impl Line {
     async fn run(mut self) {
         loop {
-            let Some(lines) = self.lines.upgrade() else {
+            let Some(links) = self.links.upgrade() else {
                 return;
             };
-            let secret = lines.secret.shown();
-            drop(lines);
+            let secret = links.secret.shown();
+            drop(links);
             let role = credential::Role::Fleet;
             match client::Client::connect(self.peer.address, role, &secret).await {
                 Ok(client) => self.carry(&client).await,
--- a/crates/cranberrygap-control/src/operators.rs
+++ b/crates/cranberrygap-control/src/operators.rs
@@ -103,9 +103,9 @@
     revision: number::Revision,
 ) -> Result<operator::Force, server::Fault> {
     desk.proposer.check_leads()?;
-    let waiting = desk.keeper.with_office(|now, office| {
+    let waiting = desk.detector.with_office(|now, leadership| {
         desk.state
-            .read(|fleet| office.waiting(now, revision, fleet))
+            .read(|fleet| leadership.waiting(now, revision, fleet))
     });
     let Some(waiting) = waiting else {
         return Err(server::Fault::new(
--- a/crates/cranberrygap-control/src/orders.rs
+++ b/crates/cranberrygap-control/src/orders.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::office;
+use crate::leadership;
 use crate::proposer;
 use crate::replicated;
 
@@ -58,9 +58,9 @@
     shown: Mutex<serde_json::Value>,
 }
 
-/// One leader's time of office.
+/// One leader's term.
 #[derive(Debug)]
-struct Office {
+struct Leadership {
     fence: number::Fence,
     /// Tells it from another one in the same term, whose questions count anew.
     since: duration::Instant,
@@ -70,7 +70,7 @@
     looks: u64,
 }
 
-/// News for the task, of the time of office with this start.
+/// News for the task, of the term with this start.
 #[derive(Debug)]
 enum News {
     Input(duration::Instant, orders::Input),
@@ -115,7 +115,7 @@
         let (sender, mut receiver) = mpsc::channel(QUEUE);
         let mut ticker = tokio::time::interval(PERIOD);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut held: Option<Office> = None;
+        let mut held: Option<Leadership> = None;
         loop {
             tokio::select! {
                 news = receiver.recv() => {
@@ -125,8 +125,8 @@
                 }
                 _ = ticker.tick() => {
                     held = self.take_office(held).await;
-                    if let Some(office) = &mut held {
-                        self.look(&sender, office);
+                    if let Some(leadership) = &mut held {
+                        self.look(&sender, leadership);
                     }
                     self.show(held.as_ref());
                 }
@@ -134,28 +134,28 @@
         }
     }
 
-    /// Keeps, takes or leaves office, as this process leads or does not.
-    async fn take_office(&self, held: Option<Office>) -> Option<Office> {
+    /// Keeps, takes or leaves leadership, as this process leads or does not.
+    async fn take_office(&self, held: Option<Leadership>) -> Option<Leadership> {
         let status = self.proposer.status();
         if !status.leads {
             return None;
         }
         let fence = number::Fence(status.term.0);
-        if let Some(office) = held.filter(|office| office.fence == fence) {
-            return Some(office);
+        if let Some(leadership) = held.filter(|leadership| leadership.fence == fence) {
+            return Some(leadership);
         }
         // Once this record is committed, everything that predecessors logged is
         // in the state, and what they propose from now on is not taken.
         let opened = command::Command::Order(journal::Record::Opened { fence });
         if let Err(fault) = self.proposer.propose(opened).await {
-            spdlog::warn!("orders: could not take office: {}", fault.message);
+            spdlog::warn!("orders: could not take leadership: {}", fault.message);
             return None;
         }
         spdlog::info!("orders: gives orders under fence {fence}");
-        Some(self.state.read(|fleet| self.office(fleet, fence)))
+        Some(self.state.read(|fleet| self.leadership(fleet, fence)))
     }
 
-    fn office(&self, fleet: &fleet::Fleet, fence: number::Fence) -> Office {
+    fn leadership(&self, fleet: &fleet::Fleet, fence: number::Fence) -> Leadership {
         let defaults = fleet.defaults();
         let ledger = ledger::Ledger::new(fleet.orders.clone(), defaults.cache_reserve);
         let limits = orders::limit::Limits::builder()
@@ -168,8 +168,8 @@
         let listed = fleet.catalogue.models().to_vec();
         let catalogue = catalogue::Catalogue::new(&listed);
         let now = self.clock.now();
-        let lease = office::LEASE;
-        Office {
+        let lease = leadership::LEASE;
+        Leadership {
             executor: orders::Executor::new(now, ledger, catalogue, limits, fence, lease),
             fence,
             since: now,
@@ -179,34 +179,36 @@
         }
     }
 
-    fn hear(&self, sender: &mpsc::Sender<News>, held: &mut Option<Office>, news: News) {
+    fn hear(&self, sender: &mpsc::Sender<News>, held: &mut Option<Leadership>, news: News) {
         match news {
             News::Input(since, input) => {
-                if let Some(office) = held.as_mut().filter(|office| office.since == since) {
-                    self.step(sender, office, input);
+                if let Some(leadership) =
+                    held.as_mut().filter(|leadership| leadership.since == since)
+                {
+                    self.step(sender, leadership, input);
                 }
             }
             News::Unknown(since) => {
-                // It may be committed yet, or not. Starting office anew reads
+                // It may be committed yet, or not. Starting leadership anew reads
                 // from the log what became of it.
-                held.take_if(|office| office.since == since);
+                held.take_if(|leadership| leadership.since == since);
             }
         }
     }
 
-    fn step(&self, sender: &mpsc::Sender<News>, office: &mut Office, input: orders::Input) {
-        let outputs = office.executor.step(self.clock.now(), input);
+    fn step(&self, sender: &mpsc::Sender<News>, leadership: &mut Leadership, input: orders::Input) {
+        let outputs = leadership.executor.step(self.clock.now(), input);
         for output in outputs {
             match output {
-                orders::Output::Propose(record) => self.propose(sender, office.since, record),
-                orders::Output::Send(order) => self.send(sender, office, order),
+                orders::Output::Propose(record) => self.propose(sender, leadership.since, record),
+                orders::Output::Send(order) => self.send(sender, leadership, order),
             }
         }
     }
 
-    fn look(&self, sender: &mpsc::Sender<News>, office: &mut Office) {
-        self.state.read(|fleet| office.follow(fleet));
-        let names: Vec<id::Endpoint> = office
+    fn look(&self, sender: &mpsc::Sender<News>, leadership: &mut Leadership) {
+        self.state.read(|fleet| leadership.follow(fleet));
+        let names: Vec<id::Endpoint> = leadership
             .executor
             .ledger()
             .accounts()
@@ -214,17 +216,17 @@
             .cloned()
             .collect();
         for name in names {
-            self.ask(sender, office, &name);
+            self.ask(sender, leadership, &name);
         }
-        if office.looks.is_multiple_of(LOOKS_A_PLAN) {
-            let moves = self.plan(office);
-            self.step(sender, office, orders::Input::Plan(moves));
+        if leadership.looks.is_multiple_of(LOOKS_A_PLAN) {
+            let moves = self.plan(leadership);
+            self.step(sender, leadership, orders::Input::Plan(moves));
         }
-        office.looks += 1;
-        self.step(sender, office, orders::Input::Tick);
+        leadership.looks += 1;
+        self.step(sender, leadership, orders::Input::Tick);
     }
 
-    fn plan(&self, office: &mut Office) -> Vec<plan::Move> {
+    fn plan(&self, leadership: &mut Leadership) -> Vec<plan::Move> {
         let rates = self.demand.lock().rates(self.clock.now());
         let copies = self.state.read(|fleet| fleet.defaults().copies);
         let settings = plan::Settings::builder()
@@ -232,10 +234,10 @@
             .demand_per_gib(TOKENS_PER_GIB)
             .copies(copies as usize)
             .build();
-        let executor = &office.executor;
+        let executor = &leadership.executor;
         let (ledger, catalogue) = (executor.ledger(), executor.catalogue());
-        let plan = plan::plan(ledger, catalogue, &rates, &office.preferred, &settings);
-        office.preferred = plan.preferred;
+        let plan = plan::plan(ledger, catalogue, &rates, &leadership.preferred, &settings);
+        leadership.preferred = plan.preferred;
         plan.moves
     }
 
@@ -265,8 +267,8 @@
         });
     }
 
-    fn send(&self, sender: &mpsc::Sender<News>, office: &Office, order: endpoint::Order) {
-        let Some(address) = office.address(&order.endpoint) else {
+    fn send(&self, sender: &mpsc::Sender<News>, leadership: &Leadership, order: endpoint::Order) {
+        let Some(address) = leadership.address(&order.endpoint) else {
             return;
         };
         spdlog::info!(
@@ -277,7 +279,7 @@
         );
         let platform = Arc::clone(&self.platform);
         let sender = sender.clone();
-        let since = office.since;
+        let since = leadership.since;
         tokio::spawn(async move {
             match platform.order(address, &order).await {
                 Ok(verdict) => {
@@ -290,16 +292,16 @@
         });
     }
 
-    fn ask(&self, sender: &mpsc::Sender<News>, office: &mut Office, name: &id::Endpoint) {
-        let Some(address) = office.address(name) else {
+    fn ask(&self, sender: &mpsc::Sender<News>, leadership: &mut Leadership, name: &id::Endpoint) {
+        let Some(address) = leadership.address(name) else {
             return;
         };
-        let Some(ticket) = office.executor.ledger_mut().ask(name) else {
+        let Some(ticket) = leadership.executor.ledger_mut().ask(name) else {
             return;
         };
         let platform = Arc::clone(&self.platform);
         let sender = sender.clone();
-        let since = office.since;
+        let since = leadership.since;
         let name = name.clone();
         tokio::spawn(async move {
             // Silence is noticed by the endpoint's heartbeats.
@@ -314,12 +316,12 @@
         });
     }
 
-    fn show(&self, held: Option<&Office>) {
-        *self.shown.lock() = held.map_or(serde_json::Value::Null, Office::dump);
+    fn show(&self, held: Option<&Leadership>) {
+        *self.shown.lock() = held.map_or(serde_json::Value::Null, Leadership::dump);
     }
 }
 
-impl Office {
+impl Leadership {
     /// Takes over what the state says of endpoints and the store.
     fn follow(&mut self, fleet: &fleet::Fleet) {
         let ledger = self.executor.ledger_mut();
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -7,10 +7,10 @@
 use cranberrygap_wire::{claim as wire_claim, method, share, traffic, view};
 use futures_util::future;
 
-use crate::keeper;
-use crate::leaves;
-use crate::office;
+use crate::detector;
+use crate::leadership;
 use crate::orders;
+use crate::permission;
 use crate::proposer;
 use crate::replicated;
 use crate::residency;
@@ -25,9 +25,9 @@
 pub(crate) struct Desk {
     pub(crate) state: Arc<replicated::State>,
     pub(crate) proposer: proposer::Proposer,
-    pub(crate) keeper: Arc<keeper::Keeper>,
+    pub(crate) detector: Arc<detector::Detector>,
     pub(crate) shares: Arc<shares::Shares>,
-    pub(crate) leaves: leaves::Leaves,
+    pub(crate) permissions: permission::Permissions,
     pub(crate) orders: Arc<orders::Orders>,
     pub(crate) residency: Arc<residency::Residency>,
 }
@@ -67,7 +67,7 @@
             role,
             move |leave: wire_claim::Leave| {
                 let desk = Arc::clone(&desk);
-                async move { desk.leaves.take(&leave) }
+                async move { desk.permissions.take(&leave) }
             },
         )
     };
@@ -132,8 +132,8 @@
         // Committing may have taken long; only who leads now may grant.
         let status = self.proposer.check_leads()?;
         let lease = self
-            .keeper
-            .with_office(|now, office| grant(now, office, &confirm));
+            .detector
+            .with_office(|now, leadership| grant(now, leadership, &confirm));
         let Some(lease) = lease else {
             return Err(server::Fault::new(
                 method::NO_QUORUM,
@@ -185,7 +185,7 @@
 
 fn grant(
     now: cranberrygap_model::duration::Instant,
-    office: &mut office::Office,
+    leadership: &mut leadership::Leadership,
     confirm: &view::Confirm,
 ) -> cranberrygap_model::duration::Span {
     for announcement in &confirm.announcements {
@@ -194,10 +194,10 @@
             boot: announcement.boot,
             sequence: announcement.sequence,
         };
-        office.hear(now, &seen);
+        leadership.hear(now, &seen);
     }
     for seen in &confirm.seen {
-        office.hear(now, seen);
+        leadership.hear(now, seen);
     }
-    office.confirm(now, confirm)
+    leadership.confirm(now, confirm)
 }
--- a/crates/cranberrygap-control/src/leaves.rs
+++ b/crates/cranberrygap-control/src/permission.rs
@@ -11,13 +11,13 @@
 
 /// Who runs as a suspect on each endpoint, in the current term.
 #[derive(Debug)]
-pub(crate) struct Leaves {
+pub(crate) struct Permissions {
     proposer: proposer::Proposer,
     clock: clock::Clock,
     held: Mutex<Option<(number::Term, probe::Table)>>,
 }
 
-impl Leaves {
+impl Permissions {
     pub(crate) fn new(proposer: proposer::Proposer, clock: clock::Clock) -> Self {
         Self {
             proposer,
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -9,12 +9,12 @@
 use cranberrygap_wire::settings;
 use serde_json::json;
 
-use crate::keeper;
-use crate::leaves;
-use crate::lines;
+use crate::detector;
+use crate::links;
 use crate::operators;
 use crate::orders;
 use crate::peers;
+use crate::permission;
 use crate::proposer;
 use crate::public;
 use crate::replica;
@@ -68,7 +68,7 @@
 #[derive(Debug)]
 pub struct Process {
     parts: Arc<Parts>,
-    lines: Arc<lines::Lines>,
+    links: Arc<links::Links>,
     peers: server::Handle,
     admin: server::Handle,
     tasks: Vec<tokio::task::JoinHandle<()>>,
@@ -97,9 +97,9 @@
         settle(&mut settings);
         let own = own(&settings);
         let shown = secrets.fleet.first().cloned().ok_or(Error::NoSecret)?;
-        let lines = lines::Lines::new(own.clone(), settings.group.voters.clone(), shown);
+        let links = links::Links::new(own.clone(), settings.group.voters.clone(), shown);
         let state = Arc::new(replicated::State::new());
-        let replica = start_replica(&settings, own, &state, &lines)?;
+        let replica = start_replica(&settings, own, &state, &links)?;
         let platform = orders::Http::new().map_err(|cause| Error::Endpoints(cause.to_string()))?;
         let parts = Arc::new(Parts::new(
             settings,
@@ -119,7 +119,7 @@
         );
         Ok(Self {
             parts,
-            lines,
+            links,
             peers,
             admin,
             tasks,
@@ -153,7 +153,7 @@
     /// Changes the secrets while the process runs.
     pub fn replace_secrets(&self, secrets: Secrets) {
         if let Some(shown) = secrets.fleet.first() {
-            self.lines.replace_secret(shown.clone());
+            self.links.replace_secret(shown.clone());
         }
         let fleet = credential::Role::Fleet;
         self.peers.replace_secrets(fleet, secrets.fleet);
@@ -202,9 +202,9 @@
         let clock = clock::Clock::start();
         let log: Arc<dyn crate::log::Log> = Arc::clone(&replica) as _;
         let proposer = proposer::Proposer::new(log);
-        let keeper = keeper::Keeper::new(Arc::clone(&state), proposer.clone(), clock);
+        let detector = detector::Detector::new(Arc::clone(&state), proposer.clone(), clock);
         let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
-        let leaves = leaves::Leaves::new(proposer.clone(), clock);
+        let permissions = permission::Permissions::new(proposer.clone(), clock);
         let orders = orders::Orders::new(Arc::clone(&state), proposer.clone(), platform, clock);
         let holder = settings.control.instance.clone();
         let residency =
@@ -212,9 +212,9 @@
         let desk = peers::Desk {
             state,
             proposer,
-            keeper: Arc::new(keeper),
+            detector: Arc::new(detector),
             shares: Arc::new(shares),
-            leaves,
+            permissions,
             orders: Arc::new(orders),
             residency: Arc::new(residency),
         };
@@ -227,9 +227,9 @@
     }
 
     fn spawn_tasks(&self) -> Result<Vec<tokio::task::JoinHandle<()>>, Error> {
-        let keeper = &self.desk.keeper;
+        let detector = &self.desk.detector;
         let mut tasks = vec![
-            tokio::spawn(Arc::clone(keeper).watch()),
+            tokio::spawn(Arc::clone(detector).watch()),
             tokio::spawn(Arc::clone(&self.desk.shares).watch()),
         ];
         // Runners are moved either by the traffic plan or by the store's list; the
@@ -252,7 +252,7 @@
         if let Some(address) = address {
             let failed = |cause: store::Error| Error::Store(cause.to_string());
             let store = store::Store::new(address).map_err(failed)?;
-            tasks.push(tokio::spawn(Arc::clone(keeper).follow_store(store)));
+            tasks.push(tokio::spawn(Arc::clone(detector).follow_store(store)));
         }
         Ok(tasks)
     }
@@ -260,7 +260,10 @@
     /// The whole state as JSON, without secrets.
     pub(crate) async fn dump(&self) -> serde_json::Value {
         let status = self.desk.proposer.status();
-        let office = self.desk.keeper.with_office(|now, office| office.dump(now));
+        let leadership = self
+            .desk
+            .detector
+            .with_office(|now, leadership| leadership.dump(now));
         json!({
             "process": "cranberrygap-control",
             "instance": self.settings.control.instance,
@@ -270,7 +273,7 @@
             "leader": status.leader,
             "term": status.term,
             "failure": self.replica.failure(),
-            "office": office,
+            "leadership": leadership,
             "orders": self.desk.orders.dump(),
             "residency": self.desk.residency.dump(),
             "shares": self.desk.shares.dump().await,
@@ -315,7 +318,7 @@
     settings: &settings::Control,
     own: address::Peer,
     state: &Arc<replicated::State>,
-    lines: &Arc<lines::Lines>,
+    links: &Arc<links::Links>,
 ) -> Result<Arc<replica::Replica>, Error> {
     let wanted = replica::Settings::builder()
         .own(own)
@@ -324,7 +327,7 @@
         .folder(PathBuf::from(settings.group.data.as_str()))
         .build();
     let machine: Arc<dyn crate::machine::Machine> = Arc::clone(state) as _;
-    let transport: Arc<dyn transport::Transport> = Arc::clone(lines) as _;
+    let transport: Arc<dyn transport::Transport> = Arc::clone(links) as _;
     Ok(replica::Replica::start(wanted, machine, transport)?)
 }
 
@@ -333,7 +336,7 @@
     secrets: Vec<credential::Secret>,
 ) -> Result<server::Handle, server::Error> {
     let builder = server::Builder::new().secrets(credential::Role::Fleet, secrets);
-    let builder = lines::receive(builder, &parts.replica);
+    let builder = links::receive(builder, &parts.replica);
     let builder = peers::offer(builder, &parts.desk);
     builder.start(parts.settings.listen.peers).await
 }
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -96,8 +96,8 @@
         }
         let heard = self
             .desk
-            .keeper
-            .with_office(|now, office| office.hear(now, &seen));
+            .detector
+            .with_office(|now, leadership| leadership.hear(now, &seen));
         heard.ok_or_else(|| Refusal::Unsure("the leader's lease ran out".into()))
     }
 
--- a/crates/cranberrygap-control/src/replica.rs
+++ b/crates/cranberrygap-control/src/replica.rs
@@ -4,11 +4,11 @@
 //! All proposals and messages that arrive while a sync is under way go into the
 //! next one (group commit).
 
-mod board;
 mod core;
 mod dump;
 mod error;
 mod formation;
+mod published;
 mod request;
 mod settings;
 mod standing;
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 pub struct Replica {
     inbox: mpsc::Sender<request::Request>,
-    board: Arc<RwLock<board::Board>>,
+    published: Arc<RwLock<published::Published>>,
     clock: clock::Clock,
     limit: usize,
 }
@@ -90,14 +90,14 @@
         let (inbox, requests) = mpsc::channel(INBOX);
         let (writer, done) = writer::start(folder)?;
         let clock = clock::Clock::start();
-        let board = Arc::new(RwLock::new(board::Board::default()));
+        let published = Arc::new(RwLock::new(published::Published::default()));
         let limit = settings.limits.proposal;
         let parts = core::Parts {
             settings,
             machine,
             transport,
             clock,
-            board: Arc::clone(&board),
+            published: Arc::clone(&published),
             writer,
             seed: random()?,
         };
@@ -105,7 +105,7 @@
         tokio::spawn(core.run(requests, done));
         Ok(Arc::new(Self {
             inbox,
-            board,
+            published,
             clock,
             limit,
         }))
@@ -194,7 +194,7 @@
     /// Why the replica stopped taking part, if it did.
     #[must_use]
     pub fn failure(&self) -> Option<String> {
-        self.board.read().failure.clone()
+        self.published.read().failure.clone()
     }
 
     async fn change(&self, change: request::Change, instance: &id::Instance) -> Result<(), Error> {
@@ -243,7 +243,7 @@
     fn status(&self) -> log::Status {
         // The lease is compared with the clock at this very moment, so that a
         // process that slept does not take itself for the leader.
-        self.board.read().status(self.clock.now())
+        self.published.read().status(self.clock.now())
     }
 }
 
--- a/crates/cranberrygap-control/src/replica/core.rs
+++ b/crates/cranberrygap-control/src/replica/core.rs
@@ -16,7 +16,7 @@
 use parking_lot::RwLock;
 use tokio::sync::mpsc as channel;
 
-use super::{Settings, board, formation, request, waiters, writer};
+use super::{Settings, formation, published, request, waiters, writer};
 use crate::{machine, transport};
 
 /// Requests taken before outputs are carried out; more proposals share a sync.
@@ -28,7 +28,7 @@
     pub(super) machine: Arc<dyn machine::Machine>,
     pub(super) transport: Arc<dyn transport::Transport>,
     pub(super) clock: clock::Clock,
-    pub(super) board: Arc<RwLock<board::Board>>,
+    pub(super) published: Arc<RwLock<published::Published>>,
     pub(super) writer: mpsc::Sender<writer::Job>,
     pub(super) seed: u64,
 }
@@ -311,7 +311,7 @@
         spdlog::critical!("storage: {cause}");
         spdlog::critical!("agreement: takes no part any more; mend the disk and start again");
         self.waiters.give_up();
-        self.parts.board.write().failure = Some(cause.to_owned());
+        self.parts.published.write().failure = Some(cause.to_owned());
         self.phase = Phase::Failed;
     }
 
--- a/crates/cranberrygap-control/src/replica/core/forming.rs
+++ b/crates/cranberrygap-control/src/replica/core/forming.rs
@@ -144,17 +144,17 @@
     /// Shows the handle where the replica stands.
     pub(super) fn publish(&mut self) {
         let Phase::Running(node) = &self.phase else {
-            self.parts.board.write().lease_end = None;
+            self.parts.published.write().lease_end = None;
             return;
         };
         let leader = node.leader().and_then(|id| self.peer(id));
         let settled = node.may_grant(self.parts.clock.now());
-        let mut board = self.parts.board.write();
-        board.term = node.hard().term;
-        board.leader = leader;
-        board.committed = node.committed();
-        board.applied = node.applied();
-        board.lease_end = node.lease_end().filter(|_| settled);
+        let mut published = self.parts.published.write();
+        published.term = node.hard().term;
+        published.leader = leader;
+        published.committed = node.committed();
+        published.applied = node.applied();
+        published.lease_end = node.lease_end().filter(|_| settled);
     }
 
     pub(super) fn dump(&self) -> Value {
@@ -170,7 +170,7 @@
             Phase::Running(node) => ("running", dump::node(node, now)),
             Phase::Failed => (
                 "failed",
-                json!({ "cause": self.parts.board.read().failure }),
+                json!({ "cause": self.parts.published.read().failure }),
             ),
         };
         json!({
--- a/crates/cranberrygap-control/src/replica/board.rs
+++ b/crates/cranberrygap-control/src/replica/published.rs
@@ -6,7 +6,7 @@
 
 /// State of the replica as last published by its task.
 #[derive(Debug, Default)]
-pub(super) struct Board {
+pub(super) struct Published {
     pub(super) term: number::Term,
     pub(super) leader: Option<address::Peer>,
     pub(super) committed: number::Index,
@@ -17,7 +17,7 @@
     pub(super) failure: Option<String>,
 }
 
-impl Board {
+impl Published {
     pub(super) fn status(&self, now: duration::Instant) -> log::Status {
         log::Status {
             term: self.term,
--- a/crates/cranberrygap-control/src/replica/waiters.rs
+++ b/crates/cranberrygap-control/src/replica/waiters.rs
@@ -50,7 +50,7 @@
 
     /// Tells all that the outcome is not known.
     ///
-    /// A leader that lost its office cannot tell whether its successor commits
+    /// A leader that lost its leadership cannot tell whether its successor commits
     /// what it proposed. The callers are told at once, so that they can ask the
     /// successor.
     pub(super) fn give_up(&mut self) {
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -33,7 +33,7 @@
 /// seconds keeps its copies; a load costs as much as a lost request.
 const FALL: duration::Span = duration::Span::from_secs(6);
 
-/// Time after taking office in which nothing is ordered. Runners that do not
+/// Time after taking leadership in which nothing is ordered. Runners that do not
 /// compare leaders would take orders of two; the one before may have sent its last
 /// order just before its lease ended, and orders take a moment on their way.
 const SUCCESSION: duration::Span = duration::Span::from_millis(3_300);
@@ -119,9 +119,9 @@
     adapters: Vec<(id::Model, SmolStr)>,
 }
 
-/// One leader's time of office.
+/// One leader's term.
 #[derive(Debug)]
-struct Office {
+struct Leadership {
     term: number::Term,
     since: duration::Instant,
     books: BTreeMap<id::Service, book::Book>,
@@ -129,7 +129,7 @@
     waiting: BTreeMap<u64, oneshot::Sender<Option<id::Endpoint>>>,
 }
 
-/// News for the task, of the time of office with this start.
+/// News for the task, of the term with this start.
 #[derive(Debug)]
 enum News {
     Want(u64, traffic::Want, oneshot::Sender<Option<id::Endpoint>>),
@@ -219,7 +219,7 @@
         };
         let mut ticker = tokio::time::interval(PERIOD);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut held: Option<Office> = None;
+        let mut held: Option<Leadership> = None;
         loop {
             let wake = self.wake(held.as_ref());
             tokio::select! {
@@ -234,8 +234,8 @@
                 () = tokio::time::sleep(wake) => self.step(&mut held),
                 _ = ticker.tick() => {
                     held = self.take_office(held);
-                    if let Some(office) = &mut held {
-                        self.follow(office);
+                    if let Some(leadership) = &mut held {
+                        self.follow(leadership);
                     }
                     self.step(&mut held);
                     self.show(held.as_ref());
@@ -245,19 +245,21 @@
     }
 
     /// Time until somebody who waits can be answered.
-    fn wake(&self, held: Option<&Office>) -> Duration {
-        let books = held.into_iter().flat_map(|office| office.books.values());
+    fn wake(&self, held: Option<&Leadership>) -> Duration {
+        let books = held
+            .into_iter()
+            .flat_map(|leadership| leadership.books.values());
         let wake = books.filter_map(book::Book::wake).min();
         wake.map_or(PERIOD, |wake| wake.since(self.clock.now()).to_std())
     }
 
-    fn take_office(&self, held: Option<Office>) -> Option<Office> {
+    fn take_office(&self, held: Option<Leadership>) -> Option<Leadership> {
         let status = self.proposer.status();
         if !status.leads {
             return None;
         }
-        let held = held.filter(|office| office.term == status.term);
-        Some(held.unwrap_or_else(|| Office {
+        let held = held.filter(|leadership| leadership.term == status.term);
+        Some(held.unwrap_or_else(|| Leadership {
             term: status.term,
             since: self.clock.now(),
             books: BTreeMap::new(),
@@ -267,13 +269,13 @@
     }
 
     /// Takes over plan, endpoints and demand.
-    fn follow(&self, office: &mut Office) {
+    fn follow(&self, leadership: &mut Leadership) {
         let now = self.clock.now();
         let demand = self.rates(now);
         let used = std::mem::take(&mut self.demand.lock().adapters);
         self.state.read(|fleet| {
-            office.follow_plan(now, fleet);
-            for book in office.books.values_mut() {
+            leadership.follow_plan(now, fleet);
+            for book in leadership.books.values_mut() {
                 let endpoints = fleet.endpoints.announcements();
                 book.follow(now, endpoints, |name| fleet.residencies.get(name).cloned());
                 book.set_demand(demand.clone());
@@ -295,36 +297,36 @@
         rates
     }
 
-    fn hear(&self, held: &mut Option<Office>, news: News) {
+    fn hear(&self, held: &mut Option<Leadership>, news: News) {
         let now = self.clock.now();
-        let Some(office) = held else {
+        let Some(leadership) = held else {
             // Who waits is told by the end of its channel.
             return;
         };
-        let since = office.since;
+        let since = leadership.since;
         match news {
-            News::Want(ticket, want, answer) => office.want(now, ticket, &want, answer),
+            News::Want(ticket, want, answer) => leadership.want(now, ticket, &want, answer),
             News::Reported(of, service, name, report) if of == since => {
-                office.with(&service, |book| book.reported(now, &name, &report));
+                leadership.with(&service, |book| book.reported(now, &name, &report));
             }
             News::Answered(of, service, name, number, verdict) if of == since => {
-                office.with(&service, |book| {
+                leadership.with(&service, |book| {
                     book.answered(now, &name, number, verdict);
                 });
             }
             News::Unanswered(of, service, name, number) if of == since => {
-                office.with(&service, |book| book.unanswered(now, &name, number));
+                leadership.with(&service, |book| book.unanswered(now, &name, number));
             }
             News::Told(of, service, name) if of == since => {
-                office.with(&service, |book| book.told(now, &name));
+                leadership.with(&service, |book| book.told(now, &name));
             }
-            // Of an earlier time of office.
+            // Of an earlier term.
             _ => {}
         }
     }
 
-    fn step(&self, held: &mut Option<Office>) {
-        let Some(office) = held else {
+    fn step(&self, held: &mut Option<Leadership>) {
+        let Some(leadership) = held else {
             return;
         };
         if self.proposer.check_leads().is_err() {
@@ -332,31 +334,31 @@
         }
         let now = self.clock.now();
         let mut outputs = Vec::new();
-        for (service, book) in &mut office.books {
+        for (service, book) in &mut leadership.books {
             let due = book.tick(now);
             outputs.extend(due.into_iter().map(|output| (service.clone(), output)));
         }
         for (service, output) in outputs {
-            self.carry_out(office, service, output);
+            self.carry_out(leadership, service, output);
         }
     }
 
-    fn carry_out(&self, office: &mut Office, service: id::Service, output: book::Output) {
+    fn carry_out(&self, leadership: &mut Leadership, service: id::Service, output: book::Output) {
         match output {
             book::Output::Place(ticket, endpoint) => {
-                if let Some(answer) = office.waiting.remove(&ticket) {
+                if let Some(answer) = leadership.waiting.remove(&ticket) {
                     // An entry that has gone needs no answer.
                     drop(answer.send(endpoint));
                 }
             }
-            book::Output::Ask(name) => self.ask(office, service, name),
-            book::Output::Send(order) => self.send(office, service, order),
-            book::Output::Tell(name) => self.tell(office, service, name),
+            book::Output::Ask(name) => self.ask(leadership, service, name),
+            book::Output::Send(order) => self.send(leadership, service, order),
+            book::Output::Tell(name) => self.tell(leadership, service, name),
         }
     }
 
-    fn ask(&self, office: &Office, service: id::Service, name: id::Endpoint) {
-        let runner = office
+    fn ask(&self, leadership: &Leadership, service: id::Service, name: id::Endpoint) {
+        let runner = leadership
             .books
             .get(&service)
             .and_then(|book| book.runner(&name));
@@ -364,7 +366,7 @@
             return;
         };
         let (runners, news) = (Arc::clone(&self.runners), self.news.clone());
-        let since = office.since;
+        let since = leadership.since;
         tokio::spawn(async move {
             match runners.report(address, &name).await {
                 Ok(report) => {
@@ -379,7 +381,7 @@
         });
     }
 
-    fn send(&self, office: &Office, service: id::Service, order: order::Order) {
+    fn send(&self, leadership: &Leadership, service: id::Service, order: order::Order) {
         spdlog::info!(
             "residency: orders {} from {} as its number {}",
             order.action,
@@ -387,8 +389,8 @@
             order.expect
         );
         let (runners, news) = (Arc::clone(&self.runners), self.news.clone());
-        let (holder, since) = (self.holder.clone(), office.since);
-        let fence = number::Fence(office.term.0);
+        let (holder, since) = (self.holder.clone(), leadership.since);
+        let fence = number::Fence(leadership.term.0);
         let proposer = self.proposer.clone();
         tokio::spawn(async move {
             // The process may have slept since the order was made out.
@@ -413,8 +415,8 @@
     }
 
     /// Tells all entries what a runner is about to drop and which adapters it has.
-    fn tell(&self, office: &Office, service: id::Service, name: id::Endpoint) {
-        let runner = office
+    fn tell(&self, leadership: &Leadership, service: id::Service, name: id::Endpoint) {
+        let runner = leadership
             .books
             .get(&service)
             .and_then(|book| book.runner(&name));
@@ -433,7 +435,7 @@
             adapters: adapters.collect(),
         };
         let (proposer, news) = (self.proposer.clone(), self.news.clone());
-        let since = office.since;
+        let since = leadership.since;
         tokio::spawn(async move {
             let command = command::Command::Residency(told);
             match proposer.propose(command).await {
@@ -444,14 +446,16 @@
         });
     }
 
-    fn show(&self, held: Option<&Office>) {
-        let books = held.into_iter().flat_map(|office| office.books.values());
+    fn show(&self, held: Option<&Leadership>) {
+        let books = held
+            .into_iter()
+            .flat_map(|leadership| leadership.books.values());
         let books: Vec<serde_json::Value> = books.map(book::Book::dump).collect();
         *self.shown.lock() = serde_json::json!(books);
     }
 }
 
-impl Office {
+impl Leadership {
     fn with(&mut self, service: &id::Service, work: impl FnOnce(&mut book::Book)) {
         if let Some(book) = self.books.get_mut(service) {
             work(book);
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -150,7 +150,7 @@
             if self.known.get(workspace) == Some(limit) {
                 continue;
             }
-            // Who is not known since this leader took office was added after it,
+            // Who is not known since this leader took leadership was added after it,
             // and no earlier leader can have granted from its bucket.
             self.granter
                 .configure(now, workspace, *limit, granter::Origin::Added);
--- a/crates/cranberrygap-control/src/steward.rs
+++ b/crates/cranberrygap-control/src/steward.rs
@@ -25,7 +25,7 @@
     domain: id::Domain,
     patience: steward::Patience,
     lag: u64,
-    /// When each member was first seen in this time of office. One that was just
+    /// When each member was first seen in this term. One that was just
     /// added has not answered yet and is not silent for that.
     since: BTreeMap<agreed::Id, duration::Instant>,
 }
--- a/crates/cranberrygap-control/tests/office.rs
+++ b/crates/cranberrygap-control/tests/leadership.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use cranberrygap_control::office;
+use cranberrygap_control::leadership;
 use cranberrygap_model::{duration, number};
 use cranberrygap_state::{command, endpoint, fleet as state, member};
 use cranberrygap_wire::{operator, view};
@@ -18,8 +18,8 @@
     number::Revision(number)
 }
 
-fn new_office() -> office::Office {
-    office::Office::new(number::Term(1), START, revision(5))
+fn new_office() -> leadership::Leadership {
+    leadership::Leadership::new(number::Term(1), START, revision(5))
 }
 
 /// A fleet of one entry and one runner.
@@ -62,35 +62,35 @@
 
 #[test]
 fn entry_that_is_current_gets_a_lease() {
-    let mut office = new_office();
+    let mut leadership = new_office();
 
-    let lease = office.confirm(at(0), &fleet::confirm(revision(5)));
+    let lease = leadership.confirm(at(0), &fleet::confirm(revision(5)));
 
-    assert_eq!(lease, office::LEASE);
+    assert_eq!(lease, leadership::LEASE);
 }
 
 // An entry follows a control process that was cut off, yet still reaches the
 // leader. With leases it would go on accepting a key that was withdrawn.
 #[test]
 fn entry_whose_view_stands_still_gets_no_lease() {
-    let mut office = new_office();
-    office.mark(at(10), revision(6));
+    let mut leadership = new_office();
+    leadership.mark(at(10), revision(6));
 
-    let within = office.confirm(at(100), &fleet::confirm(revision(5)));
-    let beyond = office.confirm(at(300), &fleet::confirm(revision(5)));
+    let within = leadership.confirm(at(100), &fleet::confirm(revision(5)));
+    let beyond = leadership.confirm(at(300), &fleet::confirm(revision(5)));
 
-    assert_eq!(within, office::LEASE);
+    assert_eq!(within, leadership::LEASE);
     assert_eq!(beyond, duration::Span(0));
 }
 
 #[test]
 fn revision_waits_for_an_entry_until_its_lease_ran_out() {
-    let mut office = new_office();
+    let mut leadership = new_office();
     let fleet = known();
-    office.confirm(at(0), &fleet::confirm(revision(5)));
+    leadership.confirm(at(0), &fleet::confirm(revision(5)));
 
-    let during = office.waiting(at(3_549), revision(6), &fleet);
-    let after = office.waiting(at(3_550), revision(6), &fleet);
+    let during = leadership.waiting(at(3_549), revision(6), &fleet);
+    let after = leadership.waiting(at(3_550), revision(6), &fleet);
 
     assert_eq!(during.len(), 1);
     assert!(after.is_empty());
@@ -101,11 +101,11 @@
 // that entry, of which it has not heard, still serves.
 #[test]
 fn new_leader_waits_for_leases_of_its_predecessor() {
-    let office = new_office();
+    let leadership = new_office();
     let fleet = known();
 
-    let early = office.waiting(at(3_549), revision(5), &fleet);
-    let late = office.waiting(at(3_550), revision(5), &fleet);
+    let early = leadership.waiting(at(3_549), revision(5), &fleet);
+    let late = leadership.waiting(at(3_550), revision(5), &fleet);
 
     assert_eq!(early.len(), 1);
     assert!(late.is_empty());
@@ -113,21 +113,21 @@
 
 #[test]
 fn confirmed_revision_does_not_wait() {
-    let mut office = new_office();
-    office.confirm(at(0), &fleet::confirm(revision(6)));
+    let mut leadership = new_office();
+    leadership.confirm(at(0), &fleet::confirm(revision(6)));
 
-    assert!(office.waiting(at(1), revision(6), &known()).is_empty());
+    assert!(leadership.waiting(at(1), revision(6), &known()).is_empty());
 }
 
 // An endpoint's process dies without a word; its heartbeats stop.
 #[test]
 fn silent_endpoint_becomes_suspect_and_an_audible_one_does_not() {
-    let mut office = new_office();
+    let mut leadership = new_office();
     let fleet = known();
-    office.hear(at(2_000), &seen(2));
+    leadership.hear(at(2_000), &seen(2));
 
-    let audible = office.findings(at(4_000), &fleet).endpoints;
-    let silent = office.findings(at(5_001), &fleet).endpoints;
+    let audible = leadership.findings(at(4_000), &fleet).endpoints;
+    let silent = leadership.findings(at(5_001), &fleet).endpoints;
 
     assert!(audible.is_empty());
     assert_eq!(silent, [endpoint::Step::Silent(seen(2))]);
@@ -135,22 +135,22 @@
 
 #[test]
 fn suspect_that_is_heard_again_is_ready() {
-    let mut office = new_office();
+    let mut leadership = new_office();
     let mut fleet = known();
     let command = command::Command::Endpoint(endpoint::Step::Silent(seen(1)));
     fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
-    office.hear(at(9_000), &seen(7));
+    leadership.hear(at(9_000), &seen(7));
 
-    let found = office.findings(at(9_100), &fleet).endpoints;
+    let found = leadership.findings(at(9_100), &fleet).endpoints;
 
     assert_eq!(found, [endpoint::Step::Heard(seen(7))]);
 }
 
 #[test]
 fn entry_that_is_gone_leaves_the_address_list() {
-    let office = new_office();
+    let leadership = new_office();
 
-    let found = office.findings(at(4_501), &known()).members;
+    let found = leadership.findings(at(4_501), &known()).members;
 
     assert!(matches!(found.as_slice(), [member::Step::Gone { .. }]));
 }
@@ -159,15 +159,15 @@
 // while. Forgotten, it would be back in service once the cut ends.
 #[test]
 fn drained_endpoint_is_not_forgotten_when_it_falls_silent() {
-    let office = new_office();
+    let leadership = new_office();
     let mut fleet = known();
     let author = fleet::author("c-1");
     let name = "runner-1".into();
     let command = command::Command::Drain(operator::Drain { author, name });
     fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
 
-    let silent = office.findings(at(10_000), &fleet).endpoints;
-    let long_silent = office.findings(at(600_001), &fleet).endpoints;
+    let silent = leadership.findings(at(10_000), &fleet).endpoints;
+    let long_silent = leadership.findings(at(600_001), &fleet).endpoints;
 
     assert!(silent.is_empty());
     assert!(matches!(
@@ -178,13 +178,13 @@
 
 #[test]
 fn names_of_the_past_take_no_room() {
-    let mut office = new_office();
-    office.hear(at(0), &seen(1));
-    office.confirm(at(0), &fleet::confirm(revision(5)));
+    let mut leadership = new_office();
+    leadership.hear(at(0), &seen(1));
+    leadership.confirm(at(0), &fleet::confirm(revision(5)));
 
-    office.prune(at(700_000), &state::Fleet::default());
+    leadership.prune(at(700_000), &state::Fleet::default());
 
-    let dump = office.dump(at(700_000));
+    let dump = leadership.dump(at(700_000));
     assert_eq!(dump["entries"], serde_json::json!([]));
     assert_eq!(dump["endpoints"], serde_json::json!([]));
 }
--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -136,29 +136,29 @@
             body,
         };
         let place = self.place(&view, &workspace, &call).await?;
-        let course = engine::Course::new(&self.core, &Arc::new(call), place);
-        if course.call().body.stream {
-            return stream(response, course, permit, progress).await;
+        let delivery = engine::Delivery::new(&self.core, &Arc::new(call), place);
+        if delivery.call().body.stream {
+            return stream(response, delivery, permit, progress).await;
         }
-        whole(response, course, permit, progress).await
+        whole(response, delivery, permit, progress).await
     }
 }
 
 async fn stream(
     response: &mut Response,
-    mut course: engine::Course,
+    mut delivery: engine::Delivery,
     mut permit: admission::Permit,
     progress: attainment::Progress,
 ) -> Result<(), Refusal> {
-    let answer = match course.send(0).await {
+    let answer = match delivery.send(0).await {
         Ok(answer) => answer,
-        Err(refusal) => return Err(refused(&course, &mut permit, refusal)),
+        Err(refusal) => return Err(refused(&delivery, &mut permit, refusal)),
     };
     let events = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, events);
     let fresh = HeaderValue::from_static("no-cache");
     response.headers_mut().insert(header::CACHE_CONTROL, fresh);
-    let relay = relay::Relay::new(course, answer, permit, progress);
+    let relay = relay::Relay::new(delivery, answer, permit, progress);
     response.stream(relay.into_stream());
     Ok(())
 }
@@ -167,13 +167,13 @@
 /// and not a shorter answer.
 async fn whole(
     response: &mut Response,
-    mut course: engine::Course,
+    mut delivery: engine::Delivery,
     mut permit: admission::Permit,
     mut progress: attainment::Progress,
 ) -> Result<(), Refusal> {
-    let (bytes, total) = match read_whole(&mut course).await {
+    let (bytes, total) = match read_whole(&mut delivery).await {
         Ok(read) => read,
-        Err(refusal) => return Err(refused(&course, &mut permit, refusal)),
+        Err(refusal) => return Err(refused(&delivery, &mut permit, refusal)),
     };
     match total {
         Some(used) => permit.set_used(token::Count(used)),
@@ -188,9 +188,9 @@
 }
 
 /// The whole answer and the tokens that it used.
-async fn read_whole(course: &mut engine::Course) -> Result<(Bytes, Option<u64>), Refusal> {
+async fn read_whole(delivery: &mut engine::Delivery) -> Result<(Bytes, Option<u64>), Refusal> {
     loop {
-        let answer = course.send(0).await?;
+        let answer = delivery.send(0).await?;
         let mut sent = answer.sent;
         let evidence = match answer.response.bytes().await {
             Ok(bytes) => match serde_json::from_slice::<serde_json::Value>(&bytes) {
@@ -202,13 +202,17 @@
             },
             Err(_cause) => Evidence::ConnectionBroke,
         };
-        course.failed(evidence, sent).await?;
+        delivery.failed(evidence, sent).await?;
     }
 }
 
 /// Counts the whole reservation as used unless it is proven that nothing ran.
-fn refused(course: &engine::Course, permit: &mut admission::Permit, refusal: Refusal) -> Refusal {
-    if !course.is_not_run() {
+fn refused(
+    delivery: &engine::Delivery,
+    permit: &mut admission::Permit,
+    refusal: Refusal,
+) -> Refusal {
+    if !delivery.is_not_run() {
         permit.use_all();
     }
     refusal
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -86,7 +86,7 @@
         };
         self.core.limiter.follow(&view);
         self.core.router.follow(&view);
-        self.core.board.follow(self.core.now(), &view);
+        self.core.endpoints.follow(self.core.now(), &view);
         let controls = view.controls().map(|member| address::Peer {
             instance: member.instance.clone(),
             address: member.address,
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -34,7 +34,7 @@
     pub(crate) limiter: Arc<dyn admission::Limiter>,
     pub(crate) router: Arc<dyn route::Router>,
     /// Endpoints of the traffic plan's services.
-    pub(crate) board: gateway::Board,
+    pub(crate) endpoints: gateway::Table,
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a place at the engines.
     pub(crate) queues: Arc<queue::Queues>,
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -1,6 +1,6 @@
 //! Sends a model request to engines until one answers it.
 
-mod course;
+mod delivery;
 mod leave;
 mod sent;
 
@@ -10,7 +10,7 @@
 
 use crate::caller::body;
 
-pub(crate) use course::{Course, evidence};
+pub(crate) use delivery::{Delivery, evidence};
 pub(crate) use sent::Sent;
 
 /// Header that names one dispatch; an engine that echoes it shows that the
--- a/crates/cranberrygap-entry/src/engine/course.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -26,7 +26,7 @@
 
 /// The dispatches of one request.
 #[derive(Debug)]
-pub(crate) struct Course {
+pub(crate) struct Delivery {
     core: Arc<core::Core>,
     call: Arc<Call>,
     tried: route::Tried,
@@ -37,7 +37,7 @@
     _place: Option<queue::Place>,
 }
 
-impl Course {
+impl Delivery {
     /// Nothing was sent yet.
     pub(crate) fn new(
         core: &Arc<core::Core>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -6,10 +6,10 @@
 //! a [`dialect::Dialect`]'s business.
 
 mod answer;
-mod board;
 mod connection;
-mod course;
+mod delivery;
 pub mod dialect;
+mod endpoints;
 mod failure;
 mod flight;
 mod gossip;
@@ -22,7 +22,7 @@
 mod stream;
 mod volume;
 
-pub(crate) use board::Board;
+pub(crate) use endpoints::Table;
 pub(crate) use gossip::Gossip;
 pub(crate) use listener::Listener;
 
--- a/crates/cranberrygap-entry/src/gateway/course.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -15,7 +15,7 @@
 
 use super::failure::Failure;
 use super::request::{Facts, Resolved};
-use super::{Gateway, answer, board, dialect, flight, line, story, stream};
+use super::{Gateway, answer, dialect, endpoints, flight, line, story, stream};
 use aim::Aim;
 use send::Sent;
 
@@ -30,13 +30,13 @@
 
 /// One request and what it has been through.
 #[derive(Debug)]
-pub(crate) struct Course {
+pub(crate) struct Delivery {
     pub(super) gateway: Arc<Gateway>,
     pub(super) facts: Facts,
     resolved: Resolved,
     permit: Option<admission::Permit>,
     pub(super) story: story::Story,
-    tried: board::Tried,
+    tried: endpoints::Tried,
     sends: u32,
     opens: u32,
 }
@@ -62,7 +62,7 @@
     }
 }
 
-impl Course {
+impl Delivery {
     pub(super) fn new(
         gateway: &Arc<Gateway>,
         facts: Facts,
@@ -76,7 +76,7 @@
             resolved,
             permit,
             story,
-            tried: board::Tried::new(),
+            tried: endpoints::Tried::new(),
             sends: 0,
             opens: 0,
         }
--- a/crates/cranberrygap-entry/src/gateway/course/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -7,7 +7,7 @@
 use cranberrygap_wire::{method, traffic};
 use smol_str::SmolStr;
 
-use super::{Course, FULL_WAIT, Failure, LEAST_LEFT, board};
+use super::{Delivery, FULL_WAIT, Failure, LEAST_LEFT, endpoints};
 use crate::gateway::request;
 
 /// Part of the objective within which the first event must be expected. The rest is
@@ -44,11 +44,11 @@
 
 /// Where to send next.
 pub(super) struct Aim {
-    pub(super) place: board::Place,
+    pub(super) place: endpoints::Place,
     pub(super) fresh: u64,
 }
 
-impl Course {
+impl Delivery {
     /// An endpoint did not have what it was thought to have.
     pub(super) fn lacking(&self, aim: &Aim) {
         let Some(model) = &self.facts.ask.model else {
@@ -56,7 +56,7 @@
         };
         let core = &self.gateway.core;
         let adapter = self.facts.ask.adapter.as_ref();
-        core.board.lacks(&aim.place, model, adapter);
+        core.endpoints.lacks(&aim.place, model, adapter);
         let Some(adapter) = adapter else {
             return;
         };
@@ -95,8 +95,8 @@
 
     fn aim_at_service(&self) -> Result<Aim, Failure> {
         let now = self.now();
-        let board = &self.gateway.core.board;
-        let place = board.plain(now, &self.resolved.service, &self.tried);
+        let endpoints = &self.gateway.core.endpoints;
+        let place = endpoints.plain(now, &self.resolved.service, &self.tried);
         let place = place.ok_or_else(|| self.no_endpoint(FULL_WAIT, "no endpoint is ready"))?;
         Ok(Aim { place, fresh: 0 })
     }
@@ -116,7 +116,7 @@
     }
 
     /// The best engine that can take the request; waits a moment for one.
-    async fn free_seat(&mut self, model: &id::Model) -> Result<board::Seat, Failure> {
+    async fn free_seat(&mut self, model: &id::Model) -> Result<endpoints::Seat, Failure> {
         let objective = self.resolved.route.objective;
         let wait = duration::Span(objective.0 / FREE_PART).min(FREE_WAIT);
         let until = self.facts.arrived.after(wait);
@@ -133,7 +133,7 @@
         }
     }
 
-    fn tell_seat(&mut self, seat: &board::Seat) {
+    fn tell_seat(&mut self, seat: &endpoints::Seat) {
         let now = self.now();
         self.story.step(
             now,
@@ -149,16 +149,16 @@
     }
 
     /// The best engine that holds the model; waits a moment for one.
-    async fn seat(&self, model: &id::Model) -> Result<board::Seat, Failure> {
-        let board = &self.gateway.core.board;
+    async fn seat(&self, model: &id::Model) -> Result<endpoints::Seat, Failure> {
+        let endpoints = &self.gateway.core.endpoints;
         let until = self.facts.arrived.after(COPY_WAIT).min(self.deadline());
         loop {
             let now = self.now();
             let query = self.query(model, false);
-            if let Some(seat) = board.seat(now, &query) {
+            if let Some(seat) = endpoints.seat(now, &query) {
                 return Ok(seat);
             }
-            let hopeless = !self.tried.is_empty() || !board.serves(&self.resolved.service);
+            let hopeless = !self.tried.is_empty() || !endpoints.serves(&self.resolved.service);
             if hopeless || now >= until {
                 return Err(self.no_endpoint(LOAD_WAIT, "no engine holds the model"));
             }
@@ -170,8 +170,8 @@
         &'request self,
         model: &'request id::Model,
         only_ready: bool,
-    ) -> board::Query<'request> {
-        board::Query {
+    ) -> endpoints::Query<'request> {
+        endpoints::Query {
             service: &self.resolved.service,
             model,
             adapter: self.facts.ask.adapter.as_ref(),
@@ -190,7 +190,7 @@
 
     /// Refuses at once what would come too late: it would only make those late that
     /// come after it.
-    fn admit(&self, seat: &board::Seat) -> Result<(), Failure> {
+    fn admit(&self, seat: &endpoints::Seat) -> Result<(), Failure> {
         let objective = self.resolved.route.objective;
         #[expect(
             clippy::cast_possible_truncation,
@@ -219,7 +219,7 @@
     /// run out, each token waits for a part of them, and an event holds several
     /// tokens: one sees every stream of that engine late, and streams that take many
     /// times as long as usual, until their callers give up.
-    fn spare_streams(&self, seat: &board::Seat) -> Result<(), Failure> {
+    fn spare_streams(&self, seat: &endpoints::Seat) -> Result<(), Failure> {
         let Some(pause) = self.resolved.route.pause else {
             return Ok(());
         };
@@ -259,8 +259,8 @@
         &self,
         model: &id::Model,
         adapter: &SmolStr,
-        wished: &board::Place,
-    ) -> Result<board::Place, Failure> {
+        wished: &endpoints::Place,
+    ) -> Result<endpoints::Place, Failure> {
         let core = &self.gateway.core;
         let want = self.want(model, adapter, &wished.endpoint, false);
         let placed: Result<traffic::Placed, _> = core
@@ -274,12 +274,12 @@
                 None
             }
         };
-        if let Some(place) = endpoint.and_then(|endpoint| core.board.place(&endpoint, model)) {
-            core.board.has(&place, model, adapter);
+        if let Some(place) = endpoint.and_then(|endpoint| core.endpoints.place(&endpoint, model)) {
+            core.endpoints.has(&place, model, adapter);
             return Ok(place);
         }
         // Without a leader, an engine that has the adapter serves it, if later.
-        let held = core.board.seat(core.now(), &self.query(model, true));
+        let held = core.endpoints.seat(core.now(), &self.query(model, true));
         let seat = held.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
         self.admit(&seat)?;
         Ok(seat.place)
--- a/crates/cranberrygap-entry/src/gateway/course/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use super::aim::Aim;
-use super::{Answered, Course, FULL_WAIT, Failure, LEAST_LEFT, answer, dialect, flight, line};
+use super::{Answered, Delivery, FULL_WAIT, Failure, LEAST_LEFT, answer, dialect, flight, line};
 use crate::gateway::request;
 
 /// Time that a request takes on its way to an endpoint and its answer back.
@@ -48,7 +48,7 @@
     Done(Sent),
 }
 
-impl Course {
+impl Delivery {
     /// One send, from the connection to the head of the answer.
     pub(super) async fn send(
         &mut self,
@@ -59,7 +59,7 @@
         let opened = self.gateway.pool.take(aim.place.address, careful).await;
         let Ok(mut line) = opened else {
             let core = &self.gateway.core;
-            core.board.unreachable(core.now(), &aim.place);
+            core.endpoints.unreachable(core.now(), &aim.place);
             return Ok(Sent::Unreachable);
         };
         loop {
--- a/crates/cranberrygap-entry/src/gateway/board.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -68,7 +68,7 @@
 
 /// Endpoints by service, and what waits at each.
 #[derive(Debug)]
-pub(crate) struct Board {
+pub(crate) struct Table {
     domain: id::Domain,
     inner: Mutex<Inner>,
 }
@@ -90,7 +90,7 @@
     tallies: BTreeMap<u32, tally::Tally>,
 }
 
-impl Board {
+impl Table {
     pub(crate) fn new(domain: id::Domain) -> Self {
         Self {
             domain,
@@ -295,7 +295,7 @@
             .retain(|_, heard| now.since(heard.at) < duration::Span::from_secs(10));
     }
 
-    /// The board for people.
+    /// The endpoints for people.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let inner = self.inner.lock();
         let shown = inner.nodes.iter().map(|(name, node)| {
--- a/crates/cranberrygap-entry/src/gateway/flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/flight.rs
@@ -1,4 +1,4 @@
-//! One request under way to one endpoint, as the board counts it.
+//! One request under way to one endpoint, as the endpoints counts it.
 
 use std::sync::Arc;
 
@@ -6,14 +6,14 @@
 
 use crate::core;
 
-use super::board;
+use super::endpoints;
 
 /// Counted as sent while it lives; what is not read and ended by then is when it
 /// is dropped, whatever the reason.
 #[derive(Debug)]
 pub(crate) struct Flight {
     core: Arc<core::Core>,
-    place: board::Place,
+    place: endpoints::Place,
     rank: usize,
     fresh: u32,
     read: bool,
@@ -23,13 +23,13 @@
     /// Counts a request with `fresh` prompt tokens to read.
     pub(crate) fn new(
         core: &Arc<core::Core>,
-        place: &board::Place,
+        place: &endpoints::Place,
         rank: usize,
         fresh: u64,
         chain: Option<&memory::Chain>,
     ) -> Self {
         let fresh = u32::try_from(fresh).unwrap_or(u32::MAX);
-        core.board.sent(core.now(), place, rank, fresh, chain);
+        core.endpoints.sent(core.now(), place, rank, fresh, chain);
         Self {
             core: Arc::clone(core),
             place: place.clone(),
@@ -43,19 +43,21 @@
     pub(crate) fn read(&mut self) {
         if !self.read {
             self.read = true;
-            self.core.board.read(&self.place, self.rank, self.fresh);
+            self.core.endpoints.read(&self.place, self.rank, self.fresh);
         }
     }
 
     /// Tells how the endpoint answered.
     pub(crate) fn judge(&self, good: bool) {
-        self.core.board.judged(self.core.now(), &self.place, good);
+        self.core
+            .endpoints
+            .judged(self.core.now(), &self.place, good);
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
         self.read();
-        self.core.board.ended(&self.place);
+        self.core.endpoints.ended(&self.place);
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -69,7 +69,7 @@
             tokio::select! {
                 _ = ticker.tick() => {
                     sequence += 1;
-                    let mut tallies = self.core.board.own();
+                    let mut tallies = self.core.endpoints.own();
                     tallies.truncate(MOST_ENGINES);
                     // Said once, that nothing is left counts for the next ones too.
                     if tallies.is_empty() && silent {
@@ -111,6 +111,6 @@
         let now = self.core.now();
         let from = address::Socket(from);
         let (sequence, tallies) = (message.sequence, message.tallies);
-        self.core.board.heard(now, from, sequence, tallies);
+        self.core.endpoints.heard(now, from, sequence, tallies);
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -19,7 +19,7 @@
 use crate::view::{self, traffic as table};
 
 use super::answer;
-use super::course;
+use super::delivery;
 use super::dialect;
 use super::failure::Failure;
 use super::{Gateway, story, stream};
@@ -77,7 +77,7 @@
         payer.unwrap_or(self.route.priority)
     }
 
-    /// Rank as the board tells ranks apart.
+    /// Rank as the endpoints tells ranks apart.
     pub(crate) fn rank(&self) -> usize {
         (self.priority() as usize).min(tally::RANKS - 1)
     }
@@ -205,10 +205,10 @@
     note(told, &facts, &resolved);
     let permit = pay(gateway, &facts, &resolved).await?;
     gateway.reserve.earn(&resolved.service);
-    // The course goes on to tell the story, also after the head of a stream has gone
+    // The delivery goes on to tell the story, also after the head of a stream has gone
     // out; what is left here is told if it fails before.
-    let course = course::Course::new(gateway, facts, resolved, permit, std::mem::take(told));
-    match course.run().await {
+    let delivery = delivery::Delivery::new(gateway, facts, resolved, permit, std::mem::take(told));
+    match delivery.run().await {
         Ok(response) => Ok(response),
         Err((story, failure)) => {
             *told = story;
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use crate::sse;
 
 use super::answer::{self, Cut};
-use super::course;
+use super::delivery;
 use super::flight;
 use super::line;
 
@@ -33,7 +33,7 @@
 /// A stream on its way to the caller. Dropping it, which happens when the caller
 /// leaves, closes the connection to the engine, which then stops.
 struct Relay {
-    course: course::Course,
+    delivery: delivery::Delivery,
     upstream: Option<Upstream>,
     /// Cuts events out of the bytes; only for streams that another engine may go
     /// on with, which begins after a whole event.
@@ -51,16 +51,16 @@
 
 /// The answer whose body is the stream.
 pub(super) fn relay(
-    course: course::Course,
+    delivery: delivery::Delivery,
     head: Response<()>,
     body: Incoming,
     line: line::Line,
     flight: flight::Flight,
 ) -> Response<answer::Body> {
-    let splitter = course.is_repeatable().then(sse::Splitter::default);
-    let last_event = course.facts.ask.last_event.as_deref().map(str::to_owned);
+    let splitter = delivery.is_repeatable().then(sse::Splitter::default);
+    let last_event = delivery.facts.ask.last_event.as_deref().map(str::to_owned);
     let relay = Relay {
-        course,
+        delivery,
         upstream: Some(Upstream { body, line, flight }),
         splitter,
         last_event,
@@ -76,8 +76,8 @@
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         loop {
-            let deadline = self.course.deadline().after(GRACE);
-            let left = deadline.since(self.course.gateway.core.now());
+            let deadline = self.delivery.deadline().after(GRACE);
+            let left = deadline.since(self.delivery.gateway.core.now());
             let upstream = self.upstream.as_mut()?;
             let frame = tokio::time::timeout(left.to_std(), upstream.body.frame()).await;
             match frame {
@@ -86,7 +86,7 @@
                     upstream.flight.read();
                     if !self.begun {
                         self.begun = true;
-                        self.course.note_first_event();
+                        self.delivery.note_first_event();
                     }
                     let Ok(data) = frame.into_data() else {
                         continue;
@@ -139,18 +139,20 @@
     /// The stream is whole; its connection is kept.
     fn end(&mut self) {
         if let Some(upstream) = self.upstream.take() {
-            self.course.gateway.pool.put(upstream.line);
+            self.delivery.gateway.pool.put(upstream.line);
         }
-        let now = self.course.gateway.core.now();
-        self.course.story.ended(&self.course.gateway.volume, now);
+        let now = self.delivery.gateway.core.now();
+        self.delivery
+            .story
+            .ended(&self.delivery.gateway.volume, now);
     }
 
     /// Ends the answer so that the caller sees that it is not whole.
     fn cut(&mut self, cause: &'static str) -> Cut {
-        let core = &self.course.gateway.core;
+        let core = &self.delivery.gateway.core;
         let now = core.now();
-        let volume = &self.course.gateway.volume;
-        self.course
+        let volume = &self.delivery.gateway.volume;
+        self.delivery
             .story
             .failed(volume, now, "stream_cut", cause, None);
         core.count(metric::GATEWAY_FAILURES, "stream_cut");
@@ -168,13 +170,13 @@
             return false;
         }
         let last_event = self.last_event.clone();
-        let resumed = self.course.resume(last_event.as_deref()).await;
+        let resumed = self.delivery.resume(last_event.as_deref()).await;
         let Some(answered) = resumed else {
             return false;
         };
-        let now = self.course.gateway.core.now();
+        let now = self.delivery.gateway.core.now();
         let resumed = format_args!("another engine goes on with the stream: {cause}");
-        self.course.story.step(now, resumed);
+        self.delivery.story.step(now, resumed);
         self.splitter = Some(sse::Splitter::default());
         self.upstream = Some(Upstream {
             body: answered.response.into_body(),
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -300,7 +300,7 @@
 ) -> Result<core::Core, Error> {
     let peers = Arc::new(control::Peers::new(settings.control.peers.clone()));
     Ok(core::Core {
-        board: gateway::Board::new(settings.entry.domain.clone()),
+        endpoints: gateway::Table::new(settings.entry.domain.clone()),
         peers: Arc::clone(&peers),
         boot,
         clock,
@@ -386,6 +386,6 @@
         "limits": core.limiter.dump(),
         "routing": core.router.dump(),
         "queues": core.queues.dump(),
-        "board": core.board.dump(),
+        "endpoints": core.endpoints.dump(),
     })
 }
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -25,7 +25,7 @@
 /// Dropping it, which happens when the caller leaves, closes the connection to
 /// the engine, which then stops generating.
 pub(crate) struct Relay {
-    course: engine::Course,
+    delivery: engine::Delivery,
     upstream: Upstream,
     sent: Option<engine::Sent>,
     splitter: sse::Splitter,
@@ -40,14 +40,14 @@
 impl Relay {
     /// A relay of `answer`, which goes on over other engines when it breaks.
     pub(crate) fn new(
-        course: engine::Course,
+        delivery: engine::Delivery,
         answer: engine::Answer,
         permit: admission::Permit,
         attained: attainment::Progress,
     ) -> Self {
-        let limit = course.call().body.max_tokens.0;
+        let limit = delivery.call().body.max_tokens.0;
         Self {
-            course,
+            delivery,
             progress: policy::Stream::new(answer.attempt, limit),
             upstream: Box::pin(answer.response.bytes_stream()),
             sent: Some(answer.sent),
@@ -94,7 +94,7 @@
         } else {
             engine::BETWEEN_TOKENS
         };
-        limit.min(self.course.remaining())
+        limit.min(self.delivery.remaining())
     }
 
     /// The events in `bytes` that the caller gets.
@@ -156,7 +156,7 @@
                 self.attained.token();
             }
         }
-        let estimate = self.course.call().body.prompt.0 + self.progress.delivered();
+        let estimate = self.delivery.call().body.prompt.0 + self.progress.delivered();
         self.permit
             .set_used(token::Count(chunk.total_tokens().unwrap_or(estimate)));
         decision
@@ -181,10 +181,10 @@
         let Some(sent) = self.sent.take() else {
             return Some(self.broken(&Refusal::EndpointFailed));
         };
-        if let Err(refusal) = self.course.failed(evidence, sent).await {
+        if let Err(refusal) = self.delivery.failed(evidence, sent).await {
             return Some(self.broken(&refusal));
         }
-        match self.course.send(self.progress.delivered()).await {
+        match self.delivery.send(self.progress.delivered()).await {
             Err(refusal) => Some(self.broken(&refusal)),
             Ok(answer) => {
                 self.progress.resume(answer.attempt);
@@ -201,7 +201,7 @@
     /// whole answer.
     fn broken(&mut self, refusal: &Refusal) -> Bytes {
         self.finished = true;
-        let refusal = refusal.to_wire(Some(&self.course.call().request));
+        let refusal = refusal.to_wire(Some(&self.delivery.call().request));
         let event = serde_json::json!({ "error": refusal });
         Bytes::from(format!("data: {event}\n\n"))
     }
--- a/crates/cranberrygap-placement/src/plan.rs
+++ b/crates/cranberrygap-placement/src/plan.rs
@@ -1,6 +1,6 @@
 //! What should change in the fleet's memory.
 //!
-//! A round plans on a [`board`], a copy of the ledger with numbers for names.
+//! A round plans on a [`draft`], a copy of the ledger with numbers for names.
 //! Its order is that of what users lose: models without any copy, models with
 //! one copy or copies in one failure domain only, adapters, old versions, then
 //! more copies where demand presses.
@@ -14,8 +14,8 @@
 use crate::ledger;
 
 pub mod assign;
-pub mod board;
 mod demand;
+pub mod draft;
 mod repair;
 mod retire;
 mod room;
@@ -92,15 +92,15 @@
     previous: &assign::Preferred,
     settings: &Settings,
 ) -> Plan {
-    let mut board = board::Board::new(ledger, catalogue, demand, settings);
-    assign::all(&mut board, previous);
-    let preferred = assign::preferred(&board);
-    repair::unreachable(&mut board);
-    repair::risk(&mut board);
-    repair::adapters(&mut board);
-    retire::old_versions(&mut board);
-    demand::spread(&mut board);
-    let mut moves = board.take_moves();
+    let mut draft = draft::Draft::new(ledger, catalogue, demand, settings);
+    assign::all(&mut draft, previous);
+    let preferred = assign::preferred(&draft);
+    repair::unreachable(&mut draft);
+    repair::risk(&mut draft);
+    repair::adapters(&mut draft);
+    retire::old_versions(&mut draft);
+    demand::spread(&mut draft);
+    let mut moves = draft.take_moves();
     moves.sort_by_key(|wish| wish.reason);
     Plan { moves, preferred }
 }
--- a/crates/cranberrygap-placement/src/plan/assign.rs
+++ b/crates/cranberrygap-placement/src/plan/assign.rs
@@ -9,7 +9,7 @@
 
 use cranberrygap_model::id;
 
-use crate::plan::board;
+use crate::plan::draft;
 
 /// Endpoints that should take each model's requests, for the entries.
 pub type Preferred = BTreeMap<id::Model, Vec<id::Endpoint>>;
@@ -19,28 +19,28 @@
 
 /// Assigns all demand, the heaviest models first; `previous` is kept to where
 /// it still fits, since each change empties caches and swings loads.
-pub fn all(board: &mut board::Board<'_>, previous: &Preferred) {
-    let mut numbers: Vec<usize> = (0..board.models.len()).collect();
-    let demand = |number: &usize| board.models[*number].demand;
+pub fn all(draft: &mut draft::Draft<'_>, previous: &Preferred) {
+    let mut numbers: Vec<usize> = (0..draft.models.len()).collect();
+    let demand = |number: &usize| draft.models[*number].demand;
     numbers.sort_by(|a, b| demand(b).total_cmp(&demand(a)).then(a.cmp(b)));
     for number in numbers {
-        board.models[number].overflow = board.models[number].demand;
-        let before = previous.get(&board.models[number].name);
-        let order = order(board, number, before.map(Vec::as_slice).unwrap_or_default());
+        draft.models[number].overflow = draft.models[number].demand;
+        let before = previous.get(&draft.models[number].name);
+        let order = order(draft, number, before.map(Vec::as_slice).unwrap_or_default());
         for runner in order {
-            fill(board, number, runner);
+            fill(draft, number, runner);
         }
-        activate_one(board, number);
+        activate_one(draft, number);
     }
 }
 
 /// Assigns what it can of a model's overflow to its copy on `runner`.
-pub fn fill(board: &mut board::Board<'_>, number: usize, runner: usize) {
-    let model = &mut board.models[number];
+pub fn fill(draft: &mut draft::Draft<'_>, number: usize, runner: usize) {
+    let model = &mut draft.models[number];
     let Some(copy) = model.copies.iter_mut().find(|copy| copy.runner == runner) else {
         return;
     };
-    let target = &mut board.runners[runner];
+    let target = &mut draft.runners[runner];
     let weight = if copy.share > 0.0 { 0.0 } else { model.weight };
     let part = model.overflow.min(target.left() - weight);
     if part < LEAST_SHARE && part < model.overflow {
@@ -56,26 +56,26 @@
 
 /// Endpoints that serve now and have a share, for each model.
 #[must_use]
-pub fn preferred(board: &board::Board<'_>) -> Preferred {
-    let active = |model: &board::Model| {
+pub fn preferred(draft: &draft::Draft<'_>) -> Preferred {
+    let active = |model: &draft::Model| {
         let copies = model.copies.iter();
         let copies = copies.filter(|copy| copy.serves && copy.share > 0.0);
-        let names = copies.map(|copy| board.runners[copy.runner].endpoint.clone());
+        let names = copies.map(|copy| draft.runners[copy.runner].endpoint.clone());
         (model.name.clone(), names.collect())
     };
-    board.models.iter().map(active).collect()
+    draft.models.iter().map(active).collect()
 }
 
 /// The model's runners: first those that took its demand before, then those
 /// with most left; a copy that serves goes before one that is being loaded.
-fn order(board: &board::Board<'_>, number: usize, before: &[id::Endpoint]) -> Vec<usize> {
-    let mut copies = board.models[number].copies.clone();
-    let place = |copy: &board::Copy| {
-        let endpoint = &board.runners[copy.runner].endpoint;
+fn order(draft: &draft::Draft<'_>, number: usize, before: &[id::Endpoint]) -> Vec<usize> {
+    let mut copies = draft.models[number].copies.clone();
+    let place = |copy: &draft::Copy| {
+        let endpoint = &draft.runners[copy.runner].endpoint;
         let place = before.iter().position(|name| name == endpoint);
         place.unwrap_or(before.len())
     };
-    let left = |copy: &board::Copy| board.runners[copy.runner].left();
+    let left = |copy: &draft::Copy| draft.runners[copy.runner].left();
     copies.sort_by(|a, b| {
         let kept = place(a).cmp(&place(b));
         let serves = b.serves.cmp(&a.serves);
@@ -86,16 +86,16 @@
 
 /// A model that found no place at all still needs an endpoint: the one with
 /// most left takes its demand beyond the capacity.
-fn activate_one(board: &mut board::Board<'_>, number: usize) {
-    let model = &mut board.models[number];
+fn activate_one(draft: &mut draft::Draft<'_>, number: usize) {
+    let model = &mut draft.models[number];
     if model.copies.iter().any(|copy| copy.share > 0.0) || model.demand <= 0.0 {
         return;
     }
-    let left = |copy: &&mut board::Copy| board.runners[copy.runner].left();
+    let left = |copy: &&mut draft::Copy| draft.runners[copy.runner].left();
     let copies = model.copies.iter_mut();
     let Some(copy) = copies.max_by(|a, b| left(a).total_cmp(&left(b))) else {
         return;
     };
     copy.share = model.demand;
-    board.runners[copy.runner].load += model.demand + model.weight;
+    draft.runners[copy.runner].load += model.demand + model.weight;
 }
--- a/crates/cranberrygap-placement/src/plan/board.rs
+++ b/crates/cranberrygap-placement/src/plan/draft.rs
@@ -12,7 +12,7 @@
 /// Bytes of a GiB.
 const GIB: f64 = (1_u64 << 30) as f64;
 
-/// One runner on the board.
+/// One runner on the draft.
 #[derive(Debug)]
 pub struct Runner {
     /// Its name.
@@ -75,7 +75,7 @@
 
 /// The fleet as one round sees and changes it.
 #[derive(Debug)]
-pub struct Board<'a> {
+pub struct Draft<'a> {
     /// The ledger it was made from.
     pub ledger: &'a ledger::Ledger,
     /// The store's list.
@@ -90,8 +90,8 @@
     moves: Vec<plan::Move>,
 }
 
-impl<'a> Board<'a> {
-    /// The board of one round.
+impl<'a> Draft<'a> {
+    /// The draft of one round.
     #[must_use]
     pub fn new(
         ledger: &'a ledger::Ledger,
@@ -103,7 +103,7 @@
         let names = models.iter().map(|model| model.name.clone());
         let numbers = names.zip(0..).collect();
         let runners = runners(ledger, settings);
-        let mut board = Self {
+        let mut draft = Self {
             ledger,
             catalogue,
             settings,
@@ -112,8 +112,8 @@
             numbers,
             moves: Vec::new(),
         };
-        board.place_copies();
-        board
+        draft.place_copies();
+        draft
     }
 
     fn place_copies(&mut self) {
--- a/crates/cranberrygap-placement/src/plan/repair.rs
+++ b/crates/cranberrygap-placement/src/plan/repair.rs
@@ -3,31 +3,31 @@
 use cranberrygap_wire::endpoint;
 
 use crate::plan;
-use crate::plan::board;
+use crate::plan::draft;
 use crate::plan::room;
 
 /// Loads a first copy of every model that has none, hot ones first.
-pub fn unreachable(board: &mut board::Board<'_>) {
-    for number in by_demand(board) {
-        if board.models[number].copies.is_empty() {
-            place(board, number, plan::Reason::Unreachable);
+pub fn unreachable(draft: &mut draft::Draft<'_>) {
+    for number in by_demand(draft) {
+        if draft.models[number].copies.is_empty() {
+            place(draft, number, plan::Reason::Unreachable);
         }
     }
 }
 
 /// Loads a further copy of every model that one failure could take, hot ones first.
-pub fn risk(board: &mut board::Board<'_>) {
-    for number in by_demand(board) {
-        if is_at_risk(board, number) {
-            place(board, number, plan::Reason::Risk);
+pub fn risk(draft: &mut draft::Draft<'_>) {
+    for number in by_demand(draft) {
+        if is_at_risk(draft, number) {
+            place(draft, number, plan::Reason::Risk);
         }
     }
 }
 
 /// Loads the adapters that are missing beside their base models.
-pub fn adapters(board: &mut board::Board<'_>) {
-    let ledger = board.ledger;
-    let catalogue = board.catalogue;
+pub fn adapters(draft: &mut draft::Draft<'_>) {
+    let ledger = draft.ledger;
+    let catalogue = draft.catalogue;
     for (endpoint, account) in ledger.accounts() {
         if !account.is_usable() {
             continue;
@@ -44,65 +44,65 @@
                     model: adapter.clone(),
                     size,
                 };
-                board.want(endpoint.clone(), action, plan::Reason::Adapter);
+                draft.want(endpoint.clone(), action, plan::Reason::Adapter);
             }
         }
     }
 }
 
-fn by_demand(board: &board::Board<'_>) -> Vec<usize> {
-    let mut numbers: Vec<usize> = (0..board.models.len()).collect();
-    let demand = |number: &usize| board.models[*number].demand;
+fn by_demand(draft: &draft::Draft<'_>) -> Vec<usize> {
+    let mut numbers: Vec<usize> = (0..draft.models.len()).collect();
+    let demand = |number: &usize| draft.models[*number].demand;
     numbers.sort_by(|a, b| demand(b).total_cmp(&demand(a)).then(a.cmp(b)));
     numbers
 }
 
-fn is_at_risk(board: &board::Board<'_>, number: usize) -> bool {
-    let copies = &board.models[number].copies;
+fn is_at_risk(draft: &draft::Draft<'_>, number: usize) -> bool {
+    let copies = &draft.models[number].copies;
     if copies.is_empty() {
         return false;
     }
-    let domain = |copy: &board::Copy| board.runners[copy.runner].domain;
+    let domain = |copy: &draft::Copy| draft.runners[copy.runner].domain;
     let first = domain(&copies[0]);
-    copies.len() < board.settings.copies || copies.iter().all(|copy| domain(copy) == first)
+    copies.len() < draft.settings.copies || copies.iter().all(|copy| domain(copy) == first)
 }
 
 /// Puts a copy where it helps most: away from the failure domains that have
 /// one, then where the load is least. Where no room is left, another model
 /// with copies to spare makes room.
-fn place(board: &mut board::Board<'_>, number: usize, reason: plan::Reason) {
-    let taken: Vec<usize> = board.models[number]
+fn place(draft: &mut draft::Draft<'_>, number: usize, reason: plan::Reason) {
+    let taken: Vec<usize> = draft.models[number]
         .copies
         .iter()
-        .map(|copy| board.runners[copy.runner].domain)
+        .map(|copy| draft.runners[copy.runner].domain)
         .collect();
-    let footprint = board.models[number].footprint;
-    let candidates = (0..board.runners.len())
-        .filter(|runner| board.runners[*runner].usable && !board.has(*runner, number));
+    let footprint = draft.models[number].footprint;
+    let candidates = (0..draft.runners.len())
+        .filter(|runner| draft.runners[*runner].usable && !draft.has(*runner, number));
     let fits = candidates
         .clone()
-        .filter(|runner| board.runners[*runner].free >= footprint)
+        .filter(|runner| draft.runners[*runner].free >= footprint)
         .filter(|runner| {
-            reason == plan::Reason::Unreachable || !taken.contains(&board.runners[*runner].domain)
+            reason == plan::Reason::Unreachable || !taken.contains(&draft.runners[*runner].domain)
         });
     let best = fits.min_by(|a, b| {
-        let (a, b) = (&board.runners[*a], &board.runners[*b]);
+        let (a, b) = (&draft.runners[*a], &draft.runners[*b]);
         let load = a.utilisation().total_cmp(&b.utilisation());
         load.then(b.free.cmp(&a.free))
     });
     if let Some(runner) = best {
-        board.add(runner, number, reason);
+        draft.add(runner, number, reason);
         return;
     }
     let keep = if reason == plan::Reason::Unreachable {
         room::Keep::One
     } else {
-        room::Keep::Spread(board.settings.copies)
+        room::Keep::Spread(draft.settings.copies)
     };
     let elsewhere: Vec<usize> = candidates
         .filter(|runner| {
-            reason == plan::Reason::Unreachable || !taken.contains(&board.runners[*runner].domain)
+            reason == plan::Reason::Unreachable || !taken.contains(&draft.runners[*runner].domain)
         })
         .collect();
-    room::make(board, &elsewhere, footprint, keep);
+    room::make(draft, &elsewhere, footprint, keep);
 }
--- a/crates/cranberrygap-placement/src/plan/retire.rs
+++ b/crates/cranberrygap-placement/src/plan/retire.rs
@@ -3,22 +3,22 @@
 use cranberrygap_model::id;
 
 use crate::plan;
-use crate::plan::board;
+use crate::plan::draft;
 
 /// Unloads old versions whose successors have all the copies that they need.
 ///
 /// With an old version unloaded too early, callers of the public name would
 /// meet a gap or one copy that bears everything. So the newer version must
 /// serve from as many endpoints as the old one, or as every model has.
-pub fn old_versions(board: &mut board::Board<'_>) {
-    let ledger = board.ledger;
-    let catalogue = board.catalogue;
+pub fn old_versions(draft: &mut draft::Draft<'_>) {
+    let ledger = draft.ledger;
+    let catalogue = draft.catalogue;
     for weights in catalogue.iter() {
         let old = &weights.model;
         let Some(newer) = catalogue.successor(old) else {
             continue;
         };
-        let needed = ledger.copies(old).min(board.settings.copies).max(1);
+        let needed = ledger.copies(old).min(draft.settings.copies).max(1);
         if ledger.copies(newer) < needed {
             continue;
         }
@@ -26,7 +26,7 @@
         let holders = holders.filter(|(_, account)| account.serves(old));
         let endpoints: Vec<id::Endpoint> = holders.map(|(name, _)| name.clone()).collect();
         for endpoint in endpoints {
-            board.unload_with_adapters(&endpoint, old, plan::Reason::Retired);
+            draft.unload_with_adapters(&endpoint, old, plan::Reason::Retired);
         }
     }
 }
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -15,8 +15,8 @@
     pub(super) fn plan(&mut self, now: duration::Instant) {
         for _move in 0..MOVES_A_LOOK {
             let open = self.ceiling.is_open(now) && self.loading_from_store() < LOADS_AT_ONCE;
-            let board = plan::Board::new(&self.engine, &self.runners, &self.demand, open);
-            let Some(wish) = board.next() else {
+            let draft = plan::Draft::new(&self.engine, &self.runners, &self.demand, open);
+            let Some(wish) = draft.next() else {
                 return;
             };
             self.begin(now, wish);
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -59,7 +59,7 @@
 
 /// Runners of one service and the demand that they see.
 #[derive(Debug)]
-pub struct Board<'book> {
+pub struct Draft<'book> {
     engine: &'book engine::Engine,
     runners: &'book BTreeMap<id::Endpoint, runner::Runner>,
     demand: &'book BTreeMap<id::Model, f64>,
@@ -68,7 +68,7 @@
     load: BTreeMap<&'book id::Endpoint, f64>,
 }
 
-impl<'book> Board<'book> {
+impl<'book> Draft<'book> {
     /// Spreads `demand`, in prompt tokens a second, over the copies that there are
     /// or will be.
     #[must_use]
@@ -84,7 +84,7 @@
                 copies.entry(model).or_default().push(name);
             }
         }
-        let mut board = Self {
+        let mut draft = Self {
             engine,
             runners,
             demand,
@@ -92,8 +92,8 @@
             copies,
             load: runners.keys().map(|name| (name, 0.0)).collect(),
         };
-        board.spread();
-        board
+        draft.spread();
+        draft
     }
 
     /// Gives each part of a model's demand to its least loaded copy, models with
