Leave a near endpoint that fails for a far one

Cause: a failing endpoint of a plain service cost at most twelve running requests and a far one always five, so that a near one which failed all bookings was chosen until most of what was known of it was failures: 4 of the first 12 at one entry, and each entry learns by itself. Bookings cannot be repeated.

Change: failing costs thirty running requests.

Ruled out: the health check (it is good throughout); sharing failures between entries (not tried).

--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -27,6 +27,15 @@
 /// it takes about ten milliseconds to come.
 const FETCH: duration::Span = duration::Span::from_millis(60);
 
+/// What a far endpoint of a plain service costs beyond a near one, in running requests.
+const FAR_REQUESTS: u32 = 5;
+
+/// What an endpoint of a plain service costs that fails all it gets, in running
+/// requests. An endpoint of which one answer is known, and that a failure, counts as
+/// failing a quarter; it must cost more than a far one, since what it fails may not be
+/// repeated.
+const FAILING_REQUESTS: f64 = 30.0;
+
 /// Age at which what another entry said of its sends is not used any more.
 const STALE: duration::Span = duration::Span::from_millis(1_200);
 
@@ -174,14 +183,13 @@
         let trusted = trusted(now, &usable);
         let best = trusted.into_iter().min_by_key(|node| {
             let running = inner.tally(now, node).running;
-            // A request more waits about as long as a near one saves and more.
-            let far = u32::from(!node.near) * 5;
+            let far = u32::from(!node.near) * FAR_REQUESTS;
             #[expect(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
-                reason = "a part of one, in steps of a twelfth"
+                reason = "a part of one, times a small number"
             )]
-            let failing = (node.failures.part(now) * 12.0) as u32;
+            let failing = (node.failures.part(now) * FAILING_REQUESTS) as u32;
             let mixed = memory::affinity(now.0, &node.endpoint);
             (running + far + failing, mixed)
         });
