Bound the saved second sends of all entries together

Cause: each entry could save up four second sends whatever the number of entries; a fleet of 73 that had been quiet could make 292 at once, above the 186 that the users allow on their grown site. Found by reading.

Change: the bound falls with the number of entries, from four to one; the accounting is in the policy crate, where tests reach it. Beside it: the grace beyond a deadline stands once, and the leader's demand and term are files of their own.

Ruled out: a fleet-wide reserve by leased shares, for what one constant does.

Figures: 73 entries, 73 at once (292 by the former bound); eight entries 32 as before.

--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -3,16 +3,17 @@
 //! One task owns the book of the term; reports, answers and wishes of entries come
 //! to it over a channel, so that a slow runner delays nobody else.
 
-use std::collections::BTreeMap;
+mod demand;
+mod leadership;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cranberrygap_link::{clock, server};
 use cranberrygap_model::{address, duration, id, number};
-use cranberrygap_placement::forecast;
-use cranberrygap_placement::residency::{book, engine, order};
-use cranberrygap_state::{command, fleet};
+use cranberrygap_placement::residency::{book, order};
+use cranberrygap_state::command;
 use cranberrygap_wire::{method, traffic, view};
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
@@ -22,22 +23,11 @@
 use crate::proposer;
 use crate::replicated;
 
+use leadership::Leadership;
+
 /// Time between two looks.
 const PERIOD: Duration = Duration::from_millis(100);
 
-/// Half-life of the demand that asks for copies. Demand moves to other models
-/// within about six seconds; a slower estimate would see it when it has moved.
-const RISE: duration::Span = duration::Span::from_millis(1_500);
-
-/// Half-life of the demand that keeps copies. A model that pauses for a few
-/// seconds keeps its copies; a load costs as much as a lost request.
-const FALL: duration::Span = duration::Span::from_secs(6);
-
-/// Time after taking leadership in which nothing is ordered. Runners that do not
-/// compare leaders would take orders of two; the one before may have sent its last
-/// order just before its lease ended, and orders take a moment on their way.
-const SUCCESSION: duration::Span = duration::Span::from_millis(3_300);
-
 /// News that may wait for the task.
 const QUEUE: usize = 4_096;
 
@@ -105,30 +95,13 @@
     runners: Arc<dyn Runners>,
     holder: id::Instance,
     clock: clock::Clock,
-    demand: Mutex<Demand>,
+    demand: Mutex<demand::Demand>,
     news: mpsc::Sender<News>,
     receiver: Mutex<Option<mpsc::Receiver<News>>>,
     tickets: AtomicU64,
     shown: Mutex<serde_json::Value>,
 }
 
-#[derive(Debug)]
-struct Demand {
-    rising: forecast::decayed::Decayed,
-    falling: forecast::decayed::Decayed,
-    adapters: Vec<(id::Model, SmolStr)>,
-}
-
-/// One leader's term.
-#[derive(Debug)]
-struct Leadership {
-    term: number::Term,
-    since: duration::Instant,
-    books: BTreeMap<id::Service, book::Book>,
-    plan: Option<u64>,
-    waiting: BTreeMap<u64, oneshot::Sender<Option<id::Endpoint>>>,
-}
-
 /// News for the task, of the term with this start.
 #[derive(Debug)]
 enum News {
@@ -160,11 +133,7 @@
             runners,
             holder,
             clock,
-            demand: Mutex::new(Demand {
-                rising: forecast::decayed::Decayed::new(RISE),
-                falling: forecast::decayed::Decayed::new(FALL),
-                adapters: Vec::new(),
-            }),
+            demand: Mutex::new(demand::Demand::new()),
             news,
             receiver: Mutex::new(Some(receiver)),
             tickets: AtomicU64::new(1),
@@ -174,19 +143,7 @@
 
     /// Counts demand that an entry reports.
     pub(crate) fn count(&self, demands: &[view::Demand]) {
-        let now = self.clock.now();
-        let mut held = self.demand.lock();
-        for demand in demands {
-            if let Some((model, adapter)) = demand.model.as_str().split_once('/') {
-                if let Ok(model) = model.parse() {
-                    held.adapters.push((model, SmolStr::new(adapter)));
-                }
-                continue;
-            }
-            let work = demand.unread as f64;
-            forecast::Estimator::count(&mut held.rising, now, &demand.model, work);
-            forecast::Estimator::count(&mut held.falling, now, &demand.model, work);
-        }
+        self.demand.lock().count(self.clock.now(), demands);
     }
 
     /// The books for people.
@@ -259,20 +216,16 @@
             return None;
         }
         let held = held.filter(|leadership| leadership.term == status.term);
-        Some(held.unwrap_or_else(|| Leadership {
-            term: status.term,
-            since: self.clock.now(),
-            books: BTreeMap::new(),
-            plan: None,
-            waiting: BTreeMap::new(),
-        }))
+        Some(held.unwrap_or_else(|| Leadership::new(status.term, self.clock.now())))
     }
 
     /// Takes over plan, endpoints and demand.
     fn follow(&self, leadership: &mut Leadership) {
         let now = self.clock.now();
-        let demand = self.rates(now);
-        let used = std::mem::take(&mut self.demand.lock().adapters);
+        let (demand, used) = {
+            let mut held = self.demand.lock();
+            (held.rates(now), held.take_adapters())
+        };
         self.state.read(|fleet| {
             leadership.follow_plan(now, fleet);
             for book in leadership.books.values_mut() {
@@ -286,17 +239,6 @@
         });
     }
 
-    /// Rises are taken from the quick estimate and falls from the slow one.
-    fn rates(&self, now: duration::Instant) -> BTreeMap<id::Model, f64> {
-        let demand = self.demand.lock();
-        let mut rates = forecast::Estimator::rates(&demand.falling, now);
-        for (model, rate) in forecast::Estimator::rates(&demand.rising, now) {
-            let known = rates.entry(model).or_default();
-            *known = known.max(rate);
-        }
-        rates
-    }
-
     fn hear(&self, held: &mut Option<Leadership>, news: News) {
         let now = self.clock.now();
         let Some(leadership) = held else {
@@ -454,54 +396,3 @@
         *self.shown.lock() = serde_json::json!(books);
     }
 }
-
-impl Leadership {
-    fn with(&mut self, service: &id::Service, work: impl FnOnce(&mut book::Book)) {
-        if let Some(book) = self.books.get_mut(service) {
-            work(book);
-        }
-    }
-
-    fn want(
-        &mut self,
-        now: duration::Instant,
-        ticket: u64,
-        want: &traffic::Want,
-        answer: oneshot::Sender<Option<id::Endpoint>>,
-    ) {
-        let Some(book) = self.books.get_mut(&want.service) else {
-            return;
-        };
-        let adapter = (want.model.clone(), want.adapter.clone());
-        self.waiting.insert(ticket, answer);
-        book.want(now, ticket, &adapter, &want.endpoint, want.expires);
-    }
-
-    /// Takes over services and models, when the plan is a new one.
-    fn follow_plan(&mut self, now: duration::Instant, fleet: &fleet::Fleet) {
-        let version = fleet.traffic.version();
-        if version == self.plan {
-            return;
-        }
-        self.plan = version;
-        let services = fleet.traffic.plan().into_iter();
-        let services = services.flat_map(|plan| &plan.services);
-        let mut known = Vec::new();
-        for service in services {
-            let Some(engine) = &service.engine else {
-                continue;
-            };
-            known.push(service.service.clone());
-            let engine = engine::Engine::new(engine);
-            if let Some(book) = self.books.get_mut(&service.service) {
-                book.set_engine(now, engine);
-                continue;
-            }
-            let wait = self.since.after(SUCCESSION).since(now);
-            let name = service.service.clone();
-            let book = book::Book::new(name.clone(), engine, now, wait);
-            self.books.insert(name, book);
-        }
-        self.books.retain(|name, _| known.contains(name));
-    }
-}
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -17,7 +17,6 @@
 mod listener;
 mod pool;
 mod request;
-mod reserve;
 mod story;
 mod stream;
 mod volume;
@@ -28,6 +27,9 @@
 
 use std::sync::Arc;
 
+use cranberrygap_policy::reserve;
+use parking_lot::Mutex;
+
 use crate::core;
 
 /// The parts of a gateway that all its requests share.
@@ -36,7 +38,7 @@
     pub(crate) core: Arc<core::Core>,
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
-    pub(crate) reserve: reserve::Reserve,
+    pub(crate) reserve: Mutex<reserve::Reserve>,
     pub(crate) volume: volume::Volume,
 }
 
@@ -46,7 +48,7 @@
             core,
             dialect,
             pool: pool::Pool::default(),
-            reserve: reserve::Reserve::default(),
+            reserve: Mutex::default(),
             volume: volume::Volume::default(),
         })
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -22,6 +22,11 @@
 /// Least time that must be left for a send to be an honest try.
 const LEAST_LEFT: duration::Span = duration::Span::from_millis(40);
 
+/// Time beyond its deadline for which an answer is awaited, and a stream passed on. An
+/// endpoint that stops at the deadline says so a moment later, and what is ready is
+/// still delivered.
+pub(super) const GRACE: duration::Span = duration::Span::from_millis(120);
+
 /// Connections that may fail to open before the request is given up.
 const MOST_OPENS: u32 = 3;
 
@@ -237,7 +242,7 @@
         let left = self.deadline().since(self.now());
         self.sends < self.resolved.route.attempts
             && left > LEAST_LEFT
-            && self.gateway.reserve.spend(&self.resolved.service)
+            && self.gateway.reserve.lock().spend(&self.resolved.service)
     }
 
     fn not_run(&mut self, aim: &Aim, cause: dialect::NotRun) -> Result<(), Failure> {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -10,16 +10,14 @@
 use hyper::body::Incoming;
 
 use super::aim::Aim;
-use super::{Answered, Delivery, FULL_WAIT, Failure, LEAST_LEFT, answer, dialect, flight, line};
+use super::{
+    Answered, Delivery, FULL_WAIT, Failure, GRACE, LEAST_LEFT, answer, dialect, flight, line,
+};
 use crate::gateway::request;
 
 /// Time that a request takes on its way to an endpoint and its answer back.
 const TRANSIT: duration::Span = duration::Span::from_millis(6);
 
-/// Time beyond its deadline for which an answer is awaited. An endpoint that stops
-/// at the deadline says so a moment later, and what is ready is still delivered.
-const GRACE: duration::Span = duration::Span::from_millis(120);
-
 /// Longest wait for the answer to a request that may be repeated elsewhere. Nearly
 /// all answers of the users' services come within half of it.
 const IMPATIENCE: duration::Span = duration::Span::from_millis(900);
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -201,10 +201,11 @@
     let view = serving_view(gateway)?;
     let resolved = facts.resolve(&view)?;
     told.revision = view.revision().0;
+    let entries = view.active_entries().count();
     drop(view);
     note(told, &facts, &resolved);
     let permit = pay(gateway, &facts, &resolved).await?;
-    gateway.reserve.earn(&resolved.service);
+    gateway.reserve.lock().earn(&resolved.service, entries);
     // The delivery goes on to tell the story, also after the head of a stream has gone
     // out; what is left here is told if it fails before.
     let delivery = delivery::Delivery::new(gateway, facts, resolved, permit, std::mem::take(told));
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -15,9 +15,6 @@
 use super::flight;
 use super::line;
 
-/// Time beyond the deadline for which a stream is passed on.
-const GRACE: duration::Span = duration::Span::from_millis(120);
-
 /// A wait for callers, spread so that those refused together do not come together.
 pub(super) fn spread(wait: duration::Span) -> duration::Span {
     let factor = 0.75 + rand::random::<f64>() * 0.6;
@@ -76,7 +73,7 @@
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         loop {
-            let deadline = self.delivery.deadline().after(GRACE);
+            let deadline = self.delivery.deadline().after(delivery::GRACE);
             let left = deadline.since(self.delivery.gateway.core.now());
             let upstream = self.upstream.as_mut()?;
             let frame = tokio::time::timeout(left.to_std(), upstream.body.frame()).await;
--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod limits;
 pub mod outcome;
 pub mod quarantine;
+pub mod reserve;
 pub mod retry;
 pub mod stream;
