Say in two comments what the code does

Cause: the check of an engine was said to refuse at once, though its caller looks again for a quarter of a second; the other comment used a word of the platform.

Change: two comments; no code.

--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -188,8 +188,8 @@
         tokens.map_or(0, |tokens| tokens.prompt)
     }
 
-    /// Refuses at once what would come too late: it would only make those late that
-    /// come after it.
+    /// Refuses what would come too late at this engine: it would only make those late
+    /// that come after it.
     fn admit(&self, seat: &endpoints::Seat) -> Result<(), Failure> {
         let objective = self.resolved.route.objective;
         #[expect(
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -30,7 +30,7 @@
         };
         let counted = weights.is_some_and(|weights| runner.load_time(&wish.load, &weights).1);
         // Counted when the load is decided on: it begins within a second or two, and
-        // another move must not spend the same allowance meanwhile.
+        // another move must not count on the same one meanwhile.
         if counted {
             self.ceiling.take(now);
         }
