Elect a returning leader at once, and tell callers how long an election takes

The durable vote now names whom a replica follows, so a voter knows after a restart to whom it may have promised its loyalty, and releases that one when it asks for votes itself. A replica whose last vote was for itself asks at once and every 0.25 s.

Ruled out: holding requests until a lease comes, since a request that is given up gets its answer at once; a durable mark of having led, which needs another form of the log's frames, while the vote says the same.

--- a/crates/cranberrygap-agreement/src/hard.rs
+++ b/crates/cranberrygap-agreement/src/hard.rs
@@ -10,6 +10,6 @@
 pub struct State {
     /// Latest term seen.
     pub term: number::Term,
-    /// Whom this replica voted for in that term.
+    /// Whom this replica voted for in that term, or follows in it since.
     pub vote: Option<replica::Id>,
 }
--- a/crates/cranberrygap-agreement/src/node.rs
+++ b/crates/cranberrygap-agreement/src/node.rs
@@ -73,6 +73,8 @@
     role: role::Role,
     leader: Option<replica::Id>,
     heard: Option<duration::Instant>,
+    /// Until when this node asks for votes often, as it may have led when it stopped.
+    returns: Option<duration::Instant>,
     deadline: duration::Instant,
     incoming: Option<Incoming>,
     writing: VecDeque<(u64, number::Index)>,
@@ -104,8 +106,11 @@
         }
         // A voter that restarts has forgotten that it promised a leader its
         // loyalty a moment ago. One would see two leaders that both believe in
-        // their lease. So it acts as if it had heard from a leader just now.
-        let heard = (!start.fresh).then_some(now);
+        // their lease. So it acts as if it had heard from a leader just now. Only
+        // one whose last vote was for itself has followed nobody since.
+        let own = start.hard.vote == Some(start.id);
+        let heard = (!start.fresh && !own).then_some(now);
+        let returns = own.then(|| now.after(start.timing.election_min));
         let mut node = Self {
             id: start.id,
             group: start.group,
@@ -121,6 +126,7 @@
             role: role::Role::Follower,
             leader: None,
             heard,
+            returns,
             deadline: now,
             incoming: None,
             writing: VecDeque::new(),
@@ -130,7 +136,7 @@
         };
         // Of a new group only one founder campaigns at once, lest votes be split.
         let first = start.fresh && node.members().voters().next() == Some(start.id);
-        if !node.sole_voter() && !first {
+        if !node.sole_voter() && !first && !own {
             node.postpone_election(now);
         }
         node
@@ -166,7 +172,7 @@
         }
         let from = message.from;
         match message.body {
-            message::Body::PreVote { last } => self.pre_vote(now, from, message.term, last),
+            message::Body::PreVote { last } => self.pre_vote(now, &message, last),
             message::Body::PreVoted { granted, asked } => {
                 self.pre_voted(now, from, granted, asked);
             }
@@ -220,7 +226,9 @@
             // comes back. One would see the leader fall for no reason, or a
             // second leader elected while the first one's lease runs. Voters
             // that heard from a leader within the shortest timeout don't listen.
-            message::Body::Vote { forced, .. } if !forced && self.protected(now) => return false,
+            message::Body::Vote { forced, .. } if !forced && self.loyal(now, message) => {
+                return false;
+            }
             // An office that is over; the sender learns the term from the refusal.
             message::Body::Vote { .. } if older => {
                 self.send(message.from, message::Body::Voted { granted: false });
--- a/crates/cranberrygap-agreement/src/node/election.rs
+++ b/crates/cranberrygap-agreement/src/node/election.rs
@@ -46,7 +46,13 @@
     }
 
     fn pre_campaign(&mut self, now: duration::Instant) {
-        self.postpone_election(now);
+        // The others start a moment before or after a leader that returns; asked
+        // once, some would not be there yet.
+        if self.returns.is_some_and(|until| now < until) {
+            self.deadline = now.after(self.timing.heartbeat);
+        } else {
+            self.postpone_election(now);
+        }
         let granted = BTreeSet::from([self.id]);
         self.role = role::Role::PreCandidate { granted };
         let last = self.log.last();
@@ -77,15 +83,14 @@
     pub(super) fn pre_vote(
         &mut self,
         now: duration::Instant,
-        from: replica::Id,
-        term: number::Term,
+        request: &message::Message,
         last: position::Position,
     ) {
-        let protected = self.protected(now);
+        let protected = self.loyal(now, request);
         let current = last >= self.log.last();
-        let granted = term >= self.hard.term && current && !protected;
-        let asked = term.next();
-        self.send(from, message::Body::PreVoted { granted, asked });
+        let granted = request.term >= self.hard.term && current && !protected;
+        let asked = request.term.next();
+        self.send(request.from, message::Body::PreVoted { granted, asked });
         // A learner was sent entries by a leader that died before any voter had
         // them. A candidate whose log says that it votes needs its vote, but
         // its log is ahead, and by its own log it may not stand itself: the
--- a/crates/cranberrygap-agreement/src/node/follower.rs
+++ b/crates/cranberrygap-agreement/src/node/follower.rs
@@ -53,6 +53,13 @@
 
     fn follow(&mut self, now: duration::Instant, from: replica::Id) {
         self.become_follower(now, self.hard.term, Some(from));
+        // Whom this replica follows stays known over a restart: its promise is to
+        // that leader and to no one else. The leader was elected, so the vote that
+        // this replaces decides nothing any more.
+        if self.hard.vote != Some(from) {
+            self.set_hard(self.hard.term, Some(from));
+        }
+        self.returns = None;
         self.heard = Some(now);
         self.postpone_election(now);
     }
@@ -111,22 +118,14 @@
         if part.total > self.limits.snapshot as u64 {
             return;
         }
-        let total = part.total;
         let held = self.collect(part);
-        if held < total {
-            let body = message::Body::Chunked {
-                position,
-                held,
-                sent,
-            };
-            self.send(from, body);
-            return;
-        }
         let body = message::Body::Chunked {
             position,
             held,
             sent,
         };
+        // The answer is a promise to the leader, so whom it was made to is durable
+        // first.
         self.send_durable(from, body);
     }
 
--- a/crates/cranberrygap-agreement/src/node/lease.rs
+++ b/crates/cranberrygap-agreement/src/node/lease.rs
@@ -3,7 +3,7 @@
 use cranberrygap_model::duration;
 
 use super::Node;
-use crate::role;
+use crate::{message, role};
 
 impl Node {
     /// Whether this node leads, may answer reads and may grant at `now`.
@@ -58,4 +58,17 @@
         };
         since.is_some_and(|since| now < since.after(self.timing.election_min))
     }
+
+    /// Whether this node's promise to a leader forbids it to vote for the sender.
+    ///
+    /// After a power loss of all instances every voter would wait out a promise to
+    /// a leader that has lost its lease with its memory: one would see the whole
+    /// fleet without a leader for most of a second more. The durable vote names the
+    /// only replica to which a promise of this term can have been made. A request
+    /// for a vote by that same replica, in this term or a later one, shows that it
+    /// leads no more, so nobody's lease is left to protect.
+    pub(super) fn loyal(&self, now: duration::Instant, request: &message::Message) -> bool {
+        let released = self.hard.vote == Some(request.from) && request.term >= self.hard.term;
+        !released && self.protected(now)
+    }
 }
--- a/crates/cranberrygap-agreement/tests/election.rs
+++ b/crates/cranberrygap-agreement/tests/election.rs
@@ -2,11 +2,27 @@
 
 mod support;
 
-use cranberrygap_agreement::{entry, input, members, message, replica, role, timing};
+use cranberrygap_agreement::{entry, input, members, message, node, output, replica, role, timing};
 use cranberrygap_model::{duration, number};
 
 const LONG_AFTER: u64 = 10_000;
 
+/// Hands those of `messages` to a node that are for it, and gives its answers.
+fn deliver(
+    to: &mut node::Node,
+    now: duration::Instant,
+    messages: Vec<message::Message>,
+) -> Vec<message::Message> {
+    let own = to.id();
+    let messages = messages.into_iter().filter(|message| message.to == own);
+    let messages: Vec<_> = messages.collect();
+    let mut answers = Vec::new();
+    for message in messages {
+        answers.extend(support::step(to, now, input::Input::Receive(message)));
+    }
+    answers
+}
+
 // One of three voters is dead, and the others stand in different terms, since
 // one of them missed an election. Its grant was dropped as an answer of an
 // earlier term: operators would see a healthy majority without a leader.
@@ -80,6 +96,106 @@
     ));
 }
 
+// All instances lose power at once. Each voter would wait out its promise to a
+// leader that has lost its lease with its memory, and callers would be refused for
+// most of a second longer. The leader asks again as soon as it is back, and the
+// voters know by their durable vote that their promise was to it.
+#[test]
+fn leader_that_returns_is_elected_at_once() {
+    let log = vec![support::first_entry(support::voters(&[1, 2, 3]))];
+    let mut leader = support::restarted(1, 5, Some(1), log.clone());
+    let mut voter = support::restarted(2, 5, Some(1), log);
+
+    let asked = support::step(&mut leader, support::at(0), input::Input::Tick);
+    let told = deliver(&mut voter, support::at(20), asked);
+    let campaign = deliver(&mut leader, support::at(40), told);
+    let given = deliver(&mut voter, support::at(60), campaign);
+    deliver(&mut leader, support::at(80), given);
+
+    assert!(leader.is_leader());
+    assert_eq!(leader.hard().term, number::Term(6));
+}
+
+// The leader that returns is up a moment before the others. Asking once, it would
+// be heard by nobody and would wait out a whole election timeout.
+#[test]
+fn leader_that_returns_asks_again_soon() {
+    let log = vec![support::first_entry(support::voters(&[1, 2, 3]))];
+    let mut leader = support::restarted(1, 5, Some(1), log);
+
+    support::step(&mut leader, support::at(0), input::Input::Tick);
+    let again = support::step(&mut leader, support::at(260), input::Input::Tick);
+
+    assert!(!again.is_empty());
+}
+
+// A candidate that lost its election comes back and asks again, while the leader
+// that won runs on with a lease. A voter that restarted too must know by its disk
+// that it followed the winner, though it had voted for the loser.
+#[test]
+fn restarted_voter_is_loyal_to_the_leader_it_followed() {
+    let log = vec![support::first_entry(support::voters(&[1, 2, 3]))];
+    let mut voter = support::restarted(2, 5, Some(3), log.clone());
+    let heartbeat = message::Body::Append {
+        previous: support::position(1, 1),
+        entries: Vec::new(),
+        committed: number::Index(1),
+        sent: support::at(LONG_AFTER),
+    };
+    support::step(
+        &mut voter,
+        support::at(LONG_AFTER),
+        support::message(1, 2, 5, heartbeat),
+    );
+    let vote = voter.hard().vote.map(|id| id.0);
+    let mut again = support::restarted(2, 5, vote, log);
+    let last = support::position(1, 1);
+    let request = message::Body::PreVote { last };
+
+    let answers = support::step(
+        &mut again,
+        support::at(10),
+        support::message(3, 2, 5, request),
+    );
+
+    assert_eq!(vote, Some(1));
+    assert!(matches!(
+        answers.first().map(|message| &message.body),
+        Some(message::Body::PreVoted { granted: false, .. })
+    ));
+}
+
+// A voter receives a snapshot in parts and answers each; the answers renew the
+// leader's lease. Sent before the disk knows the leader, an answer would be a promise
+// that a restarted voter no longer knows, and it would release the leader for the
+// candidate that it voted for before.
+#[test]
+fn part_of_a_snapshot_is_answered_once_the_leader_is_durable() {
+    let log = vec![support::first_entry(support::voters(&[1, 2, 3]))];
+    let mut voter = support::restarted(2, 5, Some(3), log);
+    let part = message::Body::Chunk {
+        position: support::position(4, 9),
+        members: support::voters(&[1, 2, 3]),
+        offset: 0,
+        total: 100,
+        data: bytes::Bytes::from_static(b"part"),
+        sent: support::at(LONG_AFTER),
+    };
+
+    let outputs = voter.step(support::at(LONG_AFTER), support::message(1, 2, 5, part));
+
+    let sent_early = outputs
+        .iter()
+        .any(|output| matches!(output, output::Output::Send(_)));
+    let written = outputs.iter().find_map(|output| match output {
+        output::Output::Write(write) => Some(write),
+        _ => None,
+    });
+    assert!(!sent_early, "{outputs:?}");
+    let hard = written.and_then(|write| write.hard);
+    assert_eq!(hard.and_then(|hard| hard.vote), Some(replica::Id(1)));
+}
+
 // The only voter waits for its vote to be written. It must not ask for the next
 // tick at once, again and again, until the disk is done.
 #[test]
--- a/crates/cranberrygap-agreement/tests/support/mod.rs
+++ b/crates/cranberrygap-agreement/tests/support/mod.rs
@@ -43,13 +43,23 @@
 
 /// A node in a term with a durable log, as after a restart long ago.
 pub fn node(number: u64, term: u64, entries: Vec<entry::Entry>) -> node::Node {
+    restarted(number, term, None, entries)
+}
+
+/// A node that starts at time 0 from a term, a vote and a durable log.
+pub fn restarted(
+    number: u64,
+    term: u64,
+    vote: Option<u64>,
+    entries: Vec<entry::Entry>,
+) -> node::Node {
     let start = node::Start::builder()
         .id(replica::Id(number))
         .group(GROUP)
         .seed(number)
         .hard(hard::State {
             term: number::Term(term),
-            vote: None,
+            vote: vote.map(replica::Id),
         })
         .entries(entries)
         .build();
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -9,6 +9,7 @@
 
 use crate::announce;
 use crate::core;
+use crate::view as held;
 
 /// Time between heartbeats. A seventh of the lease, so that several may be lost.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -87,6 +88,7 @@
             Err(cause) => {
                 self.core.announcements.restore(batch);
                 self.core.demand.restore(message.demands);
+                self.core.view.miss(self.core.now(), absence(&cause));
                 self.note(false, &cause.to_string());
             }
         }
@@ -130,3 +132,11 @@
         }
     }
 }
+
+/// What a failed call says of the control instances.
+fn absence(cause: &cranberrygap_link::error::Error) -> held::Absence {
+    match cause {
+        cranberrygap_link::error::Error::Refused { .. } => held::Absence::Unelected,
+        _ => held::Absence::Unreachable,
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -13,7 +13,7 @@
 use crate::admission;
 use crate::metric;
 
-use super::failure::Failure;
+use super::failure::{self, Failure};
 use super::request::{Facts, Resolved};
 use super::{Gateway, answer, dialect, endpoints, flight, line, story, stream};
 use aim::Aim;
@@ -252,12 +252,12 @@
         if self.may_repeat() {
             return Ok(());
         }
-        let wait = stream::spread(FULL_WAIT);
+        let wait = failure::spread(FULL_WAIT);
         Err(Failure::NotRun { wait })
     }
 
     fn no_endpoint(&self, wait: duration::Span, cause: &'static str) -> Failure {
-        let wait = stream::spread(wait);
+        let wait = failure::spread(wait);
         if self.sends == 0 {
             return Failure::NoEndpoint { wait, cause };
         }
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -9,11 +9,31 @@
 /// Shortest wait that callers are told, so that they do not come back together.
 const SHORTEST_WAIT: duration::Span = duration::Span::from_millis(200);
 
+/// Parts of a wait between which callers are spread: most come back after the time that
+/// the wait expects, over a span that is more than half as long as the wait.
+const LEAST_FACTOR: f64 = 0.75;
+const MOST_FACTOR: f64 = 1.35;
+
+/// A wait for callers, spread so that those refused together do not come together.
+pub(super) fn spread(wait: duration::Span) -> duration::Span {
+    let factor = LEAST_FACTOR + rand::random::<f64>() * (MOST_FACTOR - LEAST_FACTOR);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small multiple of a time of seconds"
+    )]
+    let micros = (wait.0 as f64 * factor) as u64;
+    duration::Span(micros)
+}
+
 /// One way in which a request fails here.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Failure {
     /// No plan is in force here, or the lease on it is out.
-    NoView,
+    NoView {
+        /// Time after which one is expected.
+        wait: duration::Span,
+    },
     /// No route of the plan fits.
     NoRoute,
     /// The key is missing or does not work.
@@ -53,7 +73,7 @@
     /// The stable word for logs, metrics and the answer.
     pub(crate) const fn code(&self) -> &'static str {
         match self {
-            Self::NoView => "no_view",
+            Self::NoView { .. } => "no_view",
             Self::NoRoute => "route_unknown",
             Self::NoKey => "key_unknown",
             Self::Malformed(_) => "malformed",
@@ -79,7 +99,7 @@
 
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NoView | Self::NoEndpoint { .. } | Self::NotRun { .. } => {
+            Self::NoView { .. } | Self::NoEndpoint { .. } | Self::NotRun { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -95,10 +115,10 @@
 
     pub(crate) fn wait(&self) -> Option<duration::Span> {
         match self {
-            Self::OverRate { wait } | Self::NoEndpoint { wait, .. } | Self::NotRun { wait } => {
-                Some((*wait).max(SHORTEST_WAIT))
-            }
-            Self::NoView => Some(SHORTEST_WAIT),
+            Self::NoView { wait }
+            | Self::OverRate { wait }
+            | Self::NoEndpoint { wait, .. }
+            | Self::NotRun { wait } => Some((*wait).max(SHORTEST_WAIT)),
             _ => None,
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -21,8 +21,8 @@
 use super::answer;
 use super::delivery;
 use super::dialect;
-use super::failure::Failure;
-use super::{Gateway, story, stream};
+use super::failure::{self, Failure};
+use super::{Gateway, story};
 
 /// Longest time for a body. Callers are on fast networks and send some kilobytes.
 const BODY_TIME: Duration = Duration::from_secs(8);
@@ -30,6 +30,10 @@
 /// Largest body before a plan says so.
 const FIRST_BODY: u64 = 1 << 20;
 
+/// Time that callers are told while no traffic plan was ever accepted: operators send
+/// the first one by hand or script.
+const PLAN_WAIT: duration::Span = duration::Span::from_secs(1);
+
 /// Time that a request waits for tokens of its workspace. A renewal takes a few
 /// milliseconds; who is above its rate learns so at once.
 const TOKEN_WAIT: duration::Span = duration::Span::from_millis(350);
@@ -86,7 +90,7 @@
 impl Facts {
     /// What the plan in force at this moment says.
     pub(crate) fn resolve(&self, view: &view::Snapshot) -> Result<Resolved, Failure> {
-        let table = view.traffic().ok_or(Failure::NoView)?;
+        let table = view.traffic().ok_or_else(|| no_view(PLAN_WAIT))?;
         let route = table.route(&self.host, self.target.path());
         let route = route.ok_or(Failure::NoRoute)?;
         let workspace = self.payer(table, route)?;
@@ -229,10 +233,16 @@
     }
 }
 
+fn no_view(wait: duration::Span) -> Failure {
+    let wait = failure::spread(wait);
+    Failure::NoView { wait }
+}
+
 /// The view to serve from.
 pub(crate) fn serving_view(gateway: &Gateway) -> Result<Arc<view::Snapshot>, Failure> {
-    let view = gateway.core.view.current(gateway.core.now());
-    view.ok_or(Failure::NoView)
+    let now = gateway.core.now();
+    let view = gateway.core.view.current(now);
+    view.ok_or_else(|| no_view(gateway.core.view.wait(now)))
 }
 
 fn facts(
@@ -319,7 +329,7 @@
     match permit {
         Ok(permit) => Ok(Some(permit)),
         Err(refused) => Err(Failure::OverRate {
-            wait: stream::spread(refused.wait()),
+            wait: failure::spread(refused.wait()),
         }),
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -1,7 +1,6 @@
 //! Passes a stream on as it comes, and has another engine go on when it breaks.
 
 use bytes::{Bytes, BytesMut};
-use cranberrygap_model::duration;
 use futures_util::stream;
 use http::Response;
 use http_body_util::{BodyExt as _, StreamBody};
@@ -15,18 +14,6 @@
 use super::flight;
 use super::line;
 
-/// A wait for callers, spread so that those refused together do not come together.
-pub(super) fn spread(wait: duration::Span) -> duration::Span {
-    let factor = 0.75 + rand::random::<f64>() * 0.6;
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a small multiple of a time of seconds"
-    )]
-    let micros = (wait.0 as f64 * factor) as u64;
-    duration::Span(micros)
-}
-
 /// A stream on its way to the caller. Dropping it, which happens when the caller
 /// leaves, closes the connection to the engine, which then stops.
 struct Relay {
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -1,5 +1,6 @@
 //! What this entry knows of the replicated state, and until when it may use it.
 
+mod outlook;
 mod snapshot;
 pub mod traffic;
 
@@ -9,6 +10,7 @@
 use cranberrygap_wire::view;
 use parking_lot::RwLock;
 
+pub use outlook::{Absence, Outlook};
 pub use snapshot::Snapshot;
 
 /// The view and the lease under which it may be used.
@@ -23,6 +25,7 @@
     lease_end: duration::Instant,
     /// Revision that the leader had committed when it last answered.
     committed: number::Revision,
+    outlook: Outlook,
 }
 
 /// A frame that does not follow what was seen.
@@ -70,6 +73,16 @@
         self.inner.read().lease_end
     }
 
+    /// Notes at `now` that the leader did not answer.
+    pub fn miss(&self, now: duration::Instant, absence: Absence) {
+        self.inner.write().outlook.failed(now, absence);
+    }
+
+    /// Time after which a caller that cannot be served at `now` should come back.
+    pub fn wait(&self, now: duration::Instant) -> duration::Span {
+        self.inner.read().outlook.wait(now)
+    }
+
     /// Takes a frame of the subscription.
     ///
     /// # Errors
@@ -103,6 +116,7 @@
     /// otherwise go on accepting a key that was withdrawn.
     pub fn confirm(&self, sent: duration::Instant, confirmed: &view::Confirmed) {
         let mut inner = self.inner.write();
+        inner.outlook.answered();
         let held = inner
             .snapshot
             .as_ref()
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -126,3 +126,45 @@
 
     assert_eq!(outcome.unwrap_err(), view::Error::NoSnapshot);
 }
+
+// All instances lose power. Entries are up before the control group has a leader, and
+// callers that are told to come back in a fifth of a second use up their tries before
+// anybody can serve them.
+#[test]
+fn caller_is_told_the_time_of_an_election() {
+    let holder = view::Holder::default();
+    holder.miss(millis(1_000), view::Absence::Unreachable);
+    let before_control = holder.wait(millis(1_000));
+    holder.miss(millis(1_500), view::Absence::Unelected);
+    holder.miss(millis(1_560), view::Absence::Unelected);
+
+    let during_election = holder.wait(millis(1_560));
+
+    assert!(before_control >= duration::Span::from_millis(1_000));
+    assert_eq!(during_election, duration::Span::from_millis(1_040));
+}
+
+// One entry restarts while the fleet serves. Its first heartbeat brings it a lease, so
+// callers who came too early should be back within moments.
+#[test]
+fn caller_of_a_lone_restart_is_told_to_come_back_soon() {
+    let holder = view::Holder::default();
+    holder.miss(millis(5), view::Absence::Unreachable);
+    holder.confirm(millis(10), &confirmed(1));
+
+    let wait = holder.wait(millis(10));
+
+    assert_eq!(wait, duration::Span::from_millis(200));
+}
+
+// An election takes longer than expected. The expectation is put off by steps; callers
+// are never told a time that has passed.
+#[test]
+fn expectation_that_has_passed_is_put_off() {
+    let holder = view::Holder::default();
+    holder.miss(millis(0), view::Absence::Unelected);
+
+    holder.miss(millis(1_150), view::Absence::Unelected);
+
+    assert_eq!(holder.wait(millis(1_150)), duration::Span::from_millis(400));
+}
