Wait up to 0.4 s for a turn at an engine

Cause: with prompts paced, a request for a busy engine gets its turn within 0.3 s or so; those refused at 0.26 s came back a second later, late.

--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -31,8 +31,8 @@
 /// Part of the objective, one in so many, for which a request waits for an engine
 /// that is not overloaded, and the longest such wait. Bursts of a few requests pass
 /// within it; a refusal would make each of them late.
-const FREE_PART: u64 = 3;
-const FREE_WAIT: duration::Span = duration::Span::from_millis(260);
+const FREE_PART: u64 = 2;
+const FREE_WAIT: duration::Span = duration::Span::from_millis(420);
 
 /// Time between two looks for such an engine.
 const FREE_LOOK: duration::Span = duration::Span::from_millis(15);
