Order no adapter while a model moves, and drop none whose streams run

Each time an adapter was ordered while a model order was under way; the runner turned it down, had to report, and got the same order again. Adapters were also dropped 1.5 s after their last request while their streams ran; a runner takes no order until these have ended. Entries now report adapters whose requests run.

--- a/crates/cranberrygap-entry/src/control.rs
+++ b/crates/cranberrygap-entry/src/control.rs
@@ -6,7 +6,7 @@
 mod session;
 mod subscription;
 
-pub(crate) use demand::Demand;
+pub(crate) use demand::{Demand, Use};
 pub(crate) use heartbeat::Heartbeat;
 pub(crate) use peers::Peers;
 pub(crate) use session::Session;
--- a/crates/cranberrygap-entry/src/control/demand.rs
+++ b/crates/cranberrygap-entry/src/control/demand.rs
@@ -1,16 +1,61 @@
 //! Counts what callers asked of each model since the last heartbeat.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use cranberrygap_model::id;
 use cranberrygap_wire::view;
 use parking_lot::Mutex;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::core;
+
 /// Requests, tokens and attainment by model.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
     counts: Mutex<BTreeMap<id::Model, Count>>,
+    /// Requests that are under way, by adapter.
+    running: Mutex<BTreeMap<id::Model, u32>>,
+}
+
+/// One request that uses an adapter; it does so until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Use {
+    core: Arc<core::Core>,
+    adapter: id::Model,
+}
+
+impl Use {
+    /// A request for an adapter of a model begins.
+    pub(crate) fn new(
+        core: &Arc<core::Core>,
+        model: &id::Model,
+        adapter: &SmolStr,
+    ) -> Option<Self> {
+        let adapter = named(model, adapter)?;
+        let mut running = core.demand.running.lock();
+        *running.entry(adapter.clone()).or_default() += 1;
+        drop(running);
+        let core = Arc::clone(core);
+        Some(Self { core, adapter })
+    }
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        let mut running = self.core.demand.running.lock();
+        if let Some(count) = running.get_mut(&self.adapter) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&self.adapter);
+            }
+        }
+    }
+}
+
+/// The name under which the demand for an adapter is counted.
+fn named(model: &id::Model, adapter: &SmolStr) -> Option<id::Model> {
+    format_smolstr!("{model}/{adapter}").parse().ok()
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -43,8 +88,7 @@
             count.requests += 1;
             count.unread += prompt + output;
         });
-        let named = adapter.map(|adapter| format_smolstr!("{model}/{adapter}"));
-        if let Some(Ok(named)) = named.map(|named| named.parse::<id::Model>()) {
+        if let Some(named) = adapter.and_then(|adapter| named(model, adapter)) {
             self.update(&named, |count| count.requests += 1);
         }
     }
@@ -80,8 +124,15 @@
     }
 
     /// Takes out the counts.
+    ///
+    /// An adapter whose streams run is among them though nobody asked for it meanwhile.
+    /// A runner drops one only when its streams have ended, and takes no other order
+    /// until then: one would see it refuse all orders for seconds.
     pub(crate) fn drain(&self) -> Vec<view::Demand> {
-        let counts = std::mem::take(&mut *self.counts.lock());
+        let mut counts = std::mem::take(&mut *self.counts.lock());
+        for adapter in self.running.lock().keys() {
+            counts.entry(adapter.clone()).or_default();
+        }
         let to_wire = |(model, count): (id::Model, Count)| view::Demand {
             waiting: 0,
             refused: count.refused,
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::admission;
+use crate::control;
 use crate::metric;
 
 use super::failure::{self, Failure};
@@ -44,6 +45,8 @@
     tried: endpoints::Tried,
     sends: u32,
     opens: u32,
+    /// Tells the leader that the request's adapter is in use.
+    adapter: Option<control::Use>,
 }
 
 /// The head of an answer and what its body comes over.
@@ -84,6 +87,7 @@
             tried: endpoints::Tried::new(),
             sends: 0,
             opens: 0,
+            adapter: None,
         }
     }
 
@@ -268,14 +272,16 @@
     }
 
     /// Tells the leader that the request's model is wanted.
-    fn count_demand(&self) -> Option<(id::Model, dialect::Tokens)> {
+    fn count_demand(&mut self) -> Option<(id::Model, dialect::Tokens)> {
         let model = self.facts.ask.model.clone()?;
         if !self.resolved.has_engine {
             return None;
         }
         let adapter = self.facts.ask.adapter.as_ref();
+        let core = &self.gateway.core;
+        self.adapter = adapter.and_then(|adapter| control::Use::new(core, &model, adapter));
         let tokens = self.facts.ask.tokens.unwrap_or_default();
-        let demand = &self.gateway.core.demand;
+        let demand = &core.demand;
         demand.asked(&model, adapter, tokens.prompt, tokens.output);
         Some((model, tokens))
     }
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -110,29 +110,34 @@
         if runner.sent.is_some() || runner.accepted.is_none() || !runner.ready {
             return None;
         }
-        if runner.carried.is_none() {
-            match &runner.moving {
-                Some(runner::Move::Retiring {
-                    victim,
+        // A runner carries out one order at a time. It turns down any other until a
+        // model has come or its streams have ended, and asked in vain it would have
+        // to report before it gets the next one: one sees runners without orders for
+        // seconds after their moves.
+        if runner.carried.is_some() {
+            return None;
+        }
+        match &runner.moving {
+            Some(runner::Move::Retiring {
+                victim,
+                load,
+                told: Some(told),
+            }) if now >= told.after(RETIRE_AFTER) => {
+                let (victim, load) = (victim.clone(), load.clone());
+                runner.moving = Some(runner::Move::Unloading {
+                    victim: victim.clone(),
                     load,
-                    told: Some(told),
-                }) if now >= told.after(RETIRE_AFTER) => {
-                    let (victim, load) = (victim.clone(), load.clone());
-                    runner.moving = Some(runner::Move::Unloading {
-                        victim: victim.clone(),
-                        load,
-                    });
-                    return Some(order::Action::Unload(victim));
-                }
-                Some(runner::Move::Unloading { victim, .. }) => {
-                    return Some(order::Action::Unload(victim.clone()));
-                }
-                Some(runner::Move::Loading(model)) => {
-                    let model = model.clone();
-                    return self.checked_load(name, model);
-                }
-                _ => {}
+                });
+                return Some(order::Action::Unload(victim));
+            }
+            Some(runner::Move::Unloading { victim, .. }) => {
+                return Some(order::Action::Unload(victim.clone()));
+            }
+            Some(runner::Move::Loading(model)) => {
+                let model = model.clone();
+                return self.checked_load(name, model);
             }
+            _ => {}
         }
         self.next_adapter(now, name)
     }
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -228,6 +228,36 @@
     assert_eq!(later, [book::Output::Ask(name("r2"))]);
 }
 
+// A request wants an adapter at a runner whose model is on its way. The runner turns
+// down whatever it is ordered until that is there; after such an order it would have to
+// report first, and would get the next one seconds later.
+#[test]
+fn adapter_waits_while_a_model_moves() {
+    let all = [
+        announced("r1", 1, &["a"], &[]),
+        announced("r2", 1, &["b"], &[]),
+    ];
+    let mut book = book(&["a", "b"], &all);
+    book.set_demand(demand(&[("a", 3.0)]));
+    let sent = orders(&book.tick(at(1_000)));
+    book.answered(
+        at(1_010),
+        &name("r2"),
+        sent[0].number,
+        order::Verdict::Accepted,
+    );
+    book.want(at(1_020), 1, &(model("b"), "b1".into()), &name("r2"), false);
+
+    let while_loading = orders(&book.tick(at(1_050)));
+    let now_there = [all[0].clone(), announced("r2", 2, &["a", "b"], &[])];
+    follow(&mut book, 1_200, &now_there);
+    let after = orders(&book.tick(at(1_300)));
+
+    assert_eq!(actions_of(&sent), ["r2: load a"]);
+    assert_eq!(while_loading, []);
+    assert_eq!(actions_of(&after), ["r2: load b/b1"]);
+}
+
 // A runner is busy with a load. A second model order would be turned away, and the
 // memory that the first one takes is not in any report yet.
 #[test]
