Let requests that will be late wait on behind those in time

Such a request now waits for 1.5 s in all. It counts against a smaller room (0.7 of the pause), so that requests in time go first, and its first event may be late.

--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -37,6 +37,17 @@
 /// Time between two looks for such an engine.
 const FREE_LOOK: duration::Span = duration::Span::from_millis(15);
 
+/// Time for which a request waits on when its first event will be late. Refused, its
+/// caller would come back a second later and be late as well.
+const LATE_WAIT: duration::Span = duration::Span::from_millis(1_500);
+
+/// Time between its looks; those that can still be in time look more often.
+const LATE_LOOK: duration::Span = duration::Span::from_millis(40);
+
+/// Part of the allowed pause that prompts may take for a request that is late already,
+/// so that those in time go first.
+const TAKEN_LATE: f64 = 0.7;
+
 /// Time between two looks for a copy.
 const COPY_LOOK: duration::Span = duration::Span::from_millis(30);
 
@@ -128,17 +139,20 @@
         let objective = self.resolved.route.objective;
         let wait = duration::Span(objective.0 / FREE_PART).min(FREE_WAIT);
         let until = self.facts.arrived.after(wait);
+        let end = self.facts.arrived.after(LATE_WAIT).min(self.deadline());
         loop {
-            let seat = self.seat(model).await?;
-            let Err(failure) = self.admit(&seat) else {
+            let late = self.now() >= until;
+            let seat = self.seat(model, late).await?;
+            let Err(failure) = self.admit(&seat, late) else {
                 self.claim(&seat.place, seat.fresh);
                 return Ok(seat);
             };
-            if self.now() >= until {
+            if self.now() >= end {
                 self.tell_seat(&seat);
                 return Err(failure);
             }
-            tokio::time::sleep(FREE_LOOK.to_std()).await;
+            let look = if late { LATE_LOOK } else { FREE_LOOK };
+            tokio::time::sleep(look.to_std()).await;
         }
     }
 
@@ -165,12 +179,12 @@
     }
 
     /// The best engine that holds the model; waits a moment for one.
-    async fn seat(&self, model: &id::Model) -> Result<endpoints::Seat, Failure> {
+    async fn seat(&self, model: &id::Model, late: bool) -> Result<endpoints::Seat, Failure> {
         let endpoints = &self.gateway.core.endpoints;
         let until = self.facts.arrived.after(COPY_WAIT).min(self.deadline());
         loop {
             let now = self.now();
-            let query = self.query(model, false);
+            let query = self.query(model, false, late);
             if let Some(seat) = endpoints.seat(now, &query) {
                 return Ok(seat);
             }
@@ -186,6 +200,7 @@
         &'request self,
         model: &'request id::Model,
         only_ready: bool,
+        late: bool,
     ) -> endpoints::Query<'request> {
         endpoints::Query {
             service: &self.resolved.service,
@@ -194,15 +209,16 @@
             chain: &self.facts.chain,
             rank: self.resolved.rank(),
             prompt: self.prompt(),
-            room: self.room(),
+            room: self.room(late),
             tried: &self.tried,
             only_ready,
         }
     }
 
     /// Prompt tokens that an engine may get within the pause that its streams allow.
-    fn room(&self) -> u64 {
-        let part = TAKEN[self.resolved.rank().min(TAKEN.len() - 1)];
+    fn room(&self, late: bool) -> u64 {
+        let rank = self.resolved.rank().min(TAKEN.len() - 1);
+        let part = if late { TAKEN_LATE } else { TAKEN[rank] };
         let pause = self.resolved.route.pause;
         pause.map_or(u64::MAX, |pause| tally::read_in(part_of(pause, part)))
     }
@@ -214,7 +230,7 @@
 
     /// Refuses what would come too late at this engine: it would only make those late
     /// that come after it.
-    fn admit(&self, seat: &endpoints::Seat) -> Result<(), Failure> {
+    fn admit(&self, seat: &endpoints::Seat, late: bool) -> Result<(), Failure> {
         let objective = self.resolved.route.objective;
         let limit = part_of(objective, IN_TIME);
         let waited = self.now().since(self.facts.arrived);
@@ -225,7 +241,7 @@
         } else {
             duration::Span(limit.0 - waited.0)
         };
-        if seat.first_event > limit {
+        if seat.first_event > limit && !late {
             let over = duration::Span(seat.first_event.0 - limit.0);
             return Err(self.no_endpoint(over.max(FULL_WAIT), "the first event would be late"));
         }
@@ -293,9 +309,11 @@
             return Ok(place);
         }
         // Without a leader, an engine that has the adapter serves it, if later.
-        let held = core.endpoints.seat(core.now(), &self.query(model, true));
+        let held = core
+            .endpoints
+            .seat(core.now(), &self.query(model, true, false));
         let seat = held.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
-        self.admit(&seat)?;
+        self.admit(&seat, false)?;
         Ok(seat.place)
     }
 }
