Let small requests go before large ones that wait for tokens

Cause: a workspace above its rate has prompts of thousands of tokens in line for its tokens all the time.

A request that costs an eighth of the first in line or less now takes tokens that are there, until as much has gone before that one as it costs itself. Requests wait for tokens for a quarter of their objective, at most 0.35 s as before.

--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -34,10 +34,15 @@
 /// the first one by hand or script.
 const PLAN_WAIT: duration::Span = duration::Span::from_secs(1);
 
-/// Time that a request waits for tokens of its workspace. A renewal takes a few
+/// Longest time that a request waits for tokens of its workspace. A renewal takes a few
 /// milliseconds; who is above its rate learns so at once.
 const TOKEN_WAIT: duration::Span = duration::Span::from_millis(350);
 
+/// Part of the objective, one in so many, that this wait may take. A workspace that asks
+/// for more than its rate has requests waiting all the time; with a longer wait each of
+/// those that are served would be late for want of tokens alone.
+const TOKEN_PART: u64 = 4;
+
 /// A request as it came, once its body is there.
 #[derive(Debug)]
 pub(crate) struct Facts {
@@ -325,7 +330,8 @@
     };
     let limiter = &gateway.core.limiter;
     let cost = facts.cost(payer);
-    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, TOKEN_WAIT).await;
+    let wait = duration::Span(resolved.route.objective.0 / TOKEN_PART).min(TOKEN_WAIT);
+    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, wait).await;
     match permit {
         Ok(permit) => Ok(Some(permit)),
         Err(refused) => Err(Failure::OverRate {
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -115,7 +115,8 @@
         let amount = Amount::from_count(cost);
         stock.ask(amount);
         self.numbers += 1;
-        if stock.line.is_empty() && stock.take(amount, self.numbers) {
+        if stock.line.may_pass(amount) && stock.take(amount, self.numbers) {
+            stock.line.pass(amount);
             return Verdict::Admitted(Reservation {
                 workspace: workspace.clone(),
                 number: self.numbers,
--- a/crates/cranberrygap-policy/src/limits/line.rs
+++ b/crates/cranberrygap-policy/src/limits/line.rs
@@ -1,4 +1,4 @@
-//! Requests of one workspace that wait for tokens, first come first served.
+//! Requests of one workspace that wait for tokens, first come first served but for small ones.
 
 use std::collections::VecDeque;
 
@@ -6,6 +6,9 @@
 
 use super::amount::{Amount, Flow};
 
+/// How many times smaller than the first in line a request must be to go before it.
+const SMALL: u64 = 8;
+
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Waiter {
     pub(super) ticket: u64,
@@ -26,6 +29,8 @@
 pub(super) struct Line {
     waiters: VecDeque<Waiter>,
     total: Amount,
+    /// What has gone before the first in line.
+    passed: Amount,
 }
 
 impl Line {
@@ -46,6 +51,28 @@
     pub(super) fn pop(&mut self) {
         if let Some(waiter) = self.waiters.pop_front() {
             self.total = self.total.minus(waiter.cost);
+            self.passed = Amount::ZERO;
+        }
+    }
+
+    /// Whether a request may take tokens that are there though others wait.
+    ///
+    /// A booking costs a few tokens, a prompt thousands. In line behind prompts each
+    /// booking of a workspace above its rate would be late, though the tokens that it
+    /// needs are there most of the time. What goes before the first in line costs no
+    /// more than that one itself, so that small requests hold up no large one for good.
+    pub(super) fn may_pass(&self, cost: Amount) -> bool {
+        let Some(first) = self.waiters.front() else {
+            return true;
+        };
+        let small = cost.0.saturating_mul(SMALL) <= first.cost.0;
+        small && self.passed.plus(cost) <= first.cost
+    }
+
+    /// A request has gone before those in line.
+    pub(super) fn pass(&mut self, cost: Amount) {
+        if !self.waiters.is_empty() {
+            self.passed = self.passed.plus(cost);
         }
     }
 
--- a/crates/cranberrygap-policy/tests/limits_shares.rs
+++ b/crates/cranberrygap-policy/tests/limits_shares.rs
@@ -202,3 +202,48 @@
     assert!(share.cap <= token::Count(50), "{share:?}");
     assert!(share.rate.0 <= 10.0, "{share:?}");
 }
+
+/// An entry whose first in line lacks some of the 3,200 tokens that it costs.
+fn entry_with_a_large_request_in_line() -> (granter::Granter, holder::Holder) {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 4_000);
+    renew(&mut holder, &mut granter, at(0));
+    let whole = reservation(holder.poll(at(0)));
+    holder.settle(at(10), &whole, token::Count(900));
+    let large = ask(&mut holder, at(20), 3_200);
+    assert!(matches!(large, holder::Verdict::Waiting(_)));
+    (granter, holder)
+}
+
+// A workspace above its rate has prompts of thousands of tokens in line all the time.
+// Its bookings cost a few tokens each. Behind the prompts every booking came late.
+#[test]
+fn small_request_goes_before_a_large_one() {
+    let (_granter, mut holder) = entry_with_a_large_request_in_line();
+
+    let small = ask(&mut holder, at(30), 20);
+    let medium = ask(&mut holder, at(30), 500);
+
+    assert!(matches!(small, holder::Verdict::Admitted(_)), "{small:?}");
+    assert!(matches!(medium, holder::Verdict::Waiting(_)), "{medium:?}");
+}
+
+// Small requests come without end. Went all of them first, they would spend what a large
+// one waits for, and it would be refused for good.
+#[test]
+fn small_requests_pass_a_large_one_by_no_more_than_its_cost() {
+    let (mut granter, mut holder) = entry_with_a_large_request_in_line();
+    let mut passed = 0;
+
+    for turn in 0..400 {
+        let now = at(30 + turn * 10);
+        if turn % 20 == 0 {
+            renew(&mut holder, &mut granter, now);
+        }
+        let verdict = holder.admit(now, &workspace(), token::Count(40), at(60_000));
+        passed += u64::from(matches!(verdict, holder::Verdict::Admitted(_)));
+    }
+
+    assert!(passed > 0);
+    assert!(passed * 40 <= 3_200, "{passed}");
+}
