Answer 408 to heads that do not end in time

Cause: the plan's time for a head was read and never enforced; a caller that sends a byte now and then held its connection for good, and a few thousand hold an entry.

The socket of a caller tells when bytes of a head come; one that is longer under way than the plan allows is answered 408 and closed, seen every half second. An idle connection that sends nothing keeps the plan's idle time.

Ruled out: the HTTP library's own time for heads, which also ends kept connections that wait for their next request.

The test of it fails without the change (the caller waits until the test's own time is out).

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -13,6 +13,7 @@
 mod failure;
 mod flight;
 mod gossip;
+mod head;
 mod line;
 mod listener;
 mod pool;
