Have each entry tell other ones of its prompts

Cause: each told the first fifteen in the order of their names; beyond sixteen entries the same few would hear of all prompts and the others of none. Found on reading. Today's sites have seven and eight entries, where nothing changes; not measured at more.

--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -110,7 +110,12 @@
         let Some(view) = self.core.view.latest() else {
             return;
         };
-        for other in view.others(self.core.instance()).into_iter().take(most) {
+        let mut others = view.others(self.core.instance());
+        // Each begins elsewhere, so that not all tell the same few.
+        let begin = usize::try_from(self.core.boot.0).unwrap_or_default();
+        let begin = begin.checked_rem(others.len()).unwrap_or_default();
+        others.rotate_left(begin);
+        for other in others.into_iter().take(most) {
             let mut to = other.0;
             to.set_port(self.port);
             // A datagram that is not sent is as good as a lost one.
