Read a request's story from the logs of many processes

Cause: on-call engineers searched the logs for an id, then for each endpoint that its trail names, then for the leader's changes, by hand; explain asked running processes only.

Lines of other processes are shown by their distance in time, as their clocks may differ; an order by cause over several processes is not built.

--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -17,6 +17,7 @@
 pub mod history;
 pub mod key;
 pub mod local;
+pub mod logs;
 pub mod member;
 pub mod session;
 pub mod show;
--- a/crates/cranberrygap/src/command/explain.rs
+++ b/crates/cranberrygap/src/command/explain.rs
@@ -1,5 +1,7 @@
 //! `cranberrygap explain`: what was decided about a thing, when and from which facts.
 
+use std::path::PathBuf;
+
 use clap::Args;
 use cranberrygap_model::{address, id};
 use cranberrygap_wire::{audit, method, trace};
@@ -8,12 +10,13 @@
 use smol_str::SmolStr;
 
 use super::failure::Failure;
-use super::{Ask, session, time, trail};
+use super::{Ask, logs, session, time, trail};
 
 /// Tells what was decided about a request, model, workspace or endpoint, and why.
 ///
 /// Entries keep the latest decisions only; the audit trail keeps what was
-/// committed.
+/// committed. With `--logs` the story of a request is read from the logs of any
+/// number of processes, also of those that are gone.
 #[derive(Debug, Args)]
 pub struct Arguments {
     /// A request id; or one of request, model, workspace, endpoint with a NAME.
@@ -24,6 +27,9 @@
     /// Operators' addresses of the entries to ask.
     #[arg(long, value_delimiter = ',', value_name = "IP:PORT")]
     entry: Vec<address::Socket>,
+    /// Read logs of these files in place of asking anybody; only for a request.
+    #[arg(long, num_args = 1.., value_name = "FILE", conflicts_with_all = ["entry", "name"])]
+    logs: Vec<PathBuf>,
     /// Most decisions of each process.
     #[arg(long, default_value_t = 50)]
     limit: u32,
@@ -71,6 +77,11 @@
 impl Ask for Arguments {
     fn run<'a>(&'a self, session: &'a session::Session) -> BoxFuture<'a, Result<(), Failure>> {
         Box::pin(async {
+            if !self.logs.is_empty() {
+                let story = logs::Story::read(&self.first, &self.logs)?;
+                session.print(&story, logs::Story::text);
+                return Ok(());
+            }
             let ask = self.ask()?;
             let mut explanation = Explanation {
                 subject: ask.subject,
