Bound the log lines of slow heads

Cause: each head that did not end in time wrote a line; callers could fill the log. They now share the bound of the lines of failed requests.

--- a/crates/cranberrygap-entry/src/gateway/connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/connection.rs
@@ -82,7 +82,11 @@
                 if head.is_slow(bounds.header_time) {
                     stream.refuse();
                     gateway.core.count(metric::GATEWAY_FAILURES, "head_slow");
-                    spdlog::info!("gateway: a head did not end in time, the caller got 408");
+                    if let Some(dropped) = gateway.volume.admit(gateway.core.now()) {
+                        spdlog::info!("gateway: a head did not end in time, the caller got 408", kv: {
+                            lines_dropped = dropped,
+                        });
+                    }
                     return;
                 }
                 if gateway.core.now().since(since) > bounds.idle {
