Try more seeds until one shows two leases

The check is unchanged; up to 100 seeds are tried, and the first that shows the flaw ends the search.

--- a/crates/cranberrygap-bench/tests/soak_agreement.rs
+++ b/crates/cranberrygap-bench/tests/soak_agreement.rs
@@ -4,8 +4,9 @@
 
 const STEPS: u64 = 20_000;
 
-/// Seeds that are tried until one shows a flaw.
-const SEEDS: u64 = 20;
+/// Seeds that are tried until one shows a flaw. Two leases take a slow leader and two
+/// fast voters at the right moment, which about one seed in sixty brings about.
+const SEEDS: u64 = 100;
 
 /// The first violation that a flaw leads to; standing still does not count.
 fn first_violation(flaw: agreement::Flaw) -> Violation {
