Never write a 408 into an answer that is being sent

Cause: whether a request was in progress ended with the head of its answer. A caller that sent the begin of its next request during a stream was answered 408 in the middle of the stream once the plan's time for heads was over.

The mark of a request in progress now lives until its answer is sent, and is one place that both the idle time and the time for a head are read from; a second flag and a second guard are gone. The idle time of a connection now counts from the end of an answer rather than its head.

--- a/crates/cranberrygap-entry/src/gateway/connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/connection.rs
@@ -2,10 +2,10 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cranberrygap_model::duration;
+use http_body_util::BodyExt as _;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,7 +16,7 @@
 use crate::metric;
 
 use super::listener::Stage;
-use super::{Gateway, head, request};
+use super::{Gateway, answer, head, request};
 
 /// Bounds before a plan says so.
 const FIRST_HEADER: u64 = 16 << 10;
@@ -29,9 +29,6 @@
 /// Time between two looks whether a connection is idle for too long.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// A time that says that a request is in progress.
-const BUSY: u64 = u64::MAX;
-
 /// Serves requests until the caller or the plan's idle time ends the connection, or
 /// this process stops.
 pub(super) async fn serve(
@@ -42,21 +39,22 @@
     let bounds = Bounds::new(&gateway);
     let head = Arc::new(head::Head::new(gateway.core.clock));
     let stream = head::Watched::new(Arc::new(stream), Arc::clone(&head));
-    // Since when no request is in progress, in microseconds of the entry's clock.
-    let quiet = Arc::new(AtomicU64::new(gateway.core.now().0));
     let service = {
-        let (gateway, quiet) = (Arc::clone(&gateway), Arc::clone(&quiet));
-        let head = Arc::clone(&head);
+        let (gateway, head) = (Arc::clone(&gateway), Arc::clone(&head));
         service_fn(move |incoming| {
-            let (gateway, quiet) = (Arc::clone(&gateway), Arc::clone(&quiet));
-            let head = Arc::clone(&head);
+            let (gateway, head) = (Arc::clone(&gateway), Arc::clone(&head));
             async move {
-                let guard = Progress::new(&gateway, &quiet, head);
+                let progress = head::Progress::new(head);
                 let response = request::serve(gateway, incoming).await;
-                // A body that is still being sent is in progress too; the idle time
-                // is far longer than any answer.
-                drop(guard);
-                Ok::<_, Infallible>(response)
+                // An answer that is still being sent is in progress too.
+                let body = |body: answer::Body| {
+                    let sent = body.map_frame(move |frame| {
+                        let _until_sent = &progress;
+                        frame
+                    });
+                    sent.boxed_unsync()
+                };
+                Ok::<_, Infallible>(response.map(body))
             }
         })
     };
@@ -78,7 +76,6 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = time::sleep(LOOK), if !closing => {
-                let since = duration::Instant(quiet.load(Ordering::Acquire));
                 if head.is_slow(bounds.header_time) {
                     stream.refuse();
                     gateway.core.count(metric::GATEWAY_FAILURES, "head_slow");
@@ -89,7 +86,7 @@
                     }
                     return;
                 }
-                if gateway.core.now().since(since) > bounds.idle {
+                if head.is_idle(bounds.idle) {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -120,30 +117,3 @@
         }
     }
 }
-
-/// Marks that a request is in progress.
-struct Progress {
-    gateway: Arc<Gateway>,
-    quiet: Arc<AtomicU64>,
-    head: Arc<head::Head>,
-}
-
-impl Progress {
-    fn new(gateway: &Arc<Gateway>, quiet: &Arc<AtomicU64>, head: Arc<head::Head>) -> Self {
-        quiet.store(BUSY, Ordering::Release);
-        head.ended();
-        Self {
-            gateway: Arc::clone(gateway),
-            quiet: Arc::clone(quiet),
-            head,
-        }
-    }
-}
-
-impl Drop for Progress {
-    fn drop(&mut self) {
-        let now = self.gateway.core.now();
-        self.quiet.store(now.0, Ordering::Release);
-        self.head.answered();
-    }
-}
--- a/crates/cranberrygap-entry/src/gateway/head.rs
+++ b/crates/cranberrygap-entry/src/gateway/head.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 use cranberrygap_link::clock;
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// No head is on its way.
+/// In place of a moment: no head is on its way, or a request is in progress.
 const NONE: u64 = u64::MAX;
 
 /// The answer to a head that does not end in time.
@@ -20,7 +20,7 @@
     content-type: application/json\r\ncontent-length: 50\r\n\r\n\
     {\"error\":{\"code\":\"head_slow\",\"outcome\":\"not_run\"}}";
 
-/// When the head that is being read began.
+/// What one connection is about: a request in progress, the head of one, or nothing.
 ///
 /// A caller that sends a byte now and then keeps its connection from ever being idle,
 /// and a few thousand of those take all places of an entry. The HTTP library knows only
@@ -28,39 +28,40 @@
 #[derive(Debug)]
 pub(super) struct Head {
     clock: clock::Clock,
+    /// When the head that is being read began.
     began: AtomicU64,
-    /// Whether a request is being served, whose body's bytes begin no head.
-    serving: AtomicBool,
+    /// Since when no request is in progress.
+    quiet: AtomicU64,
 }
 
 impl Head {
-    pub(super) const fn new(clock: clock::Clock) -> Self {
+    pub(super) fn new(clock: clock::Clock) -> Self {
         Self {
             clock,
             began: AtomicU64::new(NONE),
-            serving: AtomicBool::new(false),
+            quiet: AtomicU64::new(clock.now().0),
         }
     }
 
-    /// A whole head was read.
-    pub(super) fn ended(&self) {
-        self.serving.store(true, Ordering::Release);
-        self.began.store(NONE, Ordering::Release);
+    /// Whether a head has been on its way for longer than `most`.
+    pub(super) fn is_slow(&self, most: duration::Span) -> bool {
+        self.is_past(&self.began, most)
     }
 
-    /// The request was answered; what comes now belongs to the next one.
-    pub(super) fn answered(&self) {
-        self.serving.store(false, Ordering::Release);
+    /// Whether no request has been in progress for longer than `most`.
+    pub(super) fn is_idle(&self, most: duration::Span) -> bool {
+        self.is_past(&self.quiet, most)
     }
 
-    /// Whether a head has been on its way for longer than `most`.
-    pub(super) fn is_slow(&self, most: duration::Span) -> bool {
-        let began = self.began.load(Ordering::Acquire);
-        began != NONE && self.clock.now().since(duration::Instant(began)) > most
+    fn is_past(&self, moment: &AtomicU64, most: duration::Span) -> bool {
+        let moment = moment.load(Ordering::Acquire);
+        moment != NONE && self.clock.now().since(duration::Instant(moment)) > most
     }
 
     fn came(&self) {
-        if self.serving.load(Ordering::Acquire) {
+        // What comes during a request begins no head that anybody waits for: its answer
+        // is being written, and a 408 would stand in the middle of it.
+        if self.quiet.load(Ordering::Acquire) == NONE {
             return;
         }
         let now = self.clock.now().0;
@@ -71,6 +72,27 @@
     }
 }
 
+/// A request in progress, from its whole head to the end of its answer.
+#[derive(Debug)]
+pub(super) struct Progress {
+    head: Arc<Head>,
+}
+
+impl Progress {
+    pub(super) fn new(head: Arc<Head>) -> Self {
+        head.quiet.store(NONE, Ordering::Release);
+        head.began.store(NONE, Ordering::Release);
+        Self { head }
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        let now = self.head.clock.now();
+        self.head.quiet.store(now.0, Ordering::Release);
+    }
+}
+
 /// A caller's socket that tells when bytes come.
 #[derive(Debug, Clone)]
 pub(super) struct Watched {
