Count queues at engines in time, and wait no longer than callers do

Change: reading is learned only from prompts before which little waits; queues are told and summed in time of reading, since one model's tokens take four times as long as another's; a request waits for its first event no longer than its caller does (two seconds, four objectives or eight pauses), and behind others for tokens a quarter of its objective. Left: pauses at near engines that are sent too much.

--- a/crates/cranberrygap-bench/src/measure/limits/shares.rs
+++ b/crates/cranberrygap-bench/src/measure/limits/shares.rs
@@ -126,8 +126,8 @@
     }
 
     fn arrive(&mut self, now: duration::Instant, entry: usize, request: u64, cost: token::Count) {
-        let deadline = now.after(PATIENCE);
-        match self.holders[entry].admit(now, &self.workspace, cost, deadline) {
+        let patience = holder::Patience::of(PATIENCE);
+        match self.holders[entry].admit(now, &self.workspace, cost, patience) {
             holder::Verdict::Admitted(reservation) => {
                 self.running.insert(request, (entry, reservation));
                 self.decisions.push((request, Decision::Admitted));
--- a/crates/cranberrygap-bench/src/soak/limits/world.rs
+++ b/crates/cranberrygap-bench/src/soak/limits/world.rs
@@ -332,11 +332,11 @@
     }
 
     fn request(&mut self, number: usize, cost: token::Count) -> Result<(), String> {
-        let deadline = self.now.after(PATIENCE);
+        let patience = holder::Patience::of(PATIENCE);
         let entry = &mut self.entries[number];
         match entry
             .holder
-            .admit(self.now, &self.workspace, cost, deadline)
+            .admit(self.now, &self.workspace, cost, patience)
         {
             holder::Verdict::Admitted(reservation) => self.admitted(number, cost, reservation),
             holder::Verdict::Waiting(ticket) => {
--- a/crates/cranberrygap-entry/src/admission.rs
+++ b/crates/cranberrygap-entry/src/admission.rs
@@ -47,7 +47,7 @@
         &'call self,
         workspace: &'call id::Workspace,
         tokens: token::Count,
-        patience: duration::Span,
+        patience: holder::Patience,
     ) -> BoxFuture<'call, Result<holder::Reservation, Refused>>;
     /// Ends a reservation; what was not used goes back.
     fn settle(&self, reservation: &holder::Reservation, used: token::Count);
--- a/crates/cranberrygap-entry/src/admission/permit.rs
+++ b/crates/cranberrygap-entry/src/admission/permit.rs
@@ -29,16 +29,17 @@
         workspace: &id::Workspace,
         tokens: token::Count,
     ) -> Result<Self, Refusal> {
-        let outcome = Self::reserve_within(limiter, workspace, tokens, PATIENCE).await;
+        let patience = holder::Patience::of(PATIENCE);
+        let outcome = Self::reserve_within(limiter, workspace, tokens, patience).await;
         outcome.map_err(|refused| refusal(refused, tokens))
     }
 
-    /// Reserves the upper bound of a request; waits at most `patience`.
+    /// Reserves the upper bound of a request; waits as long as `patience` says.
     pub(crate) async fn reserve_within(
         limiter: &Arc<dyn Limiter>,
         workspace: &id::Workspace,
         tokens: token::Count,
-        patience: duration::Span,
+        patience: holder::Patience,
     ) -> Result<Self, Refused> {
         let reservation = limiter.reserve(workspace, tokens, patience).await?;
         Ok(Self {
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -158,7 +158,7 @@
         &self,
         workspace: &id::Workspace,
         tokens: token::Count,
-        patience: duration::Span,
+        patience: holder::Patience,
     ) -> Result<holder::Reservation, Refused> {
         let burst = self
             .inner
@@ -172,8 +172,7 @@
         let (ticket, decided) = {
             let now = self.clock.now();
             let mut inner = self.inner.lock();
-            let deadline = now.after(patience);
-            match inner.holder.admit(now, workspace, tokens, deadline) {
+            match inner.holder.admit(now, workspace, tokens, patience) {
                 holder::Verdict::Admitted(reservation) => return Ok(reservation),
                 holder::Verdict::Waiting(ticket) => {
                     let (sender, decided) = oneshot::channel();
@@ -201,7 +200,7 @@
         &'call self,
         workspace: &'call id::Workspace,
         tokens: token::Count,
-        patience: duration::Span,
+        patience: holder::Patience,
     ) -> BoxFuture<'call, Result<holder::Reservation, Refused>> {
         Box::pin(self.take(workspace, tokens, patience))
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -73,7 +73,8 @@
 #[derive(Debug)]
 pub(in crate::gateway) struct Aim {
     pub(in crate::gateway) place: endpoints::Place,
-    pub(in crate::gateway) fresh: u64,
+    /// Time that the engine takes to read the prompt.
+    pub(in crate::gateway) reading: duration::Span,
     pub(in crate::gateway) lesson: Option<flight::Lesson>,
 }
 
@@ -129,7 +130,7 @@
         let place = place.ok_or_else(|| self.no_endpoint(FULL_WAIT, "no endpoint is ready"))?;
         Ok(Aim {
             place,
-            fresh: 0,
+            reading: duration::Span(0),
             lesson: None,
         })
     }
@@ -143,11 +144,11 @@
             None => seat.place.clone(),
         };
         if place != seat.place {
-            self.claim(&place, seat.fresh);
+            self.claim(&place, seat.reading);
         }
         Ok(Aim {
             place,
-            fresh: seat.fresh,
+            reading: seat.reading,
             lesson: Some(self.lesson(model, &seat)),
         })
     }
@@ -156,7 +157,8 @@
         flight::Lesson {
             service: self.resolved.service.clone(),
             model: model.clone(),
-            tokens: seat.before + seat.fresh,
+            before: seat.before,
+            fresh: seat.fresh,
             output: self.output(),
             free: seat.ready && seat.running < self.resolved.slots,
         }
@@ -172,8 +174,8 @@
         loop {
             let late = self.now() >= until;
             let seat = self.seat(model, late).await?;
-            let Err(failure) = self.admit(model, &seat, late) else {
-                self.claim(&seat.place, seat.fresh);
+            let Err(failure) = self.admit(&seat, late) else {
+                self.claim(&seat.place, seat.reading);
                 return Ok(seat);
             };
             if failure.cause() != waits_for {
@@ -189,11 +191,16 @@
         }
     }
 
-    /// The last moment at which an engine must begin for the answer to be whole in time.
+    /// The last moment at which an engine must get the request, for its caller to see the
+    /// first event before it leaves and the whole answer in time.
     fn last_start(&self, model: &id::Model) -> duration::Instant {
         let pace = self.pace(model);
-        let needs = pace.reading(self.prompt()).0 + pace.answer(self.output()).0 + MARGIN.0;
-        duration::Instant(self.deadline().0.saturating_sub(needs))
+        let first = pace.reading(self.prompt()).0 + pace.event().0 + MARGIN.0;
+        let whole = first + pace.answer(self.output()).0;
+        let sign = self.facts.silence_ends(&self.resolved.route).0;
+        let first = sign.saturating_sub(first);
+        let whole = self.deadline().0.saturating_sub(whole);
+        duration::Instant(first.min(whole))
     }
 
     fn pace(&self, model: &id::Model) -> pace::Pace {
@@ -202,10 +209,10 @@
     }
 
     /// Counts the prompt at an engine before anybody else looks at it.
-    fn claim(&self, place: &endpoints::Place, fresh: u64) {
+    fn claim(&self, place: &endpoints::Place, reading: duration::Span) {
         let (now, rank) = (self.now(), self.resolved.rank());
         let endpoints = &self.gateway.core.endpoints;
-        endpoints.claim(now, place, rank, fresh);
+        endpoints.claim(now, place, rank, reading);
     }
 
     fn tell_wait(&mut self, seat: &endpoints::Seat, failure: &Failure) {
@@ -223,9 +230,9 @@
         self.story.step(
             now,
             format_args!(
-                "chooses {}, {} prompt tokens wait there, {} to read, first event in {}ms, adapter {}",
+                "chooses {}, {}ms of prompts wait there, {} tokens to read, first event in {}ms, adapter {}",
                 seat.place.endpoint,
-                seat.backlog,
+                seat.backlog.0 / 1_000,
                 seat.fresh,
                 seat.first_event.0 / 1_000,
                 if seat.ready { "there" } else { "missing" },
@@ -285,7 +292,7 @@
             rank: self.resolved.rank(),
             prompt: self.prompt(),
             room: self.room(model, late),
-            grace: self.grace(model),
+            grace: self.grace(),
             pace: self.pace(model),
             slots: self.resolved.slots,
             tried: &self.tried,
@@ -293,24 +300,23 @@
         }
     }
 
-    /// Prompt tokens that an engine may get within the pause that its streams allow.
-    fn room(&self, model: &id::Model, late: bool) -> u64 {
+    /// Reading that an engine may get within the pause that its streams allow.
+    fn room(&self, model: &id::Model, late: bool) -> duration::Span {
+        const ANY: duration::Span = duration::Span(u64::MAX);
         let rank = self.resolved.rank().min(TAKEN.len() - 1);
         let part = if late { TAKEN_LATE } else { TAKEN[rank] };
-        let pace = self.pace(model);
-        self.resolved.route.pause.map_or(u64::MAX, |pause| {
-            let reading = pause.scaled(part).0.saturating_sub(pace.event().0);
-            pace.read_in(duration::Span(reading))
+        let event = self.pace(model).event();
+        self.resolved.route.pause.map_or(ANY, |pause| {
+            duration::Span(pause.scaled(part).0.saturating_sub(event.0))
         })
     }
 
-    /// Prompt tokens beside which a large prompt may go that has waited for long.
-    fn grace(&self, model: &id::Model) -> u64 {
+    /// Reading beside which a large prompt may go that has waited for long.
+    fn grace(&self) -> duration::Span {
         let waited = self.now().since(self.facts.arrived).as_secs_f64();
         let objectives = waited / self.resolved.route.objective.as_secs_f64().max(0.001);
         let pause = self.resolved.route.pause.unwrap_or_default();
-        let part = (objectives - LARGE_AFTER).clamp(0.0, 1.0);
-        self.pace(model).read_in(pause.scaled(part))
+        pause.scaled((objectives - LARGE_AFTER).clamp(0.0, 1.0))
     }
 
     fn prompt(&self) -> u64 {
@@ -325,7 +331,7 @@
 
     /// Refuses what would come too late at this engine: it would only make those late
     /// that come after it.
-    fn admit(&self, model: &id::Model, seat: &endpoints::Seat, late: bool) -> Result<(), Failure> {
+    fn admit(&self, seat: &endpoints::Seat, late: bool) -> Result<(), Failure> {
         let objective = self.resolved.route.objective;
         let limit = objective.scaled(IN_TIME);
         let waited = self.now().since(self.facts.arrived);
@@ -344,7 +350,7 @@
         if late && slots > 0 && seat.running >= slots + slots / CROWD_PART {
             return Err(self.no_endpoint(FULL_WAIT, "the engine's batch is full"));
         }
-        self.spare_streams(model, seat)
+        self.spare_streams(seat)
     }
 
     /// Refuses what would make the streams that run at the engine pause too long.
@@ -353,11 +359,11 @@
     /// run out, each token waits for a part of them, and an event holds several
     /// tokens: one sees every stream of that engine late, and streams that take many
     /// times as long as usual, until their callers give up.
-    fn spare_streams(&self, model: &id::Model, seat: &endpoints::Seat) -> Result<(), Failure> {
+    fn spare_streams(&self, seat: &endpoints::Seat) -> Result<(), Failure> {
         let Some(pause) = self.resolved.route.pause else {
             return Ok(());
         };
-        let reading = self.pace(model).reading(seat.backlog);
+        let reading = seat.backlog;
         let part = SPARED[self.resolved.rank().min(SPARED.len() - 1)];
         let most = pause.scaled(part);
         if reading <= most && seat.fits {
@@ -412,7 +418,7 @@
             .endpoints
             .seat(core.now(), &self.query(model, true, false));
         let seat = held.ok_or_else(|| self.no_endpoint(FULL_WAIT, "the adapter is not there"))?;
-        self.admit(model, &seat, false)?;
+        self.admit(&seat, false)?;
         Ok(seat.place)
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -50,10 +50,10 @@
     pub chain: &'request memory::Chain,
     pub rank: usize,
     pub prompt: u64,
-    /// Prompt tokens that an engine may get within the last moments.
-    pub room: u64,
-    /// Prompt tokens beside which a large prompt may go though it does not fit.
-    pub grace: u64,
+    /// Reading that an engine may get within the last moments.
+    pub room: duration::Span,
+    /// Reading beside which a large prompt may go though it does not fit.
+    pub grace: duration::Span,
     pub pace: pace::Pace,
     pub slots: u32,
     pub tried: &'request Tried,
@@ -77,10 +77,12 @@
     pub first_event: duration::Span,
     /// Prompt tokens that it has to read.
     pub fresh: u64,
-    /// Prompt tokens that wait there already.
-    pub backlog: u64,
-    /// Those of them that it reads before this prompt.
-    pub before: u64,
+    /// Time that it takes to read these.
+    pub reading: duration::Span,
+    /// Reading that waits there already.
+    pub backlog: duration::Span,
+    /// What of it comes before this prompt.
+    pub before: duration::Span,
     /// Requests that run or wait there.
     pub running: u32,
     /// Whether it may get the prompt beside what was sent there lately.
@@ -158,7 +160,7 @@
         let candidates = trusted.iter().map(|node| engine::Candidate {
             endpoint: &node.endpoint,
             tally: inner.tally(now, node),
-            recent: node.window.tokens(now),
+            recent: node.window.reading(now),
             kept: node.memory.kept(now, query.chain),
             home: home == Some(&node.endpoint),
             near: node.near,
@@ -183,6 +185,7 @@
             place: node.place(),
             first_event: choice.first_event,
             fresh: choice.fresh,
+            reading: choice.reading,
             backlog: choice.backlog,
             before: choice.before,
             running: choice.running,
@@ -244,11 +247,11 @@
         now: duration::Instant,
         place: &Place,
         rank: usize,
-        fresh: u32,
+        reading: u32,
         chain: Option<&memory::Chain>,
     ) {
         self.change(place, |node| {
-            node.own.sent(rank, fresh);
+            node.own.sent(rank, reading);
             if let Some(chain) = chain {
                 node.memory.sent(now, chain);
             }
@@ -256,8 +259,8 @@
     }
 
     /// A prompt was read.
-    pub(crate) fn read(&self, place: &Place, rank: usize, fresh: u32) {
-        self.change(place, |node| node.own.read(rank, fresh));
+    pub(crate) fn read(&self, place: &Place, rank: usize, reading: u32) {
+        self.change(place, |node| node.own.read(rank, reading));
     }
 
     /// A request has ended.
--- a/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
@@ -7,9 +7,9 @@
 
 use super::{Place, Table};
 
-/// Prompts below so many tokens are not told at once: an engine reads one in less than
-/// a tenth of the shortest pause that streams allow.
-const SMALLEST: u32 = 400;
+/// Prompts that take less than so many microseconds are not told at once: a twentieth of
+/// the pause that streams allow.
+const SMALLEST: u32 = 15_000;
 
 /// One prompt that was sent to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,8 +18,8 @@
     pub digest: u32,
     /// Rank of the request.
     pub rank: u8,
-    /// Prompt tokens that the engine has to read.
-    pub fresh: u32,
+    /// Microseconds that the engine takes to read the prompt.
+    pub reading: u32,
 }
 
 /// Notices that are not sent yet.
@@ -34,23 +34,29 @@
     ///
     /// Requests that wait for the same engine look again within milliseconds. Were it
     /// counted only once its connection stands, several would go at the same moment.
-    pub(crate) fn claim(&self, now: duration::Instant, place: &Place, rank: usize, fresh: u64) {
-        let fresh = u32::try_from(fresh).unwrap_or(u32::MAX);
+    pub(crate) fn claim(
+        &self,
+        now: duration::Instant,
+        place: &Place,
+        rank: usize,
+        reading: duration::Span,
+    ) {
+        let reading = u32::try_from(reading.0).unwrap_or(u32::MAX);
         let mut inner = self.inner.lock();
         let Some(node) = inner.nodes.get_mut(&place.endpoint) else {
             return;
         };
-        node.window.sent(now, fresh);
+        node.window.sent(now, reading);
         let digest = node.digest;
         drop(inner);
-        if fresh < SMALLEST {
+        if reading < SMALLEST {
             return;
         }
         let rank = u8::try_from(rank).unwrap_or(u8::MAX);
         let notice = Notice {
             digest,
             rank,
-            fresh,
+            reading,
         };
         self.notices.waiting.lock().push(notice);
         self.notices.news.notify_one();
@@ -78,12 +84,12 @@
         for notice in notices {
             let mut nodes = inner.nodes.values_mut();
             if let Some(node) = nodes.find(|node| node.digest == notice.digest) {
-                node.window.sent(now, notice.fresh);
+                node.window.sent(now, notice.reading);
             }
             // Until it tells of all it has sent, which takes the place of this.
             if let Some(heard) = inner.others.get_mut(&from) {
                 let tally = heard.tallies.entry(notice.digest).or_default();
-                tally.sent(usize::from(notice.rank), notice.fresh);
+                tally.sent(usize::from(notice.rank), notice.reading);
             }
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/flight.rs
@@ -15,8 +15,10 @@
 pub(crate) struct Lesson {
     pub service: id::Service,
     pub model: id::Model,
-    /// Prompt tokens that the engine reads before its first event, its own among them.
-    pub tokens: u64,
+    /// Reading of others' prompts that comes first.
+    pub before: duration::Span,
+    /// Prompt tokens of its own that have to be read.
+    pub fresh: u64,
     /// Tokens that the caller allows as output.
     pub output: u64,
     /// Whether a place in the batch was free when it was sent.
@@ -30,7 +32,8 @@
     core: Arc<core::Core>,
     place: endpoints::Place,
     rank: usize,
-    fresh: u32,
+    /// Microseconds that its prompt takes to be read.
+    reading: u32,
     read: bool,
     lesson: Option<Lesson>,
     sent: duration::Instant,
@@ -45,14 +48,14 @@
         rank: usize,
         chain: Option<&memory::Chain>,
     ) -> Self {
-        let fresh = u32::try_from(aim.fresh).unwrap_or(u32::MAX);
+        let reading = u32::try_from(aim.reading.0).unwrap_or(u32::MAX);
         let sent = core.now();
-        core.endpoints.sent(sent, &aim.place, rank, fresh, chain);
+        core.endpoints.sent(sent, &aim.place, rank, reading, chain);
         Self {
             core: Arc::clone(core),
             place: aim.place.clone(),
             rank,
-            fresh,
+            reading,
             read: false,
             lesson: aim.lesson.clone(),
             sent,
@@ -70,10 +73,11 @@
         if self.first.is_none() {
             self.first = Some(now);
             if lesson.free {
-                let (tokens, took) = (lesson.tokens, now.since(self.sent));
+                let (before, fresh) = (lesson.before, lesson.fresh);
+                let took = now.since(self.sent);
                 self.core
                     .endpoints
-                    .learn(|paces| paces.learn_first(service, model, tokens, took));
+                    .learn(|paces| paces.learn_first(service, model, before, fresh, took));
             }
         } else if let Some(pause) = pause {
             self.core
@@ -96,7 +100,9 @@
     pub(crate) fn read(&mut self) {
         if !self.read {
             self.read = true;
-            self.core.endpoints.read(&self.place, self.rank, self.fresh);
+            self.core
+                .endpoints
+                .read(&self.place, self.rank, self.reading);
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::{duration, id, token};
+use cranberrygap_policy::limits::holder;
 use cranberrygap_routing::prompt::{memory, tally};
 use cranberrygap_state::traffic as state;
 use cranberrygap_wire::traffic;
@@ -34,11 +35,22 @@
 /// the first one by hand or script.
 const PLAN_WAIT: duration::Span = duration::Span::from_secs(1);
 
-/// Part of the time that its caller gives it for which a request waits for tokens of its
-/// workspace. The leader tells at once who would wait longer; whoever is told to wait is
-/// served late, but served. The other parts are for the endpoint, and for one more try
-/// of the caller should the leader be lost meanwhile.
-const TOKEN_PART: u64 = 3;
+/// Callers leave a stream in which nothing comes, also before its first event, after this
+/// time, four objectives or eight of the pauses that they allow, whichever is longest.
+const SILENCE: duration::Span = duration::Span::from_secs(2);
+const SILENT_OBJECTIVES: u64 = 4;
+const SILENT_PAUSES: u64 = 8;
+
+/// Part of the objective, one in so many, for which a request waits for tokens behind
+/// others of its workspace, and the longest such wait.
+const LINE_PART: u64 = 4;
+const LINE_WAIT: duration::Span = duration::Span::from_millis(350);
+
+/// Part of the time for which its caller waits for a first sign, one in so many, for which
+/// a request waits for the leader's word on its tokens. A leader that was lost has a
+/// successor within a second or two, and a late answer is still an answer; the other part
+/// is for the endpoint.
+const LEADER_PART: u64 = 2;
 
 /// A request as it came, once its body is there.
 #[derive(Debug)]
@@ -141,6 +153,19 @@
         token::Count(tokens.map_or(payer.plain_cost, |tokens| tokens.prompt + tokens.output))
     }
 
+    /// The moment at which the caller leaves if nothing has come by then.
+    pub(crate) fn silence_ends(&self, route: &traffic::Route) -> duration::Instant {
+        let is_stream = matches!(route.kind, traffic::Kind::Stream | traffic::Kind::Resumable);
+        let deadline = self.deadline(route);
+        if !is_stream {
+            return deadline;
+        }
+        let by_objective = duration::Span(route.objective.0 * SILENT_OBJECTIVES);
+        let by_pause = duration::Span(route.pause.unwrap_or_default().0 * SILENT_PAUSES);
+        let longest = SILENCE.max(by_objective).max(by_pause);
+        self.arrived.after(longest).min(deadline)
+    }
+
     /// The moment by which the caller must have its answer.
     pub(crate) fn deadline(&self, route: &traffic::Route) -> duration::Instant {
         let patience = self.ask.patience.unwrap_or(route.deadline);
@@ -342,9 +367,13 @@
     };
     let limiter = &gateway.core.limiter;
     let cost = facts.cost(payer);
-    let given = facts.deadline(&resolved.route).since(facts.arrived);
-    let wait = duration::Span(given.0 / TOKEN_PART);
-    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, wait).await;
+    let given = facts.silence_ends(&resolved.route).since(facts.arrived);
+    let objective = resolved.route.objective;
+    let patience = holder::Patience {
+        in_line: duration::Span(objective.0 / LINE_PART).min(LINE_WAIT),
+        for_leader: duration::Span(given.0 / LEADER_PART),
+    };
+    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, patience).await;
     match permit {
         Ok(permit) => Ok(Some(permit)),
         Err(refused) => Err(Failure::OverRate {
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::amount::Amount;
+pub use super::line::Patience;
 use super::stock::Stock;
 use super::{LEASE, PERIOD};
 
@@ -99,13 +100,13 @@
     }
 
     /// Takes `cost` tokens of `workspace`, or lets the request wait for them
-    /// until `deadline`.
+    /// as long as its patience lasts.
     pub fn admit(
         &mut self,
         now: duration::Instant,
         workspace: &id::Workspace,
         cost: token::Count,
-        deadline: duration::Instant,
+        patience: Patience,
     ) -> Verdict {
         let stock = self
             .stocks
@@ -123,7 +124,7 @@
                 cost,
             });
         }
-        stock.line.push(self.numbers, amount, deadline);
+        stock.line.push(now, self.numbers, amount, patience);
         Verdict::Waiting(self.numbers)
     }
 
--- a/crates/cranberrygap-policy/src/limits/line.rs
+++ b/crates/cranberrygap-policy/src/limits/line.rs
@@ -13,12 +13,38 @@
 pub(super) struct Waiter {
     pub(super) ticket: u64,
     pub(super) cost: Amount,
-    pub(super) deadline: duration::Instant,
+    /// Until when it waits behind others, and until when for the leader's word.
+    pub(super) in_line: duration::Instant,
+    pub(super) for_leader: duration::Instant,
     stage: Stage,
     /// What small requests that came later have taken before it.
     passed: Amount,
 }
 
+/// How long a request waits for its tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// How long it waits if the leader says that others come first.
+    ///
+    /// A workspace that asks for more than its rate has requests in line all the time. Its
+    /// tokens serve as many whether these wait for long or not; after a long wait each of
+    /// them is late, after a short one those that are served are in time.
+    pub in_line: duration::Span,
+    /// How long it waits for the leader's word.
+    pub for_leader: duration::Span,
+}
+
+impl Patience {
+    /// The same for both.
+    #[must_use]
+    pub const fn of(span: duration::Span) -> Self {
+        Self {
+            in_line: span,
+            for_leader: span,
+        }
+    }
+}
+
 /// How far the leader's view of a waiting request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -70,7 +96,13 @@
 }
 
 impl Line {
-    pub(super) fn push(&mut self, ticket: u64, cost: Amount, deadline: duration::Instant) {
+    pub(super) fn push(
+        &mut self,
+        now: duration::Instant,
+        ticket: u64,
+        cost: Amount,
+        patience: Patience,
+    ) {
         self.total = self.total.plus(cost);
         let mut place = self.waiters.len();
         while let Some(before) = place
@@ -86,7 +118,8 @@
         let waiter = Waiter {
             ticket,
             cost,
-            deadline,
+            in_line: now.after(patience.in_line),
+            for_leader: now.after(patience.for_leader),
             stage: Stage::New,
             passed: Amount::ZERO,
         };
@@ -181,8 +214,9 @@
             // tokens: others have taken here what came for them.
             let lent = outlook.map_or(now, |outlook| outlook.at(short));
             let served = own.min(lent);
-            let late = served > waiter.deadline;
-            let drop = now >= waiter.deadline || (waiter.stage == Stage::Answered && late);
+            let late = served > waiter.in_line;
+            let told = waiter.stage == Stage::Answered;
+            let drop = now >= waiter.for_leader || (told && late);
             if drop {
                 given_up.push((waiter.ticket, served.since(now)));
                 total = total.minus(waiter.cost);
@@ -196,6 +230,7 @@
     }
 
     pub(super) fn next_deadline(&self) -> Option<duration::Instant> {
-        self.waiters.iter().map(|waiter| waiter.deadline).min()
+        let waiters = self.waiters.iter();
+        waiters.map(|waiter| waiter.for_leader).min()
     }
 }
--- a/crates/cranberrygap-policy/tests/limits_shares.rs
+++ b/crates/cranberrygap-policy/tests/limits_shares.rs
@@ -31,8 +31,8 @@
 }
 
 fn ask(holder: &mut holder::Holder, now: duration::Instant, cost: u64) -> holder::Verdict {
-    let deadline = now.after(duration::Span::from_millis(500));
-    holder.admit(now, &workspace(), token::Count(cost), deadline)
+    let patience = holder::Patience::of(duration::Span::from_millis(500));
+    holder.admit(now, &workspace(), token::Count(cost), patience)
 }
 
 fn renew(holder: &mut holder::Holder, granter: &mut granter::Granter, now: duration::Instant) {
@@ -251,6 +251,30 @@
     assert!(matches!(late, holder::Verdict::Waiting(_)));
 }
 
+// A workspace asks for more than its rate, and the leader says that it will take a second.
+// A caller who would be late then learns at once when to come back. While no leader says
+// anything, nobody knows that others come first, and the request waits on.
+#[test]
+fn request_waits_longer_for_the_leader_than_behind_others() {
+    let patience = holder::Patience {
+        in_line: duration::Span::from_millis(100),
+        for_leader: duration::Span::from_secs(4),
+    };
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    ask(&mut holder, at(0), 4_000);
+    renew(&mut holder, &mut granter, at(0));
+    reservation(holder.poll(at(0)));
+    holder.admit(at(10), &workspace(), token::Count(3_000), patience);
+
+    let unanswered = holder.poll(at(1_000));
+    renew(&mut holder, &mut granter, at(1_000));
+    let told = holder.poll(at(1_000));
+
+    assert!(unanswered.is_empty(), "{unanswered:?}");
+    let refused = |(_, decision): &(u64, _)| matches!(decision, holder::Decision::Refused(wait) if wait.0 > 0);
+    assert!(told.iter().any(refused), "{told:?}");
+}
+
 #[test]
 fn closing_entry_hands_its_tokens_back() {
     let (mut granter, mut holder) = (leader(), entry("a"));
@@ -315,12 +339,13 @@
     let (mut granter, mut holder) = entry_with_a_large_request_in_line();
     let mut passed = 0;
 
+    let minute = holder::Patience::of(duration::Span::from_secs(60));
     for turn in 0..400 {
         let now = at(30 + turn * 10);
         if turn % 20 == 0 {
             renew(&mut holder, &mut granter, now);
         }
-        let verdict = holder.admit(now, &workspace(), token::Count(40), at(60_000));
+        let verdict = holder.admit(now, &workspace(), token::Count(40), minute);
         passed += u64::from(matches!(verdict, holder::Verdict::Admitted(_)));
     }
 
--- a/crates/cranberrygap-policy/tests/limits_unequal.rs
+++ b/crates/cranberrygap-policy/tests/limits_unequal.rs
@@ -154,10 +154,9 @@
             let within = ideal.take(now, cost);
             let entry = &mut fleet[random.random_range(0..shape.entries)];
             tally.asked += 1;
-            match entry
-                .holder
-                .admit(now, &workspace, token::Count(cost), now.after(PATIENCE))
-            {
+            let patience = holder::Patience::of(PATIENCE);
+            let cost_tokens = token::Count(cost);
+            match entry.holder.admit(now, &workspace, cost_tokens, patience) {
                 holder::Verdict::Admitted(reservation) => {
                     entry.holder.settle(now, &reservation, token::Count(cost));
                     window.admitted.push((now, cost));
--- a/crates/cranberrygap-routing/src/prompt/engine.rs
+++ b/crates/cranberrygap-routing/src/prompt/engine.rs
@@ -22,8 +22,8 @@
     pub endpoint: &'known id::Endpoint,
     /// What waits there.
     pub tally: tally::Tally,
-    /// Prompt tokens that were sent there within the last moments.
-    pub recent: u64,
+    /// Reading of what was sent there within the last moments.
+    pub recent: duration::Span,
     /// Tokens of the prompt that this entry knows to be kept there.
     pub kept: u64,
     /// Whether the prompt's session belongs there.
@@ -45,10 +45,10 @@
     pub prompt: u64,
     /// Prompt tokens that others share.
     pub shared: u64,
-    /// Prompt tokens that an engine may get within [`window::SPAN`].
-    pub room: u64,
-    /// Prompt tokens beside which a large prompt may go though it does not fit.
-    pub grace: u64,
+    /// Reading that an engine may get within [`window::SPAN`].
+    pub room: duration::Span,
+    /// Reading beside which a large prompt may go though it does not fit.
+    pub grace: duration::Span,
     /// What requests for its model take.
     pub pace: pace::Pace,
     /// Requests in one batch of an engine; 0 where that is not known.
@@ -69,14 +69,16 @@
     pub first_event: duration::Span,
     /// Prompt tokens that it has to read.
     pub fresh: u64,
-    /// Prompt tokens that wait there already.
-    pub backlog: u64,
-    /// Those of them that it reads before this prompt.
-    pub before: u64,
+    /// Time that it takes to read these.
+    pub reading: duration::Span,
+    /// Reading that waits there already.
+    pub backlog: duration::Span,
+    /// What of it comes before this prompt.
+    pub before: duration::Span,
     /// Requests that run or wait there.
     pub running: u32,
-    /// Prompt tokens that were sent there within the last moments.
-    pub recent: u64,
+    /// Reading of what was sent there within the last moments.
+    pub recent: duration::Span,
 }
 
 impl Choice {
@@ -84,7 +86,7 @@
     /// than the room by itself goes to an engine that got nothing.
     #[must_use]
     pub const fn fits(&self, wanted: &Wanted) -> bool {
-        wanted.fits(self.recent, self.fresh)
+        wanted.fits(self.recent, self.reading)
     }
 }
 
@@ -92,11 +94,12 @@
 const LARGE: u64 = 4;
 
 impl Wanted {
-    /// Whether a prompt of `fresh` tokens may go where `recent` were sent lately.
+    /// Whether a prompt that takes `reading` may go where as much as `recent` was sent.
     #[must_use]
-    pub const fn fits(&self, recent: u64, fresh: u64) -> bool {
-        let large = fresh > self.room / LARGE;
-        recent == 0 || recent + fresh <= self.room || (large && recent <= self.grace)
+    pub const fn fits(&self, recent: duration::Span, reading: duration::Span) -> bool {
+        let large = reading.0 > self.room.0 / LARGE;
+        let all = recent.0 + reading.0;
+        recent.0 == 0 || all <= self.room.0 || (large && recent.0 <= self.grace.0)
     }
 }
 
@@ -109,10 +112,11 @@
     let scored = candidates.map(|candidate| {
         let fresh = fresh(wanted, &candidate);
         let pace = &wanted.pace;
+        let reading = pace.reading(fresh);
         let first_event = pace.first_event(&candidate.tally, wanted.rank, fresh, wanted.slots);
         let far = if candidate.near { 0 } else { wanted.far.0 };
         let fetch = if candidate.ready { 0 } else { wanted.fetch.0 };
-        let crowded = if wanted.fits(candidate.recent, fresh) {
+        let crowded = if wanted.fits(candidate.recent, reading) {
             0
         } else {
             CROWDED.0
@@ -123,6 +127,7 @@
             endpoint: candidate.endpoint.clone(),
             first_event,
             fresh,
+            reading,
             backlog: candidate.tally.backlog(),
             before: candidate.tally.before(wanted.rank),
             running: candidate.tally.running,
--- a/crates/cranberrygap-routing/src/prompt/pace.rs
+++ b/crates/cranberrygap-routing/src/prompt/pace.rs
@@ -11,9 +11,10 @@
 
 use super::tally;
 
-/// Part of the observations that should lie below an estimate. Somewhat less than half:
-/// queues that this entry does not see lengthen what it observes and nothing shortens it.
-const BELOW: f64 = 0.4;
+/// Part of the observations that should lie below an estimate: half of them, since queues
+/// that this entry does not see lengthen what it observes about as often as parts of
+/// prompts that it did not know to be kept shorten it.
+const BELOW: f64 = 0.5;
 
 /// Step of an estimate for each observation, in logarithms, at first and later. With it
 /// a pace that is half or twice of what is assumed is learned within 20 observations, and
@@ -27,6 +28,11 @@
 /// Prompt tokens below which the time to the first event says little of reading.
 const TELLING: u64 = 600;
 
+/// How much of its own reading, in tenths, that before a request may take for it to teach
+/// the speed of reading. What waits elsewhere is known late: most of a long queue
+/// has been read by the time it is counted, and engines looked twice as fast as they are.
+const OTHERS_TENTHS: u64 = 3;
+
 /// Weight of an observation in a mean.
 const PART: f64 = 0.05;
 
@@ -101,12 +107,6 @@
         span(tokens as f64 * self.read.micros)
     }
 
-    /// Prompt tokens that an engine reads in a time.
-    #[must_use]
-    pub fn read_in(&self, time: duration::Span) -> u64 {
-        span(time.0 as f64 / self.read.micros).0
-    }
-
     /// Time between two events of a stream.
     #[must_use]
     pub fn event(&self) -> duration::Span {
@@ -136,9 +136,9 @@
         fresh: u64,
         slots: u32,
     ) -> duration::Span {
-        let reading = self.reading(tally.before(rank) + fresh);
+        let reading = tally.before(rank).0 + self.reading(fresh).0;
         let waiting = self.seat_wait(tally.running, slots);
-        duration::Span(reading.0 + self.event().0 + waiting.0)
+        duration::Span(reading + self.event().0 + waiting.0)
     }
 
     /// Time until one of the batch ends and leaves its place, when all are taken.
@@ -150,12 +150,13 @@
         span(f64::from(before) * self.answer / f64::from(slots))
     }
 
-    fn learn_first(&mut self, tokens: u64, took: duration::Span) {
-        if tokens < TELLING {
+    fn learn_first(&mut self, before: duration::Span, fresh: u64, took: duration::Span) {
+        if fresh < TELLING || before.0 > self.reading(fresh).0 / 10 * OTHERS_TENTHS {
             return;
         }
-        let reading = (took.0 as f64 - self.event.micros).max(0.0);
-        self.read.learn(reading / tokens as f64);
+        let others = before.0 as f64 + self.event.micros;
+        let reading = (took.0 as f64 - others).max(0.0);
+        self.read.learn(reading / fresh as f64);
     }
 
     fn learn_pause(&mut self, pause: duration::Span) {
@@ -198,16 +199,17 @@
         pace.copied().unwrap_or_default()
     }
 
-    /// The first event came `took` after a request was sent, behind and with so many
-    /// prompt tokens to read, to an engine with a free place.
+    /// The first event came `took` after a request with `fresh` prompt tokens to read was
+    /// sent, behind prompts that take `before`, to an engine with a free place.
     pub fn learn_first(
         &mut self,
         service: &id::Service,
         model: &id::Model,
-        tokens: u64,
+        before: duration::Span,
+        fresh: u64,
         took: duration::Span,
     ) {
-        self.each(service, model, |pace| pace.learn_first(tokens, took));
+        self.each(service, model, |pace| pace.learn_first(before, fresh, took));
     }
 
     /// Two events of a stream came with this pause between them.
--- a/crates/cranberrygap-routing/src/prompt/tally.rs
+++ b/crates/cranberrygap-routing/src/prompt/tally.rs
@@ -1,31 +1,35 @@
 //! Work that waits at one engine, as one entry knows it.
 
+use cranberrygap_model::duration;
 use serde::{Deserialize, Serialize};
 
 /// Ranks that are told apart; less urgent ones count as the last.
 pub const RANKS: usize = 4;
 
-/// Prompt tokens that wait to be read, by rank, and streams that run.
+/// Time that the reading of waiting prompts takes, by rank, and streams that run.
+///
+/// Time, and not tokens: an engine reads the prompts of all its models one after the
+/// other, and one model's tokens take it four times as long as another's.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
-    /// Prompt tokens sent whose first event has not come, by rank.
+    /// Microseconds of reading sent whose first event has not come, by rank.
     pub unread: [u32; RANKS],
     /// Requests sent that have not ended.
     pub running: u32,
 }
 
 impl Tally {
-    /// Counts a request of `rank` with `fresh` prompt tokens that must be read.
-    pub fn sent(&mut self, rank: usize, fresh: u32) {
+    /// Counts a request of `rank` whose prompt takes `reading` microseconds.
+    pub fn sent(&mut self, rank: usize, reading: u32) {
         let waiting = &mut self.unread[rank.min(RANKS - 1)];
-        *waiting = waiting.saturating_add(fresh);
+        *waiting = waiting.saturating_add(reading);
         self.running = self.running.saturating_add(1);
     }
 
     /// Its prompt was read.
-    pub fn read(&mut self, rank: usize, fresh: u32) {
+    pub fn read(&mut self, rank: usize, reading: u32) {
         let waiting = &mut self.unread[rank.min(RANKS - 1)];
-        *waiting = waiting.saturating_sub(fresh);
+        *waiting = waiting.saturating_sub(reading);
     }
 
     /// It has ended.
@@ -33,16 +37,16 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Prompt tokens that an engine reads before a request of `rank`.
+    /// Time that an engine reads before a request of `rank`.
     #[must_use]
-    pub fn before(&self, rank: usize) -> u64 {
+    pub fn before(&self, rank: usize) -> duration::Span {
         let ranks = self.unread.iter().take(rank.min(RANKS - 1) + 1);
-        ranks.map(|tokens| u64::from(*tokens)).sum()
+        duration::Span(ranks.map(|micros| u64::from(*micros)).sum())
     }
 
-    /// Prompt tokens of all ranks that wait to be read.
+    /// Time that the reading of all that waits takes.
     #[must_use]
-    pub fn backlog(&self) -> u64 {
+    pub fn backlog(&self) -> duration::Span {
         self.before(RANKS - 1)
     }
 
--- a/crates/cranberrygap-routing/src/prompt/window.rs
+++ b/crates/cranberrygap-routing/src/prompt/window.rs
@@ -1,4 +1,4 @@
-//! Prompt tokens that were sent to one engine within the last moments.
+//! Prompts that were sent to one engine within the last moments, by the time they take.
 
 use std::collections::VecDeque;
 
@@ -20,31 +20,31 @@
 #[derive(Debug, Clone, Default)]
 pub struct Window {
     sends: VecDeque<(duration::Instant, u32)>,
-    tokens: u64,
+    reading: u64,
 }
 
 impl Window {
-    /// Counts a prompt with `fresh` tokens to read, sent at `now`.
-    pub fn sent(&mut self, now: duration::Instant, fresh: u32) {
+    /// Counts a prompt that takes `reading` microseconds, sent at `now`.
+    pub fn sent(&mut self, now: duration::Instant, reading: u32) {
         while let Some((at, old)) = self.sends.front().copied() {
             if now.since(at) < SPAN {
                 break;
             }
             self.sends.pop_front();
-            self.tokens -= u64::from(old);
+            self.reading -= u64::from(old);
         }
-        self.sends.push_back((now, fresh));
-        self.tokens += u64::from(fresh);
+        self.sends.push_back((now, reading));
+        self.reading += u64::from(reading);
     }
 
-    /// Tokens sent within [`SPAN`] before `now`.
+    /// Time that takes what was sent within [`SPAN`] before `now`.
     #[must_use]
-    pub fn tokens(&self, now: duration::Instant) -> u64 {
+    pub fn reading(&self, now: duration::Instant) -> duration::Span {
         let old = self
             .sends
             .iter()
             .take_while(|(at, _)| now.since(*at) >= SPAN);
-        let old: u64 = old.map(|(_, tokens)| u64::from(*tokens)).sum();
-        self.tokens - old
+        let old: u64 = old.map(|(_, reading)| u64::from(*reading)).sum();
+        duration::Span(self.reading - old)
     }
 }
--- a/crates/cranberrygap-routing/tests/pace.rs
+++ b/crates/cranberrygap-routing/tests/pace.rs
@@ -37,7 +37,8 @@
     let mut more = || rng.random_range(1.0..1.3);
     let event = speed.step * EVENT_TOKENS;
     let first = span((tokens as f64 * speed.read + event) * more());
-    paces.learn_first(&service, &model, tokens, first);
+    let nothing = duration::Span(0);
+    paces.learn_first(&service, &model, nothing, tokens, first);
     for _pause in 0..2 {
         paces.learn_pause(&service, &model, span(event * more()));
     }
@@ -83,6 +84,22 @@
     }
 }
 
+// Another entry says late what waits at the engine: half a second of prompts that were
+// read long ago. Taken at its word the engine looked ten times as fast as it is.
+#[test]
+fn long_queues_teach_nothing_of_reading() {
+    let mut paces = pace::Paces::default();
+    let before = paces.of(&service(), &model("m")).reading(1_000);
+
+    for _request in 0..50 {
+        let took = duration::Span::from_millis(60);
+        let before = duration::Span::from_millis(500);
+        paces.learn_first(&service(), &model("m"), before, 1_000, took);
+    }
+
+    assert_eq!(paces.of(&service(), &model("m")).reading(1_000), before);
+}
+
 #[test]
 fn fast_and_slow_models_of_one_service_are_told_apart() {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
@@ -123,7 +140,7 @@
     let before = paces.of(&service(), &model("m"));
 
     let stall = duration::Span::from_secs(10);
-    paces.learn_first(&service(), &model("m"), 1_000, stall);
+    paces.learn_first(&service(), &model("m"), duration::Span(0), 1_000, stall);
     paces.learn_pause(&service(), &model("m"), stall);
 
     let after = paces.of(&service(), &model("m"));
--- a/crates/cranberrygap-routing/tests/pacing.rs
+++ b/crates/cranberrygap-routing/tests/pacing.rs
@@ -16,8 +16,8 @@
 /// Tokens of a stream in one event, and so steps between two events.
 const EVENT: usize = 3;
 
-/// Prompt tokens that may be sent within the window: 0.9 of a pause of 300 ms.
-const ROOM: u64 = 5_400;
+/// Reading that may be sent within the window: 0.9 of a pause of 300 ms.
+const ROOM: duration::Span = duration::Span::from_millis(270);
 
 /// Prompt tokens that the modelled engine reads in a millisecond.
 const READ_A_MILLI: u64 = 20;
@@ -55,10 +55,11 @@
     let mut sent = Vec::new();
     for (arrived, fresh) in prompts {
         now = now.max(*arrived);
-        while window.tokens(now) > 0 && window.tokens(now) + fresh > ROOM {
+        let takes = reading(*fresh);
+        while window.reading(now).0 > 0 && window.reading(now).0 + takes.0 > ROOM.0 {
             now = now.after(duration::Span::from_millis(5));
         }
-        window.sent(now, u32::try_from(*fresh).expect("a small number"));
+        window.sent(now, u32::try_from(takes.0).expect("a small number"));
         sent.push((now, *fresh));
     }
     sent
@@ -126,7 +127,7 @@
     window.sent(millis(0), 1_000);
     window.sent(millis(200), 500);
 
-    let sums = [299, 300, 500].map(|at| window.tokens(millis(at)));
+    let sums = [299, 300, 500].map(|at| window.reading(millis(at)).0);
 
     assert_eq!(sums, [1_500, 500, 0]);
 }
@@ -140,7 +141,7 @@
         prompt: 9_000,
         shared: 0,
         room: ROOM,
-        grace: 0,
+        grace: duration::Span(0),
         pace: pace::Pace::default(),
         slots: 64,
         far: duration::Span(0),
@@ -149,7 +150,7 @@
     let candidate = |recent| engine::Candidate {
         endpoint: &name,
         tally: tally::Tally::default(),
-        recent,
+        recent: duration::Span::from_millis(recent),
         kept: 0,
         home: false,
         near: true,
@@ -157,7 +158,7 @@
         failing: 0.0,
     };
 
-    let fits = [0, 300].map(|recent| {
+    let fits = [0, 15].map(|recent| {
         let choice = engine::choose(&wanted, [candidate(recent)].into_iter());
         choice.expect("a choice").fits(&wanted)
     });
@@ -175,7 +176,7 @@
     let candidate = engine::Candidate {
         endpoint: &name,
         tally: tally::Tally::default(),
-        recent: 4_000,
+        recent: duration::Span::from_millis(200),
         kept: 0,
         home: false,
         near: true,
@@ -187,26 +188,24 @@
         prompt,
         shared: 0,
         room: ROOM,
-        grace,
+        grace: duration::Span::from_millis(grace),
         pace: pace::Pace::default(),
         slots: 32,
         far: duration::Span(0),
         fetch: duration::Span(0),
     };
 
-    let fits = [(5_000, 0), (5_000, 4_000), (1_300, 4_000 - 1)].map(|(prompt, grace)| {
+    // At 50 us a token the large prompt takes 250 ms, the small one 60 ms.
+    let fits = [(5_000, 0), (5_000, 200), (1_200, 200)].map(|(prompt, grace)| {
         let wanted = wanted(prompt, grace);
         let choice = engine::choose(&wanted, [candidate].into_iter());
         choice.expect("a choice").fits(&wanted)
     });
+    let beside_a_little_less = engine::Wanted {
+        room: duration::Span::from_millis(250),
+        ..wanted(1_200, 200)
+    };
 
     assert_eq!(fits, [false, true, true]);
-    let small = wanted(1_000, 6_000);
-    assert!(
-        !engine::Wanted {
-            room: 4_500,
-            ..small
-        }
-        .fits(4_000, 1_000)
-    );
+    assert!(!beside_a_little_less.fits(candidate.recent, duration::Span::from_millis(60)));
 }
--- a/crates/cranberrygap-routing/tests/prompt.rs
+++ b/crates/cranberrygap-routing/tests/prompt.rs
@@ -9,11 +9,12 @@
 
 fn candidate(name: &id::Endpoint, unread: u32) -> engine::Candidate<'_> {
     let mut tally = tally::Tally::default();
-    tally.sent(2, unread);
+    // Where a token takes 50 us to read.
+    tally.sent(2, unread * 50);
     engine::Candidate {
         endpoint: name,
         tally,
-        recent: 0,
+        recent: duration::Span(0),
         kept: 0,
         home: false,
         near: true,
@@ -27,8 +28,8 @@
         rank,
         prompt: 1_460,
         shared: 1_200,
-        room: u64::MAX,
-        grace: 0,
+        room: duration::Span(u64::MAX),
+        grace: duration::Span(0),
         pace: pace::Pace::default(),
         slots: 64,
         far: duration::Span::from_millis(200),
@@ -175,8 +176,8 @@
     let mut tally = tally::Tally::default();
     tally.sent(1, 700);
     tally.sent(9, 300);
-    assert_eq!(tally.before(1), 700);
-    assert_eq!(tally.before(3), 1_000);
+    assert_eq!(tally.before(1).0, 700);
+    assert_eq!(tally.before(3).0, 1_000);
 
     tally.read(1, 700);
     tally.read(9, 300);
