--- a/crates/cranberrygap-routing/src/prompt/engine.rs
+++ b/crates/cranberrygap-routing/src/prompt/engine.rs
@@ -122,7 +122,7 @@
             CROWDED.0
         };
         let failing = scale(FAILURE.0, candidate.failing);
-        let cost = first_event.0 + far + fetch + crowded + failing;
+        let cost = first_event.0 + candidate.recent.0 + far + fetch + crowded + failing;
         let choice = Choice {
             endpoint: candidate.endpoint.clone(),
             first_event,
