--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -10,7 +10,7 @@
 /// Part of a runner's time at which its models get a further copy. Half busy, a
 /// prompt waits on average half as long as it takes to read; above that the wait
 /// grows fast, and a load takes seconds to help.
-const BUSY: f64 = 0.25;
+const BUSY: f64 = 0.15;
 
 /// Load of the new place against that of the best present one, above which a
 /// further copy gains too little for the load that it costs.
