--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -52,7 +52,7 @@
 /// Under load each place that falls free has somebody waiting. Where late requests could
 /// take every one, those that came after them were late as well: one saw two thirds of the
 /// streams in time that there are when some places are kept.
-const KEPT_PART: u32 = 8;
+const KEPT_PART: u32 = 4;
 
 /// Objectives for which a large prompt waits before it goes beside a full room.
 ///
