--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -17,13 +17,7 @@
 /// A wait for callers, spread so that those refused together do not come together.
 pub(super) fn spread(wait: duration::Span) -> duration::Span {
     let factor = LEAST_FACTOR + rand::random::<f64>() * (MOST_FACTOR - LEAST_FACTOR);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a small multiple of a time of seconds"
-    )]
-    let micros = (wait.0 as f64 * factor) as u64;
-    duration::Span(micros)
+    wait.scaled(factor)
 }
 
 /// One way in which a request fails here.
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -198,14 +198,10 @@
         coming: &id::Model,
         least: usize,
     ) -> Option<&'book id::Model> {
-        let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
-        let needed = size(coming)?;
-        let free = runner.free(self.engine);
-        let spared = runner.models.iter().filter(|model| {
-            let enough = free + size(model).unwrap_or_default() >= needed;
+        let spared = self.fitting(runner, coming).filter(|model| {
             let others = self.count_elsewhere(name, model);
             let each = self.work(model) / others.max(1) as f64;
-            enough && others + 1 >= least && each < BUSY * RELIEF
+            others + 1 >= least && each < BUSY * RELIEF
         });
         spared.min_by(|left, right| self.loss(left).total_cmp(&self.loss(right)))
     }
@@ -292,19 +288,28 @@
         runner: &'book runner::Runner,
         coming: &id::Model,
     ) -> Option<&'book id::Model> {
-        let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
-        let needed = size(coming)?;
-        let free = runner.free(self.engine);
         let gain = self.gain(coming);
-        let fitting = runner.models.iter().filter(|model| {
-            let enough = free + size(model).unwrap_or_default() >= needed;
+        let fitting = self.fitting(runner, coming).filter(|model| {
             let returns = runner.stored.contains(*model) && self.work(model) < IDLE;
-            enough && (returns || self.count_elsewhere(name, model) > 0)
+            returns || self.count_elsewhere(name, model) > 0
         });
         let cheapest = fitting.min_by(|left, right| self.loss(left).total_cmp(&self.loss(right)));
         cheapest.filter(|model| self.loss(model) < gain * WORTH)
     }
 
+    /// Models at a runner of which any makes room enough for the one that comes.
+    fn fitting(
+        &self,
+        runner: &'book runner::Runner,
+        coming: &id::Model,
+    ) -> impl Iterator<Item = &'book id::Model> {
+        let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
+        let needed = size(coming).unwrap_or(u64::MAX);
+        let free = runner.free(self.engine);
+        let models = runner.models.iter();
+        models.filter(move |model| free + size(model).unwrap_or_default() >= needed)
+    }
+
     /// Confirmed copies at other runners; one that is only on its way may fail.
     fn count_elsewhere(&self, name: &id::Endpoint, model: &id::Model) -> usize {
         let others = self.runners.iter().filter(|(other, _)| *other != name);
--- a/crates/cranberrygap-policy/src/limits/amount.rs
+++ b/crates/cranberrygap-policy/src/limits/amount.rs
@@ -118,3 +118,14 @@
         Self(self.0.saturating_sub(other.0))
     }
 }
+
+/// The whole tokens that cover a number which is not negative.
+pub(super) fn covering(tokens: f64) -> token::Count {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the float is not negative and the conversion saturates"
+    )]
+    let count = tokens.ceil().max(0.0) as u64;
+    token::Count(count)
+}
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -5,7 +5,7 @@
 use cranberrygap_model::{duration, id, number, token};
 use cranberrygap_wire::share;
 
-use super::amount::{Amount, Flow};
+use super::amount::{self, Amount, Flow};
 use super::lender::{self, Lender};
 use super::{LEASE, Limit, PERIOD};
 
@@ -301,7 +301,7 @@
             0.0
         };
         let has = demand.lent.0 as f64;
-        Amount::from_count(whole((useful - has).max(0.0).min(rich)))
+        Amount::from_count(amount::covering((useful - has).max(0.0).min(rich)))
     }
 
     /// Drops shares whose lease has run out for certain; their tokens are spent.
@@ -462,7 +462,7 @@
             wanted_rate,
             TOLERANCE,
         )));
-        let cap = whole(settle(held.cap.as_f64(), wanted_cap, CAP_TOLERANCE));
+        let cap = amount::covering(settle(held.cap.as_f64(), wanted_cap, CAP_TOLERANCE));
         Part {
             number: held.number,
             rate: rate.min(self.rate.minus(others_rate)),
@@ -519,13 +519,3 @@
     }
     new
 }
-
-fn whole(tokens: f64) -> token::Count {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the float is not negative and the conversion saturates"
-    )]
-    let count = tokens.ceil().max(0.0) as u64;
-    token::Count(count)
-}
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -3,7 +3,7 @@
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_wire::share;
 
-use super::amount::{Amount, Flow};
+use super::amount::{self, Amount, Flow};
 use super::holder::LEAST_GAP;
 use super::lender::LIFE;
 use super::line::{Line, Outlook};
@@ -138,7 +138,7 @@
             room: self.aside.whole(),
             share: self.share,
             first: self.short.0.covering(),
-            usual: whole(self.usual),
+            usual: amount::covering(self.usual),
             lent: self.loans.kept().covering(),
             unlent: unlent.whole(),
         }
@@ -289,13 +289,3 @@
         self.measured = now;
     }
 }
-
-fn whole(tokens: f64) -> token::Count {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the float is not negative and the conversion saturates"
-    )]
-    let count = tokens.ceil().max(0.0) as u64;
-    token::Count(count)
-}
--- a/crates/cranberrygap-routing/src/prompt/engine.rs
+++ b/crates/cranberrygap-routing/src/prompt/engine.rs
@@ -4,9 +4,9 @@
 
 use super::{pace, tally, window};
 
-/// Part of its shared tokens that a session is taken to find at the engine that it
+/// Part of its shared tokens, in tenths, that a session is taken to find at the engine that it
 /// belongs to, while this entry has not sent it there itself.
-const LIKELY_KEPT: f64 = 0.6;
+const LIKELY_KEPT_TENTHS: u64 = 6;
 
 /// Weight of a recent failure: it counts like a wait of so long.
 const FAILURE: duration::Span = duration::Span::from_millis(400);
@@ -121,7 +121,7 @@
         } else {
             CROWDED.0
         };
-        let failing = scale(FAILURE.0, candidate.failing);
+        let failing = FAILURE.scaled(candidate.failing).0;
         let cost = first_event.0 + candidate.recent.0 + far + fetch + crowded + failing;
         let choice = Choice {
             endpoint: candidate.endpoint.clone(),
@@ -143,19 +143,9 @@
 
 fn fresh(wanted: &Wanted, candidate: &Candidate<'_>) -> u64 {
     let likely = if candidate.home {
-        scale(wanted.shared, LIKELY_KEPT)
+        wanted.shared * LIKELY_KEPT_TENTHS / 10
     } else {
         0
     };
     wanted.prompt.saturating_sub(candidate.kept.max(likely))
 }
-
-fn scale(amount: u64, factor: f64) -> u64 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a part of a positive number"
-    )]
-    let scaled = (amount as f64 * factor.clamp(0.0, 1.0)) as u64;
-    scaled
-}
