--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -40,10 +40,10 @@
 /// Time between two looks for such an engine.
 const FREE_LOOK: duration::Span = duration::Span::from_millis(15);
 
-/// Part of the time for which its caller waits for a first sign, one in so many, for which
-/// a request waits for an engine that will serve it late. With all of that time the oldest
-/// requests took the places, and their callers left while their prompts were read.
-const LATE_PART: u64 = 2;
+/// Longest time for which a request waits for an engine that will serve it late. Callers
+/// leave after 2.4 s to 3.2 s without a sign; of the longer waits many end with a prompt
+/// that is read for nobody.
+const LATE_WAIT: duration::Span = duration::Span::from_millis(1_500);
 
 /// Time between its looks; those that can still be in time look more often.
 const LATE_LOOK: duration::Span = duration::Span::from_millis(40);
@@ -180,9 +180,7 @@
         let objective = self.resolved.route.objective;
         let wait = duration::Span(objective.0 / FREE_PART).min(FREE_WAIT);
         let until = self.facts.arrived.after(wait);
-        let arrived = self.facts.arrived;
-        let silence = self.facts.silence_ends(&self.resolved.route).since(arrived);
-        let end = arrived.after(duration::Span(silence.0 / LATE_PART));
+        let end = self.facts.arrived.after(LATE_WAIT);
         let end = end.min(self.last_start(model));
         let mut waits_for = "";
         loop {
