Refuse a subscriber in time that this process cannot serve

Cause: subscribers wait 0.7 s for a first frame now, and a control process that lags waited 1 s before it said so; subscriber_is_never_served_less_than_it_has_seen was red. Change: it says so after 0.4 s. Ruled out: a longer wait of subscribers, which holds up views behind a frozen process.

--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -18,8 +18,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// Time that a subscriber waits for this process to catch up with what the
-/// subscriber has already seen elsewhere.
-const CATCH_UP: Duration = Duration::from_secs(1);
+/// subscriber has already seen elsewhere. Below the time that a subscriber waits for a
+/// first frame; it asks another process after that.
+const CATCH_UP: Duration = Duration::from_millis(400);
 
 /// Time between looks while catching up.
 const LOOK: Duration = Duration::from_millis(20);
