Look up a pace once, and a load's time only without a copy

Cause: each look for an engine, every 15 ms for a request that waits, took the lock on the paces twice and searched the plan for the time of a load that only a missing copy needs. Change: the pace is passed on, the time of a load is worked out after the first look has found no copy; the cause of a failure is matched in one place. Behaviour is the same. Ruled out: nothing.

--- a/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/aim.rs
@@ -257,6 +257,9 @@
     async fn seat(&self, model: &id::Model, late: bool) -> Result<endpoints::Seat, Failure> {
         let endpoints = &self.gateway.core.endpoints;
         let begun = self.now();
+        if let Some(seat) = endpoints.seat(begun, &self.query(model, false, late)) {
+            return Ok(seat);
+        }
         let last = self.last_start(model);
         let copy = begun.after(self.load_time(model)).after(MAKE_ROOM);
         // Whoever has time for a load waits for it; others for a copy that is near.
@@ -267,16 +270,16 @@
         };
         loop {
             let now = self.now();
-            let query = self.query(model, false, late);
-            if let Some(seat) = endpoints.seat(now, &query) {
-                return Ok(seat);
-            }
             let hopeless = !self.tried.is_empty() || !endpoints.serves(&self.resolved.service);
             if hopeless || now >= until {
                 let wait = copy.since(now).max(FULL_WAIT);
                 return Err(self.no_endpoint(wait, "no engine holds the model"));
             }
             tokio::time::sleep(COPY_LOOK.to_std()).await;
+            let query = self.query(model, false, late);
+            if let Some(seat) = endpoints.seat(self.now(), &query) {
+                return Ok(seat);
+            }
         }
     }
 
@@ -297,6 +300,7 @@
         only_ready: bool,
         late: bool,
     ) -> endpoints::Query<'request> {
+        let pace = self.pace(model);
         endpoints::Query {
             service: &self.resolved.service,
             model,
@@ -304,9 +308,9 @@
             chain: &self.facts.chain,
             rank: self.resolved.rank(),
             prompt: self.prompt(),
-            room: self.room(model, late),
+            room: self.room(&pace, late),
             grace: self.grace(),
-            pace: self.pace(model),
+            pace,
             slots: self.resolved.slots,
             tried: &self.tried,
             only_ready,
@@ -314,11 +318,11 @@
     }
 
     /// Reading that an engine may get within the pause that its streams allow.
-    fn room(&self, model: &id::Model, late: bool) -> duration::Span {
+    fn room(&self, pace: &pace::Pace, late: bool) -> duration::Span {
         const ANY: duration::Span = duration::Span(u64::MAX);
         let rank = self.resolved.rank().min(TAKEN.len() - 1);
         let part = if late { TAKEN_LATE } else { TAKEN[rank] };
-        let event = self.pace(model).event();
+        let event = pace.event();
         self.resolved.route.pause.map_or(ANY, |pause| {
             duration::Span(pause.scaled(part).0.saturating_sub(event.0))
         })
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -86,8 +86,7 @@
     pub(crate) fn cause(&self) -> &str {
         match self {
             Self::Malformed(cause) => cause,
-            Self::NoEndpoint { cause, .. } | Self::Broken(cause) => cause,
-            _ => "",
+            _ => self.static_cause(),
         }
     }
 
