Say what became of votes, what was read at the start, and when a view is behind

A control process now says each vote asked, granted and refused with the reason, and what it read from its folder; an entry says once when its view falls behind the leader and once when it caught up, with source, revisions and lease, and serves a histogram of the view's age at each decision.

--- a/crates/cranberrygap-agreement/src/lib.rs
+++ b/crates/cranberrygap-agreement/src/lib.rs
@@ -5,6 +5,7 @@
 //! changes one at a time, and snapshots in chunks. [`node::Node`] takes an
 //! input with the time and gives outputs; a driver writes, sends and applies.
 
+pub mod ballot;
 pub mod change;
 pub mod entry;
 pub mod formation;
--- a/crates/cranberrygap-agreement/src/node/election.rs
+++ b/crates/cranberrygap-agreement/src/node/election.rs
@@ -5,7 +5,7 @@
 use cranberrygap_model::{duration, number};
 
 use super::Node;
-use crate::{entry, message, position, progress, replica, role};
+use crate::{ballot, entry, message, output, position, progress, replica, role};
 
 impl Node {
     pub(super) fn become_follower(
@@ -56,6 +56,10 @@
         let granted = BTreeSet::from([self.id]);
         self.role = role::Role::PreCandidate { granted };
         let last = self.log.last();
+        self.tell(ballot::Ballot::Asked(
+            ballot::Kind::Pre,
+            self.hard.term.next(),
+        ));
         for voter in self.other_voters() {
             self.send(voter, message::Body::PreVote { last });
         }
@@ -70,6 +74,7 @@
             own: Some(self.next_ticket),
         };
         let last = self.log.last();
+        self.tell(ballot::Ballot::Asked(ballot::Kind::Real, self.hard.term));
         for voter in self.other_voters() {
             self.send_durable(voter, message::Body::Vote { last, forced });
         }
@@ -90,6 +95,16 @@
         let current = last >= self.log.last();
         let granted = request.term >= self.hard.term && current && !protected;
         let asked = request.term.next();
+        let refusal = if granted {
+            None
+        } else if protected {
+            Some(ballot::Reason::Loyal)
+        } else if request.term < self.hard.term {
+            Some(ballot::Reason::OldTerm(self.hard.term))
+        } else {
+            Some(self.behind(last))
+        };
+        self.tell_vote(ballot::Kind::Pre, request.from, asked, refusal);
         self.send(request.from, message::Body::PreVoted { granted, asked });
         // A learner was sent entries by a leader that died before any voter had
         // them. A candidate whose log says that it votes needs its vote, but
@@ -138,9 +153,41 @@
                 self.set_hard(self.hard.term, Some(from));
             }
         }
+        let refusal = if granted {
+            None
+        } else if free {
+            Some(self.behind(last))
+        } else {
+            Some(ballot::Reason::Given(self.leader.or(self.hard.vote)))
+        };
+        self.tell_vote(ballot::Kind::Real, from, self.hard.term, refusal);
         self.send_durable(from, message::Body::Voted { granted });
     }
 
+    /// Says what became of a request for a vote. Without it nobody could tell later why
+    /// a term got no leader.
+    pub(super) fn tell_vote(
+        &mut self,
+        kind: ballot::Kind,
+        from: replica::Id,
+        term: number::Term,
+        refusal: Option<ballot::Reason>,
+    ) {
+        self.tell(match refusal {
+            None => ballot::Ballot::Granted(kind, from, term),
+            Some(reason) => ballot::Ballot::Refused(kind, from, term, reason),
+        });
+    }
+
+    fn behind(&self, theirs: position::Position) -> ballot::Reason {
+        let own = self.log.last();
+        ballot::Reason::Behind { own, theirs }
+    }
+
+    fn tell(&mut self, ballot: ballot::Ballot) {
+        self.outputs.push(output::Output::Ballot(ballot));
+    }
+
     pub(super) fn voted(&mut self, now: duration::Instant, from: replica::Id, given: bool) {
         let role::Role::Candidate { granted, .. } = &mut self.role else {
             return;
--- a/crates/cranberrygap-agreement/src/output.rs
+++ b/crates/cranberrygap-agreement/src/output.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{entry, message, position, replica, snapshot, write};
+use crate::{ballot, entry, message, position, replica, snapshot, write};
 
 /// Why a proposal or change was not taken.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -67,4 +67,6 @@
     Taken(position::Position),
     /// The proposals, the change or the transfer were refused.
     Refused(Refusal),
+    /// A vote was asked for, given or refused; for the log of events only.
+    Ballot(ballot::Ballot),
 }
--- a/crates/cranberrygap-bench/src/soak/agreement/carry.rs
+++ b/crates/cranberrygap-bench/src/soak/agreement/carry.rs
@@ -97,7 +97,7 @@
                 let index = snapshot.position.index;
                 self.check.applied(index, &running.machine)?;
             }
-            output::Output::Taken(_) | output::Output::Refused(_) => {}
+            output::Output::Taken(_) | output::Output::Refused(_) | output::Output::Ballot(_) => {}
         }
         Ok(())
     }
--- a/crates/cranberrygap-control/src/replica/core.rs
+++ b/crates/cranberrygap-control/src/replica/core.rs
@@ -62,6 +62,14 @@
 impl Core {
     pub(super) fn new(parts: Parts, recovered: recovered::Recovered) -> Self {
         let own = recovered.identity.replica;
+        let snapshot = recovered.snapshot.as_ref();
+        spdlog::info!(
+            "agreement: read {} entries after entry {}, term {}, vote {:?}",
+            recovered.entries.len(),
+            snapshot.map_or(0, |found| found.position.index.0),
+            recovered.hard.term,
+            recovered.hard.vote.map(|id| id.to_string())
+        );
         let formed = recovered.identity.formed.clone();
         let phase = match &formed {
             Some(formed) => {
@@ -218,6 +226,7 @@
             output::Output::Send(message) => self.send(message),
             output::Output::Apply(entries) => self.apply(entries),
             output::Output::Restore(snapshot) => self.restore(&snapshot),
+            output::Output::Ballot(ballot) => spdlog::info!("agreement: {ballot}"),
             // Both are read by the callers that expect them.
             output::Output::Taken(_) | output::Output::Refused(_) => {}
         }
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -30,6 +30,7 @@
     core: Arc<core::Core>,
     confirmed: number::Revision,
     reached: bool,
+    behind: bool,
 }
 
 impl Heartbeat {
@@ -39,6 +40,7 @@
             core,
             confirmed: number::Revision::default(),
             reached: false,
+            behind: false,
         }
     }
 
@@ -84,6 +86,7 @@
                 self.core.view.confirm(sent, &confirmed);
                 self.confirmed = message.revision;
                 self.note(true, "");
+                self.note_standing();
             }
             Err(cause) => {
                 self.core.announcements.restore(batch);
@@ -107,6 +110,19 @@
         self.reached = reached;
     }
 
+    /// Says once that the view is behind the leader, and once that it is not any more.
+    fn note_standing(&mut self) {
+        let standing = self.core.view.standing();
+        let behind = standing.behind.is_some();
+        if behind && !self.behind {
+            warn!("view: is behind: {standing}");
+        }
+        if !behind && self.behind {
+            info!("view: caught up: {standing}");
+        }
+        self.behind = behind;
+    }
+
     fn message(&self, batch: &announce::Batch, demands: Vec<view::Demand>) -> view::Confirm {
         let core = &self.core;
         // An entry that has just started, or was cut off, has no lease yet and
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -66,6 +66,7 @@
             "view: follows {} from revision {}",
             peer.instance, wanted.revision
         );
+        self.core.view.follow(peer.instance.clone());
         loop {
             // A connection that something between the ends has forgotten stays open
             // and silent. The view would grow stale without any error; the missing
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -284,6 +284,9 @@
 pub(crate) fn serving_view(gateway: &Gateway) -> Result<Arc<view::Snapshot>, Failure> {
     let now = gateway.core.now();
     let view = gateway.core.view.current(now);
+    gateway
+        .core
+        .time(metric::VIEW_AGE, gateway.core.view.age(now));
     view.ok_or_else(|| no_view(gateway.core.view.wait(now)))
 }
 
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -31,9 +31,17 @@
 pub(crate) const GATEWAY_SENDS: &str = "gateway_sends";
 /// Time to the first event of a stream.
 pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
+/// Time since the view was last known to be the newest.
+pub(crate) const VIEW_AGE: &str = "view_age";
 
 /// Metrics of the gateway, which entries without a traffic plan do not send.
-pub const GATEWAY: [Metric; 4] = [
+pub const GATEWAY: [Metric; 5] = [
+    Metric {
+        name: VIEW_AGE,
+        kind: "ms",
+        unit: "milliseconds",
+        meaning: "time since the view was last known to be the newest, when a request is decided",
+    },
     Metric {
         name: GATEWAY_REQUESTS,
         kind: "c",
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -2,16 +2,18 @@
 
 mod outlook;
 mod snapshot;
+mod standing;
 pub mod traffic;
 
 use std::sync::Arc;
 
-use cranberrygap_model::{duration, number};
+use cranberrygap_model::{duration, id, number};
 use cranberrygap_wire::view;
 use parking_lot::RwLock;
 
 pub use outlook::{Absence, Outlook};
 pub use snapshot::Snapshot;
+pub use standing::Standing;
 
 /// The view and the lease under which it may be used.
 #[derive(Debug, Default)]
@@ -27,6 +29,10 @@
     committed: number::Revision,
     /// Since when it is known that the leader had committed more than is held here.
     behind: Option<duration::Instant>,
+    /// Control process that the view is followed from.
+    source: Option<id::Instance>,
+    /// When the view was last known to be all that the leader had committed.
+    newest: duration::Instant,
     outlook: Outlook,
 }
 
@@ -82,6 +88,29 @@
             .map_or_else(number::Revision::default, |s| s.revision())
     }
 
+    /// Notes from which control process frames come from now on.
+    pub fn follow(&self, source: id::Instance) {
+        self.inner.write().source = Some(source);
+    }
+
+    /// Time at `now` since the view was last known to be the newest.
+    pub fn age(&self, now: duration::Instant) -> duration::Span {
+        now.since(self.inner.read().newest)
+    }
+
+    /// Where the view stands, for the log.
+    pub fn standing(&self) -> Standing {
+        let inner = self.inner.read();
+        let held = inner.snapshot.as_ref();
+        Standing {
+            source: inner.source.clone(),
+            revision: held.map_or_else(number::Revision::default, |held| held.revision()),
+            committed: inner.committed,
+            behind: inner.behind,
+            lease_end: inner.lease_end,
+        }
+    }
+
     /// End of the lease.
     pub fn lease_end(&self) -> duration::Instant {
         self.inner.read().lease_end
@@ -142,6 +171,8 @@
         inner.committed = inner.committed.max(confirmed.revision);
         if held < inner.committed {
             inner.behind.get_or_insert(sent);
+        } else {
+            inner.newest = inner.newest.max(sent);
         }
         if lags {
             return;
