Show that a leader with a long log to apply goes silent and is replaced

Seen: 8 s without service after a loss of all power, two leaders in turn that used their whole share of a core for 2.4 and 2.6 s and sent nothing.

--- a/crates/cranberrygap-control/tests/replica.rs
+++ b/crates/cranberrygap-control/tests/replica.rs
@@ -202,3 +202,35 @@
     };
     assert_eq!(refused, Err(expected));
 }
+
+// All instances lose power after hundreds of large changes, on instances with a small part
+// of a core. Entries are refused for seconds after everything is back, by one leader after
+// the other: each goes silent for longer than an election right after it was elected, and
+// is replaced by the next, which goes silent too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leader_with_a_long_log_to_apply_stays_the_leader() {
+    const CHANGES: usize = 300;
+    const SIZE: usize = 20 << 10;
+    // One election may be split and need a second term.
+    const MOST_TERMS: u64 = 2;
+    let mut group = support::group(3, NO_SNAPSHOT);
+    let running = group.start_all();
+    for _ in 0..CHANGES {
+        support::commit(&running, &"x".repeat(SIZE)).await;
+    }
+    let before = support::await_leader(&running).await.replica.status().term;
+    for one in &running {
+        one.replica.stop().await;
+    }
+    drop(running);
+    group.pace = std::time::Duration::from_millis(10);
+
+    let mut back = Vec::new();
+    for peer in &group.voters {
+        back.push(support::reopen(&group, peer).await);
+    }
+    let leader = support::await_leader(&back).await;
+
+    let terms = leader.replica.status().term.0 - before.0;
+    assert!(terms <= MOST_TERMS, "{terms} terms until one leads");
+}
--- a/crates/cranberrygap-control/tests/support/mod.rs
+++ b/crates/cranberrygap-control/tests/support/mod.rs
@@ -20,10 +20,15 @@
 #[derive(Debug, Default)]
 pub struct Recorder {
     pub payloads: Mutex<Vec<Bytes>>,
+    /// Time that one entry takes.
+    pub pace: Duration,
 }
 
 impl machine::Machine for Recorder {
     fn apply(&self, _index: number::Index, payload: &[u8]) -> Bytes {
+        if !self.pace.is_zero() {
+            std::thread::sleep(self.pace);
+        }
         let mut payloads = self.payloads.lock();
         payloads.push(Bytes::copy_from_slice(payload));
         Bytes::from(payloads.len().to_string())
@@ -102,6 +107,8 @@
     pub root: tempfile::TempDir,
     pub snapshot_after: u64,
     pub trailing: u64,
+    /// Time that the state machines take for one entry.
+    pub pace: Duration,
 }
 
 pub fn peer(number: usize) -> address::Peer {
@@ -117,6 +124,7 @@
         root: tempfile::tempdir().unwrap(),
         snapshot_after,
         trailing: limits::Limits::default().trailing,
+        pace: Duration::ZERO,
     }
 }
 
@@ -141,7 +149,10 @@
                 ..limits::Limits::default()
             })
             .build();
-        let recorder = Arc::new(Recorder::default());
+        let recorder = Arc::new(Recorder {
+            pace: self.pace,
+            ..Recorder::default()
+        });
         let line = Line {
             own: peer.clone(),
             network: Arc::clone(&self.network),
