--- a/crates/cranberrygap-agreement/src/node/follower.rs
+++ b/crates/cranberrygap-agreement/src/node/follower.rs
@@ -196,8 +196,20 @@
         self.snapshot = Some(Arc::clone(&snapshot));
         self.dirty.snapshot = Some(snapshot);
         let keep = index.0.saturating_sub(self.limits.trailing);
-        if keep > self.log.base().index.0 {
-            self.log.compact(number::Index(keep));
+        let keep = self.within_bytes(number::Index(keep), index);
+        if keep > self.log.base().index {
+            self.log.compact(keep);
         }
     }
+
+    /// The index after which the entries up to `last` fit into what may be kept.
+    fn within_bytes(&self, first: number::Index, last: number::Index) -> number::Index {
+        let mut size = 0;
+        let kept = self.log.slice(first.next(), last).iter().rev();
+        let fitting = kept.take_while(|entry| {
+            size += entry.size();
+            size <= self.limits.trailing_bytes
+        });
+        number::Index(last.0 - fitting.count() as u64)
+    }
 }
--- a/crates/cranberrygap-control/src/replica.rs
+++ b/crates/cranberrygap-control/src/replica.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 pub use error::Error;
-pub use settings::Settings;
+pub use settings::{SNAPSHOT_BYTES, Settings};
 pub use standing::Standing;
 
 use crate::{log, machine, transport};
--- a/crates/cranberrygap-control/src/replica/core.rs
+++ b/crates/cranberrygap-control/src/replica/core.rs
@@ -26,6 +26,10 @@
 /// below.
 const LONG_BACKLOG: u64 = 64;
 
+/// Bytes of entries for each byte of a snapshot, so that writing snapshots stays a small
+/// part of writing the log.
+const SNAPSHOT_COST: u64 = 4;
+
 /// What the task is built from.
 pub(super) struct Parts {
     pub(super) settings: Settings,
@@ -65,6 +69,10 @@
     backlog: u64,
     /// Whether it was said that many wait.
     lags: bool,
+    /// Bytes of entries applied since the last snapshot.
+    applied: u64,
+    /// Size of the last snapshot that was taken here, in bytes.
+    snapshot: u64,
 }
 
 impl Core {
@@ -78,6 +86,7 @@
             recovered.hard.term,
             recovered.hard.vote.map(|id| id.to_string())
         );
+        let covered = snapshot.map_or(0, |found| found.data.len() as u64);
         let formed = recovered.identity.formed.clone();
         let phase = match &formed {
             Some(formed) => {
@@ -111,6 +120,8 @@
             led: false,
             backlog: 0,
             lags: false,
+            applied: 0,
+            snapshot: covered,
         }
     }
 
@@ -271,6 +282,7 @@
 
     fn apply(&mut self, entries: Vec<entry::Entry>) {
         for entry in entries {
+            self.applied += entry.size() as u64;
             let answer = match &entry.payload {
                 entry::Payload::Data(data) => self.parts.machine.apply(entry.position.index, data),
                 entry::Payload::Empty | entry::Payload::Members(_) => Bytes::new(),
@@ -281,6 +293,8 @@
 
     fn restore(&mut self, snapshot: &snapshot::Snapshot) {
         let index = snapshot.position.index;
+        self.applied = 0;
+        self.snapshot = snapshot.data.len() as u64;
         spdlog::info!("agreement: takes a snapshot up to entry {index} from the leader");
         if let Err(cause) = self.parts.machine.restore(index, &snapshot.data) {
             self.fail(&format!(
@@ -315,10 +329,17 @@
         };
         let index = node.applied();
         let since = index.0.saturating_sub(node.snapshot_position().index.0);
-        if since < self.parts.settings.snapshot_after {
+        let settings = &self.parts.settings;
+        // A whole plan is an entry of tens of kilobytes that replaces the one before; by
+        // their number alone hundreds of them would be read and applied at each start. A
+        // snapshot costs what it holds, so a large one is taken less often.
+        let enough = settings.snapshot_bytes.max(self.snapshot * SNAPSHOT_COST);
+        if since < settings.snapshot_after && self.applied < enough {
             return;
         }
         let data = self.parts.machine.snapshot();
+        self.applied = 0;
+        self.snapshot = data.len() as u64;
         spdlog::debug!(
             "agreement: snapshot of {} bytes up to entry {index}",
             data.len()
--- a/crates/cranberrygap-control/src/replica/settings.rs
+++ b/crates/cranberrygap-control/src/replica/settings.rs
@@ -9,6 +9,10 @@
 /// snapshot itself is a few megabytes.
 const SNAPSHOT_AFTER: u64 = 5_000;
 
+/// Bytes of entries after which a snapshot is taken, however few they are. A restart applies
+/// no more than about these, 0.1 s of a core; the smallest instances have a tenth of one.
+pub const SNAPSHOT_BYTES: u64 = 1 << 20;
+
 /// Settings of a replica.
 #[derive(Debug, Clone, bon::Builder)]
 pub struct Settings {
@@ -31,4 +35,7 @@
     /// Entries after which a snapshot is taken.
     #[builder(default = SNAPSHOT_AFTER)]
     pub snapshot_after: u64,
+    /// Bytes of entries after which a snapshot is taken.
+    #[builder(default = SNAPSHOT_BYTES)]
+    pub snapshot_bytes: u64,
 }
--- a/crates/cranberrygap-control/tests/replica.rs
+++ b/crates/cranberrygap-control/tests/replica.rs
@@ -3,8 +3,10 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
+
 use bytes::Bytes;
-use cranberrygap_control::{log, log::Log};
+use cranberrygap_control::{log, log::Log, replica};
 
 const NO_SNAPSHOT: u64 = u64::MAX;
 
@@ -237,3 +239,33 @@
     let terms = leader.replica.status().term.0 - before.0;
     assert!(terms <= MOST_TERMS, "{terms} terms until one leads");
 }
+
+// Operators send large changes all day; the count of entries after which the log was
+// shortened was never reached. After a loss of power each control process read and applied
+// megabytes of changes that were long replaced, seconds on a small part of a core, before
+// entries got a view. Shown by the start of such a process, which took 0.7 s to its first
+// line, while one with an empty folder took 0.05 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn log_of_large_changes_is_shortened_by_its_size() {
+    const CHANGES: usize = 300;
+    const SIZE: usize = 20 << 10;
+    const MOST_READ: usize = 4 << 20;
+    let mut group = support::group(1, NO_SNAPSHOT);
+    group.keeps_last = true;
+    group.snapshot_bytes = replica::SNAPSHOT_BYTES;
+    let running = group.start_all();
+    for _ in 0..CHANGES {
+        support::commit(&running, &"x".repeat(SIZE)).await;
+    }
+    running[0].replica.stop().await;
+    drop(running);
+
+    let again = support::reopen(&group, &group.voters[0]).await;
+    support::await_leader(std::slice::from_ref(&again)).await;
+
+    let applied = again.recorder.applied.load(Ordering::SeqCst);
+    assert!(
+        applied * SIZE <= MOST_READ,
+        "{applied} entries are applied again"
+    );
+}
--- a/crates/cranberrygap-control/tests/support/mod.rs
+++ b/crates/cranberrygap-control/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -22,6 +22,10 @@
     pub payloads: Mutex<Vec<Bytes>>,
     /// Time that one entry takes.
     pub pace: Duration,
+    /// Whether only the last payload is kept, as where each change replaces the one before.
+    pub keeps_last: bool,
+    /// Entries applied since the start.
+    pub applied: AtomicUsize,
 }
 
 impl machine::Machine for Recorder {
@@ -29,7 +33,11 @@
         if !self.pace.is_zero() {
             std::thread::sleep(self.pace);
         }
+        self.applied.fetch_add(1, Ordering::SeqCst);
         let mut payloads = self.payloads.lock();
+        if self.keeps_last {
+            payloads.clear();
+        }
         payloads.push(Bytes::copy_from_slice(payload));
         Bytes::from(payloads.len().to_string())
     }
@@ -106,9 +114,12 @@
     pub voters: Vec<address::Peer>,
     pub root: tempfile::TempDir,
     pub snapshot_after: u64,
+    pub snapshot_bytes: u64,
     pub trailing: u64,
     /// Time that the state machines take for one entry.
     pub pace: Duration,
+    /// Whether they keep the last payload only.
+    pub keeps_last: bool,
 }
 
 pub fn peer(number: usize) -> address::Peer {
@@ -123,8 +134,10 @@
         voters: (1..=voters).map(peer).collect(),
         root: tempfile::tempdir().unwrap(),
         snapshot_after,
+        snapshot_bytes: u64::MAX,
         trailing: limits::Limits::default().trailing,
         pace: Duration::ZERO,
+        keeps_last: false,
     }
 }
 
@@ -144,6 +157,7 @@
             .voters(self.voters.clone())
             .folder(self.folder(peer))
             .snapshot_after(self.snapshot_after)
+            .snapshot_bytes(self.snapshot_bytes)
             .limits(limits::Limits {
                 trailing: self.trailing,
                 ..limits::Limits::default()
@@ -151,6 +165,7 @@
             .build();
         let recorder = Arc::new(Recorder {
             pace: self.pace,
+            keeps_last: self.keeps_last,
             ..Recorder::default()
         });
         let line = Line {
--- a/crates/cranberrygap-storage/src/folder.rs
+++ b/crates/cranberrygap-storage/src/folder.rs
@@ -7,7 +7,7 @@
 
 /// Size from which a new segment is begun, in bytes. Bounds how much of the log
 /// a restart reads that a snapshot already covers.
-const SEGMENT_SIZE: u64 = 4 << 20;
+const SEGMENT_SIZE: u64 = 1 << 20;
 
 /// Largest frame that is written, in bytes; a larger batch takes several syncs.
 const FRAME_SIZE: usize = 8 << 20;
