Acknowledge a change once no entry can outlast it by its lease

Callers were refused by, or served under, a plan that a confirmed one had replaced more than two seconds before. A change was acknowledged at its commit; that entries have it in time rested on the sum of heartbeat, lag, lease and election. An entry whose source stood still, and whose leader failed right after its answer, kept its lease of 2.4 s.

The leader now answers once each entry has confirmed the revision or its lease has 1.5 s left at most, and gives no lease to a view older than what it has acknowledged. Leases of the leader before are counted too for an entry that was heard once without getting one. The same wait holds the answer to an endpoint that leaves: told that it may go while an entry still sends it work, it would end with callers' requests.

Ruled out: a shorter lease (with 0.5 s between heartbeats two lost ones would stop entries that are well), and waiting for all entries without allowance (one dead entry would hold each change for 2.4 s).

--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -59,6 +59,7 @@
     pub since: BTreeMap<replica::Id, duration::Instant>,
     /// Heartbeats that wait until their sender is known.
     pub confirms: Vec<Waiting>,
+    pub leads: bool,
     pub next_heartbeat: u64,
     pub next_tend: u64,
     pub next_hello: u64,
@@ -85,6 +86,7 @@
 pub struct Effects {
     pub sends: Vec<(Place, Packet)>,
     pub writes: Vec<write::Write>,
+    pub notes: Vec<String>,
 }
 
 impl Control {
@@ -114,6 +116,7 @@
             newcomers: BTreeMap::new(),
             since: BTreeMap::new(),
             confirms: Vec::new(),
+            leads: false,
             next_heartbeat: 0,
             next_tend: 0,
             next_hello: 0,
@@ -137,9 +140,17 @@
                         running.apply(&entry, hung, &mut effects);
                     }
                 }
+                output::Output::Ballot(ballot) => effects.notes.push(ballot.to_string()),
                 _ => {}
             }
         }
+        let leads = running.node.is_leader();
+        if leads != running.leads {
+            running.leads = leads;
+            let term = running.node.hard().term;
+            let change = if leads { "leads" } else { "leads no more" };
+            effects.notes.push(format!("{change} in term {term}"));
+        }
         if !running.node.is_leader() {
             running.pending.clear();
             running.confirms.clear();
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -32,7 +32,7 @@
 /// Bytes that a cut holds up for longer are lost with their connection.
 const HELD: u64 = 1_500_000;
 const ENTRIES: usize = 4;
-const TRACE: usize = 60;
+const TRACE: usize = 90;
 
 #[derive(Debug)]
 enum Event {
@@ -216,6 +216,9 @@
         for (to, packet) in effects.sends {
             self.send(Place::Control(place), to, packet);
         }
+        for note in effects.notes {
+            self.note(&format!("control {place} {note}"));
+        }
         for write in effects.writes {
             let control = &mut self.controls[place];
             let sync = self.rng.random_range(200..8_000);
@@ -433,13 +436,13 @@
         let pending = std::mem::take(&mut running.pending);
         let mut done = Vec::new();
         for one in pending {
-            let settled = one.revision.is_some_and(|revision| {
-                let office = running.office.as_ref();
-                flaw == Flaw::AcknowledgedAtCommit
-                    || office.is_some_and(|office| {
-                        office.may_acknowledge(clock, revision, &running.fleet)
-                    })
-            });
+            let fleet = &running.fleet;
+            let office = running.office.as_mut();
+            let settled = match (one.revision, office) {
+                (Some(_), _) if flaw == Flaw::AcknowledgedAtCommit => true,
+                (Some(revision), Some(office)) => office.acknowledge(clock, revision, fleet),
+                _ => false,
+            };
             if settled || flaw == Flaw::AcknowledgedBeforeQuorum {
                 done.push(one);
             } else {
@@ -510,6 +513,11 @@
             source: "".into(),
         };
         self.propose(place, command::Command::Traffic(Box::new(step)));
+        // A leader that hands over refuses it.
+        if let Some(running) = &mut self.controls[place].running {
+            let last = running.node.log().last().index;
+            running.pending.retain(|one| one.index <= last);
+        }
     }
 
     fn poll_entries(&mut self) -> Result<(), String> {
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -18,7 +18,10 @@
 
 // Control processes stand still, hang, or are cut off in one direction, and before that is
 // over the leader fails too. Callers were refused by entries for which a confirmed change
-// did not exist yet, up to 2.2 s after it was confirmed.
+// did not exist yet, up to 2.2 s after it was confirmed. The cause was an acknowledgement
+// at the commit: that entries have the change two seconds later rested on a sum of the
+// protocol's timers, which two faults at once pass. Shown by this run, which broke on one
+// seed in six, and breaks again with an acknowledgement at the commit.
 #[test]
 fn change_is_in_force_two_seconds_after_its_acknowledgement() {
     for seed in [46, 56, 4] {
@@ -32,7 +35,7 @@
 // leads for the rest of the day, and no entry serves.
 #[test]
 fn service_is_back_after_the_loss_of_as_many_folders_as_are_to_be_borne() {
-    for seed in [28, 52, 20] {
+    for seed in [28, 52, 20, 26, 33, 35] {
         let outcome = run(seed);
 
         assert!(outcome.is_ok(), "{}", outcome.unwrap_err());
@@ -66,3 +69,12 @@
 
     assert!(violation.invariant.starts_with("in force"), "{violation}");
 }
+
+// A change that is acknowledged once it is committed is missed by an entry whose source
+// stood still, when the leader fails right after its answer.
+#[test]
+fn acknowledgement_at_the_commit_is_caught() {
+    let violation = first_violation(view::Flaw::AcknowledgedAtCommit);
+
+    assert!(violation.invariant.starts_with("in force"), "{violation}");
+}
--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -18,6 +18,10 @@
 /// stops working, see [`leadership::LEASE`].
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Time between two looks whether all rely on a change; entries confirm one some 30 ms after
+/// it is committed.
+const SETTLE_LOOK: Duration = Duration::from_millis(15);
+
 /// Time between two readings of the store's list.
 const STORE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -71,6 +75,25 @@
         Some(result)
     }
 
+    /// Waits until all rely on everything that is committed now; `None` if this process
+    /// stops leading before.
+    ///
+    /// An entry that is gone holds this up until its lease has nearly run out, and none gets
+    /// a new one without the change, so that the wait is bounded by the lease.
+    pub(crate) async fn settle(&self) -> Option<()> {
+        let revision = self.state.seen();
+        loop {
+            let settled = self.with_office(|now, leadership| {
+                self.state
+                    .read(|fleet| leadership.acknowledge(now, revision, fleet))
+            })?;
+            if settled {
+                return Some(());
+            }
+            tokio::time::sleep(SETTLE_LOOK).await;
+        }
+    }
+
     /// Looks for silence until the process stops.
     pub(crate) async fn watch(self: Arc<Self>) {
         loop {
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -9,12 +9,15 @@
 /// Time from sending its confirmation for which an entry may serve.
 ///
 /// Four confirmations fit into it, so that most entries serve on while a leader that
-/// froze or died is replaced and found. A successor commits nothing for at least 0.6 s
-/// after the last word of the leader before, so that an entry which has not found it stops
-/// 1.8 s after a change at the latest. With 3.5 s one saw a key run that had been withdrawn
-/// 2.02 s before, at an entry whose leader had frozen.
+/// froze or died is replaced and found. An entry that died holds up the next change by
+/// what is left of it beyond [`ALLOWANCE`], less than a second.
 pub const LEASE: duration::Span = duration::Span::from_millis(2_400);
 
+/// Time after the answer to a change for which an entry may still serve without it, because
+/// its lease from before runs out meanwhile. Changes must be in force within two seconds; the
+/// rest is for the answer's way and for clocks.
+pub const ALLOWANCE: duration::Span = duration::Span::from_millis(1_500);
+
 /// Time by which an entry's view may be behind when its lease is renewed.
 pub const LAG: duration::Span = duration::Span::from_millis(200);
 
@@ -41,6 +44,8 @@
     entries: BTreeMap<id::Instance, Entry>,
     endpoints: BTreeMap<id::Endpoint, Heard>,
     marks: VecDeque<Mark>,
+    /// Latest change whose sender was told that all rely on it.
+    acknowledged: number::Revision,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -97,6 +102,7 @@
             entries: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             marks: VecDeque::from([mark]),
+            acknowledged: number::Revision(0),
         }
     }
 
@@ -143,7 +149,8 @@
     /// the leader. It would serve withdrawn keys for as long as it is given
     /// leases. So an entry whose view is behind by more than [`LAG`] gets none.
     pub fn confirm(&mut self, now: duration::Instant, confirm: &view::Confirm) -> duration::Span {
-        let lease = if confirm.revision >= self.required(now) {
+        let required = self.required(now).max(self.acknowledged);
+        let lease = if confirm.revision >= required {
             LEASE
         } else {
             duration::Span(0)
@@ -153,8 +160,10 @@
             lease => now.after(lease).after(DRIFT),
         };
         let before = self.entries.get(&confirm.instance);
-        // A lease that was given before holds on, also for an earlier process.
-        let held = before.map_or(end, |before| before.lease_end.max(end));
+        // A lease that was given before holds on, also for an earlier process, and also
+        // one that the leader before this one gave.
+        let held = before.map_or(self.inherited(), |before| before.lease_end);
+        let held = held.max(end);
         let entry = Entry {
             boot: confirm.boot,
             revision: confirm.revision,
@@ -185,24 +194,53 @@
         revision: number::Revision,
         fleet: &fleet::Fleet,
     ) -> Vec<id::Instance> {
-        let entries = fleet.members.iter();
-        let entries = entries.filter(|member| member.role == view::Role::Entry);
-        let waiting = entries.filter(|member| match self.entries.get(&member.instance) {
+        self.unsettled(now, revision, fleet).cloned().collect()
+    }
+
+    fn unsettled<'all>(
+        &'all self,
+        now: duration::Instant,
+        revision: number::Revision,
+        fleet: &'all fleet::Fleet,
+    ) -> impl Iterator<Item = &'all id::Instance> {
+        let serve = |member: &&view::Member| {
+            member.role == view::Role::Entry && member.phase != view::Phase::Left
+        };
+        let entries = fleet.members.iter().filter(serve);
+        let waiting = entries.filter(move |member| match self.entries.get(&member.instance) {
             Some(entry) => entry.revision < revision && now < entry.lease_end,
-            None => now < self.since.after(LEASE).after(DRIFT),
+            None => now < self.inherited(),
         });
-        waiting.map(|member| member.instance.clone()).collect()
+        waiting.map(|member| &member.instance)
     }
 
-    /// Whether an operator may be told at `now` that the change at `revision` is accepted.
-    #[must_use]
-    pub fn may_acknowledge(
-        &self,
-        _now: duration::Instant,
+    /// When the last lease of the term before ends at the latest.
+    fn inherited(&self) -> duration::Instant {
+        self.since.after(LEASE).after(DRIFT)
+    }
+
+    /// Whether the sender of the change at `revision` may be told at `now` that all rely on
+    /// it; notes it if so.
+    ///
+    /// A change is committed before entries have it. The source of an entry's view may stand
+    /// still at that moment, and the leader too right after its answer: until its lease ends
+    /// the entry goes on by the view of before, and callers see a confirmed change undone. So
+    /// the answer waits until each entry has confirmed the revision, or its lease has at most
+    /// [`ALLOWANCE`] left, and no older view is given a lease from then on. No other time of
+    /// the protocol is part of that sum; a successor has the change, and requires it.
+    pub fn acknowledge(
+        &mut self,
+        now: duration::Instant,
         revision: number::Revision,
         fleet: &fleet::Fleet,
     ) -> bool {
-        fleet.seen >= revision
+        let soon = now.after(ALLOWANCE);
+        let settled =
+            fleet.seen >= revision && self.unsettled(soon, revision, fleet).next().is_none();
+        if settled {
+            self.acknowledged = self.acknowledged.max(revision);
+        }
+        settled
     }
 
     /// Drops what is known of endpoints and entries that the fleet has forgotten
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -40,7 +40,8 @@
         Self { desk }
     }
 
-    /// Puts a traffic plan into force; one that is not higher changes nothing.
+    /// Puts a traffic plan into force; one that is not higher changes nothing. Done once all
+    /// may rely on it.
     ///
     /// # Errors
     ///
@@ -52,15 +53,21 @@
         let version = plan.version;
         let held = self.leading(|fleet| fleet.traffic.version())?;
         if held >= Some(version) {
-            // Acknowledged already, or overtaken by a higher one.
-            return Ok(());
+            // Committed already, or overtaken by a higher one.
+            return self.settle().await;
         }
         let step = state::Step { plan, source };
         let command = command::Command::Traffic(Box::new(step));
         let outcome = self.desk.proposer.propose(command).await;
         outcome.map(drop).map_err(|fault| refusal(&fault))?;
         spdlog::info!("traffic: plan {version} is committed");
-        Ok(())
+        self.settle().await
+    }
+
+    /// Waits until all may rely on what is committed now.
+    async fn settle(&self) -> Result<(), Refusal> {
+        let settled = self.desk.detector.settle().await;
+        settled.ok_or_else(|| Refusal::Unsure("the leader's lease ran out".into()))
     }
 
     /// The text of the plan in force; `None` before the first.
@@ -90,6 +97,7 @@
             sequence: announcement.sequence,
         };
         let news = self.leading(|fleet| is_news(fleet, &announcement))?;
+        let leaves = announcement.phase == announced::Phase::Leaving;
         if news {
             self.note(endpoint::Step::Announced(Box::new(announcement)))
                 .await?;
@@ -98,7 +106,13 @@
             .desk
             .detector
             .with_office(|now, leadership| leadership.hear(now, &seen));
-        heard.ok_or_else(|| Refusal::Unsure("the leader's lease ran out".into()))
+        heard.ok_or_else(|| Refusal::Unsure("the leader's lease ran out".into()))?;
+        if leaves {
+            // Told that it may go while an entry still sends it work, it would end with
+            // requests of callers in its queue.
+            self.settle().await?;
+        }
+        Ok(())
     }
 
     /// An endpoint says that it leaves for good.
@@ -122,7 +136,8 @@
         if !meant {
             return Ok(());
         }
-        self.note(endpoint::Step::Departed(name)).await
+        self.note(endpoint::Step::Departed(name)).await?;
+        self.settle().await
     }
 
     /// This process, if it leads, else who does.
--- a/crates/cranberrygap-control/tests/leadership.rs
+++ b/crates/cranberrygap-control/tests/leadership.rs
@@ -119,6 +119,64 @@
     assert!(leadership.waiting(at(1), revision(6), &known()).is_empty());
 }
 
+// The source of an entry's view stands still, a change is committed, and the leader stands
+// still right after its answer. Told before the entry's lease is nearly out, an operator
+// would see a withdrawn key work for longer than two seconds.
+#[test]
+fn change_is_acknowledged_once_no_lease_outlasts_the_allowance() {
+    let mut leadership = new_office();
+    let mut fleet = known();
+    fleet.seen = revision(6);
+    leadership.confirm(at(0), &fleet::confirm(revision(5)));
+
+    let early = leadership.acknowledge(at(949), revision(6), &fleet);
+    let late = leadership.acknowledge(at(950), revision(6), &fleet);
+
+    assert!(!early);
+    assert!(late);
+}
+
+#[test]
+fn change_that_all_confirmed_is_acknowledged_at_once() {
+    let mut leadership = new_office();
+    let mut fleet = known();
+    fleet.seen = revision(6);
+    leadership.confirm(at(0), &fleet::confirm(revision(6)));
+
+    assert!(leadership.acknowledge(at(1), revision(6), &fleet));
+}
+
+// The last lease of an entry is nearly out and a change is acknowledged. A heartbeat that
+// was sent before the entry had the change must not bring it a new lease, however short
+// the time since the commit.
+#[test]
+fn view_before_an_acknowledged_change_gets_no_lease() {
+    let mut leadership = new_office();
+    let mut fleet = known();
+    leadership.confirm(at(0), &fleet::confirm(revision(5)));
+    fleet.seen = revision(6);
+    leadership.mark(at(2_000), revision(6));
+
+    assert!(leadership.acknowledge(at(2_010), revision(6), &fleet));
+    let lease = leadership.confirm(at(2_020), &fleet::confirm(revision(5)));
+
+    assert_eq!(lease, duration::Span(0));
+}
+
+// A leader takes over and hears from an entry whose view is old. The lease that its
+// predecessor gave runs on, though this leader gives none.
+#[test]
+fn lease_of_a_predecessor_counts_after_a_confirmation_without_one() {
+    let mut leadership = new_office();
+    let mut fleet = known();
+    fleet.seen = revision(6);
+    leadership.mark(at(0), revision(6));
+    leadership.confirm(at(10), &fleet::confirm(revision(4)));
+
+    assert!(!leadership.acknowledge(at(20), revision(6), &fleet));
+    assert!(leadership.acknowledge(at(950), revision(6), &fleet));
+}
+
 // An endpoint's process dies without a word; its heartbeats stop.
 #[test]
 fn silent_endpoint_becomes_suspect_and_an_audible_one_does_not() {
