Keep as many voters as the losses to be borne ask for

So nothing was served, and no plan could be read back.

A replica that is not a member presents itself three times a second, once a second before, since the group bears one loss less until it votes again.

--- a/crates/cranberrygap-agreement/src/steward.rs
+++ b/crates/cranberrygap-agreement/src/steward.rs
@@ -66,6 +66,23 @@
     pub newcomer: duration::Span,
 }
 
+impl Patience {
+    /// For a group that bears the loss of so many folders at once.
+    ///
+    /// What is acknowledged is on a majority of the voters. With three voters and two
+    /// folders lost nobody would lead again: the one voter that is left is no majority, and
+    /// the two that come back empty rightly do not vote as who they were. One more than
+    /// twice the losses always leaves a majority.
+    #[must_use]
+    pub fn bearing(losses: u32) -> Self {
+        let losses = usize::try_from(losses).unwrap_or(usize::MAX);
+        Self {
+            voters: losses.saturating_mul(2).saturating_add(1),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Patience {
     fn default() -> Self {
         Self {
--- a/crates/cranberrygap-agreement/tests/steward.rs
+++ b/crates/cranberrygap-agreement/tests/steward.rs
@@ -125,3 +125,29 @@
 
     assert_eq!(change, None);
 }
+
+// Two control processes of five lose their folders while all lose power. With three voters,
+// two of them among the lost, nobody led for the rest of the day.
+#[test]
+fn group_has_a_majority_left_after_the_losses_that_it_is_to_bear() {
+    for losses in 0..=3 {
+        let voters = steward::Patience::bearing(losses).voters;
+
+        let left = voters - losses as usize;
+        assert!(left > voters / 2, "{losses} of {voters}");
+    }
+}
+
+#[test]
+fn learner_votes_while_the_group_has_fewer_voters_than_its_losses_ask_for() {
+    let members = group(&[1, 2, 3], &[4]);
+    let answers = |_| steward::Contact {
+        silent: duration::Span::from_millis(100),
+        current: true,
+    };
+
+    let patience = steward::Patience::bearing(2);
+    let change = steward::next(&patience, LEADER, &members, answers, &[]);
+
+    assert_eq!(change, Some(change::Change::Promote(replica::Id(4))));
+}
--- a/crates/cranberrygap-bench/src/measure/agreement/group.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/group.rs
@@ -93,6 +93,7 @@
                 settings: settings::Control {
                     control: identity(&name),
                     group: settings::ControlGroup {
+                        losses: 1,
                         first: true,
                         tend: false,
                         data: data.to_string_lossy().into(),
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -249,7 +249,12 @@
     }
 
     /// The next change of the membership, as the daemon's steward decides.
-    pub fn tend(&mut self, now: duration::Instant, own: replica::Id) -> Option<input::Input> {
+    pub fn tend(
+        &mut self,
+        now: duration::Instant,
+        own: replica::Id,
+        losses: u32,
+    ) -> Option<input::Input> {
         let members = self.node.members().clone();
         for id in members.0.keys() {
             self.since.entry(*id).or_insert(now);
@@ -270,7 +275,7 @@
             let seen = self.since.get(&id).copied().unwrap_or(now);
             steward::Contact::new(now, seen, progress.get(&id), last, lag)
         };
-        let patience = steward::Patience::default();
+        let patience = steward::Patience::bearing(losses);
         let change = steward::next(&patience, own, &members, contact, &newcomers)?;
         if let cranberrygap_agreement::change::Change::Remove(id) = change {
             self.newcomers.retain(|_, (hello, _)| hello.id != id);
--- a/crates/cranberrygap-bench/src/soak/view/trouble.rs
+++ b/crates/cranberrygap-bench/src/soak/view/trouble.rs
@@ -134,7 +134,7 @@
     /// but perhaps for one more loss.
     fn black_out(&mut self) {
         let may_lose = if self.now >= self.may_lose {
-            (self.controls.len() - 1) / 2
+            self.losses() as usize
         } else {
             0
         };
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -463,6 +463,7 @@
     fn tend(&mut self, place: usize) {
         let clock = self.controls[place].clock(self.now);
         let (id, now) = (self.controls[place].id, self.now);
+        let losses = self.losses();
         let Some(running) = &mut self.controls[place].running else {
             return;
         };
@@ -474,7 +475,7 @@
             return;
         }
         running.next_tend = now + TEND;
-        if let Some(change) = running.tend(clock, id) {
+        if let Some(change) = running.tend(clock, id, losses) {
             self.note(&format!("control {place}: {change:?}"));
             self.step(place, change);
         }
@@ -638,6 +639,11 @@
         }
     }
 
+    /// Folders that may be lost at once.
+    pub fn losses(&self) -> u32 {
+        u32::try_from((self.controls.len() - 1) / 2).expect("a few voters")
+    }
+
     fn ids(&self) -> Vec<replica::Id> {
         self.controls.iter().map(|control| control.id).collect()
     }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -245,6 +245,7 @@
                 self.desk.proposer.clone(),
                 Arc::clone(&self.replica),
                 self.settings.control.domain.clone(),
+                self.settings.group.losses,
             );
             tasks.push(tokio::spawn(steward.watch()));
         }
--- a/crates/cranberrygap-control/src/replica/formation.rs
+++ b/crates/cranberrygap-control/src/replica/formation.rs
@@ -10,8 +10,10 @@
 /// new group serves nobody before it is formed.
 pub(super) const PRESENT: time::Duration = time::Duration::from_millis(200);
 
-/// Time between two presentations of a replica that is not a member yet.
-pub(super) const PRESENT_LEARNER: time::Duration = time::Duration::from_secs(1);
+/// Time between two presentations of a replica that is not a member yet. Until it is a voter
+/// again the group bears one loss less, and the first leader after a loss of power may have
+/// been elected just after the last one.
+pub(super) const PRESENT_LEARNER: time::Duration = time::Duration::from_millis(300);
 
 /// Replicas that are remembered without being members; bounds what strangers
 /// can make this process keep.
--- a/crates/cranberrygap-control/src/steward.rs
+++ b/crates/cranberrygap-control/src/steward.rs
@@ -36,13 +36,14 @@
         proposer: proposer::Proposer,
         replica: Arc<replica::Replica>,
         domain: id::Domain,
+        losses: u32,
     ) -> Self {
         Self {
             state,
             proposer,
             replica,
             domain,
-            patience: steward::Patience::default(),
+            patience: steward::Patience::bearing(losses),
             lag: limits::Limits::default().lag,
             since: BTreeMap::new(),
         }
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -71,6 +71,7 @@
             group: settings::ControlGroup {
                 first: true,
                 tend: false,
+                losses: 1,
                 data: self.data.to_string_lossy().into(),
                 join: false,
                 voters: vec![self.peer()],
