--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -11,8 +11,6 @@
 const PERIOD: u64 = 500_000;
 const RETRY: u64 = 60_000;
 const DEADLINE: u64 = 500_000;
-/// Time for a subscription's first frame.
-const FIRST: u64 = 700_000;
 /// Time for which a process that did not answer is not asked on another one's word.
 const AVOIDED: u64 = 1_200_000;
 
@@ -28,8 +26,7 @@
 #[derive(Debug)]
 struct Follow {
     number: u64,
-    began: u64,
-    source: Option<source::Source>,
+    source: source::Source,
 }
 
 /// One entry.
@@ -141,10 +138,7 @@
         let lost = self
             .follow
             .as_ref()
-            .is_some_and(|follow| match &follow.source {
-                Some(source) => source.loss(clock, &self.holder).is_some(),
-                None => now > follow.began + FIRST,
-            });
+            .is_some_and(|follow| follow.source.loss(clock, &self.holder).is_some());
         if lost {
             self.unfollow(now);
         }
@@ -155,8 +149,7 @@
         self.rotation = (self.rotation + 1) % controls;
         self.follow = Some(Follow {
             number: self.calls,
-            began: now,
-            source: None,
+            source: source::Source::new(clock),
         });
         let wanted = view::Subscribe {
             instance: format!("entry-{}", self.number)
@@ -226,10 +219,7 @@
         else {
             return;
         };
-        follow
-            .source
-            .get_or_insert_with(|| source::Source::new(clock))
-            .hear(clock);
+        follow.source.hear(clock);
         if self.holder.take(frame).is_err() {
             self.unfollow(now);
         }
--- a/crates/cranberrygap-entry/src/view/source.rs
+++ b/crates/cranberrygap-entry/src/view/source.rs
@@ -41,26 +41,36 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Source {
     heard: duration::Instant,
+    /// Whether it has sent anything yet.
+    opened: bool,
 }
 
 impl Source {
     /// A source that is followed from `now` on.
     #[must_use]
     pub const fn new(now: duration::Instant) -> Self {
-        Self { heard: now }
+        Self {
+            heard: now,
+            opened: false,
+        }
     }
 
     /// A frame came at `now`.
     pub const fn hear(&mut self, now: duration::Instant) {
         self.heard = now;
+        self.opened = true;
     }
 
     /// Why it is to be left at `now`, if it is.
+    ///
+    /// A source is not to blame for a lag before its first frame. Left for it, each would be
+    /// asked and left in turn, and an entry that starts would never get a view.
     #[must_use]
     pub fn loss(&self, now: duration::Instant, holder: &Holder) -> Option<Loss> {
         if now.since(self.heard) >= SILENCE {
             return Some(Loss::Silent);
         }
-        holder.is_behind(now, LAGGING).then_some(Loss::Lagging)
+        let lags = self.opened && holder.is_behind(now, LAGGING);
+        lags.then_some(Loss::Lagging)
     }
 }
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -1,6 +1,6 @@
 //! The view, its order and its lease.
 
-use cranberrygap_entry::view;
+use cranberrygap_entry::view::{self, source};
 use cranberrygap_model::{duration, number};
 use cranberrygap_wire::{configuration, view as wire_view};
 
@@ -202,3 +202,33 @@
 
     assert!(holder.current(millis(2_000)).is_some());
 }
+
+// An entry starts after a loss of power and hears from the leader how far it is behind
+// before any control process has sent it a view. Left for that lag, each of them is asked
+// and left before its first frame comes, and callers are refused until the day ends.
+#[test]
+fn source_is_not_left_for_a_lag_before_its_first_frame() {
+    let holder = view::Holder::default();
+    holder.confirm(millis(0), &confirmed(8));
+    let mut source = source::Source::new(millis(1_000));
+
+    let before = source.loss(millis(1_010), &holder);
+    holder.take(snapshot(7)).expect("a snapshot");
+    source.hear(millis(1_020));
+    let after = source.loss(millis(1_020), &holder);
+
+    assert_eq!(before, None);
+    assert_eq!(after, Some(source::Loss::Lagging));
+}
+
+#[test]
+fn source_that_says_nothing_is_left() {
+    let holder = view::Holder::default();
+    let source = source::Source::new(millis(0));
+
+    assert_eq!(source.loss(millis(799), &holder), None);
+    assert_eq!(
+        source.loss(millis(800), &holder),
+        Some(source::Loss::Silent)
+    );
+}
