Send nobody to a leader that may not grant yet

Callers of a process that was just elected, or lost its lease a moment ago, were told that this same process leads: operators followed a redirection to where they came from, and entries asked eight times without a pause.

Such a process now says that there is no leader at this moment, which is answered 503 and asked again later.

--- a/crates/cranberrygap-control/src/replica/core/forming.rs
+++ b/crates/cranberrygap-control/src/replica/core/forming.rs
@@ -148,10 +148,12 @@
             return;
         };
         let leader = node.leader().and_then(|id| self.peer(id));
+        let own = node.is_leader();
         let settled = node.may_grant(self.parts.clock.now());
         let mut published = self.parts.published.write();
         published.term = node.hard().term;
         published.leader = leader;
+        published.own = own;
         published.committed = node.committed();
         published.applied = node.applied();
         published.lease_end = node.lease_end().filter(|_| settled);
--- a/crates/cranberrygap-control/src/replica/published.rs
+++ b/crates/cranberrygap-control/src/replica/published.rs
@@ -9,6 +9,8 @@
 pub(super) struct Published {
     pub(super) term: number::Term,
     pub(super) leader: Option<address::Peer>,
+    /// Whether that is this replica.
+    pub(super) own: bool,
     pub(super) committed: number::Index,
     pub(super) applied: number::Index,
     /// End of the lease, if this replica leads and has applied an entry of its
@@ -18,11 +20,18 @@
 }
 
 impl Published {
+    /// Where the replica stands at `now`.
+    ///
+    /// While it leads but may not grant yet, or not any more, there is no leader to go to.
+    /// Told the name of the process that they just asked, callers would ask it again and
+    /// again without a pause.
     pub(super) fn status(&self, now: duration::Instant) -> log::Status {
+        let leads = self.lease_end.is_some_and(|end| now < end);
+        let leader = self.leader.as_ref().filter(|_| leads || !self.own);
         log::Status {
             term: self.term,
-            leads: self.lease_end.is_some_and(|end| now < end),
-            leader: self.leader.clone(),
+            leads,
+            leader: leader.cloned(),
             committed: self.committed,
             applied: self.applied,
         }
