Refuse what still waits when a planned stop takes nothing new

A caller saw its connection closed without an answer 6.7 s after its request was read, 1.2 s after SIGTERM: a request may wait for the leader's word on its tokens, or for an engine, longer than the process has. From the moment at which a stop takes nothing new, what was not sent to an endpoint is refused as not run, with a Retry-After of 50 ms, since other entries serve.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -10,6 +10,7 @@
 use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
+use tokio::sync::watch as watch_channel;
 
 use crate::admission;
 use crate::announce;
@@ -47,6 +48,8 @@
     pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) trace: trace::Trace,
     pub(crate) draining: AtomicBool,
+    /// True once a planned stop takes nothing new.
+    pub(crate) closing: watch_channel::Sender<bool>,
 }
 
 impl Core {
@@ -104,6 +107,17 @@
         let _lost = self.metrics.time(name, span.to_std());
     }
 
+    /// Comes when a planned stop takes nothing new.
+    ///
+    /// What has not been sent to an endpoint by then is refused. It may wait for tokens or
+    /// an engine for longer than the process has, and would end with a closed connection:
+    /// its caller would not know whether it ran.
+    pub(crate) async fn closes(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as this.
+        let _never_closed = closing.wait_for(|closing| *closing).await;
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -155,7 +155,12 @@
     /// A stream that has begun, or how the request has ended.
     async fn attempts(&mut self) -> Result<Answered, Ended> {
         loop {
-            let aim = self.aim().await?;
+            let core = Arc::clone(&self.gateway.core);
+            let aim = tokio::select! {
+                biased;
+                aim = self.aim() => aim?,
+                () = core.closes() => return Err(Failure::stopping().into()),
+            };
             let sent = self.send(&aim, None).await?;
             self.note(&aim, &sent);
             match sent {
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -63,7 +63,18 @@
     TimeOut,
 }
 
+/// Time after which a caller of an entry that stops should ask another one.
+const ELSEWHERE: duration::Span = duration::Span::from_millis(50);
+
 impl Failure {
+    /// The entry stops before the request could be sent.
+    pub(crate) fn stopping() -> Self {
+        Self::NoEndpoint {
+            wait: spread(ELSEWHERE),
+            cause: "the entry stops",
+        }
+    }
+
     /// The stable word for logs, metrics and the answer.
     pub(crate) const fn code(&self) -> &'static str {
         match self {
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -376,7 +376,12 @@
         in_line: duration::Span(objective.0 / LINE_PART).min(LINE_WAIT),
         for_leader: duration::Span(given.0 / LEADER_PART),
     };
-    let permit = admission::Permit::reserve_within(limiter, &payer.name, cost, patience).await;
+    let reserved = admission::Permit::reserve_within(limiter, &payer.name, cost, patience);
+    let permit = tokio::select! {
+        biased;
+        permit = reserved => permit,
+        () = gateway.core.closes() => return Err(Failure::stopping()),
+    };
     match permit {
         Ok(permit) => Ok(Some(permit)),
         Err(refused) => Err(Failure::OverRate {
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -251,6 +251,7 @@
         let longest = longest.saturating_sub(LAST_WORDS + DRAIN_LOOK);
         let serving = (lifetime + LAST_WORDS).min(longest / 2);
         time::sleep_until(begun + serving).await;
+        self.core.closing.send_replace(true);
         gateway.finish(begun + longest).await;
     }
 }
@@ -317,6 +318,7 @@
         trace: trace::Trace::new(Arc::clone(&metrics)),
         metrics,
         draining: AtomicBool::new(false),
+        closing: tokio::sync::watch::Sender::new(false),
         settings,
     })
 }
