--- a/crates/cranberrygap-bench/src/soak/view.rs
+++ b/crates/cranberrygap-bench/src/soak/view.rs
@@ -6,7 +6,9 @@
 //! still, are cut off in one direction, send heartbeats but no news, lose power together or
 //! lose their folders.
 
+mod checks;
 mod control;
+mod duties;
 mod entry;
 mod flaw;
 mod packet;
--- /dev/null
+++ b/crates/cranberrygap-bench/src/soak/view/checks.rs
@@ -0,0 +1,132 @@
+//! The operator's changes, and what must hold of the entries.
+
+use cranberrygap_model::duration;
+use cranberrygap_state::{command, traffic as state};
+use cranberrygap_wire::traffic;
+
+use super::control::{Control, Pending};
+use super::packet::Place;
+use super::world::{SECOND, World};
+
+/// Time after its acknowledgement from which a change must be in force.
+const IN_FORCE: u64 = 2 * SECOND;
+
+/// Time after the return of power by which entries must serve.
+const RECOVERY: u64 = 12 * SECOND;
+
+/// Time between two changes of the operator, and how many may be under way.
+const CHANGES: u64 = 33_000;
+const UNDER_WAY: usize = 8;
+
+impl World {
+    /// The operator sends a change to whoever leads.
+    pub fn operate(&mut self) {
+        if self.now < self.next_change {
+            return;
+        }
+        self.next_change = self.now + CHANGES;
+        let now = self.now;
+        let leads = |control: &Control| {
+            let running = control.running.as_ref();
+            let clock = control.clock(now);
+            control.frozen_until <= now
+                && running.is_some_and(|running| {
+                    running.node.may_grant(clock) && running.pending.len() < UNDER_WAY
+                })
+        };
+        let Some(place) = self.controls.iter().position(leads) else {
+            return;
+        };
+        self.version += 1;
+        let version = self.version;
+        if let Some(running) = &mut self.controls[place].running {
+            running.pending.push(Pending {
+                index: running.node.log().last().index.next(),
+                version,
+                sent: now,
+                revision: None,
+            });
+        }
+        let step = state::Step {
+            plan: plan(version),
+            source: "".into(),
+        };
+        self.propose(place, command::Command::Traffic(Box::new(step)));
+        // A leader that hands over refuses it.
+        if let Some(running) = &mut self.controls[place].running {
+            let last = running.node.log().last().index;
+            running.pending.retain(|one| one.index <= last);
+        }
+    }
+
+    pub fn poll_entries(&mut self) -> Result<(), String> {
+        while let Some((at, version)) = self.acknowledged.front().copied() {
+            if self.now < at + IN_FORCE {
+                break;
+            }
+            self.acknowledged.pop_front();
+            self.due = self.due.max(version);
+        }
+        let controls = self.controls.len();
+        for number in 0..self.entries.len() {
+            let entry = &mut self.entries[number];
+            if entry.starts_at.is_some() || entry.frozen_until > self.now {
+                continue;
+            }
+            let version = entry.decides_by(self.now);
+            let before = entry.served;
+            entry.served = before.max(version.unwrap_or(0));
+            let sends = entry.poll(self.now, controls);
+            for (to, packet) in sends {
+                self.send(Place::Entry(number), to, packet);
+            }
+            let Some(version) = version else {
+                self.tally.refusals += 1;
+                continue;
+            };
+            self.tally.decisions += 1;
+            if version < before {
+                return Err(format!(
+                    "going back: entry {number} serves by {version} after {before}"
+                ));
+            }
+            if version < self.due {
+                let due = self.due;
+                return Err(format!(
+                    "in force: entry {number} serves by version {version}, {due} was acknowledged \
+                     two seconds ago and more"
+                ));
+            }
+            if let Some(back) = self.back.take() {
+                let took = self.now.saturating_sub(back) / 1_000;
+                self.tally.recovery = self.tally.recovery.max(took);
+            }
+        }
+        Ok(())
+    }
+
+    pub fn check_recovery(&self) -> Result<(), String> {
+        match self.back {
+            Some(back) if self.now > back + RECOVERY => Err(format!(
+                "recovery: nobody serves {} ms after power was back",
+                (self.now - back) / 1_000
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn plan(version: u64) -> traffic::Plan {
+    traffic::Plan {
+        version,
+        routes: Vec::new(),
+        services: Vec::new(),
+        workspaces: Vec::new(),
+        bounds: traffic::Bounds {
+            body: 1,
+            header: 1,
+            header_time: duration::Span::from_secs(1),
+            idle: duration::Span::from_secs(1),
+        },
+    }
+}
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -10,13 +10,13 @@
 ///
 /// Four confirmations fit into it, so that most entries serve on while a leader that
 /// froze or died is replaced and found. An entry that died holds up the next change by
-/// what is left of it beyond [`ALLOWANCE`], less than a second.
+/// what is left of it beyond [`LEASE_LEFT`], less than a second.
 pub const LEASE: duration::Span = duration::Span::from_millis(2_400);
 
-/// Time after the answer to a change for which an entry may still serve without it, because
-/// its lease from before runs out meanwhile. Changes must be in force within two seconds; the
+/// What may be left of an entry's lease when a change is acknowledged that it has not
+/// confirmed: the time for which it may still serve without it. Changes must be in force within two seconds; the
 /// rest is for the answer's way and for clocks.
-pub const ALLOWANCE: duration::Span = duration::Span::from_millis(1_500);
+pub const LEASE_LEFT: duration::Span = duration::Span::from_millis(1_500);
 
 /// Time by which an entry's view may be behind when its lease is renewed.
 pub const LAG: duration::Span = duration::Span::from_millis(200);
@@ -203,13 +203,12 @@
         revision: number::Revision,
         fleet: &'all fleet::Fleet,
     ) -> impl Iterator<Item = &'all id::Instance> {
-        let serve = |member: &&view::Member| {
-            member.role == view::Role::Entry && member.phase != view::Phase::Left
-        };
-        let entries = fleet.members.iter().filter(serve);
+        let entries = fleet.members.iter();
+        let entries = entries.filter(|member| member.role == view::Role::Entry);
         let waiting = entries.filter(move |member| match self.entries.get(&member.instance) {
             Some(entry) => entry.revision < revision && now < entry.lease_end,
-            None => now < self.inherited(),
+            // One that left has no lease of the term before.
+            None => member.phase != view::Phase::Left && now < self.inherited(),
         });
         waiting.map(|member| &member.instance)
     }
@@ -226,7 +225,7 @@
     /// still at that moment, and the leader too right after its answer: until its lease ends
     /// the entry goes on by the view of before, and callers see a confirmed change undone. So
     /// the answer waits until each entry has confirmed the revision, or its lease has at most
-    /// [`ALLOWANCE`] left, and no older view is given a lease from then on. No other time of
+    /// [`LEASE_LEFT`] left, and no older view is given a lease from then on. No other time of
     /// the protocol is part of that sum; a successor has the change, and requires it.
     pub fn acknowledge(
         &mut self,
@@ -234,7 +233,7 @@
         revision: number::Revision,
         fleet: &fleet::Fleet,
     ) -> bool {
-        let soon = now.after(ALLOWANCE);
+        let soon = now.after(LEASE_LEFT);
         let settled =
             fleet.seen >= revision && self.unsettled(soon, revision, fleet).next().is_none();
         if settled {
--- a/crates/cranberrygap-control/tests/leadership.rs
+++ b/crates/cranberrygap-control/tests/leadership.rs
@@ -123,7 +123,7 @@
 // still right after its answer. Told before the entry's lease is nearly out, an operator
 // would see a withdrawn key work for longer than two seconds.
 #[test]
-fn change_is_acknowledged_once_no_lease_outlasts_the_allowance() {
+fn change_is_acknowledged_once_little_is_left_of_each_lease() {
     let mut leadership = new_office();
     let mut fleet = known();
     fleet.seen = revision(6);
