Note a change of the group whose request finds its work done

Under that load an election fell between a step and its note; the resent request found the work done and was answered without a note, so that nobody could tell later who had taken a voter out.

It is noted now; a request that was noted before is recalled by its change id. The test asks for the same removal under two ids, each twice: one record before, two now. Ruled out: this work's changes as the cause (the path is older), beyond that elections are more likely beside load.

--- a/crates/cranberrygap-control/src/operators/group.rs
+++ b/crates/cranberrygap-control/src/operators/group.rs
@@ -60,7 +60,7 @@
     let group = list(parts, ()).await?;
     let instance = &join.peer.instance;
     if group.voters.contains(instance) {
-        return Ok(group);
+        return note(parts, join.author, instance, group::Change::Added).await;
     }
     if !group.learners.contains(instance) {
         parts
@@ -95,7 +95,7 @@
     let group = list(parts, ()).await?;
     let instance = &leave.instance;
     if !group.voters.contains(instance) && !group.learners.contains(instance) {
-        return Ok(group);
+        return note(parts, leave.author, instance, group::Change::Removed).await;
     }
     if group.leader.as_ref() == Some(instance) {
         let sentence = "it leads; stop it with SIGTERM first, it then hands over leadership";
@@ -114,6 +114,10 @@
 }
 
 /// Notes a change of the group for history and trail.
+///
+/// A leader may fail between the change and its note. The request that is sent again finds
+/// the work done, and is noted then; one that was noted already is not noted twice, since
+/// its change id is known.
 async fn note(
     parts: &process::Parts,
     author: operator::Author,
--- a/crates/cranberrygap/tests/agreement.rs
+++ b/crates/cranberrygap/tests/agreement.rs
@@ -193,6 +193,35 @@
     let _with: operator::Group = fleet.ask_leader(method::MEMBER_ADD, &join).await;
 }
 
+// A leader takes a voter out and fails before that is noted; the operator's request is sent
+// again to the next leader, which finds the work done. Unnoted, nobody could tell later who
+// took the voter out. Here the work is done because another request did it.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_finds_its_work_done_is_in_the_history() {
+    let mut fleet = controls(5, false).await;
+    let (leader, _) = group::leader(&fleet).await;
+    let lost = if leader == "control-5" {
+        "control-4"
+    } else {
+        "control-5"
+    };
+    fleet.process(lost).kill();
+
+    for change in ["first", "second"] {
+        let leave = operator::Leave {
+            author: author(change),
+            instance: lost.parse().unwrap(),
+        };
+        for _resent in 0..2 {
+            let _without: operator::Group = fleet.ask_leader(method::MEMBER_REMOVE, &leave).await;
+        }
+    }
+    let history: Vec<operator::Record> = fleet.ask_leader(method::HISTORY, &()).await;
+
+    let asked = history.iter().map(|record| record.author.change.as_str());
+    assert_eq!(asked.collect::<Vec<_>>(), ["first", "second"]);
+}
+
 // A control instance comes back with an empty disk under its old settings. It
 // has forgotten its votes, so it must not vote before operators took it in anew;
 // right after that another instance fails.
