--- a/crates/cranberrygap-bench/src/soak/view/trouble.rs
+++ b/crates/cranberrygap-bench/src/soak/view/trouble.rs
@@ -49,7 +49,10 @@
     fn freeze_control(&mut self) {
         let place = self.victim();
         let until = self.now + self.length();
-        self.controls[place].frozen_until = until;
+        // A shorter one does not end a longer one: a write that waits for the end of that
+        // would become durable after later ones.
+        let frozen = &mut self.controls[place].frozen_until;
+        *frozen = until.max(*frozen);
         self.tally.freezes += 1;
         self.note(&format!(
             "control {place} stands still to {} ms",
@@ -60,7 +63,8 @@
     fn freeze_entry(&mut self) {
         let number = self.rng.random_range(0..self.entries.len());
         let until = self.now + self.length();
-        self.entries[number].frozen_until = until;
+        let frozen = &mut self.entries[number].frozen_until;
+        *frozen = until.max(*frozen);
         self.tally.freezes += 1;
         self.note(&format!(
             "entry {number} stands still to {} ms",
