--- a/crates/cranberrygap-bench/src/soak/view/duties.rs
+++ b/crates/cranberrygap-bench/src/soak/view/duties.rs
@@ -6,7 +6,7 @@
 use cranberrygap_state::command;
 use cranberrygap_wire::view;
 
-use super::control::{Control, Subscriber, Waiting};
+use super::control::{Subscriber, Waiting};
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
 use super::world::{SECOND, World};
@@ -95,15 +95,9 @@
                 continue;
             }
             let clock = self.controls[place].clock(self.now);
-            let due = |control: &Control| {
-                let running = control.running.as_ref();
-                running.is_some_and(|running| running.node.deadline() <= clock)
-            };
-            while due(&self.controls[place]) {
+            let running = self.controls[place].running.as_ref();
+            if running.is_some_and(|running| running.node.deadline() <= clock) {
                 self.step(place, input::Input::Tick);
-                if due(&self.controls[place]) {
-                    break;
-                }
             }
             self.present(place);
             self.grant(place);
@@ -185,11 +179,12 @@
             return;
         };
         let mut frames = Vec::new();
-        let snapshot = running.snapshot();
+        let owed = !hung && running.subscribers.iter().any(|follower| follower.gap);
+        let snapshot = owed.then(|| running.snapshot());
         let revision = running.fleet.seen;
         let beats = now >= running.next_heartbeat;
         for subscriber in &mut running.subscribers {
-            if subscriber.gap && !hung {
+            if let Some(snapshot) = snapshot.as_ref().filter(|_| subscriber.gap) {
                 subscriber.gap = false;
                 frames.push(subscriber.frame(snapshot.clone()));
             } else if beats {
