Count what a control process does, by kind, and say when it answers late

Cause of the change: lines and metrics of a control process could not tell the hypotheses of the incident apart.

Change: counters of log steps, frames and their bytes, work by kind; histograms of the answers to confirmations and renewals; one line each five seconds that sums them up; a line, one a second at most, when an answer took a quarter of the lease. Frames are encoded where they are counted.

--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 
 use crate::leadership;
+use crate::metric;
 use crate::proposer;
 use crate::replicated;
 use crate::store;
@@ -32,6 +33,7 @@
     proposer: proposer::Proposer,
     clock: clock::Clock,
     leadership: Mutex<Option<leadership::Leadership>>,
+    metrics: metric::Recorder,
 }
 
 impl Detector {
@@ -39,12 +41,14 @@
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
         clock: clock::Clock,
+        metrics: metric::Recorder,
     ) -> Self {
         Self {
             state,
             proposer,
             clock,
             leadership: Mutex::new(None),
+            metrics,
         }
     }
 
@@ -98,12 +102,15 @@
     pub(crate) async fn watch(self: Arc<Self>) {
         loop {
             tokio::time::sleep(PERIOD).await;
-            let found = self.with_office(|now, leadership| {
-                self.state.read(|fleet| {
-                    leadership.prune(now, fleet);
-                    leadership.findings(now, fleet)
+            let look = || {
+                self.with_office(|now, leadership| {
+                    self.state.read(|fleet| {
+                        leadership.prune(now, fleet);
+                        leadership.findings(now, fleet)
+                    })
                 })
-            });
+            };
+            let found = self.metrics.work(metric::Work::Silence, look);
             let Some(found) = found else {
                 continue;
             };
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -1,6 +1,7 @@
 //! What entries ask of a control process.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use cranberrygap_link::{credential, server};
 use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
@@ -9,9 +10,11 @@
 
 use crate::detector;
 use crate::leadership;
+use crate::metric;
 use crate::orders;
 use crate::permission;
 use crate::proposer;
+use crate::quiet;
 use crate::replicated;
 use crate::residency;
 use crate::shares;
@@ -20,6 +23,12 @@
 /// Announcements that one confirmation may bring.
 const MOST_ANNOUNCEMENTS: usize = 4_096;
 
+/// Time of an answer from which on it is said: a quarter of the lease.
+const LATE: Duration = Duration::from_micros(leadership::LEASE.0 / 4);
+
+/// Time between two lines about late answers.
+const LATE_LINES: Duration = Duration::from_secs(1);
+
 /// What the handlers work with.
 #[derive(Debug)]
 pub(crate) struct Desk {
@@ -30,6 +39,14 @@
     pub(crate) permissions: permission::Permissions,
     pub(crate) orders: Arc<orders::Orders>,
     pub(crate) residency: Arc<residency::Residency>,
+    pub(crate) metrics: metric::Recorder,
+    /// Lines about late answers.
+    pub(crate) late: quiet::Quiet,
+}
+
+/// Lines about late answers, one in [`LATE_LINES`].
+pub(crate) const fn late() -> quiet::Quiet {
+    quiet::Quiet::new(LATE_LINES)
 }
 
 /// Offers the entries' methods.
@@ -42,7 +59,7 @@
             role,
             move |wanted: view::Subscribe| {
                 let desk = Arc::clone(&desk);
-                async move { subscription::open(&desk.state, &desk.proposer, &wanted).await }
+                async move { subscription::open(&desk, &wanted).await }
             },
         )
     };
@@ -121,19 +138,39 @@
         }
     }
 
+    /// Answers a confirmation, and says when that took long.
+    async fn confirm(&self, confirm: view::Confirm) -> Result<view::Confirmed, server::Fault> {
+        let begin = Instant::now();
+        let answer = self.lease(&confirm).await;
+        let took = begin.elapsed();
+        self.metrics.time(metric::CONFIRM, took);
+        if took > LATE && self.late.may_speak() {
+            spdlog::warn!(
+                "leader: the answer to {} took {} ms of its lease, with {} announcements; more \
+                 such are not written within a second",
+                confirm.instance,
+                took.as_millis(),
+                confirm.announcements.len()
+            );
+        }
+        answer
+    }
+
     /// Takes a confirmation: first everything new goes into the log, then the
     /// entry gets its lease.
-    async fn confirm(&self, confirm: view::Confirm) -> Result<view::Confirmed, server::Fault> {
+    async fn lease(&self, confirm: &view::Confirm) -> Result<view::Confirmed, server::Fault> {
         self.proposer.check_leads()?;
-        self.note_member(&confirm).await?;
-        self.note_announcements(&confirm).await?;
+        self.note_member(confirm).await?;
+        self.note_announcements(confirm).await?;
         self.orders.count(&confirm.demands);
         self.residency.count(&confirm.demands);
         // Committing may have taken long; only who leads now may grant.
         let status = self.proposer.check_leads()?;
-        let lease = self
-            .detector
-            .with_office(|now, leadership| grant(now, leadership, &confirm));
+        let grant = || {
+            self.detector
+                .with_office(|now, leadership| grant(now, leadership, confirm))
+        };
+        let lease = self.metrics.work(metric::Work::Lease, grant);
         let Some(lease) = lease else {
             return Err(server::Fault::new(
                 method::NO_QUORUM,
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -11,6 +11,7 @@
 
 use crate::detector;
 use crate::links;
+use crate::metric;
 use crate::operators;
 use crate::orders;
 use crate::peers;
@@ -81,10 +82,16 @@
     ///
     /// When the data folder cannot be used or a listener cannot be opened.
     pub async fn start(settings: settings::Control, secrets: Secrets) -> Result<Self, Error> {
-        Self::start_with(settings, secrets, Arc::new(residency::NoRunners)).await
+        Self::start_with(
+            settings,
+            secrets,
+            residency::none(),
+            metric::Recorder::none(),
+        )
+        .await
     }
 
-    /// Starts a control process that orders models through `runners`.
+    /// Starts a control process that orders models through `runners` and counts to `metrics`.
     ///
     /// # Errors
     ///
@@ -93,12 +100,13 @@
         mut settings: settings::Control,
         secrets: Secrets,
         runners: Arc<dyn residency::Runners>,
+        metrics: metric::Recorder,
     ) -> Result<Self, Error> {
         settle(&mut settings);
         let own = own(&settings);
         let shown = secrets.fleet.first().cloned().ok_or(Error::NoSecret)?;
         let links = links::Links::new(own.clone(), settings.group.voters.clone(), shown);
-        let state = Arc::new(replicated::State::new());
+        let state = Arc::new(replicated::State::new(metrics.clone()));
         let replica = start_replica(&settings, own, &state, &links)?;
         let platform = orders::Http::new().map_err(|cause| Error::Endpoints(cause.to_string()))?;
         let parts = Arc::new(Parts::new(
@@ -107,6 +115,7 @@
             replica,
             Arc::new(platform),
             runners,
+            metrics,
         ));
         let peers = listen_peers(&parts, secrets.fleet).await?;
         let admin = listen_admin(&parts, secrets.operators).await?;
@@ -198,17 +207,26 @@
         replica: Arc<replica::Replica>,
         platform: Arc<dyn orders::Platform>,
         runners: Arc<dyn residency::Runners>,
+        metrics: metric::Recorder,
     ) -> Self {
         let clock = clock::Clock::start();
         let log: Arc<dyn crate::log::Log> = Arc::clone(&replica) as _;
         let proposer = proposer::Proposer::new(log);
-        let detector = detector::Detector::new(Arc::clone(&state), proposer.clone(), clock);
-        let shares = shares::Shares::new(Arc::clone(&state), proposer.clone(), clock);
+        let detector =
+            detector::Detector::new(Arc::clone(&state), proposer.clone(), clock, metrics.clone());
+        let shares =
+            shares::Shares::new(Arc::clone(&state), proposer.clone(), clock, metrics.clone());
         let permissions = permission::Permissions::new(proposer.clone(), clock);
         let orders = orders::Orders::new(Arc::clone(&state), proposer.clone(), platform, clock);
         let holder = settings.control.instance.clone();
-        let residency =
-            residency::Residency::new(Arc::clone(&state), proposer.clone(), runners, holder, clock);
+        let residency = residency::Residency::new(
+            Arc::clone(&state),
+            proposer.clone(),
+            runners,
+            holder,
+            clock,
+            metrics.clone(),
+        );
         let desk = peers::Desk {
             state,
             proposer,
@@ -217,6 +235,8 @@
             permissions,
             orders: Arc::new(orders),
             residency: Arc::new(residency),
+            metrics,
+            late: peers::late(),
         };
         Self {
             settings,
@@ -231,6 +251,7 @@
         let mut tasks = vec![
             tokio::spawn(Arc::clone(detector).watch()),
             tokio::spawn(Arc::clone(&self.desk.shares).watch()),
+            tokio::spawn(self.desk.metrics.clone().watch()),
         ];
         // Runners are moved either by the traffic plan or by the store's list; the
         // public listener brings the former.
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -10,6 +10,7 @@
 use tokio::sync::broadcast;
 
 use crate::machine;
+use crate::metric;
 
 /// News that a slow subscriber may be behind before it gets a new snapshot.
 const NEWS_BUFFER: usize = 1_024;
@@ -28,13 +29,15 @@
 pub struct State {
     fleet: RwLock<fleet::Fleet>,
     news: broadcast::Sender<News>,
+    metrics: metric::Recorder,
 }
 
 impl State {
     /// An empty state.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(metrics: metric::Recorder) -> Self {
         Self {
+            metrics,
             fleet: RwLock::default(),
             news: broadcast::Sender::new(NEWS_BUFFER),
         }
@@ -67,14 +70,36 @@
 
 impl Default for State {
     fn default() -> Self {
-        Self::new()
+        Self::new(metric::Recorder::none())
     }
 }
 
 impl machine::Machine for State {
     fn apply(&self, index: number::Index, payload: &[u8]) -> Bytes {
+        self.metrics
+            .work(metric::Work::Apply, || self.take(index, payload))
+    }
+
+    fn snapshot(&self) -> Bytes {
+        let snapshot = || Bytes::from(self.fleet.read().snapshot());
+        self.metrics.work(metric::Work::Snapshot, snapshot)
+    }
+
+    fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
+        let restored = fleet::Fleet::restore(snapshot).map_err(|cause| cause.to_string())?;
+        let mut fleet = self.fleet.write();
+        *fleet = restored;
+        drop(self.news.send(News::Replaced));
+        Ok(())
+    }
+}
+
+impl State {
+    fn take(&self, index: number::Index, payload: &[u8]) -> Bytes {
         let answer = match serde_json::from_slice::<command::Proposal>(payload) {
             Ok(proposal) => {
+                let subject = proposal.command.subject();
+                self.metrics.count(metric::STEPS, subject, 1);
                 let mut fleet = self.fleet.write();
                 let (answer, changes) = fleet.apply(index, &proposal);
                 if !changes.is_empty() {
@@ -91,18 +116,6 @@
         };
         Bytes::from(serde_json::to_vec(&answer).expect("answers have text keys only"))
     }
-
-    fn snapshot(&self) -> Bytes {
-        Bytes::from(self.fleet.read().snapshot())
-    }
-
-    fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
-        let restored = fleet::Fleet::restore(snapshot).map_err(|cause| cause.to_string())?;
-        let mut fleet = self.fleet.write();
-        *fleet = restored;
-        drop(self.news.send(News::Replaced));
-        Ok(())
-    }
 }
 
 /// Reads the answer of [`State::apply`].
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -20,6 +20,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::metric;
 use crate::proposer;
 use crate::replicated;
 
@@ -65,8 +66,13 @@
 }
 
 /// Runners that nobody can reach, for fleets without such.
+#[must_use]
+pub fn none() -> Arc<dyn Runners> {
+    Arc::new(NoRunners)
+}
+
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct NoRunners;
+struct NoRunners;
 
 impl Runners for NoRunners {
     fn order<'call>(
@@ -100,6 +106,7 @@
     receiver: Mutex<Option<mpsc::Receiver<News>>>,
     tickets: AtomicU64,
     shown: Mutex<serde_json::Value>,
+    metrics: metric::Recorder,
 }
 
 /// News for the task, of the term with this start.
@@ -125,6 +132,7 @@
         runners: Arc<dyn Runners>,
         holder: id::Instance,
         clock: clock::Clock,
+        metrics: metric::Recorder,
     ) -> Self {
         let (news, receiver) = mpsc::channel(QUEUE);
         Self {
@@ -138,6 +146,7 @@
             receiver: Mutex::new(Some(receiver)),
             tickets: AtomicU64::new(1),
             shown: Mutex::default(),
+            metrics,
         }
     }
 
@@ -192,10 +201,12 @@
                 _ = ticker.tick() => {
                     held = self.take_office(held);
                     if let Some(leadership) = &mut held {
-                        self.follow(leadership);
+                        let follow = || self.follow(leadership);
+                        self.metrics.work(metric::Work::Placement, follow);
                     }
                     self.step(&mut held);
-                    self.show(held.as_ref());
+                    let show = || self.show(held.as_ref());
+                    self.metrics.work(metric::Work::Placement, show);
                 }
             }
         }
@@ -268,6 +279,11 @@
     }
 
     fn step(&self, held: &mut Option<Leadership>) {
+        let step = || self.step_books(held);
+        self.metrics.work(metric::Work::Placement, step);
+    }
+
+    fn step_books(&self, held: &mut Option<Leadership>) {
         let Some(leadership) = held else {
             return;
         };
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use cranberrygap_link::clock;
 use cranberrygap_link::server;
@@ -12,6 +13,7 @@
 use cranberrygap_wire::{configuration, method, share};
 use tokio::sync::Mutex;
 
+use crate::metric;
 use crate::proposer;
 use crate::replicated;
 
@@ -28,6 +30,9 @@
     /// be answered from an allocation that is not in the log yet; if the leader
     /// died then, its successor would give the same rate once more.
     term: Mutex<Option<Term>>,
+    /// Renewals that are being answered.
+    waiting: AtomicUsize,
+    metrics: metric::Recorder,
 }
 
 #[derive(Debug)]
@@ -42,20 +47,35 @@
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
         clock: clock::Clock,
+        metrics: metric::Recorder,
     ) -> Self {
         Self {
             state,
             proposer,
             clock,
             term: Mutex::new(None),
+            waiting: AtomicUsize::new(0),
+            metrics,
         }
     }
 
     /// Answers a renewal once every allocation that it leads to is committed.
     pub(crate) async fn renew(&self, renew: share::Renew) -> Result<share::Granted, server::Fault> {
+        let begin = Instant::now();
+        let before = self.waiting.fetch_add(1, Ordering::Relaxed);
+        self.metrics.gauge(metric::RENEWALS_WAITING, before);
+        let answer = self.grant(&renew).await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.metrics.time(metric::RENEWAL, begin.elapsed());
+        answer
+    }
+
+    async fn grant(&self, renew: &share::Renew) -> Result<share::Granted, server::Fault> {
         let mut held = self.term.lock().await;
-        let term = self.current(&mut held)?;
-        let answer = term.granter.renew(self.clock.now(), &renew);
+        let answer = self.metrics.work(metric::Work::Share, || {
+            let term = self.current(&mut held)?;
+            Ok::<_, server::Fault>(term.granter.renew(self.clock.now(), renew))
+        })?;
         let answer =
             answer.map_err(|cause| server::Fault::new(method::REFUSED, cause.to_string()))?;
         if let Err(fault) = self.commit(answer.records).await {
--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -8,9 +8,12 @@
 use cranberrygap_wire::{method, view};
 use futures_util::StreamExt as _;
 use futures_util::stream::{self, BoxStream};
+use serde_json::value::RawValue;
 use tokio::sync::broadcast;
 use tokio::time;
 
+use crate::metric;
+use crate::peers;
 use crate::proposer;
 use crate::replicated;
 
@@ -36,6 +39,7 @@
     next: Option<view::Frame>,
     revision: number::Revision,
     led: time::Instant,
+    metrics: metric::Recorder,
 }
 
 /// Opens the stream for an entry that has seen `wanted.revision`.
@@ -45,10 +49,10 @@
 /// A fault when this process lags behind what the entry has seen: an entry that
 /// changed over from a process that is ahead would otherwise go back in time.
 pub(crate) async fn open(
-    state: &Arc<replicated::State>,
-    proposer: &proposer::Proposer,
+    desk: &peers::Desk,
     wanted: &view::Subscribe,
-) -> Result<BoxStream<'static, view::Frame>, server::Fault> {
+) -> Result<BoxStream<'static, Box<RawValue>>, server::Fault> {
+    let (state, proposer) = (&desk.state, &desk.proposer);
     let deadline = time::Instant::now() + CATCH_UP;
     while state.seen() < wanted.revision || proposer.status().leader.is_none() {
         if time::Instant::now() >= deadline {
@@ -66,14 +70,15 @@
         next: Some(snapshot),
         revision: number::Revision(0),
         led: time::Instant::now(),
+        metrics: desk.metrics.clone(),
     };
     Ok(stream::unfold(feed, Feed::step).boxed())
 }
 
 impl Feed {
-    async fn step(mut self) -> Option<(view::Frame, Self)> {
+    async fn step(mut self) -> Option<(Box<RawValue>, Self)> {
         if let Some(frame) = self.next.take() {
-            return Some(self.give(frame));
+            return Some(self.give(&frame));
         }
         let waited = time::timeout(HEARTBEAT, self.news.recv()).await;
         let frame = match waited {
@@ -95,16 +100,23 @@
         } else if self.led.elapsed() > LEADERLESS {
             return None;
         }
-        Some(self.give(frame))
+        Some(self.give(&frame))
     }
 
-    fn give(mut self, frame: view::Frame) -> (view::Frame, Self) {
-        self.revision = match &frame {
-            view::Frame::Snapshot { revision, .. }
-            | view::Frame::Delta { revision, .. }
-            | view::Frame::Heartbeat { revision } => *revision,
+    fn give(mut self, frame: &view::Frame) -> (Box<RawValue>, Self) {
+        let (revision, kind) = match frame {
+            view::Frame::Snapshot { revision, .. } => (*revision, "snapshot"),
+            view::Frame::Delta { revision, .. } => (*revision, "delta"),
+            view::Frame::Heartbeat { revision } => (*revision, "heartbeat"),
         };
-        (frame, self)
+        self.revision = revision;
+        let encode = || serde_json::value::to_raw_value(frame);
+        let encoded = self.metrics.work(metric::Work::Frame, encode);
+        let encoded = encoded.expect("frames have text keys only");
+        self.metrics.count(metric::FRAMES, kind, 1);
+        self.metrics
+            .count(metric::FRAME_BYTES, kind, encoded.get().len());
+        (encoded, self)
     }
 
     /// Everything that waits goes into one frame.
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -1,17 +1,6 @@
 //! Names of an entry's metrics, with kind, unit and meaning.
 
-/// One metric as it is sent, behind the prefix `cranberrygap.entry.INSTANCE.`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Metric {
-    /// Name behind the prefix.
-    pub name: &'static str,
-    /// StatsD kind: `c` counter, `ms` timer, `g` gauge.
-    pub kind: &'static str,
-    /// Unit.
-    pub unit: &'static str,
-    /// What it tells.
-    pub meaning: &'static str,
-}
+use cranberrygap_trace::metric::Metric;
 
 /// Answers of any kind.
 pub(crate) const REQUESTS: &str = "requests";
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -74,23 +74,35 @@
         }
     }
 
+    /// What the command is about, in a word.
+    #[must_use]
+    pub const fn subject(&self) -> &'static str {
+        match self {
+            Self::Configuration(_) => "configuration",
+            Self::Catalogue(_) => "catalogue",
+            Self::Key(_) => "key",
+            Self::Endpoint(_) => "endpoint",
+            Self::Member(_) => "member",
+            Self::Claim(_) => "claim",
+            Self::Quarantine(_) => "quarantine",
+            Self::Group(_) => "group",
+            Self::Share(_) => "share",
+            Self::Order(_) => "order",
+            Self::Traffic(_) => "traffic",
+            Self::Residency(_) => "residency",
+            Self::Drain(_) => "drain",
+        }
+    }
+
     /// What the command is about, in a few words for the history.
     #[must_use]
     pub fn summary(&self) -> SmolStr {
         match self {
-            Self::Configuration(_) => SmolStr::new_static("configuration"),
             Self::Key(step) => step.summary(),
             Self::Group(step) => format!("{} {}", step.instance, step.change).into(),
             Self::Drain(drain) => format!("drain {}", drain.name).into(),
-            Self::Catalogue(_) => SmolStr::new_static("catalogue"),
-            Self::Endpoint(_) => SmolStr::new_static("endpoint"),
-            Self::Member(_) => SmolStr::new_static("member"),
-            Self::Claim(_) => SmolStr::new_static("claim"),
-            Self::Order(_) => SmolStr::new_static("order"),
-            Self::Quarantine(_) => SmolStr::new_static("quarantine"),
-            Self::Share(_) => SmolStr::new_static("share"),
-            Self::Residency(_) => SmolStr::new_static("residency"),
             Self::Traffic(step) => format!("traffic plan {}", step.plan.version).into(),
+            _ => SmolStr::new_static(self.subject()),
         }
     }
 }
--- a/crates/cranberrygap/src/daemon/control.rs
+++ b/crates/cranberrygap/src/daemon/control.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use cadence::Gauged as _;
-
-use cranberrygap_control::{process, public, residency};
+use cranberrygap_control::{metric, process, public, residency};
 use cranberrygap_link::credential;
 use cranberrygap_model::address;
 use cranberrygap_wire::settings;
@@ -72,16 +71,13 @@
     let mut signals = signal::Listener::new()?;
     let prefix = format!("cranberrygap.control.{}", settings.control.instance);
     let sent = metrics::client(&settings.metrics.clone().unwrap_or_default(), &prefix)?;
-    let control = match form {
-        Some(form) => {
-            let starting =
-                process::Process::start_with(settings.clone(), held.clone(), form.runners());
-            let control = starting.await?;
-            form.listen(&settings, control.public())?;
-            control
-        }
-        None => process::Process::start(settings.clone(), held.clone()).await?,
-    };
+    let runners = form.map_or_else(residency::none, Form::runners);
+    let recorder = metric::Recorder::new(Arc::clone(&sent));
+    let starting = process::Process::start_with(settings.clone(), held.clone(), runners, recorder);
+    let control = starting.await?;
+    if let Some(form) = form {
+        form.listen(&settings, control.public())?;
+    }
     loop {
         let wish = tokio::time::timeout(LOOK, signals.next()).await;
         match wish {
@@ -92,7 +88,7 @@
             Err(_elapsed) => {
                 refresh(&settings, &control, &mut held);
                 // A metric that cannot be sent is lost.
-                let _lost = sent.gauge(metrics::LEADS, u64::from(control.leads()));
+                let _lost = sent.gauge(metric::LEADS, u64::from(control.leads()));
                 metrics::flush(&sent);
             }
         }
--- a/crates/cranberrygap/src/daemon/metrics.rs
+++ b/crates/cranberrygap/src/daemon/metrics.rs
@@ -10,9 +10,6 @@
 
 use super::{http as listener, scrape};
 
-/// Gauge of a control process: 1 while it leads, else 0.
-pub const LEADS: &str = "leads";
-
 /// Any free local port; datagrams only go out.
 const ANY_PORT: &str = "0.0.0.0:0";
 const ANY_PORT_V6: &str = "[::]:0";
--- a/crates/cranberrygap/tests/pages.rs
+++ b/crates/cranberrygap/tests/pages.rs
@@ -1,15 +1,18 @@
 //! The pages say what the program does.
 
-use cranberrygap_entry::metric;
+use cranberrygap_control::metric as control;
+use cranberrygap_entry::metric as entry;
+use cranberrygap_trace::metric::Metric;
 
 // An operator looks for a metric on the page and sets an alarm on it. A name that
 // was changed in the program alone would never fire.
 #[test]
-fn every_metric_of_an_entry_is_on_the_operators_page() {
+fn every_metric_is_on_the_operators_page() {
     let page = include_str!("../../../docs/OPERATIONS.md");
 
-    for metric in metric::ALL.into_iter().chain(metric::GATEWAY) {
-        let metric::Metric {
+    let entry = entry::ALL.into_iter().chain(entry::GATEWAY);
+    for metric in entry.chain(control::ALL) {
+        let Metric {
             name,
             kind,
             unit,
--- a/crates/cranberrygap/tests/secrets.rs
+++ b/crates/cranberrygap/tests/secrets.rs
@@ -11,6 +11,7 @@
 
 use cranberrygap_entry::metric;
 use cranberrygap_model::address;
+use cranberrygap_trace::metric::Metric;
 use cranberrygap_wire::{method, trace};
 use serde_json::Value;
 use support::{caller, fleet, wait};
@@ -39,7 +40,7 @@
     }
 }
 
-fn sent_name(metric: &metric::Metric) -> String {
+fn sent_name(metric: &Metric) -> String {
     format!("cranberrygap.entry.entry-1.{}:", metric.name)
 }
 
@@ -140,7 +141,7 @@
     let unknown = stranger.chat(entry, MODEL, "hello", false).await.unwrap();
     wait::until("every metric came", async || {
         metrics.push_str(&received(&socket));
-        let sent = |found: &metric::Metric| metrics.contains(&sent_name(found));
+        let sent = |found: &Metric| metrics.contains(&sent_name(found));
         metric::ALL.iter().all(sent) && metrics.contains("control.control-1.leads:")
     })
     .await;
