Answer renewals of shares that come together with one commit

Cause: the leader held a lock over the commit of each renewal, so that renewals were answered one after the other, each after a commit of some 20 ms on the processor that it has. 65 entries wait 1.3 s; an entry gives up after 0.7 s, and what it was granted meanwhile is lost.

Evidence: 243 commits of shares and 257 renewals in 5 s, the longest 776 ms. The new test gives a log whose commits take 20 ms to 65 entries with 16 workspaces: 65 commits before, at most two now.

Change: one task owns the granter. What waits is answered together by the next commit, 128 at most; a renewal that waited longer than its sender does is refused at once, since tokens granted to it are lost.

Ruled out: an allocation without a log entry (a successor must know the most that each holder may have).

--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod replica;
 pub mod replicated;
 pub mod residency;
+pub mod shares;
 pub mod transport;
 
 mod detector;
@@ -19,7 +20,7 @@
 mod peers;
 mod permission;
 mod quiet;
-mod shares;
+
 mod steward;
 mod store;
 mod subscription;
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -8,10 +8,11 @@
 use cranberrygap_link::clock;
 use cranberrygap_link::server;
 use cranberrygap_model::{id, number};
-use cranberrygap_policy::limits::{self, granter};
+use cranberrygap_policy::limits::{self, granter, holder};
 use cranberrygap_state::{command, fleet, share as state_share};
 use cranberrygap_wire::{configuration, method, share};
-use tokio::sync::Mutex;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::metric;
 use crate::proposer;
@@ -20,21 +21,47 @@
 /// Time between two looks for shares whose lease has run out.
 const PERIOD: Duration = Duration::from_millis(500);
 
+/// Renewals that may wait; an entry sends the next one when it has an answer.
+const QUEUE: usize = 4_096;
+
+/// Renewals that one commit answers, so that it stays below the largest proposal.
+const MOST_TOGETHER: usize = 128;
+
+/// Why a renewal is not answered when the process stops.
+const STOPPING: &str = "this control process is stopping";
+
 /// The leader's granter, shared by all who renew.
+///
+/// One task owns it. Renewals that come while a commit is under way are answered
+/// together by the next one, so that the wait does not grow with the entries.
 #[derive(Debug)]
-pub(crate) struct Shares {
+pub struct Shares {
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
     clock: clock::Clock,
-    /// Held while allocations are committed. A renewal that overtook them could
-    /// be answered from an allocation that is not in the log yet; if the leader
-    /// died then, its successor would give the same rate once more.
-    term: Mutex<Option<Term>>,
+    inbox: mpsc::Sender<Asked>,
+    receiver: Mutex<Option<mpsc::Receiver<Asked>>>,
     /// Renewals that are being answered.
     waiting: AtomicUsize,
     metrics: metric::Recorder,
 }
 
+type Answer = Result<share::Granted, server::Fault>;
+
+/// What the task is asked for.
+#[derive(Debug)]
+enum Asked {
+    Renewal(Renewal),
+    Dump(oneshot::Sender<serde_json::Value>),
+}
+
+#[derive(Debug)]
+struct Renewal {
+    renew: share::Renew,
+    at: Instant,
+    answer: oneshot::Sender<Answer>,
+}
+
 #[derive(Debug)]
 struct Term {
     number: number::Term,
@@ -43,74 +70,139 @@
 }
 
 impl Shares {
-    pub(crate) fn new(
+    /// Grants what `state` allows while `proposer` leads.
+    #[must_use]
+    pub fn new(
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
         clock: clock::Clock,
         metrics: metric::Recorder,
     ) -> Self {
+        let (inbox, receiver) = mpsc::channel(QUEUE);
         Self {
             state,
             proposer,
             clock,
-            term: Mutex::new(None),
+            inbox,
+            receiver: Mutex::new(Some(receiver)),
             waiting: AtomicUsize::new(0),
             metrics,
         }
     }
 
     /// Answers a renewal once every allocation that it leads to is committed.
-    pub(crate) async fn renew(&self, renew: share::Renew) -> Result<share::Granted, server::Fault> {
-        let begin = Instant::now();
+    ///
+    /// # Errors
+    ///
+    /// This process does not lead, a later renewal was answered before, or the commit failed.
+    pub async fn renew(&self, renew: share::Renew) -> Answer {
+        self.proposer.check_leads()?;
+        let at = Instant::now();
         let before = self.waiting.fetch_add(1, Ordering::Relaxed);
         self.metrics.gauge(metric::RENEWALS_WAITING, before);
-        let answer = self.grant(&renew).await;
+        let (answer, answered) = oneshot::channel();
+        let renewal = Renewal { renew, at, answer };
+        let answer = match self.inbox.try_send(Asked::Renewal(renewal)) {
+            Ok(()) => answered.await.unwrap_or_else(|_closed| Err(stopping())),
+            Err(_full) => Err(late()),
+        };
         self.waiting.fetch_sub(1, Ordering::Relaxed);
-        self.metrics.time(metric::RENEWAL, begin.elapsed());
+        self.metrics.time(metric::RENEWAL, at.elapsed());
         answer
     }
 
-    async fn grant(&self, renew: &share::Renew) -> Result<share::Granted, server::Fault> {
-        let mut held = self.term.lock().await;
-        let answer = self.metrics.work(metric::Work::Share, || {
-            let term = self.current(&mut held)?;
-            Ok::<_, server::Fault>(term.granter.renew(self.clock.now(), renew))
-        })?;
-        let answer =
-            answer.map_err(|cause| server::Fault::new(method::REFUSED, cause.to_string()))?;
-        if let Err(fault) = self.commit(answer.records).await {
+    /// Answers renewals and closes shares whose lease has run out, until the process stops.
+    pub async fn watch(self: Arc<Self>) {
+        let Some(mut receiver) = self.receiver.lock().take() else {
+            return;
+        };
+        let mut ticker = tokio::time::interval(PERIOD);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut held = None;
+        loop {
+            tokio::select! {
+                asked = receiver.recv() => {
+                    let Some(asked) = asked else { return };
+                    let waiting = std::iter::from_fn(|| receiver.try_recv().ok());
+                    let asked = std::iter::once(asked).chain(waiting.take(MOST_TOGETHER));
+                    let asked: Vec<Asked> = asked.collect();
+                    self.answer(&mut held, asked).await;
+                }
+                _ = ticker.tick() => self.expire(&mut held).await,
+            }
+        }
+    }
+
+    async fn answer(&self, held: &mut Option<Term>, asked: Vec<Asked>) {
+        let mut records = Vec::new();
+        let mut granted = Vec::new();
+        let grant = || {
+            for asked in asked {
+                match asked {
+                    Asked::Dump(answer) => {
+                        let pools = held.as_ref().map(|term| term.granter.dump());
+                        // Whoever asked may have gone.
+                        drop(answer.send(serde_json::json!(pools)));
+                    }
+                    Asked::Renewal(renewal) => match self.grant(held, &renewal) {
+                        Ok(answer) => {
+                            records.extend(answer.records);
+                            granted.push((renewal.answer, answer.granted));
+                        }
+                        Err(fault) => drop(renewal.answer.send(Err(fault))),
+                    },
+                }
+            }
+        };
+        self.metrics.work(metric::Work::Share, grant);
+        let committed = self.commit(records).await;
+        if committed.is_err() {
             // Whether the allocations are in the log is not known. The next
             // renewal starts from the log, with every lease taken as just renewed.
             *held = None;
-            return Err(fault);
         }
-        Ok(answer.granted)
+        for (answer, granted) in granted {
+            let outcome = committed.clone().map(|()| granted);
+            // An entry that has gone needs no answer.
+            drop(answer.send(outcome));
+        }
     }
 
-    /// Closes shares whose lease has run out, until the process stops.
-    pub(crate) async fn watch(self: Arc<Self>) {
-        loop {
-            tokio::time::sleep(PERIOD).await;
-            let mut held = self.term.lock().await;
-            if self.proposer.check_leads().is_err() {
-                *held = None;
-                continue;
-            }
-            let Some(term) = held.as_mut() else {
-                continue;
-            };
-            let records = term.granter.expire(self.clock.now());
-            if self.commit(records).await.is_err() {
-                *held = None;
-            }
+    /// Decides on a renewal; its answer may be sent once its records are committed.
+    fn grant(
+        &self,
+        held: &mut Option<Term>,
+        renewal: &Renewal,
+    ) -> Result<granter::Answer, server::Fault> {
+        // Its sender has given it up, and tokens granted to it would be lost.
+        if renewal.at.elapsed() > holder::PATIENCE.to_std() {
+            return Err(late());
+        }
+        let term = self.current(held)?;
+        let answer = term.granter.renew(self.clock.now(), &renewal.renew);
+        answer.map_err(|cause| server::Fault::new(method::REFUSED, cause.to_string()))
+    }
+
+    async fn expire(&self, held: &mut Option<Term>) {
+        if self.proposer.check_leads().is_err() {
+            *held = None;
+            return;
+        }
+        let Some(term) = held.as_mut() else {
+            return;
+        };
+        let records = term.granter.expire(self.clock.now());
+        if self.commit(records).await.is_err() {
+            *held = None;
         }
     }
 
     /// All pools, for a dump.
     pub(crate) async fn dump(&self) -> serde_json::Value {
-        let held = self.term.lock().await;
-        let pools = held.as_ref().map(|term| term.granter.dump());
-        serde_json::json!(pools)
+        let (answer, answered) = oneshot::channel();
+        // A task that has ended holds no pools.
+        drop(self.inbox.send(Asked::Dump(answer)).await);
+        answered.await.unwrap_or(serde_json::Value::Null)
     }
 
     /// The granter of the current term with the limits that are in force now.
@@ -157,6 +249,15 @@
     }
 }
 
+fn stopping() -> server::Fault {
+    server::Fault::new(method::NO_QUORUM, STOPPING)
+}
+
+fn late() -> server::Fault {
+    let sentence = "too many renewals wait for the leader";
+    server::Fault::new(method::NO_QUORUM, sentence)
+}
+
 impl Term {
     fn follow(
         &mut self,
--- /dev/null
+++ b/crates/cranberrygap-control/tests/shares.rs
@@ -0,0 +1,139 @@
+//! Renewals of shares of many entries that come together.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrygap_control::{log, machine::Machine as _, metric, proposer, replicated, shares};
+use cranberrygap_link::clock;
+use cranberrygap_model::{duration, number, token};
+use cranberrygap_state::{command, traffic as state};
+use cranberrygap_wire::{share, traffic};
+use futures_util::future::{self, BoxFuture};
+use smol_str::format_smolstr;
+
+const ENTRIES: usize = 65;
+const WORKSPACES: usize = 16;
+
+/// A log of one process whose commits take a while.
+#[derive(Debug)]
+struct SlowLog {
+    state: Arc<replicated::State>,
+    commits: AtomicU64,
+}
+
+impl SlowLog {
+    fn apply(&self, payload: &[u8]) -> log::Committed {
+        let index = number::Index(self.commits.fetch_add(1, Ordering::SeqCst) + 1);
+        let answer = self.state.apply(index, payload);
+        log::Committed { index, answer }
+    }
+
+    fn commits(&self) -> u64 {
+        self.commits.load(Ordering::SeqCst)
+    }
+}
+
+impl log::Log for SlowLog {
+    fn propose(&self, payload: Bytes) -> BoxFuture<'_, Result<log::Committed, log::Error>> {
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            Ok(self.apply(&payload))
+        })
+    }
+
+    fn status(&self) -> log::Status {
+        let at = number::Index(self.commits());
+        log::Status {
+            term: number::Term(1),
+            leads: true,
+            leader: None,
+            committed: at,
+            applied: at,
+        }
+    }
+}
+
+fn plan() -> traffic::Plan {
+    let workspaces = (0..WORKSPACES).map(|number| traffic::Workspace {
+        workspace: format!("workspace-{number}").parse().unwrap(),
+        rate: token::Rate(1_000_000.0),
+        burst: token::Count(10_000_000),
+        by_tokens: true,
+        keys: Vec::new(),
+        plain_cost: 1,
+        priority: None,
+    });
+    traffic::Plan {
+        version: 1,
+        routes: Vec::new(),
+        services: Vec::new(),
+        workspaces: workspaces.collect(),
+        bounds: traffic::Bounds {
+            body: 1,
+            header: 1,
+            header_time: duration::Span::from_secs(1),
+            idle: duration::Span::from_secs(1),
+        },
+    }
+}
+
+/// A leader of sixteen workspaces.
+fn leader() -> (Arc<SlowLog>, Arc<shares::Shares>) {
+    let state = Arc::new(replicated::State::default());
+    let log = Arc::new(SlowLog {
+        state: Arc::clone(&state),
+        commits: AtomicU64::new(0),
+    });
+    let source = "".into();
+    let step = state::Step {
+        plan: plan(),
+        source,
+    };
+    let command = command::Command::Traffic(Box::new(step));
+    let proposal = command::Proposal { at: 1, command };
+    log.apply(&serde_json::to_vec(&proposal).unwrap());
+    let proposer = proposer::Proposer::new(Arc::clone(&log) as _);
+    let clock = clock::Clock::start();
+    let shares = shares::Shares::new(state, proposer, clock, metric::Recorder::none());
+    let shares = Arc::new(shares);
+    tokio::spawn(Arc::clone(&shares).watch());
+    (log, shares)
+}
+
+fn renewal(entry: usize) -> share::Renew {
+    let demands = (0..WORKSPACES).map(|number| share::Demand {
+        workspace: format!("workspace-{number}").parse().unwrap(),
+        rate: token::Rate(5_000.0),
+        wanted: token::Count(1_000),
+        returned: token::Count(0),
+        share: 0,
+        room: token::Count(0),
+        first: token::Count(500),
+        usual: token::Count(500),
+        lent: token::Count(0),
+        unlent: token::Count(0),
+    });
+    share::Renew {
+        instance: format_smolstr!("entry-{entry}").parse().unwrap(),
+        boot: number::Boot(1),
+        sequence: number::Sequence(1),
+        demands: demands.collect(),
+    }
+}
+
+// Renewals that wait for a commit each are given up by their entries, which refuse callers.
+#[tokio::test]
+async fn renewals_that_come_together_share_a_commit() {
+    let (log, shares) = leader();
+    let before = log.commits();
+
+    let renewals = (0..ENTRIES).map(|entry| shares.renew(renewal(entry)));
+    let answers = future::join_all(renewals).await;
+
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+    // The first may begin a commit by itself; the others come while it is under way.
+    assert!(log.commits() - before <= 2, "{}", log.commits() - before);
+}
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -16,7 +16,7 @@
 
 /// Time after which an unanswered renewal is given up. Well below the lease, so
 /// that several renewals fit into one.
-const PATIENCE: duration::Span = duration::Span::from_millis(700);
+pub const PATIENCE: duration::Span = duration::Span::from_millis(700);
 
 /// Shares of one entry.
 #[derive(Debug)]
