Wake the leader for an adapter only while the runner has it

Callers saw: nothing by itself; the leader's processor was taken from leases and renewals of shares.

Cause: a request that waits for an adapter asks to be woken when the adapter is ready. If the runner lost it meanwhile, that time had passed, and the leader's task for placement woke at once, again and again, until the request's deadline, with a whole plan each time.

The new test fails before: the time to wake lies 84 ms in the past.

Change: who waits for an adapter that is not there is looked at with the ticker.

--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -199,9 +199,17 @@
     /// When somebody who waits can be answered next, if that is known.
     #[must_use]
     pub fn wake(&self) -> Option<duration::Instant> {
-        let ready = self.waiters.iter().filter_map(|waiter| waiter.ready);
+        let ready = self.waiters.iter().filter_map(|waiter| {
+            let ready = waiter.ready?;
+            self.is_there(waiter).then_some(ready)
+        });
         ready.min()
     }
+
+    fn is_there(&self, waiter: &Waiter) -> bool {
+        let runner = self.runners.get(&waiter.endpoint);
+        runner.is_some_and(|runner| runner.adapters.contains_key(&waiter.adapter))
+    }
 }
 
 impl runner::Runner {
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -342,6 +342,23 @@
 }
 
 /// Three runners with a copy of `hot` each and one of another model.
+// A wait for an adapter that is gone again must not wake the leader in a loop.
+#[test]
+fn adapter_that_is_gone_wakes_nobody_before_the_deadline() {
+    let mut book = book(&["m"], &[announced("r1", 1, &["m"], &[])]);
+    let adapter = (model("m"), "a1".into());
+    book.want(at(1_000), 1, &adapter, &name("r1"), false);
+    let sent = orders(&book.tick(at(1_000)));
+    let accepted = order::Verdict::Accepted;
+    book.answered(at(1_004), &name("r1"), sent[0].number, accepted);
+    book.want(at(1_006), 2, &adapter, &name("r1"), true);
+
+    book.tick(at(1_100));
+
+    let wake = book.wake();
+    assert!(wake.is_none_or(|wake| wake > at(1_100)), "{wake:?}");
+}
+
 fn runners_with_spare_copies() -> [endpoint::Announcement; 3] {
     [
         announced("r1", 1, &["hot", "silent"], &[]),
