Plan the moves of models once in a period, not with each report

Cause: the leader planned the moves of models with each report, answer and wish for an adapter, some hundred times a second, and each plan counted the other copies of a model by looking through all runners, for each model at each runner. Besides, the books were written as JSON ten times a second for a dump that nobody asked for.

The new test ticks a book 200 times in 200 ms: 200 plans before, three at most now.

Change: a plan at most each 90 ms, moves for demand that may come each 500 ms; confirmed copies are counted once a plan; the books are written when asked for.

Ruled out: a task on another thread (the instance has 0.15 of one core).

--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -297,7 +297,7 @@
             "failure": self.replica.failure(),
             "leadership": leadership,
             "orders": self.desk.orders.dump(),
-            "residency": self.desk.residency.dump(),
+            "residency": self.desk.residency.dump().await,
             "shares": self.desk.shares.dump().await,
             "fleet": self.desk.state.read(cranberrygap_state::fleet::Fleet::dump),
             "replica": self.replica.dump().await,
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -105,13 +105,13 @@
     news: mpsc::Sender<News>,
     receiver: Mutex<Option<mpsc::Receiver<News>>>,
     tickets: AtomicU64,
-    shown: Mutex<serde_json::Value>,
     metrics: metric::Recorder,
 }
 
 /// News for the task, of the term with this start.
 #[derive(Debug)]
 enum News {
+    Dump(oneshot::Sender<serde_json::Value>),
     Want(u64, traffic::Want, oneshot::Sender<Option<id::Endpoint>>),
     Reported(duration::Instant, id::Service, id::Endpoint, order::Report),
     Answered(
@@ -145,7 +145,6 @@
             news,
             receiver: Mutex::new(Some(receiver)),
             tickets: AtomicU64::new(1),
-            shown: Mutex::default(),
             metrics,
         }
     }
@@ -156,8 +155,15 @@
     }
 
     /// The books for people.
-    pub(crate) fn dump(&self) -> serde_json::Value {
-        self.shown.lock().clone()
+    pub(crate) async fn dump(&self) -> serde_json::Value {
+        if self.receiver.lock().is_some() {
+            // The task was not started: nothing is moved by the traffic plan.
+            return serde_json::Value::Null;
+        }
+        let (answer, answered) = oneshot::channel();
+        // A task that has ended keeps no books.
+        drop(self.news.send(News::Dump(answer)).await);
+        answered.await.unwrap_or(serde_json::Value::Null)
     }
 
     /// Finds or fetches an adapter for an entry.
@@ -205,8 +211,6 @@
                         self.metrics.work(metric::Work::Placement, follow);
                     }
                     self.step(&mut held);
-                    let show = || self.show(held.as_ref());
-                    self.metrics.work(metric::Work::Placement, show);
                 }
             }
         }
@@ -252,6 +256,11 @@
 
     fn hear(&self, held: &mut Option<Leadership>, news: News) {
         let now = self.clock.now();
+        if let News::Dump(answer) = news {
+            // Whoever asked may have gone.
+            drop(answer.send(shown(held.as_ref())));
+            return;
+        }
         let Some(leadership) = held else {
             // Who waits is told by the end of its channel.
             return;
@@ -403,12 +412,12 @@
             }
         });
     }
+}
 
-    fn show(&self, held: Option<&Leadership>) {
-        let books = held
-            .into_iter()
-            .flat_map(|leadership| leadership.books.values());
-        let books: Vec<serde_json::Value> = books.map(book::Book::dump).collect();
-        *self.shown.lock() = serde_json::json!(books);
-    }
+fn shown(held: Option<&Leadership>) -> serde_json::Value {
+    let books = held
+        .into_iter()
+        .flat_map(|leadership| leadership.books.values());
+    let books: Vec<serde_json::Value> = books.map(book::Book::dump).collect();
+    serde_json::json!(books)
 }
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -74,6 +74,12 @@
     /// until then, and runners that do not compare leaders would take both.
     opens: duration::Instant,
     numbers: u64,
+    /// When the moves were planned last.
+    planned: Option<duration::Instant>,
+    /// When moves for demand that may come were looked for last.
+    prepared: Option<duration::Instant>,
+    /// How often the moves were planned.
+    plans: u64,
 }
 
 impl Book {
@@ -98,6 +104,9 @@
             changed: BTreeSet::new(),
             opens: now.after(wait),
             numbers: 0,
+            planned: None,
+            prepared: None,
+            plans: 0,
         }
     }
 
@@ -201,6 +210,7 @@
         });
         serde_json::json!({
             "service": self.service,
+            "plans": self.plans,
             "demand": self.demand,
             "waiting_for_adapters": self.waiters.len(),
             "runners": runners.collect::<Vec<_>>(),
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -7,6 +7,13 @@
 use crate::residency::plan;
 use crate::residency::runner;
 
+/// Least time between two plans. A plan looks at each model at each runner, while reports
+/// and wishes for adapters come hundreds of times a second.
+const PLAN_PERIOD: duration::Span = duration::Span::from_millis(90);
+
+/// Least time between two looks for demand that may come, which is not urgent.
+const PREPARE_PERIOD: duration::Span = duration::Span::from_millis(500);
+
 /// Moves that one look may begin; the next look sees what they change.
 const MOVES_A_LOOK: usize = 6;
 
@@ -19,8 +26,13 @@
 const STANDING_MOVES: usize = 3;
 
 impl Book {
-    /// Begins the moves that are worth their cost.
+    /// Begins the moves that are worth their cost, once in a period.
     pub(super) fn plan(&mut self, now: duration::Instant) {
+        if !is_due(self.planned, now, PLAN_PERIOD) {
+            return;
+        }
+        self.planned = Some(now);
+        self.plans += 1;
         for _move in 0..MOVES_A_LOOK {
             let at_once = self.engine.loads_at_once();
             let open = self.ceiling.is_open(now) && self.loading_from_store() < at_once;
@@ -38,9 +50,11 @@
         let watched = self.asked.is_some_and(|since| now.since(since) >= WATCH);
         let moving = self.runners.values();
         let moving = moving.filter(|runner| runner.moving.is_some()).count();
-        if !watched || moving >= STANDING_MOVES {
+        let due = is_due(self.prepared, now, PREPARE_PERIOD);
+        if !watched || moving >= STANDING_MOVES || !due {
             return;
         }
+        self.prepared = Some(now);
         let full = self.ceiling.is_full(now);
         let draft = plan::Draft::new(&self.engine, &self.runners, &self.demand, full);
         if let Some(wish) = draft.standing() {
@@ -181,3 +195,7 @@
         Some(order::Action::Load(model))
     }
 }
+
+fn is_due(last: Option<duration::Instant>, now: duration::Instant, period: duration::Span) -> bool {
+    last.is_none_or(|last| now >= last.after(period))
+}
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -75,6 +75,8 @@
     demand: &'book BTreeMap<id::Model, f64>,
     store_open: bool,
     copies: BTreeMap<&'book id::Model, Vec<&'book id::Endpoint>>,
+    /// Confirmed copies that stay; one that is only on its way may fail.
+    confirmed: BTreeMap<&'book id::Model, usize>,
     load: BTreeMap<&'book id::Endpoint, f64>,
 }
 
@@ -89,10 +91,14 @@
         store_open: bool,
     ) -> Self {
         let mut copies: BTreeMap<&id::Model, Vec<&id::Endpoint>> = BTreeMap::new();
+        let mut confirmed: BTreeMap<&id::Model, usize> = BTreeMap::new();
         for (name, runner) in runners.iter().filter(|(_, runner)| runner.ready) {
             for model in runner.settled() {
                 copies.entry(model).or_default().push(name);
             }
+            for model in runner.models.iter().filter(|model| runner.serves(model)) {
+                *confirmed.entry(model).or_default() += 1;
+            }
         }
         let mut draft = Self {
             engine,
@@ -100,6 +106,7 @@
             demand,
             store_open,
             copies,
+            confirmed,
             load: runners.keys().map(|name| (name, 0.0)).collect(),
         };
         draft.spread();
@@ -310,10 +317,12 @@
         models.filter(move |model| free + size(model).unwrap_or_default() >= needed)
     }
 
-    /// Confirmed copies at other runners; one that is only on its way may fail.
+    /// Confirmed copies at other runners.
     fn count_elsewhere(&self, name: &id::Endpoint, model: &id::Model) -> usize {
-        let others = self.runners.iter().filter(|(other, _)| *other != name);
-        others.filter(|(_, runner)| runner.serves(model)).count()
+        let runner = self.runners.get(name);
+        let here = runner.is_some_and(|runner| runner.serves(model));
+        let all = self.confirmed.get(model).copied().unwrap_or_default();
+        all - usize::from(here)
     }
 
     fn work(&self, model: &id::Model) -> f64 {
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -342,6 +342,21 @@
 }
 
 /// Three runners with a copy of `hot` each and one of another model.
+// A plan for each report or wish takes the processor from leases and renewals.
+#[test]
+fn moves_are_planned_once_in_a_period_however_much_news_comes() {
+    let mut book = book(&["hot", "silent", "b", "c"], &runners_with_spare_copies());
+    book.set_demand(at(0), demand(&[("hot", 0.01)]));
+    let planned = |book: &book::Book| book.dump()["plans"].as_u64().unwrap_or_default();
+    let before = planned(&book);
+
+    for millis in 0..200 {
+        book.tick(at(10_000 + millis));
+    }
+
+    assert!(planned(&book) - before <= 3, "{}", planned(&book) - before);
+}
+
 // A wait for an adapter that is gone again must not wake the leader in a loop.
 #[test]
 fn adapter_that_is_gone_wakes_nobody_before_the_deadline() {
