Keep the sums of a bucket's shares while they change

Cause: the leader added up all shares and loans of a workspace some ten times for each demand of a renewal, so that a renewal cost the more the more entries there are, 65 entries times 16 workspaces here.

Change: the shares of a bucket and the loans keep their sums; only changed shares are compared with the log; leases are looked through when one can have ended.

--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -137,14 +137,15 @@
         let mut records = Vec::new();
         let mut granted = Vec::new();
         let grant = || {
+            let mut term = self.current(held);
             for asked in asked {
                 match asked {
                     Asked::Dump(answer) => {
-                        let pools = held.as_ref().map(|term| term.granter.dump());
+                        let pools = term.as_ref().ok().map(|term| term.granter.dump());
                         // Whoever asked may have gone.
                         drop(answer.send(serde_json::json!(pools)));
                     }
-                    Asked::Renewal(renewal) => match self.grant(held, &renewal) {
+                    Asked::Renewal(renewal) => match self.grant(&mut term, &renewal) {
                         Ok(answer) => {
                             records.extend(answer.records);
                             granted.push((renewal.answer, answer.granted));
@@ -171,14 +172,14 @@
     /// Decides on a renewal; its answer may be sent once its records are committed.
     fn grant(
         &self,
-        held: &mut Option<Term>,
+        term: &mut Result<&mut Term, server::Fault>,
         renewal: &Renewal,
     ) -> Result<granter::Answer, server::Fault> {
         // Its sender has given it up, and tokens granted to it would be lost.
         if renewal.at.elapsed() > holder::PATIENCE.to_std() {
             return Err(late());
         }
-        let term = self.current(held)?;
+        let term = term.as_mut().map_err(|fault| fault.clone())?;
         let answer = term.granter.renew(self.clock.now(), &renewal.renew);
         answer.map_err(|cause| server::Fault::new(method::REFUSED, cause.to_string()))
     }
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -1,6 +1,6 @@
 //! One workspace's bucket at the leader: the pool and the shares taken out of it.
 
-use std::collections::BTreeMap;
+mod holdings;
 
 use cranberrygap_model::{duration, id, number, token};
 use cranberrygap_wire::share;
@@ -9,6 +9,7 @@
 use super::floor::Floor;
 use super::lender::{self, Lender};
 use super::{LEASE, Limit, PERIOD};
+use holdings::Holdings;
 
 /// Part of the rate that no share ever gets: clocks of two instances differ by
 /// up to some hundred millionths, and a holder whose clock is fast would accrue
@@ -100,7 +101,7 @@
     burst: Amount,
     pool: Amount,
     accrued: duration::Instant,
-    shares: BTreeMap<Owner, Share>,
+    shares: Holdings,
     lender: Lender,
     floor: Floor,
 }
@@ -112,7 +113,7 @@
             burst: Amount::ZERO,
             pool: Amount::ZERO,
             accrued: now,
-            shares: BTreeMap::new(),
+            shares: Holdings::default(),
             lender: Lender::default(),
             floor: Floor::default(),
         };
@@ -172,8 +173,8 @@
             until: expiry(now),
             ..Share::default()
         };
-        self.shares
-            .insert((logged.instance.clone(), logged.boot), share);
+        let owner = (logged.instance.clone(), logged.boot);
+        self.shares.update(&owner, |known| *known = share);
         self.cut();
     }
 
@@ -189,19 +190,20 @@
         self.confirm(owner, demand);
         self.note(owner, demand);
         let target = self.target(owner);
-        let share = self.shares.entry(owner.clone()).or_default();
-        let held = share.held;
-        if (target.rate, target.cap) == (held.rate, held.cap) {
-            share.offered = held;
-        } else {
-            share.offered = Part {
-                number: *next,
-                ..target
-            };
-            *next += 1;
-        }
-        share.until = expiry(now);
-        let offered = share.offered;
+        let (held, offered) = self.shares.update(owner, |share| {
+            let held = share.held;
+            if (target.rate, target.cap) == (held.rate, held.cap) {
+                share.offered = held;
+            } else {
+                share.offered = Part {
+                    number: *next,
+                    ..target
+                };
+                *next += 1;
+            }
+            share.until = expiry(now);
+            (held, share.offered)
+        });
         let first = Amount::from_count(demand.first);
         let wanted = Amount::from_count(demand.wanted);
         self.lender.ask(now, owner, first, wanted);
@@ -274,13 +276,13 @@
     pub(super) fn expire(&mut self, now: duration::Instant) {
         self.lender.expire(now);
         self.accrue(now);
-        for share in self.shares.values_mut() {
-            if now >= share.until {
+        for owner in self.shares.expired(now) {
+            self.shares.update(&owner, |share| {
                 share.held = Part::default();
                 share.offered = Part::default();
                 share.inherited = false;
                 share.demand = 0.0;
-            }
+            });
         }
     }
 
@@ -302,26 +304,25 @@
             ));
             self.floor.logged = self.floor.kept;
         }
-        for ((instance, boot), share) in &mut self.shares {
-            let most = (share.rate(), share.cap());
-            if most == share.logged {
+        for owner in self.shares.take_changed() {
+            let Some(share) = self.shares.get(&owner) else {
                 continue;
+            };
+            let most = (share.rate(), share.cap());
+            if most != share.logged {
+                let grows = most.0 > share.logged.0 || most.1 > share.logged.1;
+                let list = if grows { &mut larger } else { &mut smaller };
+                list.push(share::Allocation {
+                    workspace: workspace.clone(),
+                    instance: owner.0.clone(),
+                    boot: owner.1,
+                    share: share.held.number.max(share.offered.number),
+                    rate: most.0.to_rate(),
+                    cap: most.1.covering(),
+                });
             }
-            let grows = most.0 > share.logged.0 || most.1 > share.logged.1;
-            share.logged = most;
-            let list = if grows { &mut larger } else { &mut smaller };
-            list.push(share::Allocation {
-                workspace: workspace.clone(),
-                instance: instance.clone(),
-                boot: *boot,
-                share: share.held.number.max(share.offered.number),
-                rate: most.0.to_rate(),
-                cap: most.1.covering(),
-            });
+            self.shares.log(&owner, most);
         }
-        let nothing = (Flow::ZERO, Amount::ZERO);
-        self.shares
-            .retain(|_, share| share.logged != nothing || share.demand >= 1.0);
         smaller.append(&mut larger);
         smaller
     }
@@ -350,16 +351,12 @@
         self.pool = self.pool.min(self.burst.minus(out));
     }
 
-    fn shared_rate(&self) -> Flow {
-        self.shares
-            .values()
-            .fold(Flow::ZERO, |sum, share| sum.plus(share.rate()))
+    const fn shared_rate(&self) -> Flow {
+        self.shares.rate()
     }
 
-    fn shared_cap(&self) -> Amount {
-        self.shares
-            .values()
-            .fold(Amount::ZERO, |sum, share| sum.plus(share.cap()))
+    const fn shared_cap(&self) -> Amount {
+        self.shares.cap()
     }
 
     /// Takes the reported share number as evidence of what the holder has.
@@ -367,19 +364,21 @@
     /// A holder ignores answers to all but its last renewal, so it has just this
     /// share until the answer to this renewal arrives.
     fn confirm(&mut self, owner: &Owner, demand: &share::Demand) {
-        let share = self.shares.entry(owner.clone()).or_default();
-        let numbers = [share.held.number, share.offered.number];
-        let lives = share.rate() > Flow::ZERO || share.cap() > Amount::ZERO;
-        let known = share.inherited || demand.share == 0 || numbers.contains(&demand.share);
-        if demand.share == 0 || !known {
-            share.held = Part::default();
-        } else if share.inherited {
-            share.held.number = demand.share;
-        } else if demand.share == share.offered.number {
-            share.held = share.offered;
-        }
-        share.inherited = false;
-        share.offered = share.held;
+        let (lives, known) = self.shares.update(owner, |share| {
+            let numbers = [share.held.number, share.offered.number];
+            let lives = share.rate() > Flow::ZERO || share.cap() > Amount::ZERO;
+            let known = share.inherited || demand.share == 0 || numbers.contains(&demand.share);
+            if demand.share == 0 || !known {
+                share.held = Part::default();
+            } else if share.inherited {
+                share.held.number = demand.share;
+            } else if demand.share == share.offered.number {
+                share.held = share.offered;
+            }
+            share.inherited = false;
+            share.offered = share.held;
+            (lives, known)
+        });
         self.cut();
         // Tokens of a share that was given up here count as spent already.
         if lives && known {
@@ -393,9 +392,10 @@
     }
 
     fn note(&mut self, owner: &Owner, demand: &share::Demand) {
-        let share = self.shares.entry(owner.clone()).or_default();
-        share.demand = demand.rate.0;
-        share.usual = demand.usual.0 as f64;
+        self.shares.update(owner, |share| {
+            share.demand = demand.rate.0;
+            share.usual = demand.usual.0 as f64;
+        });
     }
 
     /// Rate and cap that the share is to have from now on.
@@ -406,11 +406,7 @@
         let held = share.held;
         let others_rate = self.shared_rate().minus(share.rate());
         let others_cap = self.shared_cap().minus(share.cap());
-        let asked: f64 = self
-            .shares
-            .values()
-            .map(|share| share.demand * OWN_PART)
-            .sum();
+        let asked = self.shares.demand() * OWN_PART;
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
         let stock = self.stock(share);
@@ -443,8 +439,7 @@
     /// second's rate, shares for two seconds of demand left no room for the pool, and
     /// all that accrued there was lost: workspaces at half their rate were refused.
     fn stock(&self, share: &Share) -> f64 {
-        let asked: f64 = self.shares.values().map(|share| share.demand).sum();
-        let part = share.demand / asked.max(1.0);
+        let part = share.demand / self.shares.demand().max(1.0);
         let fair = self.burst.as_f64() * STOCKED * part;
         fair.min(share.demand * STOCK.as_secs_f64())
     }
--- /dev/null
+++ b/crates/cranberrygap-policy/src/limits/bucket/holdings.rs
@@ -0,0 +1,92 @@
+//! The shares of one bucket, with their sums.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cranberrygap_model::duration;
+
+use super::super::amount::{Amount, Flow};
+use super::{Owner, Share};
+
+/// Shares by holder. Sums are kept while shares change, so that a renewal costs the same
+/// however many entries there are.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Holdings {
+    shares: BTreeMap<Owner, Share>,
+    rate: Flow,
+    cap: Amount,
+    demand: f64,
+    /// Shares that changed since the log was last told.
+    changed: BTreeSet<Owner>,
+    /// No lease runs out before this.
+    due: Option<duration::Instant>,
+}
+
+impl Holdings {
+    pub(super) fn get(&self, owner: &Owner) -> Option<&Share> {
+        self.shares.get(owner)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.shares.len()
+    }
+
+    /// Sum of the rates that holders may have.
+    pub(super) const fn rate(&self) -> Flow {
+        self.rate
+    }
+
+    /// Sum of the caps that holders may have.
+    pub(super) const fn cap(&self) -> Amount {
+        self.cap
+    }
+
+    /// Tokens a second that callers ask for at all entries.
+    pub(super) const fn demand(&self) -> f64 {
+        self.demand
+    }
+
+    /// Changes the share of `owner`, an empty one if it has none.
+    pub(super) fn update<R>(&mut self, owner: &Owner, change: impl FnOnce(&mut Share) -> R) -> R {
+        let share = self.shares.entry(owner.clone()).or_default();
+        let before = (share.rate(), share.cap(), share.demand);
+        let result = change(share);
+        let (rate, cap, demand) = before;
+        self.rate = self.rate.minus(rate).plus(share.rate());
+        self.cap = self.cap.minus(cap).plus(share.cap());
+        self.demand += share.demand - demand;
+        let until = share.until;
+        self.due = Some(self.due.map_or(until, |due| due.min(until)));
+        self.changed.insert(owner.clone());
+        result
+    }
+
+    /// Holders whose lease has run out at `now`.
+    pub(super) fn expired(&mut self, now: duration::Instant) -> Vec<Owner> {
+        if self.due.is_none_or(|due| now < due) {
+            return Vec::new();
+        }
+        let (over, running): (Vec<_>, Vec<_>) = self
+            .shares
+            .iter()
+            .partition(|(_, share)| now >= share.until);
+        self.due = running.into_iter().map(|(_, share)| share.until).min();
+        over.into_iter().map(|(owner, _)| owner.clone()).collect()
+    }
+
+    /// Takes out the holders of changed shares, in order.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<Owner> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Notes what the log says of a share, and drops it if neither log nor callers know it.
+    pub(super) fn log(&mut self, owner: &Owner, logged: (Flow, Amount)) {
+        let Some(share) = self.shares.get_mut(owner) else {
+            return;
+        };
+        share.logged = logged;
+        if logged == (Flow::ZERO, Amount::ZERO) && share.demand < 1.0 {
+            self.demand -= share.demand;
+            self.shares.remove(owner);
+        }
+    }
+}
--- a/crates/cranberrygap-policy/src/limits/lender.rs
+++ b/crates/cranberrygap-policy/src/limits/lender.rs
@@ -54,6 +54,10 @@
 pub(super) struct Lender {
     asks: VecDeque<Ask>,
     loans: BTreeMap<Owner, VecDeque<Loan>>,
+    /// Sum of what is left of the loans.
+    lent: Amount,
+    /// No loan ends before this.
+    due: Option<duration::Instant>,
 }
 
 /// Under this name, which no instance bears with this boot, the log keeps what the pool
@@ -111,17 +115,26 @@
 impl Lender {
     /// Forgets loans that nobody can spend any more, and who has left the line.
     pub(super) fn expire(&mut self, now: duration::Instant) {
+        if self.due.is_some_and(|due| now >= due) {
+            self.drop_ended(now);
+        }
+        self.asks.retain(|ask| now.since(ask.heard) < SILENT);
+    }
+
+    fn drop_ended(&mut self, now: duration::Instant) {
         for loans in self.loans.values_mut() {
             loans.retain(|loan| now < loan.until);
         }
         self.loans.retain(|_, loans| !loans.is_empty());
-        self.asks.retain(|ask| now.since(ask.heard) < SILENT);
+        let left = self.loans.values().flatten();
+        self.lent = left.fold(Amount::ZERO, |sum, loan| sum.plus(loan.left));
+        let left = self.loans.values().flatten();
+        self.due = left.map(|loan| loan.until).min();
     }
 
     /// Tokens that loans may still hold.
-    pub(super) fn lent(&self) -> Amount {
-        let loans = self.loans.values().flatten();
-        loans.fold(Amount::ZERO, |sum, loan| sum.plus(loan.left))
+    pub(super) const fn lent(&self) -> Amount {
+        self.lent
     }
 
     /// Takes what a holder says of its loans as evidence; gives what it hands back.
@@ -139,6 +152,7 @@
         for loan in loans.iter_mut() {
             let part = gone.min(loan.left);
             loan.left = loan.left.minus(part);
+            self.lent = self.lent.minus(part);
             gone = gone.minus(part);
         }
         loans.retain(|loan| loan.left > Amount::ZERO);
@@ -197,6 +211,8 @@
                 left: amount,
                 until: cleared(now),
             };
+            self.lent = self.lent.plus(amount);
+            self.due.get_or_insert(loan.until);
             self.loans.entry(owner.clone()).or_default().push_back(loan);
         }
     }
