--- a/crates/cranberrygap-bench/src/soak/view.rs
+++ b/crates/cranberrygap-bench/src/soak/view.rs
@@ -6,8 +6,10 @@
 //! still, are cut off in one direction, send heartbeats but no news, lose power together or
 //! lose their folders.
 
+mod budget;
 mod checks;
 mod control;
+mod day;
 mod duties;
 mod entry;
 mod flaw;
@@ -40,14 +42,49 @@
 
     /// A step is a hundredth of a second.
     fn run(&self, seed: u64, steps: u64) -> Result<serde_json::Value, Violation> {
-        let mut world = world::World::new(seed, self.flaw);
-        let outcome = world.run(steps);
-        outcome.map_err(|invariant| Violation {
-            invariant,
-            seed,
-            step: world.tally.steps,
-            trace: world.trace(),
-        })?;
-        Ok(serde_json::to_value(&world.tally).unwrap_or_default())
+        play(seed, steps, self.flaw, day::Day::TROUBLED)
     }
 }
+
+/// A day without trouble, on the processor that control processes have.
+#[derive(Debug, Clone, Copy)]
+pub struct Quiet {
+    /// Number of entries.
+    pub entries: usize,
+}
+
+impl Default for Quiet {
+    /// As many as the largest fleet served.
+    fn default() -> Self {
+        Self { entries: 65 }
+    }
+}
+
+impl Part for Quiet {
+    fn name(&self) -> &'static str {
+        "quiet"
+    }
+
+    fn description(&self) -> &'static str {
+        "changes, leases and views of many entries without any trouble, while each message, \
+         frame and command takes its processor time: every entry serves, each change is in \
+         force in time and no heartbeat goes unanswered"
+    }
+
+    /// A step is a hundredth of a second.
+    fn run(&self, seed: u64, steps: u64) -> Result<serde_json::Value, Violation> {
+        play(seed, steps, Flaw::None, day::Day::quiet(self.entries))
+    }
+}
+
+fn play(seed: u64, steps: u64, flaw: Flaw, day: day::Day) -> Result<serde_json::Value, Violation> {
+    let mut world = world::World::new(seed, flaw, day);
+    let outcome = world.run(steps);
+    outcome.map_err(|invariant| Violation {
+        invariant,
+        seed,
+        step: world.tally.steps,
+        trace: world.trace(),
+    })?;
+    Ok(serde_json::to_value(&world.tally).unwrap_or_default())
+}
--- a/crates/cranberrygap-bench/src/soak/view/checks.rs
+++ b/crates/cranberrygap-bench/src/soak/view/checks.rs
@@ -1,21 +1,28 @@
 //! The operator's changes, and what must hold of the entries.
 
-use cranberrygap_model::duration;
+use cranberrygap_model::{duration, number as model};
 use cranberrygap_state::{command, traffic as state};
-use cranberrygap_wire::traffic;
+use cranberrygap_wire::{traffic, view};
+use rand::Rng;
 
 use super::control::{Control, Pending};
 use super::packet::Place;
 use super::world::{SECOND, World};
 
+/// Endpoints of the fleet, and adapters that they load in turn.
+const ENDPOINTS: usize = 64;
+const ADAPTERS: usize = 300;
+
 /// Time after its acknowledgement from which a change must be in force.
 const IN_FORCE: u64 = 2 * SECOND;
 
 /// Time after the return of power by which entries must serve.
 const RECOVERY: u64 = 12 * SECOND;
 
-/// Time between two changes of the operator, and how many may be under way.
-const CHANGES: u64 = 33_000;
+/// Time from the start in which a fleet without trouble gets ready.
+const READY: u64 = 4 * SECOND;
+
+/// Changes of the operator that may be under way.
 const UNDER_WAY: usize = 8;
 
 impl World {
@@ -24,7 +31,7 @@
         if self.now < self.next_change {
             return;
         }
-        self.next_change = self.now + CHANGES;
+        self.next_change = self.now + self.day.changes;
         let now = self.now;
         let leads = |control: &Control| {
             let running = control.running.as_ref();
@@ -82,6 +89,11 @@
             }
             let Some(version) = version else {
                 self.tally.refusals += 1;
+                if !self.day.troubled && self.now > READY {
+                    return Err(format!(
+                        "serving: entry {number} may not serve on a day without trouble"
+                    ));
+                }
                 continue;
             };
             self.tally.decisions += 1;
@@ -105,6 +117,42 @@
         Ok(())
     }
 
+    /// Endpoints load and drop adapters all the time.
+    pub fn tell_news(&mut self) {
+        let Some(gap) = self.day.news.filter(|_| self.now >= self.next_news) else {
+            return;
+        };
+        self.next_news = self.now + gap;
+        let Some(place) = self.leader() else {
+            return;
+        };
+        let number = self.rng.random_range(0..ENDPOINTS);
+        let adapter = self.rng.random_range(0..ADAPTERS);
+        let told = view::Residency {
+            endpoint: format!("runner-{number}").parse().expect("a plain name"),
+            boot: model::Boot(1),
+            retiring: Vec::new(),
+            adapters: vec![format!("model/a{adapter}").parse().expect("a plain name")],
+        };
+        self.propose(place, command::Command::Residency(told));
+    }
+
+    /// Counts heartbeats without an answer; without trouble there is none once all are ready.
+    pub fn check_answers(&mut self) -> Result<(), String> {
+        let busiest = self.controls.iter().map(|control| control.spent).max();
+        self.tally.busiest = busiest.unwrap_or_default() * 1_000 / self.now.max(1);
+        let unanswered = self.entries.iter().map(|entry| entry.unanswered).sum();
+        let before = std::mem::replace(&mut self.tally.unanswered, unanswered);
+        if !self.day.troubled && self.now > READY && unanswered > before {
+            let late = self.tally.latest;
+            return Err(format!(
+                "answers: a heartbeat got no answer in time on a day without trouble; the work \
+                 of a control process is up to {late} ms late"
+            ));
+        }
+        Ok(())
+    }
+
     pub fn check_recovery(&self) -> Result<(), String> {
         match self.back {
             Some(back) if self.now > back + RECOVERY => Err(format!(
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -79,6 +79,10 @@
     pub running: Option<Running>,
     /// When the last write that was begun will be durable.
     pub written_at: u64,
+    /// When the work that was begun will be done.
+    pub busy_until: u64,
+    /// Processor time that was used.
+    pub spent: u64,
 }
 
 /// What a step leads to outside the process.
@@ -87,6 +91,8 @@
     pub sends: Vec<(Place, Packet)>,
     pub writes: Vec<write::Write>,
     pub notes: Vec<String>,
+    /// Commands that were applied.
+    pub applied: u64,
 }
 
 impl Control {
@@ -137,6 +143,7 @@
                 output::Output::Send(message) => send(&mut effects, places, message),
                 output::Output::Apply(entries) => {
                     for entry in entries {
+                        effects.applied += 1;
                         running.apply(&entry, hung, &mut effects);
                     }
                 }
--- a/crates/cranberrygap-bench/src/soak/view/duties.rs
+++ b/crates/cranberrygap-bench/src/soak/view/duties.rs
@@ -6,10 +6,11 @@
 use cranberrygap_state::command;
 use cranberrygap_wire::view;
 
+use super::budget;
 use super::control::{Subscriber, Waiting};
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
-use super::world::{SECOND, World};
+use super::world::{SECOND, STEP, World};
 
 /// Times of a control process's tasks.
 const HEARTBEAT: u64 = 250_000;
@@ -88,6 +89,9 @@
     }
 
     pub fn poll_controls(&mut self) -> Result<(), String> {
+        if let Some(leader) = self.leader() {
+            self.spend(leader, budget::renewing(self.entries.len() as u64, STEP));
+        }
         for place in 0..self.controls.len() {
             if self.controls[place].running.is_none()
                 || self.controls[place].frozen_until > self.now
--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -50,6 +50,8 @@
     next_follow: u64,
     rotation: usize,
     calls: u64,
+    /// Heartbeats without an answer in time.
+    pub unanswered: u64,
 }
 
 impl Entry {
@@ -72,6 +74,7 @@
             next_follow: 0,
             rotation: number,
             calls: boot << 32,
+            unanswered: 0,
         }
     }
 
@@ -91,6 +94,7 @@
         let late = |call: &Call| now > call.sent + DEADLINE;
         if self.call.as_ref().is_some_and(late) {
             self.call = None;
+            self.unanswered += 1;
             self.avoided = Some((self.target, now));
             self.target = (self.target + 1) % controls;
             self.reached = false;
--- a/crates/cranberrygap-bench/src/soak/view/tally.rs
+++ b/crates/cranberrygap-bench/src/soak/view/tally.rs
@@ -31,6 +31,14 @@
     pub blackouts: u64,
     /// Folders lost.
     pub lost_folders: u64,
+    /// Processor time that control processes used, in microseconds.
+    pub processor: u64,
+    /// Part of a core that the busiest control process used, in thousandths.
+    pub busiest: u64,
+    /// Longest time by which the work of a control process was late, in milliseconds.
+    pub latest: u64,
+    /// Heartbeats of entries that got no answer in time.
+    pub unanswered: u64,
     /// Longest time without service after power was back, in milliseconds.
     pub recovery: u64,
 }
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -6,7 +6,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::budget;
 use super::control::{Control, Disk, Effects};
+use super::day::Day;
 use super::entry::Entry;
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
@@ -17,7 +19,6 @@
 pub const SECOND: u64 = 1_000_000;
 /// Bytes that a cut holds up for longer are lost with their connection.
 const HELD: u64 = 1_500_000;
-const ENTRIES: usize = 4;
 const TRACE: usize = 90;
 
 #[derive(Debug)]
@@ -52,10 +53,12 @@
     pub tally: Tally,
     group: replica::Group,
     pub flaw: Flaw,
+    pub day: Day,
     queue: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     order: BTreeMap<(Place, Place), u64>,
     pub next_change: u64,
+    pub next_news: u64,
     pub version: u64,
     pub acknowledged: VecDeque<(u64, u64)>,
     /// Highest version that must be in force, and that was ever acknowledged.
@@ -65,10 +68,11 @@
 }
 
 impl World {
-    /// A group of three or five voters and some entries.
-    pub fn new(seed: u64, flaw: Flaw) -> Self {
+    /// A group of voters and some entries.
+    pub fn new(seed: u64, flaw: Flaw, day: Day) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let voters = [3, 3, 5][rng.random_range(0..3)];
+        let drawn = [3, 3, 5][rng.random_range(0..3)];
+        let voters = day.voters.unwrap_or(drawn);
         let controls: Vec<Control> = (0..voters).map(|place| control(place, &mut rng)).collect();
         let founders = controls.iter().map(|control| {
             let peer = control.peer.clone();
@@ -79,7 +83,7 @@
         let formed = formation::Formed { group, founders };
         let mut world = Self {
             next_id: voters as u64 + 1,
-            entries: (0..ENTRIES)
+            entries: (0..day.entries)
                 .map(|number| Entry::new(number, 1, rng.random_range(0..SECOND)))
                 .collect(),
             rng,
@@ -97,10 +101,12 @@
             },
             group,
             flaw,
+            day,
             queue: BTreeMap::new(),
             sequence: 0,
             order: BTreeMap::new(),
             next_change: 0,
+            next_news: 0,
             version: 0,
             acknowledged: VecDeque::new(),
             due: 0,
@@ -133,12 +139,16 @@
             let until = self.now + STEP;
             self.deliver_until(until);
             self.now = until;
-            self.trouble();
+            if self.day.troubled {
+                self.trouble();
+            }
             self.start_due();
             self.poll_controls()?;
             self.operate();
+            self.tell_news();
             self.poll_entries()?;
             self.check_recovery()?;
+            self.check_answers()?;
         }
         Ok(())
     }
@@ -166,6 +176,14 @@
             self.schedule(frozen, Event::Deliver { to, life, packet });
             return;
         }
+        if let Place::Control(place) = to {
+            let busy_until = self.controls[place].busy_until;
+            if busy_until > self.now {
+                self.schedule(busy_until, Event::Deliver { to, life, packet });
+                return;
+            }
+            self.spend(place, budget::taking(&packet));
+        }
         match to {
             Place::Entry(number) => self.entries[number].take(self.now, packet),
             Place::Control(place) => self.receive(place, packet),
@@ -198,7 +216,22 @@
         self.carry_out(place, effects);
     }
 
+    /// Takes processor time of a control process; gives the time at which its work is done.
+    pub fn spend(&mut self, place: usize, processor: u64) -> u64 {
+        let Some(budget) = self.day.budget else {
+            return self.now;
+        };
+        self.tally.processor += processor;
+        let control = &mut self.controls[place];
+        control.spent += processor;
+        control.busy_until = control.busy_until.max(self.now) + budget.time(processor);
+        let late = (control.busy_until - self.now) / 1_000;
+        self.tally.latest = self.tally.latest.max(late);
+        control.busy_until
+    }
+
     pub fn carry_out(&mut self, place: usize, effects: Effects) {
+        self.spend(place, budget::applying(effects.applied));
         for (to, packet) in effects.sends {
             self.send(Place::Control(place), to, packet);
         }
@@ -245,6 +278,11 @@
             return;
         }
         let at = self.now.max(cut) + self.rng.random_range(500..most);
+        let done = match from {
+            Place::Control(place) => self.spend(place, budget::sending(&packet)),
+            Place::Entry(_) => self.now,
+        };
+        let at = at + (done - self.now);
         // One connection keeps its order.
         let last = self.order.entry((from, to)).or_default();
         let at = at.max(*last + 1);
@@ -309,5 +347,7 @@
         starts_at: None,
         running: None,
         written_at: 0,
+        busy_until: 0,
+        spent: 0,
     }
 }
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -80,3 +80,18 @@
 
     assert!(violation.invariant.starts_with("in force"), "{violation}");
 }
+
+// Work that grows with entries times changes makes the leader answer late on a quiet day.
+#[test]
+fn leader_answers_in_time_however_many_entries_follow() {
+    const QUIET_STEPS: u64 = 1_500;
+    for entries in [65, 130, 390] {
+        let outcome = view::Quiet { entries }.run(1, QUIET_STEPS);
+
+        assert!(
+            outcome.is_ok(),
+            "{entries} entries: {}",
+            outcome.unwrap_err()
+        );
+    }
+}
