Ask entries to confirm at once only what somebody relies on

Cause: each entry confirmed each revision of the view that it saw, and a lease asked for the newest revision of 200 ms ago, whatever had changed. Engines load adapters and models all the time: 50 revisions a second, 65 confirmations each.

Change: a change binds when somebody is told that entries rely on it: configuration, keys, plans, endpoints that leave, refused requests. Leases, acknowledgements and early confirmations go by the last binding change; the view itself and the check of a new source go by its revision as before.

Ruled out: news beside the agreed log (they must reach an entry in the order of the log, as an endpoint that leaves and comes back).

--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -230,10 +230,10 @@
             return None;
         }
         let term = self.node.hard().term;
-        let seen = self.fleet.seen;
+        let binding = self.fleet.binding;
         let held = self.office.take().filter(|held| held.term() == term);
-        let mut office = held.unwrap_or_else(|| leadership::Leadership::new(term, now, seen));
-        office.mark(now, seen);
+        let mut office = held.unwrap_or_else(|| leadership::Leadership::new(term, now, binding));
+        office.mark(now, binding);
         Some(self.office.insert(office))
     }
 
--- a/crates/cranberrygap-bench/src/soak/view/duties.rs
+++ b/crates/cranberrygap-bench/src/soak/view/duties.rs
@@ -147,7 +147,7 @@
                 running.confirms.push(one);
                 continue;
             }
-            let (term, revision) = (running.node.hard().term, running.fleet.seen);
+            let (term, revision) = (running.node.hard().term, running.fleet.binding);
             let Some(office) = running.office(clock) else {
                 continue;
             };
--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -19,7 +19,7 @@
 struct Call {
     number: u64,
     sent: u64,
-    revision: number::Revision,
+    binding: number::Revision,
 }
 
 /// A subscription.
@@ -100,7 +100,7 @@
             self.reached = false;
             self.next_beat = now + RETRY;
         }
-        let news = self.reached && self.holder.revision() != self.confirmed;
+        let news = self.reached && self.holder.binding() != self.confirmed;
         if self.call.is_some() || (now < self.next_beat && !news) {
             return;
         }
@@ -110,7 +110,7 @@
         self.call = Some(Call {
             number: self.calls,
             sent: now,
-            revision,
+            binding: self.holder.binding(),
         });
         let serves = self.holder.current(self.clock(now)).is_some();
         let phase = if serves {
@@ -197,7 +197,7 @@
             Ok(confirmed) => {
                 let sent = duration::Instant(self.offset + call.sent);
                 self.holder.confirm(sent, &confirmed);
-                self.confirmed = call.revision;
+                self.confirmed = call.binding;
                 self.reached = true;
                 self.next_beat = now + PERIOD;
             }
--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -61,7 +61,7 @@
         work: impl FnOnce(duration::Instant, &mut leadership::Leadership) -> R,
     ) -> Option<R> {
         let status = self.proposer.status();
-        let seen = self.state.seen();
+        let binding = self.state.binding();
         let now = self.clock.now();
         let mut leadership = self.leadership.lock();
         if !status.leads {
@@ -71,9 +71,9 @@
         let held = leadership.take().filter(|held| held.term() == status.term);
         let mut current = held.unwrap_or_else(|| {
             spdlog::info!("leader: takes leadership in term {}", status.term);
-            leadership::Leadership::new(status.term, now, seen)
+            leadership::Leadership::new(status.term, now, binding)
         });
-        current.mark(now, seen);
+        current.mark(now, binding);
         let result = work(now, &mut current);
         *leadership = Some(current);
         Some(result)
@@ -85,7 +85,7 @@
     /// An entry that is gone holds this up until its lease has nearly run out, and none gets
     /// a new one without the change, so that the wait is bounded by the lease.
     pub(crate) async fn settle(&self) -> Option<()> {
-        let revision = self.state.seen();
+        let revision = self.state.binding();
         loop {
             let settled = self.with_office(|now, leadership| {
                 self.state
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -62,7 +62,7 @@
     at: duration::Instant,
 }
 
-/// The view's revision as it was at a time.
+/// The revision of the last binding change as it was at a time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Mark {
     at: duration::Instant,
@@ -92,7 +92,7 @@
 }
 
 impl Leadership {
-    /// Takes leadership at `now`, with the view at `revision`.
+    /// Takes leadership at `now`, with the last binding change at `revision`.
     #[must_use]
     pub fn new(term: number::Term, now: duration::Instant, revision: number::Revision) -> Self {
         let mark = Mark { at: now, revision };
@@ -112,7 +112,7 @@
         self.term
     }
 
-    /// Notes the view's revision; called at least once a period.
+    /// Notes the revision of the last binding change; called at least once a period.
     pub fn mark(&mut self, now: duration::Instant, revision: number::Revision) {
         if self
             .marks
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -178,7 +178,7 @@
             ));
         };
         Ok(view::Confirmed {
-            revision: self.state.seen(),
+            revision: self.state.binding(),
             term: status.term,
             lease,
         })
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -61,6 +61,12 @@
         (frame, news)
     }
 
+    /// Revision of the last change that entries must have in force to get a lease.
+    #[must_use]
+    pub fn binding(&self) -> number::Revision {
+        self.fleet.read().binding
+    }
+
     /// Revision of the last change that entries learn of.
     #[must_use]
     pub fn seen(&self) -> number::Revision {
--- a/crates/cranberrygap-control/tests/leadership.rs
+++ b/crates/cranberrygap-control/tests/leadership.rs
@@ -246,3 +246,38 @@
     assert_eq!(dump["entries"], serde_json::json!([]));
     assert_eq!(dump["endpoints"], serde_json::json!([]));
 }
+
+// News of what engines hold come fifty times a second; an entry that is behind by such a
+// one alone must keep its lease.
+#[test]
+fn news_of_adapters_cost_no_entry_its_lease() {
+    let mut fleet = known();
+    let told = view::Residency {
+        endpoint: "runner-1".parse().unwrap(),
+        boot: number::Boot(1),
+        retiring: Vec::new(),
+        adapters: vec!["model/a1".parse().unwrap()],
+    };
+    let command = command::Command::Residency(told);
+    fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
+    let mut leadership = leadership::Leadership::new(number::Term(1), START, fleet.binding);
+    leadership.mark(at(0), fleet.binding);
+
+    let lease = leadership.confirm(at(1_000), &fleet::confirm(revision(2)));
+
+    assert_eq!(fleet.seen, revision(9));
+    assert_eq!(lease, leadership::LEASE);
+}
+
+// An endpoint that leaves is told so once entries send it nothing more.
+#[test]
+fn leaving_endpoint_is_waited_for() {
+    let mut fleet = known();
+    let author = fleet::author("c-1");
+    let name = "runner-1".into();
+    let command = command::Command::Drain(operator::Drain { author, name });
+
+    fleet.apply(number::Index(9), &command::Proposal { at: 9, command });
+
+    assert_eq!(fleet.binding, revision(9));
+}
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -28,6 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct Heartbeat {
     core: Arc<core::Core>,
+    /// The last binding change that the leader was told is in force here.
     confirmed: number::Revision,
     reached: bool,
     behind: bool,
@@ -62,7 +63,7 @@
         let started = tokio::time::Instant::now();
         while started.elapsed() < PERIOD {
             let has_news = self.core.announcements.has_fresh();
-            if has_news || (self.reached && self.core.view.revision() != self.confirmed) {
+            if has_news || (self.reached && self.core.view.binding() != self.confirmed) {
                 tokio::time::sleep(LOOK).await;
                 return;
             }
@@ -74,6 +75,7 @@
     pub(crate) async fn beat(&mut self) {
         let batch = self.core.announcements.drain();
         let demands = self.core.demand.drain();
+        let binding = self.core.view.binding();
         let message = self.message(&batch, demands);
         let sent = self.core.now();
         let answer: Result<view::Confirmed, cranberrygap_link::error::Error> = self
@@ -84,7 +86,7 @@
         match answer {
             Ok(confirmed) => {
                 self.core.view.confirm(sent, &confirmed);
-                self.confirmed = message.revision;
+                self.confirmed = binding;
                 self.note(true, "");
                 self.note_standing();
             }
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -89,6 +89,14 @@
             .map_or_else(number::Revision::default, |s| s.revision())
     }
 
+    /// The revision of the last change that the leader waits for, 0 before the first
+    /// snapshot.
+    pub fn binding(&self) -> number::Revision {
+        let inner = self.inner.read();
+        let held = inner.snapshot.as_ref();
+        held.map_or_else(number::Revision::default, |held| held.binding())
+    }
+
     /// Notes from which control process frames come from now on.
     pub fn follow(&self, source: id::Instance) {
         self.inner.write().source = Some(source);
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{address, id, number};
-use cranberrygap_wire::{configuration, endpoint, view};
+use cranberrygap_wire::{binding, configuration, endpoint, view};
 use smol_str::SmolStr;
 
 use super::traffic;
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct Snapshot {
     revision: number::Revision,
+    /// Revision of the last change that this entry has to confirm at once.
+    binding: number::Revision,
     configuration: Arc<configuration::Configuration>,
     catalogue: Arc<BTreeMap<id::Model, endpoint::Weights>>,
     keys: Arc<BTreeMap<SmolStr, view::Key>>,
@@ -30,6 +32,7 @@
     pub(super) fn new(revision: number::Revision, state: view::State) -> Self {
         Self {
             revision,
+            binding: revision,
             configuration: Arc::new(state.configuration),
             catalogue: Arc::new(catalogue(state.catalogue)),
             keys: Arc::new(keyed(state.keys, |key| key.hash.clone())),
@@ -47,6 +50,9 @@
     pub(super) fn with(&self, revision: number::Revision, changes: Vec<view::Change>) -> Self {
         let mut next = self.clone();
         next.revision = revision;
+        if changes.iter().any(binding::is_binding) {
+            next.binding = revision;
+        }
         for change in changes {
             next.apply(change);
         }
@@ -104,6 +110,12 @@
         self.revision
     }
 
+    /// The revision of the last change that the leader waits for.
+    #[must_use]
+    pub fn binding(&self) -> number::Revision {
+        self.binding
+    }
+
     /// The fleet-wide defaults.
     #[must_use]
     pub fn defaults(&self) -> &configuration::Defaults {
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_model::{duration, number, size};
 use cranberrygap_placement::journal;
-use cranberrygap_wire::{configuration as wire, endpoint as announced, operator, view};
+use cranberrygap_wire::{binding, configuration as wire, endpoint as announced, operator, view};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -18,6 +18,10 @@
     pub revision: number::Revision,
     /// Position of the last command from which entries learned something.
     pub seen: number::Revision,
+    /// Position of the last command that entries must have in force before somebody is
+    /// told that they rely on it.
+    #[serde(default)]
+    pub binding: number::Revision,
     /// The largest time of any command; it never goes back.
     pub clock: u64,
     /// The configuration and those before it.
@@ -66,6 +70,9 @@
         if !outcome.1.is_empty() {
             self.seen = self.revision;
         }
+        if outcome.1.iter().any(binding::is_binding) {
+            self.binding = self.revision;
+        }
         outcome
     }
 
@@ -193,6 +200,7 @@
         serde_json::json!({
             "revision": self.revision,
             "seen": self.seen,
+            "binding": self.binding,
             "clock": self.clock,
             "view": self.shown(),
             "configurations": self.configuration.revisions().collect::<Vec<_>>(),
--- /dev/null
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -0,0 +1,28 @@
+//! Which changes of the view somebody is told that entries rely on.
+
+use crate::view;
+
+/// Whether a change must be in force before it is acknowledged.
+///
+/// Where models and adapters are, and which entries and endpoints are there, changes all
+/// the time in a large fleet; an entry that learns of that later chooses less well, and
+/// breaks no promise.
+#[must_use]
+pub const fn is_binding(change: &view::Change) -> bool {
+    match change {
+        view::Change::Configured { .. }
+        | view::Change::Catalogued { .. }
+        | view::Change::KeyIssued { .. }
+        | view::Change::KeyWithdrawn { .. }
+        | view::Change::EndpointRemoved { .. }
+        | view::Change::Quarantined { .. }
+        | view::Change::Rerouted { .. }
+        | view::Change::WorkspaceAdded { .. } => true,
+        view::Change::EndpointChanged { endpoint } => {
+            matches!(endpoint.health, view::Health::Leaving | view::Health::Gone)
+        }
+        view::Change::MemberChanged { .. }
+        | view::Change::Released { .. }
+        | view::Change::Resided { .. } => false,
+    }
+}
--- a/crates/cranberrygap-wire/src/lib.rs
+++ b/crates/cranberrygap-wire/src/lib.rs
@@ -14,6 +14,7 @@
 #[rustfmt::skip]
 mod generated;
 
+pub mod binding;
 pub mod ini;
 pub mod method;
 
