Pace calls to the leader and frames of the view by the number of entries

Callers saw late answers and 429 where many entries turn to one leader at once.

Cause: work per term that grows with entries times changes. Each binding change brought a confirmation from each entry at once, a shortage a renewal each 10 ms, and each change of the view a frame to each follower.

Change: an entry leaves 1.25 ms for each entry of the fleet between two calls of one kind, and a control process as much for each follower between two frames of one stream; what waits goes into one frame, without what a later change replaces. So calls of a kind, and frames, stay below 800 a second at one process however many entries there are. With 9 entries the gap is 11 ms; a renewal had 10 before.

A flaw that lets each revision bind again is caught with 390 entries.

Ruled out: frames encoded once for all followers (each has its own gap and so its own set of changes; encoding is 7 us).

--- a/crates/cranberrygap-bench/src/soak/view/flaw.rs
+++ b/crates/cranberrygap-bench/src/soak/view/flaw.rs
@@ -12,6 +12,8 @@
     AcknowledgedAtCommit,
     /// Changes are acknowledged before a quorum has them.
     AcknowledgedBeforeQuorum,
+    /// Entries confirm each revision at once, and leases ask for each.
+    EachRevisionBinds,
     /// Entries get leases however far their view is behind.
     LeaseWhileBehind,
 }
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -84,7 +84,7 @@
         let mut world = Self {
             next_id: voters as u64 + 1,
             entries: (0..day.entries)
-                .map(|number| Entry::new(number, 1, rng.random_range(0..SECOND)))
+                .map(|number| Entry::new(number, 1, rng.random_range(0..SECOND), flaw))
                 .collect(),
             rng,
             now: 0,
@@ -258,7 +258,7 @@
         }
         for entry in &mut self.entries {
             if entry.starts_at.is_some_and(|at| at <= now) {
-                *entry = Entry::new(entry.number, entry.boot + 1, entry.offset);
+                *entry = Entry::new(entry.number, entry.boot + 1, entry.offset, self.flaw);
             }
         }
     }
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -61,6 +61,12 @@
         (frame, news)
     }
 
+    /// Number of subscribers.
+    #[must_use]
+    pub fn followers(&self) -> usize {
+        self.news.receiver_count()
+    }
+
     /// Revision of the last change that entries must have in force to get a lease.
     #[must_use]
     pub fn binding(&self) -> number::Revision {
--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_link::server;
-use cranberrygap_model::number;
+use cranberrygap_link::{clock, server};
+use cranberrygap_model::{duration, number};
 use cranberrygap_wire::{method, view};
 use futures_util::StreamExt as _;
 use futures_util::stream::{self, BoxStream};
@@ -12,13 +12,14 @@
 use tokio::sync::broadcast;
 use tokio::time;
 
+use crate::gather;
 use crate::metric;
 use crate::peers;
 use crate::proposer;
 use crate::replicated;
 
 /// Time between heartbeats when nothing changes.
-const HEARTBEAT: Duration = Duration::from_millis(250);
+const HEARTBEAT: duration::Span = duration::Span::from_millis(250);
 
 /// Time that a subscriber waits for this process to catch up with what the
 /// subscriber has already seen elsewhere. Below the time that a subscriber waits for a
@@ -36,6 +37,8 @@
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
     news: broadcast::Receiver<replicated::News>,
+    clock: clock::Clock,
+    gather: gather::Gather,
     next: Option<view::Frame>,
     revision: number::Revision,
     led: time::Instant,
@@ -67,6 +70,8 @@
         state: Arc::clone(state),
         proposer: proposer.clone(),
         news,
+        clock: clock::Clock::start(),
+        gather: gather::Gather::default(),
         next: Some(snapshot),
         revision: number::Revision(0),
         led: time::Instant::now(),
@@ -77,22 +82,7 @@
 
 impl Feed {
     async fn step(mut self) -> Option<(Box<RawValue>, Self)> {
-        if let Some(frame) = self.next.take() {
-            return Some(self.give(&frame));
-        }
-        let waited = time::timeout(HEARTBEAT, self.news.recv()).await;
-        let frame = match waited {
-            Ok(Ok(replicated::News::Changed(revision, changes))) => self.delta(revision, &changes),
-            Ok(Ok(replicated::News::Replaced) | Err(broadcast::error::RecvError::Lagged(_))) => {
-                let (snapshot, news) = self.state.subscribe();
-                self.news = news;
-                snapshot
-            }
-            Ok(Err(broadcast::error::RecvError::Closed)) => return None,
-            Err(_elapsed) => view::Frame::Heartbeat {
-                revision: self.revision,
-            },
-        };
+        let frame = self.next_frame().await?;
         // A process that was cut off from the group goes on with an old view and
         // healthy connections. Ending the stream makes its entries look elsewhere.
         if self.proposer.status().leader.is_some() {
@@ -103,6 +93,37 @@
         Some(self.give(&frame))
     }
 
+    /// The next frame, once it is due.
+    async fn next_frame(&mut self) -> Option<view::Frame> {
+        let beat = self.clock.now().after(HEARTBEAT);
+        loop {
+            let now = self.clock.now();
+            if let Some(snapshot) = self.next.take() {
+                self.gather.clear(now);
+                return Some(snapshot);
+            }
+            let due = self.gather.due(self.state.followers());
+            let until = due.map_or(beat, |due| due.min(beat)).since(now);
+            let Ok(news) = time::timeout(until.to_std(), self.news.recv()).await else {
+                let heartbeat = view::Frame::Heartbeat {
+                    revision: self.revision,
+                };
+                return Some(self.gather.frame(self.clock.now()).unwrap_or(heartbeat));
+            };
+            match news {
+                Ok(replicated::News::Changed(revision, changes)) => {
+                    self.gather.take(revision, &changes);
+                }
+                Ok(replicated::News::Replaced) | Err(broadcast::error::RecvError::Lagged(_)) => {
+                    let (snapshot, news) = self.state.subscribe();
+                    self.news = news;
+                    self.next = Some(snapshot);
+                }
+                Err(broadcast::error::RecvError::Closed) => return None,
+            }
+        }
+    }
+
     fn give(mut self, frame: &view::Frame) -> (Box<RawValue>, Self) {
         let (revision, kind) = match frame {
             view::Frame::Snapshot { revision, .. } => (*revision, "snapshot"),
@@ -118,34 +139,4 @@
             .count(metric::FRAME_BYTES, kind, encoded.get().len());
         (encoded, self)
     }
-
-    /// Everything that waits goes into one frame.
-    fn delta(
-        &mut self,
-        revision: number::Revision,
-        changes: &Arc<Vec<view::Change>>,
-    ) -> view::Frame {
-        let mut revision = revision;
-        let mut changes = changes.as_ref().clone();
-        while let Some((later, more)) = self.take_waiting() {
-            revision = later;
-            changes.extend(more.iter().cloned());
-        }
-        view::Frame::Delta { revision, changes }
-    }
-
-    /// The next change if it waits already; after a gap the next frame is a
-    /// snapshot.
-    fn take_waiting(&mut self) -> Option<(number::Revision, Arc<Vec<view::Change>>)> {
-        match self.news.try_recv() {
-            Ok(replicated::News::Changed(revision, changes)) => Some((revision, changes)),
-            Ok(replicated::News::Replaced) | Err(broadcast::error::TryRecvError::Lagged(_)) => {
-                let (snapshot, news) = self.state.subscribe();
-                self.news = news;
-                self.next = Some(snapshot);
-                None
-            }
-            Err(_empty_or_closed) => None,
-        }
-    }
 }
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -231,7 +231,9 @@
             };
             (found.workspace.clone(), limit)
         });
-        self.inner.lock().limits = limits.chain(planned).collect();
+        let mut inner = self.inner.lock();
+        inner.limits = limits.chain(planned).collect();
+        inner.holder.set_entries(view.entries());
     }
 
     fn dump(&self) -> serde_json::Value {
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cranberrygap_model::{duration, number};
+use cranberrygap_policy::pace;
 use cranberrygap_wire::{method, view};
 use spdlog::{info, warn};
 
@@ -56,21 +57,26 @@
     /// Waits for the next period, or less when an operator waits for a revision
     /// to be in force or an endpoint has news.
     async fn wait(&self) {
+        let view = self.core.view.latest();
+        let gap = pace::gap(view.map_or(0, |view| view.entries())).to_std();
         if !self.reached {
-            tokio::time::sleep(RETRY).await;
+            tokio::time::sleep(RETRY.max(gap)).await;
             return;
         }
         let started = tokio::time::Instant::now();
         while started.elapsed() < PERIOD {
-            let has_news = self.core.announcements.has_fresh();
-            if has_news || (self.reached && self.core.view.binding() != self.confirmed) {
-                tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(LOOK).await;
+            if started.elapsed() >= gap && self.has_news() {
                 return;
             }
-            tokio::time::sleep(LOOK).await;
         }
     }
 
+    /// Whether somebody waits for what this entry has to say.
+    fn has_news(&self) -> bool {
+        self.core.announcements.has_fresh() || self.core.view.binding() != self.confirmed
+    }
+
     /// Sends one heartbeat and takes the lease that comes back.
     pub(crate) async fn beat(&mut self) {
         let batch = self.core.announcements.drain();
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -187,6 +187,14 @@
         members.filter(|m| m.role == view::Role::Control && m.phase != view::Phase::Left)
     }
 
+    /// Number of entries that have not left.
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        let members = self.members.values();
+        let entries = members.filter(|m| m.role == view::Role::Entry);
+        entries.filter(|m| m.phase != view::Phase::Left).count()
+    }
+
     /// Entries that take callers.
     pub fn active_entries(&self) -> impl Iterator<Item = &view::Member> {
         let members = self.members.values();
--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fairness;
 pub mod limits;
 pub mod outcome;
+pub mod pace;
 pub mod quarantine;
 pub mod reserve;
 pub mod retry;
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -10,9 +10,10 @@
 pub use super::line::Patience;
 use super::stock::Stock;
 use super::{LEASE, PERIOD};
+use crate::pace;
 
 /// Least time between two renewals, so that a shortage does not flood the leader.
-pub(super) const LEAST_GAP: duration::Span = duration::Span::from_millis(10);
+const LEAST_GAP: duration::Span = duration::Span::from_millis(10);
 
 /// Time after which an unanswered renewal is given up. Well below the lease, so
 /// that several renewals fit into one.
@@ -31,6 +32,8 @@
     /// The last renewal got no answer, so there may be no leader now.
     failed: bool,
     closed: bool,
+    /// Least time between two renewals.
+    gap: duration::Span,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -96,9 +99,15 @@
             numbers: 0,
             failed: false,
             closed: false,
+            gap: LEAST_GAP,
         }
     }
 
+    /// Takes over how many entries renew at the same leader.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.gap = pace::gap(entries).max(LEAST_GAP);
+    }
+
     /// Takes `cost` tokens of `workspace`, or lets the request wait for them
     /// as long as its patience lasts.
     pub fn admit(
@@ -190,15 +199,16 @@
         if self.awaited.is_some() {
             return sent.after(PATIENCE);
         }
+        let (soonest, latest) = (sent.after(self.gap), sent.after(PERIOD.max(self.gap)));
         if self.failed {
-            return sent.after(PERIOD);
+            return latest;
         }
         if self.stocks.values().any(Stock::owes) {
-            return sent.after(LEAST_GAP);
+            return soonest;
         }
-        let asks = self.stocks.values().filter_map(|stock| stock.asks_at(sent));
-        asks.min()
-            .map_or(sent.after(PERIOD), |asks| asks.min(sent.after(PERIOD)))
+        let stocks = self.stocks.values();
+        let asks = stocks.filter_map(|stock| stock.asks_at(soonest));
+        asks.min().map_or(latest, |asks| asks.min(latest))
     }
 
     /// The renewal to send now. An answer that is still awaited is given up: if
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -4,7 +4,6 @@
 use cranberrygap_wire::share;
 
 use super::amount::{self, Amount, Flow};
-use super::holder::LEAST_GAP;
 use super::lender::LIFE;
 use super::line::{Line, Outlook};
 use super::loans::Loans;
@@ -210,11 +209,10 @@
     ///
     /// It said when they may get it; asked earlier it would say the same again, and with
     /// many entries above their rate it would do little else.
-    pub(super) fn asks_at(&self, sent: duration::Instant) -> Option<duration::Instant> {
+    pub(super) fn asks_at(&self, soonest: duration::Instant) -> Option<duration::Instant> {
         if self.short() == Amount::ZERO {
             return None;
         }
-        let soonest = sent.after(LEAST_GAP);
         if self.line.has_new() {
             return Some(soonest);
         }
