Leave views to the other control processes while there are some

Callers saw late answers and 429 while changes of the plan came each 0.3 s.

Cause: entries follow the view from whichever control process they ask first, and at the start only the founders are known: 33 of 65 entries followed it from the leader. Each change of the plan is a frame of some 50 KB to each of them; frames took as much of the leader's processor as leases, shares and placement together.

Change: a process that leads sends an entry elsewhere, and serves it when it comes back within five seconds, since then it found nobody else. One that leads for three seconds sends its followers elsewhere too. With fewer than two other control processes nothing changes.

Ruled out: a choice by the entry (at the start it does not know who leads).

--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// The process's clock.
+    pub(crate) fn now(&self) -> duration::Instant {
+        self.clock.now()
+    }
+
     /// The current term, if this process leads.
     ///
     /// Knowledge of an earlier term is dropped: another leader may have given
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -7,8 +7,10 @@
 use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
 use cranberrygap_wire::{claim as wire_claim, method, share, traffic, view};
 use futures_util::future;
+use parking_lot::Mutex;
 
 use crate::detector;
+use crate::followers;
 use crate::leadership;
 use crate::metric;
 use crate::orders;
@@ -40,6 +42,8 @@
     pub(crate) orders: Arc<orders::Orders>,
     pub(crate) residency: Arc<residency::Residency>,
     pub(crate) metrics: metric::Recorder,
+    /// Entries that were sent elsewhere for their view.
+    pub(crate) followers: Mutex<followers::Followers>,
     /// Lines about late answers.
     pub(crate) late: quiet::Quiet,
 }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -236,6 +236,7 @@
             orders: Arc::new(orders),
             residency: Arc::new(residency),
             metrics,
+            followers: parking_lot::Mutex::default(),
             late: peers::late(),
         };
         Self {
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -61,6 +61,17 @@
         (frame, news)
     }
 
+    /// Number of control processes beside one.
+    #[must_use]
+    pub fn other_controls(&self) -> usize {
+        let fleet = self.fleet.read();
+        let members = fleet.members.iter();
+        let controls = members.filter(|member| {
+            member.role == view::Role::Control && member.phase != view::Phase::Left
+        });
+        controls.count().saturating_sub(1)
+    }
+
     /// Number of subscribers.
     #[must_use]
     pub fn followers(&self) -> usize {
--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -12,6 +12,7 @@
 use tokio::sync::broadcast;
 use tokio::time;
 
+use crate::followers;
 use crate::gather;
 use crate::metric;
 use crate::peers;
@@ -42,9 +43,17 @@
     next: Option<view::Frame>,
     revision: number::Revision,
     led: time::Instant,
+    /// Since when this process leads.
+    leads: Option<time::Instant>,
+    /// Whether the follower has found no other process.
+    stays: bool,
     metrics: metric::Recorder,
 }
 
+/// Time after which a new leader sends its followers elsewhere; a change of the leader is
+/// not the moment to look for another source.
+const SETTLED: Duration = Duration::from_secs(3);
+
 /// Opens the stream for an entry that has seen `wanted.revision`.
 ///
 /// # Errors
@@ -64,6 +73,16 @@
         }
         time::sleep(LOOK).await;
     }
+    let others = state.other_controls();
+    let leads = proposer.status().leads;
+    if leads {
+        let now = desk.detector.now();
+        let mut followers = desk.followers.lock();
+        if !followers.may_follow(now, &wanted.instance, others) {
+            let sentence = "this control process leads; ask another one first";
+            return Err(server::Fault::new(method::NO_QUORUM, sentence));
+        }
+    }
     spdlog::info!("view: {} follows from here", wanted.instance);
     let (snapshot, news) = state.subscribe();
     let feed = Feed {
@@ -75,6 +94,8 @@
         next: Some(snapshot),
         revision: number::Revision(0),
         led: time::Instant::now(),
+        leads: None,
+        stays: leads && followers::are_enough(others),
         metrics: desk.metrics.clone(),
     };
     Ok(stream::unfold(feed, Feed::step).boxed())
@@ -83,16 +104,29 @@
 impl Feed {
     async fn step(mut self) -> Option<(Box<RawValue>, Self)> {
         let frame = self.next_frame().await?;
+        let status = self.proposer.status();
         // A process that was cut off from the group goes on with an old view and
         // healthy connections. Ending the stream makes its entries look elsewhere.
-        if self.proposer.status().leader.is_some() {
+        if status.leader.is_some() {
             self.led = time::Instant::now();
         } else if self.led.elapsed() > LEADERLESS {
             return None;
         }
+        self.leads = status
+            .leads
+            .then(|| self.leads.unwrap_or_else(time::Instant::now));
+        if self.goes_elsewhere() {
+            return None;
+        }
         Some(self.give(&frame))
     }
 
+    /// Whether this process leads for a while and others can serve the follower.
+    fn goes_elsewhere(&self) -> bool {
+        let settled = self.leads.is_some_and(|since| since.elapsed() > SETTLED);
+        settled && !self.stays && followers::are_enough(self.state.other_controls())
+    }
+
     /// The next frame, once it is due.
     async fn next_frame(&mut self) -> Option<view::Frame> {
         let beat = self.clock.now().after(HEARTBEAT);
