Count the room of a runner by the report that its order count comes from

A leader that knows too little of a runner, as a new one, or after an order was turned down because one without an answer had been carried out, asks it for a report. It took the count of accepted orders from the report and the models from the last announcement in the log. With a leader that answers late that announcement is seconds old: a model that a predecessor's order brought meanwhile was missing, its room looked free, and the order was made out for the new count, which is what keeps late orders from being taken.

Change: the models are taken from the same report as the count, unless the runner is busy, when nothing is ordered.

The new test fails before: both full runners are ordered to load a third model. The fixture's runners reported no models at all; they report what they announced now, and the checks are as they were.

--- a/crates/cranberrygap-placement/src/residency/book/news.rs
+++ b/crates/cranberrygap-placement/src/residency/book/news.rs
@@ -86,6 +86,11 @@
         }
         if unknown {
             runner.accepted = Some(report.accepted);
+            if !report.busy {
+                // An order by this count is for what the report tells of. The announcement
+                // that told last may be older, and what came since takes room.
+                runner.hold(report.models.iter().cloned().collect());
+            }
             runner.keep_adapters(now, &report.adapters);
             self.changed.insert(name.clone());
         }
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -80,6 +80,19 @@
     opening_book(duration::Span::from_millis(100), models, all, &reports)
 }
 
+/// What a runner reports that holds what it announced.
+fn agreeing(found: &endpoint::Announcement, report: &order::Report) -> order::Report {
+    if !report.models.is_empty() {
+        return report.clone();
+    }
+    let models = found.resident.iter().map(|held| held.model.clone());
+    let whole = models.filter(|model| !model.as_str().contains('/'));
+    order::Report {
+        models: whole.collect(),
+        ..report.clone()
+    }
+}
+
 /// A book that may order after `wait`, whose runners have sent `reports`.
 fn opening_book(
     wait: duration::Span,
@@ -92,7 +105,7 @@
     follow(&mut book, 0, all);
     book.tick(at(10));
     for (found, report) in all.iter().zip(reports) {
-        book.reported(at(20), &found.endpoint, report);
+        book.reported(at(20), &found.endpoint, &agreeing(found, report));
     }
     // What the reports tell is passed on here, before anything may be ordered.
     book.tick(at(30));
@@ -295,17 +308,14 @@
     let service = "lm".parse().expect("a name");
     let wait = duration::Span::from_secs(3);
     let mut book = book::Book::new(service, room(&["hot"]), at(0), wait);
-    follow(
-        &mut book,
-        0,
-        &[
-            announced("r1", 1, &["hot"], &[]),
-            announced("r2", 1, &[], &[]),
-        ],
-    );
+    let all = [
+        announced("r1", 1, &["hot"], &[]),
+        announced("r2", 1, &[], &[]),
+    ];
+    follow(&mut book, 0, &all);
     book.tick(at(10));
-    for runner in ["r1", "r2"] {
-        book.reported(at(20), &name(runner), &report(4));
+    for found in &all {
+        book.reported(at(20), &found.endpoint, &agreeing(found, &report(4)));
     }
     book.set_demand(at(0), demand(&[("hot", 0.9)]));
 
@@ -342,6 +352,28 @@
 }
 
 /// Three runners with a copy of `hot` each and one of another model.
+// A model that came by an order of another leader, or by one whose answer was lost, takes
+// room though no announcement has told of it yet.
+#[test]
+fn model_that_only_the_report_tells_of_takes_room() {
+    let all = [
+        announced("r1", 1, &["a"], &[]),
+        announced("r2", 1, &["a"], &[]),
+    ];
+    let full = |accepted| order::Report {
+        models: vec![model("a"), model("b")],
+        ..report(accepted)
+    };
+    let reports = [full(3), full(4)];
+    let wait = duration::Span::from_millis(100);
+    let mut book = opening_book(wait, &["a", "b", "c"], &all, &reports);
+    book.set_demand(at(0), demand(&[("c", 0.9)]));
+
+    let outputs = book.tick(at(1_000));
+
+    assert_eq!(actions(&outputs), Vec::<String>::new());
+}
+
 // A plan for each report or wish takes the processor from leases and renewals.
 #[test]
 fn moves_are_planned_once_in_a_period_however_much_news_comes() {
