Play cut minorities that miss changes in the seeded run of views

A minority is cut off and misses changes, another folder is lost while the rest are without power, and the cut heals before they are back. It is a part of its own, minority, so that the seeds of the part view stay what they were.

Not added: operators' resends at other processes, and two changes on one version.

--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -57,6 +57,7 @@
         Box::new(bookings::Bookings),
         Box::new(quarantine::Quarantine),
         Box::new(view::View::default()),
+        Box::new(view::Minority),
         Box::new(view::Quiet::default()),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
     ]
--- a/crates/cranberrygap-bench/src/soak/view.rs
+++ b/crates/cranberrygap-bench/src/soak/view.rs
@@ -46,6 +46,26 @@
     }
 }
 
+/// Minorities that are cut off and miss changes, beside all other troubles.
+#[derive(Debug, Clone, Copy)]
+pub struct Minority;
+
+impl Part for Minority {
+    fn name(&self) -> &'static str {
+        "minority"
+    }
+
+    fn description(&self) -> &'static str {
+        "as view, and a minority is cut off and misses changes, another folder is lost while the \
+         rest are without power, and the cut heals before they are back"
+    }
+
+    /// A step is a hundredth of a second.
+    fn run(&self, seed: u64, steps: u64) -> Result<serde_json::Value, Violation> {
+        play(seed, steps, Flaw::None, day::Day::MINORITIES)
+    }
+}
+
 /// A day without trouble, on the processor that control processes have.
 #[derive(Debug, Clone, Copy)]
 pub struct Quiet {
--- a/crates/cranberrygap-bench/src/soak/view/day.rs
+++ b/crates/cranberrygap-bench/src/soak/view/day.rs
@@ -14,6 +14,8 @@
     pub budget: Option<Budget>,
     /// Whether there is any trouble.
     pub troubled: bool,
+    /// Whether minorities are cut off while others lose their folders.
+    pub minorities: bool,
     /// Microseconds between two changes of the operator.
     pub changes: u64,
     /// Microseconds between two news of what an endpoint holds, if there are any.
@@ -27,10 +29,17 @@
         entries: 4,
         budget: None,
         troubled: true,
+        minorities: false,
         changes: 33_000,
         news: None,
     };
 
+    /// The same, with minorities that miss changes.
+    pub const MINORITIES: Self = Self {
+        minorities: true,
+        ..Self::TROUBLED
+    };
+
     /// A day without trouble: a change three times a second, and each 20 ms an endpoint
     /// that holds another adapter or model.
     pub const fn quiet(entries: usize) -> Self {
@@ -39,6 +48,7 @@
             entries,
             budget: Some(Budget(150)),
             troubled: false,
+            minorities: false,
             changes: SECOND / 3,
             news: Some(20_000),
         }
--- a/crates/cranberrygap-bench/src/soak/view/trouble.rs
+++ b/crates/cranberrygap-bench/src/soak/view/trouble.rs
@@ -1,7 +1,7 @@
 //! Troubles, which overlap.
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 
 use cranberrygap_agreement::{input, replica};
 
@@ -9,6 +9,20 @@
 use super::packet::Place;
 use super::world::{SECOND, World};
 
+/// Troubles of a hundred that leave a minority behind, on days that have such.
+const MINORITIES: u32 = 20;
+
+/// What follows on a cut minority.
+#[derive(Debug)]
+pub struct Behind {
+    at: u64,
+    back: u64,
+    /// Loses its folder.
+    loses: usize,
+    /// Are without power until it is back.
+    dark: Vec<usize>,
+}
+
 /// Time after its return in which an instance that lost its folder still counts as lost.
 const CATCH_UP: u64 = 4 * SECOND;
 
@@ -20,7 +34,11 @@
         }
         let pause = self.rng.random_range(100_000..1_500_000);
         self.next_trouble = self.now + pause;
-        match self.rng.random_range(0..100) {
+        let drawn = self.rng.random_range(0..100);
+        if self.day.minorities && drawn < MINORITIES {
+            return self.leave_behind();
+        }
+        match drawn {
             0..=24 => self.freeze_control(),
             25..=32 => self.freeze_entry(),
             33..=47 => self.cut_one_way(),
@@ -151,18 +169,9 @@
         for place in 0..self.controls.len() {
             let at = down + self.rng.random_range(0..300_000);
             back = back.max(at);
-            let id = replica::Id(self.next_id);
-            let control = &mut self.controls[place];
-            control.running = None;
-            control.frozen_until = 0;
-            control.hung_until = 0;
-            control.written_at = 0;
-            control.starts_at = Some(at);
+            self.power_off(place, at);
             if lost.contains(&place) {
-                control.disk = Disk::default();
-                control.disk.hard.term = cranberrygap_model::number::Term(1);
-                control.id = id;
-                self.next_id += 1;
+                self.lose_folder(place);
             }
         }
         for entry in &mut self.entries {
@@ -180,4 +189,79 @@
         };
         self.next_trouble = back + quiet;
     }
+
+    /// A minority is cut off and misses changes. Then another folder is lost while the rest
+    /// are without power, and the cut heals before they are back: nobody who takes part knows
+    /// all that was acknowledged.
+    fn leave_behind(&mut self) {
+        if self.now < self.may_lose {
+            return;
+        }
+        let mut places: Vec<usize> = (0..self.controls.len()).collect();
+        places.shuffle(&mut self.rng);
+        let (minority, others) = places.split_at(self.losses() as usize);
+        let missed = self.rng.random_range(SECOND..3 * SECOND);
+        let dark = self.rng.random_range(SECOND..2 * SECOND);
+        let healed = self.now + missed + dark / 2;
+        for (cut, other) in minority
+            .iter()
+            .flat_map(|cut| others.iter().map(move |o| (*cut, *o)))
+        {
+            for pair in [(cut, other), (other, cut)] {
+                let (from, to) = (Place::Control(pair.0), Place::Control(pair.1));
+                self.cuts.insert((from, to), healed);
+            }
+        }
+        self.note(&format!(
+            "{minority:?} are cut off to {} ms",
+            healed / 1_000
+        ));
+        self.tally.cuts += 1;
+        self.behind = Some(Behind {
+            at: self.now + missed,
+            back: self.now + missed + dark,
+            loses: others[0],
+            dark: others[1..].to_vec(),
+        });
+        self.next_trouble = self.now + missed + dark + 13 * SECOND;
+        self.may_lose = self.next_trouble + CATCH_UP;
+    }
+
+    /// The second half of [`World::leave_behind`], when it is due.
+    pub fn darken(&mut self) {
+        let Some(behind) = self.behind.take_if(|behind| behind.at <= self.now) else {
+            return;
+        };
+        let (loses, back) = (behind.loses, behind.back);
+        self.note(&format!(
+            "control {loses} loses its folder, {:?} have no power to {} ms",
+            behind.dark,
+            back / 1_000
+        ));
+        self.power_off(loses, self.now + SECOND / 2);
+        self.lose_folder(loses);
+        for place in behind.dark {
+            self.power_off(place, back);
+        }
+        self.tally.lost_folders += 1;
+        self.back = Some(back);
+    }
+
+    fn power_off(&mut self, place: usize, until: u64) {
+        let control = &mut self.controls[place];
+        control.running = None;
+        control.frozen_until = 0;
+        control.hung_until = 0;
+        control.written_at = 0;
+        control.starts_at = Some(until);
+    }
+
+    fn lose_folder(&mut self, place: usize) {
+        let id = replica::Id(self.next_id);
+        self.next_id += 1;
+        let control = &mut self.controls[place];
+        control.disk = Disk::default();
+        control.disk.hard.term = cranberrygap_model::number::Term(1);
+        control.id = id;
+    }
 }
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -13,6 +13,7 @@
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
 use super::tally::Tally;
+use super::trouble::Behind;
 
 /// Time of a step, in microseconds.
 pub const STEP: u64 = 10_000;
@@ -45,6 +46,8 @@
     pub cuts: BTreeMap<(Place, Place), u64>,
     pub slow: BTreeMap<Place, u64>,
     pub next_trouble: u64,
+    /// What follows on a cut minority.
+    pub behind: Option<Behind>,
     pub next_id: u64,
     /// When the power that went last was back, while nobody has served since.
     pub back: Option<u64>,
@@ -92,6 +95,7 @@
             cuts: BTreeMap::new(),
             slow: BTreeMap::new(),
             next_trouble: 3 * SECOND,
+            behind: None,
             back: None,
             may_lose: 0,
             tally: Tally {
@@ -141,6 +145,7 @@
             self.now = until;
             if self.day.troubled {
                 self.trouble();
+                self.darken();
             }
             self.start_due();
             self.poll_controls()?;
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -47,6 +47,17 @@
     }
 }
 
+// Those who take part after a cut minority, a lost folder and a loss of power must not go on
+// without what was acknowledged meanwhile.
+#[test]
+fn minority_that_missed_changes_does_not_go_on_without_them() {
+    for seed in 1..=4 {
+        let outcome = view::Minority.run(seed, STEPS);
+
+        assert!(outcome.is_ok(), "{}", outcome.unwrap_err());
+    }
+}
+
 // An entry that counts its lease longer than the leader serves on by a replaced plan.
 #[test]
 fn lease_that_is_too_long_is_caught() {
