Grant nothing to an entry that is gone, and count renewals that wait by the queue

The new test drops a renewal that waits and sends it again under its number: it was refused as overtaken before, and is granted now.

--- a/crates/cranberrygap-control/src/followers.rs
+++ b/crates/cranberrygap-control/src/followers.rs
@@ -12,8 +12,8 @@
 
 /// Those whom the leader has sent elsewhere.
 ///
-/// Any control process can serve a view, and only one can grant leases and shares. Frames
-/// of a third of all entries took as much of its processor as all that.
+/// Any control process can serve a view, and only the leader can grant leases and shares, so
+/// its processor is kept for those.
 #[derive(Debug, Default)]
 pub struct Followers {
     sent_away: BTreeMap<id::Instance, duration::Instant>,
@@ -28,7 +28,7 @@
         instance: &id::Instance,
         others: usize,
     ) -> bool {
-        if others < ENOUGH {
+        if !are_enough(others) {
             return true;
         }
         self.sent_away.retain(|_, at| now.since(*at) < COMES_BACK);
--- a/crates/cranberrygap-control/src/metric.rs
+++ b/crates/cranberrygap-control/src/metric.rs
@@ -23,7 +23,7 @@
 pub(crate) const CONFIRM: &str = "confirm";
 /// Time to answer a renewal of shares.
 pub(crate) const RENEWAL: &str = "renewal";
-/// Renewals that are being answered.
+/// Renewals that wait in line.
 pub(crate) const RENEWALS_WAITING: &str = "renewals_waiting";
 /// Time that the process spent on a kind of work.
 pub(crate) const WORK: &str = "work";
@@ -70,7 +70,7 @@
         name: RENEWALS_WAITING,
         kind: "g",
         unit: "renewals",
-        meaning: "renewals that were being answered when the last one came",
+        meaning: "renewals that waited in line when the last one came",
     },
     Metric {
         name: WORK,
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use cranberrygap_link::clock;
@@ -41,8 +40,6 @@
     clock: clock::Clock,
     inbox: mpsc::Sender<Asked>,
     receiver: Mutex<Option<mpsc::Receiver<Asked>>>,
-    /// Renewals that are being answered.
-    waiting: AtomicUsize,
     metrics: metric::Recorder,
 }
 
@@ -85,7 +82,6 @@
             clock,
             inbox,
             receiver: Mutex::new(Some(receiver)),
-            waiting: AtomicUsize::new(0),
             metrics,
         }
     }
@@ -98,15 +94,14 @@
     pub async fn renew(&self, renew: share::Renew) -> Answer {
         self.proposer.check_leads()?;
         let at = Instant::now();
-        let before = self.waiting.fetch_add(1, Ordering::Relaxed);
-        self.metrics.gauge(metric::RENEWALS_WAITING, before);
+        let waiting = self.inbox.max_capacity() - self.inbox.capacity();
+        self.metrics.gauge(metric::RENEWALS_WAITING, waiting);
         let (answer, answered) = oneshot::channel();
         let renewal = Renewal { renew, at, answer };
         let answer = match self.inbox.try_send(Asked::Renewal(renewal)) {
             Ok(()) => answered.await.unwrap_or_else(|_closed| Err(stopping())),
             Err(_full) => Err(late()),
         };
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
         self.metrics.time(metric::RENEWAL, at.elapsed());
         answer
     }
@@ -175,8 +170,9 @@
         term: &mut Result<&mut Term, server::Fault>,
         renewal: &Renewal,
     ) -> Result<granter::Answer, server::Fault> {
-        // Its sender has given it up, and tokens granted to it would be lost.
-        if renewal.at.elapsed() > holder::PATIENCE.to_std() {
+        // Its sender has given it up or is gone, and tokens granted to it would be lost.
+        let given_up = renewal.at.elapsed() > holder::PATIENCE.to_std();
+        if given_up || renewal.answer.is_closed() {
             return Err(late());
         }
         let term = term.as_mut().map_err(|fault| fault.clone())?;
--- a/crates/cranberrygap-control/tests/shares.rs
+++ b/crates/cranberrygap-control/tests/shares.rs
@@ -137,3 +137,21 @@
     // The first may begin a commit by itself; the others come while it is under way.
     assert!(log.commits() - before <= 2, "{}", log.commits() - before);
 }
+
+// Tokens granted to an entry whose connection has ended would be lost.
+#[tokio::test]
+async fn renewal_of_an_entry_that_is_gone_is_not_granted() {
+    let (_log, shares) = leader();
+    let first = shares.renew(renewal(0));
+    let gone = async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let renewal = shares.renew(renewal(1));
+        drop(tokio::time::timeout(Duration::from_millis(1), renewal).await);
+    };
+    let (granted, ()) = future::join(first, gone).await;
+
+    let again = shares.renew(renewal(1)).await;
+
+    assert!(granted.is_ok(), "{granted:?}");
+    assert!(again.is_ok(), "{again:?}");
+}
