--- a/crates/cranberrygap-bench/src/soak/view/budget.rs
+++ b/crates/cranberrygap-bench/src/soak/view/budget.rs
@@ -5,9 +5,9 @@
 
 use super::packet::Packet;
 
-/// Processor time on a whole core, in microseconds, as measured on the served code: a
-/// confirmation and its answer, a frame of the view and its size, a message between
-/// replicas, a command applied, a renewal of shares of sixteen workspaces.
+/// Processor time on a whole core, in microseconds: a confirmation and its answer, a frame of
+/// the view and its size, a message between replicas, a command applied, a renewal of shares
+/// of sixteen workspaces.
 const CONFIRM: u64 = 30;
 const FRAME: u64 = 20;
 const BYTES_IN_A_MICRO: u64 = 100;
--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -1,5 +1,7 @@
 //! Adapters: fetched when a request needs one, dropped when room is short.
 
+use std::collections::BTreeMap;
+
 use cranberrygap_model::{duration, id};
 use smol_str::SmolStr;
 
@@ -182,8 +184,7 @@
     pub(super) fn settle_waiters(&mut self, now: duration::Instant, outputs: &mut Vec<Output>) {
         let runners = &self.runners;
         self.waiters.retain(|waiter| {
-            let runner = runners.get(&waiter.endpoint);
-            let there = runner.is_some_and(|runner| runner.adapters.contains_key(&waiter.adapter));
+            let there = waiter.is_there(runners);
             if there && waiter.ready.is_some_and(|ready| now >= ready) {
                 outputs.push(Output::Place(waiter.ticket, Some(waiter.endpoint.clone())));
                 return false;
@@ -201,14 +202,17 @@
     pub fn wake(&self) -> Option<duration::Instant> {
         let ready = self.waiters.iter().filter_map(|waiter| {
             let ready = waiter.ready?;
-            self.is_there(waiter).then_some(ready)
+            waiter.is_there(&self.runners).then_some(ready)
         });
         ready.min()
     }
+}
 
-    fn is_there(&self, waiter: &Waiter) -> bool {
-        let runner = self.runners.get(&waiter.endpoint);
-        runner.is_some_and(|runner| runner.adapters.contains_key(&waiter.adapter))
+impl Waiter {
+    /// Whether its runner holds the adapter.
+    fn is_there(&self, runners: &BTreeMap<id::Endpoint, runner::Runner>) -> bool {
+        let runner = runners.get(&self.endpoint);
+        runner.is_some_and(|runner| runner.adapters.contains_key(&self.adapter))
     }
 }
 
