--- a/crates/cranberrygap-bench/src/measure/agreement/group.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/group.rs
@@ -226,6 +226,7 @@
             directory: None,
             ready: None,
             gossip: None,
+            lending: None,
             admin: loopback::unique(),
             advertise: None,
             callers: loopback::unique(),
--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -96,6 +96,7 @@
             number / 250,
             number % 250
         ))),
+        lending: None,
         phase: view::Phase::Active,
     }
 }
@@ -123,6 +124,7 @@
         domain: entry.domain,
         address: entry.address,
         endpoints: entry.endpoints,
+        lending: entry.lending,
         phase: entry.phase,
         revision: number::Revision(123_456),
         seen: seen.collect(),
@@ -148,6 +150,7 @@
     view::State {
         traffic: None,
         residencies: Vec::new(),
+        lenders: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-bench/src/measure/capacity/messages.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/messages.rs
@@ -53,6 +53,7 @@
         instance: fixture::entry(1).instance,
         boot: number::Boot(1 << 52),
         sequence: number::Sequence(123_456),
+        lends: false,
         demands: demands.collect(),
     }
 }
--- a/crates/cranberrygap-bench/src/measure/leader.rs
+++ b/crates/cranberrygap-bench/src/measure/leader.rs
@@ -132,6 +132,7 @@
             instance: instance(entry),
             boot: number::Boot(1),
             sequence: number::Sequence(round + 1),
+            lends: false,
             demands: demands.collect(),
         };
         let now = at(1_000 + round * turn / entries as u64);
@@ -172,6 +173,7 @@
             domain: "domain-1".parse().expect("a plain name"),
             address: "127.0.0.1:9".parse().expect("an address"),
             endpoints: None,
+            lending: None,
             phase: view::Phase::Active,
             revision,
             seen: Vec::new(),
--- a/crates/cranberrygap-bench/src/soak/limits/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/limits/entry.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 
 use cranberrygap_model::{duration, id, number, token};
-use cranberrygap_policy::limits::holder;
+use cranberrygap_policy::limits::{holder, lending};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
 pub(super) struct Entry {
     pub(super) boot: number::Boot,
     pub(super) holder: holder::Holder,
+    pub(super) lending: lending::Lending,
     pub(super) cut_until: duration::Instant,
     pub(super) running: Vec<Running>,
     /// Costs of the requests that wait for tokens, by ticket.
@@ -24,11 +25,17 @@
     pub(super) used: token::Count,
 }
 
+/// The name of an entry.
+pub(super) fn name(number: usize) -> id::Instance {
+    format!("entry-{number}").parse().expect("a valid name")
+}
+
 impl Entry {
     pub(super) fn new(number: usize, random: &mut SmallRng) -> Self {
-        let name: id::Instance = format!("entry-{number}").parse().expect("a valid name");
+        let name = name(number);
         let boot = number::Boot(random.random());
         Self {
+            lending: lending::Lending::new(name.clone(), boot),
             holder: holder::Holder::new(name, boot),
             boot,
             cut_until: duration::Instant::default(),
--- a/crates/cranberrygap-bench/src/soak/limits/trouble.rs
+++ b/crates/cranberrygap-bench/src/soak/limits/trouble.rs
@@ -23,6 +23,12 @@
             let number = self.random.random_range(0..world::ENTRIES);
             self.cut(number);
         }
+        if self.random.random_ratio(1, 800) {
+            self.choose();
+        }
+        if self.random.random_ratio(1, 3_000) {
+            self.stop();
+        }
         if self.random.random_ratio(1, 4_000) {
             self.configure();
         }
@@ -57,13 +63,57 @@
 
     fn restart(&mut self) {
         let number = self.random.random_range(0..world::ENTRIES);
+        self.note(&format!("entry {number} restarts"));
+        self.replace(number);
+    }
+
+    fn replace(&mut self, number: usize) {
         let fresh = entry::Entry::new(number, &mut self.random);
         self.counts.restarts += 1;
-        self.note(&format!("entry {number} restarts"));
         let gone = std::mem::replace(&mut self.entries[number], fresh);
         for request in gone.running {
             self.window.settle(request.admission, request.cost);
         }
+        let at = self.now.after(duration::Span(50_000));
+        self.network
+            .push((at, world::Message::Chosen(number, self.lender)));
+        // The leader learns of the new process with its first heartbeat.
+        if self.random.random_bool(0.7)
+            && let Some(granter) = self.granter.as_mut()
+        {
+            granter.ended(self.now, &entry::name(number), gone.boot);
+        }
+    }
+
+    /// The leader chooses who lends; entries learn it one after the other.
+    fn choose(&mut self) {
+        let anyone = self.random.random_range(0..world::ENTRIES);
+        self.lender = self.random.random_bool(0.9).then_some(anyone);
+        self.counts.lenders += 1;
+        self.tell_granter();
+        for number in 0..world::ENTRIES {
+            let late = self.random.random_ratio(1, 10);
+            let longest = if late { 2_000_000 } else { 60_000 };
+            let delay = duration::Span(self.random.random_range(0..longest));
+            let at = self.now.after(delay).max(self.entries[number].cut_until);
+            self.network
+                .push((at, world::Message::Chosen(number, self.lender)));
+        }
+        self.note(&format!("{:?} lends", self.lender));
+    }
+
+    /// A planned stop: an entry hands back what it has, and another process takes its place.
+    fn stop(&mut self) {
+        let number = self.random.random_range(0..world::ENTRIES);
+        let now = self.now;
+        let entry = &mut self.entries[number];
+        entry.holder.close(now);
+        entry.lending.close(now);
+        let renew = entry.holder.renew(now);
+        self.renew_lending(number);
+        self.send(number, world::Message::Renewal(number, renew));
+        self.replace(number);
+        self.note(&format!("entry {number} stops and starts"));
     }
 
     fn configure(&mut self) {
--- a/crates/cranberrygap-bench/src/soak/limits/world.rs
+++ b/crates/cranberrygap-bench/src/soak/limits/world.rs
@@ -30,6 +30,8 @@
     EndlessLease,
     /// Answers bring twice the tokens that left the pool.
     MintedTokens,
+    /// Entries that lend do not tell the leader what they have lent.
+    ForgottenLoans,
 }
 
 /// What happened in a run.
@@ -47,13 +49,23 @@
     pub(super) restarts: u64,
     pub(super) partitions: u64,
     pub(super) configured: u64,
+    pub(super) lenders: u64,
+    pub(super) asked: u64,
+    pub(super) borrowed: u64,
     /// Highest excess over all windows, in thousandths of the burst.
     pub(super) highest_permille: u64,
 }
 
+#[derive(Clone)]
 pub(super) enum Message {
     Renewal(usize, share::Renew),
-    Answer(usize, number::Boot, share::Granted),
+    Answer(usize, number::Boot, share::Granted, bool),
+    /// From the first entry to the second, which lends.
+    Ask(usize, usize, share::Renew),
+    /// To the first entry from the second, which lends.
+    Lent(usize, usize, number::Boot, share::Granted),
+    /// An entry learns who lends.
+    Chosen(usize, Option<usize>),
 }
 
 pub(super) struct World {
@@ -64,9 +76,11 @@
     pub(super) limit: limits::Limit,
     pub(super) entries: Vec<entry::Entry>,
     pub(super) granter: Option<granter::Granter>,
+    /// The entry that lends in place of the leader.
+    pub(super) lender: Option<usize>,
     pub(super) elects: duration::Instant,
     pub(super) term: number::Term,
-    pub(super) log: BTreeMap<(id::Instance, number::Boot), share::Allocation>,
+    pub(super) log: BTreeMap<(id::Instance, number::Boot, bool), share::Allocation>,
     pub(super) network: Vec<(duration::Instant, Message)>,
     pub(super) window: window::Window,
     pub(super) busy: usize,
@@ -116,6 +130,7 @@
             limit,
             entries,
             granter: None,
+            lender: None,
             elects: now,
             term: number::Term(0),
             log: BTreeMap::new(),
@@ -163,9 +178,18 @@
         } else {
             self.granter_of_log()
         });
+        self.tell_granter();
         self.note(&format!("leader of term {}", self.term));
     }
 
+    /// The leader takes over from the state who lends.
+    pub(super) fn tell_granter(&mut self) {
+        let lender = self.lender.map(entry::name);
+        if let Some(granter) = self.granter.as_mut() {
+            granter.set_delegate(&self.workspace, lender.as_ref());
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, later) = std::mem::take(&mut self.network)
@@ -175,7 +199,12 @@
         for (_, message) in due {
             match message {
                 Message::Renewal(entry, renew) => self.answer(entry, &renew),
-                Message::Answer(entry, boot, granted) => self.accept(entry, boot, granted),
+                Message::Answer(entry, boot, granted, lends) => {
+                    self.accept(entry, boot, granted, lends);
+                }
+                Message::Ask(from, to, question) => self.lend(from, to, &question),
+                Message::Lent(to, from, boot, lent) => self.borrow(to, from, boot, &lent),
+                Message::Chosen(entry, lender) => self.follow(entry, lender),
             }
         }
     }
@@ -197,9 +226,10 @@
             // Whether the log has the records is not known to the leader, which begins
             // anew from what the log turns out to have.
             self.granter = Some(self.granter_of_log());
+            self.tell_granter();
             return;
         }
-        let message = Message::Answer(entry, renew.boot, answer.granted);
+        let message = Message::Answer(entry, renew.boot, answer.granted, renew.lends);
         self.send(entry, message);
     }
 
@@ -227,10 +257,64 @@
         granter::Granter::new(self.now, self.term, &known, &logged)
     }
 
+    /// An entry answers what another one asks to borrow.
+    fn lend(&mut self, from: usize, to: usize, question: &share::Renew) {
+        let answer = self.entries[to].lending.answer(self.now, question);
+        if let Some(answer) = answer {
+            self.exchange(from, to, Message::Lent(from, to, question.boot, answer));
+        }
+    }
+
+    fn borrow(&mut self, to: usize, from: usize, boot: number::Boot, lent: &share::Granted) {
+        let now = self.now;
+        let entry = &mut self.entries[to];
+        if entry.boot != boot {
+            return;
+        }
+        if entry.holder.lent(now, &entry::name(from), lent) {
+            let tokens = lent.grants.iter().map(|grant| grant.lent.0).sum::<u64>();
+            self.counts.borrowed += tokens;
+        }
+    }
+
+    /// An entry learns from its view who lends.
+    fn follow(&mut self, number: usize, lender: Option<usize>) {
+        let chosen = lender.map(|lender| (self.workspace.clone(), entry::name(lender)));
+        let chosen = chosen.into_iter().collect();
+        let own: Vec<id::Workspace> = (lender == Some(number))
+            .then(|| self.workspace.clone())
+            .into_iter()
+            .collect();
+        let entry = &mut self.entries[number];
+        entry.holder.set_lenders(self.now, &chosen);
+        entry.lending.follow(self.now, &own);
+    }
+
+    /// Sends a datagram between two entries.
+    fn exchange(&mut self, one: usize, other: usize, message: Message) {
+        if one == other {
+            self.network.push((self.now, message));
+            return;
+        }
+        let cut = |entry: &entry::Entry| self.now < entry.cut_until;
+        let cut = cut(&self.entries[one]) || cut(&self.entries[other]);
+        if cut || self.random.random_ratio(1, 15) {
+            self.counts.lost += 1;
+            return;
+        }
+        let copies = 1 + u64::from(self.random.random_ratio(1, 20));
+        let slow = self.random.random_ratio(1, 20);
+        let longest = if slow { 1_500_000 } else { 4_000 };
+        for _copy in 0..copies {
+            let delay = duration::Span(self.random.random_range(200..longest));
+            self.network.push((self.now.after(delay), message.clone()));
+        }
+    }
+
     pub(super) fn commit(&mut self, records: Vec<share::Allocation>) {
         for record in records {
             self.counts.records += 1;
-            let owner = (record.instance.clone(), record.boot);
+            let owner = (record.instance.clone(), record.boot, record.lends);
             if record.rate.0 == 0.0 && record.cap.0 == 0 {
                 self.log.remove(&owner);
             } else {
@@ -239,7 +323,13 @@
         }
     }
 
-    fn accept(&mut self, entry: usize, boot: number::Boot, mut granted: share::Granted) {
+    fn accept(
+        &mut self,
+        entry: usize,
+        boot: number::Boot,
+        mut granted: share::Granted,
+        lends: bool,
+    ) {
         let now = self.now;
         let fault = self.fault;
         let entry = &mut self.entries[entry];
@@ -255,10 +345,14 @@
         if fault == Fault::EndlessLease {
             granted.lease = duration::Span::from_secs(3_600);
         }
-        entry.holder.granted(now, &granted);
+        if lends {
+            entry.lending.granted(now, &granted);
+        } else {
+            entry.holder.granted(now, &granted);
+        }
     }
 
-    fn send(&mut self, entry: usize, message: Message) {
+    pub(super) fn send(&mut self, entry: usize, message: Message) {
         let cut = self.now < self.entries[entry].cut_until;
         if cut || self.random.random_ratio(1, 40) {
             self.counts.lost += 1;
@@ -279,6 +373,33 @@
             let renew = self.entries[number].holder.renew(self.now);
             self.send(number, Message::Renewal(number, renew));
         }
+        for number in 0..ENTRIES {
+            if self.entries[number].lending.due() <= self.now {
+                self.renew_lending(number);
+            }
+            self.ask(number);
+        }
+    }
+
+    pub(super) fn renew_lending(&mut self, number: usize) {
+        let mut renew = self.entries[number].lending.renew(self.now);
+        if self.fault == Fault::ForgottenLoans {
+            for demand in &mut renew.demands {
+                demand.lent = token::Count(0);
+            }
+        }
+        self.counts.renewals += 1;
+        self.send(number, Message::Renewal(number, renew));
+    }
+
+    fn ask(&mut self, number: usize) {
+        for (lender, question) in self.entries[number].holder.ask(self.now) {
+            let lender = (0..ENTRIES).find(|entry| entry::name(*entry) == lender);
+            if let Some(lender) = lender {
+                self.counts.asked += 1;
+                self.exchange(number, lender, Message::Ask(number, lender, question));
+            }
+        }
     }
 
     fn settle(&mut self) {
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -261,6 +261,7 @@
             role: view::Role::Entry,
             address: confirm.address,
             endpoints: None,
+            lending: None,
             phase: confirm.phase,
         };
         let boot = confirm.boot;
--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -144,6 +144,7 @@
             domain: "domain-1".parse().expect("a plain name"),
             address: "127.0.0.1:9".parse().expect("an address"),
             endpoints: None,
+            lending: None,
             phase,
             revision,
             seen: Vec::new(),
--- a/crates/cranberrygap-bench/tests/soak_limits.rs
+++ b/crates/cranberrygap-bench/tests/soak_limits.rs
@@ -37,3 +37,10 @@
 fn minted_tokens_are_found() {
     assert!(found(world::Fault::MintedTokens));
 }
+
+// An entry that lends and hands its share over says what it has lent. A leader that does not
+// count it gives the same room to the next one while the loans may be spent.
+#[test]
+fn forgotten_loans_are_found() {
+    assert!(found(world::Fault::ForgottenLoans));
+}
--- a/crates/cranberrygap-control/src/gather.rs
+++ b/crates/cranberrygap-control/src/gather.rs
@@ -40,6 +40,7 @@
     Endpoint(id::Endpoint),
     Residency(id::Endpoint),
     Member(id::Instance),
+    Lender(id::Workspace),
 }
 
 impl Gather {
@@ -125,6 +126,7 @@
         }
         view::Change::Resided { residency } => Some(Subject::Residency(residency.endpoint.clone())),
         view::Change::MemberChanged { member } => Some(Subject::Member(member.instance.clone())),
+        view::Change::Lent { lender } => Some(Subject::Lender(lender.workspace.clone())),
         view::Change::KeyIssued { .. }
         | view::Change::KeyWithdrawn { .. }
         | view::Change::EndpointRemoved { .. }
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -197,6 +197,7 @@
             role: view::Role::Entry,
             address: confirm.address,
             endpoints: confirm.endpoints,
+            lending: confirm.lending,
             phase: confirm.phase,
         };
         let boot = confirm.boot;
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -1,15 +1,15 @@
 //! Grants shares of the workspaces' rates and bursts while this process leads.
 
-use std::collections::BTreeMap;
+mod term;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cranberrygap_link::clock;
 use cranberrygap_link::server;
-use cranberrygap_model::{id, number};
-use cranberrygap_policy::limits::{self, granter, holder};
-use cranberrygap_state::{command, fleet, share as state_share};
-use cranberrygap_wire::{configuration, method, share};
+use cranberrygap_policy::limits::{granter, holder};
+use cranberrygap_state::{command, lender, share as state_share};
+use cranberrygap_wire::{method, share};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
@@ -17,8 +17,11 @@
 use crate::proposer;
 use crate::replicated;
 
-/// Time between two looks for shares whose lease has run out.
-const PERIOD: Duration = Duration::from_millis(500);
+use term::Term;
+
+/// Time between two looks for shares whose lease has run out and for entries that lend no
+/// more.
+const PERIOD: Duration = Duration::from_millis(200);
 
 /// Renewals that may wait; an entry sends the next one when it has an answer.
 const QUEUE: usize = 4_096;
@@ -59,13 +62,6 @@
     answer: oneshot::Sender<Answer>,
 }
 
-#[derive(Debug)]
-struct Term {
-    number: number::Term,
-    granter: granter::Granter,
-    known: BTreeMap<id::Workspace, limits::Limit>,
-}
-
 impl Shares {
     /// Grants what `state` allows while `proposer` leads.
     #[must_use]
@@ -181,17 +177,26 @@
     }
 
     async fn expire(&self, held: &mut Option<Term>) {
-        if self.proposer.check_leads().is_err() {
+        let Ok(term) = self.current(held) else {
             *held = None;
             return;
-        }
-        let Some(term) = held.as_mut() else {
-            return;
         };
-        let records = term.granter.expire(self.clock.now());
-        if self.commit(records).await.is_err() {
+        let now = self.clock.now();
+        let (records, lenders) = self.state.read(|fleet| term.look(now, fleet));
+        let expired = self.commit(records).await;
+        if expired.is_err() {
             *held = None;
         }
+        if lenders.is_empty() {
+            return;
+        }
+        spdlog::info!("limits: {} workspaces get another lender", lenders.len());
+        let step = lender::Step { lenders };
+        let chosen = self.proposer.propose(command::Command::Lender(step)).await;
+        if let Err(fault) = chosen {
+            // Chosen again at the next look.
+            spdlog::warn!("limits: lenders are not noted: {}", fault.message);
+        }
     }
 
     /// All pools, for a dump.
@@ -211,29 +216,12 @@
         if held.as_ref().is_some_and(|term| term.number != status.term) {
             *held = None;
         }
-        let wanted = self.state.read(limits_of);
-        let term = held.get_or_insert_with(|| self.take_office(status.term, &wanted));
-        term.follow(self.clock.now(), wanted);
-        Ok(term)
-    }
-
-    fn take_office(
-        &self,
-        number: number::Term,
-        known: &BTreeMap<id::Workspace, limits::Limit>,
-    ) -> Term {
-        let logged: Vec<share::Allocation> = self
-            .state
-            .read(|fleet| fleet.shares.iter().cloned().collect());
-        spdlog::info!(
-            "limits: grants in term {number}, {} shares are logged",
-            logged.len()
-        );
-        Term {
-            number,
-            granter: granter::Granter::new(self.clock.now(), number, known, &logged),
-            known: known.clone(),
-        }
+        let now = self.clock.now();
+        self.state.read(|fleet| {
+            let term = held.get_or_insert_with(|| Term::new(now, status.term, fleet));
+            term.follow(now, fleet);
+            Ok(term)
+        })
     }
 
     async fn commit(&self, allocations: Vec<share::Allocation>) -> Result<(), server::Fault> {
@@ -254,60 +242,3 @@
     let sentence = "too many renewals wait for the leader";
     server::Fault::new(method::NO_QUORUM, sentence)
 }
-
-impl Term {
-    fn follow(
-        &mut self,
-        now: cranberrygap_model::duration::Instant,
-        wanted: BTreeMap<id::Workspace, limits::Limit>,
-    ) {
-        if wanted == self.known {
-            return;
-        }
-        for (workspace, limit) in &wanted {
-            if self.known.get(workspace) == Some(limit) {
-                continue;
-            }
-            spdlog::info!(
-                "limits: workspace {workspace} has {} tokens a second and {} at once",
-                limit.rate,
-                limit.burst
-            );
-            // Who is not known since this leader took leadership was added after it,
-            // and no earlier leader can have granted from its bucket.
-            self.granter
-                .configure(now, workspace, *limit, granter::Origin::Added);
-        }
-        self.known = wanted;
-    }
-}
-
-/// Rate and burst of every workspace by the configuration in force.
-fn limits_of(fleet: &fleet::Fleet) -> BTreeMap<id::Workspace, limits::Limit> {
-    let current = fleet.configuration.current();
-    let workspaces = fleet.keys.workspaces();
-    let issued = workspaces.map(|workspace| (workspace.clone(), limit_of(current, workspace)));
-    let planned = fleet.traffic.plan().into_iter();
-    let planned = planned.flat_map(|plan| &plan.workspaces);
-    let planned = planned.map(|found| {
-        let limit = limits::Limit {
-            rate: found.rate,
-            burst: found.burst,
-        };
-        (found.workspace.clone(), limit)
-    });
-    issued.chain(planned).collect()
-}
-
-fn limit_of(current: &configuration::Configuration, workspace: &id::Workspace) -> limits::Limit {
-    let target = configuration::Target::Workspace;
-    let mut exceptions = current.exceptions.iter();
-    let exception = exceptions
-        .find(|exception| exception.target == target && exception.name == workspace.as_str());
-    let rate = exception.and_then(|exception| exception.rate);
-    let burst = exception.and_then(|exception| exception.burst);
-    limits::Limit {
-        rate: rate.unwrap_or(current.defaults.rate),
-        burst: cranberrygap_model::token::Count(burst.unwrap_or(current.defaults.burst)),
-    }
-}
--- a/crates/cranberrygap-control/src/steward.rs
+++ b/crates/cranberrygap-control/src/steward.rs
@@ -139,6 +139,7 @@
             address: peer.address,
             phase: view::Phase::Active,
             endpoints: None,
+            lending: None,
         }
     }
 }
--- a/crates/cranberrygap-control/tests/fleet/mod.rs
+++ b/crates/cranberrygap-control/tests/fleet/mod.rs
@@ -210,6 +210,7 @@
         domain: "oslo-1".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         endpoints: None,
+        lending: None,
         phase: view::Phase::Active,
         revision,
         seen: Vec::new(),
--- a/crates/cranberrygap-control/tests/leadership.rs
+++ b/crates/cranberrygap-control/tests/leadership.rs
@@ -32,6 +32,7 @@
         role: view::Role::Entry,
         address: confirm.address,
         endpoints: None,
+        lending: None,
         phase: view::Phase::Active,
     };
     let boot = confirm.boot;
--- a/crates/cranberrygap-control/tests/shares.rs
+++ b/crates/cranberrygap-control/tests/shares.rs
@@ -120,6 +120,7 @@
         instance: format_smolstr!("entry-{entry}").parse().unwrap(),
         boot: number::Boot(1),
         sequence: number::Sequence(1),
+        lends: false,
         demands: demands.collect(),
     }
 }
--- a/crates/cranberrygap-entry/src/admission.rs
+++ b/crates/cranberrygap-entry/src/admission.rs
@@ -1,5 +1,6 @@
 //! Whether a workspace may spend tokens now.
 
+mod exchange;
 mod permit;
 mod shares;
 
@@ -11,6 +12,7 @@
 
 use crate::view;
 
+pub(crate) use exchange::Exchange;
 pub(crate) use permit::Permit;
 pub(crate) use shares::Shares;
 
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use cranberrygap_link::clock;
-use cranberrygap_model::{duration, id, number, token};
-use cranberrygap_policy::limits::{self, holder};
-use cranberrygap_wire::{configuration, method, share};
+use cranberrygap_model::{address, duration, id, number, token};
+use cranberrygap_policy::limits::{self, holder, lending};
+use cranberrygap_wire::{configuration, method, share, view as wire_view};
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
@@ -19,6 +19,9 @@
 /// Longest wait for the leader's answer, after which another one is asked.
 const ANSWER: duration::Span = duration::Span::from_millis(700);
 
+/// Longest time between two looks whether something is due.
+const LOOK: duration::Span = duration::Span::from_secs(1);
+
 /// Longest wait that callers are told.
 const LONGEST_RETRY: duration::Span = duration::Span::from_secs(60);
 
@@ -29,15 +32,44 @@
     inner: Mutex<Inner>,
     /// Somebody waits for tokens, so that a renewal may be due earlier.
     asked: Notify,
+    /// The same for a question to an entry that lends.
+    borrows: Notify,
+    /// What this entry lends has changed.
+    lends: Notify,
 }
 
 #[derive(Debug)]
 struct Inner {
     holder: holder::Holder,
+    lending: lending::Lending,
+    own: id::Instance,
+    /// Where entries lend.
+    addresses: BTreeMap<id::Instance, address::Socket>,
     waiting: BTreeMap<u64, oneshot::Sender<holder::Decision>>,
     limits: BTreeMap<id::Workspace, limits::Limit>,
 }
 
+impl Inner {
+    /// Takes over who lends what, and where. An entry that has left lends no more.
+    fn follow_lenders(&mut self, now: duration::Instant, view: &view::Snapshot) {
+        let members = view.members().values();
+        let lending = members.filter(|member| member.phase != wire_view::Phase::Left);
+        let addresses = lending.filter_map(|member| {
+            let address = member.lending?;
+            Some((member.instance.clone(), address))
+        });
+        self.addresses = addresses.collect();
+        let lenders = view.lenders().iter();
+        let lenders = lenders.filter(|(_, lender)| self.addresses.contains_key(*lender));
+        let lenders = lenders.map(|(workspace, lender)| (workspace.clone(), lender.clone()));
+        let lenders: BTreeMap<id::Workspace, id::Instance> = lenders.collect();
+        self.holder.set_lenders(now, &lenders);
+        let own = lenders.iter().filter(|(_, lender)| **lender == self.own);
+        let own: Vec<id::Workspace> = own.map(|(workspace, _)| workspace.clone()).collect();
+        self.lending.follow(now, &own);
+    }
+}
+
 /// A place in the line; given up when the caller leaves.
 struct Place<'shares> {
     shares: &'shares Shares,
@@ -59,11 +91,16 @@
         Self {
             clock,
             inner: Mutex::new(Inner {
+                own: instance.clone(),
+                lending: lending::Lending::new(instance.clone(), boot),
                 holder: holder::Holder::new(instance, boot),
+                addresses: BTreeMap::new(),
                 waiting: BTreeMap::new(),
                 limits: BTreeMap::new(),
             }),
             asked: Notify::new(),
+            borrows: Notify::new(),
+            lends: Notify::new(),
         }
     }
 
@@ -77,12 +114,116 @@
         }
     }
 
+    /// Renews what this entry lends, until the process stops.
+    pub(crate) async fn lend(self: Arc<Self>, core: Arc<core::Core>) {
+        loop {
+            let due = self.inner.lock().lending.due();
+            let span = due.since(self.clock.now()).min(LOOK);
+            tokio::select! {
+                () = tokio::time::sleep(span.to_std()) => {}
+                () = self.lends.notified() => {}
+            }
+            if self.inner.lock().lending.due() <= self.clock.now() {
+                self.renew_lending(&core).await;
+            }
+        }
+    }
+
+    async fn renew_lending(&self, core: &core::Core) {
+        let renewal = self.inner.lock().lending.renew(self.clock.now());
+        let answer = core
+            .leader
+            .call::<_, share::Granted>(method::SHARE_RENEW, &renewal, ANSWER)
+            .await;
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        match answer {
+            Ok(granted) => {
+                inner.lending.granted(now, &granted);
+            }
+            Err(cause) => {
+                spdlog::debug!("limits: what is lent is not renewed: {cause}");
+                inner.lending.failed(renewal.sequence);
+            }
+        }
+    }
+
     /// Hands all tokens back, as the last thing before the process ends.
     pub(crate) async fn close(&self, core: &core::Core) {
-        self.inner.lock().holder.close(self.clock.now());
+        let lends = {
+            let now = self.clock.now();
+            let mut inner = self.inner.lock();
+            inner.holder.close(now);
+            inner.lending.close(now);
+            !inner.lending.is_empty()
+        };
+        if lends {
+            self.renew_lending(core).await;
+        }
         self.renew(core).await;
     }
 
+    /// Waits until a question to an entry that lends may be due.
+    pub(super) async fn borrowing(&self) {
+        let due = self.inner.lock().holder.asks_at();
+        let span = due.map_or(LOOK, |due| due.since(self.clock.now()).min(LOOK));
+        tokio::select! {
+            () = tokio::time::sleep(span.to_std()) => {}
+            () = self.borrows.notified() => {}
+        }
+    }
+
+    /// Questions to send now, and where to; this entry's own are answered here.
+    pub(super) fn questions(&self, own: &id::Instance) -> Vec<(address::Socket, share::Renew)> {
+        let now = self.clock.now();
+        let mut sent = Vec::new();
+        let mut inner = self.inner.lock();
+        for (lender, question) in inner.holder.ask(now) {
+            if lender == *own {
+                let answer = inner.lending.answer(now, &question);
+                if let Some(answer) = answer {
+                    inner.holder.lent(now, own, &answer);
+                }
+                continue;
+            }
+            if let Some(address) = inner.addresses.get(&lender) {
+                sent.push((*address, question));
+            }
+        }
+        drop(inner);
+        self.serve();
+        sent
+    }
+
+    /// Answers a question of the entry that lends at `from`; `None` for one that is not known.
+    pub(super) fn answer(
+        &self,
+        from: address::Socket,
+        question: &share::Renew,
+    ) -> Option<share::Granted> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let known = inner.addresses.get(&question.instance) == Some(&from);
+        if !known {
+            return None;
+        }
+        inner.lending.answer(now, question)
+    }
+
+    /// Takes what the entry at `from` lends.
+    pub(super) fn lent(&self, from: address::Socket, answer: &share::Granted) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let mut known = inner.addresses.iter();
+        let lender = known.find(|(_, address)| **address == from);
+        let Some(lender) = lender.map(|(lender, _)| lender.clone()) else {
+            return;
+        };
+        inner.holder.lent(now, &lender, answer);
+        drop(inner);
+        self.serve();
+    }
+
     /// Waits until a renewal is due, and decides on waiting requests meanwhile.
     async fn rest(&self) {
         let (due, wake) = {
@@ -90,7 +231,7 @@
             (inner.holder.due(), inner.holder.wake())
         };
         let until = wake.map_or(due, |wake| due.min(wake));
-        let span = until.since(self.clock.now());
+        let span = until.since(self.clock.now()).min(LOOK);
         tokio::select! {
             () = tokio::time::sleep(span.to_std()) => {}
             () = self.asked.notified() => {}
@@ -186,6 +327,7 @@
             ticket,
         };
         self.asked.notify_one();
+        self.borrows.notify_one();
         match decided.await {
             Ok(holder::Decision::Admitted(reservation)) => Ok(reservation),
             Ok(holder::Decision::Refused(_)) | Err(_) => Err(Refused::Now {
@@ -231,15 +373,21 @@
             };
             (found.workspace.clone(), limit)
         });
+        let now = self.clock.now();
         let mut inner = self.inner.lock();
         inner.limits = limits.chain(planned).collect();
         inner.holder.set_entries(view.entries());
+        inner.lending.set_entries(view.entries());
+        inner.follow_lenders(now, view);
+        drop(inner);
+        self.lends.notify_one();
     }
 
     fn dump(&self) -> serde_json::Value {
         let inner = self.inner.lock();
         serde_json::json!({
             "shares": inner.holder.dump(),
+            "lends": inner.lending.dump(),
             "waiting": inner.waiting.len(),
         })
     }
--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -148,6 +148,7 @@
             domain: core.settings.entry.domain.clone(),
             address: core.advertised(),
             endpoints: Some(core.settings.listen.endpoints),
+            lending: core.lending.filter(|_| !core.is_draining()),
             phase,
             revision: core.view.revision(),
             seen: batch.seen.clone(),
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -33,6 +33,8 @@
     pub(crate) peers: Arc<control::Peers>,
     pub(crate) leader: control::Session,
     pub(crate) limiter: Arc<dyn admission::Limiter>,
+    /// Where other entries borrow tokens from this one.
+    pub(crate) lending: Option<address::Socket>,
     pub(crate) router: Arc<dyn route::Router>,
     /// Endpoints of the traffic plan's services.
     pub(crate) endpoints: gateway::Table,
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -12,6 +12,7 @@
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
 use spdlog::info;
+use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::admin;
@@ -115,7 +116,10 @@
         let clock = clock::Clock::start();
         let instance = settings.entry.instance.clone();
         let shares = Arc::new(admission::Shares::new(clock, instance, boot));
-        let core = Arc::new(build(settings, &fleet, metrics, boot, clock, &shares)?);
+        let exchange = listen_lending(&settings).await?;
+        let lending = exchange.as_ref().map(|(_, address)| *address);
+        let core = build(settings, &fleet, metrics, boot, clock, &shares, lending)?;
+        let core = Arc::new(core);
         let endpoints = listen_endpoints(&core, &secrets)?;
         let callers = listen_callers(&core)?;
         let admin = listen_admin(&core, &secrets).await?;
@@ -132,6 +136,11 @@
             tasks.push(tokio::spawn(load::Poller::new(Arc::clone(&core)).run()));
         }
         tasks.extend(gossip.map(|gossip| tokio::spawn(gossip.run())));
+        if let Some((socket, _)) = exchange {
+            let exchange = admission::Exchange::new(Arc::clone(&shares), socket);
+            tasks.push(tokio::spawn(exchange.run(Arc::clone(&core))));
+            tasks.push(tokio::spawn(Arc::clone(&shares).lend(Arc::clone(&core))));
+        }
         info!(
             "entry: {} serves callers at {}",
             core.instance(),
@@ -291,6 +300,24 @@
         .map_err(|cause| cannot_listen(wanted, &cause))
 }
 
+/// Opens the socket at which other entries borrow, where the settings name one.
+async fn listen_lending(
+    settings: &settings::Entry,
+) -> Result<Option<(UdpSocket, address::Socket)>, Error> {
+    let Some(wanted) = settings.listen.lending else {
+        return Ok(None);
+    };
+    let opened = async {
+        let socket = UdpSocket::bind(wanted.0).await?;
+        let address = socket.local_addr()?;
+        Ok::<_, std::io::Error>((socket, address::Socket(address)))
+    };
+    let opened = opened.await;
+    opened
+        .map(Some)
+        .map_err(|cause| cannot_listen(wanted, &cause))
+}
+
 fn build(
     settings: settings::Entry,
     fleet: &Arc<credential::Holder>,
@@ -298,6 +325,7 @@
     boot: number::Boot,
     clock: clock::Clock,
     shares: &Arc<admission::Shares>,
+    lending: Option<address::Socket>,
 ) -> Result<core::Core, Error> {
     let peers = Arc::new(control::Peers::new(settings.control.peers.clone()));
     Ok(core::Core {
@@ -308,6 +336,7 @@
         view: view::Holder::default(),
         leader: control::Session::new(peers, Arc::clone(fleet)),
         limiter: Arc::clone(shares) as _,
+        lending,
         router: Arc::new(route::Scored::new(rand::random())),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -26,6 +26,7 @@
     workspaces: Arc<Vec<id::Workspace>>,
     traffic: Option<Arc<traffic::Table>>,
     residencies: Arc<BTreeMap<id::Endpoint, view::Residency>>,
+    lenders: Arc<BTreeMap<id::Workspace, id::Instance>>,
 }
 
 impl Snapshot {
@@ -41,6 +42,7 @@
             quarantines: Arc::new(keyed(state.quarantines, |q| q.fingerprint.clone())),
             workspaces: Arc::new(state.workspaces),
             residencies: Arc::new(keyed(state.residencies, |told| told.endpoint.clone())),
+            lenders: Arc::new(lenders(state.lenders)),
             traffic: state
                 .traffic
                 .map(|plan| Arc::new(traffic::Table::new(plan))),
@@ -95,6 +97,13 @@
                 let name = residency.endpoint.clone();
                 Arc::make_mut(&mut self.residencies).insert(name, residency);
             }
+            view::Change::Lent { lender } => {
+                let lenders = Arc::make_mut(&mut self.lenders);
+                match lender.instance {
+                    Some(instance) => lenders.insert(lender.workspace, instance),
+                    None => lenders.remove(&lender.workspace),
+                };
+            }
             view::Change::Rerouted { plan } => {
                 self.traffic = Some(Arc::new(traffic::Table::new(plan)));
             }
@@ -210,6 +219,12 @@
         others.map(|member| member.address).collect()
     }
 
+    /// Entries that lend a workspace's tokens in place of the leader.
+    #[must_use]
+    pub fn lenders(&self) -> &BTreeMap<id::Workspace, id::Instance> {
+        &self.lenders
+    }
+
     /// The members by name.
     #[must_use]
     pub fn members(&self) -> &BTreeMap<id::Instance, view::Member> {
@@ -229,6 +244,7 @@
             "members": *self.members,
             "quarantines": *self.quarantines,
             "workspaces": *self.workspaces,
+            "lenders": *self.lenders,
         })
     }
 }
@@ -237,6 +253,12 @@
     items.into_iter().map(|item| (key(&item), item)).collect()
 }
 
+fn lenders(listed: Vec<view::Lender>) -> BTreeMap<id::Workspace, id::Instance> {
+    let chosen = listed.into_iter();
+    let chosen = chosen.filter_map(|lender| Some((lender.workspace, lender.instance?)));
+    chosen.collect()
+}
+
 fn catalogue(listed: Vec<endpoint::Weights>) -> BTreeMap<id::Model, endpoint::Weights> {
     keyed(listed, |weights| weights.model.clone())
 }
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -8,6 +8,7 @@
     wire_view::State {
         traffic: None,
         residencies: Vec::new(),
+        lenders: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-policy/src/limits.rs
+++ b/crates/cranberrygap-policy/src/limits.rs
@@ -2,21 +2,27 @@
 //!
 //! Each workspace has one token bucket. The leader's [`granter::Granter`] keeps
 //! the pool and gives parts of rate and burst to entries as leases; each entry
-//! admits requests from its [`holder::Holder`]. Tokens move between pool and
+//! admits requests from its [`holder::Holder`]. So that no request waits for the leader,
+//! the pool goes as one large share to an entry of the leader's choice, whose
+//! [`lending::Lending`] lends from it to the others. Tokens move between pool and
 //! shares and are never made: over any window of length `t` all entries
 //! together admit at most `rate * t + burst`.
 
 pub mod amount;
+pub mod appointment;
 pub mod granter;
 pub mod holder;
+pub mod lending;
 
 mod bucket;
 mod floor;
 mod lender;
 mod line;
 mod loans;
+mod owner;
 mod room;
 mod stock;
+mod stream;
 
 use cranberrygap_model::{duration, token};
 
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -2,13 +2,14 @@
 
 mod holdings;
 
-use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_model::{duration, id, token};
 use cranberrygap_wire::share;
 
 use super::amount::{self, Amount, Flow};
 use super::floor::Floor;
-use super::lender::{self, Lender};
-use super::{LEASE, Limit, PERIOD};
+use super::lender::{self, Lender, Supply};
+use super::owner::Owner;
+use super::{LEASE, Limit};
 use holdings::Holdings;
 
 /// Part of the rate that no share ever gets: clocks of two instances differ by
@@ -44,12 +45,6 @@
 /// were refused (`limits_unequal`). Such a workspace's tokens stay in the pool and are lent.
 const LEAST_STOCK: f64 = 2.0;
 
-/// Part of the burst that the pool keeps before it lends more than is asked for.
-const KEPT_BACK: f64 = 0.5;
-
-/// Part of what the pool holds beyond it that one answer lends ahead.
-const AHEAD: f64 = 0.25;
-
 /// A share is left as it is while its target is within this part of it, because
 /// each change is an entry in the replicated log.
 const TOLERANCE: f64 = 0.25;
@@ -58,9 +53,6 @@
 /// caps change only when demand has really moved.
 const CAP_TOLERANCE: f64 = 0.5;
 
-/// Who holds a share: an instance and the boot of its process.
-pub(super) type Owner = (id::Instance, number::Boot);
-
 /// Rate and cap under a share number.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct Part {
@@ -83,6 +75,8 @@
     demand: f64,
     /// Cost of a usual request of late.
     usual: f64,
+    /// Rate and cap that its entry's demand asks for.
+    wanted: (Flow, Amount),
 }
 
 impl Share {
@@ -104,6 +98,8 @@
     shares: Holdings,
     lender: Lender,
     floor: Floor,
+    /// The entry that lends in place of the leader.
+    delegate: Option<id::Instance>,
 }
 
 impl Bucket {
@@ -116,6 +112,7 @@
             shares: Holdings::default(),
             lender: Lender::default(),
             floor: Floor::default(),
+            delegate: None,
         };
         bucket.configure(now, limit);
         bucket
@@ -131,6 +128,22 @@
         self.cut();
     }
 
+    /// Takes over who lends in place of the leader.
+    pub(super) fn set_delegate(&mut self, delegate: Option<&id::Instance>) {
+        if self.delegate.as_ref() != delegate {
+            self.delegate = delegate.cloned();
+        }
+    }
+
+    /// A process has ended, so that it renews no more; what it lent ends with its loans.
+    pub(super) fn ended(&mut self, now: duration::Instant, owner: &Owner) {
+        let end = lender::cleared(now);
+        if self.shares.get(owner).is_some() {
+            self.shares
+                .update(owner, |share| share.until = share.until.min(end));
+        }
+    }
+
     /// Fills the pool. Only right for a workspace that never had a share.
     pub(super) fn fill(&mut self) {
         self.pool = self.burst;
@@ -173,7 +186,7 @@
             until: expiry(now),
             ..Share::default()
         };
-        let owner = (logged.instance.clone(), logged.boot);
+        let owner = Owner::logged(logged);
         self.shares.update(&owner, |known| *known = share);
         self.cut();
     }
@@ -189,7 +202,7 @@
         self.accrue(now);
         self.confirm(owner, demand);
         self.note(owner, demand);
-        let target = self.target(owner);
+        let target = self.target(now, owner);
         let (held, offered) = self.shares.update(owner, |share| {
             let held = share.held;
             if (target.rate, target.cap) == (held.rate, held.cap) {
@@ -204,9 +217,6 @@
             share.until = expiry(now);
             (held, share.offered)
         });
-        let first = Amount::from_count(demand.first);
-        let wanted = Amount::from_count(demand.wanted);
-        self.lender.ask(now, owner, first, wanted);
         let (wait, longest, lent) = self.serve(now, owner, demand);
         let tokens = self.move_tokens(owner, demand, held, offered);
         self.floor.settle(now, self.pool);
@@ -229,47 +239,19 @@
         owner: &Owner,
         demand: &share::Demand,
     ) -> (duration::Span, duration::Span, token::Count) {
-        let none = duration::Span(0);
-        let first = Amount::from_count(demand.first);
-        let wanted = Amount::from_count(demand.wanted).max(first);
-        let ahead = self.lender.ahead(owner);
-        if ahead.plus(first) > self.pool {
-            let rate = self.rate.minus(self.shared_rate());
-            let late = self.accrued.since(now);
-            let time = |amount: Amount| {
-                let accrual = rate.time_for(ahead.plus(amount).minus(self.pool));
-                duration::Span(accrual.0 + late.0)
-            };
-            return (time(first), time(wanted), token::Count(0));
+        if owner.lends {
+            return (duration::Span(0), duration::Span(0), token::Count(0));
         }
-        let free = self.pool.minus(ahead);
-        // Short of all, only the first gets its tokens: parts of what the others need
-        // would lie at one entry and serve nobody.
-        let lent = if wanted > free {
-            first
-        } else {
-            wanted.plus(self.more(demand, free.minus(wanted)))
+        let supply = Supply {
+            pool: self.pool,
+            rate: self.rate.minus(self.shared_rate()),
+            from: self.accrued,
+            burst: self.burst,
         };
-        let lent = lent.whole();
-        self.pool = self.pool.minus(Amount::from_count(lent));
-        self.lender.lend(now, owner, Amount::from_count(lent));
+        let offer = self.lender.serve(now, owner, demand, &supply);
+        self.pool = self.pool.minus(offer.lent);
         self.cut();
-        (none, none, lent)
-    }
-
-    /// What may be lent beyond what is asked for, so that the next requests find their
-    /// tokens there: those of one period and one large one, as long as the pool is rich.
-    fn more(&self, demand: &share::Demand, free: Amount) -> Amount {
-        let kept = self.burst.as_f64() * KEPT_BACK;
-        let rich = (free.as_f64() - kept).max(0.0) * AHEAD;
-        let period = demand.rate.0 * PERIOD.as_secs_f64();
-        let useful = if demand.rate.0 >= 1.0 {
-            period + demand.usual.0 as f64
-        } else {
-            0.0
-        };
-        let has = demand.lent.0 as f64;
-        Amount::from_count(amount::covering((useful - has).max(0.0).min(rich)))
+        (offer.wait, offer.longest, offer.lent.whole())
     }
 
     /// Drops shares whose lease has run out for certain; their tokens are spent.
@@ -282,6 +264,7 @@
                 share.offered = Part::default();
                 share.inherited = false;
                 share.demand = 0.0;
+                share.wanted = Default::default();
             });
         }
     }
@@ -314,8 +297,9 @@
                 let list = if grows { &mut larger } else { &mut smaller };
                 list.push(share::Allocation {
                     workspace: workspace.clone(),
-                    instance: owner.0.clone(),
-                    boot: owner.1,
+                    instance: owner.instance.clone(),
+                    boot: owner.boot,
+                    lends: owner.lends,
                     share: share.held.number.max(share.offered.number),
                     rate: most.0.to_rate(),
                     cap: most.1.covering(),
@@ -332,6 +316,11 @@
         (self.shared_rate(), self.shared_cap(), self.pool)
     }
 
+    /// Who may have a share for now.
+    pub(super) fn owners(&self) -> impl Iterator<Item = &Owner> {
+        self.shares.owners()
+    }
+
     pub(super) fn shares(&self) -> usize {
         self.shares.len()
     }
@@ -364,7 +353,10 @@
     /// A holder ignores answers to all but its last renewal, so it has just this
     /// share until the answer to this renewal arrives.
     fn confirm(&mut self, owner: &Owner, demand: &share::Demand) {
+        let lends = owner.lends;
+        let out = Amount::from_count(demand.lent);
         let (lives, known) = self.shares.update(owner, |share| {
+            let before = share.cap();
             let numbers = [share.held.number, share.offered.number];
             let lives = share.rate() > Flow::ZERO || share.cap() > Amount::ZERO;
             let known = share.inherited || demand.share == 0 || numbers.contains(&demand.share);
@@ -375,6 +367,10 @@
             } else if demand.share == share.offered.number {
                 share.held = share.offered;
             }
+            if lends {
+                // What it has lent may be spent until it ends, also when its share is smaller.
+                share.held.cap = share.held.cap.max(out.min(before));
+            }
             share.inherited = false;
             share.offered = share.held;
             (lives, known)
@@ -384,11 +380,12 @@
         if lives && known {
             self.pool = self.pool.plus(Amount::from_count(demand.returned));
         }
-        let kept = Amount::from_count(demand.lent);
-        let unlent = Amount::from_count(demand.unlent);
-        let back = self.lender.confirm(owner, kept, unlent);
-        self.pool = self.pool.plus(back);
-        self.cut();
+        if !lends {
+            let unlent = Amount::from_count(demand.unlent);
+            let back = self.lender.confirm(owner, out, unlent);
+            self.pool = self.pool.plus(back);
+            self.cut();
+        }
     }
 
     fn note(&mut self, owner: &Owner, demand: &share::Demand) {
@@ -399,38 +396,59 @@
     }
 
     /// Rate and cap that the share is to have from now on.
-    fn target(&self, owner: &Owner) -> Part {
+    fn target(&mut self, now: duration::Instant, owner: &Owner) -> Part {
         let Some(share) = self.shares.get(owner) else {
             return Part::default();
         };
         let held = share.held;
-        let others_rate = self.shared_rate().minus(share.rate());
-        let others_cap = self.shared_cap().minus(share.cap());
+        let rate = self.rate.minus(self.shared_rate().minus(share.rate()));
+        let cap = self.burst.minus(self.shared_cap().minus(share.cap()));
+        // Loans of the leader may be spent beside all shares.
+        let loans = if now < self.accrued {
+            self.burst
+        } else {
+            self.lender.lent()
+        };
+        let grown = cap.minus(loans).max(held.cap.min(cap));
+        let wanted = if owner.lends {
+            self.delegated(owner)
+        } else {
+            let wanted = self.wanted(share);
+            self.shares.update(owner, |share| share.wanted = wanted);
+            wanted
+        };
+        Part {
+            number: held.number,
+            rate: wanted.0.min(rate),
+            cap: Amount::from_count(wanted.1.min(grown).whole()),
+        }
+    }
+
+    /// Rate and cap of the entry that lends: all that the others' demand does not ask for.
+    fn delegated(&self, owner: &Owner) -> (Flow, Amount) {
+        if self.delegate.as_ref() != Some(&owner.instance) {
+            return (Flow::ZERO, Amount::ZERO);
+        }
+        let (rate, cap) = self.shares.wanted();
+        (self.rate.minus(rate), self.burst.minus(cap))
+    }
+
+    /// Rate and cap that an entry's demand asks for.
+    fn wanted(&self, share: &Share) -> (Flow, Amount) {
         let asked = self.shares.demand() * OWN_PART;
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
         let stock = self.stock(share);
         if stock < share.usual.max(1.0) * LEAST_STOCK {
-            let number = held.number;
-            return Part {
-                number,
-                ..Part::default()
-            };
-        }
-        let wanted_rate = share.demand * OWN_PART * shrink;
-        let wanted_cap = stock;
-        let rate = Flow::from_rate(token::Rate(settle(
-            held.rate.to_rate().0,
-            wanted_rate,
-            TOLERANCE,
-        )));
-        let cap = amount::covering(settle(held.cap.as_f64(), wanted_cap, CAP_TOLERANCE));
-        Part {
-            number: held.number,
-            rate: rate.min(self.rate.minus(others_rate)),
-            cap: Amount::from_count(cap)
-                .min(Amount::from_count(self.burst.minus(others_cap).whole())),
+            return (Flow::ZERO, Amount::ZERO);
         }
+        let wanted = share.demand * OWN_PART * shrink;
+        let rate = settle(share.held.rate.to_rate().0, wanted, TOLERANCE);
+        let cap = settle(share.held.cap.as_f64(), stock, CAP_TOLERANCE);
+        (
+            Flow::from_rate(token::Rate(rate)),
+            Amount::from_count(amount::covering(cap)),
+        )
     }
 
     /// Tokens that a share may hold for its demand.
--- a/crates/cranberrygap-policy/src/limits/bucket/holdings.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket/holdings.rs
@@ -5,7 +5,8 @@
 use cranberrygap_model::duration;
 
 use super::super::amount::{Amount, Flow};
-use super::{Owner, Share};
+use super::super::owner::Owner;
+use super::Share;
 
 /// Shares by holder. Sums are kept while shares change, so that a renewal costs the same
 /// however many entries there are.
@@ -15,6 +16,8 @@
     rate: Flow,
     cap: Amount,
     demand: f64,
+    /// What the demand of all entries asks for.
+    wanted: (Flow, Amount),
     /// Shares that changed since the log was last told.
     changed: BTreeSet<Owner>,
     /// No lease runs out before this.
@@ -26,6 +29,13 @@
         self.shares.get(owner)
     }
 
+    pub(super) fn owners(&self) -> impl Iterator<Item = &Owner> {
+        let live = self.shares.iter();
+        let live =
+            live.filter(|(_, share)| share.rate() > Flow::ZERO || share.cap() > Amount::ZERO);
+        live.map(|(owner, _)| owner)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.shares.len()
     }
@@ -45,12 +55,22 @@
         self.demand
     }
 
+    /// Rate and cap that the demand of all entries asks for.
+    pub(super) const fn wanted(&self) -> (Flow, Amount) {
+        self.wanted
+    }
+
     /// Changes the share of `owner`, an empty one if it has none.
     pub(super) fn update<R>(&mut self, owner: &Owner, change: impl FnOnce(&mut Share) -> R) -> R {
         let share = self.shares.entry(owner.clone()).or_default();
         let before = (share.rate(), share.cap(), share.demand);
+        let wanted = share.wanted;
         let result = change(share);
         let (rate, cap, demand) = before;
+        self.wanted = (
+            self.wanted.0.minus(wanted.0).plus(share.wanted.0),
+            self.wanted.1.minus(wanted.1).plus(share.wanted.1),
+        );
         self.rate = self.rate.minus(rate).plus(share.rate());
         self.cap = self.cap.minus(cap).plus(share.cap());
         self.demand += share.demand - demand;
--- a/crates/cranberrygap-policy/src/limits/granter.rs
+++ b/crates/cranberrygap-policy/src/limits/granter.rs
@@ -1,13 +1,14 @@
 //! The leader's side: gives parts of each workspace's rate and burst to entries.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cranberrygap_model::{duration, id, number, token};
 use cranberrygap_wire::share;
 use serde::Serialize;
 
-use super::bucket::{Bucket, Owner};
+use super::bucket::Bucket;
 use super::lender;
+use super::owner::Owner;
 use super::{LEASE, Limit};
 
 /// Pools and shares of all workspaces during one leader's period of office.
@@ -126,13 +127,53 @@
         self.buckets.insert(workspace.clone(), bucket);
     }
 
+    /// Takes over which entry lends a workspace's tokens in place of this leader.
+    ///
+    /// It gets all of rate and burst that no share is to have, under a lease like theirs.
+    pub fn set_delegate(&mut self, workspace: &id::Workspace, delegate: Option<&id::Instance>) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.set_delegate(delegate);
+        }
+    }
+
+    /// A process of an entry has ended: its instance runs another one now.
+    pub fn ended(&mut self, now: duration::Instant, instance: &id::Instance, boot: number::Boot) {
+        for lends in [false, true] {
+            let owner = Owner {
+                instance: instance.clone(),
+                boot,
+                lends,
+            };
+            for bucket in self.buckets.values_mut() {
+                bucket.ended(now, &owner);
+            }
+        }
+    }
+
+    /// Whether an entry may lend a workspace's tokens for now.
+    #[must_use]
+    pub fn lends(&self, workspace: &id::Workspace, instance: &id::Instance) -> bool {
+        let bucket = self.buckets.get(workspace);
+        let mut owners = bucket.into_iter().flat_map(Bucket::owners);
+        owners.any(|owner| owner.lends && owner.instance == *instance)
+    }
+
+    /// Processes that have a share.
+    #[must_use]
+    pub fn holders(&self) -> BTreeSet<(id::Instance, number::Boot)> {
+        let owners = self.buckets.values().flat_map(Bucket::owners);
+        owners
+            .map(|owner| (owner.instance.clone(), owner.boot))
+            .collect()
+    }
+
     /// Answers a renewal.
     ///
     /// # Errors
     ///
     /// [`Error::Late`] for a renewal that was overtaken by a later one.
     pub fn renew(&mut self, now: duration::Instant, renew: &share::Renew) -> Result<Answer, Error> {
-        let owner = (renew.instance.clone(), renew.boot);
+        let owner = Owner::of(renew);
         self.check(now, &owner, renew.sequence)?;
         let mut records = Vec::new();
         let mut grants = Vec::new();
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -7,8 +7,10 @@
 use serde::Serialize;
 
 use super::amount::Amount;
+use super::lender::LIFE;
 pub use super::line::Patience;
 use super::stock::Stock;
+use super::stream::{Source, Stream};
 use super::{LEASE, PERIOD};
 use crate::pace;
 
@@ -19,6 +21,14 @@
 /// that several renewals fit into one.
 pub const PATIENCE: duration::Span = duration::Span::from_millis(700);
 
+/// Time between two renewals that only tell the leader of demand, which other entries lend
+/// for; as many times the gap, so that the leader's work for them does not grow with the fleet.
+const REPORT: duration::Span = duration::Span::from_secs(1);
+const REPORT_GAPS: u64 = 8;
+
+/// Workspaces of one question, so that it fits into a datagram.
+const MOST_TOGETHER: usize = 16;
+
 /// Shares of one entry.
 #[derive(Debug)]
 pub struct Holder {
@@ -34,6 +44,8 @@
     closed: bool,
     /// Least time between two renewals.
     gap: duration::Span,
+    /// Questions to the entries that lend.
+    lenders: BTreeMap<id::Instance, Stream>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -100,7 +112,33 @@
             failed: false,
             closed: false,
             gap: LEAST_GAP,
+            lenders: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over which entry lends the tokens of which workspace; the leader lends the others'.
+    pub fn set_lenders(
+        &mut self,
+        now: duration::Instant,
+        lenders: &BTreeMap<id::Workspace, id::Instance>,
+    ) {
+        for (workspace, lender) in lenders {
+            let stock = self
+                .stocks
+                .entry(workspace.clone())
+                .or_insert_with(|| Stock::new(now));
+            if stock.lender.as_ref() != Some(lender) {
+                stock.turn_to(Some(lender.clone()));
+            }
+            self.lenders.entry(lender.clone()).or_default();
+        }
+        for (workspace, stock) in &mut self.stocks {
+            if stock.lender.is_some() && !lenders.contains_key(workspace) {
+                stock.turn_to(None);
+            }
         }
+        let named: Vec<&id::Instance> = lenders.values().collect();
+        self.lenders.retain(|lender, _| named.contains(&lender));
     }
 
     /// Takes over how many entries renew at the same leader.
@@ -199,18 +237,148 @@
         if self.awaited.is_some() {
             return sent.after(PATIENCE);
         }
-        let (soonest, latest) = (sent.after(self.gap), sent.after(PERIOD.max(self.gap)));
+        let soonest = sent.after(self.gap);
         if self.failed {
-            return latest;
+            return sent.after(PERIOD.max(self.gap));
         }
         if self.stocks.values().any(Stock::owes) {
             return soonest;
         }
+        let latest = self.latest(sent);
         let stocks = self.stocks.values();
+        let stocks = stocks.filter(|stock| self.source(stock) == Source::Leader);
         let asks = stocks.filter_map(|stock| stock.asks_at(soonest));
         asks.min().map_or(latest, |asks| asks.min(latest))
     }
 
+    /// When the leader is to hear of this entry at the latest.
+    fn latest(&self, sent: duration::Instant) -> duration::Instant {
+        let mut active = self.stocks.values().filter(|stock| !stock.idle());
+        if active
+            .clone()
+            .any(|stock| stock.holds() || stock.lender.is_none())
+        {
+            return sent.after(PERIOD.max(self.gap));
+        }
+        if active.next().is_some() {
+            return sent.after(REPORT.max(duration::Span(self.gap.0 * REPORT_GAPS)));
+        }
+        NEVER
+    }
+
+    /// Who lends to a stock: the leader while the entry that should does not answer.
+    fn source(&self, stock: &Stock) -> Source {
+        match &stock.lender {
+            Some(lender) if !self.is_silent(lender) => Source::Entry(lender.clone()),
+            _ => Source::Leader,
+        }
+    }
+
+    fn is_silent(&self, lender: &id::Instance) -> bool {
+        self.lenders.get(lender).is_none_or(Stream::is_silent)
+    }
+
+    /// When [`Holder::ask`] has something to send to an entry that lends.
+    #[must_use]
+    pub fn asks_at(&self) -> Option<duration::Instant> {
+        let lenders = self.lenders.iter();
+        lenders
+            .filter_map(|(lender, stream)| self.asks_lender_at(lender, stream))
+            .min()
+    }
+
+    fn asks_lender_at(&self, lender: &id::Instance, stream: &Stream) -> Option<duration::Instant> {
+        let Some(soonest) = stream.soonest() else {
+            return stream.again();
+        };
+        if self.closed {
+            return None;
+        }
+        let source = Source::Entry(lender.clone());
+        let stocks = self.stocks.values();
+        let stocks = stocks.filter(|stock| stock.lender.as_ref() == Some(lender));
+        let due = stocks.filter_map(|stock| {
+            let returns = stock.returns_at(&source).map(|at| at.max(soonest));
+            stock.asks_at(soonest).into_iter().chain(returns).min()
+        });
+        due.min()
+    }
+
+    /// Questions to send now, each to the entry that lends.
+    pub fn ask(&mut self, now: duration::Instant) -> Vec<(id::Instance, share::Renew)> {
+        let lenders = self.lenders.iter();
+        let due = lenders.filter(|(lender, stream)| {
+            let due = self.asks_lender_at(lender, stream);
+            due.is_some_and(|due| now >= due)
+        });
+        let due: Vec<id::Instance> = due.map(|(lender, _)| lender.clone()).collect();
+        let asked = due.into_iter().filter_map(|lender| {
+            let question = self.question(now, &lender)?;
+            Some((lender, question))
+        });
+        asked.collect()
+    }
+
+    fn question(&mut self, now: duration::Instant, lender: &id::Instance) -> Option<share::Renew> {
+        let stream = self.lenders.get_mut(lender)?;
+        if stream.expire(now) {
+            // The leader is asked meanwhile, and the lender again after a pause.
+            return None;
+        }
+        if let Some(again) = stream.repeat(now) {
+            return Some(again);
+        }
+        let borrows = !stream.is_silent();
+        let source = Source::Entry(lender.clone());
+        let stocks = self.stocks.iter_mut();
+        let lent = |stock: &Stock| stock.lender.as_ref() == Some(lender);
+        let stocks = stocks.filter(|(_, stock)| lent(stock) && stock.concerns(&source));
+        let stocks = stocks.take(MOST_TOGETHER);
+        let demands = stocks.map(|(workspace, stock)| {
+            stock.advance(now);
+            stock.question(now, workspace, &source, borrows)
+        });
+        let demands = demands.collect();
+        self.sequence = self.sequence.next();
+        let question = share::Renew {
+            instance: self.instance.clone(),
+            boot: self.boot,
+            sequence: self.sequence,
+            lends: false,
+            demands,
+        };
+        stream.asked(now, question.clone());
+        Some(question)
+    }
+
+    /// Takes what an entry lends; true when it was the awaited answer. [`Holder::poll`] is to
+    /// be called then.
+    pub fn lent(
+        &mut self,
+        now: duration::Instant,
+        lender: &id::Instance,
+        answer: &share::Granted,
+    ) -> bool {
+        let stream = self.lenders.get_mut(lender);
+        let Some(sent) = stream.and_then(|stream| stream.answered(answer.sequence)) else {
+            return false;
+        };
+        let source = Source::Entry(lender.clone());
+        let until = sent.after(answer.lease.min(LIFE));
+        for (workspace, stock) in &mut self.stocks {
+            let grants = &mut answer.grants.iter();
+            let Some(grant) = grants.find(|grant| grant.workspace == *workspace) else {
+                continue;
+            };
+            stock.advance(now);
+            if now < until && !self.closed {
+                stock.borrow(now, grant, until, &source);
+            }
+            stock.heard(&source);
+        }
+        true
+    }
+
     /// The renewal to send now. An answer that is still awaited is given up: if
     /// it comes late it is dropped with its tokens.
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
@@ -224,10 +392,17 @@
         self.stocks
             .values_mut()
             .for_each(|stock| stock.advance(now));
-        self.stocks.retain(|_, stock| !stock.idle());
+        self.stocks
+            .retain(|_, stock| !stock.idle() || stock.lender.is_some());
+        let silent: Vec<id::Instance> = self.silent().cloned().collect();
         let mut demands = Vec::new();
         for (workspace, stock) in &mut self.stocks {
-            let mut demand = stock.demand(now, workspace);
+            if stock.idle() {
+                continue;
+            }
+            let lends = |lender: &id::Instance| !silent.contains(lender);
+            let borrows = !stock.lender.as_ref().is_some_and(lends);
+            let mut demand = stock.demand(now, workspace, borrows);
             if self.closed {
                 demand.rate = token::Rate(0.0);
                 demand.wanted = token::Count(0);
@@ -241,10 +416,17 @@
             instance: self.instance.clone(),
             boot: self.boot,
             sequence: self.sequence,
+            lends: false,
             demands,
         }
     }
 
+    fn silent(&self) -> impl Iterator<Item = &id::Instance> {
+        let lenders = self.lenders.iter();
+        let silent = lenders.filter(|(_, stream)| stream.is_silent());
+        silent.map(|(lender, _)| lender)
+    }
+
     /// Applies an answer; true when it was the awaited one. [`Holder::poll`] is
     /// to be called then.
     ///
@@ -321,3 +503,6 @@
         self.stocks.iter().map(dump).collect()
     }
 }
+
+/// When nothing is ever due.
+const NEVER: duration::Instant = duration::Instant(u64::MAX);
--- a/crates/cranberrygap-policy/src/limits/lender.rs
+++ b/crates/cranberrygap-policy/src/limits/lender.rs
@@ -16,9 +16,10 @@
 use cranberrygap_model::{duration, id, number};
 use cranberrygap_wire::share;
 
-use super::amount::{Amount, Flow};
-use super::bucket::Owner;
+use super::PERIOD;
+use super::amount::{self, Amount, Flow};
 use super::line;
+use super::owner::Owner;
 
 /// Time for which a loan may be spent, counted by its holder from sending the renewal.
 /// Longer than nearly all answers take, short since a new leader waits it out.
@@ -32,6 +33,36 @@
 /// entry that waits renews each quarter of a second at least.
 const SILENT: duration::Span = duration::Span::from_millis(600);
 
+/// Part of the burst that a lender keeps before it lends more than is asked for.
+const KEPT_BACK: f64 = 0.5;
+
+/// Part of what the pool holds beyond it that one answer lends ahead.
+const AHEAD: f64 = 0.25;
+
+/// What a lender has for those who ask.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Supply {
+    /// Tokens that are there.
+    pub(super) pool: Amount,
+    /// At which more come.
+    pub(super) rate: Flow,
+    /// When they begin to come.
+    pub(super) from: duration::Instant,
+    /// Most that the pool may hold.
+    pub(super) burst: Amount,
+}
+
+/// What one who asked gets, and when there may be more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Offer {
+    /// Whole tokens that are lent now.
+    pub(super) lent: Amount,
+    /// Time until the first request in line may get its tokens.
+    pub(super) wait: duration::Span,
+    /// The same for all that were wanted.
+    pub(super) longest: duration::Span,
+}
+
 /// An entry that waits for tokens.
 #[derive(Debug, Clone)]
 struct Ask {
@@ -84,6 +115,7 @@
         workspace: workspace.clone(),
         instance: id::Instance::from_static(POOL),
         boot: POOL_BOOT,
+        lends: false,
         share: burst.whole().0,
         rate: rate.to_rate(),
         cap: kept.whole(),
@@ -162,13 +194,7 @@
     /// Notes what an entry waits for; `first` is zero when nobody waits there.
     ///
     /// A small ask goes before large ones that came earlier, as in an entry's own line.
-    pub(super) fn ask(
-        &mut self,
-        now: duration::Instant,
-        owner: &Owner,
-        first: Amount,
-        wanted: Amount,
-    ) {
+    fn ask(&mut self, now: duration::Instant, owner: &Owner, first: Amount, wanted: Amount) {
         let position = self.asks.iter().position(|ask| ask.owner == *owner);
         if first == Amount::ZERO {
             if let Some(position) = position {
@@ -197,6 +223,47 @@
         self.asks.insert(place, ask);
     }
 
+    /// Lends what an entry waits for, if it is its turn, or says when it may be.
+    pub(super) fn serve(
+        &mut self,
+        now: duration::Instant,
+        owner: &Owner,
+        demand: &share::Demand,
+        supply: &Supply,
+    ) -> Offer {
+        let first = Amount::from_count(demand.first);
+        let wanted = Amount::from_count(demand.wanted).max(first);
+        self.ask(now, owner, first, wanted);
+        let ahead = self.ahead(owner);
+        if ahead.plus(first) > supply.pool {
+            let late = supply.from.since(now);
+            let time = |amount: Amount| {
+                let missing = ahead.plus(amount).minus(supply.pool);
+                duration::Span(supply.rate.time_for(missing).0 + late.0)
+            };
+            return Offer {
+                lent: Amount::ZERO,
+                wait: time(first),
+                longest: time(wanted),
+            };
+        }
+        let free = supply.pool.minus(ahead);
+        // Short of all, only the first gets its tokens: parts of what the others need
+        // would lie at one entry and serve nobody.
+        let lent = if wanted > free {
+            first
+        } else {
+            wanted.plus(more(demand, free.minus(wanted), supply.burst))
+        };
+        let lent = Amount::from_count(lent.whole());
+        self.lend(now, owner, lent);
+        Offer {
+            lent,
+            wait: duration::Span(0),
+            longest: duration::Span(0),
+        }
+    }
+
     /// What those before an entry in line wait for; all that wait if it does not.
     pub(super) fn ahead(&self, owner: &Owner) -> Amount {
         let before = self.asks.iter().take_while(|ask| ask.owner != *owner);
@@ -204,7 +271,7 @@
     }
 
     /// Lends to an entry, which goes to the end of the line with its next ask.
-    pub(super) fn lend(&mut self, now: duration::Instant, owner: &Owner, amount: Amount) {
+    fn lend(&mut self, now: duration::Instant, owner: &Owner, amount: Amount) {
         self.asks.retain(|ask| ask.owner != *owner);
         if amount > Amount::ZERO {
             let loan = Loan {
@@ -217,3 +284,18 @@
         }
     }
 }
+
+/// What may be lent beyond what is asked for, so that the next requests find their
+/// tokens there: those of one period and one large one, as long as the pool is rich.
+fn more(demand: &share::Demand, free: Amount, burst: Amount) -> Amount {
+    let kept = burst.as_f64() * KEPT_BACK;
+    let rich = (free.as_f64() - kept).max(0.0) * AHEAD;
+    let period = demand.rate.0 * PERIOD.as_secs_f64();
+    let useful = if demand.rate.0 >= 1.0 {
+        period + demand.usual.0 as f64
+    } else {
+        0.0
+    };
+    let has = demand.lent.0 as f64;
+    Amount::from_count(amount::covering((useful - has).max(0.0).min(rich)))
+}
--- a/crates/cranberrygap-policy/src/limits/line.rs
+++ b/crates/cranberrygap-policy/src/limits/line.rs
@@ -174,6 +174,13 @@
         });
     }
 
+    /// Whoever was asked for those in line lends no more.
+    pub(super) fn forgotten(&mut self) {
+        for waiter in &mut self.waiters {
+            waiter.stage = Stage::New;
+        }
+    }
+
     /// A renewal leaves that asks for what all in line lack.
     pub(super) fn asked(&mut self) {
         for waiter in &mut self.waiters {
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -3,11 +3,13 @@
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_wire::share;
 
+use super::PERIOD;
 use super::amount::{self, Amount, Flow};
 use super::lender::LIFE;
 use super::line::{Line, Outlook};
 use super::loans::Loans;
 use super::room::Room;
+use super::stream::Source;
 
 /// Time over which the asked rate is averaged. Long enough to smooth single
 /// requests, short enough to follow demand that moves between entries.
@@ -20,6 +22,9 @@
 /// share's own rate. Covers the usual round trip, so that no accrual is lost.
 const SPARE: duration::Span = duration::Span::from_millis(100);
 
+/// Time before its end at which a loan that nobody took is handed back.
+const RETURN: duration::Span = duration::Span::from_millis(150);
+
 #[derive(Debug, Clone, Default)]
 pub(super) struct Stock {
     pub(super) share: u64,
@@ -36,6 +41,10 @@
     /// The share changed and the leader does not know yet that it arrived.
     unconfirmed: bool,
     pub(super) line: Line,
+    /// The entry that lends this workspace's tokens, if one does.
+    pub(super) lender: Option<id::Instance>,
+    /// Whom the awaited answer about those in line is awaited from.
+    asking: Option<Source>,
     loans: Loans,
     /// What the awaited answer was asked for: the first in line, and all.
     short: (Amount, Amount),
@@ -89,6 +98,13 @@
         true
     }
 
+    /// Borrows from another lender from now on; it knows of nobody in line yet.
+    pub(super) fn turn_to(&mut self, lender: Option<id::Instance>) {
+        self.lender = lender;
+        self.outlook = None;
+        self.line.forgotten();
+    }
+
     /// Notes that callers asked for `cost`.
     pub(super) fn ask(&mut self, cost: Amount) {
         self.asked = self.asked.plus(cost);
@@ -113,36 +129,77 @@
         self.observe();
     }
 
-    /// What the next renewal says; space is set aside for its answer.
+    /// What the next renewal to the leader says; space is set aside for its answer.
     pub(super) fn demand(
         &mut self,
         now: duration::Instant,
         workspace: &id::Workspace,
+        borrows: bool,
     ) -> share::Demand {
         self.measure(now);
-        self.line.asked();
         self.aside = Amount::ZERO;
         self.aside = Amount::from_count(self.space().minus(self.rate.over(SPARE)).whole());
         self.least = self.space();
         self.unconfirmed = false;
         let returned = std::mem::take(&mut self.surplus).whole();
         let closed = std::mem::take(&mut self.unlent_at_close);
-        let unlent = self.loans.hand_back(now).plus(closed);
-        self.short = (self.first_short(), self.short());
+        let soon = now.after(PERIOD);
+        let unlent = self.loans.hand_back(soon, &Source::Leader).plus(closed);
+        let (first, wanted) = self.wants(&Source::Leader, borrows);
         share::Demand {
             workspace: workspace.clone(),
             rate: token::Rate(self.demand),
-            wanted: self.short.1.covering(),
+            wanted: wanted.covering(),
             returned,
             room: self.aside.whole(),
             share: self.share,
-            first: self.short.0.covering(),
+            first: first.covering(),
             usual: amount::covering(self.usual),
-            lent: self.loans.kept().covering(),
+            lent: self.loans.kept(&Source::Leader).covering(),
             unlent: unlent.whole(),
         }
     }
 
+    /// What the next question to the entry that lends says.
+    pub(super) fn question(
+        &mut self,
+        now: duration::Instant,
+        workspace: &id::Workspace,
+        lender: &Source,
+        borrows: bool,
+    ) -> share::Demand {
+        self.measure(now);
+        let unlent = self.loans.hand_back(now.after(RETURN), lender);
+        let (first, wanted) = self.wants(lender, borrows);
+        share::Demand {
+            workspace: workspace.clone(),
+            rate: token::Rate(self.demand),
+            wanted: wanted.covering(),
+            returned: token::Count(0),
+            room: token::Count(0),
+            share: 0,
+            first: first.covering(),
+            usual: amount::covering(self.usual),
+            lent: self.loans.kept(lender).covering(),
+            unlent: unlent.whole(),
+        }
+    }
+
+    /// What `source` is told that those in line lack: nothing, unless it is to lend it.
+    fn wants(&mut self, source: &Source, borrows: bool) -> (Amount, Amount) {
+        if !borrows {
+            return (Amount::ZERO, Amount::ZERO);
+        }
+        self.line.asked();
+        self.asking = Some(source.clone());
+        self.short = (self.first_short(), self.short());
+        if self.short.1 == Amount::ZERO {
+            self.asking = None;
+            self.outlook = None;
+        }
+        self.short
+    }
+
     /// Takes over what an answer to a renewal sent at `sent` grants until `until`.
     pub(super) fn apply(
         &mut self,
@@ -151,14 +208,7 @@
         sent: duration::Instant,
         until: duration::Instant,
     ) {
-        self.loans
-            .add(Amount::from_count(grant.lent), sent.after(LIFE));
-        self.outlook = (grant.wait.0 > 0).then(|| Outlook {
-            first: self.short.0,
-            wanted: self.short.1,
-            first_at: now.after(grant.wait),
-            all_at: now.after(grant.longest),
-        });
+        self.borrow(now, grant, sent.after(LIFE), &Source::Leader);
         let cap = Amount::from_count(grant.cap);
         let shrinks = cap < self.cap;
         self.unconfirmed = grant.share != self.share;
@@ -178,10 +228,53 @@
         self.observe();
     }
 
-    /// Ends the wait for an answer.
+    /// Takes over what is lent until `until`, and when there is more for those in line.
+    pub(super) fn borrow(
+        &mut self,
+        now: duration::Instant,
+        grant: &share::Grant,
+        until: duration::Instant,
+        from: &Source,
+    ) {
+        self.loans.add(Amount::from_count(grant.lent), until, from);
+        if self.asking.as_ref() == Some(from) {
+            self.outlook = (grant.wait.0 > 0).then(|| Outlook {
+                first: self.short.0,
+                wanted: self.short.1,
+                first_at: now.after(grant.wait),
+                all_at: now.after(grant.longest),
+            });
+        }
+    }
+
+    /// Ends the wait for the leader's answer.
     pub(super) fn answered(&mut self) {
         self.aside = Amount::ZERO;
-        self.line.answered();
+        self.heard(&Source::Leader);
+    }
+
+    /// Those in line were told of, if this is whom they asked.
+    pub(super) fn heard(&mut self, from: &Source) {
+        if self.asking.as_ref() == Some(from) {
+            self.line.answered();
+        }
+    }
+
+    /// When a loan of `from` that nobody took is handed back.
+    pub(super) fn returns_at(&self, from: &Source) -> Option<duration::Instant> {
+        let end = self.loans.first_end(from)?;
+        Some(duration::Instant(end.0.saturating_sub(RETURN.0)))
+    }
+
+    /// Whether a question to `source` has anything to say of this workspace.
+    pub(super) fn concerns(&self, source: &Source) -> bool {
+        let asked = self.asking.as_ref() == Some(source);
+        asked || self.short() > Amount::ZERO || self.loans.has(source)
+    }
+
+    /// Whether the leader's answers carry anything for this workspace.
+    pub(super) fn holds(&self) -> bool {
+        self.share != 0 || self.loans.has(&Source::Leader)
     }
 
     /// When the first in line can be served from accrual, or a deadline passes.
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -6,7 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    catalogue, claim, configuration, endpoint, group, key, member, quarantine, share, traffic,
+    catalogue, claim, configuration, endpoint, group, key, lender, member, quarantine, share,
+    traffic,
 };
 
 /// A command and the leader's clock when it was proposed.
@@ -43,6 +44,8 @@
     Group(group::Step),
     /// Shares of the workspaces' rates and bursts.
     Share(share::Step),
+    /// Entries that lend tokens in place of the leader.
+    Lender(lender::Step),
     /// Orders to endpoints.
     Order(journal::Record),
     /// A new traffic plan.
@@ -66,6 +69,7 @@
             | Self::Endpoint(_)
             | Self::Member(_)
             | Self::Claim(_)
+            | Self::Lender(_)
             | Self::Order(_)
             | Self::Quarantine(_)
             | Self::Traffic(_)
@@ -87,6 +91,7 @@
             Self::Quarantine(_) => "quarantine",
             Self::Group(_) => "group",
             Self::Share(_) => "share",
+            Self::Lender(_) => "lender",
             Self::Order(_) => "order",
             Self::Traffic(_) => "traffic",
             Self::Residency(_) => "residency",
--- a/crates/cranberrygap-state/src/fact.rs
+++ b/crates/cranberrygap-state/src/fact.rs
@@ -67,7 +67,8 @@
             serde_json::json!(record),
         ),
         command::Command::Claim(step) => claim_fact(step, answer),
-        command::Command::Member(_)
+        command::Command::Lender(_)
+        | command::Command::Member(_)
         | command::Command::Quarantine(_)
         | command::Command::Share(_)
         | command::Command::Traffic(_)
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     answer, audit, catalogue, change, claim, command, configuration, endpoint, fact, history, key,
-    member, quarantine, residency, share, traffic,
+    lender, member, quarantine, residency, share, traffic,
 };
 
 /// Everything that the fleet has agreed on.
@@ -41,6 +41,9 @@
     /// Shares of the workspaces' rates and bursts.
     #[serde(default)]
     pub shares: share::Shares,
+    /// Entries that lend tokens in place of the leader.
+    #[serde(default)]
+    pub lenders: lender::Lenders,
     /// Orders to endpoints that may still take effect.
     #[serde(default)]
     pub orders: journal::Journal,
@@ -121,6 +124,7 @@
                 self.shares.apply(step);
                 (answer::Answer::Done, Vec::new())
             }
+            command::Command::Lender(step) => (answer::Answer::Done, self.lenders.apply(step)),
             command::Command::Order(record) => {
                 let taken = self.orders.apply(record);
                 let refused = answer::Answer::Refused("a newer leader gives orders".into());
@@ -190,6 +194,7 @@
             workspaces: self.keys.workspaces().cloned().collect(),
             traffic: self.traffic.plan().cloned(),
             residencies: self.residencies.iter().cloned().collect(),
+            lenders: self.lenders.view().collect(),
         }
     }
 
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod group;
 pub mod history;
 pub mod key;
+pub mod lender;
 pub mod member;
 pub mod quarantine;
 pub mod residency;
--- a/crates/cranberrygap-wire/src/binding.rs
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -23,6 +23,7 @@
         }
         view::Change::MemberChanged { .. }
         | view::Change::Released { .. }
+        | view::Change::Lent { .. }
         | view::Change::Resided { .. } => false,
     }
 }
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -108,6 +108,7 @@
                 directory: None,
                 ready: None,
                 gossip: None,
+                lending: None,
                 admin: self.entry_admin,
                 advertise: None,
                 callers: self.callers,
