Tell processor time by kind of call, and why renewals are sent

Callers wait for tokens, and no line told whether the leader's processor, missing tokens or other work there was the cause: work was measured by the wall clock, calls were in no kind of work, and nothing said why a renewal came or what it asked for.

A control process now counts processor time, of work, of calls by method (reading, answering and writing them) and as a whole, and renewals by what they ask for. An entry sums up how its requests got their tokens and why it renewed. No decision changes.

--- a/crates/cranberrygap-control/src/metric.rs
+++ b/crates/cranberrygap-control/src/metric.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cadence::{Counted as _, Gauged as _, StatsdClient, Timed as _};
+use cranberrygap_link::processor;
 use cranberrygap_trace::metric::Metric;
+use cranberrygap_wire::method;
 use parking_lot::Mutex;
 
 /// Time between two lines that sum up what was done.
@@ -25,11 +27,31 @@
 pub(crate) const RENEWAL: &str = "renewal";
 /// Renewals that wait in line.
 pub(crate) const RENEWALS_WAITING: &str = "renewals_waiting";
-/// Time that the process spent on a kind of work.
+/// Renewals by what they ask for.
+pub(crate) const RENEWALS: &str = "renewals";
+/// Processor time that the process spent on a kind of work.
 pub(crate) const WORK: &str = "work";
+/// Calls that were answered.
+pub(crate) const CALLS: &str = "calls";
+/// Processor time that reading, answering and writing calls took.
+pub(crate) const CALL_WORK: &str = "call_work";
+/// Processor time of the whole process.
+pub(crate) const PROCESSOR: &str = "processor";
+
+/// Methods that are told apart; all others are one.
+const METHODS: [&str; 8] = [
+    method::VIEW_CONFIRM,
+    method::SHARE_RENEW,
+    method::CLAIM_OPEN,
+    method::CLAIM_CLOSE,
+    method::CRASH_REPORT,
+    method::SUSPECT_LEAVE,
+    method::ADAPTER_WANT,
+    method::AGREEMENT,
+];
 
 /// All metrics of a control process.
-pub const ALL: [Metric; 8] = [
+pub const ALL: [Metric; 12] = [
     Metric {
         name: LEADS,
         kind: "g",
@@ -76,7 +98,31 @@
         name: WORK,
         kind: "c",
         unit: "nanoseconds",
-        meaning: "time spent on work, tagged with its kind",
+        meaning: "processor time spent on work, tagged with its kind",
+    },
+    Metric {
+        name: RENEWALS,
+        kind: "c",
+        unit: "renewals",
+        meaning: "renewals of shares, tagged short, moves or nothing by what they ask for",
+    },
+    Metric {
+        name: CALLS,
+        kind: "c",
+        unit: "calls",
+        meaning: "calls over links that were answered, tagged with the method",
+    },
+    Metric {
+        name: CALL_WORK,
+        kind: "c",
+        unit: "nanoseconds",
+        meaning: "processor time that reading, answering and writing those took, tagged alike",
+    },
+    Metric {
+        name: PROCESSOR,
+        kind: "c",
+        unit: "nanoseconds",
+        meaning: "processor time of the whole process, with sockets and all else",
     },
 ];
 
@@ -172,30 +218,48 @@
 
     /// Does `work` and counts its time.
     pub(crate) fn work<R>(&self, kind: Work, work: impl FnOnce() -> R) -> R {
-        let begin = Instant::now();
+        let begin = processor::thread();
         let result = work();
-        let nanos = usize::try_from(begin.elapsed().as_nanos()).unwrap_or(usize::MAX);
-        self.count(WORK, kind.name(), nanos);
+        let spent = processor::thread().saturating_sub(begin);
+        self.count(WORK, kind.name(), nanos(spent));
         result
     }
 
+    /// Counts a call that was answered and the processor time that it took.
+    pub(crate) fn call(&self, method: &str, spent: Duration) {
+        let method = METHODS.iter().find(|known| **known == method);
+        let method = method.copied().unwrap_or("other");
+        self.count(CALLS, method, 1);
+        self.count(CALL_WORK, method, nanos(spent));
+    }
+
     /// Writes a line with what was done, every few seconds until the process stops.
     pub(crate) async fn watch(self) {
+        let mut before = processor::process();
         loop {
             tokio::time::sleep(SUMMARY).await;
+            let now = processor::process();
+            self.count(PROCESSOR, "all", nanos(now.saturating_sub(before)));
+            before = now;
             let sums = std::mem::take(&mut *self.sums.lock());
             spdlog::info!("control: in {} s: {}", SUMMARY.as_secs(), sums.line());
         }
     }
 }
 
+fn nanos(span: Duration) -> usize {
+    usize::try_from(span.as_nanos()).unwrap_or(usize::MAX)
+}
+
 impl Sums {
     fn line(&self) -> String {
         const NANOS_IN_MICRO: usize = 1_000;
         let mut parts = Vec::new();
         for ((name, tag), count) in &self.counts {
             parts.push(match *name {
-                WORK => format!("{name} {tag} {} us", count / NANOS_IN_MICRO),
+                WORK | CALL_WORK | PROCESSOR => {
+                    format!("{name} {tag} {} us", count / NANOS_IN_MICRO)
+                }
                 _ => format!("{name} {tag} {count}"),
             });
         }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -358,7 +358,10 @@
     parts: &Arc<Parts>,
     secrets: Vec<credential::Secret>,
 ) -> Result<server::Handle, server::Error> {
-    let builder = server::Builder::new().secrets(credential::Role::Fleet, secrets);
+    let metrics = parts.desk.metrics.clone();
+    let builder = server::Builder::new()
+        .secrets(credential::Role::Fleet, secrets)
+        .meter(move |method, spent| metrics.call(method, spent));
     let builder = links::receive(builder, &parts.replica);
     let builder = peers::offer(builder, &parts.desk);
     builder.start(parts.settings.listen.peers).await
--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -94,6 +94,7 @@
     pub async fn renew(&self, renew: share::Renew) -> Answer {
         self.proposer.check_leads()?;
         let at = Instant::now();
+        self.metrics.count(metric::RENEWALS, kind(&renew), 1);
         let waiting = self.inbox.max_capacity() - self.inbox.capacity();
         self.metrics.gauge(metric::RENEWALS_WAITING, waiting);
         let (answer, answered) = oneshot::channel();
@@ -246,6 +247,19 @@
     }
 }
 
+/// What a renewal asks for: tokens for who waits, tokens for free space, or nothing.
+fn kind(renew: &share::Renew) -> &'static str {
+    let short = |demand: &share::Demand| demand.wanted.0 > 0;
+    let moves = |demand: &share::Demand| demand.room.0 + demand.returned.0 + demand.unlent.0 > 0;
+    if renew.demands.iter().any(short) {
+        return "short";
+    }
+    if renew.demands.iter().any(moves) {
+        return "moves";
+    }
+    "nothing"
+}
+
 fn stopping() -> server::Fault {
     server::Fault::new(method::NO_QUORUM, STOPPING)
 }
--- a/crates/cranberrygap-entry/src/admission.rs
+++ b/crates/cranberrygap-entry/src/admission.rs
@@ -1,5 +1,6 @@
 //! Whether a workspace may spend tokens now.
 
+mod account;
 mod permit;
 mod shares;
 
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -14,6 +14,7 @@
 use crate::core;
 use crate::view;
 
+use super::account::Account;
 use super::{Limiter, Refused};
 
 /// Longest wait for the leader's answer, after which another one is asked.
@@ -36,6 +37,7 @@
     holder: holder::Holder,
     waiting: BTreeMap<u64, oneshot::Sender<holder::Decision>>,
     limits: BTreeMap<id::Workspace, limits::Limit>,
+    account: Account,
 }
 
 /// A place in the line; given up when the caller leaves.
@@ -62,6 +64,7 @@
                 holder: holder::Holder::new(instance, boot),
                 waiting: BTreeMap::new(),
                 limits: BTreeMap::new(),
+                account: Account::default(),
             }),
             asked: Notify::new(),
         }
@@ -71,6 +74,9 @@
     pub(crate) async fn run(self: Arc<Self>, core: Arc<core::Core>) {
         loop {
             self.rest().await;
+            if let Some(line) = self.inner.lock().account.line(self.clock.now()) {
+                spdlog::info!("limits: {line}");
+            }
             if self.inner.lock().holder.due() <= self.clock.now() {
                 self.renew(&core).await;
             }
@@ -99,7 +105,13 @@
     }
 
     async fn renew(&self, core: &core::Core) {
-        let renewal = self.inner.lock().holder.renew(self.clock.now());
+        let begin = self.clock.now();
+        let renewal = {
+            let mut inner = self.inner.lock();
+            let reason = inner.holder.reason();
+            inner.account.renewed(reason);
+            inner.holder.renew(begin)
+        };
         let asking = core
             .leader
             .call::<_, share::Granted>(method::SHARE_RENEW, &renewal, ANSWER);
@@ -113,11 +125,15 @@
             }
         };
         let now = self.clock.now();
-        match answer {
-            Ok(granted) => {
-                self.inner.lock().holder.granted(now, &granted);
+        {
+            let mut inner = self.inner.lock();
+            inner.account.answered(now.since(begin), answer.is_ok());
+            match answer {
+                Ok(granted) => {
+                    inner.holder.granted(now, &granted);
+                }
+                Err(_cause) => inner.holder.failed(renewal.sequence),
             }
-            Err(_cause) => self.inner.lock().holder.failed(renewal.sequence),
         }
         self.serve();
     }
@@ -169,11 +185,15 @@
         if let Some(burst) = burst.filter(|burst| tokens > *burst) {
             return Err(Refused::Never { burst });
         }
+        let begin = self.clock.now();
         let (ticket, decided) = {
-            let now = self.clock.now();
+            let now = begin;
             let mut inner = self.inner.lock();
             match inner.holder.admit(now, workspace, tokens, patience) {
-                holder::Verdict::Admitted(reservation) => return Ok(reservation),
+                holder::Verdict::Admitted(reservation) => {
+                    inner.account.served_at_once();
+                    return Ok(reservation);
+                }
                 holder::Verdict::Waiting(ticket) => {
                     let (sender, decided) = oneshot::channel();
                     inner.waiting.insert(ticket, sender);
@@ -186,7 +206,11 @@
             ticket,
         };
         self.asked.notify_one();
-        match decided.await {
+        let decided = decided.await;
+        let served = matches!(decided, Ok(holder::Decision::Admitted(_)));
+        let waited = self.clock.now().since(begin);
+        self.inner.lock().account.waited(waited, served);
+        match decided {
             Ok(holder::Decision::Admitted(reservation)) => Ok(reservation),
             Ok(holder::Decision::Refused(_)) | Err(_) => Err(Refused::Now {
                 retry_after: self.retry_after(workspace, tokens),
--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod credential;
 pub mod error;
 pub mod handshake;
+pub mod processor;
 pub mod server;
 pub mod session;
 
--- a/crates/cranberrygap-link/src/server.rs
+++ b/crates/cranberrygap-link/src/server.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cranberrygap_model::address;
 use futures_util::StreamExt as _;
@@ -56,6 +57,10 @@
 type Frames = BoxStream<'static, Box<RawValue>>;
 type Opening = BoxFuture<'static, Result<Frames, Fault>>;
 
+/// Told of each call that ended: its method, and the processor time from its envelope to the
+/// sealed answer.
+type Meter = Arc<dyn Fn(&str, Duration) + Send + Sync>;
+
 struct Method {
     role: credential::Role,
     run: Box<dyn Fn(Box<RawValue>) -> Answer + Send + Sync>,
@@ -73,6 +78,7 @@
     methods: BTreeMap<SmolStr, Method>,
     streams: BTreeMap<SmolStr, Stream>,
     connections: Option<usize>,
+    meter: Option<Meter>,
 }
 
 impl Fault {
@@ -116,6 +122,14 @@
         self
     }
 
+    /// Tells `meter` of each call that ended: its method, and the processor time that reading,
+    /// answering and writing it took here. What sockets and frames cost is not in it.
+    #[must_use]
+    pub fn meter(mut self, meter: impl Fn(&str, Duration) + Send + Sync + 'static) -> Self {
+        self.meter = Some(Arc::new(meter));
+        self
+    }
+
     /// Offers a method to whoever proved `role`.
     #[must_use]
     pub fn method<P, R, H, A>(mut self, name: &str, role: credential::Role, handler: H) -> Self
@@ -179,6 +193,7 @@
     pub async fn start(self, address: address::Socket) -> Result<Handle, Error> {
         let most = self.connections.unwrap_or(LARGEST_CONNECTIONS);
         let registry = registry::Registry::new(self.secrets, self.methods, self.streams, most);
+        let registry = registry.metered(self.meter);
         Handle::listen(Arc::new(registry), address).await
     }
 }
--- a/crates/cranberrygap-link/src/server/accept.rs
+++ b/crates/cranberrygap-link/src/server/accept.rs
@@ -7,7 +7,8 @@
 use cranberrygap_model::address;
 use jsonrpsee::RpcModule;
 use jsonrpsee::server;
-use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::{ErrorObjectOwned, Params};
+use smol_str::SmolStr;
 use tokio::net;
 use tokio::sync::watch;
 
@@ -17,6 +18,7 @@
 use crate::credential;
 use crate::handshake;
 use crate::message;
+use crate::processor;
 use crate::session;
 
 /// Time in which a connection must prove itself. A stranger could otherwise
@@ -195,21 +197,14 @@
         .expect(distinct);
     module
         .register_async_method(message::CALL, |params, registry, extensions| async move {
-            let envelope: session::Envelope = params.one()?;
-            let connection = find(&registry, &extensions)?;
-            let Some(authentic) = connection.check(&envelope) else {
-                // An altered or repeated message means that something between
-                // the ends plays with the connection; it is of no more use.
-                connection.end();
-                return Err(stranger());
-            };
-            let result = tokio::select! {
-                result = call(&registry, authentic.role, &envelope) => result,
-                () = connection.ended() => return Err(stranger()),
+            let mut name = SmolStr::default();
+            let answering = answer(&params, &registry, &extensions, &mut name);
+            let Some(meter) = registry.meter() else {
+                return answering.await;
             };
-            let body = message::raw(&message::Answer::new(result));
-            let purpose = session::Purpose::Answer;
-            Ok(authentic.keys.seal(purpose, envelope.counter, 0, body))
+            let (answer, spent) = processor::of(answering).await;
+            meter(&name, spent);
+            answer
         })
         .expect(distinct);
     module
@@ -232,13 +227,39 @@
     answer.ok_or_else(stranger)
 }
 
+/// Answers a sealed call; `name` is its method once that is known.
+async fn answer(
+    params: &Params<'static>,
+    registry: &Registry,
+    extensions: &jsonrpsee::Extensions,
+    name: &mut SmolStr,
+) -> Result<session::Envelope, ErrorObjectOwned> {
+    let envelope: session::Envelope = params.one()?;
+    let connection = find(registry, extensions)?;
+    let Some(authentic) = connection.check(&envelope) else {
+        // An altered or repeated message means that something between
+        // the ends plays with the connection; it is of no more use.
+        connection.end();
+        return Err(stranger());
+    };
+    let result = tokio::select! {
+        result = call(registry, authentic.role, &envelope, name) => result,
+        () = connection.ended() => return Err(stranger()),
+    };
+    let body = message::raw(&message::Answer::new(result));
+    let purpose = session::Purpose::Answer;
+    Ok(authentic.keys.seal(purpose, envelope.counter, 0, body))
+}
+
 async fn call(
     registry: &Registry,
     role: credential::Role,
     envelope: &session::Envelope,
+    name: &mut SmolStr,
 ) -> Result<Box<serde_json::value::RawValue>, Fault> {
     let wrong = |cause: serde_json::Error| Fault::new(message::WRONG_PARAMS, cause.to_string());
     let call: message::Call = serde_json::from_str(envelope.body.get()).map_err(wrong)?;
+    name.clone_from(&call.method);
     let method = registry
         .method(&call.method)
         .filter(|method| method.role == role);
--- a/crates/cranberrygap-link/src/server/registry.rs
+++ b/crates/cranberrygap-link/src/server/registry.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::connection::Connection;
-use super::{Method, Stream};
+use super::{Meter, Method, Stream};
 use crate::credential;
 
 /// Part of all places that connections without a proof may take: one in so many.
@@ -20,6 +20,7 @@
     streams: BTreeMap<SmolStr, Stream>,
     connections: Mutex<BTreeMap<u32, Arc<Connection>>>,
     most: usize,
+    meter: Option<Meter>,
 }
 
 impl Registry {
@@ -35,9 +36,19 @@
             streams,
             connections: Mutex::new(BTreeMap::new()),
             most,
+            meter: None,
         }
     }
 
+    /// Tells of the processor time of calls.
+    pub(super) fn metered(self, meter: Option<Meter>) -> Self {
+        Self { meter, ..self }
+    }
+
+    pub(super) const fn meter(&self) -> Option<&Meter> {
+        self.meter.as_ref()
+    }
+
     pub(super) fn method(&self, name: &str) -> Option<&Method> {
         self.methods.get(name)
     }
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -42,6 +42,19 @@
     sent: duration::Instant,
 }
 
+/// Why a renewal is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// A period has passed, or the first one is sent.
+    Period,
+    /// Requests wait for tokens.
+    Shortage,
+    /// The leader is to hear soon that a changed share has arrived.
+    Confirmation,
+    /// The last one got no answer.
+    Silence,
+}
+
 /// Tokens taken for one request; handed back to [`Holder::settle`] at its end.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Reservation {
@@ -211,6 +224,28 @@
         asks.min().map_or(latest, |asks| asks.min(latest))
     }
 
+    /// Why a renewal that is due now is sent.
+    #[must_use]
+    pub fn reason(&self) -> Reason {
+        let Some(sent) = self.sent else {
+            return Reason::Period;
+        };
+        if self.failed || self.awaited.is_some() {
+            return Reason::Silence;
+        }
+        if self.stocks.values().any(Stock::owes) {
+            return Reason::Confirmation;
+        }
+        let soonest = sent.after(self.gap);
+        let latest = sent.after(PERIOD.max(self.gap));
+        let stocks = self.stocks.values();
+        let asks = stocks.filter_map(|stock| stock.asks_at(soonest)).min();
+        match asks {
+            Some(asks) if asks < latest => Reason::Shortage,
+            _ => Reason::Period,
+        }
+    }
+
     /// The renewal to send now. An answer that is still awaited is given up: if
     /// it comes late it is dropped with its tokens.
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
