Play requests within rate through a leader with a part of a core

No test of ours had demand, entries and a leader with a processor in one run.

It asks that one in a thousand requests within rate is refused at most and that 99 in a hundred wait 100 ms for tokens at most. How entries get tokens is behind `demand::way::Way`. `measure demand` plays other sizes without a verdict, and `measure capacity` measures a renewal at each end of a link.

Times of the single pieces of work are reckoned so far.

--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -4,6 +4,7 @@
 
 pub mod agreement;
 pub mod capacity;
+pub mod demand;
 pub mod leader;
 pub mod limits;
 pub mod load;
@@ -32,6 +33,7 @@
     vec![
         Box::new(agreement::Agreement),
         Box::new(capacity::Capacity),
+        Box::new(demand::Demand),
         Box::new(leader::Leader),
         Box::new(limits::Limits),
         Box::new(path::Path),
--- a/crates/cranberrygap-bench/src/measure/capacity.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity.rs
@@ -8,6 +8,7 @@
 mod links;
 mod memory;
 mod messages;
+mod renewals;
 mod state;
 
 use clap::Parser;
@@ -23,6 +24,9 @@
     /// Calls over a link that are timed.
     #[arg(long, default_value_t = 20_000)]
     calls: u32,
+    /// Workspaces that a renewal of shares is of.
+    #[arg(long, default_value_t = 16)]
+    workspaces: usize,
 }
 
 impl Measurement for Capacity {
@@ -43,6 +47,7 @@
             "messages": messages::measure()?,
             "view_delta_micros": deltas::measure(),
             "links": links::measure(arguments.calls)?,
+            "renewals": renewals::measure(arguments.calls, arguments.workspaces)?,
         }))
     }
 }
--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -2,6 +2,7 @@
 
 pub mod agreement;
 pub mod bookings;
+pub mod demand;
 pub mod limits;
 pub mod placement;
 pub mod quarantine;
@@ -59,6 +60,7 @@
         Box::new(view::View::default()),
         Box::new(view::Minority),
         Box::new(view::Quiet::default()),
+        Box::new(demand::Demand::default()),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
     ]
 }
