--- a/crates/cranberrygap-link/tests/link.rs
+++ b/crates/cranberrygap-link/tests/link.rs
@@ -194,3 +194,27 @@
     second.unwrap_err();
     assert!(!first.is_closed());
 }
+
+// Work in calls that no meter counts hides what a process has no time for.
+#[tokio::test]
+async fn meter_is_told_of_each_call() {
+    let fleet = credential::Role::Fleet;
+    let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
+    let listener = server::Builder::new()
+        .secrets(fleet, vec![secret("fleet")])
+        .method("double", fleet, |number: u64| async move { Ok(number * 2) })
+        .meter(move |method, spent| tell.send((method.to_owned(), spent)).unwrap())
+        .start(loopback())
+        .await
+        .unwrap();
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    client
+        .call::<_, u64>("double", &21_u64, DEADLINE)
+        .await
+        .unwrap();
+
+    let (method, spent) = told.recv().await.unwrap();
+    assert_eq!(method, "double");
+    assert!(spent > std::time::Duration::ZERO);
+}
--- a/crates/cranberrygap-policy/tests/limits_shares.rs
+++ b/crates/cranberrygap-policy/tests/limits_shares.rs
@@ -358,3 +358,24 @@
     assert!(passed > 0);
     assert!(passed * 40 <= 3_200, "{passed}");
 }
+
+// An operator who sees many renewals must be told whether shortage or time causes them.
+#[test]
+fn renewal_says_why_it_is_sent() {
+    let mut granter = leader();
+    let mut holder = entry("entry-1");
+
+    let first = holder.reason();
+    renew(&mut holder, &mut granter, at(0));
+    let calm = holder.reason();
+    ask(&mut holder, at(20), 500);
+    let short = holder.reason();
+    let unanswered = holder.renew(at(20));
+    holder.failed(unanswered.sequence);
+    let silent = holder.reason();
+
+    assert_eq!(first, holder::Reason::Period);
+    assert_eq!(calm, holder::Reason::Period);
+    assert_eq!(short, holder::Reason::Shortage);
+    assert_eq!(silent, holder::Reason::Silence);
+}
