--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -54,6 +54,19 @@
     sent: duration::Instant,
 }
 
+/// Why a renewal is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// A period has passed, or the first one is sent.
+    Period,
+    /// Requests wait for tokens.
+    Shortage,
+    /// The leader is to hear soon that a changed share has arrived.
+    Confirmation,
+    /// The last one got no answer.
+    Silence,
+}
+
 /// Tokens taken for one request; handed back to [`Holder::settle`] at its end.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Reservation {
@@ -245,10 +258,15 @@
             return soonest;
         }
         let latest = self.latest(sent);
+        let asks = self.asks_leader_at(soonest);
+        asks.map_or(latest, |asks| asks.min(latest))
+    }
+
+    /// When the leader is to be asked for what those in line lack.
+    fn asks_leader_at(&self, soonest: duration::Instant) -> Option<duration::Instant> {
         let stocks = self.stocks.values();
         let stocks = stocks.filter(|stock| self.source(stock) == Source::Leader);
-        let asks = stocks.filter_map(|stock| stock.asks_at(soonest));
-        asks.min().map_or(latest, |asks| asks.min(latest))
+        stocks.filter_map(|stock| stock.asks_at(soonest)).min()
     }
 
     /// When the leader is to hear of this entry at the latest.
@@ -360,14 +378,19 @@
         answer: &share::Granted,
     ) -> bool {
         let stream = self.lenders.get_mut(lender);
-        let Some(sent) = stream.and_then(|stream| stream.answered(answer.sequence)) else {
+        let answered = stream.and_then(|stream| stream.answered(answer.sequence));
+        let Some((question, sent)) = answered else {
             return false;
         };
         let source = Source::Entry(lender.clone());
         let until = sent.after(answer.lease.min(LIFE));
-        for (workspace, stock) in &mut self.stocks {
-            let grants = &mut answer.grants.iter();
-            let Some(grant) = grants.find(|grant| grant.workspace == *workspace) else {
+        for demand in &question.demands {
+            let Some(stock) = self.stocks.get_mut(&demand.workspace) else {
+                continue;
+            };
+            let mut grants = answer.grants.iter();
+            let Some(grant) = grants.find(|grant| grant.workspace == demand.workspace) else {
+                stock.denied(&source);
                 continue;
             };
             stock.advance(now);
@@ -379,6 +402,25 @@
         true
     }
 
+    /// Why a renewal that is due now is sent.
+    #[must_use]
+    pub fn reason(&self) -> Reason {
+        let Some(sent) = self.sent else {
+            return Reason::Period;
+        };
+        if self.failed || self.awaited.is_some() {
+            return Reason::Silence;
+        }
+        if self.stocks.values().any(Stock::owes) {
+            return Reason::Confirmation;
+        }
+        let asks = self.asks_leader_at(sent.after(self.gap));
+        match asks {
+            Some(asks) if asks < self.latest(sent) => Reason::Shortage,
+            _ => Reason::Period,
+        }
+    }
+
     /// The renewal to send now. An answer that is still awaited is given up: if
     /// it comes late it is dropped with its tokens.
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -105,6 +105,14 @@
         self.line.forgotten();
     }
 
+    /// `from` was asked for those in line and does not lend; the leader is asked until the
+    /// view names somebody.
+    pub(super) fn denied(&mut self, from: &Source) {
+        if self.asking.as_ref() == Some(from) {
+            self.turn_to(None);
+        }
+    }
+
     /// Notes that callers asked for `cost`.
     pub(super) fn ask(&mut self, cost: Amount) {
         self.asked = self.asked.plus(cost);
--- a/crates/cranberrygap-policy/src/limits/stream.rs
+++ b/crates/cranberrygap-policy/src/limits/stream.rs
@@ -87,13 +87,16 @@
         });
     }
 
-    /// Takes an answer; gives when its question was sent if it is the awaited one.
-    pub(super) fn answered(&mut self, sequence: number::Sequence) -> Option<duration::Instant> {
+    /// Takes an answer; gives its question and when that was sent, if it is the awaited one.
+    pub(super) fn answered(
+        &mut self,
+        sequence: number::Sequence,
+    ) -> Option<(share::Renew, duration::Instant)> {
         let awaited = self
             .awaited
             .take_if(|awaited| awaited.question.sequence == sequence)?;
         self.silent = false;
-        Some(awaited.first)
+        Some((awaited.question, awaited.first))
     }
 }
 
