Renew no closed shares, and change what an entry lends in steps only

A share that was closed keeps its number, and an entry took a number for a share: it renewed each 250 ms for good. And shares that come and go with the sizes of single requests changed what is left for the lender with each renewal. A share is now one with rate or cap; where another entry lends it takes twice the room to get one, and what is lent changes in steps of a thirty-second part. The leader lends ahead only where it lends alone. Entries without a share report their demand each 2 s.

Test: closed_share_is_not_renewed fails without the change (due after 250 ms).

--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -34,6 +34,15 @@
 /// of the other entries' reach (`measure limits`).
 const STOCK: duration::Span = duration::Span::from_millis(2_000);
 
+/// How many times as much an entry must be able to hold before it gets a share of its own
+/// where another entry lends. Requests of several sizes would have it come and go.
+const FIRST_SHARE: f64 = 2.0;
+
+/// Part of rate and burst, as a divisor, by which more is kept for shares than their demand
+/// asks for, and twice that before the entry that lends gets it back. Each change of what it
+/// lends is an entry in the log and two renewals.
+const RESERVE_STEP: u64 = 32;
+
 /// Part of the burst that shares hold for their demand, all together. The rest stays
 /// in the pool for whoever is short.
 const STOCKED: f64 = 0.4;
@@ -247,6 +256,8 @@
             rate: self.rate.minus(self.shared_rate()),
             from: self.accrued,
             burst: self.burst,
+            // Where another entry lends, only who does not reach it borrows here.
+            ahead: self.delegate.is_none(),
         };
         let offer = self.lender.serve(now, owner, demand, &supply);
         self.pool = self.pool.minus(offer.lent);
@@ -411,7 +422,7 @@
         };
         let grown = cap.minus(loans).max(held.cap.min(cap));
         let wanted = if owner.lends {
-            self.delegated(owner)
+            self.delegated(owner, held)
         } else {
             let wanted = self.wanted(share);
             self.shares.update(owner, |share| share.wanted = wanted);
@@ -425,12 +436,15 @@
     }
 
     /// Rate and cap of the entry that lends: all that the others' demand does not ask for.
-    fn delegated(&self, owner: &Owner) -> (Flow, Amount) {
+    fn delegated(&self, owner: &Owner, held: Part) -> (Flow, Amount) {
         if self.delegate.as_ref() != Some(&owner.instance) {
             return (Flow::ZERO, Amount::ZERO);
         }
         let (rate, cap) = self.shares.wanted();
-        (self.rate.minus(rate), self.burst.minus(cap))
+        (
+            Flow(delegable(self.rate.0, rate.0, held.rate.0)),
+            Amount(delegable(self.burst.0, cap.0, held.cap.0)),
+        )
     }
 
     /// Rate and cap that an entry's demand asks for.
@@ -439,12 +453,19 @@
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
         let stock = self.stock(share);
-        if stock < share.usual.max(1.0) * LEAST_STOCK {
+        let (before, least) = if self.delegate.is_none() {
+            ((share.held.rate, share.held.cap), LEAST_STOCK)
+        } else if share.wanted.1 > Amount::ZERO {
+            (share.wanted, LEAST_STOCK)
+        } else {
+            (share.wanted, LEAST_STOCK * FIRST_SHARE)
+        };
+        if stock < share.usual.max(1.0) * least {
             return (Flow::ZERO, Amount::ZERO);
         }
         let wanted = share.demand * OWN_PART * shrink;
-        let rate = settle(share.held.rate.to_rate().0, wanted, TOLERANCE);
-        let cap = settle(share.held.cap.as_f64(), stock, CAP_TOLERANCE);
+        let rate = settle(before.0.to_rate().0, wanted, TOLERANCE);
+        let cap = settle(before.1.as_f64(), stock, CAP_TOLERANCE);
         (
             Flow::from_rate(token::Rate(rate)),
             Amount::from_count(amount::covering(cap)),
@@ -488,6 +509,20 @@
         .after(duration::Span(LEASE.0 / LEASE_MARGIN))
 }
 
+/// What of `all` can be lent when shares want `wanted`: as much as is lent now, while that
+/// leaves them enough and not too much.
+fn delegable(all: u64, wanted: u64, lent: u64) -> u64 {
+    let step = all / RESERVE_STEP;
+    let kept = all.saturating_sub(lent);
+    let useful = wanted == 0 && kept == 0;
+    let enough = wanted > 0 && kept >= wanted && kept - wanted <= step * 2;
+    if useful || enough {
+        return lent;
+    }
+    let reserve = if wanted == 0 { 0 } else { wanted + step };
+    all.saturating_sub(reserve)
+}
+
 /// The old value while the new one is close to it, else the new one.
 fn settle(old: f64, new: f64, tolerance: f64) -> f64 {
     if new < 1.0 {
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -23,8 +23,8 @@
 
 /// Time between two renewals that only tell the leader of demand, which other entries lend
 /// for; as many times the gap, so that the leader's work for them does not grow with the fleet.
-const REPORT: duration::Span = duration::Span::from_secs(1);
-const REPORT_GAPS: u64 = 8;
+const REPORT: duration::Span = duration::Span::from_secs(2);
+const REPORT_GAPS: u64 = 16;
 
 /// Workspaces of one question, so that it fits into a datagram.
 const MOST_TOGETHER: usize = 16;
--- a/crates/cranberrygap-policy/src/limits/lender.rs
+++ b/crates/cranberrygap-policy/src/limits/lender.rs
@@ -50,6 +50,8 @@
     pub(super) from: duration::Instant,
     /// Most that the pool may hold.
     pub(super) burst: Amount,
+    /// Whether more is lent than is asked for.
+    pub(super) ahead: bool,
 }
 
 /// What one who asked gets, and when there may be more.
@@ -253,7 +255,9 @@
         let lent = if wanted > free {
             first
         } else {
-            wanted.plus(more(demand, free.minus(wanted), supply.burst))
+            let rest = free.minus(wanted);
+            let more = supply.ahead.then(|| more(demand, rest, supply.burst));
+            wanted.plus(more.unwrap_or_default())
         };
         let lent = Amount::from_count(lent.whole());
         self.lend(now, owner, lent);
--- a/crates/cranberrygap-policy/src/limits/lending.rs
+++ b/crates/cranberrygap-policy/src/limits/lending.rs
@@ -336,6 +336,7 @@
             rate: self.rate,
             from: if lends { now } else { now.after(EXPECTED) },
             burst: self.cap,
+            ahead: true,
         };
         let mut offer = self.lender.serve(now, owner, demand, &supply);
         if !lends {
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -282,7 +282,8 @@
 
     /// Whether the leader's answers carry anything for this workspace.
     pub(super) fn holds(&self) -> bool {
-        self.share != 0 || self.loans.has(&Source::Leader)
+        let share = self.rate > Flow::ZERO || self.cap > Amount::ZERO;
+        share || self.loans.has(&Source::Leader)
     }
 
     /// When the first in line can be served from accrual, or a deadline passes.
--- a/crates/cranberrygap-policy/tests/limits_lending.rs
+++ b/crates/cranberrygap-policy/tests/limits_lending.rs
@@ -126,6 +126,42 @@
     assert!(holder.due() > at(3_600_000));
 }
 
+// A share that was closed must not go on being renewed as if it were one.
+#[test]
+fn closed_share_is_not_renewed() {
+    let (mut granter, mut holder) = (leader(), entry("a"));
+    for millis in (0..3_000).step_by(50) {
+        request(&mut holder, at(millis), 10);
+        let renewal = holder.renew(at(millis));
+        let answer = granter
+            .renew(at(millis), &renewal)
+            .expect("renewals come in order");
+        holder.granted(at(millis), &answer.granted);
+    }
+    let had_a_share = holder.dump()[0].cap.0 > 0;
+
+    // Another entry lends, and the demand falls to requests too large for a share.
+    let others: Vec<holder::Holder> = (0..60)
+        .map(|number| entry(&format!("e-{number}")))
+        .collect();
+    let mut others = others;
+    for millis in (3_000..9_000).step_by(500) {
+        for other in others.iter_mut().chain([&mut holder]) {
+            request(other, at(millis), 3_000);
+            let renewal = other.renew(at(millis));
+            let answer = granter
+                .renew(at(millis), &renewal)
+                .expect("renewals come in order");
+            other.granted(at(millis), &answer.granted);
+            other.poll(at(millis));
+        }
+    }
+
+    assert!(had_a_share);
+    assert_eq!(holder.dump()[0].cap.0, 0);
+    assert!(holder.due() >= at(8_500 + 1_000), "due at {}", holder.due());
+}
+
 // An entry whose lease has run out must not lend: the leader may have given its tokens away.
 #[test]
 fn nothing_is_lent_beyond_the_lease() {
