Play entries that lend tokens to each other in the run within rate

The way that is played by default has the real lending side in each entry, the real choice of lenders, and the real granter, which hands pools over and answers renewals as the daemon's does. Holders ask lenders by datagrams, each charged at both ends with half of a call for nothing and what a workspace adds; that is an upper bound, since a datagram has neither the envelope nor the frames of the link that `measure capacity` takes the figure from.

The way by the leader alone stays.

--- a/crates/cranberrygap-bench/src/measure/demand.rs
+++ b/crates/cranberrygap-bench/src/measure/demand.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::Measurement;
-use crate::soak::demand::{self, day, leader};
+use crate::soak::demand::{self, day, way};
 
 /// The run of `soak --part demand` for a day by arguments, without a verdict.
 #[derive(Debug)]
@@ -18,6 +18,9 @@
     /// Thousandths of a core of each control process.
     #[arg(long, default_value_t = 75)]
     control_core: u64,
+    /// How entries get tokens that they do not hold.
+    #[arg(long, value_enum, default_value_t)]
+    way: way::Kind,
     /// First seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -44,8 +47,8 @@
         let day = day::Day::quiet(arguments.entries, arguments.control_core);
         let seeds = arguments.seed..arguments.seed + arguments.seeds;
         let runs = seeds.map(|seed| {
-            let way = Box::new(leader::Leader::new(day));
-            let tally = demand::Demand { day }.play(seed, arguments.steps, way)?;
+            let way = arguments.way;
+            let tally = demand::Demand { day, way }.play(seed, arguments.steps)?;
             let outcome = tally.check().err();
             Ok(serde_json::json!({ "seed": seed, "tally": tally, "violated": outcome }))
         });
--- a/crates/cranberrygap-bench/src/soak/demand.rs
+++ b/crates/cranberrygap-bench/src/soak/demand.rs
@@ -1,14 +1,17 @@
 //! `--part demand`: requests within their workspaces' rates on a quiet day.
 //!
 //! Entries admit requests with the real holder, and get their tokens as a [`way::Way`] says:
-//! today by renewals at the leader's real granter. Every message, decision and piece of
-//! other work takes its time on the processor that its process has.
+//! from entries that lend what the leader's real granter hands them, or from that alone. Every
+//! message, decision and piece of other work takes its time on the processor that its process
+//! has.
 
+mod appointments;
 mod bucket;
 pub mod cost;
 pub mod day;
 mod entry;
 pub mod leader;
+pub mod lending;
 pub mod processor;
 pub mod tally;
 pub mod way;
@@ -22,6 +25,8 @@
 pub struct Demand {
     /// The fleet and what is asked of it.
     pub day: day::Day,
+    /// How entries get tokens that they do not hold.
+    pub way: way::Kind,
 }
 
 impl Demand {
@@ -30,13 +35,8 @@
     /// # Errors
     ///
     /// A workspace spent more than its rate and burst.
-    pub fn play(
-        &self,
-        seed: u64,
-        steps: u64,
-        way: Box<dyn way::Way>,
-    ) -> Result<tally::Tally, Violation> {
-        let mut world = world::World::new(seed, self.day, way);
+    pub fn play(&self, seed: u64, steps: u64) -> Result<tally::Tally, Violation> {
+        let mut world = world::World::new(seed, self.day, self.way.build(self.day));
         let outcome = world.run(steps);
         outcome.map_err(|invariant| world.violation(seed, invariant))?;
         Ok(world.tally())
@@ -56,7 +56,7 @@
 
     /// A step is a hundredth of a second.
     fn run(&self, seed: u64, steps: u64) -> Result<serde_json::Value, Violation> {
-        let tally = self.play(seed, steps, Box::new(leader::Leader::new(self.day)))?;
+        let tally = self.play(seed, steps)?;
         if let Err(invariant) = tally.check() {
             return Err(Violation {
                 invariant,
--- a/crates/cranberrygap-bench/src/soak/demand/cost.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/cost.rs
@@ -65,12 +65,16 @@
     pub micros: u64,
 }
 
-/// Time to write a message, or to read it.
+/// Time to write a message, or to read it. A datagram between entries takes no more than half
+/// of a call, which has an envelope and the frames of a link besides.
 #[must_use]
-pub const fn carrying(message: &Message) -> u64 {
+pub fn carrying(message: &Message) -> u64 {
     let workspaces = match message {
-        Message::Renewal(_, renew) => renew.demands.len(),
-        Message::Granted(granted) => granted.grants.len(),
+        Message::Renewal(_, renew) | Message::Question(_, renew) => renew.demands.len(),
+        Message::Granted(granted) | Message::Handed(granted) | Message::Lent(_, granted) => {
+            granted.grants.len()
+        }
+        Message::Lenders(lenders) => lenders.len(),
     };
     HALF_CALL + WORKSPACE_TENTHS * workspaces as u64 / TENTHS
 }
--- a/crates/cranberrygap-bench/src/soak/demand/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::{number, token};
+use cranberrygap_model::{id, number, token};
 use cranberrygap_policy::limits::holder;
 
 /// A request that waits for tokens.
@@ -24,6 +24,11 @@
     pub used: token::Count,
 }
 
+/// The name of an entry.
+pub fn name(number: usize) -> id::Instance {
+    format!("entry-{number}").parse().expect("a plain name")
+}
+
 /// One entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -38,8 +43,7 @@
 
 impl Entry {
     pub fn new(number: usize, entries: usize) -> Self {
-        let name = format!("entry-{number}").parse().expect("a plain name");
-        let mut holder = holder::Holder::new(name, number::Boot(1));
+        let mut holder = holder::Holder::new(name(number), number::Boot(1));
         holder.set_entries(entries);
         Self {
             holder,
--- a/crates/cranberrygap-bench/src/soak/demand/leader.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/leader.rs
@@ -1,8 +1,8 @@
-//! Today's way: each entry renews its shares at the leader.
+//! The leader lends: each entry renews its shares there and borrows beside them.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use cranberrygap_model::{duration, number};
+use cranberrygap_model::{duration, id, number};
 use cranberrygap_policy::limits::{granter, holder};
 use cranberrygap_wire::share;
 use rand::Rng;
@@ -11,13 +11,16 @@
 use super::cost;
 use super::day::Day;
 use super::processor::Work;
-use super::way::{Message, Place, Way};
+use super::way::{Answer, Lenders, Message, Place, Way};
 use super::wire::Wire;
 use super::world;
 
 /// Renewals that one commit answers.
 const MOST_TOGETHER: usize = 128;
 
+/// What the leader asks to be woken for: answers whose commit is done.
+pub(super) const COMMITTED: u64 = 0;
+
 /// Time of a write to disk.
 const SYNC: u64 = 2_000;
 
@@ -28,10 +31,11 @@
 #[derive(Debug)]
 pub struct Leader {
     granter: granter::Granter,
+    workspaces: Vec<id::Workspace>,
     controls: u64,
     inbox: VecDeque<Waiting>,
     /// What is answered once the commit under way is done.
-    open: Vec<(usize, share::Granted)>,
+    open: Vec<(usize, Message)>,
     answering: bool,
     counts: Counts,
 }
@@ -60,11 +64,14 @@
     pub fn new(day: Day) -> Self {
         let now = duration::Instant(1);
         let mut granter = granter::Granter::new(now, number::Term(1), &BTreeMap::new(), &[]);
-        for (workspace, limit) in world::limits(day) {
-            granter.configure(now, &workspace, limit, granter::Origin::Added);
+        let limits = world::limits(day);
+        for (workspace, limit) in &limits {
+            granter.configure(now, workspace, *limit, granter::Origin::Added);
         }
+        let workspaces = limits.into_iter().map(|(workspace, _)| workspace);
         Self {
             granter,
+            workspaces: workspaces.collect(),
             controls: day.controls as u64,
             inbox: VecDeque::new(),
             open: Vec::new(),
@@ -93,16 +100,47 @@
                 continue;
             };
             records += answer.records.len() as u64;
-            self.open.push((waiting.entry, answer.granted));
+            let answer = if waiting.renew.lends {
+                Message::Handed(answer.granted)
+            } else {
+                Message::Granted(answer.granted)
+            };
+            self.open.push((waiting.entry, answer));
+        }
+        if records > 0 {
+            done = self.commit(wire, records);
         }
+        wire.later(done, Place::Leader, COMMITTED);
+    }
+
+    /// Commits so many records; gives when that is done.
+    pub(super) fn commit(&mut self, wire: &mut Wire, records: u64) -> u64 {
+        self.counts.commits += 1;
+        self.counts.records += records;
+        let spent = cost::committing(self.controls, records);
+        let told = wire.spend(Place::Leader, Work::Commit, spent);
+        told + SYNC + wire.random.random_range(ROUND)
+    }
+
+    /// Closes shares whose lease has run out; nobody waits for their commit.
+    pub(super) fn expire(&mut self, wire: &mut Wire) {
+        let records = self.granter.expire(wire.clock()).len() as u64;
         if records > 0 {
-            self.counts.commits += 1;
-            self.counts.records += records;
-            let spent = cost::committing(self.controls, records);
-            let told = wire.spend(Place::Leader, Work::Commit, spent);
-            done = told + SYNC + wire.random.random_range(ROUND);
+            self.commit(wire, records);
+        }
+    }
+
+    /// What is granted.
+    pub(super) const fn granter(&self) -> &granter::Granter {
+        &self.granter
+    }
+
+    /// Hands each pool to whoever lends it from now on.
+    pub(super) fn follow(&mut self, lenders: &Lenders) {
+        for workspace in &self.workspaces {
+            let lender = lenders.get(workspace);
+            self.granter.set_delegate(workspace, lender);
         }
-        wire.later(done, Place::Leader, 0);
     }
 
     fn count(&mut self, renew: &share::Renew) {
@@ -117,14 +155,26 @@
 }
 
 impl Way for Leader {
+    fn start(&mut self, _wire: &mut Wire) {}
+
     fn ask(&mut self, wire: &mut Wire, entry: usize, renew: share::Renew) {
         let message = Message::Renewal(entry, renew);
         wire.send(Place::Entry(entry), Place::Leader, message);
     }
 
-    fn take(&mut self, wire: &mut Wire, _at: Place, message: Message) -> Option<share::Granted> {
+    fn borrow(
+        &mut self,
+        _wire: &mut Wire,
+        _entry: usize,
+        _lender: &id::Instance,
+        _question: share::Renew,
+    ) -> Option<share::Granted> {
+        None
+    }
+
+    fn take(&mut self, wire: &mut Wire, _at: Place, message: Message) -> Option<Answer> {
         match message {
-            Message::Granted(granted) => Some(granted),
+            Message::Granted(granted) => Some(Answer::Granted(granted)),
             Message::Renewal(entry, renew) => {
                 self.count(&renew);
                 let at = wire.now();
@@ -132,17 +182,18 @@
                 self.answer(wire);
                 None
             }
+            // No entry lends here.
+            Message::Handed(_)
+            | Message::Question(..)
+            | Message::Lent(..)
+            | Message::Lenders(_) => None,
         }
     }
 
     fn wake(&mut self, wire: &mut Wire, _at: Place, _token: u64) {
-        for (entry, granted) in std::mem::take(&mut self.open) {
+        for (entry, answer) in std::mem::take(&mut self.open) {
             self.counts.answered += 1;
-            wire.send(
-                Place::Leader,
-                Place::Entry(entry),
-                Message::Granted(granted),
-            );
+            wire.send(Place::Leader, Place::Entry(entry), answer);
         }
         self.answering = false;
         self.answer(wire);
--- a/crates/cranberrygap-bench/src/soak/demand/wire.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/wire.rs
@@ -127,6 +127,12 @@
         self.schedule(written + way, Event::Come(to, message));
     }
 
+    /// Has a process read a message that somebody writes who is not played.
+    pub fn tell(&mut self, to: Place, message: Message) {
+        let way = self.random.random_range(NEAR..FAR);
+        self.schedule(self.now + way, Event::Come(to, message));
+    }
+
     /// Wakes the way at a process.
     pub fn later(&mut self, at: u64, place: Place, token: u64) {
         self.schedule(at, Event::Wake(place, token));
--- a/crates/cranberrygap-bench/src/soak/demand/world.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/world.rs
@@ -13,7 +13,7 @@
 use super::entry::{Entry, Running, Waiting};
 use super::processor::Work;
 use super::tally::Tally;
-use super::way::{Place, Way};
+use super::way::{Answer, Place, Way};
 use super::wire::{Event, Wire};
 use crate::soak::Violation;
 use crate::soak::limits::window::Window;
@@ -133,6 +133,7 @@
 
     /// Plays so many steps.
     pub fn run(&mut self, steps: u64) -> Result<(), String> {
+        self.way.start(&mut self.wire);
         let end = START + steps * STEP;
         while let Some(event) = self.wire.next(end) {
             self.take(event);
@@ -188,8 +189,8 @@
             Event::Come(place, message) => self.wire.come(place, message),
             Event::Taken(place, message) => {
                 let answer = self.way.take(&mut self.wire, place, message);
-                if let (Place::Entry(entry), Some(granted)) = (place, answer) {
-                    self.granted(entry, &granted);
+                if let (Place::Entry(entry), Some(answer)) = (place, answer) {
+                    self.answered(entry, answer);
                 }
             }
             Event::Wake(place, token) => self.way.wake(&mut self.wire, place, token),
@@ -237,7 +238,25 @@
 
     /// Decides on who waits, and asks for tokens when that is due.
     fn look(&mut self, entry: usize) {
-        let (now, clock) = (self.wire.now(), self.wire.clock());
+        let now = self.wire.now();
+        self.decide(entry);
+        self.renew(entry);
+        if self.borrow(entry) {
+            self.decide(entry);
+        }
+        let held = &mut self.entries[entry];
+        let due = held.holder.due();
+        let earlier = held.holder.wake().into_iter().chain(held.holder.asks_at());
+        let next = earlier.fold(due, std::cmp::Ord::min);
+        let next = next.0.saturating_sub(1).max(now + 1);
+        if next < held.looks_at || held.looks_at <= now {
+            held.looks_at = next;
+            self.wire.schedule(next, Event::Look(entry));
+        }
+    }
+
+    fn decide(&mut self, entry: usize) {
+        let clock = self.wire.clock();
         for (ticket, decision) in self.entries[entry].holder.poll(clock) {
             let Some(waiting) = self.entries[entry].waiting.remove(&ticket) else {
                 continue;
@@ -249,15 +268,6 @@
                 holder::Decision::Refused(_) => self.refused(waiting),
             }
         }
-        self.renew(entry);
-        let held = &mut self.entries[entry];
-        let due = held.holder.due();
-        let next = held.holder.wake().map_or(due, |wake| wake.min(due));
-        let next = next.0.saturating_sub(1).max(now + 1);
-        if next < held.looks_at || held.looks_at <= now {
-            held.looks_at = next;
-            self.wire.schedule(next, Event::Look(entry));
-        }
     }
 
     fn renew(&mut self, entry: usize) {
@@ -279,6 +289,30 @@
         self.way.ask(&mut self.wire, entry, renew);
     }
 
+    /// Asks entries that lend; true if this entry lent to itself.
+    fn borrow(&mut self, entry: usize) -> bool {
+        let clock = self.wire.clock();
+        let mut lent = false;
+        for (lender, question) in self.entries[entry].holder.ask(clock) {
+            let answer = self.way.borrow(&mut self.wire, entry, &lender, question);
+            let Some(answer) = answer else { continue };
+            let holder = &mut self.entries[entry].holder;
+            lent |= holder.lent(clock, &lender, &answer);
+        }
+        lent
+    }
+
+    fn answered(&mut self, entry: usize, answer: Answer) {
+        let clock = self.wire.clock();
+        let holder = &mut self.entries[entry].holder;
+        match answer {
+            Answer::Granted(granted) => return self.granted(entry, &granted),
+            Answer::Lent(lender, answer) => drop(holder.lent(clock, &lender, &answer)),
+            Answer::Lenders(lenders) => holder.set_lenders(clock, &lenders),
+        }
+        self.look(entry);
+    }
+
     fn granted(&mut self, entry: usize, granted: &cranberrygap_wire::share::Granted) {
         let (now, clock) = (self.wire.now(), self.wire.clock());
         let held = &mut self.entries[entry];
