Log what an entry lends beside the share that it has

Callers saw nothing yet; after a change of leader a workspace could have spent more than its rate and burst.

The replicated table of shares kept one allocation for each process of an entry. Since entries lend, a process can hold two of one workspace: what it lends to the others, and a share for its own callers. Whichever was committed last took the other's place, and a share that was handed back took what its entry lends out of the log as well. A new leader would then have handed out again what the entry still lends.

Now the table's key is what the granter's is: instance, process, and whether it lends.

--- a/crates/cranberrygap-state/src/share.rs
+++ b/crates/cranberrygap-state/src/share.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::id;
+use cranberrygap_model::{id, number};
 use cranberrygap_wire::share;
 use serde::{Deserialize, Serialize};
 
@@ -32,9 +32,7 @@
 
     fn take(&mut self, allocation: &share::Allocation) {
         let held = self.held.entry(allocation.workspace.clone()).or_default();
-        held.retain(|other| {
-            (&other.instance, other.boot) != (&allocation.instance, allocation.boot)
-        });
+        held.retain(|other| holder(other) != holder(allocation));
         let closes = allocation.rate.0 <= 0.0 && allocation.cap.0 == 0;
         if !closes {
             held.push(allocation.clone());
@@ -49,3 +47,8 @@
         self.held.values().flatten()
     }
 }
+
+/// A process, and what it holds tokens for: an entry lends and serves its callers at once.
+fn holder(allocation: &share::Allocation) -> (&id::Instance, number::Boot, bool) {
+    (&allocation.instance, allocation.boot, allocation.lends)
+}
