Serve who does not reach the lender, and each workspace in its turn

An entry without a lease leaves the workspace out of its answer, so that whoever asks goes to the leader. Questions carry those workspaces first in which somebody waits, in turn where they are too many.

--- /dev/null
+++ b/crates/cranberrygap-control/tests/limits_takeover.rs
@@ -0,0 +1,135 @@
+//! A new leader's tokens beside those that an entry goes on to lend under its lease.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, number, token};
+use cranberrygap_policy::limits::{self, granter, holder, lending};
+use cranberrygap_state::share as state;
+use cranberrygap_wire::share;
+
+const RATE: u64 = 100_000;
+const BURST: u64 = 100_000;
+const COST: u64 = 500;
+
+/// When the second leader takes over.
+const TAKEOVER: u64 = 3_500;
+const END: u64 = 5_500;
+
+fn at(millis: u64) -> duration::Instant {
+    duration::Instant(millis * 1_000)
+}
+
+fn name(text: &str) -> id::Instance {
+    text.parse().unwrap()
+}
+
+fn workspace() -> id::Workspace {
+    "rink".parse().unwrap()
+}
+
+fn limit() -> limits::Limit {
+    limits::Limit {
+        rate: token::Rate(RATE as f64),
+        burst: token::Count(BURST),
+    }
+}
+
+fn leader() -> granter::Granter {
+    let mut granter = granter::Granter::new(at(0), number::Term(1), &BTreeMap::new(), &[]);
+    granter.configure(at(0), &workspace(), limit(), granter::Origin::Added);
+    granter.set_delegate(&workspace(), Some(&name("lender")));
+    granter
+}
+
+fn successor(logged: &state::Shares) -> granter::Granter {
+    let known = BTreeMap::from([(workspace(), limit())]);
+    let logged: Vec<share::Allocation> = logged.iter().cloned().collect();
+    granter::Granter::new(at(TAKEOVER), number::Term(2), &known, &logged)
+}
+
+fn entry(text: &str, boot: u64, lender: Option<&str>) -> holder::Holder {
+    let mut holder = holder::Holder::new(name(text), number::Boot(boot));
+    let lenders = lender.map(|lender| (workspace(), name(lender)));
+    holder.set_lenders(at(0), &lenders.into_iter().collect());
+    holder
+}
+
+/// The leader's answer, once what it leads to is in the log.
+fn answer(
+    granter: &mut granter::Granter,
+    log: &mut state::Shares,
+    now: duration::Instant,
+    renewal: &share::Renew,
+) -> share::Granted {
+    let answer = granter.renew(now, renewal).unwrap();
+    log.apply(&state::Step {
+        allocations: answer.records,
+    });
+    answer.granted
+}
+
+/// Sends what callers ask for, more than the rate; gives the admitted tokens.
+fn admitted(holder: &mut holder::Holder, now: duration::Instant) -> u64 {
+    let patience = holder::Patience::of(duration::Span::from_millis(200));
+    let mut tokens = 0;
+    for _request in 0..2 {
+        let verdict = holder.admit(now, &workspace(), token::Count(COST), patience);
+        tokens += u64::from(matches!(verdict, holder::Verdict::Admitted(_))) * COST;
+    }
+    let decided = holder.poll(now).into_iter();
+    let late = decided
+        .filter(|(_, decision)| matches!(decision, holder::Decision::Admitted(_)))
+        .count() as u64;
+    tokens + late * COST
+}
+
+// An entry that lends and has a share of its own loses its contact to the control processes
+// when a new leader takes over. Its lease runs on, so callers there get what it holds; the
+// new leader must not give the same to others before that lease has ended.
+#[test]
+fn new_leader_gives_nothing_that_an_entry_may_lend() {
+    let mut log = state::Shares::default();
+    let mut first = leader();
+    let mut lending = lending::Lending::new(name("lender"), number::Boot(1));
+    lending.follow(at(0), &[workspace()]);
+    let mut own = entry("lender", 1, Some("lender"));
+    let mut other = entry("other", 2, None);
+    let mut second = None;
+    let mut spent = 0;
+    for millis in (0..END).step_by(5) {
+        let now = at(millis);
+        let before = millis < TAKEOVER;
+        if before {
+            if lending.due() <= now {
+                let renewal = lending.renew(now);
+                let granted = answer(&mut first, &mut log, now, &renewal);
+                lending.granted(now, &granted);
+            }
+            if own.due() <= now {
+                let renewal = own.renew(now);
+                let granted = answer(&mut first, &mut log, now, &renewal);
+                own.granted(now, &granted);
+            }
+            // A light load, so that the entry's own share is there and little is spent.
+            if millis % 100 == 0 {
+                admitted(&mut own, now);
+            }
+        } else {
+            let leader = second.get_or_insert_with(|| successor(&log));
+            if other.due() <= now {
+                let renewal = other.renew(now);
+                let granted = answer(leader, &mut log, now, &renewal);
+                other.granted(now, &granted);
+            }
+            spent += admitted(&mut own, now) + admitted(&mut other, now);
+        }
+        for (_, question) in own.ask(now) {
+            let granted = lending.answer(now, &question).unwrap();
+            own.lent(now, &name("lender"), &granted);
+        }
+    }
+
+    let most = BURST + RATE * (END - TAKEOVER) / 1_000;
+    assert!(spent <= most, "{spent} of {most}");
+}
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -405,6 +405,7 @@
         inner.follow_lenders(now, view);
         drop(inner);
         self.lends.notify_one();
+        self.borrows.notify_one();
     }
 
     fn dump(&self) -> serde_json::Value {
--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -43,6 +43,16 @@
 /// lends is an entry in the log and two renewals.
 const RESERVE_STEP: u64 = 32;
 
+/// Time for which a part is kept here for entries that do not reach the one that lends,
+/// after the last of them asked.
+const DIRECT: duration::Span = duration::Span::from_secs(5);
+
+/// Part of all demand from which on an entry that lends is taken for one that does not.
+const MOST: f64 = 0.5;
+
+/// Part of the demand of these entries that is kept for them.
+const DIRECT_PART: f64 = 1.5;
+
 /// Part of the burst that shares hold for their demand, all together. The rest stays
 /// in the pool for whoever is short.
 const STOCKED: f64 = 0.4;
@@ -98,6 +108,14 @@
     }
 }
 
+/// What is kept from the entry that lends, for entries that ask the leader.
+#[derive(Debug, Clone, Copy, Default)]
+struct Direct {
+    rate: Flow,
+    cap: Amount,
+    until: duration::Instant,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Bucket {
     rate: Flow,
@@ -109,6 +127,7 @@
     floor: Floor,
     /// The entry that lends in place of the leader.
     delegate: Option<id::Instance>,
+    direct: Direct,
 }
 
 impl Bucket {
@@ -122,6 +141,7 @@
             lender: Lender::default(),
             floor: Floor::default(),
             delegate: None,
+            direct: Direct::default(),
         };
         bucket.configure(now, limit);
         bucket
@@ -141,6 +161,7 @@
     pub(super) fn set_delegate(&mut self, delegate: Option<&id::Instance>) {
         if self.delegate.as_ref() != delegate {
             self.delegate = delegate.cloned();
+            self.direct = Direct::default();
         }
     }
 
@@ -262,9 +283,50 @@
         let offer = self.lender.serve(now, owner, demand, &supply);
         self.pool = self.pool.minus(offer.lent);
         self.cut();
+        if self.delegate.is_some() && demand.first.0 > 0 {
+            self.keep_for_direct(now, demand);
+            if supply.rate == Flow::ZERO {
+                // The tokens are with the entry that lends; what it hands back comes any time.
+                return (duration::Span(0), duration::Span(0), offer.lent.whole());
+            }
+        }
         (offer.wait, offer.longest, offer.lent.whole())
     }
 
+    /// Keeps a part here for entries that ask though another one lends: they do not reach it.
+    fn keep_for_direct(&mut self, now: duration::Instant, demand: &share::Demand) {
+        let before = self.direct;
+        let lasts = now < before.until;
+        let (rate, cap) = if lasts {
+            (before.rate, before.cap)
+        } else {
+            (Flow::ZERO, Amount::ZERO)
+        };
+        let part = self.direct_demand() * DIRECT_PART;
+        let asked = Flow::from_rate(token::Rate(part)).min(self.rate);
+        let of_burst = self.burst.as_f64() * (part / self.rate.to_rate().0.max(1.0)).min(1.0);
+        let waiting = Amount::from_count(demand.wanted);
+        let needed = Amount::from_count(amount::covering(of_burst)).max(waiting.plus(waiting));
+        self.direct = Direct {
+            rate: asked.max(rate),
+            cap: needed.max(cap).min(self.burst),
+            until: now.after(DIRECT),
+        };
+    }
+
+    /// Demand of the entries that wait for the leader's tokens.
+    fn direct_demand(&self) -> f64 {
+        let askers = self.lender.askers();
+        let known = askers.filter_map(|owner| self.shares.get(owner));
+        known.map(|share| share.demand).sum()
+    }
+
+    /// Whether entries with most of the demand do not reach the one that lends.
+    pub(super) fn is_delegate_avoided(&self) -> bool {
+        let direct = self.direct_demand();
+        self.delegate.is_some() && direct >= 1.0 && direct > self.shares.demand() * MOST
+    }
+
     /// Drops shares whose lease has run out for certain; their tokens are spent.
     pub(super) fn expire(&mut self, now: duration::Instant) {
         self.lender.expire(now);
@@ -422,7 +484,7 @@
         };
         let grown = cap.minus(loans).max(held.cap.min(cap));
         let wanted = if owner.lends {
-            self.delegated(owner, held)
+            self.delegated(now, owner, held)
         } else {
             let wanted = self.wanted(share);
             self.shares.update(owner, |share| share.wanted = wanted);
@@ -436,11 +498,15 @@
     }
 
     /// Rate and cap of the entry that lends: all that the others' demand does not ask for.
-    fn delegated(&self, owner: &Owner, held: Part) -> (Flow, Amount) {
+    fn delegated(&self, now: duration::Instant, owner: &Owner, held: Part) -> (Flow, Amount) {
         if self.delegate.as_ref() != Some(&owner.instance) {
             return (Flow::ZERO, Amount::ZERO);
         }
-        let (rate, cap) = self.shares.wanted();
+        let (mut rate, mut cap) = self.shares.wanted();
+        if now < self.direct.until {
+            rate = rate.plus(self.direct.rate);
+            cap = cap.plus(self.direct.cap);
+        }
         (
             Flow(delegable(self.rate.0, rate.0, held.rate.0)),
             Amount(delegable(self.burst.0, cap.0, held.cap.0)),
--- a/crates/cranberrygap-policy/src/limits/granter.rs
+++ b/crates/cranberrygap-policy/src/limits/granter.rs
@@ -158,6 +158,13 @@
         owners.any(|owner| owner.lends && owner.instance == *instance)
     }
 
+    /// Whether most callers of a workspace are at entries that do not reach the one that lends.
+    #[must_use]
+    pub fn is_delegate_avoided(&self, workspace: &id::Workspace) -> bool {
+        let bucket = self.buckets.get(workspace);
+        bucket.is_some_and(Bucket::is_delegate_avoided)
+    }
+
     /// Processes that have a share.
     #[must_use]
     pub fn holders(&self) -> BTreeSet<(id::Instance, number::Boot)> {
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -348,15 +348,14 @@
         }
         let borrows = !stream.is_silent();
         let source = Source::Entry(lender.clone());
-        let stocks = self.stocks.iter_mut();
-        let lent = |stock: &Stock| stock.lender.as_ref() == Some(lender);
-        let stocks = stocks.filter(|(_, stock)| lent(stock) && stock.concerns(&source));
-        let stocks = stocks.take(MOST_TOGETHER);
-        let demands = stocks.map(|(workspace, stock)| {
-            stock.advance(now);
-            stock.question(now, workspace, &source, borrows)
-        });
-        let demands = demands.collect();
+        let asked = concerned(&self.stocks, lender, self.sequence);
+        let mut demands = Vec::with_capacity(asked.len());
+        for workspace in asked {
+            if let Some(stock) = self.stocks.get_mut(&workspace) {
+                stock.advance(now);
+                demands.push(stock.question(now, &workspace, &source, borrows));
+            }
+        }
         self.sequence = self.sequence.next();
         let question = share::Renew {
             instance: self.instance.clone(),
@@ -548,3 +547,25 @@
 
 /// When nothing is ever due.
 const NEVER: duration::Instant = duration::Instant(u64::MAX);
+
+/// Workspaces of which a question to one lender tells: those in which somebody waits first,
+/// each of them in its turn where they are too many.
+fn concerned(
+    stocks: &BTreeMap<id::Workspace, Stock>,
+    lender: &id::Instance,
+    turn: number::Sequence,
+) -> Vec<id::Workspace> {
+    let source = Source::Entry(lender.clone());
+    let concerned = stocks
+        .iter()
+        .filter(|(_, stock)| stock.lender.as_ref() == Some(lender) && stock.concerns(&source));
+    let (mut short, rest): (Vec<_>, Vec<_>) =
+        concerned.partition(|(_, stock)| stock.short() > Amount::ZERO);
+    if short.len() > MOST_TOGETHER {
+        let turn = usize::try_from(turn.0).unwrap_or_default() * MOST_TOGETHER;
+        let begin = turn % short.len();
+        short.rotate_left(begin);
+    }
+    let asked = short.into_iter().chain(rest).take(MOST_TOGETHER);
+    asked.map(|(workspace, _)| workspace.clone()).collect()
+}
--- a/crates/cranberrygap-policy/src/limits/lender.rs
+++ b/crates/cranberrygap-policy/src/limits/lender.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    /// Entries in line.
+    pub(super) fn askers(&self) -> impl Iterator<Item = &Owner> {
+        self.asks.iter().map(|ask| &ask.owner)
+    }
+
     /// What those before an entry in line wait for; all that wait if it does not.
     pub(super) fn ahead(&self, owner: &Owner) -> Amount {
         let before = self.asks.iter().take_while(|ask| ask.owner != *owner);
--- a/crates/cranberrygap-policy/src/limits/lending.rs
+++ b/crates/cranberrygap-policy/src/limits/lending.rs
@@ -139,7 +139,8 @@
                 continue;
             };
             pool.advance(now);
-            if !pool.chosen && pool.share == 0 {
+            if pool.share == 0 {
+                // The leader may have the tokens; whoever asks goes there.
                 continue;
             }
             if let Some(left) = pool.life(now) {
