Choose another lender when most do not reach the one there is, and end only former processes

A restarted entry whose renewal overtook its first confirmation had another process than the members, and counted as ended while it held a lease: its rate could be given twice (found by review, narrow, from the code). Only processes that the state knows as former ones end now. A lender from which most of the demand turns to the leader is replaced after a second. Workspaces that leave the limits, or have none, get no lender.

--- a/crates/cranberrygap-control/src/shares/term.rs
+++ b/crates/cranberrygap-control/src/shares/term.rs
@@ -7,6 +7,10 @@
 use cranberrygap_state::fleet;
 use cranberrygap_wire::{configuration, share, view};
 
+/// Time after which entries that ask the leader for a workspace's tokens say that its lender
+/// does not answer them. Entries learn of a lender within some hundred milliseconds.
+const ANSWERS: duration::Span = duration::Span::from_secs(1);
+
 /// The granter of one term, and what it follows.
 #[derive(Debug)]
 pub(super) struct Term {
@@ -80,6 +84,7 @@
         for (workspace, lender) in fleet.lenders.iter() {
             if !self.limits.contains_key(workspace) {
                 self.lenders.insert(workspace.clone(), lender.clone());
+                self.granter.set_delegate(workspace, None);
             }
         }
         for workspace in self.limits.keys() {
@@ -104,30 +109,32 @@
         now: duration::Instant,
         fleet: &fleet::Fleet,
     ) -> (Vec<share::Allocation>, Vec<view::Lender>) {
-        let holders = self.granter.holders();
-        for (member, boot) in fleet.members.boots() {
-            let ended = holders
-                .iter()
-                .filter(|(instance, held)| *instance == member.instance && *held != boot);
-            for (instance, ended) in ended {
-                self.granter.ended(now, instance, *ended);
+        for (instance, boot) in self.granter.holders() {
+            if fleet.members.has_ended(&instance, boot) {
+                self.granter.ended(now, &instance, boot);
             }
         }
         let records = self.granter.expire(now);
         let candidates = fleet.members.iter().filter_map(candidate).collect();
         let is_lost = |workspace: &id::Workspace| self.has_lost_lender(now, workspace);
-        let workspaces = self.limits.keys();
+        let limited = |limit: &limits::Limit| limit.rate.0 > 0.0 && limit.burst.0 > 0;
+        let workspaces = self.limits.iter();
+        let workspaces = workspaces.filter(|(_, limit)| limited(limit));
+        let workspaces = workspaces.map(|(workspace, _)| workspace);
         let changes = appointment::changes(workspaces, &self.lenders, &candidates, is_lost);
         (records, changes)
     }
 
-    /// Whether a lender had the time of a lease and has none.
+    /// Whether a lender had the time of a lease and has none, or does not answer those who
+    /// ask it.
     fn has_lost_lender(&self, now: duration::Instant, workspace: &id::Workspace) -> bool {
         let Some(lender) = self.lenders.get(workspace) else {
             return false;
         };
         let since = self.since.get(workspace).copied().unwrap_or_default();
-        now.since(since) > limits::LEASE && !self.granter.lends(workspace, lender)
+        let held = now.since(since);
+        let idle = held > limits::LEASE && !self.granter.lends(workspace, lender);
+        idle || (held > ANSWERS && self.granter.is_delegate_avoided(workspace))
     }
 }
 
--- a/crates/cranberrygap-state/src/member.rs
+++ b/crates/cranberrygap-state/src/member.rs
@@ -167,6 +167,13 @@
         self.members.values().map(|known| &known.member)
     }
 
+    /// Whether a process has ended for certain: another one of its instance came after it.
+    #[must_use]
+    pub fn has_ended(&self, instance: &id::Instance, boot: number::Boot) -> bool {
+        let known = self.members.get(instance);
+        known.is_some_and(|known| known.former.contains(&boot))
+    }
+
     /// All members with their boots.
     pub fn boots(&self) -> impl Iterator<Item = (&view::Member, number::Boot)> {
         self.members
