--- a/crates/cranberrygap-bench/src/soak/limits/trouble.rs
+++ b/crates/cranberrygap-bench/src/soak/limits/trouble.rs
@@ -1,6 +1,6 @@
 //! What goes wrong in the run: leaders, partitions, restarts, new limits.
 
-use cranberrygap_model::{duration, token};
+use cranberrygap_model::{duration, number, token};
 use cranberrygap_policy::limits::{self, granter};
 use rand::Rng;
 
@@ -23,11 +23,8 @@
             let number = self.random.random_range(0..world::ENTRIES);
             self.cut(number);
         }
-        if self.random.random_ratio(1, 800) {
-            self.choose();
-        }
-        if self.random.random_ratio(1, 3_000) {
-            self.stop();
+        if self.lenders == world::Lenders::Entries {
+            self.disturb_lenders();
         }
         if self.random.random_ratio(1, 4_000) {
             self.configure();
@@ -45,6 +42,15 @@
         }
     }
 
+    fn disturb_lenders(&mut self) {
+        if self.random.random_ratio(1, 300) {
+            self.choose();
+        }
+        if self.random.random_ratio(1, 3_000) {
+            self.stop();
+        }
+    }
+
     /// A leader is often lost together with the way to some of the entries.
     fn split(&mut self) {
         for number in 0..world::ENTRIES {
@@ -63,8 +69,8 @@
 
     fn restart(&mut self) {
         let number = self.random.random_range(0..world::ENTRIES);
-        self.note(&format!("entry {number} restarts"));
         self.replace(number);
+        self.note(&format!("entry {number} restarts"));
     }
 
     fn replace(&mut self, number: usize) {
@@ -74,14 +80,20 @@
         for request in gone.running {
             self.window.settle(request.admission, request.cost);
         }
+        if self.lenders == world::Lenders::Entries {
+            self.learn_of_restart(number, gone.boot);
+        }
+    }
+
+    /// The new process learns who lends, and the leader of the process with its first heartbeat.
+    fn learn_of_restart(&mut self, number: usize, ended: number::Boot) {
         let at = self.now.after(duration::Span(50_000));
         self.network
             .push((at, world::Message::Chosen(number, self.lender)));
-        // The leader learns of the new process with its first heartbeat.
         if self.random.random_bool(0.7)
             && let Some(granter) = self.granter.as_mut()
         {
-            granter.ended(self.now, &entry::name(number), gone.boot);
+            granter.ended(self.now, &entry::name(number), ended);
         }
     }
 
