Reproduce late words of former processes, as known to be red

The leader takes the heartbeat that arrived last for the latest whenever its boot differs. One of a former process that was held up replaces what is known of its successor, whose silence then counts from the start of the term: a healthy endpoint gets no requests until its next heartbeat, and a live entry leaves the address list and loses its running bookings.

--- /dev/null
+++ b/crates/cranberrygap-control/tests/leadership_former_process.rs
@@ -0,0 +1,91 @@
+//! Late words of a process whose successor was heard already.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod fleet;
+
+use cranberrygap_control::leadership;
+use cranberrygap_model::{duration, number};
+use cranberrygap_state::{command, endpoint, fleet as state, member};
+use cranberrygap_wire::view;
+
+const START: duration::Instant = duration::Instant(1_000_000_000);
+
+fn at(millis: u64) -> duration::Instant {
+    START.after(duration::Span::from_millis(millis))
+}
+
+/// A fleet of one entry and one runner, both in their second process.
+fn known() -> state::Fleet {
+    let mut fleet = state::Fleet::default();
+    let confirm = confirm(2);
+    let member = view::Member {
+        instance: confirm.instance,
+        domain: confirm.domain,
+        role: view::Role::Entry,
+        address: confirm.address,
+        endpoints: None,
+        lending: None,
+        phase: view::Phase::Active,
+    };
+    let boot = confirm.boot;
+    let announcement = serde_json::json!({
+        "endpoint": "runner-1", "boot": 2, "sequence": 1,
+        "address": "127.0.0.1:9", "domain": "oslo-1", "kind": "runner", "phase": "ready",
+        "memory": "80GiB", "checks_fence": true, "resident": [],
+    });
+    let announcement = serde_json::from_value(announcement).unwrap();
+    let commands = [
+        command::Command::Member(member::Step::Seen { member, boot }),
+        command::Command::Endpoint(endpoint::Step::Announced(Box::new(announcement))),
+    ];
+    for (index, command) in (1..).zip(commands) {
+        let proposal = command::Proposal { at: index, command };
+        fleet.apply(number::Index(index), &proposal);
+    }
+    fleet
+}
+
+fn confirm(boot: u64) -> view::Confirm {
+    view::Confirm {
+        boot: number::Boot(boot),
+        ..fleet::confirm(number::Revision(5))
+    }
+}
+
+fn seen(boot: u64, sequence: u64) -> view::Seen {
+    view::Seen {
+        endpoint: "runner-1".parse().unwrap(),
+        boot: number::Boot(boot),
+        sequence: number::Sequence(sequence),
+    }
+}
+
+fn leadership() -> leadership::Leadership {
+    leadership::Leadership::new(number::Term(1), START, number::Revision(5))
+}
+
+// A heartbeat that a partition held up arrives after its sender has crashed and come back:
+// the healthy runner would get no requests until its next heartbeat.
+#[test]
+fn late_heartbeat_of_a_former_process_silences_no_endpoint() {
+    let mut leadership = leadership();
+    leadership.hear(at(60_000), &seen(2, 9));
+    leadership.hear(at(60_100), &seen(1, 40));
+
+    let found = leadership.findings(at(60_200), &known()).endpoints;
+
+    assert_eq!(found, []);
+}
+
+// The same of an entry: it would leave the address list, and its running bookings would be
+// taken for lost.
+#[test]
+fn late_confirmation_of_a_former_process_makes_no_entry_gone() {
+    let mut leadership = leadership();
+    leadership.confirm(at(60_000), &confirm(2));
+    leadership.confirm(at(60_100), &confirm(1));
+
+    let found = leadership.findings(at(60_200), &known()).members;
+
+    assert_eq!(found, []);
+}
