Keep what was heard of an endpoint by process

Callers saw a healthy endpoint get no requests until its next heartbeat, 1.2 s, when one of its former process that was held up arrived late: the leader took it for the latest, found nothing of the living process, and counted its silence from the start of the term.

Cause: what arrived last was taken for what was made last. Boots have no order, so only the replicated state can say which process lives.

Evidence: late_heartbeat_of_a_former_process_silences_no_endpoint found Silent for the living boot before; it passes now, as do the tests of leadership.rs.

--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -6,6 +6,8 @@
 use cranberrygap_state::{endpoint, fleet, member};
 use cranberrygap_wire::{endpoint as announced, view};
 
+use crate::processes;
+
 /// Time from sending its confirmation for which an entry may serve.
 ///
 /// Four confirmations fit into it, so that most entries serve on while a leader that
@@ -42,7 +44,7 @@
     term: number::Term,
     since: duration::Instant,
     entries: BTreeMap<id::Instance, Entry>,
-    endpoints: BTreeMap<id::Endpoint, Heard>,
+    endpoints: BTreeMap<id::Endpoint, processes::Processes<Heard>>,
     marks: VecDeque<Mark>,
     /// Latest change whose sender was told that all rely on it.
     acknowledged: number::Revision,
@@ -58,7 +60,7 @@
 
 #[derive(Debug, Clone, PartialEq)]
 struct Heard {
-    seen: view::Seen,
+    sequence: number::Sequence,
     at: duration::Instant,
 }
 
@@ -129,18 +131,16 @@
 
     /// Notes a heartbeat of an endpoint that an entry passed on.
     pub fn hear(&mut self, now: duration::Instant, seen: &view::Seen) {
-        let heard = self.endpoints.get(&seen.endpoint);
-        let old = heard.is_some_and(|heard| {
-            heard.seen.boot == seen.boot && heard.seen.sequence >= seen.sequence
-        });
-        if old {
+        let processes = self.endpoints.entry(seen.endpoint.clone()).or_default();
+        let before = processes.get(seen.boot);
+        if before.is_some_and(|before| before.sequence >= seen.sequence) {
             return;
         }
         let heard = Heard {
-            seen: seen.clone(),
+            sequence: seen.sequence,
             at: now,
         };
-        self.endpoints.insert(seen.endpoint.clone(), heard);
+        processes.note(seen.boot, heard);
     }
 
     /// Takes an entry's confirmation and gives the lease for it.
@@ -245,8 +245,11 @@
     /// Drops what is known of endpoints and entries that the fleet has forgotten
     /// and that were not heard for long, so that names of the past take no room.
     pub fn prune(&mut self, now: duration::Instant, fleet: &fleet::Fleet) {
-        self.endpoints
-            .retain(|name, heard| now.since(heard.at) < OBLIVION || fleet.endpoints.contains(name));
+        self.endpoints.retain(|name, processes| {
+            let last = processes.last();
+            let fresh = last.is_some_and(|heard| now.since(heard.at) < OBLIVION);
+            fresh || fleet.endpoints.contains(name)
+        });
         self.entries
             .retain(|_, entry| now.since(entry.heard) < OBLIVION);
     }
@@ -278,12 +281,10 @@
         known: &view::Seen,
         standing: Standing,
     ) -> Option<endpoint::Step> {
-        let heard = self.endpoints.get(&known.endpoint);
-        let heard = heard.filter(|heard| heard.seen.boot == known.boot);
+        let processes = self.endpoints.get(&known.endpoint);
+        let heard = processes.and_then(|processes| processes.get(known.boot));
         let quiet = now.since(heard.map_or(self.since, |heard| heard.at));
-        let latest = heard.map_or(known.sequence, |heard| {
-            heard.seen.sequence.max(known.sequence)
-        });
+        let latest = heard.map_or(known.sequence, |heard| heard.sequence.max(known.sequence));
         let seen = view::Seen {
             sequence: latest,
             ..known.clone()
@@ -325,10 +326,14 @@
                 "silent": now.since(entry.heard), "lease_left": entry.lease_end.since(now),
             })
         });
-        let endpoints = self
-            .endpoints
-            .values()
-            .map(|heard| serde_json::json!({ "seen": heard.seen, "silent": now.since(heard.at) }));
+        let endpoints = self.endpoints.iter().flat_map(|(endpoint, processes)| {
+            processes.iter().map(move |(boot, heard)| {
+                serde_json::json!({
+                    "seen": { "endpoint": endpoint, "boot": boot, "sequence": heard.sequence },
+                    "silent": now.since(heard.at),
+                })
+            })
+        });
         serde_json::json!({
             "term": self.term,
             "since": self.since,
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -22,6 +22,7 @@
 mod orders;
 mod peers;
 mod permission;
+mod processes;
 mod quiet;
 
 mod steward;
