Keep what entries confirmed by process

A confirmation of an entry's former process that was held up replaced that of the living one. The leader then found the living boot gone: it left the address list, and its running bookings were closed as lost. And the former process's revision counted as the living one's: operators could be told that a withdrawn key is out of use while an entry still served with it, or wait for an entry that had the change.

Cause: what arrived last was taken for what was made last.

Change: confirmations are kept by process, and judged for the boot that the state has. The end of the lease stays that of the whole instance, as before.

--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -52,12 +52,17 @@
 
 #[derive(Debug, Clone, PartialEq)]
 struct Entry {
-    boot: number::Boot,
-    revision: number::Revision,
-    heard: duration::Instant,
+    confirmed: processes::Processes<Confirmed>,
+    /// End of the last lease that was given to any of its processes.
     lease_end: duration::Instant,
 }
 
+#[derive(Debug, Clone, PartialEq)]
+struct Confirmed {
+    revision: number::Revision,
+    at: duration::Instant,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 struct Heard {
     sequence: number::Sequence,
@@ -159,18 +164,20 @@
             duration::Span(0) => now,
             lease => now.after(lease).after(DRIFT),
         };
-        let before = self.entries.get(&confirm.instance);
+        let inherited = self.inherited();
+        let entry = self.entries.entry(confirm.instance.clone());
+        let entry = entry.or_insert_with(|| Entry {
+            confirmed: processes::Processes::default(),
+            lease_end: inherited,
+        });
         // A lease that was given before holds on, also for an earlier process, and also
         // one that the leader before this one gave.
-        let held = before.map_or(self.inherited(), |before| before.lease_end);
-        let held = held.max(end);
-        let entry = Entry {
-            boot: confirm.boot,
+        entry.lease_end = entry.lease_end.max(end);
+        let confirmed = Confirmed {
             revision: confirm.revision,
-            heard: now,
-            lease_end: held,
+            at: now,
         };
-        self.entries.insert(confirm.instance.clone(), entry);
+        entry.confirmed.note(confirm.boot, confirmed);
         lease
     }
 
@@ -203,14 +210,16 @@
         revision: number::Revision,
         fleet: &'all fleet::Fleet,
     ) -> impl Iterator<Item = &'all id::Instance> {
-        let entries = fleet.members.iter();
-        let entries = entries.filter(|member| member.role == view::Role::Entry);
-        let waiting = entries.filter(move |member| match self.entries.get(&member.instance) {
-            Some(entry) => entry.revision < revision && now < entry.lease_end,
-            // One that left has no lease of the term before.
-            None => member.phase != view::Phase::Left && now < self.inherited(),
+        let entries = fleet.members.boots();
+        let entries = entries.filter(|(member, _)| member.role == view::Role::Entry);
+        let waiting = entries.filter(move |(member, boot)| {
+            match self.entries.get(&member.instance) {
+                Some(entry) => !entry.has_confirmed(*boot, revision) && now < entry.lease_end,
+                // One that left has no lease of the term before.
+                None => member.phase != view::Phase::Left && now < self.inherited(),
+            }
         });
-        waiting.map(|member| &member.instance)
+        waiting.map(|(member, _)| &member.instance)
     }
 
     /// When the last lease of the term before ends at the latest.
@@ -251,7 +260,7 @@
             fresh || fleet.endpoints.contains(name)
         });
         self.entries
-            .retain(|_, entry| now.since(entry.heard) < OBLIVION);
+            .retain(|_, entry| entry.last().is_some_and(|last| now.since(last) < OBLIVION));
     }
 
     /// What became of endpoints and entries that were not heard.
@@ -306,9 +315,9 @@
         let mut steps = Vec::new();
         for (member, boot) in fleet.members.boots() {
             let counts = member.role == view::Role::Entry && member.phase != view::Phase::Left;
-            let heard = self.entries.get(&member.instance);
-            let heard = heard.filter(|heard| heard.boot == boot);
-            let last = heard.map_or(self.since, |heard| heard.heard);
+            let entry = self.entries.get(&member.instance);
+            let confirmed = entry.and_then(|entry| entry.confirmed.get(boot));
+            let last = confirmed.map_or(self.since, |confirmed| confirmed.at);
             if counts && now.since(last) > ABSENCE {
                 let instance = member.instance.clone();
                 steps.push(member::Step::Gone { instance, boot });
@@ -320,10 +329,12 @@
     /// The term for people.
     #[must_use]
     pub fn dump(&self, now: duration::Instant) -> serde_json::Value {
-        let entries = self.entries.iter().map(|(instance, entry)| {
-            serde_json::json!({
-                "instance": instance, "boot": entry.boot, "revision": entry.revision,
-                "silent": now.since(entry.heard), "lease_left": entry.lease_end.since(now),
+        let entries = self.entries.iter().flat_map(|(instance, entry)| {
+            entry.confirmed.iter().map(move |(boot, confirmed)| {
+                serde_json::json!({
+                    "instance": instance, "boot": boot, "revision": confirmed.revision,
+                    "silent": now.since(confirmed.at), "lease_left": entry.lease_end.since(now),
+                })
             })
         });
         let endpoints = self.endpoints.iter().flat_map(|(endpoint, processes)| {
@@ -343,6 +354,19 @@
     }
 }
 
+impl Entry {
+    /// Whether the process with this boot said that it has the revision.
+    fn has_confirmed(&self, boot: number::Boot, revision: number::Revision) -> bool {
+        let confirmed = self.confirmed.get(boot);
+        confirmed.is_some_and(|confirmed| confirmed.revision >= revision)
+    }
+
+    /// When any of its processes was heard last.
+    fn last(&self) -> Option<duration::Instant> {
+        self.confirmed.last().map(|confirmed| confirmed.at)
+    }
+}
+
 const fn standing(health: view::Health, leaves: bool) -> Standing {
     match health {
         view::Health::Ready => Standing::Ready,
--- a/crates/cranberrygap-control/tests/leadership_former_process.rs
+++ b/crates/cranberrygap-control/tests/leadership_former_process.rs
@@ -89,3 +89,36 @@
 
     assert_eq!(found, []);
 }
+
+// The former process had a later view than its successor has. Were its word taken for the
+// successor's, an operator would see a withdrawn key work after being told that none does.
+#[test]
+fn late_confirmation_of_a_former_process_is_not_its_successors() {
+    let mut leadership = leadership();
+    leadership.confirm(at(60_000), &confirm(2));
+    let late = view::Confirm {
+        revision: number::Revision(6),
+        ..confirm(1)
+    };
+    leadership.confirm(at(60_100), &late);
+
+    let waiting = leadership.waiting(at(60_200), number::Revision(6), &known());
+
+    assert_eq!(waiting.len(), 1);
+}
+
+// The reverse: the successor has the change, and no word from before holds it up.
+#[test]
+fn late_confirmation_of_a_former_process_holds_up_no_change() {
+    let mut leadership = leadership();
+    let current = view::Confirm {
+        revision: number::Revision(6),
+        ..confirm(2)
+    };
+    leadership.confirm(at(60_000), &current);
+    leadership.confirm(at(60_100), &confirm(1));
+
+    let waiting = leadership.waiting(at(60_200), number::Revision(6), &known());
+
+    assert!(waiting.is_empty(), "{waiting:?}");
+}
