Keep an entry's announcements by process

An announcement of a former process that reached an entry late became the latest of its endpoint there. The living process's heartbeat, or its new content, was left out of the next confirmation, also where a batch that did not reach the leader was put back, and its next heartbeat was taken for new content, which is committed.

Cause: what arrived last was taken for what was made last.

Change: the inbox keeps up to eight processes of an endpoint and passes the news of each on, in the order in which the processes were first heard; the leader's state says which of them lives. is_leaving, which nobody called, goes: the inbox can't tell it.

--- a/crates/cranberrygap-entry/src/announce.rs
+++ b/crates/cranberrygap-entry/src/announce.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::id;
+use cranberrygap_model::{id, number};
 use cranberrygap_wire::{endpoint, view};
 use parking_lot::Mutex;
 
@@ -10,17 +10,31 @@
 /// strangers on the listener can make an entry store.
 const MOST_ENDPOINTS: usize = 4096;
 
+/// Processes of one endpoint that are kept; the control process remembers as many.
+const MOST_PROCESSES: usize = 8;
+
 /// Collects heartbeats and new content for the leader.
 #[derive(Debug, Default)]
 pub struct Inbox {
     inner: Mutex<Inner>,
 }
 
+/// The processes of each endpoint, in the order in which they were first heard.
+///
+/// Boots have no order: a message that was held up may arrive after one of its sender's
+/// successor. Which process lives is for the leader's state to say.
 #[derive(Debug, Default)]
 struct Inner {
-    latest: BTreeMap<id::Endpoint, endpoint::Announcement>,
-    seen: BTreeMap<id::Endpoint, view::Seen>,
-    fresh: BTreeMap<id::Endpoint, endpoint::Announcement>,
+    processes: BTreeMap<id::Endpoint, Vec<Process>>,
+}
+
+#[derive(Debug)]
+struct Process {
+    latest: endpoint::Announcement,
+    /// Whether it was heard since the last batch.
+    is_heard: bool,
+    /// Whether its content is new to the leader.
+    is_fresh: bool,
 }
 
 /// What the next confirmation carries.
@@ -51,66 +65,91 @@
     /// When it is older than one that arrived before, or the table is full.
     pub fn take(&self, announcement: endpoint::Announcement) -> Result<(), Error> {
         let mut inner = self.inner.lock();
-        let name = announcement.endpoint.clone();
-        let known = inner.latest.get(&name);
-        // A delayed heartbeat of the same boot would undo a leave that came after it.
-        let is_older = known.is_some_and(|known| {
-            known.boot == announcement.boot && known.sequence >= announcement.sequence
-        });
-        if is_older {
-            return Err(Error::Older);
-        }
-        if known.is_none() && inner.latest.len() >= MOST_ENDPOINTS {
+        let is_known = inner.processes.contains_key(&announcement.endpoint);
+        if !is_known && inner.processes.len() >= MOST_ENDPOINTS {
             return Err(Error::Full);
         }
-        let is_new = known.is_none_or(|known| !same_content(known, &announcement));
-        let heartbeat = view::Seen {
-            endpoint: name.clone(),
-            boot: announcement.boot,
-            sequence: announcement.sequence,
-        };
-        inner.seen.insert(name.clone(), heartbeat);
-        if is_new {
-            inner.fresh.insert(name.clone(), announcement.clone());
+        if let Some(process) = inner.process(&announcement.endpoint, announcement.boot) {
+            return process.take(announcement);
+        }
+        let processes = inner.processes.entry(announcement.endpoint.clone());
+        let processes = processes.or_default();
+        processes.push(Process::new(announcement));
+        if processes.len() > MOST_PROCESSES {
+            processes.remove(0);
         }
-        inner.latest.insert(name, announcement);
         Ok(())
     }
 
-    /// Whether the endpoint told this entry that it leaves.
-    pub fn is_leaving(&self, name: &id::Endpoint) -> bool {
-        let inner = self.inner.lock();
-        inner
-            .latest
-            .get(name)
-            .is_some_and(|known| known.phase == endpoint::Phase::Leaving)
-    }
-
     /// Whether there is content that the leader has not heard yet.
     pub fn has_fresh(&self) -> bool {
-        !self.inner.lock().fresh.is_empty()
+        let inner = self.inner.lock();
+        inner.processes.values().flatten().any(|one| one.is_fresh)
     }
 
     /// Takes out what the leader has not heard yet.
     pub fn drain(&self) -> Batch {
         let mut inner = self.inner.lock();
-        Batch {
-            seen: std::mem::take(&mut inner.seen).into_values().collect(),
-            announcements: std::mem::take(&mut inner.fresh).into_values().collect(),
+        let mut batch = Batch::default();
+        for process in inner.processes.values_mut().flatten() {
+            if std::mem::take(&mut process.is_heard) {
+                batch.seen.push(process.seen());
+            }
+            if std::mem::take(&mut process.is_fresh) {
+                batch.announcements.push(process.latest.clone());
+            }
         }
+        batch
     }
 
     /// Puts back a batch that did not reach the leader; newer content stays.
     pub fn restore(&self, batch: Batch) {
         let mut inner = self.inner.lock();
         for seen in batch.seen {
-            inner.seen.entry(seen.endpoint.clone()).or_insert(seen);
+            if let Some(process) = inner.process(&seen.endpoint, seen.boot) {
+                process.is_heard = true;
+            }
         }
         for announcement in batch.announcements {
-            inner
-                .fresh
-                .entry(announcement.endpoint.clone())
-                .or_insert(announcement);
+            if let Some(process) = inner.process(&announcement.endpoint, announcement.boot) {
+                process.is_fresh = true;
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn process(&mut self, name: &id::Endpoint, boot: number::Boot) -> Option<&mut Process> {
+        let mut processes = self.processes.get_mut(name)?.iter_mut();
+        processes.find(|process| process.latest.boot == boot)
+    }
+}
+
+impl Process {
+    const fn new(announcement: endpoint::Announcement) -> Self {
+        Self {
+            latest: announcement,
+            is_heard: true,
+            is_fresh: true,
+        }
+    }
+
+    fn take(&mut self, announcement: endpoint::Announcement) -> Result<(), Error> {
+        // A delayed heartbeat would undo a leave that came after it.
+        if self.latest.sequence >= announcement.sequence {
+            return Err(Error::Older);
+        }
+        self.is_heard = true;
+        self.is_fresh |= !same_content(&self.latest, &announcement);
+        self.latest = announcement;
+        Ok(())
+    }
+
+    fn seen(&self) -> view::Seen {
+        view::Seen {
+            endpoint: self.latest.endpoint.clone(),
+            boot: self.latest.boot,
+            sequence: self.latest.sequence,
         }
     }
 }
