Take confirmations in a type of their own

What a confirmation changes could be tried only over real sockets and with a sound log. It needs the state, a proposer and the detector, and is taken by a type made of these. Demand is counted once the entry has its answer, no longer just before its lease is looked up; nothing else changes.

--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -28,7 +28,7 @@
 
 /// The leader's term, shared with those who serve entries.
 #[derive(Debug)]
-pub(crate) struct Detector {
+pub struct Detector {
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
     clock: clock::Clock,
@@ -37,7 +37,9 @@
 }
 
 impl Detector {
-    pub(crate) fn new(
+    /// A detector that changes `state` through `proposer`.
+    #[must_use]
+    pub const fn new(
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
         clock: clock::Clock,
@@ -61,7 +63,7 @@
     ///
     /// Knowledge of an earlier term is dropped: another leader may have given
     /// leases since.
-    pub(crate) fn with_office<R>(
+    pub fn with_office<R>(
         &self,
         work: impl FnOnce(duration::Instant, &mut leadership::Leadership) -> R,
     ) -> Option<R> {
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -1,5 +1,7 @@
 //! The control process: replicated state served to entries and operators.
 
+pub mod confirmation;
+pub mod detector;
 pub mod encoded;
 pub mod followers;
 pub mod gather;
@@ -17,7 +19,6 @@
 pub mod shares;
 pub mod transport;
 
-mod detector;
 mod operators;
 mod orders;
 mod peers;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use cranberrygap_link::{credential, server};
-use cranberrygap_state::{answer, claim, command, endpoint, member, quarantine};
+use cranberrygap_state::{answer, claim, command, quarantine};
 use cranberrygap_wire::{claim as wire_claim, method, share, traffic, view};
-use futures_util::future;
 use parking_lot::Mutex;
 
+use crate::confirmation;
 use crate::detector;
 use crate::followers;
 use crate::leadership;
@@ -22,9 +22,6 @@
 use crate::shares;
 use crate::subscription;
 
-/// Announcements that one confirmation may bring.
-const MOST_ANNOUNCEMENTS: usize = 4_096;
-
 /// Time of an answer from which on it is said: a quarter of the lease.
 const LATE: Duration = Duration::from_micros(leadership::LEASE.0 / 4);
 
@@ -37,6 +34,7 @@
     pub(crate) state: Arc<replicated::State>,
     pub(crate) proposer: proposer::Proposer,
     pub(crate) detector: Arc<detector::Detector>,
+    pub(crate) confirmations: confirmation::Confirmations,
     pub(crate) shares: Arc<shares::Shares>,
     pub(crate) permissions: permission::Permissions,
     pub(crate) orders: Arc<orders::Orders>,
@@ -160,86 +158,10 @@
         answer
     }
 
-    /// Takes a confirmation: first everything new goes into the log, then the
-    /// entry gets its lease.
     async fn lease(&self, confirm: &view::Confirm) -> Result<view::Confirmed, server::Fault> {
-        self.proposer.check_leads()?;
-        self.note_member(confirm).await?;
-        self.note_announcements(confirm).await?;
+        let confirmed = self.confirmations.take(confirm).await?;
         self.orders.count(&confirm.demands);
         self.residency.count(&confirm.demands);
-        // Committing may have taken long; only who leads now may grant.
-        let status = self.proposer.check_leads()?;
-        let grant = || {
-            self.detector
-                .with_office(|now, leadership| grant(now, leadership, confirm))
-        };
-        let lease = self.metrics.work(metric::Work::Lease, grant);
-        let Some(lease) = lease else {
-            return Err(server::Fault::new(
-                method::NO_QUORUM,
-                "the leader's lease ran out",
-            ));
-        };
-        Ok(view::Confirmed {
-            revision: self.state.binding(),
-            term: status.term,
-            lease,
-        })
-    }
-
-    /// An entry must be known before it gets a lease: a new leader takes from
-    /// the state who may hold one.
-    async fn note_member(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
-        let member = view::Member {
-            instance: confirm.instance.clone(),
-            domain: confirm.domain.clone(),
-            role: view::Role::Entry,
-            address: confirm.address,
-            endpoints: confirm.endpoints,
-            lending: confirm.lending,
-            phase: confirm.phase,
-        };
-        let boot = confirm.boot;
-        if !self
-            .state
-            .read(|fleet| fleet.members.is_news(&member, boot))
-        {
-            return Ok(());
-        }
-        let step = member::Step::Seen { member, boot };
-        let proposed = self.proposer.propose(command::Command::Member(step));
-        proposed.await.map(drop)
-    }
-
-    async fn note_announcements(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
-        if confirm.announcements.len() > MOST_ANNOUNCEMENTS {
-            let sentence = "too many announcements at once";
-            return Err(server::Fault::new(method::REFUSED, sentence));
-        }
-        let steps = confirm.announcements.iter().cloned();
-        let commands =
-            steps.map(|step| command::Command::Endpoint(endpoint::Step::Announced(Box::new(step))));
-        let proposals = commands.map(|command| self.proposer.propose(command));
-        future::try_join_all(proposals).await.map(drop)
-    }
-}
-
-fn grant(
-    now: cranberrygap_model::duration::Instant,
-    leadership: &mut leadership::Leadership,
-    confirm: &view::Confirm,
-) -> cranberrygap_model::duration::Span {
-    for announcement in &confirm.announcements {
-        let seen = view::Seen {
-            endpoint: announcement.endpoint.clone(),
-            boot: announcement.boot,
-            sequence: announcement.sequence,
-        };
-        leadership.hear(now, &seen);
-    }
-    for seen in &confirm.seen {
-        leadership.hear(now, seen);
+        Ok(confirmed)
     }
-    leadership.confirm(now, confirm)
 }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -9,6 +9,7 @@
 use cranberrygap_wire::settings;
 use serde_json::json;
 
+use crate::confirmation;
 use crate::detector;
 use crate::links;
 use crate::metric;
@@ -214,6 +215,13 @@
         let proposer = proposer::Proposer::new(log);
         let detector =
             detector::Detector::new(Arc::clone(&state), proposer.clone(), clock, metrics.clone());
+        let detector = Arc::new(detector);
+        let confirmations = confirmation::Confirmations::new(
+            Arc::clone(&state),
+            proposer.clone(),
+            Arc::clone(&detector),
+            metrics.clone(),
+        );
         let shares =
             shares::Shares::new(Arc::clone(&state), proposer.clone(), clock, metrics.clone());
         let permissions = permission::Permissions::new(proposer.clone(), clock);
@@ -230,7 +238,8 @@
         let desk = peers::Desk {
             state,
             proposer,
-            detector: Arc::new(detector),
+            detector,
+            confirmations,
             shares: Arc::new(shares),
             permissions,
             orders: Arc::new(orders),
