Hear endpoints and entries before what they bring is committed

While the leader's log was slow, heartbeats in a confirmation that brought anything new were noted only after its commits. Once the disk had hung for longer than the silence limit, the leader found healthy endpoints silent and entries gone, and the queued findings were committed in one go: no requests for those endpoints, and running bookings of those entries closed as lost.

Cause: what was heard was noted together with the lease, which does need the commits.

Change: it is noted as soon as the confirmation arrives; the lease is given after the commits, as before.

--- a/crates/cranberrygap-control/src/confirmation.rs
+++ b/crates/cranberrygap-control/src/confirmation.rs
@@ -43,21 +43,29 @@
         }
     }
 
-    /// Takes a confirmation: first everything new goes into the log, then the
-    /// entry gets its lease.
+    /// Takes a confirmation: everything new goes into the log, then the entry
+    /// gets its lease.
+    ///
+    /// What it heard is noted before: commits may take longer than the silence after
+    /// which endpoints and entries are taken for dead.
     ///
     /// # Errors
     ///
     /// When this process does not lead, or the log takes nothing.
     pub async fn take(&self, confirm: &view::Confirm) -> Result<view::Confirmed, server::Fault> {
         self.proposer.check_leads()?;
+        let note = || {
+            self.detector
+                .with_office(|now, leadership| hear(now, leadership, confirm))
+        };
+        self.metrics.work(metric::Work::Lease, note);
         self.note_member(confirm).await?;
         self.note_announcements(confirm).await?;
         // Committing may have taken long; only who leads now may grant.
         let status = self.proposer.check_leads()?;
         let grant = || {
             self.detector
-                .with_office(|now, leadership| grant(now, leadership, confirm))
+                .with_office(|now, leadership| leadership.confirm(now, confirm))
         };
         let lease = self.metrics.work(metric::Work::Lease, grant);
         let Some(lease) = lease else {
@@ -110,11 +118,7 @@
     }
 }
 
-fn grant(
-    now: duration::Instant,
-    leadership: &mut leadership::Leadership,
-    confirm: &view::Confirm,
-) -> duration::Span {
+fn hear(now: duration::Instant, leadership: &mut leadership::Leadership, confirm: &view::Confirm) {
     for announcement in &confirm.announcements {
         let seen = view::Seen {
             endpoint: announcement.endpoint.clone(),
@@ -126,5 +130,5 @@
     for seen in &confirm.seen {
         leadership.hear(now, seen);
     }
-    leadership.confirm(now, confirm)
+    leadership.hear_entry(now, confirm);
 }
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -148,6 +148,26 @@
         processes.note(seen.boot, heard);
     }
 
+    /// Notes that an entry was heard and which revision it has; gives no lease.
+    pub fn hear_entry(&mut self, now: duration::Instant, confirm: &view::Confirm) {
+        let confirmed = Confirmed {
+            revision: confirm.revision,
+            at: now,
+        };
+        let entry = self.entry(&confirm.instance);
+        entry.confirmed.note(confirm.boot, confirmed);
+    }
+
+    /// The entry; one that is new may hold a lease that the leader before this one gave.
+    fn entry(&mut self, instance: &id::Instance) -> &mut Entry {
+        let inherited = self.inherited();
+        let entry = self.entries.entry(instance.clone());
+        entry.or_insert_with(|| Entry {
+            confirmed: processes::Processes::default(),
+            lease_end: inherited,
+        })
+    }
+
     /// Takes an entry's confirmation and gives the lease for it.
     ///
     /// An entry may follow a control process that was cut off, and still reach
@@ -164,20 +184,11 @@
             duration::Span(0) => now,
             lease => now.after(lease).after(DRIFT),
         };
-        let inherited = self.inherited();
-        let entry = self.entries.entry(confirm.instance.clone());
-        let entry = entry.or_insert_with(|| Entry {
-            confirmed: processes::Processes::default(),
-            lease_end: inherited,
-        });
+        self.hear_entry(now, confirm);
         // A lease that was given before holds on, also for an earlier process, and also
         // one that the leader before this one gave.
+        let entry = self.entry(&confirm.instance);
         entry.lease_end = entry.lease_end.max(end);
-        let confirmed = Confirmed {
-            revision: confirm.revision,
-            at: now,
-        };
-        entry.confirmed.note(confirm.boot, confirmed);
         lease
     }
 
--- /dev/null
+++ b/crates/cranberrygap-control/tests/confirmation.rs
@@ -0,0 +1,209 @@
+//! Confirmations while the log stands still.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+mod fleet;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrygap_control::machine::Machine as _;
+use cranberrygap_control::{confirmation, detector, leadership, log, metric, proposer, replicated};
+use cranberrygap_link::clock;
+use cranberrygap_model::{duration, number};
+use cranberrygap_state::{command, endpoint as state, member};
+use cranberrygap_wire::{endpoint, view};
+use futures_util::future::{self, BoxFuture};
+
+/// Time from the start of the term to the confirmation.
+const BEFORE: Duration = Duration::from_millis(50);
+
+/// Time for which the commits are waited for.
+const WAIT: Duration = Duration::from_millis(20);
+
+/// A log of a leader whose disk hangs.
+#[derive(Debug)]
+struct HungLog;
+
+impl log::Log for HungLog {
+    fn propose(&self, _payload: Bytes) -> BoxFuture<'_, Result<log::Committed, log::Error>> {
+        Box::pin(future::pending())
+    }
+
+    fn status(&self) -> log::Status {
+        log::Status {
+            term: number::Term(1),
+            leads: true,
+            leader: None,
+            committed: number::Index(2),
+            applied: number::Index(2),
+        }
+    }
+}
+
+/// A leader that knows one entry and one runner, at the start of its term.
+struct Leader {
+    state: Arc<replicated::State>,
+    detector: Arc<detector::Detector>,
+    confirmations: confirmation::Confirmations,
+    start: duration::Instant,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let state = Arc::new(known());
+        let proposer = proposer::Proposer::new(Arc::new(HungLog));
+        let metrics = metric::Recorder::none();
+        let detector = detector::Detector::new(
+            Arc::clone(&state),
+            proposer.clone(),
+            clock::Clock::start(),
+            metrics.clone(),
+        );
+        let detector = Arc::new(detector);
+        let confirmations = confirmation::Confirmations::new(
+            Arc::clone(&state),
+            proposer,
+            Arc::clone(&detector),
+            metrics,
+        );
+        let start = detector.with_office(|now, _leadership| now).unwrap();
+        Self {
+            state,
+            detector,
+            confirmations,
+            start,
+        }
+    }
+
+    /// Whether a confirmation that comes later in the term is answered.
+    async fn answers(&self, confirm: &view::Confirm) -> bool {
+        tokio::time::sleep(BEFORE).await;
+        let taken = self.confirmations.take(confirm);
+        tokio::time::timeout(WAIT, taken).await.is_ok()
+    }
+
+    /// What is found when `silence` has passed since the start of the term, and a little.
+    fn findings(&self, silence: duration::Span) -> leadership::Findings {
+        let at = self.start.after(silence);
+        let at = at.after(duration::Span::from_millis(1));
+        let look = |leadership: &mut leadership::Leadership| {
+            self.state.read(|fleet| leadership.findings(at, fleet))
+        };
+        self.detector.with_office(|_now, held| look(held)).unwrap()
+    }
+
+    fn endpoint_silence(&self) -> duration::Span {
+        self.state.read(|fleet| fleet.defaults().endpoint_silence)
+    }
+}
+
+fn known() -> replicated::State {
+    let confirm = fleet::confirm(number::Revision(0));
+    let member = view::Member {
+        instance: confirm.instance,
+        domain: confirm.domain,
+        role: view::Role::Entry,
+        address: confirm.address,
+        endpoints: confirm.endpoints,
+        lending: confirm.lending,
+        phase: confirm.phase,
+    };
+    let boot = confirm.boot;
+    let announced = state::Step::Announced(Box::new(announcement("runner-1", 1)));
+    let commands = [
+        command::Command::Member(member::Step::Seen { member, boot }),
+        command::Command::Endpoint(announced),
+    ];
+    let state = replicated::State::default();
+    for (at, command) in (1..).zip(commands) {
+        let proposal = command::Proposal { at, command };
+        let payload = serde_json::to_vec(&proposal).unwrap();
+        state.apply(number::Index(at), &payload);
+    }
+    state
+}
+
+fn announcement(name: &str, sequence: u64) -> endpoint::Announcement {
+    let announcement = serde_json::json!({
+        "endpoint": name, "boot": 1, "sequence": sequence,
+        "address": "127.0.0.1:9", "domain": "oslo-1", "kind": "runner", "phase": "ready",
+        "memory": "80GiB", "checks_fence": true, "resident": [],
+    });
+    serde_json::from_value(announcement).unwrap()
+}
+
+/// A confirmation with news, which have to be committed.
+fn confirm(news: endpoint::Announcement) -> view::Confirm {
+    view::Confirm {
+        announcements: vec![news],
+        ..fleet::confirm(number::Revision(0))
+    }
+}
+
+// The leader's disk hangs for seconds while new endpoints come: all healthy ones whose
+// heartbeats come with the news would get no requests.
+#[tokio::test]
+async fn heartbeat_is_heard_while_commits_wait() {
+    let leader = Leader::new();
+    let heartbeat = view::Seen {
+        endpoint: "runner-1".parse().unwrap(),
+        boot: number::Boot(1),
+        sequence: number::Sequence(2),
+    };
+    let confirm = view::Confirm {
+        seen: vec![heartbeat],
+        ..confirm(announcement("runner-2", 1))
+    };
+
+    let answered = leader.answers(&confirm).await;
+
+    let found = leader.findings(leader.endpoint_silence()).endpoints;
+    assert!(!answered, "the log takes nothing");
+    assert_eq!(found, []);
+}
+
+// The same of an endpoint that has news itself.
+#[tokio::test]
+async fn announcement_is_heard_while_its_commit_waits() {
+    let leader = Leader::new();
+
+    let answered = leader.answers(&confirm(announcement("runner-1", 2))).await;
+
+    let found = leader.findings(leader.endpoint_silence()).endpoints;
+    assert!(!answered, "the log takes nothing");
+    assert_eq!(found, []);
+}
+
+// The same of the entry that passes them on: it would leave the address list, and its running
+// bookings would be taken for lost.
+#[tokio::test]
+async fn entry_is_heard_while_its_commits_wait() {
+    let leader = Leader::new();
+
+    let answered = leader.answers(&confirm(announcement("runner-2", 1))).await;
+
+    let found = leader.findings(leadership::ABSENCE).members;
+    assert!(!answered, "the log takes nothing");
+    assert_eq!(found, []);
+}
+
+// Hearing is all: a lease that is given before the entry's boot is in the log would be
+// unknown to the next leader.
+#[tokio::test]
+async fn no_lease_is_given_while_commits_wait() {
+    let leader = Leader::new();
+
+    let answered = leader.answers(&confirm(announcement("runner-2", 1))).await;
+
+    let inherited = leadership::LEASE.0 + leadership::DRIFT.0;
+    let end = leader.start.after(duration::Span(inherited));
+    let waiting = leader.detector.with_office(|_now, leadership| {
+        let revision = number::Revision(u64::MAX);
+        leader
+            .state
+            .read(|fleet| leadership.waiting(end, revision, fleet))
+    });
+    assert!(!answered, "the log takes nothing");
+    assert_eq!(waiting, Some(Vec::new()));
+}
