--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -6,6 +6,8 @@
 use cranberrygap_state::{endpoint, fleet, member};
 use cranberrygap_wire::{endpoint as announced, view};
 
+use crate::processes;
+
 /// Time from sending its confirmation for which an entry may serve.
 ///
 /// Four confirmations fit into it, so that most entries serve on while a leader that
@@ -42,7 +44,7 @@
     term: number::Term,
     since: duration::Instant,
     entries: BTreeMap<id::Instance, Entry>,
-    endpoints: BTreeMap<id::Endpoint, Heard>,
+    endpoints: BTreeMap<id::Endpoint, processes::Processes<Heard>>,
     marks: VecDeque<Mark>,
     /// Latest change whose sender was told that all rely on it.
     acknowledged: number::Revision,
@@ -50,15 +52,20 @@
 
 #[derive(Debug, Clone, PartialEq)]
 struct Entry {
-    boot: number::Boot,
-    revision: number::Revision,
-    heard: duration::Instant,
+    confirmed: processes::Processes<Confirmed>,
+    /// End of the last lease that was given to any of its processes.
     lease_end: duration::Instant,
 }
 
+#[derive(Debug, Clone, PartialEq)]
+struct Confirmed {
+    revision: number::Revision,
+    at: duration::Instant,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 struct Heard {
-    seen: view::Seen,
+    sequence: number::Sequence,
     at: duration::Instant,
 }
 
@@ -129,18 +136,36 @@
 
     /// Notes a heartbeat of an endpoint that an entry passed on.
     pub fn hear(&mut self, now: duration::Instant, seen: &view::Seen) {
-        let heard = self.endpoints.get(&seen.endpoint);
-        let old = heard.is_some_and(|heard| {
-            heard.seen.boot == seen.boot && heard.seen.sequence >= seen.sequence
-        });
-        if old {
+        let processes = self.endpoints.entry(seen.endpoint.clone()).or_default();
+        let before = processes.get(seen.boot);
+        if before.is_some_and(|before| before.sequence >= seen.sequence) {
             return;
         }
         let heard = Heard {
-            seen: seen.clone(),
+            sequence: seen.sequence,
             at: now,
         };
-        self.endpoints.insert(seen.endpoint.clone(), heard);
+        processes.note(seen.boot, heard);
+    }
+
+    /// Notes that an entry was heard and which revision it has; gives no lease.
+    pub fn hear_entry(&mut self, now: duration::Instant, confirm: &view::Confirm) {
+        let confirmed = Confirmed {
+            revision: confirm.revision,
+            at: now,
+        };
+        let entry = self.entry(&confirm.instance);
+        entry.confirmed.note(confirm.boot, confirmed);
+    }
+
+    /// The entry; one that is new may hold a lease that the leader before this one gave.
+    fn entry(&mut self, instance: &id::Instance) -> &mut Entry {
+        let inherited = self.inherited();
+        let entry = self.entries.entry(instance.clone());
+        entry.or_insert_with(|| Entry {
+            confirmed: processes::Processes::default(),
+            lease_end: inherited,
+        })
     }
 
     /// Takes an entry's confirmation and gives the lease for it.
@@ -159,18 +184,11 @@
             duration::Span(0) => now,
             lease => now.after(lease).after(DRIFT),
         };
-        let before = self.entries.get(&confirm.instance);
+        self.hear_entry(now, confirm);
         // A lease that was given before holds on, also for an earlier process, and also
         // one that the leader before this one gave.
-        let held = before.map_or(self.inherited(), |before| before.lease_end);
-        let held = held.max(end);
-        let entry = Entry {
-            boot: confirm.boot,
-            revision: confirm.revision,
-            heard: now,
-            lease_end: held,
-        };
-        self.entries.insert(confirm.instance.clone(), entry);
+        let entry = self.entry(&confirm.instance);
+        entry.lease_end = entry.lease_end.max(end);
         lease
     }
 
@@ -203,14 +221,16 @@
         revision: number::Revision,
         fleet: &'all fleet::Fleet,
     ) -> impl Iterator<Item = &'all id::Instance> {
-        let entries = fleet.members.iter();
-        let entries = entries.filter(|member| member.role == view::Role::Entry);
-        let waiting = entries.filter(move |member| match self.entries.get(&member.instance) {
-            Some(entry) => entry.revision < revision && now < entry.lease_end,
-            // One that left has no lease of the term before.
-            None => member.phase != view::Phase::Left && now < self.inherited(),
+        let entries = fleet.members.boots();
+        let entries = entries.filter(|(member, _)| member.role == view::Role::Entry);
+        let waiting = entries.filter(move |(member, boot)| {
+            match self.entries.get(&member.instance) {
+                Some(entry) => !entry.has_confirmed(*boot, revision) && now < entry.lease_end,
+                // One that left has no lease of the term before.
+                None => member.phase != view::Phase::Left && now < self.inherited(),
+            }
         });
-        waiting.map(|member| &member.instance)
+        waiting.map(|(member, _)| &member.instance)
     }
 
     /// When the last lease of the term before ends at the latest.
@@ -245,10 +265,13 @@
     /// Drops what is known of endpoints and entries that the fleet has forgotten
     /// and that were not heard for long, so that names of the past take no room.
     pub fn prune(&mut self, now: duration::Instant, fleet: &fleet::Fleet) {
-        self.endpoints
-            .retain(|name, heard| now.since(heard.at) < OBLIVION || fleet.endpoints.contains(name));
+        self.endpoints.retain(|name, processes| {
+            let last = processes.last();
+            let fresh = last.is_some_and(|heard| now.since(heard.at) < OBLIVION);
+            fresh || fleet.endpoints.contains(name)
+        });
         self.entries
-            .retain(|_, entry| now.since(entry.heard) < OBLIVION);
+            .retain(|_, entry| entry.last().is_some_and(|last| now.since(last) < OBLIVION));
     }
 
     /// What became of endpoints and entries that were not heard.
@@ -278,12 +301,10 @@
         known: &view::Seen,
         standing: Standing,
     ) -> Option<endpoint::Step> {
-        let heard = self.endpoints.get(&known.endpoint);
-        let heard = heard.filter(|heard| heard.seen.boot == known.boot);
+        let processes = self.endpoints.get(&known.endpoint);
+        let heard = processes.and_then(|processes| processes.get(known.boot));
         let quiet = now.since(heard.map_or(self.since, |heard| heard.at));
-        let latest = heard.map_or(known.sequence, |heard| {
-            heard.seen.sequence.max(known.sequence)
-        });
+        let latest = heard.map_or(known.sequence, |heard| heard.sequence.max(known.sequence));
         let seen = view::Seen {
             sequence: latest,
             ..known.clone()
@@ -305,9 +326,9 @@
         let mut steps = Vec::new();
         for (member, boot) in fleet.members.boots() {
             let counts = member.role == view::Role::Entry && member.phase != view::Phase::Left;
-            let heard = self.entries.get(&member.instance);
-            let heard = heard.filter(|heard| heard.boot == boot);
-            let last = heard.map_or(self.since, |heard| heard.heard);
+            let entry = self.entries.get(&member.instance);
+            let confirmed = entry.and_then(|entry| entry.confirmed.get(boot));
+            let last = confirmed.map_or(self.since, |confirmed| confirmed.at);
             if counts && now.since(last) > ABSENCE {
                 let instance = member.instance.clone();
                 steps.push(member::Step::Gone { instance, boot });
@@ -319,16 +340,22 @@
     /// The term for people.
     #[must_use]
     pub fn dump(&self, now: duration::Instant) -> serde_json::Value {
-        let entries = self.entries.iter().map(|(instance, entry)| {
-            serde_json::json!({
-                "instance": instance, "boot": entry.boot, "revision": entry.revision,
-                "silent": now.since(entry.heard), "lease_left": entry.lease_end.since(now),
+        let entries = self.entries.iter().flat_map(|(instance, entry)| {
+            entry.confirmed.iter().map(move |(boot, confirmed)| {
+                serde_json::json!({
+                    "instance": instance, "boot": boot, "revision": confirmed.revision,
+                    "silent": now.since(confirmed.at), "lease_left": entry.lease_end.since(now),
+                })
+            })
+        });
+        let endpoints = self.endpoints.iter().flat_map(|(endpoint, processes)| {
+            processes.iter().map(move |(boot, heard)| {
+                serde_json::json!({
+                    "seen": { "endpoint": endpoint, "boot": boot, "sequence": heard.sequence },
+                    "silent": now.since(heard.at),
+                })
             })
         });
-        let endpoints = self
-            .endpoints
-            .values()
-            .map(|heard| serde_json::json!({ "seen": heard.seen, "silent": now.since(heard.at) }));
         serde_json::json!({
             "term": self.term,
             "since": self.since,
@@ -338,6 +365,19 @@
     }
 }
 
+impl Entry {
+    /// Whether the process with this boot said that it has the revision.
+    fn has_confirmed(&self, boot: number::Boot, revision: number::Revision) -> bool {
+        let confirmed = self.confirmed.get(boot);
+        confirmed.is_some_and(|confirmed| confirmed.revision >= revision)
+    }
+
+    /// When any of its processes was heard last.
+    fn last(&self) -> Option<duration::Instant> {
+        self.confirmed.last().map(|confirmed| confirmed.at)
+    }
+}
+
 const fn standing(health: view::Health, leaves: bool) -> Standing {
     match health {
         view::Health::Ready => Standing::Ready,
