Say with each order what the leader takes the runner's room to be

An order's line now has the models, adapters and memory that count as taken, the source of the last word on them and its age. A line tells when an announcement says other than the report or answer before it, or the reverse; one when an entry lacks an adapter; and one for each answer to the drop of an adapter. No decision changes.

--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -267,7 +267,13 @@
         };
         let since = leadership.since;
         match news {
-            News::Want(ticket, want, answer) => leadership.want(now, ticket, &want, answer),
+            News::Want(ticket, want, answer) => {
+                if want.expires {
+                    let (model, adapter) = (&want.model, &want.adapter);
+                    spdlog::info!("residency: {} lacks {model}/{adapter}", want.endpoint);
+                }
+                leadership.want(now, ticket, &want, answer);
+            }
             News::Reported(of, service, name, report) if of == since => {
                 leadership.with(&service, |book| book.reported(now, &name, &report));
             }
@@ -303,6 +309,9 @@
         let mut outputs = Vec::new();
         for (service, book) in &mut leadership.books {
             let due = book.tick(now);
+            for difference in book.take_differences() {
+                spdlog::info!("residency: {difference}");
+            }
             outputs.extend(due.into_iter().map(|output| (service.clone(), output)));
         }
         for (service, output) in outputs {
@@ -349,8 +358,11 @@
     }
 
     fn send(&self, leadership: &Leadership, service: id::Service, order: order::Order) {
+        let book = leadership.books.get(&service);
+        let room = book.and_then(|book| book.room(self.clock.now(), &order.endpoint));
+        let room = room.map_or_else(SmolStr::default, |room| format_smolstr!("{room}"));
         spdlog::info!(
-            "residency: orders {} from {} as its number {}",
+            "residency: orders {} from {} as its number {}: {room}",
             order.action,
             order.endpoint,
             order.expect
@@ -367,7 +379,9 @@
             let (name, number) = (order.endpoint.clone(), order.number);
             let told = match runners.order(&holder, fence, &order).await {
                 Ok(verdict) => {
-                    if verdict != order::Verdict::Accepted {
+                    // An adapter whose drop is not done with its answer keeps its place.
+                    let drops = matches!(order.action, order::Action::UnloadAdapter(..));
+                    if verdict != order::Verdict::Accepted || drops {
                         spdlog::info!("residency: {name} answers {verdict:?} to {}", order.action);
                     }
                     News::Answered(since, service, name, number, verdict)
--- a/crates/cranberrygap-placement/src/residency.rs
+++ b/crates/cranberrygap-placement/src/residency.rs
@@ -12,3 +12,4 @@
 pub mod order;
 pub mod plan;
 pub mod runner;
+pub mod trace;
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -12,6 +12,7 @@
 use super::engine;
 use super::order;
 use super::runner;
+use super::trace;
 
 /// Time after which an order without an answer is sent again. Longer than a call
 /// takes on a healthy link, far shorter than a load.
@@ -34,6 +35,9 @@
 /// Time without a report after which it is asked for again.
 const ASK_AGAIN: duration::Span = duration::Span::from_millis(1_500);
 
+/// Differences that are kept until somebody takes them.
+const MOST_DIFFERENCES: usize = 256;
+
 /// What the leader should do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -80,6 +84,8 @@
     prepared: Option<duration::Instant>,
     /// How often the moves were planned.
     plans: u64,
+    /// Words on runners' models that differ from those before, for people.
+    differences: Vec<trace::Difference>,
 }
 
 impl Book {
@@ -107,6 +113,7 @@
             planned: None,
             prepared: None,
             plans: 0,
+            differences: Vec::new(),
         }
     }
 
@@ -148,6 +155,24 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// What one runner's room is taken to be.
+    #[must_use]
+    pub fn room(&self, now: duration::Instant, name: &id::Endpoint) -> Option<trace::Room> {
+        let runner = self.runners.get(name)?;
+        Some(trace::Room::new(now, &self.engine, runner))
+    }
+
+    /// Words on runners' models that differ from those of another kind before, each once.
+    pub fn take_differences(&mut self) -> Vec<trace::Difference> {
+        std::mem::take(&mut self.differences)
+    }
+
+    fn differs(&mut self, found: Option<trace::Difference>) {
+        if self.differences.len() < MOST_DIFFERENCES {
+            self.differences.extend(found);
+        }
+    }
+
     /// What is due now.
     pub fn tick(&mut self, now: duration::Instant) -> Vec<Output> {
         let mut outputs = Vec::new();
--- a/crates/cranberrygap-placement/src/residency/book/news.rs
+++ b/crates/cranberrygap-placement/src/residency/book/news.rs
@@ -9,6 +9,7 @@
 use super::{Book, FIRST, REPORT_LAG, UNLOAD_TIME};
 use crate::residency::order;
 use crate::residency::runner;
+use crate::residency::trace;
 
 impl Book {
     /// Takes over the endpoints of the replicated state.
@@ -60,10 +61,16 @@
             runner.cached = details.cached.iter().cloned().collect();
             runner.stored = details.stored.iter().cloned().collect();
         }
-        runner.hold(models);
+        let word = trace::Word {
+            source: trace::Source::Announcement(announced.sequence),
+            at: now,
+        };
+        let difference = trace::Difference::find(name, runner, &models, word);
+        runner.hold(models, word);
         if runner.settle() {
             self.changed.insert(name.clone());
         }
+        self.differs(difference.filter(|_| same));
     }
 
     /// Takes a runner's report on itself.
@@ -77,6 +84,13 @@
             return;
         };
         runner.asked = None;
+        let models: BTreeSet<id::Model> = report.models.iter().cloned().collect();
+        let word = trace::Word {
+            source: trace::Source::Report(report.accepted),
+            at: now,
+        };
+        let difference = trace::Difference::find(name, runner, &models, word);
+        let difference = difference.filter(|_| !report.busy);
         let unknown = runner.accepted.is_none() && runner.sent.is_none();
         if unknown && report.busy && runner.carried.is_none() {
             // It carries out an order of which this leader knows nothing; what it
@@ -89,7 +103,7 @@
             if !report.busy {
                 // An order by this count is for what the report tells of. The announcement
                 // that told last may be older, and what came since takes room.
-                runner.hold(report.models.iter().cloned().collect());
+                runner.hold(models.clone(), word);
             }
             runner.keep_adapters(now, &report.adapters);
             self.changed.insert(name.clone());
@@ -101,7 +115,7 @@
         // The report is older than it looks; a runner that was idle then and should
         // be done by now has either done it or never will.
         if overdue && !report.busy {
-            runner.hold(report.models.iter().cloned().collect());
+            runner.hold(models, word);
             if !runner.settle() {
                 runner.carried = None;
                 runner.moving = None;
@@ -109,6 +123,7 @@
             }
             self.changed.insert(name.clone());
         }
+        self.differs(difference);
     }
 
     /// Takes a runner's answer to an order.
@@ -136,7 +151,7 @@
                 // an order that was accepted; what was there already does not.
                 let counts = matches!(order.action, order::Action::UnloadAdapter(..));
                 runner.accepted = Some(order.expect + u64::from(counts));
-                self.holds(now, name, &order.action);
+                self.holds(now, name, &order);
             }
             order::Verdict::Conflict => {
                 runner.adapters_after = now.after(REPORT_LAG);
@@ -182,23 +197,29 @@
         self.adapter_done(now, name, &action);
     }
 
-    fn holds(&mut self, now: duration::Instant, name: &id::Endpoint, action: &order::Action) {
+    fn holds(&mut self, now: duration::Instant, name: &id::Endpoint, order: &order::Order) {
         let Some(runner) = self.runners.get_mut(name) else {
             return;
         };
-        match action {
+        let word = trace::Word {
+            source: trace::Source::Answer(order.expect),
+            at: now,
+        };
+        match &order.action {
             order::Action::Load(model) => {
                 runner.models.insert(model.clone());
+                runner.word = word;
                 runner.moving = None;
                 self.changed.insert(name.clone());
             }
             order::Action::Unload(model) => {
                 runner.models.remove(model);
+                runner.word = word;
                 runner.unloaded();
                 self.changed.insert(name.clone());
             }
             order::Action::LoadAdapter(..) | order::Action::UnloadAdapter(..) => {
-                self.adapter_done(now, name, action);
+                self.adapter_done(now, name, &order.action);
             }
         }
     }
@@ -218,10 +239,11 @@
 
 impl runner::Runner {
     /// Takes over which models are there.
-    fn hold(&mut self, models: BTreeSet<id::Model>) {
+    fn hold(&mut self, models: BTreeSet<id::Model>, word: trace::Word) {
         self.adapters
             .retain(|(model, _), _| models.contains(model.as_str()));
         self.models = models;
+        self.word = word;
     }
 
     /// Ends an order whose result shows; true when something ended.
@@ -288,6 +310,10 @@
         ready: false,
         sequence: FIRST,
         models: BTreeSet::new(),
+        word: trace::Word {
+            source: trace::Source::Announcement(FIRST),
+            at: now,
+        },
         cached: BTreeSet::new(),
         stored: BTreeSet::new(),
         adapters,
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -7,6 +7,7 @@
 
 use super::engine;
 use super::order;
+use super::trace;
 
 /// A model and one of its adapters.
 pub type Adapter = (id::Model, SmolStr);
@@ -70,6 +71,8 @@
     pub sequence: number::Sequence,
     /// Models that it holds by its latest announcement.
     pub models: BTreeSet<id::Model>,
+    /// Who told of them last.
+    pub word: trace::Word,
     /// Models of which its host memory holds a copy.
     pub cached: BTreeSet<id::Model>,
     /// Models of which its disk holds a copy.
