Reproduce orders over a runner's room, as known to be red

Nine tests drive the book of runners alone: an older announcement that frees what a report took (three), an adapter whose drop is not done, one that is said to be missing, counts taken over without what belongs to them (two), and sizes of a plan that changed (two). All nine fail.

No runner may be ordered over its memory or adapter places, and after 40 s of trouble and 30 s of calm all that is asked for is served.

What the run leaves out: a new leader knows the sizes of the newest plan only, so what is held shrinks to these when leaders change.

--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -5,6 +5,7 @@
 pub mod limits;
 pub mod placement;
 pub mod quarantine;
+pub mod residency;
 pub mod view;
 
 use std::fmt;
@@ -60,5 +61,6 @@
         Box::new(view::Minority),
         Box::new(view::Quiet::default()),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
+        Box::new(residency::Residency::default()),
     ]
 }
--- /dev/null
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -0,0 +1,298 @@
+//! No order for more than a runner has room for, whatever its news come in what order.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::{duration, id, size};
+use cranberrygap_placement::residency::{book, engine, order, runner};
+use cranberrygap_wire::{endpoint, view};
+
+const GIB: u64 = 1 << 30;
+
+fn name(text: &str) -> id::Endpoint {
+    text.parse().expect("a name")
+}
+
+fn model(text: &str) -> id::Model {
+    text.parse().expect("a name")
+}
+
+fn adapter(text: &str) -> runner::Adapter {
+    let (model_name, adapter) = text.split_once('/').expect("model/adapter");
+    (model(model_name), adapter.into())
+}
+
+fn at(millis: u64) -> duration::Instant {
+    duration::Instant(millis * 1_000)
+}
+
+fn weights() -> engine::Weights {
+    engine::Weights {
+        size: size::Bytes(10 * GIB),
+        adapter_size: size::Bytes(1 << 20),
+        load: duration::Span::from_secs(4),
+        warm: duration::Span::from_millis(600),
+        disk: duration::Span::from_millis(800),
+    }
+}
+
+/// Runners with room for two models of 10 GiB and two adapters.
+fn room(models: &[&str]) -> engine::Engine {
+    engine::Engine {
+        memory: size::Bytes(21 * GIB),
+        adapter_slots: 2,
+        store_rate: 3.0,
+        models: models.iter().map(|text| (model(text), weights())).collect(),
+    }
+}
+
+/// What `r1` announces: models, and adapters as `model/adapter`.
+fn announced(sequence: u64, held: &[&str]) -> endpoint::Announcement {
+    let resident: Vec<serde_json::Value> = held
+        .iter()
+        .map(|model| serde_json::json!({ "model": model, "size": "0B" }))
+        .collect();
+    let text = serde_json::json!({
+        "endpoint": "r1", "boot": 1, "sequence": sequence,
+        "address": "10.0.0.9:80", "domain": "a", "kind": "runner", "phase": "ready",
+        "memory": "0B", "checks_fence": false, "resident": resident, "service": "lm",
+        "details": { "started": 1, "slots": 64, "cached": [], "stored": [] },
+    });
+    serde_json::from_value(text).expect("an announcement")
+}
+
+fn follow(book: &mut book::Book, now: u64, found: &endpoint::Announcement) {
+    let all = std::iter::once((found, view::Health::Ready));
+    book.follow(at(now), all, |_| None);
+}
+
+/// What `r1` reports while it is idle.
+fn report(accepted: u64, models: &[&str], adapters: &[&str]) -> order::Report {
+    order::Report {
+        accepted,
+        busy: false,
+        models: models.iter().map(|text| model(text)).collect(),
+        adapters: adapters.iter().map(|text| adapter(text)).collect(),
+    }
+}
+
+/// The book of a leader that may order after 100 ms.
+fn opened(models: &[&str]) -> book::Book {
+    let service = "lm".parse().expect("a name");
+    let wait = duration::Span::from_millis(100);
+    book::Book::new(service, room(models), at(0), wait)
+}
+
+/// A book that has `r1`'s announcement, and its report at 20 ms.
+fn reported(models: &[&str], found: &[&str], report: &order::Report) -> book::Book {
+    let mut book = opened(models);
+    follow(&mut book, 0, &announced(1, found));
+    book.tick(at(10));
+    book.reported(at(20), &name("r1"), report);
+    book
+}
+
+fn want(book: &mut book::Book, now: u64, ticket: u64, text: &str) {
+    book.want(at(now), ticket, &adapter(text), &name("r1"), false);
+}
+
+fn demand(rates: &[(&str, f64)]) -> BTreeMap<id::Model, f64> {
+    let rates = rates.iter();
+    rates.map(|(text, load)| (model(text), *load)).collect()
+}
+
+/// Orders that are due at a time.
+fn orders(book: &mut book::Book, now: u64) -> Vec<order::Order> {
+    let outputs = book.tick(at(now)).into_iter();
+    let orders = outputs.filter_map(|output| match output {
+        book::Output::Send(order) => Some(order),
+        _ => None,
+    });
+    orders.collect()
+}
+
+fn is_load(order: &order::Order) -> bool {
+    matches!(
+        order.action,
+        order::Action::Load(_) | order::Action::LoadAdapter(..)
+    )
+}
+
+/// Orders of the ten seconds after a time, as text.
+fn actions_after(book: &mut book::Book, now: u64) -> Vec<String> {
+    let looks = (0..100).map(|look| now + look * 100);
+    let due = looks.flat_map(|now| orders(book, now));
+    due.map(|order| order.action.to_string()).collect()
+}
+
+/// Orders one thing at a time and lets the runner answer it.
+fn order_and_answer(book: &mut book::Book, now: u64, verdict: order::Verdict) -> String {
+    let sent = orders(book, now);
+    let [sent] = sent.as_slice() else {
+        panic!("one order, not {sent:?}");
+    };
+    book.answered(at(now + 4), &name("r1"), sent.number, verdict);
+    sent.action.to_string()
+}
+
+// A load has ended and a new leader's question was answered with it. The announcement that
+// the runner made just before is late; taken for the latest word, it frees a place that is
+// taken.
+#[test]
+fn older_announcement_frees_no_room_that_a_report_took() {
+    let mut book = reported(&["a", "b", "c"], &["a"], &report(3, &["a", "b"], &[]));
+    book.set_demand(at(30), demand(&[("c", 0.9)]));
+
+    // Its adapter makes it news though its models are not.
+    follow(&mut book, 500, &announced(2, &["a", "a/a1"]));
+    let ordered = actions_after(&mut book, 600);
+
+    assert_eq!(ordered, Vec::<String>::new());
+}
+
+// The announcement of a load's end does not come, so the runner is asked; what comes then
+// is an announcement of the time before.
+#[test]
+fn older_announcement_frees_no_room_that_an_overdue_load_took() {
+    let mut book = reported(&["a", "b", "c"], &["a"], &report(0, &["a"], &[]));
+    book.set_demand(at(30), demand(&[("b", 0.9)]));
+    let loaded = order_and_answer(&mut book, 1_000, order::Verdict::Accepted);
+    book.reported(at(6_000), &name("r1"), &report(1, &["a", "b"], &[]));
+    book.set_demand(at(6_010), demand(&[("c", 0.9)]));
+
+    follow(&mut book, 6_100, &announced(2, &["a", "a/a1"]));
+    let ordered = actions_after(&mut book, 6_200);
+
+    assert_eq!(loaded, "load b");
+    assert_eq!(ordered, Vec::<String>::new());
+}
+
+// An announcement from before a model came lists none of its adapters. They fill all places.
+#[test]
+fn older_announcement_frees_no_adapter_places() {
+    let held = report(5, &["a", "b"], &["b/b1", "b/b2"]);
+    let mut book = reported(&["a", "b"], &["a"], &held);
+    let mut older = announced(2, &["a", "a/a0"]);
+    // On the disk, where it is near enough to need no load.
+    if let Some(details) = &mut older.details {
+        details.stored = vec![model("b")];
+    }
+
+    follow(&mut book, 500, &older);
+    want(&mut book, 600, 1, "a/a1");
+    let ordered = orders(&mut book, 600);
+
+    assert!(!ordered.iter().any(is_load), "{ordered:?}");
+}
+
+// A request still uses the adapter, so the runner answers that it will drop it. Until the
+// request ends all places are taken.
+#[test]
+fn adapter_that_is_being_dropped_keeps_its_place() {
+    let held = report(0, &["m"], &["m/a1", "m/a2"]);
+    let mut book = reported(&["m"], &["m", "m/a1", "m/a2"], &held);
+    want(&mut book, 5_000, 1, "m/a3");
+    let dropped = order_and_answer(&mut book, 5_000, order::Verdict::Accepted);
+
+    let ordered = orders(&mut book, 5_010);
+
+    assert!(dropped.starts_with("unload m/"), "{dropped}");
+    assert!(!ordered.iter().any(is_load), "{ordered:?}");
+}
+
+// An entry was told that an adapter is missing before its load was taken. The answer to
+// another order comes after its word; the adapter is there all the same.
+#[test]
+fn adapter_said_to_be_missing_keeps_its_place_until_a_report() {
+    let mut book = reported(&["m"], &["m"], &report(0, &["m"], &[]));
+    want(&mut book, 1_000, 1, "m/a1");
+    let first = order_and_answer(&mut book, 1_000, order::Verdict::Accepted);
+    want(&mut book, 1_010, 2, "m/a2");
+    let second = orders(&mut book, 1_010);
+    book.want(at(1_012), 3, &adapter("m/a1"), &name("r1"), true);
+    let accepted = order::Verdict::Accepted;
+    book.answered(at(1_014), &name("r1"), second[0].number, accepted);
+
+    want(&mut book, 1_020, 4, "m/a3");
+    let ordered = orders(&mut book, 1_020);
+
+    assert_eq!(first, "load m/a1");
+    assert_eq!(second[0].action.to_string(), "load m/a2");
+    assert!(!ordered.iter().any(is_load), "{ordered:?}");
+}
+
+// An order of the leader before brought adapters while a load was overdue here. The report
+// that settles the load tells of them beside the count.
+#[test]
+fn report_on_an_overdue_order_tells_of_adapters_too() {
+    let mut book = reported(&["a", "b"], &["a"], &report(0, &["a"], &[]));
+    book.set_demand(at(30), demand(&[("b", 0.9)]));
+    let loaded = order_and_answer(&mut book, 1_000, order::Verdict::Accepted);
+    let later = report(3, &["a", "b"], &["a/a1", "a/a2"]);
+    book.reported(at(6_000), &name("r1"), &later);
+
+    want(&mut book, 6_100, 1, "a/a3");
+    let ordered = orders(&mut book, 6_100);
+
+    assert_eq!(loaded, "load b");
+    assert!(!ordered.iter().any(is_load), "{ordered:?}");
+}
+
+// A runner ended the load that it was ordered, and now carries out one of the leader before.
+// The count of its report includes that order; its models do not yet.
+#[test]
+fn report_of_a_busy_runner_sets_no_count() {
+    let mut book = reported(&["a", "b", "c", "x"], &[], &report(0, &[], &[]));
+    book.set_demand(at(30), demand(&[("b", 0.9)]));
+    let loaded = order_and_answer(&mut book, 1_000, order::Verdict::Accepted);
+    // The count is to be asked for; the runner has ended the load and begun another.
+    book.want(at(4_500), 1, &adapter("b/b1"), &name("r1"), true);
+    let busy = order::Report {
+        busy: true,
+        ..report(2, &["b"], &[])
+    };
+    book.reported(at(4_600), &name("r1"), &busy);
+    follow(&mut book, 4_700, &announced(2, &["b"]));
+    book.set_demand(at(4_710), demand(&[("b", 0.1), ("c", 0.9)]));
+
+    // By now the other load has ended, and its announcement is late: c would be the third.
+    let ordered = actions_after(&mut book, 8_500);
+
+    assert_eq!(loaded, "load b");
+    assert_eq!(ordered, Vec::<String>::new());
+}
+
+// A plan no longer lists a model that is still there. Its adapters take what they took.
+#[test]
+fn adapters_of_a_model_that_left_the_plan_take_memory() {
+    let held = report(2, &["a", "old"], &["old/o1"]);
+    let mut book = reported(&["a", "old", "c"], &["a", "old", "old/o1"], &held);
+    let mut tight = room(&["a", "c"]);
+    tight.adapter_slots = 4;
+    tight.memory = size::Bytes(20 * GIB + (1 << 20));
+
+    book.set_engine(at(500), tight);
+    want(&mut book, 600, 1, "a/a1");
+    let ordered = orders(&mut book, 600);
+
+    assert!(!ordered.iter().any(is_load), "{ordered:?}");
+}
+
+// A plan lists a model with a smaller size. The one that is there was loaded with the larger.
+#[test]
+fn model_takes_what_it_was_loaded_with() {
+    let held = report(1, &["a"], &[]);
+    let mut book = reported(&["a", "b"], &["a"], &held);
+    let smaller = engine::Weights {
+        size: size::Bytes(4 * GIB),
+        ..weights()
+    };
+    let mut plan = room(&["a", "b"]);
+    plan.memory = size::Bytes(15 * GIB);
+    plan.models.insert(model("a"), smaller);
+
+    book.set_engine(at(500), plan);
+    book.set_demand(at(510), demand(&[("b", 0.9)]));
+    let ordered = actions_after(&mut book, 600);
+
+    assert!(!ordered.contains(&"load b".to_owned()), "{ordered:?}");
+}
