Count a runner's room by the orders that it has accepted

Cause: the latest message to arrive was taken for the latest to have been made. Heartbeat numbers order announcements, the count of orders orders reports, nothing orders one against the other; an announcement from before a load ended replaced the models that a report had told of, adapters of the newer model with them. A report on an overdue order, or of a busy runner, set the count without what belongs to it.

Now residency::room alone adds and frees room: what the last report by count told of, with all that was accepted since. Within a process an announcement is a hint that the order under way is done; any other difference asks for a report, and nothing is ordered until it comes. A report from before an accepted order is not taken. An answer that something holds already leaves the count open unless it is the drop of an adapter that was sent once. A load may be seen done before its answer is here: the announcement that counts is one after the order was first sent.

All tests of residency.rs pass unchanged.

--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -404,7 +404,7 @@
         let Some(runner) = runner else {
             return;
         };
-        let adapters = runner.adapters.keys();
+        let adapters = runner.room.adapters().keys();
         let adapters = adapters.filter_map(|(model, adapter)| {
             let name = format_smolstr!("{model}/{adapter}");
             name.parse().ok()
--- a/crates/cranberrygap-placement/src/residency.rs
+++ b/crates/cranberrygap-placement/src/residency.rs
@@ -11,5 +11,6 @@
 pub mod engine;
 pub mod order;
 pub mod plan;
+pub mod room;
 pub mod runner;
 pub mod trace;
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -84,7 +84,7 @@
     prepared: Option<duration::Instant>,
     /// How often the moves were planned.
     plans: u64,
-    /// Words on runners' models that differ from those before, for people.
+    /// Words on runners' models that differ from what was known, for people.
     differences: Vec<trace::Difference>,
 }
 
@@ -162,7 +162,7 @@
         Some(trace::Room::new(now, &self.engine, runner))
     }
 
-    /// Words on runners' models that differ from those of another kind before, each once.
+    /// Words on runners' models that differ from what was known, each once.
     pub fn take_differences(&mut self) -> Vec<trace::Difference> {
         std::mem::take(&mut self.differences)
     }
@@ -193,7 +193,7 @@
                 .carried
                 .as_ref()
                 .is_some_and(|carried| now >= carried.due.after(OVERDUE));
-            let unknown = runner.accepted.is_none() && runner.sent.is_none();
+            let unknown = runner.room.count().is_none() && runner.sent.is_none();
             let waits = runner
                 .asked
                 .is_some_and(|asked| now < asked.after(ASK_AGAIN));
@@ -227,8 +227,8 @@
     pub fn dump(&self) -> serde_json::Value {
         let runners = self.runners.iter().map(|(name, runner)| {
             serde_json::json!({
-                "endpoint": name, "ready": runner.ready, "models": runner.models,
-                "adapters": runner.adapters.len(), "accepted": runner.accepted,
+                "endpoint": name, "ready": runner.ready, "models": runner.room.models(),
+                "adapters": runner.room.adapters().len(), "accepted": runner.room.count(),
                 "moving": runner.moving.as_ref().map(|found| format!("{found:?}")),
                 "sent": runner.sent.as_ref().map(|sent| sent.order.action.to_string()),
             })
--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -35,8 +35,8 @@
         missing: bool,
     ) {
         if missing && let Some(runner) = self.runners.get_mut(preferred) {
-            runner.adapters.remove(adapter);
-            runner.accepted = None;
+            runner.room.dropped(adapter);
+            runner.room.forget_count();
             self.changed.insert(preferred.clone());
         }
         let endpoint = self.choose(now, adapter, preferred);
@@ -52,15 +52,13 @@
         let may_order = now >= self.opens;
         match endpoint.and_then(|name| self.runners.get_mut(&name)) {
             None => waiter.deadline = now,
-            Some(runner) => match runner.adapters.get_mut(adapter) {
-                Some(used) => {
-                    *used = now;
-                    waiter.ready = Some(now);
-                }
-                None if !may_order => waiter.deadline = now,
-                None if runner.wanted.contains(adapter) => {}
-                None => runner.wanted.push_back(adapter.clone()),
-            },
+            Some(runner) if runner.room.adapters().contains_key(adapter) => {
+                runner.room.used(now, adapter);
+                waiter.ready = Some(now);
+            }
+            Some(_) if !may_order => waiter.deadline = now,
+            Some(runner) if runner.wanted.contains(adapter) => {}
+            Some(runner) => runner.wanted.push_back(adapter.clone()),
         }
         self.waiters.push(waiter);
     }
@@ -77,12 +75,13 @@
             .iter()
             .filter(|(_, runner)| runner.serves(&adapter.0));
         let best = serving.min_by_key(|(name, runner)| {
-            let there = runner.adapters.contains_key(adapter) || runner.wanted.contains(adapter);
+            let there =
+                runner.room.adapters().contains_key(adapter) || runner.wanted.contains(adapter);
             let blocked = now < self.opens
                 || runner.carried.is_some()
                 || now < runner.adapters_after
                 || !runner.has_adapter_place(now, self.engine.adapter_slots);
-            let full = runner.adapters.len() >= self.engine.adapter_slots;
+            let full = runner.room.adapters().len() >= self.engine.adapter_slots;
             // The wish of the entry goes first unless the runner cannot take it now.
             let wished = *name == preferred;
             (
@@ -90,7 +89,7 @@
                 !(wished || there),
                 !wished,
                 full,
-                runner.adapters.len(),
+                runner.room.adapters().len(),
             )
         });
         best.map(|(name, _)| name.clone())
@@ -99,9 +98,7 @@
     /// Adapters that requests used of late.
     pub fn used(&mut self, now: duration::Instant, adapter: &runner::Adapter) {
         for runner in self.runners.values_mut() {
-            if let Some(used) = runner.adapters.get_mut(adapter) {
-                *used = now;
-            }
+            runner.room.used(now, adapter);
         }
     }
 
@@ -118,18 +115,18 @@
         }
         loop {
             let wanted = runner.wanted.front()?.clone();
-            if runner.adapters.contains_key(&wanted) || !runner.serves(&wanted.0) {
+            if runner.room.adapters().contains_key(&wanted) || !runner.serves(&wanted.0) {
                 runner.wanted.pop_front();
                 continue;
             }
-            let adapters = runner.adapters.keys().map(|(model, _)| model);
+            let adapters = runner.room.adapters().keys().map(|(model, _)| model);
             let with_it = adapters.chain(std::iter::once(&wanted.0));
             let coming = runner
                 .coming()
-                .filter(|model| !runner.models.contains(*model));
-            let models = runner.models.iter().chain(coming);
+                .filter(|model| !runner.room.models().contains(*model));
+            let models = runner.room.models().iter().chain(coming);
             let fits = self.engine.taken(models, with_it) <= self.engine.memory.0;
-            if runner.adapters.len() < slots && fits {
+            if runner.room.adapters().len() < slots && fits {
                 return Some(order::Action::LoadAdapter(wanted.0, wanted.1));
             }
             return runner.idle_adapter(now);
@@ -149,7 +146,7 @@
             order::Action::LoadAdapter(model, adapter) => {
                 let key = (model.clone(), adapter.clone());
                 runner.wanted.retain(|wanted| *wanted != key);
-                runner.adapters.insert(key.clone(), now);
+                runner.room.fetch(now, key.clone());
                 let waiting = self.waiters.iter_mut();
                 let same = |waiter: &&mut Waiter| waiter.endpoint == *name && waiter.adapter == key;
                 for waiter in waiting.filter(same) {
@@ -157,7 +154,7 @@
                 }
             }
             order::Action::UnloadAdapter(model, adapter) => {
-                runner.adapters.remove(&(model.clone(), adapter.clone()));
+                runner.room.dropped(&(model.clone(), adapter.clone()));
             }
             order::Action::Load(_) | order::Action::Unload(_) => {}
         }
@@ -212,7 +209,7 @@
     /// Whether its runner holds the adapter.
     fn is_there(&self, runners: &BTreeMap<id::Endpoint, runner::Runner>) -> bool {
         let runner = runners.get(&self.endpoint);
-        runner.is_some_and(|runner| runner.adapters.contains_key(&self.adapter))
+        runner.is_some_and(|runner| runner.room.adapters().contains_key(&self.adapter))
     }
 }
 
@@ -220,18 +217,20 @@
     /// Whether one more adapter finds a place, or one that can be dropped for it.
     fn has_adapter_place(&self, now: duration::Instant, slots: usize) -> bool {
         let idle = self
-            .adapters
+            .room
+            .adapters()
             .values()
             .filter(|used| now.since(**used) >= IN_USE)
             .count();
-        let taken = self.adapters.len() - idle;
+        let taken = self.room.adapters().len() - idle;
         taken + self.wanted.len() < slots
     }
 
     /// The order that drops the adapter that was used least of late.
     fn idle_adapter(&self, now: duration::Instant) -> Option<order::Action> {
         let idle = self
-            .adapters
+            .room
+            .adapters()
             .iter()
             .filter(|(_, used)| now.since(**used) >= IN_USE);
         let ((model, adapter), _) = idle.min_by_key(|(_, used)| **used)?;
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -109,7 +109,7 @@
             let Some(runner) = self.runners.get_mut(&name) else {
                 continue;
             };
-            let Some(expect) = runner.accepted else {
+            let Some(expect) = runner.room.count() else {
                 continue;
             };
             let order = order::Order {
@@ -123,6 +123,8 @@
             runner.sent = Some(runner::Sent {
                 order: order.clone(),
                 at: now,
+                after: runner.sequence,
+                repeated: false,
             });
             outputs.push(Output::Send(order));
         }
@@ -137,6 +139,7 @@
             return None;
         }
         sent.at = now;
+        sent.repeated = true;
         Some(sent.order.clone())
     }
 
@@ -146,7 +149,7 @@
         name: &id::Endpoint,
     ) -> Option<order::Action> {
         let runner = self.runners.get_mut(name)?;
-        if runner.sent.is_some() || runner.accepted.is_none() || !runner.ready {
+        if runner.sent.is_some() || runner.room.count().is_none() || !runner.ready {
             return None;
         }
         // A runner carries out one order at a time. It turns down any other until a
@@ -185,9 +188,10 @@
     fn checked_load(&mut self, name: &id::Endpoint, model: id::Model) -> Option<order::Action> {
         let size = self.engine.models.get(&model)?.size.0;
         let runner = self.runners.get_mut(name)?;
-        let adapters = runner.adapters.keys().map(|(model, _)| model);
-        let taken = self.engine.taken(runner.models.iter(), adapters);
-        if runner.models.contains(&model) || taken + size > self.engine.memory.0 {
+        let models = runner.room.models();
+        let adapters = runner.room.adapters().keys().map(|(model, _)| model);
+        let taken = self.engine.taken(models.iter(), adapters);
+        if models.contains(&model) || taken + size > self.engine.memory.0 {
             runner.moving = None;
             self.changed.insert(name.clone());
             return None;
--- a/crates/cranberrygap-placement/src/residency/book/news.rs
+++ b/crates/cranberrygap-placement/src/residency/book/news.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::{duration, id, number};
 use cranberrygap_wire::{endpoint, view};
 use smol_str::SmolStr;
 
 use super::{Book, FIRST, REPORT_LAG, UNLOAD_TIME};
 use crate::residency::order;
+use crate::residency::room;
 use crate::residency::runner;
 use crate::residency::trace;
 
@@ -56,7 +57,7 @@
         }
         runner.sequence = announced.sequence;
         runner.address = announced.address;
-        let models = models(announced);
+        runner.announced = models(announced);
         if let Some(details) = &announced.details {
             runner.cached = details.cached.iter().cloned().collect();
             runner.stored = details.stored.iter().cloned().collect();
@@ -65,12 +66,19 @@
             source: trace::Source::Announcement(announced.sequence),
             at: now,
         };
-        let difference = trace::Difference::find(name, runner, &models, word);
-        runner.hold(models, word);
-        if runner.settle() {
+        if !runner.room.is_reported() {
+            runner.room.announce(runner.announced.clone(), word);
+            return;
+        }
+        if runner.settle(word) {
             self.changed.insert(name.clone());
         }
-        self.differs(difference.filter(|_| same));
+        // It may be older than what is known, or tell of what nobody here has ordered.
+        let difference = trace::Difference::find(name, runner, &runner.announced, word);
+        if difference.is_some() {
+            runner.room.forget_count();
+        }
+        self.differs(difference);
     }
 
     /// Takes a runner's report on itself.
@@ -84,45 +92,27 @@
             return;
         };
         runner.asked = None;
+        // The answer to the order that is on its way tells more.
+        if runner.sent.is_some() {
+            return;
+        }
+        if runner.room.is_old(report) || runner.is_too_early(now, report) {
+            runner.asked = Some(now);
+            return;
+        }
+        if report.busy {
+            runner.busy(now, report);
+            return;
+        }
         let models: BTreeSet<id::Model> = report.models.iter().cloned().collect();
         let word = trace::Word {
             source: trace::Source::Report(report.accepted),
             at: now,
         };
         let difference = trace::Difference::find(name, runner, &models, word);
-        let difference = difference.filter(|_| !report.busy);
-        let unknown = runner.accepted.is_none() && runner.sent.is_none();
-        if unknown && report.busy && runner.carried.is_none() {
-            // It carries out an order of which this leader knows nothing; what it
-            // holds at its end is told by its next report.
-            runner.asked = Some(now);
-            return;
-        }
-        if unknown {
-            runner.accepted = Some(report.accepted);
-            if !report.busy {
-                // An order by this count is for what the report tells of. The announcement
-                // that told last may be older, and what came since takes room.
-                runner.hold(models.clone(), word);
-            }
-            runner.keep_adapters(now, &report.adapters);
-            self.changed.insert(name.clone());
-        }
-        let overdue = runner
-            .carried
-            .as_ref()
-            .is_some_and(|carried| now >= carried.due);
-        // The report is older than it looks; a runner that was idle then and should
-        // be done by now has either done it or never will.
-        if overdue && !report.busy {
-            runner.hold(models, word);
-            if !runner.settle() {
-                runner.carried = None;
-                runner.moving = None;
-                runner.accepted = Some(report.accepted);
-            }
-            self.changed.insert(name.clone());
-        }
+        runner.room.adopt(now, report);
+        runner.end(&models, word);
+        self.changed.insert(name.clone());
         self.differs(difference);
     }
 
@@ -143,19 +133,24 @@
         let order = sent.order;
         match verdict {
             order::Verdict::Accepted => {
-                runner.accepted = Some(order.expect + 1);
-                self.accepted(now, name, order.action);
+                runner.room.accept(order.expect);
+                self.accepted(now, name, order, sent.after);
             }
             order::Verdict::Holds => {
-                // A dropped adapter that nobody used is gone at once, and counts as
-                // an order that was accepted; what was there already does not.
+                // A dropped adapter that nobody used is gone at once, and counts as an
+                // order that was accepted. Whatever else holds already, or may have been
+                // done by an earlier copy, leaves the count open.
                 let counts = matches!(order.action, order::Action::UnloadAdapter(..));
-                runner.accepted = Some(order.expect + u64::from(counts));
+                if counts && !sent.repeated {
+                    runner.room.suppose(order.expect + 1);
+                } else {
+                    runner.room.forget_count();
+                }
                 self.holds(now, name, &order);
             }
             order::Verdict::Conflict => {
                 runner.adapters_after = now.after(REPORT_LAG);
-                runner.accepted = None;
+                runner.room.forget_count();
                 runner.asked = Some(now);
                 if order.action.is_model() {
                     runner.moving = None;
@@ -163,7 +158,7 @@
                 self.changed.insert(name.clone());
             }
             order::Verdict::Refused => {
-                runner.accepted = None;
+                runner.room.forget_count();
                 runner.asked = Some(now);
                 if order.action.is_model() {
                     runner.moving = None;
@@ -174,9 +169,15 @@
         }
     }
 
-    fn accepted(&mut self, now: duration::Instant, name: &id::Endpoint, action: order::Action) {
+    fn accepted(
+        &mut self,
+        now: duration::Instant,
+        name: &id::Endpoint,
+        order: order::Order,
+        after: number::Sequence,
+    ) {
         let weights = |model: &id::Model| self.engine.models.get(model).copied();
-        let time = match &action {
+        let time = match &order.action {
             order::Action::Load(model) => weights(model).map(|weights| {
                 let runner = self.runners.get(name);
                 runner.map_or(weights.load, |runner| runner.load_time(model, &weights).0)
@@ -186,15 +187,23 @@
         let Some(runner) = self.runners.get_mut(name) else {
             return;
         };
-        if action.is_model() {
-            runner.carried = Some(runner::Carried {
-                action,
-                due: now.after(time.unwrap_or(UNLOAD_TIME)),
-                after: runner.sequence,
-            });
+        if !order.action.is_model() {
+            self.adapter_done(now, name, &order.action);
             return;
         }
-        self.adapter_done(now, name, &action);
+        runner.carried = Some(runner::Carried {
+            action: order.action,
+            due: now.after(time.unwrap_or(UNLOAD_TIME)),
+            after,
+        });
+        // It may be done before its answer is here.
+        let word = trace::Word {
+            source: trace::Source::Answer(order.expect),
+            at: now,
+        };
+        if runner.settle(word) {
+            self.changed.insert(name.clone());
+        }
     }
 
     fn holds(&mut self, now: duration::Instant, name: &id::Endpoint, order: &order::Order) {
@@ -207,14 +216,12 @@
         };
         match &order.action {
             order::Action::Load(model) => {
-                runner.models.insert(model.clone());
-                runner.word = word;
+                runner.room.loaded(model, word);
                 runner.moving = None;
                 self.changed.insert(name.clone());
             }
             order::Action::Unload(model) => {
-                runner.models.remove(model);
-                runner.word = word;
+                runner.room.unloaded(model, word);
                 runner.unloaded();
                 self.changed.insert(name.clone());
             }
@@ -238,35 +245,63 @@
 }
 
 impl runner::Runner {
-    /// Takes over which models are there.
-    fn hold(&mut self, models: BTreeSet<id::Model>, word: trace::Word) {
-        self.adapters
-            .retain(|(model, _), _| models.contains(model.as_str()));
-        self.models = models;
-        self.word = word;
-    }
-
-    /// Ends an order whose result shows; true when something ended.
-    fn settle(&mut self) -> bool {
+    /// Ends an order whose result the latest announcement shows; true when something ended.
+    fn settle(&mut self, word: trace::Word) -> bool {
         let Some(carried) = &self.carried else {
             return false;
         };
-        let fresh = self.sequence > carried.after;
+        if self.sequence <= carried.after || !carried.shows(&self.announced) {
+            return false;
+        }
+        let models = self.announced.clone();
+        self.end(&models, word);
+        true
+    }
+
+    /// Ends the order that is carried out; `models` tell whether it has done what it should.
+    fn end(&mut self, models: &BTreeSet<id::Model>, word: trace::Word) {
+        let Some(carried) = self.carried.take() else {
+            return;
+        };
+        if !carried.shows(models) {
+            self.moving = None;
+            return;
+        }
         match &carried.action {
-            order::Action::Load(model) if fresh && self.models.contains(model) => {
-                self.carried = None;
+            order::Action::Load(model) => {
+                self.room.loaded(model, word);
                 self.moving = None;
-                true
             }
-            order::Action::Unload(model) if fresh && !self.models.contains(model) => {
-                self.carried = None;
+            order::Action::Unload(model) => {
+                self.room.unloaded(model, word);
                 self.unloaded();
-                true
             }
-            _ => false,
+            order::Action::LoadAdapter(..) | order::Action::UnloadAdapter(..) => {}
         }
     }
 
+    /// Whether a report of an idle runner comes before the order that it carries out can
+    /// have failed, and does not show it done.
+    fn is_too_early(&self, now: duration::Instant, report: &order::Report) -> bool {
+        let Some(carried) = &self.carried else {
+            return false;
+        };
+        let models: BTreeSet<id::Model> = report.models.iter().cloned().collect();
+        !report.busy && now < carried.due && !carried.shows(&models)
+    }
+
+    /// Takes the report of a runner that carries out a model order.
+    fn busy(&mut self, now: duration::Instant, report: &order::Report) {
+        if self.carried.is_some() && !self.room.is_later(report) {
+            self.room.suppose(report.accepted);
+            return;
+        }
+        // An order of which this leader knows nothing; what the runner holds at its end is
+        // told by its next report.
+        self.room.forget_count();
+        self.asked = Some(now);
+    }
+
     /// The victim of a move is gone; what takes its place comes next.
     fn unloaded(&mut self) {
         self.moving = match self.moving.take() {
@@ -276,13 +311,16 @@
             _ => None,
         };
     }
+}
 
-    fn keep_adapters(&mut self, now: duration::Instant, held: &[runner::Adapter]) {
-        let held = held.iter().cloned().map(|adapter| {
-            let used = self.adapters.get(&adapter).copied().unwrap_or(now);
-            (adapter, used)
-        });
-        self.adapters = held.collect();
+impl runner::Carried {
+    /// Whether models are there as they are when it is done.
+    fn shows(&self, models: &BTreeSet<id::Model>) -> bool {
+        match &self.action {
+            order::Action::Load(model) => models.contains(model),
+            order::Action::Unload(model) => !models.contains(model),
+            order::Action::LoadAdapter(..) | order::Action::UnloadAdapter(..) => true,
+        }
     }
 }
 
@@ -300,6 +338,10 @@
         .filter_map(adapter)
         .map(|adapter| (adapter, now))
         .collect();
+    let word = trace::Word {
+        source: trace::Source::Announcement(FIRST),
+        at: now,
+    };
     runner::Runner {
         boot: announced.boot,
         address: announced.address,
@@ -309,15 +351,10 @@
             .expect("only runners of a service are followed"),
         ready: false,
         sequence: FIRST,
-        models: BTreeSet::new(),
-        word: trace::Word {
-            source: trace::Source::Announcement(FIRST),
-            at: now,
-        },
+        announced: BTreeSet::new(),
+        room: room::Room::announced(BTreeSet::new(), adapters, word),
         cached: BTreeSet::new(),
         stored: BTreeSet::new(),
-        adapters,
-        accepted: None,
         asked: None,
         sent: None,
         carried: None,
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -96,7 +96,12 @@
             for model in runner.settled() {
                 copies.entry(model).or_default().push(name);
             }
-            for model in runner.models.iter().filter(|model| runner.serves(model)) {
+            for model in runner
+                .room
+                .models()
+                .iter()
+                .filter(|model| runner.serves(model))
+            {
                 *confirmed.entry(model).or_default() += 1;
             }
         }
@@ -176,7 +181,7 @@
         let idle = self.runners.iter().filter(|(_, runner)| runner.is_idle());
         let options = idle.filter_map(|(name, runner)| {
             let (time, counted) = runner.load_time(model, weights);
-            if runner.models.contains(model) || (counted && !self.store_open) {
+            if runner.room.models().contains(model) || (counted && !self.store_open) {
                 return None;
             }
             let room = runner.free(self.engine) >= weights.size.0;
@@ -251,7 +256,7 @@
         let present = self.least_load(model);
         let idle = self.runners.iter().filter(|(_, runner)| runner.is_idle());
         let options = idle.filter_map(|(name, runner)| {
-            if runner.models.contains(model) {
+            if runner.room.models().contains(model) {
                 return None;
             }
             let (time, counted) = runner.load_time(model, weights);
@@ -313,7 +318,7 @@
         let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
         let needed = size(coming).unwrap_or(u64::MAX);
         let free = runner.free(self.engine);
-        let models = runner.models.iter();
+        let models = runner.room.models().iter();
         models.filter(move |model| free + size(model).unwrap_or_default() >= needed)
     }
 
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -1,13 +1,13 @@
 //! One runner as the leader knows it.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use cranberrygap_model::{address, duration, id, number};
 use smol_str::SmolStr;
 
 use super::engine;
 use super::order;
-use super::trace;
+use super::room;
 
 /// A model and one of its adapters.
 pub type Adapter = (id::Model, SmolStr);
@@ -42,6 +42,10 @@
     pub order: order::Order,
     /// When it was sent last.
     pub at: duration::Instant,
+    /// Announcement that came last before it was sent first.
+    pub after: number::Sequence,
+    /// Whether it was sent more than once.
+    pub repeated: bool,
 }
 
 /// A model order that the runner carries out.
@@ -51,7 +55,7 @@
     pub action: order::Action,
     /// When it should be done.
     pub due: duration::Instant,
-    /// Announcement that came last before it was accepted; only a later one can
+    /// Announcement that came last before it was ordered; only a later one can
     /// tell that it is done.
     pub after: number::Sequence,
 }
@@ -70,17 +74,13 @@
     /// Latest announcement.
     pub sequence: number::Sequence,
     /// Models that it holds by its latest announcement.
-    pub models: BTreeSet<id::Model>,
-    /// Who told of them last.
-    pub word: trace::Word,
+    pub announced: BTreeSet<id::Model>,
+    /// What takes room.
+    pub room: room::Room,
     /// Models of which its host memory holds a copy.
     pub cached: BTreeSet<id::Model>,
     /// Models of which its disk holds a copy.
     pub stored: BTreeSet<id::Model>,
-    /// Adapters with the time of their last use.
-    pub adapters: BTreeMap<Adapter, duration::Instant>,
-    /// Orders that it has accepted, once that is known.
-    pub accepted: Option<u64>,
     /// Asked for a report that has not come.
     pub asked: Option<duration::Instant>,
     /// An order without an answer.
@@ -99,7 +99,7 @@
     /// Whether a model is there and stays for now.
     #[must_use]
     pub fn serves(&self, model: &id::Model) -> bool {
-        self.ready && self.models.contains(model) && self.leaving() != Some(model)
+        self.ready && self.room.models().contains(model) && self.leaving() != Some(model)
     }
 
     /// The model that is about to go.
@@ -121,23 +121,35 @@
         }
     }
 
+    /// The model that comes or goes by an order that it has or may have.
+    #[must_use]
+    pub fn under_way(&self) -> Option<&id::Model> {
+        let sent = self.sent.as_ref().map(|sent| &sent.order.action);
+        let carried = self.carried.as_ref().map(|carried| &carried.action);
+        match carried.or(sent)? {
+            order::Action::Load(model) | order::Action::Unload(model) => Some(model),
+            order::Action::LoadAdapter(..) | order::Action::UnloadAdapter(..) => None,
+        }
+    }
+
     /// Models that it will serve once what was begun is done.
     pub fn settled(&self) -> impl Iterator<Item = &id::Model> {
         let leaving = self.leaving();
         let stay = self
-            .models
+            .room
+            .models()
             .iter()
             .filter(move |model| Some(*model) != leaving);
         let coming = self
             .coming()
-            .filter(|model| !self.models.contains(model.as_str()));
+            .filter(|model| !self.room.models().contains(model.as_str()));
         stay.chain(coming)
     }
 
     /// Memory that is free once what was begun is done.
     #[must_use]
     pub fn free(&self, engine: &engine::Engine) -> u64 {
-        let adapters = self.adapters.keys().map(|(model, _)| model);
+        let adapters = self.room.adapters().keys().map(|(model, _)| model);
         let taken = engine.taken(self.settled(), adapters);
         engine.memory.0.saturating_sub(taken)
     }
@@ -145,7 +157,8 @@
     /// Whether a move of its models may begin.
     #[must_use]
     pub const fn is_idle(&self) -> bool {
-        self.ready && self.moving.is_none() && self.carried.is_none() && self.accepted.is_some()
+        let free = self.moving.is_none() && self.carried.is_none();
+        self.ready && free && self.room.count().is_some()
     }
 
     /// Time that a load of `model` takes here, and whether the store counts it.
--- a/crates/cranberrygap-placement/src/residency/trace.rs
+++ b/crates/cranberrygap-placement/src/residency/trace.rs
@@ -66,30 +66,22 @@
     /// The room of a runner at `now`.
     #[must_use]
     pub fn new(now: duration::Instant, engine: &engine::Engine, runner: &runner::Runner) -> Self {
-        let adapters = runner.adapters.keys().map(|(model, _)| model);
+        let adapters = runner.room.adapters().keys().map(|(model, _)| model);
         Self {
-            models: runner.models.clone(),
-            adapters: runner.adapters.len(),
+            models: runner.room.models().clone(),
+            adapters: runner.room.adapters().len(),
             slots: engine.adapter_slots,
-            taken: size::Bytes(engine.taken(runner.models.iter(), adapters)),
+            taken: size::Bytes(engine.taken(runner.room.models().iter(), adapters)),
             memory: engine.memory,
-            word: runner.word,
-            age: now.since(runner.word.at),
+            word: runner.room.word(),
+            age: now.since(runner.room.word().at),
         }
     }
 }
 
-impl Source {
-    /// Whether it is of the same kind, and ordered by the same number.
-    #[must_use]
-    pub fn is_like(&self, other: &Self) -> bool {
-        std::mem::discriminant(self) == std::mem::discriminant(other)
-    }
-}
-
 impl Difference {
-    /// How `models` differ from what the book had; none if they are the same, or if the
-    /// same kind of source spoke before and tells of what happened since.
+    /// How `models` differ from what the book has, apart from one that comes or goes by an
+    /// order.
     #[must_use]
     pub fn find(
         endpoint: &id::Endpoint,
@@ -97,16 +89,18 @@
         models: &BTreeSet<id::Model>,
         word: Word,
     ) -> Option<Self> {
-        let before = runner.word;
-        if before.source.is_like(&word.source) || runner.models == *models {
-            return None;
-        }
-        Some(Self {
+        let known = runner.room.models();
+        let under_way = runner.under_way();
+        let stays = |model: &&id::Model| Some(*model) != under_way;
+        let fewer: BTreeSet<_> = known.difference(models).filter(stays).cloned().collect();
+        let more: BTreeSet<_> = models.difference(known).filter(stays).cloned().collect();
+        let differs = !fewer.is_empty() || !more.is_empty();
+        differs.then(|| Self {
             endpoint: endpoint.clone(),
-            before,
+            before: runner.room.word(),
             word,
-            fewer: runner.models.difference(models).cloned().collect(),
-            more: models.difference(&runner.models).cloned().collect(),
+            fewer,
+            more,
         })
     }
 }
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -296,3 +296,45 @@
 
     assert!(!ordered.contains(&"load b".to_owned()), "{ordered:?}");
 }
+
+// An announcement may be older than what is known, or tell of an order of the leader before.
+// Which of both it is, only the runner can say.
+#[test]
+fn runner_whose_announcement_differs_is_asked() {
+    let mut book = reported(&["a", "b", "c"], &["a"], &report(3, &["a", "b"], &[]));
+    book.tick(at(200));
+
+    follow(&mut book, 500, &announced(2, &["a", "c"]));
+    let asked = book.tick(at(600));
+
+    assert!(asked.contains(&book::Output::Ask(name("r1"))), "{asked:?}");
+    let differences = book.take_differences();
+    assert!(
+        differences.iter().any(|found| found.fewer.contains("b")),
+        "{differences:?}"
+    );
+}
+
+// Two questions were under way. The answer to the first was made before the order that was
+// accepted since; the next order by its count would be turned down.
+#[test]
+fn report_from_before_an_accepted_order_is_not_taken() {
+    let mut book = reported(&["m"], &["m"], &report(0, &["m"], &[]));
+    want(&mut book, 1_000, 1, "m/a1");
+    order_and_answer(&mut book, 1_000, order::Verdict::Accepted);
+    want(&mut book, 1_010, 2, "m/a2");
+    let refused = order_and_answer(&mut book, 1_010, order::Verdict::Conflict);
+
+    book.reported(at(1_100), &name("r1"), &report(0, &["m"], &[]));
+    let early = orders(&mut book, 1_800);
+    book.reported(at(2_700), &name("r1"), &report(1, &["m"], &["m/a1"]));
+    let later = orders(&mut book, 2_800);
+
+    assert_eq!(refused, "load m/a2");
+    assert_eq!(early, []);
+    assert_eq!(
+        later.first().map(|order| order.expect),
+        Some(1),
+        "{later:?}"
+    );
+}
