Keep the place of an adapter until it is gone

Cause: the drop of an adapter that requests use is answered 202 and ends with them; its place was given out again with the answer. It is dropped for lack of use, but what entries tell of use is up to seconds old.

Now it keeps its place, and is offered to nobody, until a report of that count or a later one no longer tells of it. The runner is asked each 300 ms while somebody waits for a place there. An adapter that a report turns out to have is given to those who wait for it.

--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -383,14 +383,10 @@
 }
 
 fn residency(name: &id::Endpoint, runner: &known::Runner) -> view::Residency {
-    let adapters = runner
-        .room
-        .adapters()
-        .keys()
-        .filter_map(|(model, adapter)| {
-            let name = format!("{model}/{adapter}");
-            name.parse().ok()
-        });
+    let adapters = runner.room.offered().filter_map(|((model, adapter), _)| {
+        let name = format!("{model}/{adapter}");
+        name.parse().ok()
+    });
     view::Residency {
         endpoint: name.clone(),
         boot: runner.boot,
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -404,8 +404,8 @@
         let Some(runner) = runner else {
             return;
         };
-        let adapters = runner.room.adapters().keys();
-        let adapters = adapters.filter_map(|(model, adapter)| {
+        let adapters = runner.room.offered();
+        let adapters = adapters.filter_map(|((model, adapter), _)| {
             let name = format_smolstr!("{model}/{adapter}");
             name.parse().ok()
         });
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -38,6 +38,9 @@
 /// Differences that are kept until somebody takes them.
 const MOST_DIFFERENCES: usize = 256;
 
+/// The same while an adapter waits for a place that is about to be free.
+const ASK_SOON: duration::Span = duration::Span::from_millis(300);
+
 /// What the leader should do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -194,10 +197,14 @@
                 .as_ref()
                 .is_some_and(|carried| now >= carried.due.after(OVERDUE));
             let unknown = runner.room.count().is_none() && runner.sent.is_none();
-            let waits = runner
-                .asked
-                .is_some_and(|asked| now < asked.after(ASK_AGAIN));
-            if (unknown || overdue) && !waits && runner.ready {
+            let leaving = runner.room.leaving() > 0 && runner.sent.is_none();
+            let pause = if leaving && !runner.wanted.is_empty() {
+                ASK_SOON
+            } else {
+                ASK_AGAIN
+            };
+            let waits = runner.asked.is_some_and(|asked| now < asked.after(pause));
+            if (unknown || overdue || leaving) && !waits && runner.ready {
                 runner.asked = Some(now);
                 outputs.push(Output::Ask(name.clone()));
             }
--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -52,7 +52,7 @@
         let may_order = now >= self.opens;
         match endpoint.and_then(|name| self.runners.get_mut(&name)) {
             None => waiter.deadline = now,
-            Some(runner) if runner.room.adapters().contains_key(adapter) => {
+            Some(runner) if runner.room.offers(adapter) => {
                 runner.room.used(now, adapter);
                 waiter.ready = Some(now);
             }
@@ -75,10 +75,10 @@
             .iter()
             .filter(|(_, runner)| runner.serves(&adapter.0));
         let best = serving.min_by_key(|(name, runner)| {
-            let there =
-                runner.room.adapters().contains_key(adapter) || runner.wanted.contains(adapter);
+            let there = runner.room.offers(adapter) || runner.wanted.contains(adapter);
             let blocked = now < self.opens
                 || runner.carried.is_some()
+                || runner.room.is_leaving(adapter)
                 || now < runner.adapters_after
                 || !runner.has_adapter_place(now, self.engine.adapter_slots);
             let full = runner.room.adapters().len() >= self.engine.adapter_slots;
@@ -113,31 +113,52 @@
         if now < runner.adapters_after {
             return None;
         }
-        loop {
-            let wanted = runner.wanted.front()?.clone();
-            if runner.room.adapters().contains_key(&wanted) || !runner.serves(&wanted.0) {
-                runner.wanted.pop_front();
-                continue;
-            }
-            let adapters = runner.room.adapters().keys().map(|(model, _)| model);
-            let with_it = adapters.chain(std::iter::once(&wanted.0));
-            let coming = runner
-                .coming()
-                .filter(|model| !runner.room.models().contains(*model));
-            let models = runner.room.models().iter().chain(coming);
-            let fits = self.engine.taken(models, with_it) <= self.engine.memory.0;
-            if runner.room.adapters().len() < slots && fits {
-                return Some(order::Action::LoadAdapter(wanted.0, wanted.1));
+        let mut wanted = std::mem::take(&mut runner.wanted);
+        wanted.retain(|wanted| !runner.room.offers(wanted) && runner.serves(&wanted.0));
+        runner.wanted = wanted;
+        // One that goes cannot come back before it has gone.
+        let mut possible = runner.wanted.iter();
+        let next = possible.find(|wanted| !runner.room.is_leaving(wanted))?;
+        let adapters = runner.room.adapters().keys().map(|(model, _)| model);
+        let with_it = adapters.chain(std::iter::once(&next.0));
+        let coming = runner
+            .coming()
+            .filter(|model| !runner.room.models().contains(*model));
+        let models = runner.room.models().iter().chain(coming);
+        let fits = self.engine.taken(models, with_it) <= self.engine.memory.0;
+        if runner.room.adapters().len() < slots && fits {
+            let (model, adapter) = next.clone();
+            return Some(order::Action::LoadAdapter(model, adapter));
+        }
+        // Places that are about to be free are enough for those who wait.
+        if runner.room.leaving() >= runner.wanted.len() {
+            return None;
+        }
+        runner.idle_adapter(now)
+    }
+
+    /// Who waits for an adapter that turned out to be there waits no longer.
+    pub(super) fn adapters_told(&mut self, now: duration::Instant, name: &id::Endpoint) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        let room = &runner.room;
+        runner.wanted.retain(|wanted| !room.offers(wanted));
+        let waiting = self.waiters.iter_mut();
+        for waiter in waiting.filter(|waiter| waiter.endpoint == *name) {
+            if room.offers(&waiter.adapter) {
+                waiter.ready.get_or_insert(now);
             }
-            return runner.idle_adapter(now);
         }
     }
 
-    pub(super) fn adapter_done(
+    /// An order about an adapter was taken; `is_over` tells that nothing of it is left to do.
+    pub(super) fn adapter_taken(
         &mut self,
         now: duration::Instant,
         name: &id::Endpoint,
         action: &order::Action,
+        is_over: bool,
     ) {
         let Some(runner) = self.runners.get_mut(name) else {
             return;
@@ -154,7 +175,12 @@
                 }
             }
             order::Action::UnloadAdapter(model, adapter) => {
-                runner.room.dropped(&(model.clone(), adapter.clone()));
+                let key = (model.clone(), adapter.clone());
+                if is_over {
+                    runner.room.dropped(&key);
+                } else {
+                    runner.room.leave(&key);
+                }
             }
             order::Action::Load(_) | order::Action::Unload(_) => {}
         }
@@ -209,18 +235,16 @@
     /// Whether its runner holds the adapter.
     fn is_there(&self, runners: &BTreeMap<id::Endpoint, runner::Runner>) -> bool {
         let runner = runners.get(&self.endpoint);
-        runner.is_some_and(|runner| runner.room.adapters().contains_key(&self.adapter))
+        runner.is_some_and(|runner| runner.room.offers(&self.adapter))
     }
 }
 
 impl runner::Runner {
     /// Whether one more adapter finds a place, or one that can be dropped for it.
     fn has_adapter_place(&self, now: duration::Instant, slots: usize) -> bool {
-        let idle = self
-            .room
-            .adapters()
-            .values()
-            .filter(|used| now.since(**used) >= IN_USE)
+        let offered = self.room.offered();
+        let idle = offered
+            .filter(|(_, used)| now.since(**used) >= IN_USE)
             .count();
         let taken = self.room.adapters().len() - idle;
         taken + self.wanted.len() < slots
@@ -228,11 +252,8 @@
 
     /// The order that drops the adapter that was used least of late.
     fn idle_adapter(&self, now: duration::Instant) -> Option<order::Action> {
-        let idle = self
-            .room
-            .adapters()
-            .iter()
-            .filter(|(_, used)| now.since(**used) >= IN_USE);
+        let offered = self.room.offered();
+        let idle = offered.filter(|(_, used)| now.since(**used) >= IN_USE);
         let ((model, adapter), _) = idle.min_by_key(|(_, used)| **used)?;
         Some(order::Action::UnloadAdapter(
             model.clone(),
--- a/crates/cranberrygap-placement/src/residency/book/news.rs
+++ b/crates/cranberrygap-placement/src/residency/book/news.rs
@@ -112,6 +112,7 @@
         let difference = trace::Difference::find(name, runner, &models, word);
         runner.room.adopt(now, report);
         runner.end(&models, word);
+        self.adapters_told(now, name);
         self.changed.insert(name.clone());
         self.differs(difference);
     }
@@ -188,7 +189,7 @@
             return;
         };
         if !order.action.is_model() {
-            self.adapter_done(now, name, &order.action);
+            self.adapter_taken(now, name, &order.action, false);
             return;
         }
         runner.carried = Some(runner::Carried {
@@ -226,7 +227,7 @@
                 self.changed.insert(name.clone());
             }
             order::Action::LoadAdapter(..) | order::Action::UnloadAdapter(..) => {
-                self.adapter_done(now, name, &order.action);
+                self.adapter_taken(now, name, &order.action, true);
             }
         }
     }
--- a/crates/cranberrygap-placement/src/residency/room.rs
+++ b/crates/cranberrygap-placement/src/residency/room.rs
@@ -29,6 +29,8 @@
     models: BTreeSet<id::Model>,
     /// Adapters with the time of their last use.
     adapters: BTreeMap<runner::Adapter, duration::Instant>,
+    /// Adapters among them that go when their requests have ended.
+    leaving: BTreeSet<runner::Adapter>,
     word: trace::Word,
 }
 
@@ -46,6 +48,7 @@
             reported: false,
             models,
             adapters,
+            leaving: BTreeSet::new(),
             word,
         }
     }
@@ -68,6 +71,30 @@
         &self.models
     }
 
+    /// Whether an adapter is there and stays for now.
+    #[must_use]
+    pub fn offers(&self, adapter: &runner::Adapter) -> bool {
+        self.adapters.contains_key(adapter) && !self.leaving.contains(adapter)
+    }
+
+    /// Whether an adapter takes a place and goes.
+    #[must_use]
+    pub fn is_leaving(&self, adapter: &runner::Adapter) -> bool {
+        self.leaving.contains(adapter)
+    }
+
+    /// Adapters that stay for now, with the time of their last use.
+    pub fn offered(&self) -> impl Iterator<Item = (&runner::Adapter, &duration::Instant)> {
+        let adapters = self.adapters.iter();
+        adapters.filter(|(adapter, _)| !self.leaving.contains(*adapter))
+    }
+
+    /// Adapters whose places are taken until a report no longer tells of them.
+    #[must_use]
+    pub fn leaving(&self) -> usize {
+        self.leaving.len()
+    }
+
     /// Adapters that take a place.
     #[must_use]
     pub const fn adapters(&self) -> &BTreeMap<runner::Adapter, duration::Instant> {
@@ -115,6 +142,11 @@
             self.models.clear();
             self.adapters.clear();
         }
+        let gone = self.leaving.iter().filter(|left| !told.contains_key(*left));
+        let gone: Vec<runner::Adapter> = gone.cloned().collect();
+        for adapter in &gone {
+            self.dropped(adapter);
+        }
         self.models.extend(report.models.iter().cloned());
         self.adapters.extend(told);
         self.reported = true;
@@ -152,17 +184,28 @@
     pub fn unloaded(&mut self, model: &id::Model, word: trace::Word) {
         self.models.remove(model);
         self.adapters.retain(|(of, _), _| of != model);
+        self.leaving.retain(|(of, _)| of != model);
         self.word = word;
     }
 
     /// An adapter takes a place from now on.
     pub fn fetch(&mut self, now: duration::Instant, adapter: runner::Adapter) {
+        self.leaving.remove(&adapter);
         self.adapters.insert(adapter, now);
     }
 
+    /// An adapter goes when its requests have ended. It takes its place until a report from
+    /// after that.
+    pub fn leave(&mut self, adapter: &runner::Adapter) {
+        if self.adapters.contains_key(adapter) {
+            self.leaving.insert(adapter.clone());
+        }
+    }
+
     /// An adapter is gone.
     pub fn dropped(&mut self, adapter: &runner::Adapter) {
         self.adapters.remove(adapter);
+        self.leaving.remove(adapter);
     }
 
     /// An adapter is in use.
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -338,3 +338,26 @@
         "{later:?}"
     );
 }
+
+// The last request of an adapter that was to go has ended. The runner is asked while somebody
+// waits for its place, and gives that to the next.
+#[test]
+fn adapter_that_has_gone_makes_room() {
+    let held = report(0, &["m"], &["m/a1", "m/a2"]);
+    let mut book = reported(&["m"], &["m", "m/a1", "m/a2"], &held);
+    want(&mut book, 5_000, 1, "m/a3");
+    let dropped = order_and_answer(&mut book, 5_000, order::Verdict::Accepted);
+
+    let asked = book.tick(at(5_010));
+    let kept = report(1, &["m"], &["m/a1", "m/a2"]);
+    book.reported(at(5_020), &name("r1"), &kept);
+    let early = orders(&mut book, 5_330);
+    book.reported(at(5_340), &name("r1"), &report(1, &["m"], &["m/a2"]));
+    let later = orders(&mut book, 5_350);
+
+    assert_eq!(dropped, "unload m/a1");
+    assert!(asked.contains(&book::Output::Ask(name("r1"))), "{asked:?}");
+    assert_eq!(early, []);
+    let later: Vec<String> = later.iter().map(|order| order.action.to_string()).collect();
+    assert_eq!(later, ["load m/a3"]);
+}
