Free no place of an adapter because an entry did not find it

What callers saw: as before, a runner ordered over its room.

Cause: an entry whose request found no adapter says so; the book forgot the adapter and its count, to ask for both. The word may be older than the adapter, and if another order had no answer yet, that answer set the count again without any report, and the place was given out twice.

Now the adapter keeps its place and is offered to nobody until a report settles whether it is there; one is asked for also when the count is known.

--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -197,14 +197,14 @@
                 .as_ref()
                 .is_some_and(|carried| now >= carried.due.after(OVERDUE));
             let unknown = runner.room.count().is_none() && runner.sent.is_none();
-            let leaving = runner.room.leaving() > 0 && runner.sent.is_none();
-            let pause = if leaving && !runner.wanted.is_empty() {
+            let unsettled = runner.room.is_unsettled() && runner.sent.is_none();
+            let pause = if unsettled && !runner.wanted.is_empty() {
                 ASK_SOON
             } else {
                 ASK_AGAIN
             };
             let waits = runner.asked.is_some_and(|asked| now < asked.after(pause));
-            if (unknown || overdue || leaving) && !waits && runner.ready {
+            if (unknown || overdue || unsettled) && !waits && runner.ready {
                 runner.asked = Some(now);
                 outputs.push(Output::Ask(name.clone()));
             }
--- a/crates/cranberrygap-placement/src/residency/book/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/book/adapters.rs
@@ -35,8 +35,7 @@
         missing: bool,
     ) {
         if missing && let Some(runner) = self.runners.get_mut(preferred) {
-            runner.room.dropped(adapter);
-            runner.room.forget_count();
+            runner.room.doubt(adapter);
             self.changed.insert(preferred.clone());
         }
         let endpoint = self.choose(now, adapter, preferred);
@@ -78,7 +77,7 @@
             let there = runner.room.offers(adapter) || runner.wanted.contains(adapter);
             let blocked = now < self.opens
                 || runner.carried.is_some()
-                || runner.room.is_leaving(adapter)
+                || runner.room.is_withheld(adapter)
                 || now < runner.adapters_after
                 || !runner.has_adapter_place(now, self.engine.adapter_slots);
             let full = runner.room.adapters().len() >= self.engine.adapter_slots;
@@ -116,9 +115,9 @@
         let mut wanted = std::mem::take(&mut runner.wanted);
         wanted.retain(|wanted| !runner.room.offers(wanted) && runner.serves(&wanted.0));
         runner.wanted = wanted;
-        // One that goes cannot come back before it has gone.
+        // One that goes cannot come back before it has gone, and one that is doubted may be there.
         let mut possible = runner.wanted.iter();
-        let next = possible.find(|wanted| !runner.room.is_leaving(wanted))?;
+        let next = possible.find(|wanted| !runner.room.is_withheld(wanted))?;
         let adapters = runner.room.adapters().keys().map(|(model, _)| model);
         let with_it = adapters.chain(std::iter::once(&next.0));
         let coming = runner
--- a/crates/cranberrygap-placement/src/residency/room.rs
+++ b/crates/cranberrygap-placement/src/residency/room.rs
@@ -31,6 +31,8 @@
     adapters: BTreeMap<runner::Adapter, duration::Instant>,
     /// Adapters among them that go when their requests have ended.
     leaving: BTreeSet<runner::Adapter>,
+    /// Adapters among them that somebody did not find.
+    doubted: BTreeSet<runner::Adapter>,
     word: trace::Word,
 }
 
@@ -49,6 +51,7 @@
             models,
             adapters,
             leaving: BTreeSet::new(),
+            doubted: BTreeSet::new(),
             word,
         }
     }
@@ -74,19 +77,25 @@
     /// Whether an adapter is there and stays for now.
     #[must_use]
     pub fn offers(&self, adapter: &runner::Adapter) -> bool {
-        self.adapters.contains_key(adapter) && !self.leaving.contains(adapter)
+        self.adapters.contains_key(adapter) && !self.is_withheld(adapter)
     }
 
-    /// Whether an adapter takes a place and goes.
+    /// Whether an adapter takes a place and is offered to nobody.
     #[must_use]
-    pub fn is_leaving(&self, adapter: &runner::Adapter) -> bool {
-        self.leaving.contains(adapter)
+    pub fn is_withheld(&self, adapter: &runner::Adapter) -> bool {
+        self.leaving.contains(adapter) || self.doubted.contains(adapter)
+    }
+
+    /// Whether a report has to tell of adapters that are offered to nobody.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        !self.leaving.is_empty() || !self.doubted.is_empty()
     }
 
     /// Adapters that stay for now, with the time of their last use.
     pub fn offered(&self) -> impl Iterator<Item = (&runner::Adapter, &duration::Instant)> {
         let adapters = self.adapters.iter();
-        adapters.filter(|(adapter, _)| !self.leaving.contains(*adapter))
+        adapters.filter(|(adapter, _)| !self.is_withheld(adapter))
     }
 
     /// Adapters whose places are taken until a report no longer tells of them.
@@ -142,11 +151,13 @@
             self.models.clear();
             self.adapters.clear();
         }
-        let gone = self.leaving.iter().filter(|left| !told.contains_key(*left));
+        let withheld = self.leaving.union(&self.doubted);
+        let gone = withheld.filter(|adapter| !told.contains_key(*adapter));
         let gone: Vec<runner::Adapter> = gone.cloned().collect();
         for adapter in &gone {
             self.dropped(adapter);
         }
+        self.doubted.clear();
         self.models.extend(report.models.iter().cloned());
         self.adapters.extend(told);
         self.reported = true;
@@ -185,12 +196,14 @@
         self.models.remove(model);
         self.adapters.retain(|(of, _), _| of != model);
         self.leaving.retain(|(of, _)| of != model);
+        self.doubted.retain(|(of, _)| of != model);
         self.word = word;
     }
 
     /// An adapter takes a place from now on.
     pub fn fetch(&mut self, now: duration::Instant, adapter: runner::Adapter) {
         self.leaving.remove(&adapter);
+        self.doubted.remove(&adapter);
         self.adapters.insert(adapter, now);
     }
 
@@ -206,6 +219,16 @@
     pub fn dropped(&mut self, adapter: &runner::Adapter) {
         self.adapters.remove(adapter);
         self.leaving.remove(adapter);
+        self.doubted.remove(adapter);
+    }
+
+    /// Somebody did not find an adapter. It may have come since, so that only a report frees
+    /// its place.
+    pub fn doubt(&mut self, adapter: &runner::Adapter) {
+        if self.adapters.contains_key(adapter) {
+            self.doubted.insert(adapter.clone());
+        }
+        self.count = None;
     }
 
     /// An adapter is in use.
