Count models and adapters by the largest size that they ever had

What callers saw: as before, a runner ordered over its room.

Cause: a model that is held counted by the newest plan, whatever it was loaded as; an adapter whose model had left the plan counted as nothing; an order without an answer was sent again though a plan that came since left no room for it. Besides, a load of a model that had left the plan stayed begun for ever, and such a model could not make room for another.

Now a model takes the largest size that any plan of the term gave it, and what nobody knows counts as large as anything that is, adapters too. An order that no longer fits is not sent again; the runner is asked instead. engine::Engine has a field for models that have left the plan; the fixture of residency.rs names it, empty, and its tests are unchanged.

--- a/crates/cranberrygap-bench/src/soak/residency/fleet.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/fleet.rs
@@ -51,6 +51,7 @@
             adapter_slots: SLOTS,
             store_rate: STORE_RATE,
             models: models.collect(),
+            former: BTreeMap::new(),
         };
         let demand = BTreeMap::new();
         let mut fleet = Self { engine, demand };
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -128,6 +128,7 @@
 
     /// Takes over changed models or room.
     pub fn set_engine(&mut self, now: duration::Instant, engine: engine::Engine) {
+        let engine = engine.following(&self.engine);
         if engine != self.engine {
             self.ceiling.set_rate(now, engine.store_rate);
             self.engine = engine;
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -138,6 +138,15 @@
         if !ready || now < sent.at.after(REPEAT_AFTER) {
             return None;
         }
+        // A plan that came since may leave no room for it. The copies that were sent fitted
+        // when they were, and whether one was accepted only the runner can say.
+        if !self.engine.fits(&runner.room, &sent.order.action) {
+            runner.sent = None;
+            runner.moving = None;
+            runner.room.forget_count();
+            self.changed.insert(name.clone());
+            return None;
+        }
         sent.at = now;
         sent.repeated = true;
         Some(sent.order.clone())
@@ -186,17 +195,14 @@
 
     /// The load, if it fits into what the runner certainly has; else it is dropped.
     fn checked_load(&mut self, name: &id::Endpoint, model: id::Model) -> Option<order::Action> {
-        let size = self.engine.models.get(&model)?.size.0;
         let runner = self.runners.get_mut(name)?;
-        let models = runner.room.models();
-        let adapters = runner.room.adapters().keys().map(|(model, _)| model);
-        let taken = self.engine.taken(models.iter(), adapters);
-        if models.contains(&model) || taken + size > self.engine.memory.0 {
+        let load = order::Action::Load(model);
+        if !self.engine.fits(&runner.room, &load) {
             runner.moving = None;
             self.changed.insert(name.clone());
             return None;
         }
-        Some(order::Action::Load(model))
+        Some(load)
     }
 }
 
--- a/crates/cranberrygap-placement/src/residency/engine.rs
+++ b/crates/cranberrygap-placement/src/residency/engine.rs
@@ -5,6 +5,9 @@
 use cranberrygap_model::{duration, id, size};
 use cranberrygap_wire::traffic;
 
+use super::order;
+use super::room;
+
 /// Room and models of one service's runners.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
@@ -16,6 +19,8 @@
     pub store_rate: f64,
     /// The models by name.
     pub models: BTreeMap<id::Model, Weights>,
+    /// Models that have left the plan; a runner may hold one still.
+    pub former: BTreeMap<id::Model, Weights>,
 }
 
 /// One model.
@@ -52,9 +57,30 @@
             adapter_slots: engine.adapter_slots as usize,
             store_rate: engine.store_rate,
             models: models.collect(),
+            former: BTreeMap::new(),
         }
     }
 
+    /// Takes over what runners may hold by an earlier plan.
+    ///
+    /// A model takes the room that it had when it was loaded. It counts by the largest size
+    /// that it ever had.
+    #[must_use]
+    pub fn following(mut self, before: &Self) -> Self {
+        for (model, old) in before.former.iter().chain(&before.models) {
+            match self.models.get_mut(model) {
+                Some(weights) => {
+                    weights.size = weights.size.max(old.size);
+                    weights.adapter_size = weights.adapter_size.max(old.adapter_size);
+                }
+                None => {
+                    self.former.insert(model.clone(), *old);
+                }
+            }
+        }
+        self
+    }
+
     /// Loads from the store that run at full speed together.
     ///
     /// A store that lets so many begin in a second, each of which takes so long, has
@@ -75,6 +101,26 @@
         under_way
     }
 
+    /// Whether a runner has room for what an order loads.
+    #[must_use]
+    pub fn fits(&self, room: &room::Room, action: &order::Action) -> bool {
+        let models = room.models().iter();
+        let adapters = room.adapters().keys().map(|(model, _)| model);
+        match action {
+            order::Action::Load(model) => {
+                let planned = self.models.contains_key(model) && !room.models().contains(model);
+                let models = models.chain(std::iter::once(model));
+                planned && self.taken(models, adapters) <= self.memory.0
+            }
+            order::Action::LoadAdapter(model, _) => {
+                let adapters = adapters.chain(std::iter::once(model));
+                let place = room.adapters().len() < self.adapter_slots;
+                place && self.taken(models, adapters) <= self.memory.0
+            }
+            order::Action::Unload(_) | order::Action::UnloadAdapter(..) => true,
+        }
+    }
+
     /// Memory that a set of models and adapters takes; what is not known counts as
     /// large as anything that is.
     #[must_use]
@@ -83,15 +129,24 @@
         models: impl Iterator<Item = &'held id::Model>,
         adapters: impl Iterator<Item = &'held id::Model>,
     ) -> u64 {
-        let largest = self.models.values().map(|weights| weights.size.0).max();
-        let size = |model: &id::Model| {
-            let known = self.models.get(model).map(|weights| weights.size.0);
-            known.or(largest).unwrap_or_default()
-        };
-        let adapter = |model: &id::Model| {
-            let known = self.models.get(model);
-            known.map_or(0, |weights| weights.adapter_size.0)
-        };
-        models.map(size).sum::<u64>() + adapters.map(adapter).sum::<u64>()
+        let models = models.map(|model| self.size(model)).sum::<u64>();
+        models + adapters.map(|model| self.adapter_size(model)).sum::<u64>()
+    }
+
+    /// Memory that a model takes at most.
+    #[must_use]
+    pub fn size(&self, model: &id::Model) -> u64 {
+        self.largest(model, |weights| weights.size.0)
+    }
+
+    fn adapter_size(&self, model: &id::Model) -> u64 {
+        self.largest(model, |weights| weights.adapter_size.0)
+    }
+
+    fn largest(&self, model: &id::Model, size: impl Fn(&Weights) -> u64) -> u64 {
+        let known = self.models.get(model).or_else(|| self.former.get(model));
+        let all = self.models.values().chain(self.former.values());
+        let most = || all.map(&size).max().unwrap_or_default();
+        known.map_or_else(most, &size)
     }
 }
--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -315,11 +315,11 @@
         runner: &'book runner::Runner,
         coming: &id::Model,
     ) -> impl Iterator<Item = &'book id::Model> {
-        let size = |model: &id::Model| self.engine.models.get(model).map(|weights| weights.size.0);
-        let needed = size(coming).unwrap_or(u64::MAX);
+        let coming = self.engine.models.get(coming);
+        let needed = coming.map_or(u64::MAX, |weights| weights.size.0);
         let free = runner.free(self.engine);
         let models = runner.room.models().iter();
-        models.filter(move |model| free + size(model).unwrap_or_default() >= needed)
+        models.filter(move |model| free + self.engine.size(model) >= needed)
     }
 
     /// Confirmed copies at other runners.
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -34,6 +34,7 @@
         adapter_slots: 2,
         store_rate: 3.0,
         models: models.iter().map(|text| (model(text), weights)).collect(),
+        former: BTreeMap::new(),
     }
 }
 
