Tell the processes of a runner's name apart by more than their counts

What callers saw: as before, a runner ordered over its room.

Cause: counts begin anew when a runner restarts under its name. A report that was asked for before told the count of another process; and an order to the process before, late by seconds, lands at the next one when that has the count that the order names.

Now a report tells its process (born) and one of another is not taken.

--- a/crates/cranberrygap-bench/src/soak/residency/fleet.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/fleet.rs
@@ -90,14 +90,27 @@
         self.engine.models.insert(name, weights(rng, number));
     }
 
-    /// What a load takes that was ordered by `ordered`, when that was no longer in force.
+    /// Sizes of a model and its adapters by which a leader that is new can count them. It
+    /// knows no plan but the present one; a model that left that may come back as small as
+    /// any.
+    pub fn sizes(&self, model: &id::Model) -> (size::Bytes, size::Bytes) {
+        let known = self.engine.models.get(model);
+        known.map_or(
+            (
+                size::Bytes(SIZES[0] * GIB),
+                size::Bytes(LEAST_ADAPTER << 20),
+            ),
+            |weights| (weights.size, weights.adapter_size),
+        )
+    }
+
+    /// What a load takes that a leader ordered by `ordered` who is no longer in office.
     pub fn least(&self, ordered: &engine::Engine) -> engine::Engine {
         let mut least = ordered.clone();
         for (name, weights) in &mut least.models {
-            if let Some(now) = self.engine.models.get(name) {
-                weights.size = weights.size.min(now.size);
-                weights.adapter_size = weights.adapter_size.min(now.adapter_size);
-            }
+            let (size, adapter_size) = self.sizes(name);
+            weights.size = weights.size.min(size);
+            weights.adapter_size = weights.adapter_size.min(adapter_size);
         }
         least
     }
--- a/crates/cranberrygap-bench/src/soak/residency/runner.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/runner.rs
@@ -403,23 +403,25 @@
         }
     }
 
-    /// What it holds takes no more than by `plan`; a leader that is new knows no other.
-    pub fn shrink(&mut self, plan: &engine::Engine) {
+    /// What it holds takes no more than by `least`.
+    pub fn shrink(&mut self, least: &dyn Fn(&id::Model) -> (size::Bytes, size::Bytes)) {
         for (model, size) in &mut self.models {
-            if let Some(weights) = plan.models.get(model) {
-                *size = weights.size.min(*size);
-            }
+            *size = least(model).0.min(*size);
         }
         for ((model, _), held) in &mut self.adapters {
-            if let Some(weights) = plan.models.get(model) {
-                held.size = weights.adapter_size.min(held.size);
-            }
+            held.size = least(model).1.min(held.size);
+        }
+        if let Some(work) = &mut self.work
+            && let order::Action::Load(model) = &work.action
+        {
+            work.size = least(model).0.min(work.size);
         }
     }
 
     fn remember(&mut self, now: duration::Instant) {
         const KEPT: duration::Span = duration::Span::from_secs(2);
         let report = order::Report {
+            boot: Some(number::Boot(self.boot)),
             accepted: self.accepted,
             busy: self.work.is_some(),
             models: self.models.keys().cloned().collect(),
--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -150,6 +150,9 @@
             self.fleet.restore(&mut self.rng);
             self.fleet.settle(&mut self.rng);
             self.replan();
+            // A leader counts models by the largest size that it knew; one that is new knows
+            // none but the present, by which all that is asked for fits.
+            self.change_leader();
         }
         if at == 0 {
             self.check_service();
@@ -182,7 +185,7 @@
         self.leader = take_office(number, &self.fleet, self.now);
         self.callers.forget();
         for runner in &mut self.runners {
-            runner.shrink(&self.fleet.engine);
+            runner.shrink(&|model| self.fleet.sizes(model));
         }
         self.note("leader", || number.to_string());
     }
--- a/crates/cranberrygap-bench/src/soak/residency/world/callers.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world/callers.rs
@@ -121,6 +121,7 @@
             return;
         };
         let Some(name) = place else {
+            self.note("unmet", || format!("{}/{}", adapter.0, adapter.1));
             return;
         };
         self.callers.found += 1;
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod moves;
 mod news;
+mod strays;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -89,6 +90,8 @@
     plans: u64,
     /// Words on runners' models that differ from what was known, for people.
     differences: Vec<trace::Difference>,
+    /// Loads of which a copy may be on its way.
+    strays: Vec<strays::Stray>,
 }
 
 impl Book {
@@ -117,6 +120,7 @@
             prepared: None,
             plans: 0,
             differences: Vec::new(),
+            strays: Vec::new(),
         }
     }
 
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -105,6 +105,9 @@
             let Some(action) = self.next_action(now, &name) else {
                 continue;
             };
+            if self.meets_stray(now, &name, &action) {
+                continue;
+            }
             let number = self.next_number();
             let Some(runner) = self.runners.get_mut(&name) else {
                 continue;
@@ -126,6 +129,7 @@
                 after: runner.sequence,
                 repeated: false,
             });
+            self.goes_out(now, &order);
             outputs.push(Output::Send(order));
         }
     }
--- a/crates/cranberrygap-placement/src/residency/book/news.rs
+++ b/crates/cranberrygap-placement/src/residency/book/news.rs
@@ -96,7 +96,8 @@
         if runner.sent.is_some() {
             return;
         }
-        if runner.room.is_old(report) || runner.is_too_early(now, report) {
+        let another = report.boot.is_some_and(|boot| boot != runner.boot);
+        if another || runner.room.is_old(report) || runner.is_too_early(now, report) {
             runner.asked = Some(now);
             return;
         }
@@ -132,6 +133,9 @@
             return;
         };
         let order = sent.order;
+        if !sent.repeated {
+            self.strays.retain(|stray| !stray.is(number));
+        }
         match verdict {
             order::Verdict::Accepted => {
                 runner.room.accept(order.expect);
--- a/crates/cranberrygap-placement/src/residency/order.rs
+++ b/crates/cranberrygap-placement/src/residency/order.rs
@@ -51,6 +51,8 @@
 /// What a runner says of itself when it is asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
+    /// Its process, where it tells that.
+    pub boot: Option<number::Boot>,
     /// Orders that it has accepted.
     pub accepted: u64,
     /// Whether a model is being loaded or dropped.
--- a/crates/cranberrygap-placement/src/residency/room.rs
+++ b/crates/cranberrygap-placement/src/residency/room.rs
@@ -175,6 +175,21 @@
         self.least = self.least.max(expect + 1);
     }
 
+    /// The room once an order is carried out. An adapter may keep its place when it is dropped.
+    #[must_use]
+    pub fn after(&self, now: duration::Instant, action: &order::Action) -> Self {
+        let mut room = self.clone();
+        match action {
+            order::Action::Load(model) => room.loaded(model, self.word),
+            order::Action::Unload(model) => room.unloaded(model, self.word),
+            order::Action::LoadAdapter(model, adapter) => {
+                room.fetch(now, (model.clone(), adapter.clone()));
+            }
+            order::Action::UnloadAdapter(..) => {}
+        }
+        room
+    }
+
     /// The runner answered that what was ordered is done, which counts if it did it then.
     pub fn suppose(&mut self, count: u64) {
         self.count = Some(count);
@@ -227,8 +242,8 @@
     pub fn doubt(&mut self, adapter: &runner::Adapter) {
         if self.adapters.contains_key(adapter) {
             self.doubted.insert(adapter.clone());
+            self.count = None;
         }
-        self.count = None;
     }
 
     /// An adapter is in use.
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -64,6 +64,7 @@
 
 fn report(accepted: u64) -> order::Report {
     order::Report {
+        boot: None,
         accepted,
         busy: false,
         models: Vec::new(),
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::{duration, id, size};
+use cranberrygap_model::{duration, id, number, size};
 use cranberrygap_placement::residency::{book, engine, order, runner};
 use cranberrygap_wire::{endpoint, view};
 
@@ -69,6 +69,7 @@
 /// What `r1` reports while it is idle.
 fn report(accepted: u64, models: &[&str], adapters: &[&str]) -> order::Report {
     order::Report {
+        boot: None,
         accepted,
         busy: false,
         models: models.iter().map(|text| model(text)).collect(),
@@ -362,3 +363,54 @@
     let later: Vec<String> = later.iter().map(|order| order.action.to_string()).collect();
     assert_eq!(later, ["load m/a3"]);
 }
+
+// A report was asked for before the runner restarted under its name. Counts begin anew with
+// each process, so that one of the process before may be the same.
+#[test]
+fn report_of_another_process_is_not_taken() {
+    let mut book = opened(&["a", "b", "c"]);
+    follow(&mut book, 0, &announced(1, &["a", "b"]));
+    book.tick(at(10));
+    let before = order::Report {
+        boot: Some(number::Boot(7)),
+        ..report(2, &[], &[])
+    };
+
+    book.reported(at(20), &name("r1"), &before);
+    book.set_demand(at(30), demand(&[("c", 0.9)]));
+    let ordered = actions_after(&mut book, 200);
+
+    assert_eq!(ordered, Vec::<String>::new());
+}
+
+// An order had no answer, then its runner restarted under its name. Its counts begin anew,
+// and the order may land seconds later, when the new process has that count.
+#[test]
+fn order_to_the_process_before_finds_room_if_it_lands() {
+    let mut book = reported(&["m"], &["m"], &report(2, &["m"], &[]));
+    want(&mut book, 1_000, 1, "m/a1");
+    let stray = orders(&mut book, 1_000);
+    let mut restarted = announced(1, &["m"]);
+    restarted.boot = number::Boot(2);
+    follow(&mut book, 1_100, &restarted);
+    book.tick(at(1_110));
+    book.reported(at(1_120), &name("r1"), &report(0, &["m"], &[]));
+
+    let mut taken = Vec::new();
+    for (number, now) in (0..10).map(|look| (look, 1_200 + look * 100)) {
+        want(&mut book, now, 10 + number, &format!("m/b{number}"));
+        for order in orders(&mut book, now).into_iter().filter(is_load) {
+            book.answered(
+                at(now + 4),
+                &name("r1"),
+                order.number,
+                order::Verdict::Accepted,
+            );
+            taken.push(order.expect);
+        }
+    }
+
+    // At count 2 both places would be taken.
+    assert_eq!(stray[0].expect, 2);
+    assert_eq!(taken, [0], "{taken:?}");
+}
