--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -6,6 +6,7 @@
 pub mod limits;
 pub mod placement;
 pub mod quarantine;
+pub mod residency;
 pub mod view;
 
 use std::fmt;
@@ -62,5 +63,6 @@
         Box::new(view::Quiet::default()),
         Box::new(demand::Demand::default()),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
+        Box::new(residency::Residency::default()),
     ]
 }
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod moves;
 mod news;
+mod strays;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,6 +13,7 @@
 use super::engine;
 use super::order;
 use super::runner;
+use super::trace;
 
 /// Time after which an order without an answer is sent again. Longer than a call
 /// takes on a healthy link, far shorter than a load.
@@ -34,6 +36,12 @@
 /// Time without a report after which it is asked for again.
 const ASK_AGAIN: duration::Span = duration::Span::from_millis(1_500);
 
+/// Differences that are kept until somebody takes them.
+const MOST_DIFFERENCES: usize = 256;
+
+/// The same while an adapter waits for a place that is about to be free.
+const ASK_SOON: duration::Span = duration::Span::from_millis(300);
+
 /// What the leader should do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -80,6 +88,10 @@
     prepared: Option<duration::Instant>,
     /// How often the moves were planned.
     plans: u64,
+    /// Words on runners' models that differ from what was known, for people.
+    differences: Vec<trace::Difference>,
+    /// Loads of which a copy may be on its way.
+    strays: Vec<strays::Stray>,
 }
 
 impl Book {
@@ -107,6 +119,8 @@
             planned: None,
             prepared: None,
             plans: 0,
+            differences: Vec::new(),
+            strays: Vec::new(),
         }
     }
 
@@ -118,6 +132,7 @@
 
     /// Takes over changed models or room.
     pub fn set_engine(&mut self, now: duration::Instant, engine: engine::Engine) {
+        let engine = engine.following(&self.engine);
         if engine != self.engine {
             self.ceiling.set_rate(now, engine.store_rate);
             self.engine = engine;
@@ -148,6 +163,24 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// What one runner's room is taken to be.
+    #[must_use]
+    pub fn room(&self, now: duration::Instant, name: &id::Endpoint) -> Option<trace::Room> {
+        let runner = self.runners.get(name)?;
+        Some(trace::Room::new(now, &self.engine, runner))
+    }
+
+    /// Words on runners' models that differ from what was known, each once.
+    pub fn take_differences(&mut self) -> Vec<trace::Difference> {
+        std::mem::take(&mut self.differences)
+    }
+
+    fn differs(&mut self, found: Option<trace::Difference>) {
+        if self.differences.len() < MOST_DIFFERENCES {
+            self.differences.extend(found);
+        }
+    }
+
     /// What is due now.
     pub fn tick(&mut self, now: duration::Instant) -> Vec<Output> {
         let mut outputs = Vec::new();
@@ -168,11 +201,15 @@
                 .carried
                 .as_ref()
                 .is_some_and(|carried| now >= carried.due.after(OVERDUE));
-            let unknown = runner.accepted.is_none() && runner.sent.is_none();
-            let waits = runner
-                .asked
-                .is_some_and(|asked| now < asked.after(ASK_AGAIN));
-            if (unknown || overdue) && !waits && runner.ready {
+            let unknown = runner.room.count().is_none() && runner.sent.is_none();
+            let unsettled = runner.room.is_unsettled() && runner.sent.is_none();
+            let pause = if unsettled && !runner.wanted.is_empty() {
+                ASK_SOON
+            } else {
+                ASK_AGAIN
+            };
+            let waits = runner.asked.is_some_and(|asked| now < asked.after(pause));
+            if (unknown || overdue || unsettled) && !waits && runner.ready {
                 runner.asked = Some(now);
                 outputs.push(Output::Ask(name.clone()));
             }
@@ -202,8 +239,8 @@
     pub fn dump(&self) -> serde_json::Value {
         let runners = self.runners.iter().map(|(name, runner)| {
             serde_json::json!({
-                "endpoint": name, "ready": runner.ready, "models": runner.models,
-                "adapters": runner.adapters.len(), "accepted": runner.accepted,
+                "endpoint": name, "ready": runner.ready, "models": runner.room.models(),
+                "adapters": runner.room.adapters().len(), "accepted": runner.room.count(),
                 "moving": runner.moving.as_ref().map(|found| format!("{found:?}")),
                 "sent": runner.sent.as_ref().map(|sent| sent.order.action.to_string()),
             })
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -105,11 +105,14 @@
             let Some(action) = self.next_action(now, &name) else {
                 continue;
             };
+            if self.meets_stray(now, &name, &action) {
+                continue;
+            }
             let number = self.next_number();
             let Some(runner) = self.runners.get_mut(&name) else {
                 continue;
             };
-            let Some(expect) = runner.accepted else {
+            let Some(expect) = runner.room.count() else {
                 continue;
             };
             let order = order::Order {
@@ -123,7 +126,10 @@
             runner.sent = Some(runner::Sent {
                 order: order.clone(),
                 at: now,
+                after: runner.sequence,
+                repeated: false,
             });
+            self.goes_out(now, &order);
             outputs.push(Output::Send(order));
         }
     }
@@ -136,7 +142,17 @@
         if !ready || now < sent.at.after(REPEAT_AFTER) {
             return None;
         }
+        // A plan that came since may leave no room for it. The copies that were sent fitted
+        // when they were, and whether one was accepted only the runner can say.
+        if !self.engine.fits(&runner.room, &sent.order.action) {
+            runner.sent = None;
+            runner.moving = None;
+            runner.room.forget_count();
+            self.changed.insert(name.clone());
+            return None;
+        }
         sent.at = now;
+        sent.repeated = true;
         Some(sent.order.clone())
     }
 
@@ -146,7 +162,7 @@
         name: &id::Endpoint,
     ) -> Option<order::Action> {
         let runner = self.runners.get_mut(name)?;
-        if runner.sent.is_some() || runner.accepted.is_none() || !runner.ready {
+        if runner.sent.is_some() || runner.room.count().is_none() || !runner.ready {
             return None;
         }
         // A runner carries out one order at a time. It turns down any other until a
@@ -183,16 +199,14 @@
 
     /// The load, if it fits into what the runner certainly has; else it is dropped.
     fn checked_load(&mut self, name: &id::Endpoint, model: id::Model) -> Option<order::Action> {
-        let size = self.engine.models.get(&model)?.size.0;
         let runner = self.runners.get_mut(name)?;
-        let adapters = runner.adapters.keys().map(|(model, _)| model);
-        let taken = self.engine.taken(runner.models.iter(), adapters);
-        if runner.models.contains(&model) || taken + size > self.engine.memory.0 {
+        let load = order::Action::Load(model);
+        if !self.engine.fits(&runner.room, &load) {
             runner.moving = None;
             self.changed.insert(name.clone());
             return None;
         }
-        Some(order::Action::Load(model))
+        Some(load)
     }
 }
 
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -34,6 +34,7 @@
         adapter_slots: 2,
         store_rate: 3.0,
         models: models.iter().map(|text| (model(text), weights)).collect(),
+        former: BTreeMap::new(),
     }
 }
 
@@ -63,6 +64,7 @@
 
 fn report(accepted: u64) -> order::Report {
     order::Report {
+        boot: None,
         accepted,
         busy: false,
         models: Vec::new(),
