--- a/crates/cranberrygap-placement/src/residency/plan.rs
+++ b/crates/cranberrygap-placement/src/residency/plan.rs
@@ -74,10 +74,14 @@
     runners: &'book BTreeMap<id::Endpoint, runner::Runner>,
     demand: &'book BTreeMap<id::Model, f64>,
     store_open: bool,
-    copies: BTreeMap<&'book id::Model, Vec<&'book id::Endpoint>>,
+    /// Places of the runners that have a copy, in the order of their names.
+    copies: BTreeMap<&'book id::Model, Vec<usize>>,
     /// Confirmed copies that stay; one that is only on its way may fail.
     confirmed: BTreeMap<&'book id::Model, usize>,
-    load: BTreeMap<&'book id::Endpoint, f64>,
+    /// Part of its time that each runner's models take, by its place.
+    load: Vec<f64>,
+    /// Memory that is free once what was begun is done, by the same place.
+    free: Vec<u64>,
 }
 
 impl<'book> Draft<'book> {
@@ -90,11 +94,12 @@
         demand: &'book BTreeMap<id::Model, f64>,
         store_open: bool,
     ) -> Self {
-        let mut copies: BTreeMap<&id::Model, Vec<&id::Endpoint>> = BTreeMap::new();
+        let mut copies: BTreeMap<&id::Model, Vec<usize>> = BTreeMap::new();
         let mut confirmed: BTreeMap<&id::Model, usize> = BTreeMap::new();
-        for (name, runner) in runners.iter().filter(|(_, runner)| runner.ready) {
+        let ready = runners.values().enumerate();
+        for (place, runner) in ready.filter(|(_, runner)| runner.ready) {
             for model in runner.settled() {
-                copies.entry(model).or_default().push(name);
+                copies.entry(model).or_default().push(place);
             }
             for model in runner
                 .room
@@ -112,7 +117,8 @@
             store_open,
             copies,
             confirmed,
-            load: runners.keys().map(|name| (name, 0.0)).collect(),
+            load: vec![0.0; runners.len()],
+            free: runners.values().map(|runner| runner.free(engine)).collect(),
         };
         draft.spread();
         draft
@@ -132,12 +138,11 @@
                 continue;
             };
             for _part in 0..PARTS {
-                let least = copies.iter().min_by(|left, right| {
-                    let (left, right) = (self.load[**left], self.load[**right]);
-                    left.total_cmp(&right)
-                });
-                if let Some(load) = least.and_then(|name| self.load.get_mut(*name)) {
-                    *load += work / f64::from(PARTS);
+                let least = copies
+                    .iter()
+                    .min_by(|left, right| self.load[**left].total_cmp(&self.load[**right]));
+                if let Some(place) = least {
+                    self.load[*place] += work / f64::from(PARTS);
                 }
             }
         }
@@ -152,7 +157,8 @@
     /// Part of a runner's time that its models take.
     #[must_use]
     pub fn load(&self, endpoint: &id::Endpoint) -> f64 {
-        self.load.get(endpoint).copied().unwrap_or_default()
+        let place = self.runners.keys().position(|name| name == endpoint);
+        place.map_or(0.0, |place| self.load[place])
     }
 
     /// The most useful move, if any is worth its cost.
@@ -175,20 +181,28 @@
         models.into_iter().find_map(|model| self.stand(model))
     }
 
+    /// Runners whose models may be moved, with their places.
+    fn idle(&self) -> impl Iterator<Item = (usize, &'book id::Endpoint, &'book runner::Runner)> {
+        let runners = self.runners.iter().enumerate();
+        let runners = runners.map(|(place, (name, runner))| (place, name, runner));
+        runners.filter(|(_, _, runner)| runner.is_idle())
+    }
+
     fn stand(&self, model: &'book id::Model) -> Option<Wish> {
         let weights = self.engine.models.get(model)?;
         let copies = self.count(model);
-        let idle = self.runners.iter().filter(|(_, runner)| runner.is_idle());
-        let options = idle.filter_map(|(name, runner)| {
+        let idle = self.idle();
+        let options = idle.filter_map(|(place, name, runner)| {
             let (time, counted) = runner.load_time(model, weights);
             if runner.room.models().contains(model) || (counted && !self.store_open) {
                 return None;
             }
-            let room = runner.free(self.engine) >= weights.size.0;
+            let free = self.free[place];
+            let room = free >= weights.size.0;
             let victim = if room {
                 None
             } else {
-                Some(self.spare(name, runner, model, copies + UNEVEN)?)
+                Some(self.spare(name, runner, free, model, copies + UNEVEN)?)
             };
             let missed = victim.map_or(0.0, |victim| self.loss(victim));
             Some((missed + time.as_secs_f64() * 0.01, name, victim))
@@ -207,10 +221,11 @@
         &self,
         name: &id::Endpoint,
         runner: &'book runner::Runner,
+        free: u64,
         coming: &id::Model,
         least: usize,
     ) -> Option<&'book id::Model> {
-        let spared = self.fitting(runner, coming).filter(|model| {
+        let spared = self.fitting(runner, free, coming).filter(|model| {
             let others = self.count_elsewhere(name, model);
             let each = self.work(model) / others.max(1) as f64;
             others + 1 >= least && each < BUSY * RELIEF
@@ -248,14 +263,15 @@
 
     fn least_load(&self, model: &id::Model) -> Option<f64> {
         let copies = self.copies.get(model)?.iter();
-        copies.map(|name| self.load(name)).reduce(f64::min)
+        copies.map(|place| self.load[*place]).reduce(f64::min)
     }
 
     fn place(&self, model: &'book id::Model) -> Option<Wish> {
         let weights = self.engine.models.get(model)?;
         let present = self.least_load(model);
-        let idle = self.runners.iter().filter(|(_, runner)| runner.is_idle());
-        let options = idle.filter_map(|(name, runner)| {
+        let idle = self.idle();
+        let options = idle.filter_map(|(place, name, runner)| {
+            let load = self.load[place];
             if runner.room.models().contains(model) {
                 return None;
             }
@@ -263,15 +279,15 @@
             if counted && !self.store_open {
                 return None;
             }
-            let load = self.load(name);
             if present.is_some_and(|present| load > present * RELIEF) {
                 return None;
             }
-            let room = runner.free(self.engine) >= weights.size.0;
+            let free = self.free[place];
+            let room = free >= weights.size.0;
             let victim = if room {
                 None
             } else {
-                Some(self.victim(name, runner, model)?)
+                Some(self.victim(name, runner, free, model)?)
             };
             // A second of load time weighs as much as a tenth of a runner's time, and so
             // does what the other copies of the victim have to take over.
@@ -298,10 +314,11 @@
         &self,
         name: &id::Endpoint,
         runner: &'book runner::Runner,
+        free: u64,
         coming: &id::Model,
     ) -> Option<&'book id::Model> {
         let gain = self.gain(coming);
-        let fitting = self.fitting(runner, coming).filter(|model| {
+        let fitting = self.fitting(runner, free, coming).filter(|model| {
             let returns = runner.stored.contains(*model) && self.work(model) < IDLE;
             returns || self.count_elsewhere(name, model) > 0
         });
@@ -313,11 +330,11 @@
     fn fitting(
         &self,
         runner: &'book runner::Runner,
+        free: u64,
         coming: &id::Model,
     ) -> impl Iterator<Item = &'book id::Model> {
         let coming = self.engine.models.get(coming);
         let needed = coming.map_or(u64::MAX, |weights| weights.size.0);
-        let free = runner.free(self.engine);
         let models = runner.room.models().iter();
         models.filter(move |model| free + self.engine.size(model) >= needed)
     }
