Ask a runner again until its announcement agrees with what is known

Cause: an announcement that differs has the runner asked, but the report may be of before it. It settled the difference, and an announcement that tells nothing new does not come again.

A violation of service has the book and the runners in its trace.

--- a/crates/cranberrygap-bench/src/soak/residency/runner.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/runner.rs
@@ -343,6 +343,14 @@
         true
     }
 
+    /// What it is and holds, for a trace.
+    pub fn shown(&self) -> String {
+        format!(
+            "{} of {} down {:?} at count {}: {:?}, {:?}",
+            self.name, self.boot, self.down, self.accepted, self.models, self.work
+        )
+    }
+
     /// Adapters that requests use now.
     pub fn in_use(&self, now: duration::Instant) -> Vec<runner::Adapter> {
         let used = self.adapters.iter().filter(|(_, held)| held.used > now);
--- a/crates/cranberrygap-bench/src/soak/residency/world/check.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world/check.rs
@@ -3,6 +3,7 @@
 use cranberrygap_model::id;
 
 use super::World;
+use crate::soak::residency::runner::Runner;
 
 /// Steps before the end of the calm in which wishes for adapters are counted.
 const COUNTED: u64 = 800;
@@ -44,6 +45,14 @@
                 "of {wanted} wishes for adapters only {found} were met"
             ));
         }
+        if self.violated.is_some() {
+            let book = self.leader.book.dump();
+            self.note("book", || book.to_string());
+            let runners: Vec<String> = self.runners.iter().map(Runner::shown).collect();
+            for runner in runners {
+                self.note("runner", || runner);
+            }
+        }
         self.note("calm", || {
             format!("{found} of {wanted} wishes for adapters met")
         });
--- a/crates/cranberrygap-placement/src/residency/book.rs
+++ b/crates/cranberrygap-placement/src/residency/book.rs
@@ -209,7 +209,7 @@
                 ASK_AGAIN
             };
             let waits = runner.asked.is_some_and(|asked| now < asked.after(pause));
-            if (unknown || overdue || unsettled) && !waits && runner.ready {
+            if (unknown || overdue || unsettled || runner.is_disputed()) && !waits && runner.ready {
                 runner.asked = Some(now);
                 outputs.push(Output::Ask(name.clone()));
             }
@@ -242,6 +242,10 @@
                 "endpoint": name, "ready": runner.ready, "models": runner.room.models(),
                 "adapters": runner.room.adapters().len(), "accepted": runner.room.count(),
                 "moving": runner.moving.as_ref().map(|found| format!("{found:?}")),
+                "carried": runner.carried.as_ref().map(|carried| carried.action.to_string()),
+                "asked": runner.asked.is_some(),
+                "unsettled": runner.room.is_unsettled(),
+                "wanted": runner.wanted.len(),
                 "sent": runner.sent.as_ref().map(|sent| sent.order.action.to_string()),
             })
         });
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Whether its latest announcement differs from what is known by count. A report may
+    /// be older than the announcement, so that it settles nothing while this lasts.
+    #[must_use]
+    pub fn is_disputed(&self) -> bool {
+        let idle = self.carried.is_none() && self.sent.is_none();
+        idle && self.room.is_reported() && self.announced != *self.room.models()
+    }
+
     /// Models that it will serve once what was begun is done.
     pub fn settled(&self) -> impl Iterator<Item = &id::Model> {
         let leaving = self.leaving();
