Play trouble with leaders, lenders and datagrams in the run within rate

What callers see when the leader or a lender is in trouble was stated, not played. The run can now lose the leader for 1.2 s (the next one reads the replicated table of shares), delay its answers by 0.5 s, lose the busiest workspace's lender for good, restart it after 0.5 s, let it stand still for 2 s (its socket keeps 256 datagrams), and lose 5 of 100 datagrams. All six came in one commit, since they share what is played.

--- a/crates/cranberrygap-bench/src/measure/demand.rs
+++ b/crates/cranberrygap-bench/src/measure/demand.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::Measurement;
-use crate::soak::demand::{self, day, way};
+use crate::soak::demand::{self, day, trouble, way};
 
 /// The run of `soak --part demand` for a day by arguments, without a verdict.
 #[derive(Debug)]
@@ -21,6 +21,9 @@
     /// How entries get tokens that they do not hold.
     #[arg(long, value_enum, default_value_t)]
     way: way::Kind,
+    /// What goes wrong after two seconds that count.
+    #[arg(long, value_enum, default_value_t)]
+    trouble: trouble::Trouble,
     /// First seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -47,8 +50,12 @@
         let day = day::Day::quiet(arguments.entries, arguments.control_core);
         let seeds = arguments.seed..arguments.seed + arguments.seeds;
         let runs = seeds.map(|seed| {
-            let way = arguments.way;
-            let tally = demand::Demand { day, way }.play(seed, arguments.steps)?;
+            let demand = demand::Demand {
+                day,
+                way: arguments.way,
+                trouble: arguments.trouble,
+            };
+            let tally = demand.play(seed, arguments.steps)?;
             let outcome = tally.check().err();
             Ok(serde_json::json!({ "seed": seed, "tally": tally, "violated": outcome }))
         });
--- a/crates/cranberrygap-bench/src/soak/demand.rs
+++ b/crates/cranberrygap-bench/src/soak/demand.rs
@@ -14,6 +14,7 @@
 pub mod lending;
 pub mod processor;
 pub mod tally;
+pub mod trouble;
 pub mod way;
 pub mod wire;
 mod world;
@@ -27,6 +28,8 @@
     pub day: day::Day,
     /// How entries get tokens that they do not hold.
     pub way: way::Kind,
+    /// What goes wrong.
+    pub trouble: trouble::Trouble,
 }
 
 impl Demand {
@@ -36,7 +39,8 @@
     ///
     /// A workspace spent more than its rate and burst.
     pub fn play(&self, seed: u64, steps: u64) -> Result<tally::Tally, Violation> {
-        let mut world = world::World::new(seed, self.day, self.way.build(self.day));
+        let way = self.way.build(self.day);
+        let mut world = world::World::new(seed, self.day, way, self.trouble);
         let outcome = world.run(steps);
         outcome.map_err(|invariant| world.violation(seed, invariant))?;
         Ok(world.tally())
--- a/crates/cranberrygap-bench/src/soak/demand/appointments.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/appointments.rs
@@ -57,6 +57,12 @@
         self.lenders.clone()
     }
 
+    /// Another leader begins with what the log says.
+    pub(super) fn inherit(&mut self, now: duration::Instant, lenders: &Lenders) {
+        self.lenders.clone_from(lenders);
+        self.since = lenders.keys().map(|name| (name.clone(), now)).collect();
+    }
+
     /// Whether a lender had the time of a lease and has none.
     fn is_lost(
         &self,
--- a/crates/cranberrygap-bench/src/soak/demand/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/entry.rs
@@ -39,11 +39,16 @@
     pub awaited: Option<(number::Sequence, u64)>,
     /// When it looks next at what is due.
     pub looks_at: u64,
+    pub boot: number::Boot,
+    /// When it goes on; at no time if it is gone.
+    pub stands_until: u64,
+    /// Datagrams that came while it stood still.
+    pub unread: u32,
 }
 
 impl Entry {
-    pub fn new(number: usize, entries: usize) -> Self {
-        let mut holder = holder::Holder::new(name(number), number::Boot(1));
+    pub fn new(number: usize, entries: usize, boot: number::Boot) -> Self {
+        let mut holder = holder::Holder::new(name(number), boot);
         holder.set_entries(entries);
         Self {
             holder,
@@ -51,6 +56,9 @@
             running: BTreeMap::new(),
             awaited: None,
             looks_at: u64::MAX,
+            boot,
+            stands_until: 0,
+            unread: 0,
         }
     }
 }
--- a/crates/cranberrygap-bench/src/soak/demand/leader.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/leader.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cranberrygap_model::{duration, id, number};
-use cranberrygap_policy::limits::{granter, holder};
+use cranberrygap_policy::limits::{self, granter, holder};
+use cranberrygap_state::share as state_share;
 use cranberrygap_wire::share;
 use rand::Rng;
 use serde_json::json;
@@ -31,7 +32,11 @@
 #[derive(Debug)]
 pub struct Leader {
     granter: granter::Granter,
-    workspaces: Vec<id::Workspace>,
+    limits: BTreeMap<id::Workspace, limits::Limit>,
+    term: number::Term,
+    /// What a later leader knows of the shares.
+    log: state_share::Shares,
+    gone: bool,
     controls: u64,
     inbox: VecDeque<Waiting>,
     /// What is answered once the commit under way is done.
@@ -63,15 +68,18 @@
     #[must_use]
     pub fn new(day: Day) -> Self {
         let now = duration::Instant(1);
-        let mut granter = granter::Granter::new(now, number::Term(1), &BTreeMap::new(), &[]);
-        let limits = world::limits(day);
+        let term = number::Term(1);
+        let mut granter = granter::Granter::new(now, term, &BTreeMap::new(), &[]);
+        let limits: BTreeMap<_, _> = world::limits(day).into_iter().collect();
         for (workspace, limit) in &limits {
             granter.configure(now, workspace, *limit, granter::Origin::Added);
         }
-        let workspaces = limits.into_iter().map(|(workspace, _)| workspace);
         Self {
             granter,
-            workspaces: workspaces.collect(),
+            limits,
+            term,
+            log: state_share::Shares::default(),
+            gone: false,
             controls: day.controls as u64,
             inbox: VecDeque::new(),
             open: Vec::new(),
@@ -87,7 +95,7 @@
         }
         self.answering = true;
         let together = self.inbox.len().min(MOST_TOGETHER);
-        let mut records = 0;
+        let mut records = Vec::new();
         let mut done = wire.now();
         for waiting in self.inbox.drain(..together) {
             if wire.now() > waiting.at + holder::PATIENCE.0 {
@@ -99,7 +107,7 @@
             let Ok(answer) = self.granter.renew(wire.clock(), &waiting.renew) else {
                 continue;
             };
-            records += answer.records.len() as u64;
+            records.extend(answer.records);
             let answer = if waiting.renew.lends {
                 Message::Handed(answer.granted)
             } else {
@@ -107,12 +115,18 @@
             };
             self.open.push((waiting.entry, answer));
         }
-        if records > 0 {
-            done = self.commit(wire, records);
+        if !records.is_empty() {
+            done = self.log(wire, records);
         }
         wire.later(done, Place::Leader, COMMITTED);
     }
 
+    fn log(&mut self, wire: &mut Wire, allocations: Vec<share::Allocation>) -> u64 {
+        let done = self.commit(wire, allocations.len() as u64);
+        self.log.apply(&state_share::Step { allocations });
+        done
+    }
+
     /// Commits so many records; gives when that is done.
     pub(super) fn commit(&mut self, wire: &mut Wire, records: u64) -> u64 {
         self.counts.commits += 1;
@@ -124,12 +138,21 @@
 
     /// Closes shares whose lease has run out; nobody waits for their commit.
     pub(super) fn expire(&mut self, wire: &mut Wire) {
-        let records = self.granter.expire(wire.clock()).len() as u64;
-        if records > 0 {
-            self.commit(wire, records);
+        let records = self.granter.expire(wire.clock());
+        if !records.is_empty() {
+            self.log(wire, records);
         }
     }
 
+    /// A process of an entry has ended.
+    pub(super) fn ended(&mut self, wire: &Wire, instance: &id::Instance, boot: number::Boot) {
+        self.granter.ended(wire.clock(), instance, boot);
+    }
+
+    pub(super) const fn is_gone(&self) -> bool {
+        self.gone
+    }
+
     /// What is granted.
     pub(super) const fn granter(&self) -> &granter::Granter {
         &self.granter
@@ -137,7 +160,7 @@
 
     /// Hands each pool to whoever lends it from now on.
     pub(super) fn follow(&mut self, lenders: &Lenders) {
-        for workspace in &self.workspaces {
+        for workspace in self.limits.keys() {
             let lender = lenders.get(workspace);
             self.granter.set_delegate(workspace, lender);
         }
@@ -175,6 +198,7 @@
     fn take(&mut self, wire: &mut Wire, _at: Place, message: Message) -> Option<Answer> {
         match message {
             Message::Granted(granted) => Some(Answer::Granted(granted)),
+            Message::Renewal(..) if self.gone => None,
             Message::Renewal(entry, renew) => {
                 self.count(&renew);
                 let at = wire.now();
@@ -199,6 +223,25 @@
         self.answer(wire);
     }
 
+    fn lose_leader(&mut self) {
+        self.gone = true;
+        self.inbox.clear();
+        self.open.clear();
+    }
+
+    fn elect(&mut self, wire: &mut Wire) {
+        self.gone = false;
+        self.term = number::Term(self.term.0 + 1);
+        let logged: Vec<share::Allocation> = self.log.iter().cloned().collect();
+        self.granter = granter::Granter::new(wire.clock(), self.term, &self.limits, &logged);
+    }
+
+    fn restart(&mut self, _wire: &mut Wire, _entry: usize) {}
+
+    fn lender(&self, _workspace: &id::Workspace) -> Option<usize> {
+        None
+    }
+
     fn counts(&self) -> serde_json::Value {
         json!({
             "answered": self.counts.answered,
--- a/crates/cranberrygap-bench/src/soak/demand/lending.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/lending.rs
@@ -31,6 +31,10 @@
     appointments: Appointments,
     /// Lenders whose commits are under way, the oldest first.
     chosen: VecDeque<Arc<Lenders>>,
+    /// Who lends as far as the log says.
+    lenders: Arc<Lenders>,
+    /// Processes that ended since the leader looked last.
+    ended: Vec<(id::Instance, number::Boot)>,
     numbers: BTreeMap<id::Instance, usize>,
     entries: Vec<Entry>,
     counts: Counts,
@@ -39,6 +43,7 @@
 #[derive(Debug)]
 struct Entry {
     instance: id::Instance,
+    boot: number::Boot,
     lending: lending::Lending,
     awaited: Option<number::Sequence>,
     /// When it looks next whether the leader is to be asked.
@@ -56,12 +61,13 @@
 }
 
 impl Entry {
-    fn new(number: usize, entries: usize) -> Self {
+    fn new(number: usize, entries: usize, boot: number::Boot) -> Self {
         let instance = entry::name(number);
-        let mut lending = lending::Lending::new(instance.clone(), number::Boot(1));
+        let mut lending = lending::Lending::new(instance.clone(), boot);
         lending.set_entries(entries);
         Self {
             instance,
+            boot,
             lending,
             awaited: None,
             looks_at: u64::MAX,
@@ -73,7 +79,8 @@
     /// A leader and entries of which none lends yet.
     #[must_use]
     pub fn new(day: Day) -> Self {
-        let entries = (0..day.entries).map(|number| Entry::new(number, day.entries));
+        let boot = number::Boot(1);
+        let entries = (0..day.entries).map(|number| Entry::new(number, day.entries, boot));
         let entries: Vec<Entry> = entries.collect();
         let numbered = entries.iter().enumerate();
         let numbers = numbered.map(|(number, entry)| (entry.instance.clone(), number));
@@ -82,6 +89,8 @@
             leader: Leader::new(day),
             appointments: Appointments::new(day),
             chosen: VecDeque::new(),
+            lenders: Arc::new(Lenders::new()),
+            ended: Vec::new(),
             entries,
             counts: Counts::default(),
         }
@@ -90,6 +99,12 @@
     /// The leader looks for shares that have ended and workspaces without a lender.
     fn look(&mut self, wire: &mut Wire) {
         wire.later(wire.now() + LOOK, Place::Leader, LOOKS);
+        if self.leader.is_gone() {
+            return;
+        }
+        for (instance, boot) in std::mem::take(&mut self.ended) {
+            self.leader.ended(wire, &instance, boot);
+        }
         self.leader.expire(wire);
         let changes = self
             .appointments
@@ -110,6 +125,7 @@
             return;
         };
         self.leader.follow(&lenders);
+        self.lenders = Arc::clone(&lenders);
         for number in 0..self.entries.len() {
             wire.tell(Place::Entry(number), Message::Lenders(Arc::clone(&lenders)));
         }
@@ -243,6 +259,31 @@
         }
     }
 
+    fn lose_leader(&mut self) {
+        self.chosen.clear();
+        self.leader.lose_leader();
+    }
+
+    fn elect(&mut self, wire: &mut Wire) {
+        self.leader.elect(wire);
+        self.leader.follow(&self.lenders);
+        self.appointments.inherit(wire.clock(), &self.lenders);
+    }
+
+    fn restart(&mut self, wire: &mut Wire, entry: usize) {
+        let before = &self.entries[entry];
+        let boot = number::Boot(before.boot.0 + 1);
+        self.ended.push((before.instance.clone(), before.boot));
+        self.entries[entry] = Entry::new(entry, self.entries.len(), boot);
+        let lenders = Message::Lenders(Arc::clone(&self.lenders));
+        wire.tell(Place::Entry(entry), lenders);
+    }
+
+    fn lender(&self, workspace: &id::Workspace) -> Option<usize> {
+        let lender = self.lenders.get(workspace)?;
+        self.numbers.get(lender).copied()
+    }
+
     fn counts(&self) -> serde_json::Value {
         json!({
             "leader": self.leader.counts(),
--- a/crates/cranberrygap-bench/src/soak/demand/tally.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/tally.rs
@@ -40,6 +40,8 @@
     pub wait_most: f64,
     /// Requests within rate that waited longer than the bound or were refused.
     pub late: u64,
+    /// When the first and the last of them came, in milliseconds of the day.
+    pub late_between: Option<(u64, u64)>,
     /// Median time from a renewal to its answer, in milliseconds.
     pub answer_median: f64,
     /// The time that 99 in a hundred do not exceed.
@@ -75,6 +77,7 @@
             wait_99: 0.0,
             wait_most: 0.0,
             late: 0,
+            late_between: None,
             answer_median: 0.0,
             answer_99: 0.0,
             renewals: 0,
@@ -88,7 +91,7 @@
     }
 
     /// A request was served or refused after it waited so long for tokens.
-    pub fn decided(&mut self, within: bool, served: bool, wait: u64) {
+    pub fn decided(&mut self, came: u64, within: bool, served: bool, wait: u64) {
         if !within {
             self.beyond += 1;
             self.beyond_served += u64::from(served);
@@ -96,10 +99,18 @@
         }
         self.within += 1;
         self.refused += u64::from(!served);
-        self.late += u64::from(!served || wait > WAIT);
+        if !served || wait > WAIT {
+            self.note_late(came / 1_000);
+        }
         self.waits.saturating_record(wait);
     }
 
+    fn note_late(&mut self, came: u64) {
+        self.late += 1;
+        let (first, last) = self.late_between.unwrap_or((came, came));
+        self.late_between = Some((first.min(came), last.max(came)));
+    }
+
     /// A renewal was answered after so long.
     pub fn answered(&mut self, time: u64) {
         self.answers.saturating_record(time);
--- a/crates/cranberrygap-bench/src/soak/demand/way.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/way.rs
@@ -40,6 +40,14 @@
     Lenders(Arc<Lenders>),
 }
 
+impl Message {
+    /// Whether it may be lost on the way.
+    #[must_use]
+    pub const fn is_datagram(&self) -> bool {
+        matches!(self, Self::Question(..) | Self::Lent(..))
+    }
+}
+
 /// What a message means for the holder of the entry that it came to.
 #[derive(Debug)]
 pub enum Answer {
@@ -78,6 +86,18 @@
     /// A time that was asked for by [`Wire::later`] has come.
     fn wake(&mut self, wire: &mut Wire, at: Place, token: u64);
 
+    /// The leader is gone and hears nothing more.
+    fn lose_leader(&mut self);
+
+    /// Another one leads, which knows what the log has.
+    fn elect(&mut self, wire: &mut Wire);
+
+    /// Another process runs in an entry's place.
+    fn restart(&mut self, wire: &mut Wire, entry: usize);
+
+    /// The entry that lends the tokens of a workspace.
+    fn lender(&self, workspace: &id::Workspace) -> Option<usize>;
+
     /// Calls that were answered, and more that a way counts of itself.
     fn counts(&self) -> serde_json::Value;
 }
--- a/crates/cranberrygap-bench/src/soak/demand/wire.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/wire.rs
@@ -10,12 +10,15 @@
 use super::cost;
 use super::day::Day;
 use super::processor::{Processor, Work};
+use super::trouble::Turn;
 use super::way::{Message, Place};
 
 /// Time on the way between two processes, in microseconds.
 const NEAR: u64 = 200;
 const FAR: u64 = 500;
 
+const HUNDRED: u32 = 100;
+
 /// What happens at a time.
 #[derive(Debug)]
 pub enum Event {
@@ -35,6 +38,8 @@
     Wake(Place, u64),
     /// The leader has other work to do.
     Duty(Work),
+    /// Something goes wrong, or no longer.
+    Trouble(Turn),
 }
 
 #[derive(Debug)]
@@ -74,6 +79,10 @@
     pub random: SmallRng,
     leader: Processor,
     entries: Vec<Processor>,
+    /// Time by which what the leader sends is late.
+    pub(super) late: u64,
+    /// Datagrams of a hundred that are lost.
+    pub(super) lost: u32,
 }
 
 impl Wire {
@@ -87,6 +96,8 @@
             random,
             leader: Processor::new(day.control_core),
             entries: vec![Processor::new(day.entry_core); day.entries],
+            late: 0,
+            lost: 0,
         }
     }
 
@@ -123,7 +134,13 @@
     /// Writes a message at one process and reads it at another.
     pub fn send(&mut self, from: Place, to: Place, message: Message) {
         let written = self.spend(from, Work::Renewal, cost::carrying(&message));
-        let way = self.random.random_range(NEAR..FAR);
+        let mut way = self.random.random_range(NEAR..FAR);
+        if from == Place::Leader {
+            way += self.late;
+        }
+        if message.is_datagram() && self.random.random_ratio(self.lost, HUNDRED) {
+            return;
+        }
         self.schedule(written + way, Event::Come(to, message));
     }
 
--- a/crates/cranberrygap-bench/src/soak/demand/world.rs
+++ b/crates/cranberrygap-bench/src/soak/demand/world.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use cranberrygap_model::{duration, id, token};
+use cranberrygap_model::{duration, id, number, token};
 use cranberrygap_policy::limits::{self, holder};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -13,6 +13,7 @@
 use super::entry::{Entry, Running, Waiting};
 use super::processor::Work;
 use super::tally::Tally;
+use super::trouble::{Trouble, Turn};
 use super::way::{Answer, Place, Way};
 use super::wire::{Event, Wire};
 use crate::soak::Violation;
@@ -24,6 +25,12 @@
 /// Time at the start that does not count: shares follow demand, and there was none.
 const START: u64 = 2_000_000;
 
+/// When something goes wrong, if anything does: shares and lenders are settled.
+const TROUBLE: u64 = START + 2_000_000;
+
+/// When an entry goes on that is gone.
+const NEVER: u64 = u64::MAX;
+
 /// How long requests wait for tokens, as entries let streams with an objective of 800 ms.
 const PATIENCE: holder::Patience = holder::Patience {
     in_line: duration::Span::from_millis(200),
@@ -35,6 +42,13 @@
 const MEAN_BEYOND: f64 = 1_800.0;
 const MOST: f64 = 8_000.0;
 
+/// Time by which the leader's answers are late, and lost datagrams of a hundred, in trouble.
+const LATE: u64 = 500_000;
+const LOST: u32 = 5;
+
+/// Datagrams that wait in a socket; the system's default room for them is 208 KiB.
+const UNREAD: u32 = 256;
+
 /// Longest time for which a request runs.
 const LONGEST: u64 = 2_000_000;
 
@@ -46,6 +60,9 @@
 /// Callers, entries and the way to their tokens.
 pub struct World {
     day: Day,
+    trouble: Trouble,
+    /// The entry that it befalls.
+    befallen: Option<usize>,
     way: Box<dyn Way>,
     wire: Wire,
     entries: Vec<Entry>,
@@ -98,7 +115,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, day: Day, way: Box<dyn Way>) -> Self {
+    pub fn new(seed: u64, day: Day, way: Box<dyn Way>, trouble: Trouble) -> Self {
         let random = SmallRng::seed_from_u64(seed);
         let mut wire = Wire::new(random, day);
         wire.schedule(0, Event::Arrive);
@@ -117,9 +134,13 @@
             }
         });
         let workspaces = workspaces.collect();
-        let entries = (0..day.entries).map(|number| Entry::new(number, day.entries));
+        let entries =
+            (0..day.entries).map(|number| Entry::new(number, day.entries, number::Boot(1)));
+        wire.schedule(TROUBLE, Event::Trouble(Turn::Begins));
         Self {
             day,
+            trouble,
+            befallen: None,
             way,
             wire,
             entries: entries.collect(),
@@ -174,7 +195,43 @@
         }
     }
 
+    /// Takes an event unless its entry is gone; one that stands still takes it later.
     fn take(&mut self, event: Event) {
+        let place = match &event {
+            Event::Read(entry, ..) | Event::Look(entry) | Event::End(entry, _) => {
+                Place::Entry(*entry)
+            }
+            Event::Come(place, _) | Event::Taken(place, _) | Event::Wake(place, _) => *place,
+            Event::Arrive | Event::Duty(_) | Event::Trouble(_) => Place::Leader,
+        };
+        if let Place::Entry(entry) = place {
+            let until = self.entries[entry].stands_until;
+            if until == NEVER {
+                return;
+            }
+            if until > self.wire.now() {
+                self.hold(entry, until, event);
+                return;
+            }
+        }
+        self.go_on(event);
+    }
+
+    /// Keeps what happens to an entry that stands still, as far as its socket has room.
+    fn hold(&mut self, entry: usize, until: u64, event: Event) {
+        if let Event::Come(_, message) = &event
+            && message.is_datagram()
+        {
+            let unread = &mut self.entries[entry].unread;
+            *unread += 1;
+            if *unread > UNREAD {
+                return;
+            }
+        }
+        self.wire.schedule(until, event);
+    }
+
+    fn go_on(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
             Event::Read(entry, workspace, cost, sent) => {
@@ -195,13 +252,15 @@
             }
             Event::Wake(place, token) => self.way.wake(&mut self.wire, place, token),
             Event::Duty(work) => self.duty(work),
+            Event::Trouble(Turn::Begins) => self.trouble(),
+            Event::Trouble(Turn::Ends) => self.recover(),
         }
     }
 
     fn arrive(&mut self) {
         const MICROS: f64 = 1e6;
         let drawn: f64 = self.wire.random.random();
-        let entry = self.wire.random.random_range(0..self.entries.len());
+        let entry = self.anyone();
         let found = self.workspaces.iter().position(|one| drawn < one.until);
         let workspace = found.unwrap_or_default();
         let size = LEAST + exponential(&mut self.wire.random, MEAN_BEYOND);
@@ -328,7 +387,7 @@
         let (now, clock) = (self.wire.now(), self.wire.clock());
         if waiting.since >= START {
             self.tally
-                .decided(waiting.within, true, now - waiting.since);
+                .decided(waiting.since, waiting.within, true, now - waiting.since);
         }
         let cost = token::Count(waiting.cost);
         let workspace = &mut self.workspaces[waiting.workspace];
@@ -362,7 +421,8 @@
     fn refused(&mut self, waiting: Waiting) {
         let wait = self.wire.now() - waiting.since;
         if waiting.since >= START {
-            self.tally.decided(waiting.within, false, wait);
+            self.tally
+                .decided(waiting.since, waiting.within, false, wait);
         }
     }
 
@@ -379,6 +439,64 @@
         self.look(entry);
     }
 
+    /// An entry that callers reach; they know soon of one that is gone.
+    fn anyone(&mut self) -> usize {
+        loop {
+            let entry = self.wire.random.random_range(0..self.entries.len());
+            if self.entries[entry].stands_until != NEVER {
+                return entry;
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let now = self.wire.now();
+        self.befallen = self.way.lender(&self.workspaces[0].name);
+        let stands_until = match self.trouble {
+            Trouble::Nothing => return,
+            Trouble::LeaderGone => {
+                self.way.lose_leader();
+                now
+            }
+            Trouble::LateAnswers => {
+                self.wire.late = LATE;
+                now
+            }
+            Trouble::LostDatagrams => {
+                self.wire.lost = LOST;
+                now
+            }
+            Trouble::LenderDies | Trouble::LenderRestarts => NEVER,
+            Trouble::LenderFreezes => now + self.trouble.lasts().unwrap_or_default(),
+        };
+        if let Some(entry) = self.befallen {
+            self.entries[entry].stands_until = stands_until;
+        }
+        if let Some(span) = self.trouble.lasts() {
+            self.wire.schedule(now + span, Event::Trouble(Turn::Ends));
+        }
+        self.note(&format!("{:?}, at entry {:?}", self.trouble, self.befallen));
+    }
+
+    fn recover(&mut self) {
+        match self.trouble {
+            Trouble::LeaderGone => self.way.elect(&mut self.wire),
+            Trouble::LenderRestarts => {
+                if let Some(entry) = self.befallen {
+                    self.restart(entry);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn restart(&mut self, entry: usize) {
+        let boot = number::Boot(self.entries[entry].boot.0 + 1);
+        self.entries[entry] = Entry::new(entry, self.day.entries, boot);
+        self.way.restart(&mut self.wire, entry);
+        self.look(entry);
+    }
+
     fn duty(&mut self, work: Work) {
         const MICROS: f64 = 1e6;
         let Some(duty) = cost::duties(self.day)
