Let a model go only on word of that model

A runner's news is told to the entries by commands that run beside each other, and any of them that was committed let the move go on that was under way by then. One from before the move says nothing of the model that goes: entries that were not told would send on to a runner that drops it, and get 421 from there. What was told now comes back with its content, and counts for the model that it names. Fixtures of two tests say what is told; their assertions are unchanged.

--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -292,9 +292,9 @@
             Message::Announcement(announcement) => self.announced(*announcement),
             Message::Telling(leader, told) => {
                 let name = told.endpoint.clone();
-                self.told.insert(name.clone(), told);
+                self.told.insert(name, told.clone());
                 if leader == in_office {
-                    self.leader.book.told(self.now, &name);
+                    self.leader.book.told(self.now, &told);
                 }
             }
             Message::Request(name, adapter) => self.request(&name, adapter),
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -122,7 +122,7 @@
         order::Verdict,
     ),
     Unanswered(duration::Instant, id::Service, id::Endpoint, u64),
-    Told(duration::Instant, id::Service, id::Endpoint),
+    Told(duration::Instant, id::Service, view::Residency),
 }
 
 impl Residency {
@@ -285,8 +285,8 @@
             News::Unanswered(of, service, name, number) if of == since => {
                 leadership.with(&service, |book| book.unanswered(now, &name, number));
             }
-            News::Told(of, service, name) if of == since => {
-                leadership.with(&service, |book| book.told(now, &name));
+            News::Told(of, service, word) if of == since => {
+                leadership.with(&service, |book| book.told(now, &word));
             }
             // Of an earlier term.
             _ => {}
@@ -329,7 +329,7 @@
             }
             book::Output::Ask(name) => self.ask(leadership, service, name),
             book::Output::Send(order) => self.send(leadership, service, order),
-            book::Output::Tell(name) => self.tell(leadership, service, name),
+            book::Output::Tell(name) => self.tell(leadership, service, &name),
         }
     }
 
@@ -396,11 +396,11 @@
     }
 
     /// Tells all entries what a runner is about to drop and which adapters it has.
-    fn tell(&self, leadership: &Leadership, service: id::Service, name: id::Endpoint) {
+    fn tell(&self, leadership: &Leadership, service: id::Service, name: &id::Endpoint) {
         let runner = leadership
             .books
             .get(&service)
-            .and_then(|book| book.runner(&name));
+            .and_then(|book| book.runner(name));
         let Some(runner) = runner else {
             return;
         };
@@ -418,9 +418,9 @@
         let (proposer, news) = (self.proposer.clone(), self.news.clone());
         let since = leadership.since;
         tokio::spawn(async move {
-            let command = command::Command::Residency(told);
+            let command = command::Command::Residency(told.clone());
             match proposer.propose(command).await {
-                Ok(_) => drop(news.send(News::Told(since, service, name)).await),
+                Ok(_) => drop(news.send(News::Told(since, service, told)).await),
                 // Without it nothing is dropped; the next change tells all anew.
                 Err(fault) => spdlog::info!("residency: could not tell: {}", fault.message),
             }
--- a/crates/cranberrygap-placement/src/residency/book/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/book/moves.rs
@@ -1,6 +1,7 @@
 //! Moves of whole models: begun by the plan, carried out step by step.
 
 use cranberrygap_model::{duration, id};
+use cranberrygap_wire::view;
 
 use super::{Book, Output, REPEAT_AFTER, RETIRE_AFTER};
 use crate::residency::order;
@@ -85,10 +86,14 @@
     }
 
     /// The entries know what a runner is about to drop.
-    pub fn told(&mut self, now: duration::Instant, name: &id::Endpoint) {
-        let runner = self.runners.get_mut(name);
-        if let Some(runner::Move::Retiring { told, .. }) =
-            runner.and_then(|runner| runner.moving.as_mut())
+    ///
+    /// Only word of the model that goes now counts: an earlier one may come after the move
+    /// was begun.
+    pub fn told(&mut self, now: duration::Instant, word: &view::Residency) {
+        let runner = self.runners.get_mut(&word.endpoint);
+        let moving = runner.and_then(|runner| runner.moving.as_mut());
+        if let Some(runner::Move::Retiring { victim, told, .. }) = moving
+            && word.retiring.contains(victim)
         {
             told.get_or_insert(now);
         }
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -138,6 +138,17 @@
         .collect()
 }
 
+/// What entries are told of a runner now.
+fn word(book: &book::Book, name: &id::Endpoint) -> view::Residency {
+    let runner = book.runner(name).expect("the runner is known");
+    view::Residency {
+        endpoint: name.clone(),
+        boot: runner.boot,
+        retiring: runner.leaving().cloned().into_iter().collect(),
+        adapters: Vec::new(),
+    }
+}
+
 #[test]
 fn pressed_model_gets_a_copy_where_there_is_room() {
     let all = [
@@ -164,7 +175,8 @@
     book.set_demand(at(0), demand(&[("hot", 0.9)]));
 
     let first = book.tick(at(1_000));
-    book.told(at(1_010), &name("r2"));
+    let word = word(&book, &name("r2"));
+    book.told(at(1_010), &word);
     let early = book.tick(at(1_050));
     let later = book.tick(at(1_200));
 
@@ -568,7 +580,8 @@
 
     book.tick(at(1_000));
     for found in &all {
-        book.told(at(1_010), &found.endpoint);
+        let word = word(&book, &found.endpoint);
+        book.told(at(1_010), &word);
     }
     let outputs = book.tick(at(1_200));
 
