--- a/crates/cranberrygap-control/src/shares.rs
+++ b/crates/cranberrygap-control/src/shares.rs
@@ -7,7 +7,7 @@
 
 use cranberrygap_link::clock;
 use cranberrygap_link::server;
-use cranberrygap_policy::limits::{granter, holder};
+use cranberrygap_policy::limits::{granter, holder, lending};
 use cranberrygap_state::{command, lender, share as state_share};
 use cranberrygap_wire::{method, share};
 use parking_lot::Mutex;
@@ -168,7 +168,12 @@
         renewal: &Renewal,
     ) -> Result<granter::Answer, server::Fault> {
         // Its sender has given it up or is gone, and tokens granted to it would be lost.
-        let given_up = renewal.at.elapsed() > holder::PATIENCE.to_std();
+        let patience = if renewal.renew.lends {
+            lending::PATIENCE
+        } else {
+            holder::PATIENCE
+        };
+        let given_up = renewal.at.elapsed() > patience.to_std();
         if given_up || renewal.answer.is_closed() {
             return Err(late());
         }
--- a/crates/cranberrygap-entry/src/admission/shares.rs
+++ b/crates/cranberrygap-entry/src/admission/shares.rs
@@ -139,7 +139,7 @@
         let renewal = self.inner.lock().lending.renew(self.clock.now());
         let answer = core
             .leader
-            .call::<_, share::Granted>(method::SHARE_RENEW, &renewal, ANSWER)
+            .call::<_, share::Granted>(method::SHARE_RENEW, &renewal, lending::PATIENCE)
             .await;
         let now = self.clock.now();
         let mut inner = self.inner.lock();
--- a/crates/cranberrygap-policy/src/limits/lending.rs
+++ b/crates/cranberrygap-policy/src/limits/lending.rs
@@ -12,7 +12,6 @@
 use serde::Serialize;
 
 use super::amount::{Amount, Flow};
-use super::holder;
 use super::lender::{LIFE, Lender, Supply};
 use super::owner::Owner;
 use super::{LEASE, PERIOD};
@@ -21,6 +20,10 @@
 /// Time between two renewals of what is lent. Several fit into a lease.
 const RENEWAL: duration::Span = duration::Span(LEASE.0 / 4);
 
+/// Time after which a renewal without an answer is given up. Its lease is good for twice
+/// that, and a renewal that is given up is one more for a leader that is late.
+pub const PATIENCE: duration::Span = duration::Span(LEASE.0 / 2);
+
 /// Time kept between the end of a loan and that of the lease it is lent from: clocks of two
 /// instances differ by some hundred millionths.
 const MARGIN: duration::Span = duration::Span::from_millis(20);
@@ -174,7 +177,7 @@
             return duration::Instant::default();
         };
         if self.awaited.is_some() {
-            return sent.after(holder::PATIENCE);
+            return sent.after(PATIENCE);
         }
         if self.failed {
             return sent.after(PERIOD.max(self.gap));
