Ask a lender again soon after it had nothing to lend

An entry that was chosen a moment before its pool came left its workspaces out of an answer, and whoever asked turned to the leader until the next change of who lends: with few changes for good. The leader is asked for 200 ms now, and the lender again then; what the leader keeps for those who ask it changes in steps of an eighth.

--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -47,6 +47,9 @@
 /// after the last of them asked.
 const DIRECT: duration::Span = duration::Span::from_secs(5);
 
+/// Steps in which more is kept for them.
+const DIRECT_STEPS: u64 = 8;
+
 /// Part of all demand from which on an entry that lends is taken for one that does not.
 const MOST: f64 = 0.5;
 
@@ -307,9 +310,13 @@
         let of_burst = self.burst.as_f64() * (part / self.rate.to_rate().0.max(1.0)).min(1.0);
         let waiting = Amount::from_count(demand.wanted);
         let needed = Amount::from_count(amount::covering(of_burst)).max(waiting.plus(waiting));
+        // In steps, since each change of what is lent is an entry in the log.
+        let step = |all: u64, part: u64| part.next_multiple_of((all / DIRECT_STEPS).max(1));
         self.direct = Direct {
-            rate: asked.max(rate),
-            cap: needed.max(cap).min(self.burst),
+            rate: Flow(step(self.rate.0, asked.0)).max(rate).min(self.rate),
+            cap: Amount(step(self.burst.0, needed.0))
+                .max(cap)
+                .min(self.burst),
             until: now.after(DIRECT),
         };
     }
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -287,7 +287,9 @@
     /// Who lends to a stock: the leader while the entry that should does not answer.
     fn source(&self, stock: &Stock) -> Source {
         match &stock.lender {
-            Some(lender) if !self.is_silent(lender) => Source::Entry(lender.clone()),
+            Some(lender) if stock.asks_lender() && !self.is_silent(lender) => {
+                Source::Entry(lender.clone())
+            }
             _ => Source::Leader,
         }
     }
@@ -314,8 +316,12 @@
         }
         let source = Source::Entry(lender.clone());
         let stocks = self.stocks.values();
-        let stocks = stocks.filter(|stock| stock.lender.as_ref() == Some(lender));
+        let lent = |stock: &&Stock| stock.lender.as_ref() == Some(lender);
+        let stocks = stocks.filter(lent);
         let due = stocks.filter_map(|stock| {
+            if !stock.asks_lender() {
+                return stock.denied_until().map(|at| at.max(soonest));
+            }
             let returns = stock.returns_at(&source).map(|at| at.max(soonest));
             stock.asks_at(soonest).into_iter().chain(returns).min()
         });
@@ -324,6 +330,9 @@
 
     /// Questions to send now, each to the entry that lends.
     pub fn ask(&mut self, now: duration::Instant) -> Vec<(id::Instance, share::Renew)> {
+        self.stocks
+            .values_mut()
+            .for_each(|stock| stock.advance(now));
         let lenders = self.lenders.iter();
         let due = lenders.filter(|(lender, stream)| {
             let due = self.asks_lender_at(lender, stream);
@@ -389,7 +398,7 @@
             };
             let mut grants = answer.grants.iter();
             let Some(grant) = grants.find(|grant| grant.workspace == demand.workspace) else {
-                stock.denied(&source);
+                stock.deny(now, &source);
                 continue;
             };
             stock.advance(now);
@@ -442,7 +451,7 @@
                 continue;
             }
             let lends = |lender: &id::Instance| !silent.contains(lender);
-            let borrows = !stock.lender.as_ref().is_some_and(lends);
+            let borrows = !(stock.asks_lender() && stock.lender.as_ref().is_some_and(lends));
             let mut demand = stock.demand(now, workspace, borrows);
             if self.closed {
                 demand.rate = token::Rate(0.0);
@@ -556,9 +565,10 @@
     turn: number::Sequence,
 ) -> Vec<id::Workspace> {
     let source = Source::Entry(lender.clone());
-    let concerned = stocks
-        .iter()
-        .filter(|(_, stock)| stock.lender.as_ref() == Some(lender) && stock.concerns(&source));
+    let concerned = stocks.iter().filter(|(_, stock)| {
+        let lent = stock.asks_lender() && stock.lender.as_ref() == Some(lender);
+        lent && stock.concerns(&source)
+    });
     let (mut short, rest): (Vec<_>, Vec<_>) =
         concerned.partition(|(_, stock)| stock.short() > Amount::ZERO);
     if short.len() > MOST_TOGETHER {
--- a/crates/cranberrygap-policy/src/limits/stock.rs
+++ b/crates/cranberrygap-policy/src/limits/stock.rs
@@ -25,6 +25,10 @@
 /// Time before its end at which a loan that nobody took is handed back.
 const RETURN: duration::Span = duration::Span::from_millis(150);
 
+/// Time for which an entry that had nothing to lend is not asked again. The leader hands it
+/// over within some round trips.
+const DENIED: duration::Span = duration::Span::from_millis(200);
+
 #[derive(Debug, Clone, Default)]
 pub(super) struct Stock {
     pub(super) share: u64,
@@ -43,6 +47,8 @@
     pub(super) line: Line,
     /// The entry that lends this workspace's tokens, if one does.
     pub(super) lender: Option<id::Instance>,
+    /// Until when the leader is asked, since the entry that lends had nothing to lend.
+    denied: Option<duration::Instant>,
     /// Whom the awaited answer about those in line is awaited from.
     asking: Option<Source>,
     loans: Loans,
@@ -78,6 +84,7 @@
         self.accrued = self.accrued.max(now);
         self.level = self.level.plus(gained).min(self.ceiling());
         self.loans.expire(now);
+        self.denied = self.denied.filter(|until| now < *until);
         self.observe();
     }
 
@@ -101,18 +108,31 @@
     /// Borrows from another lender from now on; it knows of nobody in line yet.
     pub(super) fn turn_to(&mut self, lender: Option<id::Instance>) {
         self.lender = lender;
+        self.denied = None;
         self.outlook = None;
         self.line.forgotten();
     }
 
-    /// `from` was asked for those in line and does not lend; the leader is asked until the
-    /// view names somebody.
-    pub(super) fn denied(&mut self, from: &Source) {
+    /// `from` was asked and has nothing to lend; the leader may have the tokens meanwhile.
+    pub(super) fn deny(&mut self, now: duration::Instant, from: &Source) {
+        self.denied = Some(now.after(DENIED));
         if self.asking.as_ref() == Some(from) {
-            self.turn_to(None);
+            self.asking = None;
+            self.outlook = None;
+            self.line.forgotten();
         }
     }
 
+    /// When the entry that lends is to be asked again for those in line.
+    pub(super) fn denied_until(&self) -> Option<duration::Instant> {
+        self.denied.filter(|_| self.short() > Amount::ZERO)
+    }
+
+    /// Whether the entry that lends is to be asked.
+    pub(super) const fn asks_lender(&self) -> bool {
+        self.lender.is_some() && self.denied.is_none()
+    }
+
     /// Notes that callers asked for `cost`.
     pub(super) fn ask(&mut self, cost: Amount) {
         self.asked = self.asked.plus(cost);
