--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -433,3 +433,53 @@
     assert!(again.contains(&ask), "{again:?}");
     assert!(!settled.contains(&ask), "{settled:?}");
 }
+
+/// Times at which the book says what is to be told of `r1`, and orders, from a time on.
+fn told_and_ordered(book: &mut book::Book, now: u64) -> (usize, Vec<String>) {
+    let mut told = 0;
+    let mut ordered = Vec::new();
+    for output in book.tick(at(now)) {
+        match output {
+            book::Output::Tell(_) => told += 1,
+            book::Output::Send(order) => ordered.push(order.action.to_string()),
+            _ => {}
+        }
+    }
+    (told, ordered)
+}
+
+// What was told before a move began says nothing of its victim: entries that were not told
+// go on sending requests for it to a runner that drops it.
+#[test]
+fn word_of_before_a_move_does_not_let_it_go_on() {
+    let mut book = opened(&["hot", "spare", "cold"]);
+    let found = announced(1, &["spare", "cold"]);
+    let mut other = announced(1, &["hot", "spare"]);
+    other.endpoint = name("r2");
+    let both = [&found, &other].into_iter();
+    book.follow(
+        at(0),
+        both.map(|found| (found, view::Health::Ready)),
+        |_| None,
+    );
+    book.tick(at(10));
+    book.reported(at(20), &name("r1"), &report(0, &["spare", "cold"], &[]));
+    let (first, _) = told_and_ordered(&mut book, 30);
+    book.set_demand(at(40), demand(&[("hot", 0.9)]));
+    let (second, _) = told_and_ordered(&mut book, 1_000);
+
+    // The first word is committed late; the second, which names the victim, never is.
+    let early = view::Residency {
+        endpoint: name("r1"),
+        boot: number::Boot(1),
+        retiring: Vec::new(),
+        adapters: Vec::new(),
+    };
+    book.told(at(1_010), &early);
+    let ordered: Vec<String> = (0..20)
+        .flat_map(|look| told_and_ordered(&mut book, 1_100 + look * 100).1)
+        .collect();
+
+    assert_eq!((first, second), (1, 1));
+    assert_eq!(ordered, Vec::<String>::new());
+}
