--- a/crates/cranberrygap-policy/src/limits/bucket.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket.rs
@@ -1,5 +1,6 @@
 //! One workspace's bucket at the leader: the pool and the shares taken out of it.
 
+mod delegation;
 mod holdings;
 
 use cranberrygap_model::{duration, id, token};
@@ -10,6 +11,7 @@
 use super::lender::{self, Lender, Supply};
 use super::owner::Owner;
 use super::{LEASE, Limit};
+use delegation::Delegation;
 use holdings::Holdings;
 
 /// Part of the rate that no share ever gets: clocks of two instances differ by
@@ -38,24 +40,6 @@
 /// where another entry lends. Requests of several sizes would have it come and go.
 const FIRST_SHARE: f64 = 2.0;
 
-/// Part of rate and burst, as a divisor, by which more is kept for shares than their demand
-/// asks for, and twice that before the entry that lends gets it back. Each change of what it
-/// lends is an entry in the log and two renewals.
-const RESERVE_STEP: u64 = 32;
-
-/// Time for which a part is kept here for entries that do not reach the one that lends,
-/// after the last of them asked.
-const DIRECT: duration::Span = duration::Span::from_secs(5);
-
-/// Steps in which more is kept for them.
-const DIRECT_STEPS: u64 = 8;
-
-/// Part of all demand from which on an entry that lends is taken for one that does not.
-const MOST: f64 = 0.5;
-
-/// Part of the demand of these entries that is kept for them.
-const DIRECT_PART: f64 = 1.5;
-
 /// Part of the burst that shares hold for their demand, all together. The rest stays
 /// in the pool for whoever is short.
 const STOCKED: f64 = 0.4;
@@ -111,14 +95,6 @@
     }
 }
 
-/// What is kept from the entry that lends, for entries that ask the leader.
-#[derive(Debug, Clone, Copy, Default)]
-struct Direct {
-    rate: Flow,
-    cap: Amount,
-    until: duration::Instant,
-}
-
 #[derive(Debug, Clone)]
 pub(super) struct Bucket {
     rate: Flow,
@@ -128,9 +104,7 @@
     shares: Holdings,
     lender: Lender,
     floor: Floor,
-    /// The entry that lends in place of the leader.
-    delegate: Option<id::Instance>,
-    direct: Direct,
+    delegation: Delegation,
 }
 
 impl Bucket {
@@ -143,8 +117,7 @@
             shares: Holdings::default(),
             lender: Lender::default(),
             floor: Floor::default(),
-            delegate: None,
-            direct: Direct::default(),
+            delegation: Delegation::default(),
         };
         bucket.configure(now, limit);
         bucket
@@ -162,10 +135,7 @@
 
     /// Takes over who lends in place of the leader.
     pub(super) fn set_delegate(&mut self, delegate: Option<&id::Instance>) {
-        if self.delegate.as_ref() != delegate {
-            self.delegate = delegate.cloned();
-            self.direct = Direct::default();
-        }
+        self.delegation.follow(delegate);
     }
 
     /// A process has ended, so that it renews no more; what it lent ends with its loans.
@@ -281,13 +251,16 @@
             from: self.accrued,
             burst: self.burst,
             // Where another entry lends, only who does not reach it borrows here.
-            ahead: self.delegate.is_none(),
+            ahead: !self.delegation.is_made(),
         };
         let offer = self.lender.serve(now, owner, demand, &supply);
         self.pool = self.pool.minus(offer.lent);
         self.cut();
-        if self.delegate.is_some() && demand.first.0 > 0 {
-            self.keep_for_direct(now, demand);
+        if self.delegation.is_made() && demand.first.0 > 0 {
+            let waiting = Amount::from_count(demand.wanted);
+            let asked = self.direct_demand();
+            self.delegation
+                .keep(now, asked, waiting, (self.rate, self.burst));
             if supply.rate == Flow::ZERO {
                 // The tokens are with the entry that lends; what it hands back comes any time.
                 return (duration::Span(0), duration::Span(0), offer.lent.whole());
@@ -296,31 +269,6 @@
         (offer.wait, offer.longest, offer.lent.whole())
     }
 
-    /// Keeps a part here for entries that ask though another one lends: they do not reach it.
-    fn keep_for_direct(&mut self, now: duration::Instant, demand: &share::Demand) {
-        let before = self.direct;
-        let lasts = now < before.until;
-        let (rate, cap) = if lasts {
-            (before.rate, before.cap)
-        } else {
-            (Flow::ZERO, Amount::ZERO)
-        };
-        let part = self.direct_demand() * DIRECT_PART;
-        let asked = Flow::from_rate(token::Rate(part)).min(self.rate);
-        let of_burst = self.burst.as_f64() * (part / self.rate.to_rate().0.max(1.0)).min(1.0);
-        let waiting = Amount::from_count(demand.wanted);
-        let needed = Amount::from_count(amount::covering(of_burst)).max(waiting.plus(waiting));
-        // In steps, since each change of what is lent is an entry in the log.
-        let step = |all: u64, part: u64| part.next_multiple_of((all / DIRECT_STEPS).max(1));
-        self.direct = Direct {
-            rate: Flow(step(self.rate.0, asked.0)).max(rate).min(self.rate),
-            cap: Amount(step(self.burst.0, needed.0))
-                .max(cap)
-                .min(self.burst),
-            until: now.after(DIRECT),
-        };
-    }
-
     /// Demand of the entries that wait for the leader's tokens.
     fn direct_demand(&self) -> f64 {
         let askers = self.lender.askers();
@@ -330,8 +278,8 @@
 
     /// Whether entries with most of the demand do not reach the one that lends.
     pub(super) fn is_delegate_avoided(&self) -> bool {
-        let direct = self.direct_demand();
-        self.delegate.is_some() && direct >= 1.0 && direct > self.shares.demand() * MOST
+        let all = self.shares.demand();
+        self.delegation.is_avoided(self.direct_demand(), all)
     }
 
     /// Drops shares whose lease has run out for certain; their tokens are spent.
@@ -491,7 +439,10 @@
         };
         let grown = cap.minus(loans).max(held.cap.min(cap));
         let wanted = if owner.lends {
-            self.delegated(now, owner, held)
+            let all = (self.rate, self.burst);
+            let left = (held.rate, held.cap);
+            let wanted = self.shares.wanted();
+            self.delegation.part(now, owner, all, wanted, left)
         } else {
             let wanted = self.wanted(share);
             self.shares.update(owner, |share| share.wanted = wanted);
@@ -504,29 +455,13 @@
         }
     }
 
-    /// Rate and cap of the entry that lends: all that the others' demand does not ask for.
-    fn delegated(&self, now: duration::Instant, owner: &Owner, held: Part) -> (Flow, Amount) {
-        if self.delegate.as_ref() != Some(&owner.instance) {
-            return (Flow::ZERO, Amount::ZERO);
-        }
-        let (mut rate, mut cap) = self.shares.wanted();
-        if now < self.direct.until {
-            rate = rate.plus(self.direct.rate);
-            cap = cap.plus(self.direct.cap);
-        }
-        (
-            Flow(delegable(self.rate.0, rate.0, held.rate.0)),
-            Amount(delegable(self.burst.0, cap.0, held.cap.0)),
-        )
-    }
-
     /// Rate and cap that an entry's demand asks for.
     fn wanted(&self, share: &Share) -> (Flow, Amount) {
         let asked = self.shares.demand() * OWN_PART;
         let sharable = self.rate.0 / 10 * SHARED_TENTHS;
         let shrink = (Flow(sharable).to_rate().0 / asked.max(1.0)).min(1.0);
         let stock = self.stock(share);
-        let (before, least) = if self.delegate.is_none() {
+        let (before, least) = if !self.delegation.is_made() {
             ((share.held.rate, share.held.cap), LEAST_STOCK)
         } else if share.wanted.1 > Amount::ZERO {
             (share.wanted, LEAST_STOCK)
@@ -582,20 +517,6 @@
         .after(duration::Span(LEASE.0 / LEASE_MARGIN))
 }
 
-/// What of `all` can be lent when shares want `wanted`: as much as is lent now, while that
-/// leaves them enough and not too much.
-fn delegable(all: u64, wanted: u64, lent: u64) -> u64 {
-    let step = all / RESERVE_STEP;
-    let kept = all.saturating_sub(lent);
-    let useful = wanted == 0 && kept == 0;
-    let enough = wanted > 0 && kept >= wanted && kept - wanted <= step * 2;
-    if useful || enough {
-        return lent;
-    }
-    let reserve = if wanted == 0 { 0 } else { wanted + step };
-    all.saturating_sub(reserve)
-}
-
 /// The old value while the new one is close to it, else the new one.
 fn settle(old: f64, new: f64, tolerance: f64) -> f64 {
     if new < 1.0 {
