Pass a replica that presents itself on to the leader

A replica without a group presents itself to the processes that its settings name. Only the leader can take it in, and kept only what it heard itself; with six control processes and three named ones it is often none of these. It is the class of this incident: what one process was told was taken for what the one that decides knows.

The test fails without the change (the new replica is never added) and passes with it.

--- a/crates/cranberrygap-control/src/replica/core/forming.rs
+++ b/crates/cranberrygap-control/src/replica/core/forming.rs
@@ -58,6 +58,9 @@
             return;
         }
         if matches!(self.phase, Phase::Running(_)) {
+            if *from == hello.peer {
+                self.pass_on(&hello);
+            }
             self.directory.present(hello);
             if let Some(formed) = self.formed.clone() {
                 self.send_packet(from, &packet::Packet::Formed(formed));
@@ -65,6 +68,20 @@
         }
     }
 
+    /// Tells the leader of a replica that presents itself here.
+    ///
+    /// A replica knows the processes that its settings name, and the leader, who alone can
+    /// take it in, need not be one of them.
+    fn pass_on(&self, hello: &forming::Hello) {
+        let Phase::Running(node) = &self.phase else {
+            return;
+        };
+        let leader = node.leader().filter(|leader| *leader != self.own);
+        if let Some(leader) = leader.and_then(|leader| self.peer(leader)) {
+            self.send_packet(&leader, &packet::Packet::Hello(hello.clone()));
+        }
+    }
+
     /// Takes what a replica with a group says of it.
     pub(super) fn learn(&mut self, formed: &forming::Formed) {
         if let Phase::Forming(forming) = &self.phase {
--- a/crates/cranberrygap-control/tests/replica.rs
+++ b/crates/cranberrygap-control/tests/replica.rs
@@ -269,3 +269,59 @@
         "{applied} entries are applied again"
     );
 }
+
+// A leader that no settings name must hear of a replica that presents itself: the group would
+// stay without it, and the next loss of folders would leave no quorum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_that_no_settings_name_takes_in_a_replica_with_a_new_folder() {
+    let group = support::group(3, NO_SNAPSHOT);
+    let mut running = group.start_all();
+    support::commit(&running, "one").await;
+    let fourth = group.start(&support::peer(4));
+    running.push(fourth.clone());
+    support::settle("the fourth is added", async || {
+        let leader = support::await_leader(&running).await;
+        leader
+            .replica
+            .add_learner(&fourth.peer.instance)
+            .await
+            .is_ok()
+    })
+    .await;
+    support::settle("the fourth votes", async || {
+        let leader = support::await_leader(&running).await;
+        leader.replica.promote(&fourth.peer.instance).await.is_ok()
+    })
+    .await;
+    for _ in 0..40 {
+        if fourth.replica.status().leads {
+            break;
+        }
+        let leader = support::await_leader(&running).await;
+        // Refused while another hand-over is under way; the next look tries again.
+        drop(leader.replica.transfer().await);
+        support::commit(&running, "next").await;
+    }
+    assert!(fourth.replica.status().leads, "the fourth never led");
+    let place = running.iter().position(|one| one.peer != fourth.peer);
+    let lost = running.remove(place.unwrap());
+
+    lost.replica.stop().await;
+    std::fs::remove_dir_all(group.folder(&lost.peer)).unwrap();
+    let back = support::reopen(&group, &lost.peer).await;
+    support::settle("the lost replica is out", async || {
+        fourth.replica.remove(&lost.peer.instance).await.is_ok()
+    })
+    .await;
+    support::settle("the new replica is added", async || {
+        fourth
+            .replica
+            .add_learner(&lost.peer.instance)
+            .await
+            .is_ok()
+    })
+    .await;
+
+    assert!(fourth.replica.status().leads);
+    back.replica.stop().await;
+}
