Keep renewals at the leader in one place

An entry renews its shares and what it lends by the same rules (one answer awaited, numbers that rise, an answer to any other dropped, a failure noted), and Lending had written them beside Holder: Renewals serves both now. With it, who a stock borrows from is asked of the one function that says so when a renewal is written, the life of a loan is no Option where it always has a value, what is kept for direct askers is read in one place, and an iterator is not borrowed for nothing.

No test was changed.

--- a/crates/cranberrygap-policy/src/limits.rs
+++ b/crates/cranberrygap-policy/src/limits.rs
@@ -20,6 +20,7 @@
 mod line;
 mod loans;
 mod owner;
+mod renewals;
 mod room;
 mod stock;
 mod stream;
--- a/crates/cranberrygap-policy/src/limits/appointment.rs
+++ b/crates/cranberrygap-policy/src/limits/appointment.rs
@@ -33,10 +33,10 @@
         if stays {
             continue;
         }
-        let mut fit = candidates
+        let fit = candidates
             .iter()
             .filter(|(instance, active)| **active && Some(*instance) != current);
-        let next = fit.by_ref().min_by_key(|(instance, _)| {
+        let next = fit.min_by_key(|(instance, _)| {
             let load = loads.get(instance).copied().unwrap_or_default();
             (load, rank(workspace, instance))
         });
--- a/crates/cranberrygap-policy/src/limits/bucket/delegation.rs
+++ b/crates/cranberrygap-policy/src/limits/bucket/delegation.rs
@@ -60,11 +60,7 @@
         waiting: Amount,
         (rate, burst): Part,
     ) {
-        let before = if now < self.until {
-            self.direct
-        } else {
-            (Flow::ZERO, Amount::ZERO)
-        };
+        let before = self.kept(now);
         let part = demand * DIRECT_PART;
         let asked = Flow::from_rate(token::Rate(part)).min(rate);
         let of_burst = burst.as_f64() * (part / rate.to_rate().0.max(1.0)).min(1.0);
@@ -78,6 +74,15 @@
         self.until = now.after(DIRECT);
     }
 
+    /// What is kept for entries that ask here.
+    fn kept(&self, now: duration::Instant) -> Part {
+        if now < self.until {
+            self.direct
+        } else {
+            (Flow::ZERO, Amount::ZERO)
+        }
+    }
+
     /// Whether entries with most of all demand do not reach the one that lends.
     pub(super) fn is_avoided(&self, direct: f64, all: f64) -> bool {
         self.is_made() && direct >= 1.0 && direct > all * MOST
@@ -95,11 +100,7 @@
         if self.entry.as_ref() != Some(&owner.instance) {
             return (Flow::ZERO, Amount::ZERO);
         }
-        let direct = if now < self.until {
-            self.direct
-        } else {
-            (Flow::ZERO, Amount::ZERO)
-        };
+        let direct = self.kept(now);
         let rate = wanted.0.plus(direct.0);
         let cap = wanted.1.plus(direct.1);
         (
--- a/crates/cranberrygap-policy/src/limits/holder.rs
+++ b/crates/cranberrygap-policy/src/limits/holder.rs
@@ -10,6 +10,7 @@
 
 use super::amount::Amount;
 pub use super::line::Patience;
+use super::renewals::Renewals;
 use super::stock::Stock;
 use super::stream::{Source, Stream};
 use super::{LEASE, PERIOD};
@@ -32,13 +33,9 @@
 pub struct Holder {
     instance: id::Instance,
     boot: number::Boot,
-    sequence: number::Sequence,
     stocks: BTreeMap<id::Workspace, Stock>,
-    awaited: Option<Awaited>,
-    sent: Option<duration::Instant>,
+    renewals: Renewals,
     numbers: u64,
-    /// The last renewal got no answer, so there may be no leader now.
-    failed: bool,
     closed: bool,
     /// Least time between two renewals.
     gap: duration::Span,
@@ -46,12 +43,6 @@
     lenders: BTreeMap<id::Instance, Stream>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Awaited {
-    sequence: number::Sequence,
-    sent: duration::Instant,
-}
-
 /// Why a renewal is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
@@ -115,12 +106,9 @@
         Self {
             instance,
             boot,
-            sequence: number::Sequence::default(),
             stocks: BTreeMap::new(),
-            awaited: None,
-            sent: None,
+            renewals: Renewals::default(),
             numbers: 0,
-            failed: false,
             closed: false,
             gap: LEAST_GAP,
             lenders: BTreeMap::new(),
@@ -217,14 +205,14 @@
     /// When the next renewal is to be sent.
     #[must_use]
     pub fn due(&self) -> duration::Instant {
-        let Some(sent) = self.sent else {
+        let Some(sent) = self.renewals.sent() else {
             return duration::Instant::default();
         };
-        if self.awaited.is_some() {
+        if self.renewals.is_awaited() {
             return sent.after(PATIENCE);
         }
         let soonest = sent.after(self.gap);
-        if self.failed {
+        if self.renewals.has_failed() {
             return sent.after(PERIOD.max(self.gap));
         }
         if self.stocks.values().any(Stock::owes) {
@@ -274,10 +262,10 @@
     /// Why a renewal that is due now is sent.
     #[must_use]
     pub fn reason(&self) -> Reason {
-        let Some(sent) = self.sent else {
+        let Some(sent) = self.renewals.sent() else {
             return Reason::Period;
         };
-        if self.failed || self.awaited.is_some() {
+        if self.renewals.has_failed() || self.renewals.is_awaited() {
             return Reason::Silence;
         }
         if self.stocks.values().any(Stock::owes) {
@@ -293,26 +281,20 @@
     /// The renewal to send now. An answer that is still awaited is given up: if
     /// it comes late it is dropped with its tokens.
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
-        self.sequence = self.sequence.next();
-        self.sent = Some(now);
-        self.failed = false;
-        self.awaited = Some(Awaited {
-            sequence: self.sequence,
-            sent: now,
-        });
+        let sequence = self.renewals.begin(now);
         self.stocks
             .values_mut()
             .for_each(|stock| stock.advance(now));
         self.stocks
             .retain(|_, stock| !stock.idle() || stock.lender.is_some());
-        let silent: Vec<id::Instance> = self.silent().cloned().collect();
+        let sources = self.stocks.values().map(|stock| self.source(stock));
+        let sources: Vec<Source> = sources.collect();
         let mut demands = Vec::new();
-        for (workspace, stock) in &mut self.stocks {
+        for ((workspace, stock), source) in self.stocks.iter_mut().zip(sources) {
             if stock.idle() {
                 continue;
             }
-            let lends = |lender: &id::Instance| !silent.contains(lender);
-            let borrows = !(stock.asks_lender() && stock.lender.as_ref().is_some_and(lends));
+            let borrows = source == Source::Leader;
             let mut demand = stock.demand(now, workspace, borrows);
             if self.closed {
                 demand.rate = token::Rate(0.0);
@@ -326,32 +308,22 @@
         share::Renew {
             instance: self.instance.clone(),
             boot: self.boot,
-            sequence: self.sequence,
+            sequence,
             lends: false,
             demands,
         }
     }
 
-    fn silent(&self) -> impl Iterator<Item = &id::Instance> {
-        let lenders = self.lenders.iter();
-        let silent = lenders.filter(|(_, stream)| stream.is_silent());
-        silent.map(|(lender, _)| lender)
-    }
-
     /// Applies an answer; true when it was the awaited one. [`Holder::poll`] is
     /// to be called then.
     ///
     /// The lease runs from the sending of the renewal. The leader counts from
     /// its answer, which is later, so this holder stops first.
     pub fn granted(&mut self, now: duration::Instant, answer: &share::Granted) -> bool {
-        let Some(awaited) = self.awaited else {
+        let Some(sent) = self.renewals.answered(answer.sequence) else {
             return false;
         };
-        if awaited.sequence != answer.sequence {
-            return false;
-        }
-        self.awaited = None;
-        let until = awaited.sent.after(answer.lease);
+        let until = sent.after(answer.lease);
         for stock in self.stocks.values_mut() {
             stock.advance(now);
             stock.answered();
@@ -361,7 +333,7 @@
         }
         for grant in &answer.grants {
             if let Some(stock) = self.stocks.get_mut(&grant.workspace) {
-                stock.apply(now, grant, awaited.sent, until);
+                stock.apply(now, grant, sent, until);
             }
         }
         true
@@ -370,13 +342,7 @@
     /// Notes that a renewal got no answer; should one come after all, it is
     /// dropped with its tokens.
     pub fn failed(&mut self, sequence: number::Sequence) {
-        if self
-            .awaited
-            .is_some_and(|awaited| awaited.sequence == sequence)
-        {
-            self.awaited = None;
-            self.failed = true;
-        }
+        self.renewals.fail(sequence);
     }
 
     /// Admits nothing more and hands all tokens back with the next renewal.
@@ -391,7 +357,7 @@
     /// Number of the last renewal that was sent.
     #[must_use]
     pub fn sequence(&self) -> number::Sequence {
-        self.sequence
+        self.renewals.sequence()
     }
 
     /// Longest time that this holder may still admit after its last answer.
--- a/crates/cranberrygap-policy/src/limits/holder/borrowing.rs
+++ b/crates/cranberrygap-policy/src/limits/holder/borrowing.rs
@@ -99,7 +99,7 @@
         }
         let borrows = !stream.is_silent();
         let source = Source::Entry(lender.clone());
-        let asked = concerned(&self.stocks, lender, self.sequence);
+        let asked = concerned(&self.stocks, lender, self.renewals.sequence());
         let mut demands = Vec::with_capacity(asked.len());
         for workspace in asked {
             if let Some(stock) = self.stocks.get_mut(&workspace) {
@@ -107,11 +107,10 @@
                 demands.push(stock.question(now, &workspace, &source, borrows));
             }
         }
-        self.sequence = self.sequence.next();
         let question = share::Renew {
             instance: self.instance.clone(),
             boot: self.boot,
-            sequence: self.sequence,
+            sequence: self.renewals.next(),
             lends: false,
             demands,
         };
--- a/crates/cranberrygap-policy/src/limits/lending.rs
+++ b/crates/cranberrygap-policy/src/limits/lending.rs
@@ -14,6 +14,7 @@
 use super::amount::{Amount, Flow};
 use super::lender::{LIFE, Lender, Supply};
 use super::owner::Owner;
+use super::renewals::Renewals;
 use super::{LEASE, PERIOD};
 use crate::pace;
 
@@ -42,22 +43,13 @@
 pub struct Lending {
     instance: id::Instance,
     boot: number::Boot,
-    sequence: number::Sequence,
-    awaited: Option<Awaited>,
-    sent: Option<duration::Instant>,
-    failed: bool,
+    renewals: Renewals,
     closed: bool,
     gap: duration::Span,
     pools: BTreeMap<id::Workspace, Pool>,
     heard: BTreeMap<Owner, Heard>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Awaited {
-    sequence: number::Sequence,
-    sent: duration::Instant,
-}
-
 /// The last question of an entry, and what it was answered.
 #[derive(Debug)]
 struct Heard {
@@ -89,10 +81,7 @@
         Self {
             instance,
             boot,
-            sequence: number::Sequence::default(),
-            awaited: None,
-            sent: None,
-            failed: false,
+            renewals: Renewals::default(),
             closed: false,
             gap: duration::Span(0),
             pools: BTreeMap::new(),
@@ -146,9 +135,7 @@
                 // The leader may have the tokens; whoever asks goes there.
                 continue;
             }
-            if let Some(left) = pool.life(now) {
-                life = life.min(left);
-            }
+            life = life.min(pool.life(now));
             grants.push(pool.lend(now, &owner, demand));
         }
         let answer = share::Granted {
@@ -173,13 +160,13 @@
         if self.pools.is_empty() {
             return NEVER;
         }
-        let Some(sent) = self.sent else {
+        let Some(sent) = self.renewals.sent() else {
             return duration::Instant::default();
         };
-        if self.awaited.is_some() {
+        if self.renewals.is_awaited() {
             return sent.after(PATIENCE);
         }
-        if self.failed {
+        if self.renewals.has_failed() {
             return sent.after(PERIOD.max(self.gap));
         }
         let urgent = self.pools.values().any(Pool::is_urgent);
@@ -193,13 +180,7 @@
 
     /// The renewal to send to the leader now.
     pub fn renew(&mut self, now: duration::Instant) -> share::Renew {
-        self.sequence = self.sequence.next();
-        self.sent = Some(now);
-        self.failed = false;
-        self.awaited = Some(Awaited {
-            sequence: self.sequence,
-            sent: now,
-        });
+        let sequence = self.renewals.begin(now);
         self.pools.values_mut().for_each(|pool| pool.advance(now));
         self.pools.retain(|_, pool| !pool.is_done());
         let pools = self.pools.iter_mut();
@@ -207,7 +188,7 @@
         share::Renew {
             instance: self.instance.clone(),
             boot: self.boot,
-            sequence: self.sequence,
+            sequence,
             lends: true,
             demands: demands.collect(),
         }
@@ -215,13 +196,10 @@
 
     /// Applies the leader's answer; true when it was the awaited one.
     pub fn granted(&mut self, now: duration::Instant, answer: &share::Granted) -> bool {
-        let awaited = self
-            .awaited
-            .take_if(|awaited| awaited.sequence == answer.sequence);
-        let Some(awaited) = awaited else {
+        let Some(sent) = self.renewals.answered(answer.sequence) else {
             return false;
         };
-        let until = awaited.sent.after(answer.lease);
+        let until = sent.after(answer.lease);
         if now >= until || self.closed {
             return true;
         }
@@ -236,8 +214,7 @@
 
     /// Notes that a renewal got no answer.
     pub fn failed(&mut self, sequence: number::Sequence) {
-        let given_up = self.awaited.take_if(|awaited| awaited.sequence == sequence);
-        self.failed |= given_up.is_some();
+        self.renewals.fail(sequence);
     }
 
     /// Lends nothing more, and hands all that is not lent back with the next renewal.
@@ -314,13 +291,10 @@
         self.level = self.level.min(self.cap.minus(self.lender.lent()));
     }
 
-    /// Time for which a loan may live; `None` while there is nothing to lend.
-    fn life(&self, now: duration::Instant) -> Option<duration::Span> {
-        if self.share == 0 {
-            return None;
-        }
+    /// Time for which a loan may live.
+    fn life(&self, now: duration::Instant) -> duration::Span {
         let left = self.until.since(now);
-        Some(LIFE.min(duration::Span(left.0.saturating_sub(MARGIN.0))))
+        LIFE.min(duration::Span(left.0.saturating_sub(MARGIN.0)))
     }
 
     fn lend(
@@ -334,7 +308,7 @@
         let back = self.lender.confirm(owner, kept, unlent);
         self.level = self.level.plus(back);
         self.cut();
-        let lends = self.life(now).is_some_and(|life| life >= SHORTEST);
+        let lends = self.life(now) >= SHORTEST;
         let supply = Supply {
             pool: if lends { self.level } else { Amount::ZERO },
             rate: self.rate,
