Ask runners for reports at a bounded rate

Cause: the answer to a request for a report cleared the time of the request. While an adapter stayed withheld, or an announcement differed from the inventory, the next look asked again at once, as fast as answers came, over a new connection each time.

Change: the time of the last request stays. A request is repeated after 300 ms where something has happened that a report would show (an announcement no longer lists a withheld adapter, differs from the inventory, or an entry was told that an adapter is missing), else after 1.5 s (0.3 s while another adapter waits), as before for requests without an answer.

--- a/crates/cranberrygap-placement/src/residency.rs
+++ b/crates/cranberrygap-placement/src/residency.rs
@@ -12,4 +12,5 @@
 pub mod order;
 pub mod planner;
 pub mod rebalance;
+pub mod report_request;
 pub mod runner;
--- a/crates/cranberrygap-placement/src/residency/inventory.rs
+++ b/crates/cranberrygap-placement/src/residency/inventory.rs
@@ -94,6 +94,13 @@
         !self.draining.is_empty() || !self.reported_missing.is_empty()
     }
 
+    /// Whether an adapter that is withheld is not among `listed`, so that its slot may be free.
+    #[must_use]
+    pub fn has_withheld_adapter_outside(&self, listed: &BTreeSet<runner::Adapter>) -> bool {
+        let mut withheld = self.draining.iter().chain(&self.reported_missing);
+        withheld.any(|adapter| !listed.contains(adapter))
+    }
+
     /// Adapters offered to requests, with the time of their last use.
     pub fn offered_adapters(&self) -> impl Iterator<Item = (&runner::Adapter, &duration::Instant)> {
         let adapters = self.adapters.iter();
--- a/crates/cranberrygap-placement/src/residency/planner.rs
+++ b/crates/cranberrygap-placement/src/residency/planner.rs
@@ -36,7 +36,7 @@
 /// Age of a report's content: a runner reports its state of that long ago.
 const REPORT_LAG: duration::Span = duration::Span::from_millis(600);
 
-/// Time after which an unanswered report request is repeated.
+/// Time after which a report request is repeated if nothing has changed.
 const REPORT_RETRY_AFTER: duration::Span = duration::Span::from_millis(1_500);
 
 /// Maximum number of differences kept until [`Planner::take_differences`].
@@ -220,14 +220,11 @@
             } else {
                 REPORT_RETRY_AFTER
             };
-            let is_waiting = runner
-                .report_requested_at
-                .is_some_and(|requested_at| now < requested_at.after(retry_after));
             if (count_unknown || overdue || has_withheld || runner.has_conflicting_announcement())
-                && !is_waiting
                 && runner.ready
+                && runner.report_schedule.is_due(now, retry_after)
             {
-                runner.report_requested_at = Some(now);
+                runner.report_schedule.record_request(now);
                 outputs.push(Output::FetchReport(name.clone()));
             }
         }
@@ -261,7 +258,7 @@
                 "accepted": runner.inventory.accepted_count(),
                 "moving": runner.moving.as_ref().map(|change| format!("{change:?}")),
                 "carried": runner.execution.as_ref().map(|execution| execution.action.to_string()),
-                "asked": runner.report_requested_at.is_some(),
+                "asked": runner.report_schedule.requested_at(),
                 "unsettled": runner.inventory.has_withheld_adapters(),
                 "wanted": runner.wanted_adapters.len(),
                 "sent": runner.in_flight.as_ref().map(|in_flight| in_flight.order.action.to_string()),
--- a/crates/cranberrygap-placement/src/residency/planner/adapters.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/adapters.rs
@@ -37,6 +37,7 @@
     ) {
         if missing && let Some(runner) = self.runners.get_mut(preferred) {
             runner.inventory.mark_missing(adapter);
+            runner.report_schedule.record_news();
             self.unpublished.insert(preferred.clone());
         }
         let endpoint = self.choose_runner(now, adapter, preferred);
--- a/crates/cranberrygap-placement/src/residency/planner/updates.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/updates.rs
@@ -10,6 +10,7 @@
 use crate::residency::diagnostics;
 use crate::residency::inventory;
 use crate::residency::order;
+use crate::residency::report_request;
 use crate::residency::runner;
 
 impl Planner {
@@ -83,6 +84,11 @@
             diagnostics::Difference::find(name, runner, &runner.announced, observation);
         if difference.is_some() {
             runner.inventory.forget_count();
+            runner.report_schedule.record_news();
+        }
+        let announced: BTreeSet<runner::Adapter> = announced_adapters(announcement).collect();
+        if runner.inventory.has_withheld_adapter_outside(&announced) {
+            runner.report_schedule.record_news();
         }
         self.record_difference(difference);
     }
@@ -97,14 +103,13 @@
         let Some(runner) = self.runners.get_mut(name) else {
             return;
         };
-        runner.report_requested_at = None;
         // The answer to the in-flight order says more than this report.
         if runner.in_flight.is_some() {
             return;
         }
         let other_boot = report.boot.is_some_and(|boot| boot != runner.boot);
         if other_boot || runner.inventory.is_outdated(report) || runner.is_premature(now, report) {
-            runner.report_requested_at = Some(now);
+            runner.report_schedule.postpone(now);
             return;
         }
         if report.busy {
@@ -166,7 +171,7 @@
             order::Verdict::Conflict => {
                 runner.adapter_orders_after = now.after(REPORT_LAG);
                 runner.inventory.forget_count();
-                runner.report_requested_at = Some(now);
+                runner.report_schedule.postpone(now);
                 if order.action.is_model() {
                     runner.moving = None;
                 }
@@ -174,7 +179,7 @@
             }
             order::Verdict::Refused => {
                 runner.inventory.forget_count();
-                runner.report_requested_at = Some(now);
+                runner.report_schedule.postpone(now);
                 if order.action.is_model() {
                     runner.moving = None;
                 }
@@ -326,7 +331,7 @@
         // This leader doesn't know the order; the next report shows what the runner holds
         // afterwards.
         self.inventory.forget_count();
-        self.report_requested_at = Some(now);
+        self.report_schedule.postpone(now);
     }
 
     /// Continues a move with its load after the outgoing model is gone.
@@ -361,10 +366,9 @@
     let published = residency
         .map(|residency| residency.adapters)
         .unwrap_or_default();
-    let resident = announcement.resident.iter().map(|resident| &resident.model);
-    let adapters: BTreeMap<runner::Adapter, duration::Instant> = resident
-        .chain(&published)
-        .filter_map(parse_adapter)
+    let published = published.iter().filter_map(parse_adapter);
+    let adapters: BTreeMap<runner::Adapter, duration::Instant> = announced_adapters(announcement)
+        .chain(published)
         .map(|adapter| (adapter, now))
         .collect();
     let observation = diagnostics::Observation {
@@ -384,7 +388,7 @@
         inventory: inventory::Inventory::from_announcement(BTreeSet::new(), adapters, observation),
         host_copies: BTreeSet::new(),
         disk_copies: BTreeSet::new(),
-        report_requested_at: None,
+        report_schedule: report_request::Schedule::default(),
         in_flight: None,
         execution: None,
         moving: None,
@@ -399,6 +403,14 @@
     models.cloned().collect()
 }
 
+/// Adapters that an announcement lists.
+fn announced_adapters(
+    announcement: &endpoint::Announcement,
+) -> impl Iterator<Item = runner::Adapter> {
+    let resident = announcement.resident.iter().map(|resident| &resident.model);
+    resident.filter_map(parse_adapter)
+}
+
 /// Splits a name such as `model/adapter` into model and adapter.
 fn parse_adapter(name: &id::Model) -> Option<runner::Adapter> {
     let (model, adapter) = name.as_str().split_once('/')?;
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -8,6 +8,7 @@
 use super::engine;
 use super::inventory;
 use super::order;
+use super::report_request;
 
 /// A model and one of its adapters.
 pub type Adapter = (id::Model, SmolStr);
@@ -81,8 +82,8 @@
     pub host_copies: BTreeSet<id::Model>,
     /// Models with a copy on the runner's disk.
     pub disk_copies: BTreeSet<id::Model>,
-    /// When a report was requested that has not arrived.
-    pub report_requested_at: Option<duration::Instant>,
+    /// When the next report may be requested.
+    pub report_schedule: report_request::Schedule,
     /// The order that has no answer yet.
     pub in_flight: Option<InFlight>,
     /// The model order that the runner executes.
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -500,3 +500,57 @@
     assert_eq!((first, second), (1, 1));
     assert_eq!(ordered, Vec::<String>::new());
 }
+
+/// Number of report requests to a runner whose adapter drains for `seconds`, when each request
+/// is answered at once and still lists the adapter.
+fn requests_while_an_adapter_drains(planner: &mut planner::Planner, seconds: u64) -> usize {
+    const TICK_MILLIS: usize = 5;
+    let mut requests = 0;
+    for millis in (2_100..2_100 + seconds * 1_000).step_by(TICK_MILLIS) {
+        let outputs = planner.tick(at(millis));
+        for output in outputs {
+            if let planner::Output::FetchReport(runner) = output {
+                requests += 1;
+                planner.handle_report(at(millis + 2), &runner, &report(2, &["a"], &["a/x", "a/y"]));
+            }
+        }
+    }
+    requests
+}
+
+/// A planner whose runner `r1` drains one adapter and is asked for a third one.
+fn planner_with_a_draining_adapter() -> planner::Planner {
+    let held = report(1, &["a"], &["a/x", "a/y"]);
+    let mut planner = reported_planner(&["a"], &["a", "a/x", "a/y"], &held);
+    request_adapter(&mut planner, 2_000, 1, "a/z");
+    let ordered = order_and_answer(&mut planner, 2_010, order::Verdict::Accepted);
+    assert!(ordered.starts_with("unload"), "{ordered}");
+    planner
+}
+
+// Reports asked for as fast as they come: hundreds of connections a second to one runner while
+// an adapter waits for its streams to end.
+#[test]
+fn runner_with_a_draining_adapter_is_asked_at_a_bounded_rate() {
+    let mut planner = planner_with_a_draining_adapter();
+
+    let requests = requests_while_an_adapter_drains(&mut planner, 12);
+
+    assert!(requests <= 40, "{requests} requests in 12 s");
+    assert!(requests >= 6, "{requests} requests in 12 s");
+}
+
+// A slot that is free again stays unused until the next request for a report.
+#[test]
+fn announcement_without_a_draining_adapter_brings_a_report() {
+    let mut planner = planner_with_a_draining_adapter();
+    planner.tick(at(2_100));
+    planner.handle_report(at(2_110), &name("r1"), &report(2, &["a"], &["a/x", "a/y"]));
+    planner.tick(at(2_120));
+
+    update_endpoints(&mut planner, 2_450, &announcement(2, &["a", "a/y"]));
+    let outputs = planner.tick(at(2_460));
+
+    let ask = planner::Output::FetchReport(name("r1"));
+    assert!(outputs.contains(&ask), "{outputs:?}");
+}
