Bound the leader's work for placement by the number of runners

Cause: the planners ran after each report, answer and request for an adapter, and each run looks at every runner. A plan tried to place each model that needs a copy at each runner, also while the store allowed no load and no runner had the model on its disk.

Models that nobody can load now are skipped.

--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -4,6 +4,7 @@
 //! entries reach it as events over a channel, so a slow runner delays no other.
 
 mod demand;
+pub mod pace;
 mod term;
 
 use std::sync::Arc;
@@ -24,7 +25,7 @@
 use crate::proposer;
 use crate::replicated;
 
-/// Longest time between two planning steps.
+/// Time between two checks whether this process leads and whether the planners need an update.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Events that may wait for the task.
@@ -204,8 +205,9 @@
         let mut ticker = tokio::time::interval(TICK_INTERVAL);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut current: Option<term::State> = None;
+        let mut pace = pace::Pace::default();
         loop {
-            let next_wake = self.time_to_wake(current.as_ref());
+            let next_run = self.time_to_run(current.as_ref(), &pace);
             tokio::select! {
                 event = receiver.recv() => {
                     let Some(event) = event else { return };
@@ -213,28 +215,37 @@
                     while let Ok(event) = receiver.try_recv() {
                         self.handle(&mut current, event);
                     }
+                    pace.request_run();
+                }
+                () = tokio::time::sleep(next_run) => {
                     self.advance(&mut current);
+                    pace.record_run(self.clock.now());
                 }
-                () = tokio::time::sleep(next_wake) => self.advance(&mut current),
                 _ = ticker.tick() => {
                     current = self.enter_term(current);
-                    if let Some(term) = &mut current {
+                    if let Some(term) = &mut current
+                        && pace.try_update(self.clock.now(), term.runner_count())
+                    {
                         let update = || self.update_planners(term);
                         self.metrics.measure(metric::Work::Placement, update);
+                        pace.request_run();
                     }
-                    self.advance(&mut current);
                 }
             }
         }
     }
 
-    /// Returns the time until the first request for an adapter is due for an answer.
-    fn time_to_wake(&self, current: Option<&term::State>) -> Duration {
-        let planners = current.into_iter().flat_map(|term| term.planners.values());
-        let next_wake = planners.filter_map(planner::Planner::next_wake).min();
-        next_wake.map_or(TICK_INTERVAL, |next_wake| {
-            next_wake.since(self.clock.now()).to_std()
-        })
+    /// Returns the time until the planners run next.
+    fn time_to_run(&self, current: Option<&term::State>, pace: &pace::Pace) -> Duration {
+        let Some(term) = current else {
+            return TICK_INTERVAL;
+        };
+        let planners = term.planners.values();
+        let wake = planners.filter_map(planner::Planner::next_wake).min();
+        let now = self.clock.now();
+        pace.next_run(now, wake, term.runner_count())
+            .since(now)
+            .to_std()
     }
 
     fn enter_term(&self, current: Option<term::State>) -> Option<term::State> {
--- a/crates/cranberrygap-control/src/residency/term.rs
+++ b/crates/cranberrygap-control/src/residency/term.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Number of runners of all services.
+    pub(super) fn runner_count(&self) -> usize {
+        let planners = self.planners.values();
+        planners.map(|planner| planner.runners().count()).sum()
+    }
+
     /// Calls `work` with the planner of a service, if there is one.
     pub(super) fn with_planner(
         &mut self,
--- a/crates/cranberrygap-placement/src/residency/planner/moves.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/moves.rs
@@ -12,6 +12,10 @@
 /// reports and adapter requests arrive hundreds of times per second.
 const PLAN_PERIOD: duration::Span = duration::Span::from_millis(90);
 
+/// Minimum time between two plans for each runner, which bounds a plan's share of the processor
+/// in a large fleet.
+const PLAN_PERIOD_PER_RUNNER: duration::Span = duration::Span(2_000);
+
 /// Minimum time between two plans of standby copies, which are not urgent.
 const STANDBY_PERIOD: duration::Span = duration::Span::from_millis(500);
 
@@ -29,7 +33,8 @@
 impl Planner {
     /// Begins the moves that are worth their cost, at most once per period.
     pub(super) fn plan_moves(&mut self, now: duration::Instant) {
-        if !is_due(self.planned_at, now, PLAN_PERIOD) {
+        let by_runners = duration::Span(PLAN_PERIOD_PER_RUNNER.0 * self.runners.len() as u64);
+        if !is_due(self.planned_at, now, PLAN_PERIOD.max(by_runners)) {
             return;
         }
         self.planned_at = Some(now);
--- a/crates/cranberrygap-placement/src/residency/rebalance.rs
+++ b/crates/cranberrygap-placement/src/residency/rebalance.rs
@@ -1,6 +1,6 @@
 //! Which model a runner should load next, and which one it should evict for that.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cranberrygap_model::id;
 
@@ -84,6 +84,10 @@
     loads: Vec<f64>,
     /// Free memory in bytes once the moves under way are done, by runner index.
     free_memory: Vec<u64>,
+    /// Models that a ready runner can load from its own disk or host memory within a second.
+    stored_models: BTreeSet<&'planner id::Model>,
+    /// Runners whose models may be moved, with their indices.
+    idle_runners: Vec<(usize, &'planner id::Endpoint, &'planner runner::Runner)>,
 }
 
 impl<'planner> Rebalancer<'planner> {
@@ -98,8 +102,10 @@
     ) -> Self {
         let mut copies: BTreeMap<&id::Model, Vec<usize>> = BTreeMap::new();
         let mut confirmed_copies: BTreeMap<&id::Model, usize> = BTreeMap::new();
+        let mut stored_models = BTreeSet::new();
         let ready = runners.values().enumerate();
         for (index, runner) in ready.filter(|(_, runner)| runner.ready) {
+            stored_models.extend(runner.disk_copies.iter().chain(&runner.host_copies));
             for model in runner.future_models() {
                 copies.entry(model).or_default().push(index);
             }
@@ -124,6 +130,8 @@
                 .values()
                 .map(|runner| runner.free_memory(engine))
                 .collect(),
+            stored_models,
+            idle_runners: idle_runners(runners),
         };
         rebalancer.spread_demand();
         rebalancer
@@ -190,19 +198,21 @@
             .find_map(|model| self.place_standby(model))
     }
 
-    /// Runners whose models may be moved, with their indices.
-    fn idle_runners(
-        &self,
-    ) -> impl Iterator<Item = (usize, &'planner id::Endpoint, &'planner runner::Runner)> {
-        let runners = self.runners.iter().enumerate();
-        let runners = runners.map(|(index, (name, runner))| (index, name, runner));
-        runners.filter(|(_, _, runner)| runner.is_idle())
+    /// Whether any runner could begin to load a model now.
+    ///
+    /// While the store allows no load, most models that need a copy can go nowhere, and no
+    /// runner has to be looked at for them.
+    fn is_loadable(&self, model: &id::Model) -> bool {
+        self.store_available || self.stored_models.contains(model)
     }
 
     fn place_standby(&self, model: &'planner id::Model) -> Option<Placement> {
+        if !self.is_loadable(model) {
+            return None;
+        }
         let weights = self.engine.models.get(model)?;
         let copies = self.copy_count(model);
-        let idle = self.idle_runners();
+        let idle = self.idle_runners.iter().copied();
         let options = idle.filter_map(|(index, name, runner)| {
             let (time, from_store) = runner.load_time(model, weights);
             if runner.inventory.models().contains(model) || (from_store && !self.store_available) {
@@ -257,7 +267,7 @@
             let Some(lowest_load) = self.lowest_copy_load(model) else {
                 // No caller can be served. Without demand a copy on a runner's disk
                 // suffices; otherwise the model must be loaded again eventually.
-                if work <= MAX_SILENT_WORK && self.is_stored_locally(model) {
+                if work <= MAX_SILENT_WORK && self.stored_models.contains(model) {
                     return None;
                 }
                 return Some((work * UNSERVED_WEIGHT, model));
@@ -271,22 +281,18 @@
         needed.collect()
     }
 
-    /// Whether a runner can load a model from its own disk or host memory within a
-    /// second.
-    fn is_stored_locally(&self, model: &id::Model) -> bool {
-        let mut ready = self.runners.values().filter(|runner| runner.ready);
-        ready.any(|runner| runner.disk_copies.contains(model) || runner.host_copies.contains(model))
-    }
-
     fn lowest_copy_load(&self, model: &id::Model) -> Option<f64> {
         let copies = self.copies.get(model)?.iter();
         copies.map(|index| self.loads[*index]).reduce(f64::min)
     }
 
     fn place_copy(&self, model: &'planner id::Model) -> Option<Placement> {
+        if !self.is_loadable(model) {
+            return None;
+        }
         let weights = self.engine.models.get(model)?;
         let lowest_load = self.lowest_copy_load(model);
-        let idle = self.idle_runners();
+        let idle = self.idle_runners.iter().copied();
         let options = idle.filter_map(|(index, name, runner)| {
             let load = self.loads[index];
             if runner.inventory.models().contains(model) {
@@ -399,3 +405,12 @@
         }
     }
 }
+
+/// Runners whose models may be moved, with their indices.
+fn idle_runners(
+    runners: &BTreeMap<id::Endpoint, runner::Runner>,
+) -> Vec<(usize, &id::Endpoint, &runner::Runner)> {
+    let runners = runners.iter().enumerate();
+    let runners = runners.map(|(index, (name, runner))| (index, name, runner));
+    runners.filter(|(_, _, runner)| runner.is_idle()).collect()
+}
