Compress long bodies on links

Cause: views and plans list the fleet in JSON. One plan has some 180 KB at 170 models and 191 entries are sent each; the log carries the same to each control process.

Change: bodies of 600 bytes and more are compressed by a library (zstd, fastest level) if both ends say in the handshake that they read it; messages of the log before their base64. An older process says nothing and is sent what it was sent.

--- a/crates/cranberrygap-control/src/links.rs
+++ b/crates/cranberrygap-control/src/links.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrygap_link::{client, credential, server};
+use cranberrygap_link::{client, compression, credential, server};
 use cranberrygap_model::{address, duration};
 use cranberrygap_wire::method;
 use futures_util::StreamExt as _;
@@ -38,6 +38,40 @@
 struct Packet {
     from: address::Peer,
     message: String,
+    /// Whether the message is compressed; base64 hides what would make the packet smaller.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    compressed: bool,
+}
+
+/// Reason why a packet cannot be read.
+#[derive(Debug, thiserror::Error)]
+enum Malformed {
+    #[error("a message is not base64: {0}")]
+    Encoding(#[from] base64::DecodeError),
+    #[error("a message cannot be decompressed: {0}")]
+    Content(#[from] std::io::Error),
+}
+
+impl Packet {
+    fn new(from: address::Peer, message: &[u8], peer_decompresses: bool) -> Self {
+        let compressed = peer_decompresses
+            .then(|| compression::compress(message))
+            .flatten();
+        let content = compressed.as_deref().unwrap_or(message);
+        Self {
+            from,
+            message: base64::Engine::encode(&base64::prelude::BASE64_STANDARD, content),
+            compressed: compressed.is_some(),
+        }
+    }
+
+    fn read(&self) -> Result<Bytes, Malformed> {
+        let content = base64::Engine::decode(&base64::prelude::BASE64_STANDARD, &self.message)?;
+        if self.compressed {
+            return Ok(Bytes::from(compression::decompress(&content)?));
+        }
+        Ok(Bytes::from(content))
+    }
 }
 
 /// Links to all peers; each is opened for its first message.
@@ -75,6 +109,20 @@
         self.secret.replace(secret);
     }
 
+    /// Connects to another control process.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be reached or is not authentic.
+    pub(crate) async fn connect(
+        &self,
+        peer: &address::Peer,
+    ) -> Result<client::Client, cranberrygap_link::error::Error> {
+        let role = credential::Role::Fleet;
+        let address = self.resolve(peer).address;
+        client::Client::connect(address, role, &self.secret.current()).await
+    }
+
     fn resolve(&self, peer: &address::Peer) -> address::Peer {
         let mut configured = self.configured_peers.iter();
         let configured = configured.find(|configured| configured.instance == peer.instance);
@@ -153,10 +201,7 @@
                     let Some(message) = message else {
                         return;
                     };
-                    let packet = Packet {
-                        from: self.own.clone(),
-                        message: base64::Engine::encode(&base64::prelude::BASE64_STANDARD, message),
-                    };
+                    let packet = Packet::new(self.own.clone(), &message, client.compresses());
                     in_flight.push(async move {
                         client.call::<_, ()>(method::AGREEMENT, &packet, MESSAGE_TIMEOUT).await
                     });
@@ -183,10 +228,10 @@
     builder.method(method::AGREEMENT, role, move |packet: Packet| {
         let replica = Arc::clone(&replica);
         async move {
-            let decoded = base64::Engine::decode(&base64::prelude::BASE64_STANDARD, packet.message);
-            let malformed =
-                |cause: base64::DecodeError| server::Fault::new(method::REFUSED, cause.to_string());
-            replica.deliver(&packet.from, Bytes::from(decoded.map_err(malformed)?));
+            let message = packet
+                .read()
+                .map_err(|cause| server::Fault::new(method::REFUSED, cause.to_string()))?;
+            replica.deliver(&packet.from, message);
             Ok(())
         }
     })
--- a/crates/cranberrygap-link/src/client.rs
+++ b/crates/cranberrygap-link/src/client.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::compression;
 use crate::credential;
 use crate::error::Error;
 use crate::handshake;
@@ -174,6 +175,12 @@
         Ok(subscription)
     }
 
+    /// Whether the server reads compressed content.
+    #[must_use]
+    pub const fn compresses(&self) -> bool {
+        self.keys.compresses()
+    }
+
     /// Whether the connection has ended.
     #[must_use]
     pub fn is_closed(&self) -> bool {
@@ -285,6 +292,7 @@
     let hello = handshake::Hello {
         role,
         nonce: client.to_hex(),
+        compression: true,
     };
     let challenge: handshake::Challenge = rpc
         .request(message::HELLO, rpc_params![hello])
@@ -303,7 +311,8 @@
     if !transcript.is_server_proof(secret, &proof) {
         return Err(Error::NotAuthentic);
     }
-    Ok(transcript.session_keys(secret))
+    let keys = transcript.session_keys(secret);
+    Ok(keys.with_compression(challenge.compression))
 }
 
 /// Maps a JSON-RPC error during the handshake: an error response means that the server
@@ -316,8 +325,9 @@
 }
 
 fn decode<R: DeserializeOwned>(envelope: &session::Envelope) -> Result<Option<R>, Error> {
+    let body = compression::unpack(&envelope.body).map_err(|cause| malformed(&cause))?;
     let response: message::Response =
-        serde_json::from_str(envelope.body.get()).map_err(|cause| malformed(&cause))?;
+        serde_json::from_str(&body).map_err(|cause| malformed(&cause))?;
     if let Some(fault) = response.fault {
         return Err(Error::Refused {
             code: fault.code,
--- a/crates/cranberrygap-link/src/handshake.rs
+++ b/crates/cranberrygap-link/src/handshake.rs
@@ -20,6 +20,9 @@
     pub role: credential::Role,
     /// The client's nonce in hex.
     pub nonce: SmolStr,
+    /// Whether the client reads compressed bodies. Older ones do not say.
+    #[serde(default)]
+    pub compression: bool,
 }
 
 /// Second message, from the server.
@@ -27,6 +30,9 @@
 pub struct Challenge {
     /// The server's nonce in hex.
     pub nonce: SmolStr,
+    /// Whether the server reads compressed bodies. Older ones do not say.
+    #[serde(default)]
+    pub compression: bool,
 }
 
 /// Third and fourth message: the proof of the client, then that of the server.
--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod clock;
+pub mod compression;
 pub mod credential;
 pub mod error;
 pub mod handshake;
--- a/crates/cranberrygap-link/src/message.rs
+++ b/crates/cranberrygap-link/src/message.rs
@@ -7,6 +7,7 @@
 use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
+use crate::compression;
 use crate::server;
 
 /// Method of the first handshake message.
@@ -75,6 +76,16 @@
     pub(crate) data: Value,
 }
 
+impl Call {
+    /// Reads the body of a call, compressed or not.
+    pub(crate) fn read(body: &RawValue) -> Result<Self, server::Fault> {
+        let invalid =
+            |cause: &dyn std::fmt::Display| server::Fault::new(INVALID_PARAMS, cause.to_string());
+        let body = compression::unpack(body).map_err(|cause| invalid(&cause))?;
+        serde_json::from_str(&body).map_err(|cause| invalid(&cause))
+    }
+}
+
 impl Response {
     pub(crate) fn new(result: Result<Box<RawValue>, server::Fault>) -> Self {
         match result {
--- a/crates/cranberrygap-link/src/server/accept.rs
+++ b/crates/cranberrygap-link/src/server/accept.rs
@@ -257,8 +257,7 @@
     envelope: &session::Envelope,
     name: &mut SmolStr,
 ) -> Result<Box<serde_json::value::RawValue>, Fault> {
-    let invalid = |cause: serde_json::Error| Fault::new(message::INVALID_PARAMS, cause.to_string());
-    let call: message::Call = serde_json::from_str(envelope.body.get()).map_err(invalid)?;
+    let call = message::Call::read(&envelope.body)?;
     name.clone_from(&call.method);
     let method = registry
         .method(&call.method)
--- a/crates/cranberrygap-link/src/server/connection.rs
+++ b/crates/cranberrygap-link/src/server/connection.rs
@@ -18,7 +18,11 @@
 
 enum Phase {
     New,
-    Challenged(handshake::Transcript),
+    Challenged {
+        transcript: handshake::Transcript,
+        /// Whether the client reads compressed bodies.
+        compression: bool,
+    },
     Authenticated(Session),
     Closed,
 }
@@ -54,19 +58,24 @@
         if !matches!(*phase, Phase::New) {
             return None;
         }
-        *phase = Phase::Challenged(handshake::Transcript {
-            role: hello.role,
-            client,
-            server,
-        });
-        let nonce = server.to_hex();
-        Some(handshake::Challenge { nonce })
+        *phase = Phase::Challenged {
+            transcript: handshake::Transcript {
+                role: hello.role,
+                client,
+                server,
+            },
+            compression: hello.compression,
+        };
+        Some(handshake::Challenge {
+            nonce: server.to_hex(),
+            compression: true,
+        })
     }
 
     /// Returns the role that the client claims, once it is challenged.
     pub(super) fn claimed_role(&self) -> Option<credential::Role> {
         match &*self.phase.lock() {
-            Phase::Challenged(transcript) => Some(transcript.role),
+            Phase::Challenged { transcript, .. } => Some(transcript.role),
             _ => None,
         }
     }
@@ -79,7 +88,11 @@
         secrets: Vec<credential::Secret>,
     ) -> Option<handshake::Proof> {
         let mut phase = self.phase.lock();
-        let Phase::Challenged(transcript) = std::mem::replace(&mut *phase, Phase::Closed) else {
+        let Phase::Challenged {
+            transcript,
+            compression,
+        } = std::mem::replace(&mut *phase, Phase::Closed)
+        else {
             return None;
         };
         let is_proven = |secret: &credential::Secret| transcript.is_client_proof(secret, proof);
@@ -87,7 +100,9 @@
         let server_proof = transcript.server_proof(&secret);
         *phase = Phase::Authenticated(Session {
             role: transcript.role,
-            keys: transcript.session_keys(&secret),
+            keys: transcript
+                .session_keys(&secret)
+                .with_compression(compression),
             secret,
             window: session::Window::default(),
         });
@@ -130,7 +145,7 @@
 
     /// Whether the client has not authenticated yet.
     pub(super) fn is_unauthenticated(&self) -> bool {
-        matches!(*self.phase.lock(), Phase::New | Phase::Challenged(_))
+        matches!(*self.phase.lock(), Phase::New | Phase::Challenged { .. })
     }
 
     /// Closes the connection; no further call on it is accepted.
--- a/crates/cranberrygap-link/src/server/stream.rs
+++ b/crates/cranberrygap-link/src/server/stream.rs
@@ -68,8 +68,7 @@
     caller: &Caller,
     envelope: &session::Envelope,
 ) -> Result<Frames, Fault> {
-    let invalid = |cause: serde_json::Error| Fault::new(message::INVALID_PARAMS, cause.to_string());
-    let call: message::Call = serde_json::from_str(envelope.body.get()).map_err(invalid)?;
+    let call = message::Call::read(&envelope.body)?;
     let stream = registry.stream(&call.method);
     let stream = stream.filter(|stream| stream.role == caller.role);
     let unknown = || Fault::new(message::UNKNOWN_METHOD, "no such stream for this role");
--- a/crates/cranberrygap-link/src/session.rs
+++ b/crates/cranberrygap-link/src/session.rs
@@ -6,6 +6,8 @@
 use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
+use crate::compression;
+
 /// Maximum number of out-of-order counters remembered per connection, so that memory stays
 /// bounded. Counters older than these are rejected.
 const MAX_USED_COUNTERS: usize = 4_096;
@@ -40,6 +42,8 @@
 pub struct Keys {
     client: [u8; blake3::KEY_LEN],
     server: [u8; blake3::KEY_LEN],
+    /// Whether the other end reads compressed bodies.
+    compresses: bool,
 }
 
 /// Replay window: the counters already used on a connection.
@@ -56,10 +60,21 @@
         Self {
             client: derive(b"client to server"),
             server: derive(b"server to client"),
+            compresses: false,
         }
     }
 
-    /// Seals `body` in an envelope.
+    /// Sets whether the other end reads compressed bodies.
+    pub(crate) const fn with_compression(self, compresses: bool) -> Self {
+        Self { compresses, ..self }
+    }
+
+    /// Whether the other end reads compressed content.
+    pub(crate) const fn compresses(&self) -> bool {
+        self.compresses
+    }
+
+    /// Seals `body` in an envelope, compressed if the other end reads that.
     #[must_use]
     pub fn seal(
         &self,
@@ -68,6 +83,11 @@
         sequence: u64,
         body: Box<RawValue>,
     ) -> Envelope {
+        let body = if self.compresses {
+            compression::pack(body)
+        } else {
+            body
+        };
         let seal = self.hash(purpose, counter, sequence, &body);
         Envelope {
             counter,
--- a/crates/cranberrygap-link/tests/link.rs
+++ b/crates/cranberrygap-link/tests/link.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use cranberrygap_link::error::Error;
-use cranberrygap_link::{client, credential, server};
+use cranberrygap_link::{client, compression, credential, server};
 use cranberrygap_model::{address, duration};
 use futures_util::StreamExt as _;
 use futures_util::stream;
@@ -218,3 +218,65 @@
     assert_eq!(method, "double");
     assert!(spent > std::time::Duration::ZERO);
 }
+
+/// A text that repeats itself, as a view does.
+fn long_text() -> String {
+    "{\"endpoint\":\"i-7f3a91c2\",\"health\":\"ready\"},".repeat(4_000)
+}
+
+#[tokio::test]
+async fn long_messages_arrive_whole() {
+    let fleet = credential::Role::Fleet;
+    let listener = server::Builder::new()
+        .secrets(fleet, vec![secret("fleet")])
+        .method("echo", fleet, |text: String| async move { Ok(text) })
+        .subscription("repeat", fleet, |text: String| async move {
+            Ok(stream::iter([text.clone(), text]).boxed())
+        })
+        .start(loopback())
+        .await
+        .unwrap();
+    let client = connect(&listener, "fleet").await.unwrap();
+
+    let answer: String = client.call("echo", &long_text(), DEADLINE).await.unwrap();
+    let mut frames = client
+        .subscribe::<_, String>("repeat", &long_text())
+        .await
+        .unwrap();
+    let frame = frames.next().await.unwrap().unwrap();
+
+    assert!(client.compresses());
+    assert_eq!(answer, long_text());
+    assert_eq!(frame, long_text());
+}
+
+#[test]
+fn repetitive_content_shrinks_and_comes_back() {
+    let content = long_text();
+
+    let compressed = compression::compress(content.as_bytes()).unwrap();
+    let restored = compression::decompress(&compressed).unwrap();
+
+    assert!(
+        compressed.len() * 10 < content.len(),
+        "{}",
+        compressed.len()
+    );
+    assert_eq!(restored, content.as_bytes());
+}
+
+#[test]
+fn short_content_is_left_alone() {
+    assert_eq!(compression::compress(b"{\"revision\":17}"), None);
+}
+
+// Damaged content must cost neither the process nor its memory.
+#[test]
+fn damaged_content_is_an_error() {
+    let mut compressed = compression::compress(long_text().as_bytes()).unwrap();
+    let middle = compressed.len() / 2;
+    compressed.truncate(middle);
+
+    compression::decompress(&compressed).unwrap_err();
+    compression::decompress(b"not compressed").unwrap_err();
+}
--- a/crates/cranberrygap-link/tests/stranger.rs
+++ b/crates/cranberrygap-link/tests/stranger.rs
@@ -50,7 +50,11 @@
 async fn send_hello(rpc: &ws_client::WsClient, client: handshake::Nonce) -> handshake::Transcript {
     let role = credential::Role::Fleet;
     let nonce = client.to_hex();
-    let hello = handshake::Hello { role, nonce };
+    let hello = handshake::Hello {
+        role,
+        nonce,
+        compression: false,
+    };
     let challenge: handshake::Challenge =
         rpc.request("link_hello", rpc_params![hello]).await.unwrap();
     let server = handshake::Nonce::from_hex(&challenge.nonce).unwrap();
