Send entries what changed of a plan, not the plan

Cause: each change of the configuration sent the whole plan to every entry, with all models of all services. Most changes concern a few routes or one workspace.

Change: the state tells an amendment: routes, services and workspaces that are new or changed, and names of those that are gone. The first plan, and one whose routes share names, is told whole.

--- a/crates/cranberrygap-control/src/delta.rs
+++ b/crates/cranberrygap-control/src/delta.rs
@@ -133,7 +133,8 @@
         view::Change::Resided { residency } => Some(Key::Residency(residency.endpoint.clone())),
         view::Change::MemberChanged { member } => Some(Key::Member(member.instance.clone())),
         view::Change::Lent { lender } => Some(Key::Lender(lender.workspace.clone())),
-        view::Change::KeyIssued { .. }
+        view::Change::Amended { .. }
+        | view::Change::KeyIssued { .. }
         | view::Change::KeyWithdrawn { .. }
         | view::Change::EndpointRemoved { .. }
         | view::Change::Quarantined { .. }
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{address, id, number};
+use cranberrygap_state::traffic::amendment;
 use cranberrygap_wire::{binding, configuration, endpoint, view};
 use smol_str::SmolStr;
 
@@ -115,6 +116,13 @@
             view::Change::Rerouted { plan } => {
                 self.traffic = Some(Arc::new(traffic::Table::new(plan)));
             }
+            view::Change::Amended { amendment } => {
+                // The control process sent the plan before what changes it.
+                self.traffic = self.traffic.as_ref().map(|table| {
+                    let plan = amendment::apply(table.plan(), amendment);
+                    Arc::new(traffic::Table::new(plan))
+                });
+            }
             view::Change::WorkspaceAdded { workspace } => {
                 Arc::make_mut(&mut self.workspaces).push(workspace);
             }
--- a/crates/cranberrygap-state/src/traffic.rs
+++ b/crates/cranberrygap-state/src/traffic.rs
@@ -1,5 +1,7 @@
 //! The traffic plan: routes, services, models and workspaces; the highest version wins.
 
+pub mod amendment;
+
 use std::collections::BTreeSet;
 
 use cranberrygap_model::duration;
@@ -88,10 +90,17 @@
         if self.version() >= Some(step.plan.version) {
             return (answer::Answer::Done, Vec::new());
         }
+        let plan = step.plan.clone();
+        let change = match &self.plan {
+            Some(old) if has_distinct_names(old) && has_distinct_names(&plan) => {
+                let amendment = amendment::between(old, &plan);
+                view::Change::Amended { amendment }
+            }
+            _ => view::Change::Rerouted { plan },
+        };
         self.plan = Some(step.plan.clone());
         self.source = step.source.clone();
-        let plan = step.plan.clone();
-        (answer::Answer::Done, vec![view::Change::Rerouted { plan }])
+        (answer::Answer::Done, vec![change])
     }
 
     /// Returns the version in force, if any.
@@ -113,6 +122,12 @@
     }
 }
 
+/// Returns whether the routes of a plan can be told apart by their names, which are for people.
+fn has_distinct_names(plan: &traffic::Plan) -> bool {
+    let names: BTreeSet<&SmolStr> = plan.routes.iter().map(|route| &route.name).collect();
+    names.len() == plan.routes.len()
+}
+
 /// Returns the keyed hash under which a plan stores a key.
 #[must_use]
 pub fn key_hash(key: &str) -> SmolStr {
--- a/crates/cranberrygap-state/tests/traffic.rs
+++ b/crates/cranberrygap-state/tests/traffic.rs
@@ -211,3 +211,95 @@
     let known = fleet.endpoints.iter().next().expect("an endpoint");
     assert_eq!(known.announcement.boot, number::Boot(3_000));
 }
+
+/// A plan of many routes and workspaces, as a large fleet has.
+fn large_plan(version: u64) -> traffic::Plan {
+    let mut large = plan(version);
+    for number in 0..60 {
+        let (name, prefix) = (format!("route-{number}"), format!("/route-{number}/"));
+        large.routes.push(route(&name, &prefix, "app"));
+        let (name, key) = (format!("workspace-{number}"), format!("key-{number}"));
+        large.workspaces.push(workspace(&name, &key));
+    }
+    large
+}
+
+/// The plan that results from `from` with the change that the state tells of `to`.
+fn amended(from: &traffic::Plan, to: &traffic::Plan) -> (traffic::Plan, traffic::Amendment) {
+    let amendment = state::amendment::between(from, to);
+    let result = state::amendment::apply(from, amendment.clone());
+    (result, amendment)
+}
+
+fn sorted(mut plan: traffic::Plan) -> traffic::Plan {
+    plan.routes
+        .sort_by(|left, right| left.name.cmp(&right.name));
+    plan.services
+        .sort_by(|left, right| left.service.cmp(&right.service));
+    plan.workspaces
+        .sort_by(|left, right| left.workspace.cmp(&right.workspace));
+    plan
+}
+
+// Each of many entries is sent the whole plan, all its models included, for one changed route.
+#[test]
+fn change_of_one_route_is_told_alone() {
+    let old = large_plan(1);
+    let mut new = large_plan(2);
+    new.routes[7].priority = 1;
+    new.routes.remove(9);
+    new.workspaces[3].keys.clear();
+
+    let (result, amendment) = amended(&old, &new);
+
+    assert_eq!(sorted(result), sorted(new));
+    assert_eq!(amendment.routes.len(), 1);
+    assert_eq!(amendment.removed_routes.len(), 1);
+    assert_eq!(amendment.workspaces.len(), 1);
+    assert!(amendment.services.is_empty());
+}
+
+#[test]
+fn amendments_lead_from_any_plan_to_any_other() {
+    let mut other = plan(9);
+    other.routes = vec![route("late", "/late/", "bookings")];
+    other.services[0].service = "bookings".parse().expect("a name");
+    other.workspaces.clear();
+
+    for (from, to) in [(large_plan(1), other.clone()), (other, large_plan(12))] {
+        let (result, _) = amended(&from, &to);
+        assert_eq!(sorted(result), sorted(to));
+    }
+}
+
+#[test]
+fn first_plan_is_told_whole_and_later_ones_in_parts() {
+    let mut state = state::State::default();
+    let step = |plan: traffic::Plan| state::Step {
+        plan,
+        source: "text".into(),
+    };
+
+    let (_, first) = state.apply(&step(large_plan(1)));
+    let (_, second) = state.apply(&step(large_plan(2)));
+
+    assert!(matches!(first[0], view::Change::Rerouted { .. }));
+    assert!(matches!(second[0], view::Change::Amended { .. }));
+}
+
+// Names of routes are for people. Two routes with one name would be taken for one.
+#[test]
+fn plan_with_ambiguous_names_is_told_whole() {
+    let mut state = state::State::default();
+    let mut twice = large_plan(2);
+    twice.routes[5].name = twice.routes[6].name.clone();
+    let step = |plan: traffic::Plan| state::Step {
+        plan,
+        source: "text".into(),
+    };
+    state.apply(&step(large_plan(1)));
+
+    let (_, changes) = state.apply(&step(twice));
+
+    assert!(matches!(changes[0], view::Change::Rerouted { .. }));
+}
--- a/crates/cranberrygap-wire/src/binding.rs
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -17,6 +17,7 @@
         | view::Change::EndpointRemoved { .. }
         | view::Change::Quarantined { .. }
         | view::Change::Rerouted { .. }
+        | view::Change::Amended { .. }
         | view::Change::WorkspaceAdded { .. } => true,
         view::Change::EndpointChanged { endpoint } => {
             matches!(endpoint.health, view::Health::Leaving | view::Health::Gone)
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -16,6 +16,8 @@
 pub const SUSPECT_LEAVE: &str = "suspect_leave";
 /// An entry asks for an adapter (`traffic::Want` to `traffic::Placed`).
 pub const ADAPTER_WANT: &str = "adapter_want";
+/// A control process passes on what endpoints said to it (`view::Heard` to nothing).
+pub const ENDPOINTS_HEARD: &str = "endpoints_heard";
 /// A message of the agreement protocol between control processes.
 pub const AGREEMENT: &str = "agreement";
 
