Follow views from the entry's own failure domain

Cause: an entry followed whichever control process it met first, so nearly every delta crossed a failure domain, and one follower served 90 entries where another served 6.

Change: entries prefer a process in their failure domain that does not lead; those beside the leader spread over the others.

--- a/crates/cranberrygap-entry/src/control/peers.rs
+++ b/crates/cranberrygap-entry/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Addresses of control processes, from the settings and from the view.
 
-use cranberrygap_model::address;
+use cranberrygap_model::{address, id};
 use parking_lot::RwLock;
 
 /// Control processes that this entry may contact.
@@ -11,6 +11,8 @@
 pub(crate) struct Peers {
     configured: RwLock<Vec<address::Peer>>,
     members: RwLock<Vec<address::Peer>>,
+    /// Members in this entry's failure domain.
+    near: RwLock<Vec<id::Instance>>,
 }
 
 impl Peers {
@@ -18,6 +20,7 @@
         Self {
             configured: RwLock::new(configured),
             members: RwLock::default(),
+            near: RwLock::default(),
         }
     }
 
@@ -33,6 +36,18 @@
         }
     }
 
+    /// Replaces the names of the members in this entry's failure domain.
+    pub(crate) fn set_near(&self, near: Vec<id::Instance>) {
+        if *self.near.read() != near {
+            *self.near.write() = near;
+        }
+    }
+
+    /// Whether a control process is known to be in this entry's failure domain.
+    pub(crate) fn is_near(&self, instance: &id::Instance) -> bool {
+        self.near.read().contains(instance)
+    }
+
     /// All peers without duplicates, those from the settings first.
     pub(crate) fn list(&self) -> Vec<address::Peer> {
         let mut all = self.configured.read().clone();
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Address of the process that answers calls to the leader, while there is one.
+    pub(crate) fn leader_address(&self) -> Option<address::Socket> {
+        self.inner.lock().connected_to
+    }
+
     /// Calls the leader. Follows redirections and tries other processes as long as the
     /// call is known not to have run.
     ///
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -1,5 +1,6 @@
 //! The entry's copy of the replicated state and the lease under which it is used.
 
+pub mod preference;
 mod recovery;
 mod snapshot;
 pub mod source;
