Keep the load of each endpoint at a home entry

Cause: every 150 ms each entry told all others its whole backlog, and of each prompt it told 15 of them.

Change: each endpoint has a home among the entries of its failure domain, chosen alike by all. An entry tells it of each send at once and of the rest every 150 ms if that changed, and asks the homes of the best four engines (three plain endpoints) before it chooses, if what it knows is older than 50 ms. It waits 8 ms at most; a home that does not answer is not waited for during 0.4 s.

--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -135,13 +135,16 @@
         }
         match self.request.metadata.model.clone() {
             Some(model) if self.resolution.has_engine => self.choose_engine(&model).await,
-            _ => self.choose_plain_endpoint(),
+            _ => self.choose_plain_endpoint().await,
         }
     }
 
-    fn choose_plain_endpoint(&self) -> Result<Target, Failure> {
-        let now = self.now();
+    async fn choose_plain_endpoint(&self) -> Result<Target, Failure> {
         let endpoints = &self.gateway.core.endpoints;
+        endpoints
+            .refresh_plain_endpoints(self.now(), &self.resolution.service, &self.tried)
+            .await;
+        let now = self.now();
         let destination =
             endpoints.choose_plain_endpoint(now, &self.resolution.service, &self.tried);
         let destination = destination.ok_or_else(|| {
@@ -278,8 +281,10 @@
         late: bool,
     ) -> Result<endpoints::Choice, Failure> {
         let endpoints = &self.gateway.core.endpoints;
+        let query = self.query(model, false, late);
+        endpoints.refresh_engines(self.now(), &query).await;
         let started = self.now();
-        if let Some(choice) = endpoints.choose_engine(started, &self.query(model, false, late)) {
+        if let Some(choice) = endpoints.choose_engine(started, &query) {
             return Ok(choice);
         }
         let latest_start = self.latest_start(model);
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -1,13 +1,15 @@
 //! State of the endpoints of each service, and the choice among them.
 
+mod homes;
 mod notices;
+mod questions;
 mod state;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cranberrygap_model::{address, duration, id, number};
-use cranberrygap_routing::prompt::{backlog, latency, prefix_cache, selection};
+use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
 use smallvec::SmallVec;
@@ -16,6 +18,7 @@
 use crate::view;
 
 pub(crate) use notices::Notice;
+pub(crate) use questions::Question;
 use state::State;
 
 /// Endpoints that a request was already sent to.
@@ -39,8 +42,11 @@
 /// not be sent again.
 const FAILURE_PENALTY_REQUESTS: f64 = 30.0;
 
-/// Age at which the backlog that another entry announced is no longer used.
-const MAX_BACKLOG_AGE: duration::Span = duration::Span::from_millis(1_200);
+/// Engines whose homes are asked before a choice: the best as far as this entry knows.
+const MAX_ASKED_ENGINES: usize = 4;
+
+/// Plain endpoints whose homes are asked before a choice.
+const MAX_ASKED_PLAIN_ENDPOINTS: usize = 3;
 
 /// A request that needs an engine.
 #[derive(Debug)]
@@ -99,6 +105,7 @@
     inner: Mutex<Inner>,
     latencies: Mutex<latency::Estimator>,
     notices: notices::Outbox,
+    questions: questions::Outbox,
 }
 
 #[derive(Debug, Default)]
@@ -107,30 +114,39 @@
     residencies: Arc<BTreeMap<id::Endpoint, wire_view::Residency>>,
     states: BTreeMap<id::Endpoint, State>,
     by_service: BTreeMap<id::Service, Vec<id::Endpoint>>,
-    other_entries: BTreeMap<address::Socket, Announcement>,
-}
-
-/// The backlog that another entry announced.
-#[derive(Debug)]
-struct Announcement {
-    received_at: duration::Instant,
-    sequence: u64,
-    backlogs: BTreeMap<u32, backlog::Backlog>,
+    homes: homes::Homes,
+    /// What other entries told of the endpoints that this entry is the home of.
+    book: home::Book,
+    /// What the homes of other endpoints told.
+    learned: BTreeMap<u32, home::Learned>,
 }
 
 impl Endpoints {
-    pub(crate) fn new(domain: id::Domain) -> Self {
+    /// Creates a table without endpoints for an entry in `domain`.
+    ///
+    /// `gossip_port` is the port at which all entries tell and ask each other of their load.
+    pub(crate) fn new(
+        instance: id::Instance,
+        domain: id::Domain,
+        gossip_port: Option<u16>,
+    ) -> Self {
+        let inner = Inner {
+            homes: homes::Homes::new(instance, gossip_port),
+            ..Inner::default()
+        };
         Self {
             domain,
-            inner: Mutex::default(),
+            inner: Mutex::new(inner),
             latencies: Mutex::default(),
             notices: notices::Outbox::default(),
+            questions: questions::Outbox::default(),
         }
     }
 
     /// Applies the endpoints of a new view.
     pub(crate) fn apply_view(&self, now: duration::Instant, view: &view::Snapshot) {
         let mut inner = self.inner.lock();
+        inner.homes.apply_view(view);
         let same = Arc::ptr_eq(view.endpoints(), &inner.endpoints)
             && Arc::ptr_eq(view.residencies(), &inner.residencies);
         if same {
@@ -148,45 +164,11 @@
         query: &Query<'_>,
     ) -> Option<Choice> {
         let inner = self.inner.lock();
-        let adapter = query
-            .adapter
-            .map(|adapter| format_smolstr!("{}/{adapter}", query.model));
-        let has_adapter = |state: &State| {
-            let adapter = adapter.as_ref();
-            adapter.is_none_or(|adapter| state.adapters.contains(adapter.as_str()))
-        };
-        let usable: Vec<&State> = inner
-            .usable_states(query.service, query.tried)
-            .filter(|state| state.holds_model(query.model))
-            .filter(|state| !query.only_with_adapter || has_adapter(state))
-            .collect();
-        let reachable_states = filter_reachable(now, &usable);
-        let home = session_engine(query, &reachable_states);
-        let candidates = reachable_states.iter().map(|state| selection::Candidate {
-            endpoint: &state.endpoint,
-            backlog: inner.backlog(now, state),
-            recent_prefill: state.recent_prompts.prefill_time(now),
-            cached_tokens: state.prefix_cache.cached_tokens(now, query.chain),
-            has_affinity: home == Some(&state.endpoint),
-            same_domain: state.same_domain,
-            has_adapter: has_adapter(state),
-            failure_rate: state.failures.failure_rate(now),
-        });
-        let request = selection::Request {
-            rank: query.rank,
-            prompt_tokens: query.prompt_tokens,
-            shared_tokens: query.chain.shared_tokens(),
-            prefill_budget: query.prefill_budget,
-            large_prompt_grace: query.large_prompt_grace,
-            latency: query.latency,
-            slots: query.slots,
-            remote_penalty: REMOTE_PENALTY,
-            adapter_penalty: ADAPTER_PENALTY,
-        };
-        let choice = selection::choose(&request, candidates)?;
+        let candidates = inner.candidates(now, query);
+        let choice = selection::choose(&query.to_request(), candidates.into_iter())?;
         let state = inner.states.get(&choice.endpoint)?;
         Some(Choice {
-            has_adapter: has_adapter(state),
+            has_adapter: query.has_adapter(state),
             destination: state.destination(),
             time_to_first_event: choice.time_to_first_event,
             uncached_tokens: choice.uncached_tokens,
@@ -194,10 +176,40 @@
             queued_prefill: choice.queued_prefill,
             prefill_ahead: choice.prefill_ahead,
             running: choice.running,
-            fits_budget: choice.fits(&request),
+            fits_budget: choice.fits(&query.to_request()),
         })
     }
 
+    /// Asks the homes of the best engines for their load, so that a choice right after it
+    /// knows what the other entries have sent.
+    pub(crate) async fn refresh_engines(&self, now: duration::Instant, query: &Query<'_>) {
+        let questions = {
+            let inner = self.inner.lock();
+            let candidates = inner.candidates(now, query).into_iter();
+            let best = selection::rank(&query.to_request(), candidates, MAX_ASKED_ENGINES);
+            let best = best.iter().map(|choice| &choice.endpoint);
+            inner.questions_about(now, best)
+        };
+        self.questions.ask(now, questions).await;
+    }
+
+    /// Asks the homes of the best endpoints of a plain service for their load.
+    pub(crate) async fn refresh_plain_endpoints(
+        &self,
+        now: duration::Instant,
+        service: &id::Service,
+        tried: &Tried,
+    ) {
+        let questions = {
+            let inner = self.inner.lock();
+            let mut costs = inner.plain_costs(now, service, tried);
+            costs.sort_by_key(|(cost, _)| *cost);
+            let best = costs.into_iter().take(MAX_ASKED_PLAIN_ENDPOINTS);
+            inner.questions_about(now, best.map(|(_, state)| &state.endpoint))
+        };
+        self.questions.ask(now, questions).await;
+    }
+
     /// Latency of requests for a model, as this entry observed it.
     pub(crate) fn latency(&self, service: &id::Service, model: &id::Model) -> latency::Estimate {
         self.latencies.lock().estimate(service, model)
@@ -227,22 +239,9 @@
         tried: &Tried,
     ) -> Option<Destination> {
         let inner = self.inner.lock();
-        let usable: Vec<&State> = inner.usable_states(service, tried).collect();
-        let reachable_states = filter_reachable(now, &usable);
-        let best = reachable_states.into_iter().min_by_key(|state| {
-            let running = inner.backlog(now, state).running;
-            let remote_penalty = u32::from(!state.same_domain) * REMOTE_PENALTY_REQUESTS;
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "a share of one, times a small number"
-            )]
-            let failure_penalty =
-                (state.failures.failure_rate(now) * FAILURE_PENALTY_REQUESTS) as u32;
-            let tie_breaker = prefix_cache::affinity(now.0, &state.endpoint);
-            (running + remote_penalty + failure_penalty, tie_breaker)
-        });
-        best.map(State::destination)
+        let costs = inner.plain_costs(now, service, tried).into_iter();
+        let best = costs.min_by_key(|(cost, _)| *cost);
+        best.map(|(_, state)| state.destination())
     }
 
     /// Whether any endpoint of a service can get requests.
@@ -260,12 +259,18 @@
         prefill_micros: u32,
         chain: Option<&prefix_cache::Chain>,
     ) {
+        let mut plain_endpoint = None;
         self.update_state(destination, |state| {
             state.own_backlog.add(rank, prefill_micros);
-            if let Some(chain) = chain {
-                state.prefix_cache.record_sent(now, chain);
+            match chain {
+                Some(chain) => state.prefix_cache.record_sent(now, chain),
+                None => plain_endpoint = Some(state.name_hash),
             }
         });
+        // A prompt was told of when its engine was chosen.
+        if let Some(name_hash) = plain_endpoint {
+            self.add_notice(name_hash, rank, prefill_micros);
+        }
     }
 
     /// Records that an engine has read a prompt.
@@ -339,45 +344,6 @@
         }
     }
 
-    /// Backlog that this entry caused at each endpoint, for the other entries.
-    pub(crate) fn own_backlogs(&self) -> Vec<(u32, backlog::Backlog)> {
-        let inner = self.inner.lock();
-        let states = inner.states.values();
-        let busy = states.filter(|state| !state.own_backlog.is_empty());
-        busy.map(|state| (state.name_hash, state.own_backlog))
-            .collect()
-    }
-
-    /// Applies the backlog that another entry announced.
-    pub(crate) fn apply_backlogs(
-        &self,
-        now: duration::Instant,
-        from: address::Socket,
-        sequence: u64,
-        backlogs: Vec<(u32, backlog::Backlog)>,
-    ) {
-        let mut inner = self.inner.lock();
-        let previous = inner.other_entries.get(&from);
-        // Datagrams may arrive out of order, and the sequence starts anew when the entry
-        // restarts.
-        let is_old = previous.is_some_and(|previous| {
-            sequence <= previous.sequence && now.since(previous.received_at) < MAX_BACKLOG_AGE
-        });
-        if is_old {
-            return;
-        }
-        let backlogs = backlogs.into_iter().collect();
-        let announcement = Announcement {
-            received_at: now,
-            sequence,
-            backlogs,
-        };
-        inner.other_entries.insert(from, announcement);
-        inner.other_entries.retain(|_, announcement| {
-            now.since(announcement.received_at) < duration::Span::from_secs(10)
-        });
-    }
-
     /// State of all endpoints, for operators.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let inner = self.inner.lock();
@@ -396,6 +362,7 @@
     fn rebuild_states(&mut self, now: duration::Instant, domain: &id::Domain) {
         let mut previous_states = std::mem::take(&mut self.states);
         self.by_service.clear();
+        self.homes.clear_endpoints();
         for (name, endpoint) in self.endpoints.iter() {
             let Some(service) = &endpoint.announcement.service else {
                 continue;
@@ -403,6 +370,8 @@
             let residency = self.residencies.get(name);
             let previous = previous_states.remove(name);
             let state = State::new(now, endpoint, residency, domain, previous);
+            self.homes
+                .set_endpoint(state.name_hash, &endpoint.announcement.domain);
             self.by_service
                 .entry(service.clone())
                 .or_default()
@@ -420,13 +389,97 @@
         untried.filter(move |state| state.ready || (state.suspect && !any_ready))
     }
 
-    /// Backlog of an endpoint, caused by this entry and the others.
-    fn backlog(&self, now: duration::Instant, state: &State) -> backlog::Backlog {
-        let others = self.other_entries.values();
-        let fresh =
-            others.filter(|announcement| now.since(announcement.received_at) < MAX_BACKLOG_AGE);
-        let theirs = fresh.filter_map(|announcement| announcement.backlogs.get(&state.name_hash));
-        theirs.fold(state.own_backlog, backlog::Backlog::combined)
+    /// Candidates for a request among the engines that hold its model.
+    fn candidates<'inner>(
+        &'inner self,
+        now: duration::Instant,
+        query: &Query<'_>,
+    ) -> Vec<selection::Candidate<'inner>> {
+        let usable: Vec<&State> = self
+            .usable_states(query.service, query.tried)
+            .filter(|state| state.holds_model(query.model))
+            .filter(|state| !query.only_with_adapter || query.has_adapter(state))
+            .collect();
+        let reachable_states = filter_reachable(now, &usable);
+        let session_engine = session_engine(query, &reachable_states);
+        let candidates = reachable_states.iter().map(|state| {
+            let others = self.load_of_others(now, state);
+            let own_prompts = state.recent_prompts.prefill_time(now);
+            selection::Candidate {
+                endpoint: &state.endpoint,
+                backlog: state.own_backlog.combined(&others.backlog),
+                recent_prefill: duration::Span(own_prompts.0 + u64::from(others.recent_micros)),
+                cached_tokens: state.prefix_cache.cached_tokens(now, query.chain),
+                has_affinity: session_engine == Some(&state.endpoint),
+                same_domain: state.same_domain,
+                has_adapter: query.has_adapter(state),
+                failure_rate: state.failures.failure_rate(now),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Cost of the usable endpoints of a plain service, in running requests; the time breaks
+    /// ties.
+    fn plain_costs(
+        &self,
+        now: duration::Instant,
+        service: &id::Service,
+        tried: &Tried,
+    ) -> Vec<((u32, u64), &State)> {
+        let usable: Vec<&State> = self.usable_states(service, tried).collect();
+        let reachable_states = filter_reachable(now, &usable);
+        let costs = reachable_states.into_iter().map(|state| {
+            let others = self.load_of_others(now, state);
+            let running = state.own_backlog.running + others.backlog.running;
+            let remote_penalty = u32::from(!state.same_domain) * REMOTE_PENALTY_REQUESTS;
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a share of one, times a small number"
+            )]
+            let failure_penalty =
+                (state.failures.failure_rate(now) * FAILURE_PENALTY_REQUESTS) as u32;
+            let tie_breaker = prefix_cache::affinity(now.0, &state.endpoint);
+            (
+                (running + remote_penalty + failure_penalty, tie_breaker),
+                state,
+            )
+        });
+        costs.collect()
+    }
+
+    /// Load of an endpoint that other entries cause, as its home knows it.
+    fn load_of_others(&self, now: duration::Instant, state: &State) -> home::Load {
+        if self.homes.is_own(state.name_hash) {
+            return self.book.load_without(now, state.name_hash, None);
+        }
+        let learned = self.learned.get(&state.name_hash);
+        learned.map_or_else(home::Load::default, |learned| learned.load(now))
+    }
+}
+
+impl Query<'_> {
+    /// Whether an engine holds the requested adapter, if there is one.
+    fn has_adapter(&self, state: &State) -> bool {
+        self.adapter.is_none_or(|adapter| {
+            let name = format_smolstr!("{}/{adapter}", self.model);
+            state.adapters.contains(name.as_str())
+        })
+    }
+
+    fn to_request(&self) -> selection::Request {
+        selection::Request {
+            rank: self.rank,
+            prompt_tokens: self.prompt_tokens,
+            shared_tokens: self.chain.shared_tokens(),
+            prefill_budget: self.prefill_budget,
+            large_prompt_grace: self.large_prompt_grace,
+            latency: self.latency,
+            slots: self.slots,
+            remote_penalty: REMOTE_PENALTY,
+            adapter_penalty: ADAPTER_PENALTY,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -0,0 +1,188 @@
+//! Homes of the endpoints: the entries that keep their load.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cranberrygap_model::{address, duration, id};
+use cranberrygap_routing::prompt::{backlog, home};
+
+use super::{Endpoints, Inner};
+use crate::view;
+
+/// Time after which an unchanged backlog is told again. A home counts it for a little more than
+/// twice as long.
+const REPEAT_INTERVAL: duration::Span = duration::Span::from_millis(500);
+
+/// What this entry tells one home: its backlog at the endpoints of that home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub home: address::Socket,
+    pub backlogs: Vec<(u32, backlog::Backlog)>,
+}
+
+/// Assignment of endpoints to entries.
+#[derive(Debug, Default)]
+pub(super) struct Homes {
+    own: Option<id::Instance>,
+    gossip_port: Option<u16>,
+    entries: Vec<home::Entry>,
+    domains: BTreeMap<u32, id::Domain>,
+    /// Home of each endpoint by the hash of its name, `None` for this entry.
+    assigned: BTreeMap<u32, Option<address::Socket>>,
+    /// What each home was told last, and when.
+    told: BTreeMap<address::Socket, (duration::Instant, Vec<(u32, backlog::Backlog)>)>,
+}
+
+impl Homes {
+    /// Creates an assignment without endpoints. Without a port there is no other entry to tell.
+    pub(super) fn new(own: id::Instance, gossip_port: Option<u16>) -> Self {
+        Self {
+            own: Some(own),
+            gossip_port,
+            ..Self::default()
+        }
+    }
+
+    /// Applies the entries of a new view.
+    pub(super) fn apply_view(&mut self, view: &view::Snapshot) {
+        let Some(port) = self.gossip_port else {
+            return;
+        };
+        let entries = view.active_entries().map(|member| {
+            let mut address = member.address;
+            address.0.set_port(port);
+            home::Entry {
+                instance: member.instance.clone(),
+                domain: member.domain.clone(),
+                address,
+            }
+        });
+        let entries: Vec<home::Entry> = entries.collect();
+        if entries == self.entries {
+            return;
+        }
+        self.entries = entries;
+        let domains = std::mem::take(&mut self.domains);
+        self.assigned.clear();
+        for (endpoint, domain) in &domains {
+            self.assign(*endpoint, domain);
+        }
+        self.domains = domains;
+    }
+
+    pub(super) fn clear_endpoints(&mut self) {
+        self.domains.clear();
+        self.assigned.clear();
+    }
+
+    pub(super) fn set_endpoint(&mut self, endpoint: u32, domain: &id::Domain) {
+        self.domains.insert(endpoint, domain.clone());
+        self.assign(endpoint, domain);
+    }
+
+    fn assign(&mut self, endpoint: u32, domain: &id::Domain) {
+        let home = home::choose(endpoint, domain, &self.entries);
+        let other = home.filter(|home| Some(&home.instance) != self.own.as_ref());
+        let address = other.map(|home| home.address);
+        self.assigned.insert(endpoint, address);
+    }
+
+    /// Whether this entry is the home of an endpoint, or knows of none.
+    pub(super) fn is_own(&self, endpoint: u32) -> bool {
+        self.address(endpoint).is_none()
+    }
+
+    /// Address of an endpoint's home, `None` for this entry.
+    pub(super) fn address(&self, endpoint: u32) -> Option<address::Socket> {
+        self.assigned.get(&endpoint).copied().flatten()
+    }
+
+    /// Whether an address belongs to an entry of the view.
+    pub(super) fn is_entry(&self, address: SocketAddr) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.address.0 == address)
+    }
+
+    /// What is due to be told at `now`, out of the whole own backlog.
+    fn due(&mut self, now: duration::Instant, backlogs: &[(u32, backlog::Backlog)]) -> Vec<Told> {
+        let mut by_home: BTreeMap<address::Socket, Vec<(u32, backlog::Backlog)>> =
+            self.told.keys().map(|home| (*home, Vec::new())).collect();
+        for (endpoint, backlog) in backlogs {
+            if let Some(home) = self.address(*endpoint) {
+                by_home.entry(home).or_default().push((*endpoint, *backlog));
+            }
+        }
+        let mut due = Vec::new();
+        for (home, backlogs) in by_home {
+            let told = self.told.get(&home);
+            let is_new = told.is_none_or(|(_, told)| *told != backlogs);
+            let is_old = told.is_none_or(|(at, _)| now.since(*at) >= REPEAT_INTERVAL);
+            if !is_new && !is_old {
+                continue;
+            }
+            if backlogs.is_empty() && !is_new {
+                // Told twice that nothing is left.
+                self.told.remove(&home);
+            } else {
+                self.told.insert(home, (now, backlogs.clone()));
+            }
+            due.push(Told { home, backlogs });
+        }
+        due
+    }
+}
+
+impl Endpoints {
+    /// What this entry has to tell the homes of the endpoints that it uses.
+    pub(crate) fn due_backlogs(&self, now: duration::Instant) -> Vec<Told> {
+        let mut inner = self.inner.lock();
+        let Inner { states, homes, .. } = &mut *inner;
+        let busy = states
+            .values()
+            .filter(|state| !state.own_backlog.is_empty());
+        let busy = busy.map(|state| (state.name_hash, state.own_backlog));
+        let busy: Vec<(u32, backlog::Backlog)> = busy.collect();
+        homes.due(now, &busy)
+    }
+
+    /// Applies the backlog that another entry has at endpoints of this home. One that the view does
+    /// not know is ignored.
+    pub(crate) fn apply_backlogs(
+        &self,
+        now: duration::Instant,
+        from: SocketAddr,
+        sequence: u64,
+        backlogs: &[(u32, backlog::Backlog)],
+    ) {
+        let mut inner = self.inner.lock();
+        if inner.homes.is_entry(from) {
+            inner.book.apply_backlogs(now, from, sequence, backlogs);
+        }
+    }
+
+    /// Load of endpoints of this home, without the part of the entry that asks; `None` for one
+    /// that the view does not know.
+    pub(crate) fn answer(
+        &self,
+        now: duration::Instant,
+        asker: SocketAddr,
+        endpoints: &[u32],
+    ) -> Option<Vec<(u32, home::Load)>> {
+        let inner = self.inner.lock();
+        if !inner.homes.is_entry(asker) {
+            return None;
+        }
+        let loads = endpoints.iter().map(|endpoint| {
+            let mut load = inner.book.load_without(now, *endpoint, Some(asker));
+            let mut states = inner.states.values();
+            if let Some(state) = states.find(|state| state.name_hash == *endpoint) {
+                let own_prompts = state.recent_prompts.prefill_time(now).0;
+                let own_prompts = u32::try_from(own_prompts).unwrap_or(u32::MAX);
+                load.backlog = load.backlog.combined(&state.own_backlog);
+                load.recent_micros = load.recent_micros.saturating_add(own_prompts);
+            }
+            (*endpoint, load)
+        });
+        Some(loads.collect())
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
@@ -1,4 +1,6 @@
-//! Notices about dispatched prompts, which other entries get at once.
+//! Notices about dispatched prompts, which the endpoint's home gets at once.
+
+use std::net::SocketAddr;
 
 use cranberrygap_model::{address, duration};
 use parking_lot::Mutex;
@@ -7,10 +9,6 @@
 
 use super::{Destination, Endpoints};
 
-/// Least prefill time that causes a notice, in microseconds. It is a twentieth of the
-/// pause that streams allow.
-const MIN_NOTICE_PREFILL_MICROS: u32 = 15_000;
-
 /// A prompt that was sent to an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Notice {
@@ -52,9 +50,11 @@
         state.recent_prompts.record(now, prefill_micros);
         let name_hash = state.name_hash;
         drop(inner);
-        if prefill_micros < MIN_NOTICE_PREFILL_MICROS {
-            return;
-        }
+        self.add_notice(name_hash, rank, prefill_micros);
+    }
+
+    /// Queues a notice for the home of an endpoint.
+    pub(super) fn add_notice(&self, name_hash: u32, rank: usize, prefill_micros: u32) {
         let rank = u8::try_from(rank).unwrap_or(u8::MAX);
         let notice = Notice {
             name_hash,
@@ -65,7 +65,7 @@
         self.notices.added.notify_one();
     }
 
-    /// Waits for notices to send to the other entries.
+    /// Waits for notices to send to the homes of their endpoints.
     pub(crate) async fn next_notices(&self) -> Vec<Notice> {
         loop {
             let pending = std::mem::take(&mut *self.notices.pending.lock());
@@ -76,24 +76,28 @@
         }
     }
 
-    /// Applies notices of another entry.
+    /// Address of an endpoint's home, `None` for this entry.
+    pub(crate) fn home_of(&self, endpoint: u32) -> Option<address::Socket> {
+        self.inner.lock().homes.address(endpoint)
+    }
+
+    /// Applies another entry's notices of prompts at endpoints of this home.
     pub(crate) fn apply_notices(
         &self,
         now: duration::Instant,
-        from: address::Socket,
+        from: SocketAddr,
         notices: &[Notice],
     ) {
         let mut inner = self.inner.lock();
+        if !inner.homes.is_entry(from) {
+            return;
+        }
         for notice in notices {
-            let mut states = inner.states.values_mut();
-            if let Some(state) = states.find(|state| state.name_hash == notice.name_hash) {
-                state.recent_prompts.record(now, notice.prefill_micros);
-            }
-            // Counts until the other entry's next full backlog, which replaces it.
-            if let Some(announcement) = inner.other_entries.get_mut(&from) {
-                let backlog = announcement.backlogs.entry(notice.name_hash).or_default();
-                backlog.add(usize::from(notice.rank), notice.prefill_micros);
-            }
+            let rank = usize::from(notice.rank);
+            let micros = notice.prefill_micros;
+            inner
+                .book
+                .apply_prompt(now, from, notice.name_hash, rank, micros);
         }
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -1,14 +1,16 @@
-//! Gossip between entries about the requests that they sent to engines.
+//! Gossip between entries about the requests that they sent to endpoints.
 //!
-//! Without it, each entry would consider an engine idle to which all others have just sent
-//! their prompts. A lost datagram costs a slightly worse choice, so nothing is repeated or
-//! acknowledged.
+//! Each endpoint has a home entry. The others tell it what they send there and ask it for the
+//! load before they choose. A lost datagram costs a slightly worse choice, so nothing is repeated
+//! or acknowledged.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cranberrygap_model::address;
-use cranberrygap_routing::prompt::backlog;
+use cranberrygap_routing::prompt::{backlog, home};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -17,35 +19,32 @@
 
 use super::endpoints;
 
-/// Time between two messages.
-///
-/// A prompt is read in about 70 ms. A message is half an interval old on average, which
-/// keeps entries from choosing the same engine. A shorter interval would cost more traffic
-/// between failure domains than the better choice is worth.
+/// Time between two looks at what changed. Prompts are told at once; this tells of their ends.
 const SEND_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Largest message; one datagram carries it without fragmentation.
 const MAX_MESSAGE_BYTES: usize = 1_400;
 
-/// Engines in one message; more would not fit.
-const MAX_ENGINES_PER_MESSAGE: usize = 90;
-
-/// Other entries that are told of each prompt at once. Messages then grow with the number
-/// of entries times this limit, rather than with its square.
-const MAX_NOTICE_RECIPIENTS: usize = 15;
+/// Endpoints in one message; more would not fit.
+const MAX_ENDPOINTS_PER_MESSAGE: usize = 45;
 
 /// A message between two entries.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
-    /// The whole backlog that the entry caused at engines.
-    #[serde(rename = "All")]
+    /// The sender's whole backlog at the endpoints of the receiver.
     Backlogs {
         sequence: u64,
-        tallies: Vec<(u32, backlog::Backlog)>,
+        backlogs: Vec<(u32, backlog::Backlog)>,
     },
-    /// Prompts that the entry has just sent.
-    #[serde(rename = "Sent")]
+    /// Prompts that the sender has just sent to endpoints of the receiver.
     Prompts(Vec<endpoints::Notice>),
+    /// Asks for the load of endpoints.
+    Question { number: u32, endpoints: Vec<u32> },
+    /// Load of endpoints, without the part of the receiver.
+    Answer {
+        number: u32,
+        loads: Vec<(u32, home::Load)>,
+    },
 }
 
 /// The task that sends and receives gossip.
@@ -53,7 +52,6 @@
 pub(crate) struct Gossip {
     core: Arc<core::Core>,
     socket: UdpSocket,
-    port: u16,
 }
 
 impl Gossip {
@@ -69,7 +67,6 @@
         Ok(Self {
             core,
             socket: UdpSocket::bind(wanted.0).await?,
-            port: wanted.0.port(),
         })
     }
 
@@ -78,70 +75,90 @@
         let mut ticker = time::interval(SEND_INTERVAL);
         ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut sequence = 0;
-        let mut sent_empty = false;
         let mut buffer = [0; MAX_MESSAGE_BYTES];
         loop {
             tokio::select! {
                 _ = ticker.tick() => {
                     sequence += 1;
-                    let mut tallies = self.core.endpoints.own_backlogs();
-                    tallies.truncate(MAX_ENGINES_PER_MESSAGE);
-                    // An empty backlog stays valid until the next change, so it is sent
-                    // only once.
-                    if tallies.is_empty() && sent_empty {
-                        continue;
-                    }
-                    sent_empty = tallies.is_empty();
-                    self.send(&Message::Backlogs { sequence, tallies }, usize::MAX).await;
+                    self.tell_backlogs(sequence).await;
                 }
-                mut notices = self.core.endpoints.next_notices() => {
-                    notices.truncate(MAX_ENGINES_PER_MESSAGE);
-                    self.send(&Message::Prompts(notices), MAX_NOTICE_RECIPIENTS).await;
+                notices = self.core.endpoints.next_notices() => self.tell_prompts(notices).await,
+                questions = self.core.endpoints.next_questions() => {
+                    for question in questions {
+                        let endpoints::Question { home, number, endpoints } = question;
+                        self.send(home, &Message::Question { number, endpoints }).await;
+                    }
                 }
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, from)) = received else {
                         continue;
                     };
-                    self.handle_datagram(from, &buffer[..length]);
+                    self.handle_datagram(from, &buffer[..length]).await;
                 }
             }
         }
     }
 
-    async fn send(&self, message: &Message, max_recipients: usize) {
-        let Ok(bytes) = postcard::to_stdvec(message) else {
-            return;
-        };
-        let Some(view) = self.core.view.latest() else {
-            return;
+    async fn tell_backlogs(&self, sequence: u64) {
+        for told in self.core.endpoints.due_backlogs(self.core.now()) {
+            let mut backlogs = told.backlogs;
+            backlogs.truncate(MAX_ENDPOINTS_PER_MESSAGE);
+            self.send(told.home, &Message::Backlogs { sequence, backlogs })
+                .await;
+        }
+    }
+
+    async fn tell_prompts(&self, notices: Vec<endpoints::Notice>) {
+        let mut by_home: BTreeMap<address::Socket, Vec<endpoints::Notice>> = BTreeMap::new();
+        for notice in notices {
+            if let Some(home) = self.core.endpoints.home_of(notice.name_hash) {
+                by_home.entry(home).or_default().push(notice);
+            }
+        }
+        for (home, mut notices) in by_home {
+            notices.truncate(MAX_ENDPOINTS_PER_MESSAGE);
+            self.send(home, &Message::Prompts(notices)).await;
+        }
+    }
+
+    async fn send(&self, to: address::Socket, message: &Message) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                spdlog::warn!("gateway: encoding a datagram failed: {cause}");
+                return;
+            }
         };
-        let mut others = view.other_entry_addresses(self.core.instance());
-        // Each entry starts elsewhere in the list, so that not all of them tell the same
-        // few.
-        let first = usize::try_from(self.core.boot.0).unwrap_or_default();
-        let first = first.checked_rem(others.len()).unwrap_or_default();
-        others.rotate_left(first);
-        for other in others.into_iter().take(max_recipients) {
-            let mut to = other.0;
-            to.set_port(self.port);
-            // A datagram that cannot be sent counts as lost.
-            drop(self.socket.send_to(&bytes, to).await);
+        if let Err(cause) = self.socket.send_to(&bytes, to.0).await {
+            // Counts as a lost datagram.
+            spdlog::debug!("gateway: sending a datagram to {to} failed: {cause}");
         }
     }
 
-    fn handle_datagram(&self, from: std::net::SocketAddr, bytes: &[u8]) {
+    async fn handle_datagram(&self, from: SocketAddr, bytes: &[u8]) {
         let Ok(message) = postcard::from_bytes::<Message>(bytes) else {
             spdlog::debug!("gateway: dropped a malformed datagram from {from}");
             return;
         };
         let now = self.core.now();
-        let from = address::Socket(from);
         let endpoints = &self.core.endpoints;
         match message {
-            Message::Backlogs { sequence, tallies } => {
-                endpoints.apply_backlogs(now, from, sequence, tallies);
+            Message::Backlogs { sequence, backlogs } => {
+                endpoints.apply_backlogs(now, from, sequence, &backlogs);
             }
             Message::Prompts(notices) => endpoints.apply_notices(now, from, &notices),
+            Message::Question {
+                number,
+                endpoints: asked,
+            } => {
+                if let Some(loads) = endpoints.answer(now, from, &asked) {
+                    let answer = Message::Answer { number, loads };
+                    self.send(address::Socket(from), &answer).await;
+                }
+            }
+            Message::Answer { number, loads } => {
+                endpoints.apply_answer(now, from, number, &loads);
+            }
         }
     }
 }
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -330,7 +330,11 @@
 ) -> Result<core::Core, Error> {
     let peers = Arc::new(control::Peers::new(settings.control.peers.clone()));
     Ok(core::Core {
-        endpoints: gateway::Endpoints::new(settings.entry.domain.clone()),
+        endpoints: gateway::Endpoints::new(
+            settings.entry.instance.clone(),
+            settings.entry.domain.clone(),
+            settings.listen.gossip.map(|address| address.0.port()),
+        ),
         peers: Arc::clone(&peers),
         boot,
         clock,
--- a/crates/cranberrygap-routing/src/prompt.rs
+++ b/crates/cranberrygap-routing/src/prompt.rs
@@ -6,6 +6,7 @@
 //! they publish, and of the request itself what the engine does not have cached.
 
 pub mod backlog;
+pub mod home;
 pub mod latency;
 pub mod prefix_cache;
 pub mod selection;
--- a/crates/cranberrygap-routing/src/prompt/selection.rs
+++ b/crates/cranberrygap-routing/src/prompt/selection.rs
@@ -110,7 +110,34 @@
     request: &Request,
     candidates: impl Iterator<Item = Candidate<'known>>,
 ) -> Option<Choice> {
-    let scored = candidates.map(|candidate| {
+    let scored = score(request, candidates);
+    let best = scored.min_by(compare);
+    best.map(|(_, choice)| choice)
+}
+
+/// The engines with the earliest first events, penalties included, the best first.
+#[must_use]
+pub fn rank<'known>(
+    request: &Request,
+    candidates: impl Iterator<Item = Candidate<'known>>,
+    most: usize,
+) -> Vec<Choice> {
+    let mut scored: Vec<(u64, Choice)> = score(request, candidates).collect();
+    scored.sort_by(compare);
+    scored.truncate(most);
+    scored.into_iter().map(|(_, choice)| choice).collect()
+}
+
+fn compare(left: &(u64, Choice), right: &(u64, Choice)) -> std::cmp::Ordering {
+    (left.0, &left.1.endpoint).cmp(&(right.0, &right.1.endpoint))
+}
+
+/// Cost of each candidate, as waiting time in microseconds, with the predictions for it.
+fn score<'known>(
+    request: &Request,
+    candidates: impl Iterator<Item = Candidate<'known>>,
+) -> impl Iterator<Item = (u64, Choice)> {
+    candidates.map(move |candidate| {
         let uncached_tokens = uncached_tokens(request, &candidate);
         let latency = &request.latency;
         let prefill_time = latency.prefill_time(uncached_tokens);
@@ -153,11 +180,7 @@
             recent_prefill: candidate.recent_prefill,
         };
         (cost, choice)
-    });
-    let best = scored.min_by(|(cost, choice), (other_cost, other)| {
-        (cost, &choice.endpoint).cmp(&(other_cost, &other.endpoint))
-    });
-    best.map(|(_, choice)| choice)
+    })
 }
 
 fn uncached_tokens(request: &Request, candidate: &Candidate<'_>) -> u64 {
