Pass heartbeats of endpoints on to the leader together

Cause: a control process that does not lead sent each heartbeat on to the leader by a redirect, and the leader kept all endpoints: a connection and a call for each of them each second.

The leader names one of them for later heartbeats. Endpoints that leave still go to the leader, which alone knows when all entries know.

--- a/crates/cranberrygap-control/src/confirmation.rs
+++ b/crates/cranberrygap-control/src/confirmation.rs
@@ -5,7 +5,7 @@
 use cranberrygap_link::server;
 use cranberrygap_model::duration;
 use cranberrygap_state::{command, endpoint, member};
-use cranberrygap_wire::{method, view};
+use cranberrygap_wire::{endpoint as announced, method, view};
 use futures_util::future;
 
 use crate::detector;
@@ -59,7 +59,8 @@
         };
         self.metrics.measure(metric::Work::Lease, record);
         self.commit_member(confirm).await?;
-        self.commit_announcements(confirm).await?;
+        self.commit_announcements(confirm.announcements.clone())
+            .await?;
         // The commits may have taken long, and only the current leader may grant.
         let status = self.proposer.check_leads()?;
         let grant = || {
@@ -80,6 +81,29 @@
         })
     }
 
+    /// Records what another control process heard from endpoints, and commits what is new.
+    ///
+    /// # Errors
+    ///
+    /// When this process does not lead, or the log rejects a command.
+    pub async fn record_heard(&self, heard: view::Heard) -> Result<(), server::Fault> {
+        self.proposer.check_leads()?;
+        let record = || {
+            self.detector.with_leadership(|now, leadership| {
+                record_heartbeats(now, leadership, &heard.seen, &heard.announcements);
+            })
+        };
+        self.metrics.measure(metric::Work::Lease, record);
+        let changed = heard.announcements.into_iter();
+        let changed = changed.filter(|announcement| {
+            self.state
+                .read(|fleet| fleet.endpoints.would_change(announcement))
+        });
+        self.commit_announcements(changed.collect()).await?;
+        // Only the current leader may say that it has recorded something.
+        self.proposer.check_leads().map(drop)
+    }
+
     /// Commits an entry that is new or changed. An entry must be in the state before it gets a
     /// lease, since a new leader reads from the state which entries may hold one.
     async fn commit_member(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
@@ -104,25 +128,29 @@
         proposed.await.map(drop)
     }
 
-    async fn commit_announcements(&self, confirm: &view::Confirm) -> Result<(), server::Fault> {
-        if confirm.announcements.len() > MAX_ANNOUNCEMENTS {
+    async fn commit_announcements(
+        &self,
+        announcements: Vec<announced::Announcement>,
+    ) -> Result<(), server::Fault> {
+        if announcements.len() > MAX_ANNOUNCEMENTS {
             let message = "too many announcements at once";
             return Err(server::Fault::new(method::REFUSED, message));
         }
-        let steps = confirm.announcements.iter().cloned();
-        let commands =
-            steps.map(|step| command::Command::Endpoint(endpoint::Step::Announced(Box::new(step))));
+        let commands = announcements
+            .into_iter()
+            .map(|step| command::Command::Endpoint(endpoint::Step::Announced(Box::new(step))));
         let proposals = commands.map(|command| self.proposer.propose(command));
         future::try_join_all(proposals).await.map(drop)
     }
 }
 
-fn record_liveness(
+fn record_heartbeats(
     now: duration::Instant,
     leadership: &mut leadership::Leadership,
-    confirm: &view::Confirm,
+    seen: &[view::Seen],
+    announcements: &[announced::Announcement],
 ) {
-    for announcement in &confirm.announcements {
+    for announcement in announcements {
         let seen = view::Seen {
             endpoint: announcement.endpoint.clone(),
             boot: announcement.boot,
@@ -130,8 +158,16 @@
         };
         leadership.record_heartbeat(now, &seen);
     }
-    for seen in &confirm.seen {
+    for seen in seen {
         leadership.record_heartbeat(now, seen);
     }
+}
+
+fn record_liveness(
+    now: duration::Instant,
+    leadership: &mut leadership::Leadership,
+    confirm: &view::Confirm,
+) {
+    record_heartbeats(now, leadership, &confirm.seen, &confirm.announcements);
     leadership.record_confirmation(now, confirm);
 }
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::permission;
 use crate::proposer;
 use crate::redirect;
+use crate::relay;
 use crate::replicated;
 use crate::residency;
 use crate::shares;
@@ -40,6 +41,8 @@
     pub(crate) orders: Arc<orders::Coordinator>,
     pub(crate) residency: Arc<residency::Coordinator>,
     pub(crate) metrics: metric::Recorder,
+    /// Passes on what endpoints say while this process does not lead.
+    pub(crate) relay: Arc<relay::Relay>,
     /// Subscribers that were redirected to other control processes.
     pub(crate) redirects: Mutex<redirect::Redirects>,
     /// Rate limit of log lines about slow answers.
@@ -116,6 +119,13 @@
             async move { context.residency.request_adapter(want).await }
         })
     };
+    let builder = {
+        let context = Arc::clone(context);
+        builder.method(method::ENDPOINTS_HEARD, role, move |heard: view::Heard| {
+            let context = Arc::clone(&context);
+            async move { context.confirmation_handler.record_heard(heard).await }
+        })
+    };
     let context = Arc::clone(context);
     builder.method(
         method::CRASH_REPORT,
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -20,6 +20,7 @@
 use crate::proposer;
 use crate::public;
 use crate::reconciler;
+use crate::relay;
 use crate::replica;
 use crate::replicated;
 use crate::residency;
@@ -116,6 +117,7 @@
             settings,
             state,
             replica,
+            Arc::clone(&links),
             Arc::new(endpoint_client),
             runner_client,
             metrics,
@@ -211,6 +213,7 @@
         settings: settings::Control,
         state: Arc<replicated::State>,
         replica: Arc<replica::Replica>,
+        links: Arc<links::Links>,
         endpoint_client: Arc<dyn orders::EndpointClient>,
         runner_client: Arc<dyn residency::RunnerClient>,
         metrics: metric::Recorder,
@@ -241,9 +244,11 @@
             clock,
             metrics.clone(),
         );
+        let relay = Arc::new(relay::Relay::new(proposer.clone(), links));
         let context = peers::Context {
             state,
             proposer,
+            relay,
             detector,
             confirmation_handler: confirmations,
             shares: Arc::new(shares),
@@ -267,6 +272,7 @@
         let mut tasks = vec![
             tokio::spawn(Arc::clone(detector).run()),
             tokio::spawn(Arc::clone(&self.context.shares).run()),
+            tokio::spawn(Arc::clone(&self.context.relay).run()),
             tokio::spawn(self.context.metrics.clone().log_summaries()),
         ];
         // Runners are moved either by the traffic plan, which arrives at the public listener, or by
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -10,7 +10,9 @@
 use cranberrygap_wire::{endpoint as announced, method, traffic, view};
 use smol_str::SmolStr;
 
+use crate::heartbeat_peer;
 use crate::peers;
+use crate::relay;
 
 /// Reason why a call was not carried out here.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -87,18 +89,23 @@
 
     /// Records an endpoint's announcement, and returns once it is in force at all entries.
     ///
+    /// A process that does not lead passes it on. An endpoint that leaves has to ask the leader
+    /// itself, which alone knows when all entries know of it.
+    ///
     /// # Errors
     ///
-    /// This process does not lead, or cannot commit it.
+    /// This process cannot have it recorded.
     pub async fn announce(&self, announcement: announced::Announcement) -> Result<(), Refusal> {
-        let seen = view::Seen {
-            endpoint: announcement.endpoint.clone(),
-            boot: announcement.boot,
-            sequence: announcement.sequence,
-        };
-        let changed = self.read_as_leader(|fleet| is_changed(fleet, &announcement))?;
         let leaves = announcement.phase == announced::Phase::Leaving;
-        if changed {
+        if let Err(refusal) = self.check_leads() {
+            if leaves {
+                return Err(refusal);
+            }
+            return self.pass_on(announcement).await;
+        }
+        let seen = to_seen(&announcement);
+        let state = &self.context.state;
+        if state.read(|fleet| fleet.endpoints.would_change(&announcement)) {
             self.propose(endpoint::Step::Announced(Box::new(announcement)))
                 .await?;
         }
@@ -115,6 +122,33 @@
         Ok(())
     }
 
+    async fn pass_on(&self, announcement: announced::Announcement) -> Result<(), Refusal> {
+        let state = &self.context.state;
+        let item = if state.read(|fleet| fleet.endpoints.would_change(&announcement)) {
+            relay::Item::Announced(Box::new(announcement))
+        } else {
+            relay::Item::Seen(to_seen(&announcement))
+        };
+        let passed_on = self.context.relay.pass_on(item).await;
+        passed_on.map_err(|fault| to_refusal(&fault))
+    }
+
+    /// Returns the control process that an endpoint should send its next heartbeats to; `None` for
+    /// this one.
+    #[must_use]
+    pub fn heartbeat_peer(&self, announcement: &announced::Announcement) -> Option<address::Peer> {
+        self.check_leads().ok()?;
+        let own = self.context.proposer.status().leader?;
+        self.context.state.read(|fleet| {
+            let members = fleet.members.iter();
+            let chosen = heartbeat_peer::choose(members, &own.instance, announcement)?;
+            Some(address::Peer {
+                instance: chosen.instance.clone(),
+                address: chosen.address,
+            })
+        })
+    }
+
     /// Removes an endpoint that announces that it leaves for good.
     ///
     /// `boot` is its start, if it tells it: a process of the same name that started later is not
@@ -165,18 +199,12 @@
     }
 }
 
-/// Returns whether an announcement changes anything besides the sequence number.
-fn is_changed(
-    fleet: &cranberrygap_state::fleet::Fleet,
-    announcement: &announced::Announcement,
-) -> bool {
-    let current = fleet.endpoints.get(&announcement.endpoint);
-    let Some(current) = current else {
-        return true;
-    };
-    let mut current = current.announcement;
-    current.sequence = announcement.sequence;
-    current != *announcement
+fn to_seen(announcement: &announced::Announcement) -> view::Seen {
+    view::Seen {
+        endpoint: announcement.endpoint.clone(),
+        boot: announcement.boot,
+        sequence: announcement.sequence,
+    }
 }
 
 fn to_refusal(fault: &server::Fault) -> Refusal {
--- a/crates/cranberrygap-state/src/endpoint.rs
+++ b/crates/cranberrygap-state/src/endpoint.rs
@@ -206,6 +206,17 @@
         self.endpoints.contains_key(name)
     }
 
+    /// Returns whether an announcement tells anything besides a heartbeat.
+    #[must_use]
+    pub fn would_change(&self, announcement: &endpoint::Announcement) -> bool {
+        let Some(registration) = self.endpoints.get(&announcement.endpoint) else {
+            return true;
+        };
+        let mut current = registration.announcement.clone();
+        current.sequence = announcement.sequence;
+        current != *announcement
+    }
+
     /// Returns one endpoint.
     #[must_use]
     pub fn get(&self, name: &id::Endpoint) -> Option<view::Endpoint> {
