Change the source of a view only once the new one has caught up

Change: frames of the new source are applied apart until they are as new as the view in use, which is then replaced at once.

--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -11,7 +11,7 @@
 use spdlog::{info, warn};
 
 use crate::core;
-use crate::view::{preference, source};
+use crate::view::{self, preference, source};
 
 /// Time between checks of a source that sends nothing. Otherwise a lag would be noticed
 /// only with the next frame, which a source that hangs never sends.
@@ -36,6 +36,8 @@
     /// Keeps the connection open.
     _client: client::Client,
     frames: client::Subscription<wire_view::Frame>,
+    /// View that the first frames led to, if they were read already.
+    caught_up: Option<Arc<view::Snapshot>>,
 }
 
 /// A control process that is being tried, with the stream that it opens.
@@ -123,14 +125,49 @@
                 peer,
                 _client: client,
                 frames,
+                caught_up: None,
             })
         }
     }
 
+    /// Opens the stream of a control process and reads it until it is as new as the view of the
+    /// present source. A snapshot is older than what that source sends while it is opened.
+    fn open_caught_up(
+        &self,
+        peer: &address::Peer,
+    ) -> impl Future<Output = Result<Stream, error::Error>> + Send + 'static {
+        let core = Arc::clone(&self.core);
+        let opening = self.open(peer);
+        async move {
+            let mut stream = opening.await?;
+            let separate = view::Holder::default();
+            loop {
+                let frame = stream.frames.next().await.ok_or(error::Error::Closed)??;
+                separate
+                    .apply_frame(frame)
+                    .map_err(|cause| error::Error::Malformed {
+                        reason: cause.to_string().into(),
+                    })?;
+                if separate.revision() >= core.view.revision() {
+                    break;
+                }
+            }
+            stream.caught_up = separate.latest();
+            Ok(stream)
+        }
+    }
+
     /// Receives frames until the stream fails. Returns a better stream if one is open.
     async fn follow(&mut self, mut stream: Stream) -> Result<Option<Stream>, error::Error> {
         let instance = stream.peer.instance.clone();
         self.core.view.set_source(instance.clone());
+        if let Some(caught_up) = stream.caught_up.take() {
+            if let Err(cause) = self.core.view.adopt(caught_up) {
+                warn!("view: restarts the subscription: {cause}");
+                return Ok(None);
+            }
+            self.apply_view();
+        }
         let mut source = source::Source::new(self.core.now());
         let may_change_at = self.core.now().after(self.follow_time());
         let mut attempt: Option<Attempt> = None;
@@ -183,7 +220,7 @@
         if peer.instance == current.instance {
             return None;
         }
-        let opening = self.open(&peer).boxed();
+        let opening = self.open_caught_up(&peer).boxed();
         Some(Attempt { peer, opening })
     }
 
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -161,10 +161,20 @@
                 base.with_changes(revision, changes)
             }
         };
-        if next.revision() >= inner.committed {
-            inner.behind_since = None;
-        }
-        inner.snapshot = Some(Arc::new(next));
+        inner.replace(Arc::new(next));
+        Ok(())
+    }
+
+    /// Replaces the view by that of another source.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is older than the present one.
+    pub fn adopt(&self, snapshot: Arc<Snapshot>) -> Result<(), Error> {
+        let mut inner = self.inner.write();
+        let held = inner.snapshot.as_ref().map(|snapshot| snapshot.revision());
+        check_order(snapshot.revision(), held.unwrap_or_default())?;
+        inner.replace(snapshot);
         Ok(())
     }
 
@@ -196,6 +206,13 @@
 }
 
 impl Inner {
+    fn replace(&mut self, snapshot: Arc<Snapshot>) {
+        if snapshot.revision() >= self.committed {
+            self.behind_since = None;
+        }
+        self.snapshot = Some(snapshot);
+    }
+
     fn is_behind(&self, now: duration::Instant, span: duration::Span) -> bool {
         self.behind_since
             .is_some_and(|since| now >= since.after(span))
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -2,7 +2,8 @@
 
 use cranberrygap_entry::view::{self, source};
 use cranberrygap_model::{duration, number};
-use cranberrygap_wire::{configuration, view as wire_view};
+use cranberrygap_state::traffic::amendment;
+use cranberrygap_wire::{configuration, traffic, view as wire_view};
 
 fn state() -> wire_view::State {
     wire_view::State {
@@ -236,3 +237,80 @@
         Some(source::Failure::Silent)
     );
 }
+
+/// The view of another source that has sent these frames.
+fn view_after(frames: Vec<wire_view::Frame>) -> std::sync::Arc<view::Snapshot> {
+    let other = view::Holder::default();
+    for frame in frames {
+        other.apply_frame(frame).unwrap();
+    }
+    other.latest().unwrap()
+}
+
+// A source that is opened beside the present one begins with an older snapshot. Served from at
+// once, the view would go back; refused, the entry would be without a source.
+#[test]
+fn view_of_another_source_is_adopted_once_it_has_caught_up() {
+    let holder = view::Holder::default();
+    holder.apply_frame(snapshot(10)).unwrap();
+    let withdrawn = wire_view::Change::KeyWithdrawn {
+        key: "key-1".parse().expect("a plain name"),
+    };
+
+    let early = holder.adopt(view_after(vec![snapshot(8)]));
+    let late = holder.adopt(view_after(vec![snapshot(8), delta(12, vec![withdrawn])]));
+
+    assert!(matches!(early, Err(view::Error::Older { .. })));
+    assert_eq!(late, Ok(()));
+    assert_eq!(holder.revision(), number::Revision(12));
+    assert!(holder.latest().unwrap().key("hash-1").is_none());
+}
+
+fn plan(version: u64, prefix: &str) -> traffic::Plan {
+    traffic::Plan {
+        version,
+        routes: vec![traffic::Route {
+            name: "lookup".into(),
+            host: "host.example".into(),
+            prefix: prefix.into(),
+            kind: traffic::Kind::Idempotent,
+            deadline: duration::Span::from_secs(3),
+            objective: duration::Span::from_millis(300),
+            pause: None,
+            priority: 2,
+            attempts: 2,
+            public: false,
+            affinity: false,
+            splits: Vec::new(),
+        }],
+        services: Vec::new(),
+        workspaces: Vec::new(),
+        bounds: traffic::Bounds {
+            header: 16 << 10,
+            body: 1 << 20,
+            header_time: duration::Span::from_secs(3),
+            idle: duration::Span::from_secs(15),
+        },
+    }
+}
+
+#[test]
+fn amendment_changes_the_routes_in_force() {
+    let holder = view::Holder::default();
+    let first = wire_view::Change::Rerouted {
+        plan: plan(1, "/old/"),
+    };
+    let amendment = amendment::between(&plan(1, "/old/"), &plan(2, "/new/"));
+    holder.apply_frame(snapshot(1)).unwrap();
+    holder.apply_frame(delta(2, vec![first])).unwrap();
+
+    let second = wire_view::Change::Amended { amendment };
+    holder.apply_frame(delta(3, vec![second])).unwrap();
+
+    let view = holder.latest().unwrap();
+    let table = view.traffic().unwrap();
+    assert_eq!(table.plan().version, 2);
+    assert!(table.route("host.example", "/old/x").is_none());
+    assert!(table.route("host.example", "/new/x").is_some());
+    assert_eq!(holder.binding_revision(), number::Revision(3));
+}
