Forget questions whose requests have ended

Cause: a question to a home that does not answer was forgotten only by the request that asked. When its caller left within the 8 ms of the wait, the question stayed for ever. Found by reading the change; no run showed it.

Change: each new question forgets those that nobody waits for.

--- a/crates/cranberrygap-entry/src/gateway/endpoints/questions.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/questions.rs
@@ -60,6 +60,8 @@
         {
             let mut inner = self.inner.lock();
             inner.silent_until.retain(|_, until| now < *until);
+            // A caller that leaves takes its request with it, whose question may stay unanswered.
+            inner.answers.retain(|_, answered| !answered.is_closed());
             for (home, endpoints) in questions {
                 inner.last_number = inner.last_number.wrapping_add(1);
                 let number = inner.last_number;
