Name an adapter once for a choice, and make the heartbeat of an announcement in one place

Found by reading the change. Each choice built the name of the requested adapter for every engine that it looked at, and looks twice now that homes are asked; it was once for a choice before. The heartbeat that an announcement implies was written out in three places of control.

--- a/crates/cranberrygap-control/src/confirmation.rs
+++ b/crates/cranberrygap-control/src/confirmation.rs
@@ -151,12 +151,7 @@
     announcements: &[announced::Announcement],
 ) {
     for announcement in announcements {
-        let seen = view::Seen {
-            endpoint: announcement.endpoint.clone(),
-            boot: announcement.boot,
-            sequence: announcement.sequence,
-        };
-        leadership.record_heartbeat(now, &seen);
+        leadership.record_heartbeat(now, &leadership::to_seen(announcement));
     }
     for seen in seen {
         leadership.record_heartbeat(now, seen);
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -303,11 +303,7 @@
         let silence = fleet.defaults().endpoint_silence;
         let endpoints = fleet.endpoints.announcements();
         let endpoints = endpoints.filter_map(|(announcement, health)| {
-            let seen = view::Seen {
-                endpoint: announcement.endpoint.clone(),
-                boot: announcement.boot,
-                sequence: announcement.sequence,
-            };
+            let seen = to_seen(announcement);
             let leaves = announcement.phase == announced::Phase::Leaving;
             self.endpoint_transition(now, silence, &seen, endpoint_state(health, leaves))
         });
@@ -415,3 +411,12 @@
         view::Health::Gone => EndpointState::Gone,
     }
 }
+
+/// Returns the heartbeat that an announcement implies.
+pub(crate) fn to_seen(announcement: &announced::Announcement) -> view::Seen {
+    view::Seen {
+        endpoint: announcement.endpoint.clone(),
+        boot: announcement.boot,
+        sequence: announcement.sequence,
+    }
+}
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -7,10 +7,11 @@
 use cranberrygap_link::server;
 use cranberrygap_model::{address, id, number};
 use cranberrygap_state::{command, endpoint, traffic as state};
-use cranberrygap_wire::{endpoint as announced, method, traffic, view};
+use cranberrygap_wire::{endpoint as announced, method, traffic};
 use smol_str::SmolStr;
 
 use crate::heartbeat_peer;
+use crate::leadership;
 use crate::peers;
 use crate::relay;
 
@@ -103,7 +104,7 @@
             }
             return self.pass_on(announcement).await;
         }
-        let seen = to_seen(&announcement);
+        let seen = leadership::to_seen(&announcement);
         let state = &self.context.state;
         if state.read(|fleet| fleet.endpoints.would_change(&announcement)) {
             self.propose(endpoint::Step::Announced(Box::new(announcement)))
@@ -127,7 +128,7 @@
         let item = if state.read(|fleet| fleet.endpoints.would_change(&announcement)) {
             relay::Item::Announced(Box::new(announcement))
         } else {
-            relay::Item::Seen(to_seen(&announcement))
+            relay::Item::Seen(leadership::to_seen(&announcement))
         };
         let passed_on = self.context.relay.pass_on(item).await;
         passed_on.map_err(|fault| to_refusal(&fault))
@@ -199,14 +200,6 @@
     }
 }
 
-fn to_seen(announcement: &announced::Announcement) -> view::Seen {
-    view::Seen {
-        endpoint: announcement.endpoint.clone(),
-        boot: announcement.boot,
-        sequence: announcement.sequence,
-    }
-}
-
 fn to_refusal(fault: &server::Fault) -> Refusal {
     if fault.code == method::REFUSED {
         return Refusal::Invalid(fault.message.clone());
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -168,7 +168,7 @@
         let choice = selection::choose(&query.to_request(), candidates.into_iter())?;
         let state = inner.states.get(&choice.endpoint)?;
         Some(Choice {
-            has_adapter: query.has_adapter(state),
+            has_adapter: state.holds_adapter(query.adapter_name().as_ref()),
             destination: state.destination(),
             time_to_first_event: choice.time_to_first_event,
             uncached_tokens: choice.uncached_tokens,
@@ -395,10 +395,12 @@
         now: duration::Instant,
         query: &Query<'_>,
     ) -> Vec<selection::Candidate<'inner>> {
+        let adapter = query.adapter_name();
+        let adapter = adapter.as_ref();
         let usable: Vec<&State> = self
             .usable_states(query.service, query.tried)
             .filter(|state| state.holds_model(query.model))
-            .filter(|state| !query.only_with_adapter || query.has_adapter(state))
+            .filter(|state| !query.only_with_adapter || state.holds_adapter(adapter))
             .collect();
         let reachable_states = filter_reachable(now, &usable);
         let session_engine = session_engine(query, &reachable_states);
@@ -412,7 +414,7 @@
                 cached_tokens: state.prefix_cache.cached_tokens(now, query.chain),
                 has_affinity: session_engine == Some(&state.endpoint),
                 same_domain: state.same_domain,
-                has_adapter: query.has_adapter(state),
+                has_adapter: state.holds_adapter(adapter),
                 failure_rate: state.failures.failure_rate(now),
             }
         });
@@ -460,12 +462,10 @@
 }
 
 impl Query<'_> {
-    /// Whether an engine holds the requested adapter, if there is one.
-    fn has_adapter(&self, state: &State) -> bool {
-        self.adapter.is_none_or(|adapter| {
-            let name = format_smolstr!("{}/{adapter}", self.model);
-            state.adapters.contains(name.as_str())
-        })
+    /// Name under which engines list the requested adapter, if there is one.
+    fn adapter_name(&self) -> Option<SmolStr> {
+        self.adapter
+            .map(|adapter| format_smolstr!("{}/{adapter}", self.model))
     }
 
     fn to_request(&self) -> selection::Request {
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -122,6 +122,11 @@
         self.models.contains(model.as_str()) && !self.retiring.contains(model)
     }
 
+    /// Whether the endpoint holds an adapter, named as `model/adapter`, if one is given.
+    pub(super) fn holds_adapter(&self, name: Option<&SmolStr>) -> bool {
+        name.is_none_or(|name| self.adapters.contains(name))
+    }
+
     pub(super) fn is_reachable(&self, now: duration::Instant) -> bool {
         self.unreachable_at
             .is_none_or(|at| now.since(at) >= UNREACHABLE_BACKOFF)
