Name the content and the endpoint of a failed request in its log line

An on-call engineer cannot tell one request that ends many endpoints from many requests that met ordinary crashes: a line names the caller's attempt, whose id is new each time. The line now has the request's fingerprint (hash of workspace, method, path and body) and the endpoint of the last attempt.

No decision changes. Tests of the entry and the platform pass.

--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 
 use super::target::Target;
 use super::{
@@ -125,6 +126,7 @@
         }
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
+        self.log.endpoint = SmolStr::new(target.destination.endpoint.as_str());
         let response = match result {
             Ok(Ok(response)) => {
                 connection.read_idle_timeout(response.headers());
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -16,6 +16,7 @@
 use smol_str::{SmolStr, ToSmolStr as _};
 
 use crate::admission;
+use crate::digest;
 use crate::metric;
 use crate::view::{self, traffic as table};
 
@@ -150,6 +151,15 @@
         }))
     }
 
+    /// Identifies what is asked for, whenever and wherever in the fleet it is sent again.
+    ///
+    /// The id and the deadline differ each time and are not part of it.
+    fn fingerprint(&self, workspace: Option<&Workspace>) -> SmolStr {
+        let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
+        let target = format!("{} {}", self.method, self.target);
+        digest::hash_parts([workspace.as_bytes(), target.as_bytes(), &self.body])
+    }
+
     /// Tokens that the request costs its workspace.
     fn cost(&self, workspace: &Workspace) -> token::Count {
         if !workspace.by_tokens {
@@ -269,6 +279,7 @@
 fn log_resolution(log: &mut request_log::Log, received: &Request, resolution: &Resolution) {
     log.route = resolution.route.name.clone();
     log.plan_version = resolution.plan_version;
+    log.fingerprint = received.fingerprint(resolution.workspace.as_ref());
     if let Some(workspace) = &resolution.workspace {
         log.workspace = SmolStr::new(workspace.name.as_str());
     }
--- a/crates/cranberrygap-entry/src/gateway/request_log.rs
+++ b/crates/cranberrygap-entry/src/gateway/request_log.rs
@@ -24,6 +24,10 @@
     pub(crate) route: SmolStr,
     pub(crate) workspace: SmolStr,
     pub(crate) model: SmolStr,
+    /// Hash of what the request asks for, the same whenever a caller sends it again.
+    pub(crate) fingerprint: SmolStr,
+    /// Endpoint of the last attempt.
+    pub(crate) endpoint: SmolStr,
     /// Version of the plan used last.
     pub(crate) plan_version: u64,
     /// Revision of the view used last.
@@ -72,6 +76,8 @@
                 route = self.route.as_str(),
                 workspace = self.workspace.as_str(),
                 model = self.model.as_str(),
+                fingerprint = short(&self.fingerprint),
+                endpoint = self.endpoint.as_str(),
                 plan = self.plan_version,
                 revision = self.revision,
                 trail = self.trail.as_str(),
@@ -99,6 +105,8 @@
                 route = self.route.as_str(),
                 workspace = self.workspace.as_str(),
                 model = self.model.as_str(),
+                fingerprint = short(&self.fingerprint),
+                endpoint = self.endpoint.as_str(),
                 plan = self.plan_version,
                 revision = self.revision,
                 trail = self.trail.as_str(),
@@ -125,6 +133,12 @@
     }
 }
 
+/// The first characters of a fingerprint; they tell requests of one log apart.
+fn short(fingerprint: &str) -> &str {
+    const LENGTH: usize = 16;
+    fingerprint.get(..LENGTH).unwrap_or(fingerprint)
+}
+
 /// Fields of every line about a request beside its facts.
 struct Fields<'log> {
     request: &'log str,
