Quarantine requests that crash endpoints on the routes of a plan too

Cause: the quarantine was built for the product's API only. The gateway, which serves the routes of a plan, used none of it: each attempt of the caller was a new request to each entry. A promise was proved on one half of the system and served by the other.

Evidence: the two requests of the report were attempts of their own with new ids; the gateway has no call of the quarantine.

Change: one mechanism for both paths (entry::quarantine). A request at an endpoint is a Run, known by a hash of workspace, method, path and body. When its connection breaks, the entry checks once for all requests that broke there whether the endpoint refuses connections; a new boot in the view is evidence as well. Deaths are reported until a leader has accepted them, where before one lost call lost the report. The agreed state counts distinct boots under a fingerprint and tells all entries who is on probation. A suspect of a route runs only alone, by the leader's permission, from its second crash on, at the engine with the fewest requests; a crash there condemns it. The API isolates from the first crash on, as before. An entry that has completed the same request speaks for it, once. A permission ends with its lease when the endpoint dies: given back at once, the suspect ran again before the verdict was told. A request that has run is no longer called quarantined, "not run", at the API.

Ruled out: resends of the entries (each of the two was sent once), a late leader (no line of it).

--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -128,7 +128,7 @@
         }
         about.model = Some(body.model.clone());
         let fingerprint = body.fingerprint(&workspace, self.path);
-        core::Core::check_quarantine(&view, &fingerprint)?;
+        self.core.check_quarantine(&view, &fingerprint)?;
         let limiter = &self.core.limiter;
         let permit = admission::Permit::reserve(limiter, &workspace, body.max_cost()).await?;
         self.note_admitted(about, &body);
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -11,6 +11,7 @@
 use spdlog::{info, warn};
 
 use crate::core;
+use crate::quarantine;
 use crate::view::{self, preference, source};
 
 /// Time between checks of a source that sends nothing. Otherwise a lag would be noticed
@@ -259,6 +260,7 @@
         self.core.limiter.apply_view(&view);
         self.core.router.apply_view(&view);
         self.core.endpoints.apply_view(self.core.now(), &view);
+        quarantine::apply_view(&self.core, &view);
         let controls = view.control_members().map(|member| address::Peer {
             instance: member.instance.clone(),
             address: member.address,
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -6,7 +6,6 @@
 use cadence::{Counted as _, StatsdClient, Timed as _};
 use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
-use cranberrygap_policy::quarantine::suspects;
 use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
@@ -16,6 +15,7 @@
 use crate::announce;
 use crate::control;
 use crate::gateway;
+use crate::quarantine;
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::route;
@@ -44,7 +44,7 @@
     /// Budget of retries.
     pub(crate) retry_budget: Mutex<retry::Budget>,
     /// Requests in progress by endpoint, and requests suspected to crash endpoints.
-    pub(crate) suspects: Mutex<suspects::Tracker>,
+    pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) announcements: announce::Inbox,
     pub(crate) demand: control::Demand,
     pub(crate) metrics: Arc<StatsdClient>,
@@ -137,16 +137,17 @@
     ///
     /// Returns [`Refusal::Quarantined`] with the remaining time.
     pub(crate) fn check_quarantine(
+        &self,
         view: &view::Snapshot,
         fingerprint: &str,
     ) -> Result<(), Refusal> {
-        let until = view.quarantine(fingerprint).map_or(0, |found| found.until);
-        let left = until.saturating_sub(clock::unix_millis());
-        if left == 0 {
-            return Ok(());
+        let isolation = quarantine::Isolation::AfterFirstCrash;
+        let stage = self
+            .quarantine
+            .stage(self.now(), view, fingerprint, isolation);
+        match stage {
+            quarantine::Stage::Refused(retry_after) => Err(Refusal::Quarantined { retry_after }),
+            quarantine::Stage::Free | quarantine::Stage::Probation => Ok(()),
         }
-        Err(Refusal::Quarantined {
-            retry_after: duration::Span::from_millis(left),
-        })
     }
 }
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -2,7 +2,6 @@
 
 mod attempt;
 mod delivery;
-mod permission;
 
 use cranberrygap_model::{duration, id};
 use cranberrygap_trace::note;
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -8,14 +8,12 @@
 use salvo::http::{StatusCode, header};
 
 use crate::core;
+use crate::quarantine;
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::route;
 
-use super::{
-    ATTEMPT_ID_HEADER, Attempt, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER, Request, Response, attempt,
-    permission,
-};
+use super::{ATTEMPT_ID_HEADER, Attempt, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER, Request, Response};
 
 /// Retry delay that callers are given when no engine holds the model.
 const NO_ENGINE_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
@@ -27,6 +25,10 @@
 /// the culprit; a third engine must not be lost to it.
 const MAX_CRASHES: u32 = 2;
 
+/// When a request runs only alone. Its deadline leaves time to wait for an engine, and the other
+/// requests of a crashed engine are not lost to the same culprit a second time.
+const ISOLATION: quarantine::Isolation = quarantine::Isolation::AfterFirstCrash;
+
 /// All attempts of one request.
 #[derive(Debug)]
 pub(crate) struct Delivery {
@@ -89,15 +91,9 @@
     pub(crate) async fn send(&mut self, delivered: u64) -> Result<Response, Refusal> {
         loop {
             self.check_quarantine()?;
-            let (destination, registration) = self.choose_engine().await?;
+            let (destination, run) = self.choose_engine().await?;
             self.attempts += 1;
-            let attempt = Attempt::new(
-                &self.core,
-                destination,
-                &self.request,
-                self.attempts,
-                registration,
-            );
+            let attempt = Attempt::new(&self.core, destination, &self.request, self.attempts, run);
             match self.send_attempt(attempt, delivered).await {
                 Ok(answer) => return Ok(answer),
                 Err((evidence, attempt)) => self.handle_failure(evidence, attempt).await?,
@@ -160,26 +156,44 @@
         }
     }
 
+    /// Refuses a request that is quarantined. One that may have run is not called "not run".
     fn check_quarantine(&self) -> Result<(), Refusal> {
         let Some(view) = self.core.view.latest() else {
             return Ok(());
         };
-        core::Core::check_quarantine(&view, &self.request.fingerprint)
+        let checked = self.core.check_quarantine(&view, &self.request.fingerprint);
+        checked.map_err(|refusal| self.refusal_after(refusal))
+    }
+
+    fn refusal_after(&self, refusal: Refusal) -> Refusal {
+        if self.is_not_run() {
+            return refusal;
+        }
+        Refusal::EndpointFailed
     }
 
     /// Chooses an engine and registers the request there.
     ///
     /// A suspect waits for an engine without another suspect.
-    async fn choose_engine(
-        &mut self,
-    ) -> Result<(route::Destination, attempt::Registration), Refusal> {
+    async fn choose_engine(&mut self) -> Result<(route::Destination, quarantine::Run), Refusal> {
         loop {
             let destination = self.choose_untried()?;
-            if let Some(registration) = self.register(&destination).await {
-                return Ok((destination, registration));
-            }
+            let place = quarantine::Place {
+                endpoint: destination.endpoint.clone(),
+                boot: destination.boot,
+                address: destination.address,
+            };
+            let fingerprint = &self.request.fingerprint;
+            let begun = quarantine::Run::begin(&self.core, place, fingerprint, ISOLATION).await;
+            let denial = match begun {
+                Ok(run) => return Ok((destination, run)),
+                Err(denial) => denial,
+            };
             let now = self.core.now();
             self.core.router.record_ended(now, &destination, false);
+            if let quarantine::Denial::Refused(retry_after) = denial {
+                return Err(self.refusal_after(Refusal::Quarantined { retry_after }));
+            }
             if self.remaining() <= SUSPECT_POLL_INTERVAL {
                 return Err(self.refusal(retry::Reason::DeadlineExceeded));
             }
@@ -189,32 +203,6 @@
         }
     }
 
-    /// Registers the request as running at the engine, if it is allowed to.
-    async fn register(&self, destination: &route::Destination) -> Option<attempt::Registration> {
-        let incarnation = attempt::incarnation(destination);
-        let now = self.core.now();
-        let fingerprint = &self.request.fingerprint;
-        let (id, is_suspect) = {
-            let mut watch = self.core.suspects.lock();
-            let registered = watch.start_request(now, &incarnation, fingerprint);
-            (registered.ok()?, watch.is_suspect(now, fingerprint))
-        };
-        if !is_suspect {
-            let permission = None;
-            return Some(attempt::Registration { id, permission });
-        }
-        let permission =
-            permission::Permission::acquire(&self.core, &incarnation, fingerprint).await;
-        if permission.is_none() {
-            self.core
-                .suspects
-                .lock()
-                .finish_request(&incarnation, id, false);
-            return None;
-        }
-        Some(attempt::Registration { id, permission })
-    }
-
     /// Whether every engine was looked at.
     fn is_every_engine_tried(&self) -> bool {
         let Some(destination) = self.ask_router() else {
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -13,6 +13,7 @@
 use crate::admission;
 use crate::control;
 use crate::metric;
+use crate::quarantine;
 
 use super::failure::{self, Failure};
 use super::request::{Request, Resolution};
@@ -36,6 +37,9 @@
 /// Retry delay that callers are given when no endpoint has capacity.
 const NO_CAPACITY_RETRY_AFTER: duration::Span = duration::Span::from_millis(500);
 
+/// Retry delay of a suspect that cannot run alone now. Another suspect may have the endpoint.
+const ALONE_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
+
 /// A request and the state of its delivery.
 #[derive(Debug)]
 pub(crate) struct Delivery {
@@ -47,6 +51,12 @@
     tried: endpoints::Tried,
     attempts: u32,
     connect_failures: u32,
+    /// Whether an endpoint may have run the request.
+    may_have_run: bool,
+    /// Whether the request runs only alone, since endpoints crashed under it.
+    runs_alone: bool,
+    /// The registration of the next attempt, until it is written.
+    run: Option<quarantine::Run>,
     /// Tells the leader that the request's adapter is in use.
     adapter_use: Option<control::Use>,
 }
@@ -89,6 +99,9 @@
             tried: endpoints::Tried::new(),
             attempts: 0,
             connect_failures: 0,
+            may_have_run: false,
+            runs_alone: false,
+            run: None,
             adapter_use: None,
         }
     }
@@ -185,6 +198,7 @@
                     }
                 }
                 Outcome::Unknown(cause) => {
+                    self.may_have_run = true;
                     if !self.is_repeatable() || !self.try_take_resend() {
                         return Err(self.failure_after_send(cause).into());
                     }
@@ -209,6 +223,7 @@
         match self.buffer_response(reply).await {
             Ok(response) => Err(Completion::Responded(Box::new(response))),
             Err(cause) => {
+                self.may_have_run = true;
                 let now = self.now();
                 self.log.add_step(now, format_args!("{cause}"));
                 if self.is_repeatable() && self.try_take_resend() {
@@ -282,6 +297,15 @@
         Err(Failure::NotRun { retry_after })
     }
 
+    /// The failure of a request that is not sent because endpoints crashed under it.
+    fn quarantine_failure(&self, retry_after: duration::Span) -> Failure {
+        if self.may_have_run {
+            return Failure::Broken("endpoints crashed under the request");
+        }
+        let retry_after = failure::add_jitter(retry_after);
+        Failure::Quarantined { retry_after }
+    }
+
     fn no_endpoint_failure(&self, retry_after: duration::Span, cause: &'static str) -> Failure {
         let retry_after = failure::add_jitter(retry_after);
         if self.attempts == 0 {
@@ -318,6 +342,7 @@
 
     /// Continues the stream at another engine, after `last_event_id`.
     pub(super) async fn resume_stream(&mut self, last_event_id: Option<&str>) -> Option<Reply> {
+        self.may_have_run = true;
         if !self.is_repeatable() || !self.try_take_resend() {
             return None;
         }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -12,10 +12,11 @@
 
 use super::target::Target;
 use super::{
-    DEADLINE_GRACE, Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER, Reply, dialect,
-    endpoint_connection, in_flight, response,
+    ALONE_RETRY_AFTER, DEADLINE_GRACE, Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER,
+    Reply, dialect, endpoint_connection, in_flight, response,
 };
 use crate::gateway::request;
+use crate::quarantine;
 
 /// Network time of a request to an endpoint and of its response.
 const NETWORK_TIME: duration::Span = duration::Span::from_millis(6);
@@ -55,6 +56,19 @@
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<Outcome, Failure> {
+        match self.begin_run(target).await {
+            Ok(run) => self.run = Some(run),
+            Err(quarantine::Denial::Dead) => {
+                let core = &self.gateway.core;
+                core.endpoints
+                    .record_unreachable(core.now(), &target.destination);
+                return Ok(Outcome::Unreachable);
+            }
+            Err(quarantine::Denial::NotAlone) => {
+                return Err(self.quarantine_failure(ALONE_RETRY_AFTER));
+            }
+            Err(quarantine::Denial::Refused(left)) => return Err(self.quarantine_failure(left)),
+        }
         let once_only = !matches!(self.kind(), traffic::Kind::Idempotent);
         let opening = self
             .gateway
@@ -96,6 +110,18 @@
         }
     }
 
+    /// Registers the request at an endpoint before anything is sent.
+    async fn begin_run(&self, target: &Target) -> Result<quarantine::Run, quarantine::Denial> {
+        let destination = &target.destination;
+        let place = quarantine::Place {
+            endpoint: destination.endpoint.clone(),
+            boot: destination.boot,
+            address: destination.address,
+        };
+        let (core, fingerprint) = (&self.gateway.core, &self.log.fingerprint);
+        quarantine::Run::begin(core, place, fingerprint, request::ISOLATION).await
+    }
+
     async fn exchange(
         &mut self,
         target: &Target,
@@ -111,7 +137,7 @@
             .is_some()
             .then_some(&self.request.chain);
         let rank = self.resolution.rank();
-        let in_flight = in_flight::Request::new(&core, target, rank, chain);
+        let mut in_flight = in_flight::Request::new(&core, target, rank, chain);
         let mut timeout = time_left.0 + DEADLINE_GRACE.0;
         if self.kind() == traffic::Kind::Idempotent
             && self.attempts + 1 < self.resolution.route.attempts
@@ -124,6 +150,7 @@
         if matches!(result, Ok(Err(endpoint_connection::Error::NotSent))) {
             return Exchange::NotSent { reused };
         }
+        in_flight.attach(self.run.take());
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
         self.log.endpoint = SmolStr::new(target.destination.endpoint.as_str());
@@ -133,7 +160,7 @@
                 response
             }
             Ok(Err(_lost)) => {
-                in_flight.record_outcome(false);
+                in_flight.record_break();
                 self.mark_permit_used();
                 return Exchange::Done(Outcome::Unknown("the connection ended without an answer"));
             }
@@ -220,12 +247,15 @@
         let whole = match collected {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(_broken)) => {
-                in_flight.record_outcome(false);
+                in_flight.record_break();
                 return Err("the answer broke off");
             }
             Err(_elapsed) => return Err("the answer did not end in time"),
         };
         in_flight.record_prefill();
+        if head.status.is_success() {
+            in_flight.record_complete();
+        }
         self.gateway.pool.put(connection);
         let mut response = Response::new(response::full_body(whole));
         *response.status_mut() = head.status;
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -9,6 +9,7 @@
 
 use super::{Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER, endpoints};
 use crate::gateway::{in_flight, request};
+use crate::quarantine;
 
 /// Share of the objective within which the first event must be predicted. The rest covers
 /// what the prediction does not see: requests that other entries sent a moment ago.
@@ -128,7 +129,14 @@
         self.resolution = self.request.resolve(&view)?;
         self.log.plan_version = self.resolution.plan_version;
         self.log.revision = view.revision().0;
+        let quarantine = &self.gateway.core.quarantine;
+        let fingerprint = &self.log.fingerprint;
+        let stage = quarantine.stage(self.now(), &view, fingerprint, request::ISOLATION);
         drop(view);
+        if let quarantine::Stage::Refused(left) = stage {
+            return Err(self.quarantine_failure(left));
+        }
+        self.runs_alone = stage == quarantine::Stage::Probation;
         let time_left = self.deadline().since(self.now());
         if time_left <= MIN_TIME_LEFT {
             return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "out of time"));
@@ -345,6 +353,7 @@
             latency,
             slots: self.resolution.slots,
             tried: &self.tried,
+            prefers_idle: self.runs_alone,
             only_with_adapter,
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -28,6 +28,10 @@
 /// Traffic between domains is paid for, and takes a millisecond or two each way.
 const REMOTE_PENALTY: duration::Span = duration::Span::from_millis(200);
 
+/// Cost of each request at an engine for a suspect, as waiting time. All of them are lost if the
+/// suspect crashes the engine.
+const SUSPECT_RUNNING_PENALTY: duration::Span = duration::Span::from_millis(100);
+
 /// Cost of an adapter that has to be loaded, as waiting time. The leader is asked and
 /// orders the load, which takes about ten milliseconds.
 const ADAPTER_PENALTY: duration::Span = duration::Span::from_millis(60);
@@ -64,6 +68,8 @@
     pub latency: latency::Estimate,
     pub slots: u32,
     pub tried: &'request Tried,
+    /// Whether an engine with few requests is preferred, since it may crash.
+    pub prefers_idle: bool,
     /// Whether only engines that hold the adapter are considered.
     pub only_with_adapter: bool,
 }
@@ -478,6 +484,11 @@
             latency: self.latency,
             slots: self.slots,
             remote_penalty: REMOTE_PENALTY,
+            running_penalty: if self.prefers_idle {
+                SUSPECT_RUNNING_PENALTY
+            } else {
+                duration::Span(0)
+            },
             adapter_penalty: ADAPTER_PENALTY,
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -58,6 +58,11 @@
         /// Time after which a retry may succeed.
         retry_after: duration::Span,
     },
+    /// Endpoints crashed under the request; it did not run this time.
+    Quarantined {
+        /// Time after which it may run again.
+        retry_after: duration::Span,
+    },
     /// An endpoint broke off; the request may have run.
     Broken(&'static str),
     /// The deadline passed while an endpoint was at work.
@@ -89,6 +94,7 @@
             Self::OverRate { .. } => "rate_exceeded",
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::NotRun { .. } => "not_run",
+            Self::Quarantined { .. } => "quarantined",
             Self::Broken(_) => "endpoint_broke",
             Self::DeadlineExceeded => "deadline_exceeded",
         }
@@ -112,9 +118,10 @@
 
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::NoView { .. } | Self::NoEndpoint { .. } | Self::NotRun { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoView { .. }
+            | Self::NoEndpoint { .. }
+            | Self::NotRun { .. }
+            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
@@ -131,7 +138,8 @@
             Self::NoView { retry_after }
             | Self::OverRate { retry_after }
             | Self::NoEndpoint { retry_after, .. }
-            | Self::NotRun { retry_after } => Some((*retry_after).max(MIN_RETRY_AFTER)),
+            | Self::NotRun { retry_after }
+            | Self::Quarantined { retry_after } => Some((*retry_after).max(MIN_RETRY_AFTER)),
             _ => None,
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/in_flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/in_flight.rs
@@ -6,6 +6,7 @@
 use cranberrygap_routing::prompt::prefix_cache;
 
 use crate::core;
+use crate::quarantine;
 
 use super::delivery;
 use super::endpoints;
@@ -39,6 +40,8 @@
     latency_sample: Option<Sample>,
     sent_at: duration::Instant,
     first_event_at: Option<duration::Instant>,
+    /// The request as the quarantine sees it, once it was written.
+    run: Option<quarantine::Run>,
 }
 
 impl Request {
@@ -62,6 +65,27 @@
             latency_sample: target.latency_sample.clone(),
             sent_at,
             first_event_at: None,
+            run: None,
+        }
+    }
+
+    /// Ends the quarantine's run together with this request.
+    pub(crate) fn attach(&mut self, run: Option<quarantine::Run>) {
+        self.run = run;
+    }
+
+    /// Records that the complete response arrived.
+    pub(crate) fn record_complete(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.record_complete();
+        }
+    }
+
+    /// Records that the connection broke before the complete response arrived.
+    pub(crate) fn record_break(&mut self) {
+        self.record_outcome(false);
+        if let Some(run) = &mut self.run {
+            run.record_break();
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -18,6 +18,7 @@
 use crate::admission;
 use crate::digest;
 use crate::metric;
+use crate::quarantine;
 use crate::view::{self, traffic as table};
 
 use super::delivery;
@@ -54,6 +55,10 @@
 /// is still a response; the rest of the time is for the endpoint.
 const LEADER_WAIT_DIVISOR: u64 = 2;
 
+/// When a request runs only alone. Objectives are below a second: the requests that a wave of
+/// crashes hits are sent again at once, and must not wait for the leader or for each other.
+pub(super) const ISOLATION: quarantine::Isolation = quarantine::Isolation::AfterSecondCrash;
+
 /// A request as it arrived, with its body.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -254,9 +259,14 @@
     let view = serving_view(gateway)?;
     let resolution = received.resolve(&view)?;
     log.revision = view.revision().0;
+    log_resolution(log, &received, &resolution);
+    let quarantine = &gateway.core.quarantine;
+    let stage = quarantine.stage(gateway.core.now(), &view, &log.fingerprint, ISOLATION);
+    if let quarantine::Stage::Refused(retry_after) = stage {
+        return Err(Failure::Quarantined { retry_after });
+    }
     let entries = view.active_entries().count();
     drop(view);
-    log_resolution(log, &received, &resolution);
     let permit = reserve_tokens(gateway, &received, &resolution).await?;
     log_token_wait(gateway, &received, log);
     gateway
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -161,8 +161,9 @@
     /// Records that the stream is complete, and keeps its connection.
     fn finish(&mut self) {
         let now = self.delivery.gateway.core.now();
-        if let Some(upstream) = self.upstream.take() {
+        if let Some(mut upstream) = self.upstream.take() {
             upstream.in_flight.record_end(now);
+            upstream.in_flight.record_complete();
             self.delivery.gateway.pool.put(upstream.connection);
         }
         self.delivery
@@ -187,8 +188,8 @@
     /// the caller has.
     async fn continue_elsewhere(&mut self, cause: &'static str) -> bool {
         // Closing the connection first stops an engine that still works on the request.
-        if let Some(upstream) = self.upstream.take() {
-            upstream.in_flight.record_outcome(false);
+        if let Some(mut upstream) = self.upstream.take() {
+            upstream.in_flight.record_break();
         }
         if self.splitter.is_none() {
             return false;
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod digest;
 mod engine;
 mod load;
+mod quarantine;
 mod relay;
 mod route;
 mod server;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -23,6 +23,7 @@
 use crate::discovery;
 use crate::gateway::{self, dialect};
 use crate::load;
+use crate::quarantine;
 use crate::queue;
 use crate::route;
 use crate::server;
@@ -130,6 +131,7 @@
             tokio::spawn(subscription.run()),
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
             tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
+            tokio::spawn(quarantine::run_reports(Arc::clone(&core))),
         ];
         if gateway.is_none() {
             // The load of a traffic plan's endpoints is estimated from the requests sent.
@@ -346,7 +348,7 @@
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
         retry_budget: Mutex::new(retry::Budget::new(INITIAL_RETRY_SHARE)),
-        suspects: Mutex::default(),
+        quarantine: quarantine::Quarantine::default(),
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
         trace: trace::Trace::new(Arc::clone(&metrics)),
@@ -424,5 +426,6 @@
         "routing": core.router.dump(),
         "queues": core.queues.dump(),
         "endpoints": core.endpoints.dump(),
+        "quarantine": core.quarantine.dump(),
     })
 }
--- a/crates/cranberrygap-entry/src/engine/permission.rs
+++ b/crates/cranberrygap-entry/src/quarantine/permission.rs
@@ -23,6 +23,8 @@
     incarnation: suspects::Incarnation,
     fingerprint: SmolStr,
     renewal_task: tokio::task::JoinHandle<()>,
+    /// Whether the permission is given back when this is dropped.
+    is_returned: bool,
 }
 
 impl Permission {
@@ -51,15 +53,25 @@
             incarnation: incarnation.clone(),
             fingerprint: fingerprint.clone(),
             renewal_task,
+            is_returned: true,
         })
     }
+
+    /// Ends the renewals without giving the permission back.
+    pub(super) fn keep_until_lease_end(mut self) {
+        self.is_returned = false;
+    }
 }
 
 impl Drop for Permission {
     fn drop(&mut self) {
         self.renewal_task.abort();
+        if !self.is_returned {
+            return;
+        }
         self.core
-            .suspects
+            .quarantine
+            .tracker
             .lock()
             .release_permission(&self.incarnation, &self.fingerprint);
         let core = Arc::clone(&self.core);
@@ -84,7 +96,8 @@
     .await;
     if is_granted {
         let until = sent_at.after(permission::LEASE_DURATION);
-        core.suspects
+        core.quarantine
+            .tracker
             .lock()
             .hold_permission(incarnation, fingerprint, until);
     }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/quarantine/run.rs
@@ -0,0 +1,131 @@
+//! A request at an endpoint, from sending it to its end.
+
+use std::sync::Arc;
+
+use cranberrygap_model::duration;
+use cranberrygap_policy::quarantine::suspects;
+use smol_str::SmolStr;
+
+use crate::core;
+
+use super::{Place, Stage, evidence, outbox, permission};
+
+/// A request that is about to be sent or was sent; dropping it ends it without a response.
+#[derive(Debug)]
+pub(crate) struct Run {
+    core: Arc<core::Core>,
+    place: Place,
+    fingerprint: SmolStr,
+    number: u64,
+    /// Permission of a suspect; it ends with the run.
+    permission: Option<permission::Permission>,
+    has_ended: bool,
+}
+
+/// Why a request may not be sent to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Denial {
+    /// This boot of the endpoint is dead.
+    Dead,
+    /// The request runs only alone, and another suspect has the endpoint, or the leader did not
+    /// answer.
+    NotAlone,
+    /// The request is refused for this time.
+    Refused(duration::Span),
+}
+
+impl Run {
+    /// Registers a request at an endpoint. Only a suspect on probation waits for the leader.
+    ///
+    /// # Errors
+    ///
+    /// [`Denial`] when the request must not be sent there now.
+    pub(crate) async fn begin(
+        core: &Arc<core::Core>,
+        place: Place,
+        fingerprint: &SmolStr,
+        isolation: suspects::Isolation,
+    ) -> Result<Self, Denial> {
+        let now = core.now();
+        let view = core.view.latest();
+        let stage = view.map_or(Stage::Free, |view| {
+            core.quarantine.stage(now, &view, fingerprint, isolation)
+        });
+        if let Stage::Refused(left) = stage {
+            return Err(Denial::Refused(left));
+        }
+        let incarnation = place.incarnation();
+        let started = {
+            let mut tracker = core.quarantine.tracker.lock();
+            tracker.start_request(now, &incarnation, fingerprint, isolation)
+        };
+        let number = started.map_err(|denial| match denial {
+            suspects::Denial::Dead => Denial::Dead,
+            suspects::Denial::OtherSuspect => Denial::NotAlone,
+        })?;
+        let mut run = Self {
+            core: Arc::clone(core),
+            place,
+            fingerprint: fingerprint.clone(),
+            number,
+            permission: None,
+            has_ended: false,
+        };
+        if stage == Stage::Probation {
+            let permission = permission::Permission::acquire(core, &incarnation, fingerprint).await;
+            run.permission = Some(permission.ok_or(Denial::NotAlone)?);
+        }
+        Ok(run)
+    }
+
+    /// Records that the complete response arrived. A suspect is cleared by it, and the leader
+    /// is told.
+    pub(crate) fn record_complete(&mut self) {
+        let was_suspect = self.end(suspects::Ending::Complete);
+        let view = self.core.view.latest();
+        let is_restricted = view.is_some_and(|view| view.quarantine(&self.fingerprint).is_some());
+        if was_suspect || is_restricted {
+            let (place, fingerprint) = (self.place.incarnation(), self.fingerprint.clone());
+            let clearance = outbox::clearance(&self.core, place, fingerprint);
+            self.core.quarantine.outbox.push(clearance);
+        }
+    }
+
+    /// Records that the connection broke, and checks in the background whether the endpoint is
+    /// dead.
+    pub(crate) fn record_break(&mut self) {
+        self.end_broken();
+        evidence::check(&self.core, &self.place);
+    }
+
+    /// Records that the connection broke; returns whether the endpoint is dead.
+    pub(crate) async fn record_break_and_check(&mut self) -> bool {
+        self.end_broken();
+        evidence::check_and_wait(&self.core, &self.place).await
+    }
+
+    /// Keeps a suspect's permission until its lease ends. By then every entry knows whether the
+    /// suspect crashed the endpoint; sooner, it could run once more.
+    fn end_broken(&mut self) {
+        self.end(suspects::Ending::Broken);
+        if let Some(permission) = self.permission.take() {
+            permission.keep_until_lease_end();
+        }
+    }
+
+    fn end(&mut self, ending: suspects::Ending) -> bool {
+        if self.has_ended {
+            return false;
+        }
+        self.has_ended = true;
+        let mut tracker = self.core.quarantine.tracker.lock();
+        let now = self.core.now();
+        tracker.finish_request(now, &self.place.incarnation(), self.number, ending)
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.end(suspects::Ending::Incomplete);
+    }
+}
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -188,6 +188,12 @@
         self.quarantines.get(fingerprint)
     }
 
+    /// All requests that are refused or run only alone, by fingerprint.
+    #[must_use]
+    pub fn quarantines(&self) -> &Arc<BTreeMap<SmolStr, view::Quarantine>> {
+        &self.quarantines
+    }
+
     /// All workspaces.
     #[must_use]
     pub fn workspaces(&self) -> &[id::Workspace] {
--- a/crates/cranberrygap-policy/src/quarantine/permission.rs
+++ b/crates/cranberrygap-policy/src/quarantine/permission.rs
@@ -18,7 +18,7 @@
 ///
 /// Two suspects of two entries may be retried on one endpoint. When it dies, nothing tells
 /// which of them crashed it: an innocent request may be condemned, or the culprit go on to
-/// the next endpoint. With one suspect per endpoint, a second crash identifies the culprit.
+/// the next endpoint. With one suspect per endpoint, a crash identifies the culprit.
 #[derive(Debug, Default)]
 pub struct Table {
     permissions: BTreeMap<id::Endpoint, Permission>,
--- a/crates/cranberrygap-policy/src/quarantine/suspects.rs
+++ b/crates/cranberrygap-policy/src/quarantine/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that run on each endpoint, and suspects of crashes, as one entry sees them.
+//! Requests that run on each endpoint, and what their ends tell, as one entry sees them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -6,12 +6,18 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-/// Time for which a fingerprint stays suspect.
+use super::completions;
+
+/// Time for which a fingerprint stays suspect after its last crash.
 ///
-/// Longer than callers keep resending a request, and short enough that a common harmless
-/// request, such as a health check, does not stay suspect forever.
+/// Longer than callers keep resending a request, and short enough that a harmless request does
+/// not stay suspect forever.
 const SUSPICION_DURATION: duration::Span = duration::Span::from_secs(600);
 
+/// Time for which a request whose connection broke is kept. A new boot of its endpoint may be
+/// announced some seconds after the crash.
+const BREAK_RETENTION: duration::Span = duration::Span::from_secs(15);
+
 /// Most suspects that are kept; the oldest are dropped first.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -35,25 +41,71 @@
     pub probed: Option<SmolStr>,
 }
 
+/// When a request runs only alone, with the leader's permission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Isolation {
+    /// After the first crash under it. A second one identifies the culprit, and innocent requests
+    /// wait for an endpoint of their own.
+    AfterFirstCrash,
+    /// After the second crash under it. A wave of ordinary crashes then holds up hardly any
+    /// request, and a third crash identifies the culprit.
+    AfterSecondCrash,
+}
+
 /// Reason why a request may not be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denial {
     /// This boot of the endpoint is dead.
     Dead,
-    /// The request is suspect, and so is another request that runs there.
+    /// The request runs only alone, and so does another request that runs there.
     OtherSuspect,
 }
 
+/// How a request at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With a complete response.
+    Complete,
+    /// Without a complete response, while its connection held.
+    Incomplete,
+    /// Its connection broke; the endpoint may have crashed.
+    Broken,
+}
+
 /// Tracks running requests, dead endpoints and suspects.
 #[derive(Debug, Default)]
 pub struct Tracker {
-    running: BTreeMap<Incarnation, BTreeMap<u64, SmolStr>>,
+    running: BTreeMap<Incarnation, BTreeMap<u64, Run>>,
     dead: BTreeMap<Incarnation, duration::Instant>,
     permissions: BTreeMap<Incarnation, (SmolStr, duration::Instant)>,
-    suspects: BTreeMap<SmolStr, duration::Instant>,
+    suspects: BTreeMap<SmolStr, Suspicion>,
+    completions: completions::Memory,
     last_number: u64,
 }
 
+/// A request that was sent to an endpoint.
+#[derive(Debug)]
+struct Run {
+    fingerprint: SmolStr,
+    broken_at: Option<duration::Instant>,
+}
+
+/// Crashes under a fingerprint that this entry has seen.
+#[derive(Debug)]
+struct Suspicion {
+    last_crash: duration::Instant,
+    crashes: BTreeSet<Incarnation>,
+}
+
+impl Isolation {
+    const fn crashes(self) -> usize {
+        match self {
+            Self::AfterFirstCrash => 1,
+            Self::AfterSecondCrash => 2,
+        }
+    }
+}
+
 impl Tracker {
     /// Records that a request starts; the returned number is for [`Tracker::finish_request`].
     ///
@@ -65,70 +117,101 @@
         now: duration::Instant,
         incarnation: &Incarnation,
         fingerprint: &SmolStr,
+        isolation: Isolation,
     ) -> Result<u64, Denial> {
         if self.dead.contains_key(incarnation) {
             return Err(Denial::Dead);
         }
-        if self.is_suspect(now, fingerprint)
-            && self.has_other_suspect(now, incarnation, fingerprint)
+        if self.needs_permission(now, fingerprint, isolation)
+            && self.has_other_suspect(now, incarnation, fingerprint, isolation)
         {
             return Err(Denial::OtherSuspect);
         }
         self.last_number += 1;
+        let run = Run {
+            fingerprint: fingerprint.clone(),
+            broken_at: None,
+        };
         self.running
             .entry(incarnation.clone())
             .or_default()
-            .insert(self.last_number, fingerprint.clone());
+            .insert(self.last_number, run);
         Ok(self.last_number)
     }
 
-    /// Records that a request ended without a crash; returns true if it was suspect.
+    /// Records how a request ended; returns true if it was suspect and is cleared.
     ///
-    /// A suspect with a complete answer is innocent, since a culprit crashes every endpoint.
+    /// A suspect with a complete response is innocent, since a culprit crashes every endpoint.
     pub fn finish_request(
         &mut self,
+        now: duration::Instant,
         incarnation: &Incarnation,
         number: u64,
-        answered: bool,
+        ending: Ending,
     ) -> bool {
         let Some(requests) = self.running.get_mut(incarnation) else {
             return false;
         };
-        let fingerprint = requests.remove(&number);
+        if ending == Ending::Broken {
+            if let Some(run) = requests.get_mut(&number) {
+                run.broken_at = Some(now);
+            }
+            return false;
+        }
+        let run = requests.remove(&number);
         if requests.is_empty() {
             self.running.remove(incarnation);
         }
-        match fingerprint {
-            Some(fingerprint) if answered => self.suspects.remove(&fingerprint).is_some(),
+        match run {
+            Some(run) if ending == Ending::Complete => {
+                let was_suspect = self.suspects.remove(&run.fingerprint).is_some();
+                let place = incarnation.clone();
+                self.completions.record(now, run.fingerprint, place);
+                was_suspect
+            }
             _ => false,
         }
     }
 
-    /// Records that an endpoint is dead and makes every request that runs on it suspect.
+    /// Records that an endpoint is dead and makes every request that ran on it suspect.
     ///
     /// An endpoint is dead when it refuses connections or has returned with another boot. A
     /// broken connection alone is no evidence: anything on the network path may have cut it,
-    /// and innocent requests would become suspect.
+    /// and innocent requests would become suspect. A request that was completed elsewhere since
+    /// it was last suspected is not suspected either.
     pub fn record_death(
         &mut self,
         now: duration::Instant,
         incarnation: &Incarnation,
     ) -> Option<Crash> {
+        self.drop_expired(now);
         let requests = self.running.remove(incarnation)?;
         self.dead.insert(incarnation.clone(), now);
-        let fingerprints: BTreeSet<SmolStr> = requests.into_values().collect();
-        for fingerprint in &fingerprints {
-            self.suspects.insert(fingerprint.clone(), now);
+        let fingerprints: BTreeSet<SmolStr> =
+            requests.into_values().map(|run| run.fingerprint).collect();
+        let mut accused = Vec::new();
+        for fingerprint in fingerprints {
+            if self.completions.take(now, &fingerprint).is_some() {
+                continue;
+            }
+            let suspicion = self.suspects.entry(fingerprint.clone());
+            let suspicion = suspicion.or_insert_with(|| Suspicion {
+                last_crash: now,
+                crashes: BTreeSet::new(),
+            });
+            suspicion.last_crash = now;
+            suspicion.crashes.insert(incarnation.clone());
+            accused.push(fingerprint);
         }
-        self.drop_expired(now);
+        self.evict_oldest_suspects();
         let permission = self.permissions.remove(incarnation);
         let probed = permission
             .filter(|(_, until)| now < *until)
             .map(|(probed, _)| probed);
         Some(Crash {
             incarnation: incarnation.clone(),
-            probed,
-            fingerprints: fingerprints.into_iter().collect(),
+            probed: probed.filter(|probed| accused.contains(probed)),
+            fingerprints: accused,
         })
     }
 
@@ -144,11 +227,40 @@
         crashes.collect()
     }
 
-    /// Returns whether a request needs the leader's permission before it is sent again.
+    /// Returns whether this entry has seen so many crashes under a request that it needs the
+    /// leader's permission, whether or not the leader knows of them yet.
     #[must_use]
-    pub fn is_suspect(&self, now: duration::Instant, fingerprint: &str) -> bool {
-        let since = self.suspects.get(fingerprint);
-        since.is_some_and(|since| now.since(*since) < SUSPICION_DURATION)
+    pub fn needs_permission(
+        &self,
+        now: duration::Instant,
+        fingerprint: &str,
+        isolation: Isolation,
+    ) -> bool {
+        let suspicion = self.suspects.get(fingerprint);
+        suspicion.is_some_and(|suspicion| {
+            suspicion.crashes.len() >= isolation.crashes()
+                && now.since(suspicion.last_crash) < SUSPICION_DURATION
+        })
+    }
+
+    /// Returns where a request was completed, and forgets it.
+    ///
+    /// A completion speaks for a request once. A request that crashes endpoints only since a
+    /// new version of its model is then stopped all the same.
+    pub fn take_completion(
+        &mut self,
+        now: duration::Instant,
+        fingerprint: &str,
+    ) -> Option<Incarnation> {
+        let completed_at = self.completions.take(now, fingerprint)?;
+        self.suspects.remove(fingerprint);
+        Some(completed_at)
+    }
+
+    /// Returns the endpoints with requests that run or whose connection broke.
+    pub fn busy_endpoints(&self) -> impl Iterator<Item = &id::Endpoint> {
+        let incarnations = self.running.keys();
+        incarnations.map(|incarnation| &incarnation.endpoint)
     }
 
     /// Records the leader's permission for one suspect to run on an endpoint until `until`.
@@ -170,14 +282,6 @@
         }
     }
 
-    /// Adds the suspects of a crash that another entry reported.
-    pub fn add_suspects(&mut self, now: duration::Instant, fingerprints: &[SmolStr]) {
-        for fingerprint in fingerprints {
-            self.suspects.insert(fingerprint.clone(), now);
-        }
-        self.drop_expired(now);
-    }
-
     /// Returns whether this boot of the endpoint is known to be dead.
     #[must_use]
     pub fn is_dead(&self, incarnation: &Incarnation) -> bool {
@@ -195,18 +299,35 @@
         now: duration::Instant,
         incarnation: &Incarnation,
         fingerprint: &str,
+        isolation: Isolation,
     ) -> bool {
         let mut running = self.running.get(incarnation).into_iter().flatten();
-        running.any(|(_, other)| other != fingerprint && self.is_suspect(now, other))
+        running.any(|(_, run)| {
+            run.fingerprint != fingerprint
+                && self.needs_permission(now, &run.fingerprint, isolation)
+        })
     }
 
     fn drop_expired(&mut self, now: duration::Instant) {
         self.suspects
-            .retain(|_, since| now.since(*since) < SUSPICION_DURATION);
+            .retain(|_, suspicion| now.since(suspicion.last_crash) < SUSPICION_DURATION);
         self.dead
             .retain(|_, since| now.since(*since) < SUSPICION_DURATION);
+        self.running.retain(|_, requests| {
+            requests.retain(|_, run| {
+                run.broken_at
+                    .is_none_or(|broken_at| now.since(broken_at) < BREAK_RETENTION)
+            });
+            !requests.is_empty()
+        });
+    }
+
+    fn evict_oldest_suspects(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
-            let oldest = self.suspects.iter().min_by_key(|(_, since)| **since);
+            let oldest = self
+                .suspects
+                .iter()
+                .min_by_key(|(_, suspicion)| (suspicion.crashes.len(), suspicion.last_crash));
             let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
                 return;
             };
--- a/crates/cranberrygap-routing/src/prompt/selection.rs
+++ b/crates/cranberrygap-routing/src/prompt/selection.rs
@@ -55,6 +55,8 @@
     pub slots: u32,
     /// Penalty of an engine in another failure domain, as waiting time.
     pub remote_penalty: duration::Span,
+    /// Penalty of each request that runs at an engine, as waiting time.
+    pub running_penalty: duration::Span,
     /// Penalty of an engine that has to load the adapter, as waiting time.
     pub adapter_penalty: duration::Span,
 }
@@ -163,8 +165,10 @@
             OVER_BUDGET_PENALTY.0
         };
         let failure = FAILURE_PENALTY.scaled(candidate.failure_rate).0;
+        let running = request.running_penalty.0 * u64::from(candidate.backlog.running);
         let cost = time_to_first_event.0
             + candidate.recent_prefill.0
+            + running
             + remote
             + adapter
             + over_budget
--- a/crates/cranberrygap-routing/tests/pacing.rs
+++ b/crates/cranberrygap-routing/tests/pacing.rs
@@ -146,6 +146,7 @@
         latency: latency::Estimate::default(),
         slots: 64,
         remote_penalty: duration::Span(0),
+        running_penalty: duration::Span(0),
         adapter_penalty: duration::Span(0),
     };
     let candidate = |recent| selection::Candidate {
@@ -194,6 +195,7 @@
         latency: latency::Estimate::default(),
         slots: 32,
         remote_penalty: duration::Span(0),
+        running_penalty: duration::Span(0),
         adapter_penalty: duration::Span(0),
     };
 
--- a/crates/cranberrygap-routing/tests/prompt.rs
+++ b/crates/cranberrygap-routing/tests/prompt.rs
@@ -33,6 +33,7 @@
         latency: latency::Estimate::default(),
         slots: 64,
         remote_penalty: duration::Span::from_millis(200),
+        running_penalty: duration::Span(0),
         adapter_penalty: duration::Span::from_millis(60),
     }
 }
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -195,7 +195,11 @@
             keys: self.keys.keys().cloned().collect(),
             endpoints: self.endpoints.iter().collect(),
             members: self.members.iter().cloned().collect(),
-            quarantines: self.quarantines.active().collect(),
+            quarantines: self
+                .quarantines
+                .active()
+                .chain(self.quarantines.on_probation())
+                .collect(),
             workspaces: self.keys.workspaces().cloned().collect(),
             traffic: self.traffic.plan().cloned(),
             residencies: self.residencies.iter().cloned().collect(),
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -7,16 +7,27 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// Most suspects that are remembered; the oldest are evicted first.
+/// Most suspects that are remembered; those with the fewest crashes are evicted first.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Suspected requests, and requests that are refused for a time, by fingerprint.
+/// Crashed endpoints after which a request runs only alone, with the leader's permission.
+///
+/// A wave of ordinary crashes hits hundreds of requests once and hardly any twice.
+const PROBATION_CRASHES: usize = 2;
+
+/// Most requests on probation; those whose probation ends first are released first.
+const MAX_PROBATIONS: usize = 1_024;
+
+/// Suspected requests, and requests that are restricted or refused for a time, by fingerprint.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Quarantines {
     suspects: BTreeMap<SmolStr, Suspect>,
     /// Ends of quarantines, in Unix milliseconds.
     #[serde(rename = "refused")]
     active: BTreeMap<SmolStr, u64>,
+    /// Ends of probations, in Unix milliseconds.
+    #[serde(default)]
+    probations: BTreeMap<SmolStr, u64>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -35,14 +46,16 @@
 }
 
 impl Quarantines {
-    /// Applies a crash report; quarantines a request that is now known to crash endpoints.
+    /// Applies a crash report.
     ///
-    /// The quarantine lasts for `span`.
+    /// A request under which several endpoints crashed comes on probation, and one that crashed
+    /// an endpoint alone is quarantined. Both last for `span`.
     pub fn apply(&mut self, at: u64, span: duration::Span, step: &Step) -> Vec<view::Change> {
-        let mut changes = self.release_expired(at);
+        let until = at + span.0 / 1_000;
+        let mut changes = self.release_expired(at, span);
         let crash = &step.crash;
         for fingerprint in &crash.cleared {
-            self.suspects.remove(fingerprint);
+            changes.extend(self.release(fingerprint));
         }
         let process = (crash.endpoint.clone(), crash.boot);
         // Innocent requests run on the same endpoint as the culprit, and entries report
@@ -51,17 +64,50 @@
         let probed = crash.probed.clone();
         let culprit = probed.filter(|probed| self.is_suspect_elsewhere(probed, &process));
         for fingerprint in &crash.fingerprints {
+            if self.active.contains_key(fingerprint) {
+                continue;
+            }
             let suspect = self.suspects.entry(fingerprint.clone()).or_default();
             suspect.last_report = at;
             suspect.crashes.insert(process.clone());
+            if suspect.crashes.len() >= PROBATION_CRASHES && culprit.as_ref() != Some(fingerprint) {
+                changes.extend(self.put_on_probation(fingerprint, until));
+            }
         }
         if let Some(culprit) = culprit {
-            changes.push(self.quarantine(&culprit, at + span.0 / 1_000));
+            changes.push(self.quarantine(&culprit, until));
         }
         self.evict_oldest_suspects();
         changes
     }
 
+    /// Forgets all that is known of a request; `None` if it was not restricted.
+    ///
+    /// A request with a complete response crashes no endpoint, and an operator may know better.
+    pub fn release(&mut self, fingerprint: &SmolStr) -> Option<view::Change> {
+        self.suspects.remove(fingerprint);
+        let was_refused = self.active.remove(fingerprint).is_some();
+        let was_on_probation = self.probations.remove(fingerprint).is_some();
+        (was_refused || was_on_probation).then(|| view::Change::Released {
+            fingerprint: fingerprint.clone(),
+        })
+    }
+
+    fn put_on_probation(&mut self, fingerprint: &SmolStr, until: u64) -> Vec<view::Change> {
+        if self.probations.insert(fingerprint.clone(), until).is_some() {
+            return Vec::new();
+        }
+        let mut changes = vec![view::Change::Quarantined {
+            quarantine: probation(fingerprint, until),
+        }];
+        if self.probations.len() > MAX_PROBATIONS {
+            let first = self.probations.iter().min_by_key(|(_, until)| **until);
+            let first = first.map(|(fingerprint, _)| fingerprint.clone());
+            changes.extend(first.and_then(|first| self.release(&first)));
+        }
+        changes
+    }
+
     fn is_suspect_elsewhere(
         &self,
         fingerprint: &SmolStr,
@@ -73,27 +119,25 @@
 
     fn quarantine(&mut self, fingerprint: &SmolStr, until: u64) -> view::Change {
         self.suspects.remove(fingerprint);
+        self.probations.remove(fingerprint);
         self.active.insert(fingerprint.clone(), until);
         view::Change::Quarantined {
-            quarantine: view::Quarantine {
-                fingerprint: fingerprint.clone(),
-                until,
-            },
+            quarantine: quarantine(fingerprint, until),
         }
     }
 
-    fn release_expired(&mut self, at: u64) -> Vec<view::Change> {
-        let expired: Vec<SmolStr> = self
-            .active
-            .iter()
-            .filter(|(_, until)| **until <= at)
+    fn release_expired(&mut self, at: u64, span: duration::Span) -> Vec<view::Change> {
+        self.suspects
+            .retain(|_, suspect| at < suspect.last_report + span.0 / 1_000);
+        let ends = self.active.iter().chain(&self.probations);
+        let expired = ends.filter(|(_, until)| **until <= at);
+        let expired: Vec<SmolStr> = expired
             .map(|(fingerprint, _)| fingerprint.clone())
             .collect();
-        for fingerprint in &expired {
-            self.active.remove(fingerprint);
-        }
-        let released = |fingerprint| view::Change::Released { fingerprint };
-        expired.into_iter().map(released).collect()
+        let released = expired.iter();
+        released
+            .filter_map(|fingerprint| self.release(fingerprint))
+            .collect()
     }
 
     fn evict_oldest_suspects(&mut self) {
@@ -101,7 +145,7 @@
             let oldest = self
                 .suspects
                 .iter()
-                .min_by_key(|(_, suspect)| suspect.last_report);
+                .min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.last_report));
             let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
                 return;
             };
@@ -111,11 +155,28 @@
 
     /// Returns the quarantined requests, and until when they are refused.
     pub fn active(&self) -> impl Iterator<Item = view::Quarantine> + '_ {
-        self.active
-            .iter()
-            .map(|(fingerprint, until)| view::Quarantine {
-                fingerprint: fingerprint.clone(),
-                until: *until,
-            })
+        let active = self.active.iter();
+        active.map(|(fingerprint, until)| quarantine(fingerprint, *until))
+    }
+
+    /// Returns the requests that run only alone, and until when.
+    pub fn on_probation(&self) -> impl Iterator<Item = view::Quarantine> + '_ {
+        let probations = self.probations.iter();
+        probations.map(|(fingerprint, until)| probation(fingerprint, *until))
+    }
+}
+
+fn quarantine(fingerprint: &SmolStr, until: u64) -> view::Quarantine {
+    view::Quarantine {
+        fingerprint: fingerprint.clone(),
+        until,
+        probation: None,
+    }
+}
+
+fn probation(fingerprint: &SmolStr, until: u64) -> view::Quarantine {
+    view::Quarantine {
+        probation: Some(true),
+        ..quarantine(fingerprint, until)
     }
 }
