Log the limits that endpoints in need name

An endpoint may name the requests a second that it takes from all entries together. The adapter decodes it into rate::Limit; the entry logs each change and, bounded, each word that is no limit, and its dump shows it.

No decision uses the limit.

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -39,7 +39,10 @@
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
     pub(crate) resend_budget: Mutex<resend::Budget>,
+    /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
+    /// Limits the lines about limits that endpoints name.
+    pub(crate) endpoint_log_limiter: log_limit::Limiter,
 }
 
 impl Gateway {
@@ -50,6 +53,7 @@
             pool: pool::Pool::default(),
             resend_budget: Mutex::default(),
             log_limiter: log_limit::Limiter::default(),
+            endpoint_log_limiter: log_limit::Limiter::default(),
         })
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -175,6 +175,9 @@
             self.gateway
                 .dialect
                 .classify_response(id, response.status(), response.headers());
+        if classification != dialect::Classification::Foreign {
+            self.read_limit(target, response.headers());
+        }
         Exchange::Done(match classification {
             dialect::Classification::Answer => {
                 self.mark_permit_used();
@@ -198,6 +201,35 @@
         })
     }
 
+    /// Reads the limit that the endpoint names. A malformed one is logged; the response is not
+    /// its fault and still goes to the caller.
+    fn read_limit(&self, target: &Target, headers: &HeaderMap) {
+        let limiter = &self.gateway.endpoint_log_limiter;
+        let endpoint = &target.destination.endpoint;
+        match self.gateway.dialect.read_limit(headers) {
+            Ok(limit) => {
+                let endpoints = &self.gateway.core.endpoints;
+                if !endpoints.record_limit(&target.destination, limit)
+                    || limiter.take_line(self.now()).is_none()
+                {
+                    return;
+                }
+                if let Some(limit) = limit {
+                    spdlog::info!(
+                        "gateway: {endpoint} takes {limit} requests a second from all entries"
+                    );
+                } else {
+                    spdlog::info!("gateway: {endpoint} names no limit any more");
+                }
+            }
+            Err(cause) => {
+                if limiter.take_line(self.now()).is_some() {
+                    spdlog::warn!("gateway: ignored the limit of {endpoint}: {cause}");
+                }
+            }
+        }
+    }
+
     fn mark_permit_used(&mut self) {
         if let Some(permit) = &mut self.permit {
             permit.mark_all_used();
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::{ParseError, duration, id, rate};
 use cranberrygap_routing::prompt::prefix_cache;
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
@@ -99,4 +99,11 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Classification;
+
+    /// Reads the limit that an endpoint names in a response; `None` if it names none.
+    ///
+    /// # Errors
+    ///
+    /// When what it names is no limit.
+    fn read_limit(&self, headers: &HeaderMap) -> Result<Option<rate::Limit>, ParseError>;
 }
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, rate};
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
@@ -330,6 +330,20 @@
         });
     }
 
+    /// Records the limit that an endpoint names, if it names one; returns whether it changed.
+    pub(crate) fn record_limit(
+        &self,
+        destination: &Destination,
+        limit: Option<rate::Limit>,
+    ) -> bool {
+        let mut has_changed = false;
+        self.update_state(destination, |state| {
+            has_changed = state.limit != limit;
+            state.limit = limit;
+        });
+        has_changed
+    }
+
     /// Records that an engine holds an adapter.
     pub(crate) fn record_adapter(
         &self,
@@ -357,6 +371,7 @@
             let value = serde_json::json!({
                 "ready": state.ready, "models": state.models, "adapters": state.adapters,
                 "retiring": state.retiring, "unread": state.own_backlog.queued_micros, "running": state.own_backlog.running,
+                "limit": state.limit,
             });
             (name.to_string(), value)
         });
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, rate};
 use cranberrygap_routing::prompt::{backlog, prefix_cache, window};
 use cranberrygap_wire::{endpoint, view};
 use smol_str::SmolStr;
@@ -37,6 +37,8 @@
     pub prefix_cache: prefix_cache::Tracker,
     pub failures: Failures,
     pub unreachable_at: Option<duration::Instant>,
+    /// Limit that the endpoint named last.
+    pub limit: Option<rate::Limit>,
     pub name_hash: u32,
 }
 
@@ -86,9 +88,10 @@
                 previous.prefix_cache,
                 previous.failures,
                 previous.unreachable_at,
+                previous.limit,
             )
         });
-        let (own_backlog, recent_prompts, prefix_cache, failures, unreachable_at) =
+        let (own_backlog, recent_prompts, prefix_cache, failures, unreachable_at, limit) =
             previous.unwrap_or_default();
         let leaving = announced.phase == endpoint::Phase::Leaving;
         let is_removed = announced
@@ -113,6 +116,7 @@
             prefix_cache,
             failures: failures.decayed(now),
             unreachable_at,
+            limit,
             name_hash: name_hash(&announced.endpoint),
         }
     }
--- a/crates/cranberrygap-model/src/lib.rs
+++ b/crates/cranberrygap-model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod duration;
 pub mod id;
 pub mod number;
+pub mod rate;
 pub mod size;
 pub mod token;
 
--- a/crates/cranberrygap-model/tests/text_forms.rs
+++ b/crates/cranberrygap-model/tests/text_forms.rs
@@ -1,6 +1,6 @@
 //! What people write in settings comes back the same in dumps.
 
-use cranberrygap_model::{duration, id, size, token};
+use cranberrygap_model::{duration, id, rate, size, token};
 use proptest::{prop_assert_eq, proptest};
 
 #[test]
@@ -34,6 +34,18 @@
     "nan/s".parse::<token::Rate>().unwrap_err();
 }
 
+// An endpoint that names nonsense must not be sent nothing, or everything, for that.
+#[test]
+fn limit_is_a_number_above_zero() {
+    let limit: rate::Limit = "1.3".parse().unwrap();
+
+    assert_eq!(limit.to_string(), "1.3");
+    assert_eq!(limit.interval(), duration::Span(769_230));
+    for text in ["-1", "0", "1e300", "inf", "nan", "many", ""] {
+        text.parse::<rate::Limit>().unwrap_err();
+    }
+}
+
 proptest! {
     #[test]
     fn every_span_survives_its_text(micros in 0_u64..u64::MAX / 2) {
