Keep the limits that endpoints in need name

Cause: the header is new, and nothing read it; entries chose by load, cache and failure domain as before.

Change: an endpoint's home entry grants room for each request to it, one interval after the other; entries tell the home what responses name, claim room there by datagram, and without an answer keep to half of their part of the limit. Endpoints with a limit are chosen last; what has no room elsewhere is refused at once with the time until there is room. Resends, resumed streams, bookings and adapters placed by the leader go the same way. A response without the limit to a request that was sent under it ends it, and so does a new boot.

--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -3,6 +3,7 @@
 pub mod agreement;
 pub mod bookings;
 pub mod demand;
+pub mod endpoint_limits;
 pub mod limits;
 pub mod placement;
 pub mod quarantine;
@@ -56,6 +57,7 @@
     vec![
         Box::new(agreement::Agreement::default()),
         Box::new(limits::Limits),
+        Box::new(endpoint_limits::EndpointLimits),
         Box::new(bookings::Bookings),
         Box::new(quarantine::Quarantine),
         Box::new(view::View::default()),
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -55,6 +55,8 @@
     may_have_run: bool,
     /// Whether the request runs only alone, since endpoints crashed under it.
     runs_alone: bool,
+    /// Time until there is room at an endpoint whose limit left none.
+    room_after: Option<duration::Span>,
     /// The registration of the next attempt, until it is written.
     run: Option<quarantine::Run>,
     /// Tells the leader that the request's adapter is in use.
@@ -101,6 +103,7 @@
             connect_failures: 0,
             may_have_run: false,
             runs_alone: false,
+            room_after: None,
             run: None,
             adapter_use: None,
         }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -146,6 +146,7 @@
         }
         let timeout = duration::Span(timeout).to_std();
         let reused = connection.is_reused();
+        let sent_at = self.now();
         let result = tokio::time::timeout(timeout, connection.send(request)).await;
         if matches!(result, Ok(Err(endpoint_connection::Error::NotSent))) {
             return Exchange::NotSent { reused };
@@ -175,8 +176,8 @@
             self.gateway
                 .dialect
                 .classify_response(id, response.status(), response.headers());
-        if classification != dialect::Classification::Foreign {
-            self.read_limit(target, response.headers());
+        if is_from_endpoint(classification) {
+            self.read_limit(target, sent_at, response.headers());
         }
         Exchange::Done(match classification {
             dialect::Classification::Answer => {
@@ -203,14 +204,15 @@
 
     /// Reads the limit that the endpoint names. A malformed one is logged; the response is not
     /// its fault and still goes to the caller.
-    fn read_limit(&self, target: &Target, headers: &HeaderMap) {
+    fn read_limit(&self, target: &Target, sent_at: duration::Instant, headers: &HeaderMap) {
         let limiter = &self.gateway.endpoint_log_limiter;
         let endpoint = &target.destination.endpoint;
         match self.gateway.dialect.read_limit(headers) {
             Ok(limit) => {
                 let endpoints = &self.gateway.core.endpoints;
-                if !endpoints.record_limit(&target.destination, limit)
-                    || limiter.take_line(self.now()).is_none()
+                let now = self.now();
+                if !endpoints.record_limit(now, &target.destination, sent_at, limit)
+                    || limiter.take_line(now).is_none()
                 {
                     return;
                 }
@@ -310,6 +312,15 @@
     }
 }
 
+/// Whether a response is known to come from the endpoint that it was expected from.
+fn is_from_endpoint(classification: dialect::Classification) -> bool {
+    use dialect::{Classification, NotRun};
+    match classification {
+        Classification::Answer | Classification::NotRun(NotRun::Full | NotRun::Wrong) => true,
+        Classification::NotRun(NotRun::Misdirected) | Classification::Foreign => false,
+    }
+}
+
 /// Headers of an endpoint's response that are forwarded to the caller.
 pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     response::strip_hop_by_hop(&mut headers);
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id};
+use cranberrygap_routing::limit;
 use cranberrygap_routing::prompt::latency;
 use cranberrygap_wire::{method, traffic};
 use smol_str::SmolStr;
@@ -80,6 +81,9 @@
 /// Time between two searches for a copy.
 const COPY_POLL_INTERVAL: duration::Span = duration::Span::from_millis(30);
 
+/// The objective divided by this is the longest wait for room at an endpoint with a limit.
+const ROOM_WAIT_DIVISOR: u64 = 4;
+
 /// Longest wait for the leader when an adapter is missing.
 const ADAPTER_REQUEST_TIMEOUT: duration::Span = duration::Span::from_millis(600);
 
@@ -141,23 +145,66 @@
         if time_left <= MIN_TIME_LEFT {
             return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "out of time"));
         }
-        match self.request.metadata.model.clone() {
+        let chosen = match self.request.metadata.model.clone() {
             Some(model) if self.resolution.has_engine => self.choose_engine(&model).await,
             _ => self.choose_plain_endpoint().await,
+        };
+        chosen.map_err(|failure| self.failure_by_limit(failure))
+    }
+
+    /// The failure of a request for which only endpoints without room by their limits are left:
+    /// its caller is told when there is room.
+    fn failure_by_limit(&self, failure: Failure) -> Failure {
+        match (failure, self.room_after) {
+            (Failure::NoEndpoint { .. } | Failure::NotRun { .. }, Some(room_after)) => {
+                self.no_endpoint_failure(room_after, "the endpoints' limits leave no room")
+            }
+            (other, _) => other,
         }
     }
 
-    async fn choose_plain_endpoint(&self) -> Result<Target, Failure> {
+    /// Takes room at an endpoint, and waits a moment for it. Without room the endpoint is not
+    /// considered any more.
+    async fn take_room(&mut self, destination: &endpoints::Destination) -> bool {
+        let max_wait = duration::Span(self.resolution.route.objective.0 / ROOM_WAIT_DIVISOR);
         let endpoints = &self.gateway.core.endpoints;
-        endpoints
-            .refresh_plain_endpoints(self.now(), &self.resolution.service, &self.tried)
+        let grant = endpoints.take_room(self.now(), destination, max_wait).await;
+        match grant {
+            limit::Grant::Unlimited => true,
+            limit::Grant::After(wait) => {
+                if wait.0 > 0 {
+                    tokio::time::sleep(wait.to_std()).await;
+                }
+                true
+            }
+            limit::Grant::Full(wait) => {
+                let (now, endpoint) = (self.now(), &destination.endpoint);
+                let step = format_args!("the limit of {endpoint} leaves no room");
+                self.log.add_step(now, step);
+                self.room_after = Some(self.room_after.map_or(wait, |other| other.min(wait)));
+                self.tried.push(destination.endpoint.clone());
+                false
+            }
+        }
+    }
+
+    async fn choose_plain_endpoint(&mut self) -> Result<Target, Failure> {
+        let core = Arc::clone(&self.gateway.core);
+        let service = self.resolution.service.clone();
+        core.endpoints
+            .refresh_plain_endpoints(self.now(), &service, &self.tried)
             .await;
-        let now = self.now();
-        let destination =
-            endpoints.choose_plain_endpoint(now, &self.resolution.service, &self.tried);
-        let destination = destination.ok_or_else(|| {
-            self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no endpoint is ready")
-        })?;
+        let destination = loop {
+            let found = core
+                .endpoints
+                .choose_plain_endpoint(self.now(), &service, &self.tried);
+            let destination = found.ok_or_else(|| {
+                self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no endpoint is ready")
+            })?;
+            if self.take_room(&destination).await {
+                break destination;
+            }
+        };
         Ok(Target {
             destination,
             prefill_time: duration::Span(0),
@@ -177,6 +224,9 @@
             None => choice.destination.clone(),
         };
         if destination != choice.destination {
+            if !self.take_room(&destination).await {
+                return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no room"));
+            }
             self.reserve_prefill(&destination, choice.prefill_time);
         }
         Ok(Target {
@@ -209,9 +259,16 @@
             let late = self.now() >= late_from;
             let choice = self.find_engine(model, late).await?;
             let Err(failure) = self.check_overload(&choice, late) else {
+                if !self.take_room(&choice.destination).await {
+                    continue;
+                }
                 self.reserve_prefill(&choice.destination, choice.prefill_time);
                 return Ok(choice);
             };
+            if let Some(choice) = self.choose_spared_engine(model, late).await {
+                self.reserve_prefill(&choice.destination, choice.prefill_time);
+                return Ok(choice);
+            }
             if failure.cause() != logged_cause {
                 self.log_wait(&choice, &failure);
                 logged_cause = failure.static_cause();
@@ -229,6 +286,27 @@
         }
     }
 
+    /// An engine with room that is spared because of its limit. It serves what the others would
+    /// serve late.
+    async fn choose_spared_engine(
+        &mut self,
+        model: &id::Model,
+        late: bool,
+    ) -> Option<endpoints::Choice> {
+        loop {
+            let query = endpoints::Query {
+                only_spared: true,
+                ..self.query(model, false, late)
+            };
+            let endpoints = &self.gateway.core.endpoints;
+            let choice = endpoints.choose_engine(self.now(), &query)?;
+            self.check_overload(&choice, late).ok()?;
+            if self.take_room(&choice.destination).await {
+                return Some(choice);
+            }
+        }
+    }
+
     /// The latest time to send the request to an engine.
     ///
     /// The caller then sees the first event before it leaves, and the whole response
@@ -355,6 +433,7 @@
             tried: &self.tried,
             prefers_idle: self.runs_alone,
             only_with_adapter,
+            only_spared: false,
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -1,6 +1,7 @@
 //! State of the endpoints of each service, and the choice among them.
 
 mod homes;
+mod limits;
 mod notices;
 mod questions;
 mod state;
@@ -8,7 +9,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cranberrygap_model::{address, duration, id, number, rate};
+use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_routing::limit;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
@@ -46,6 +48,10 @@
 /// not be sent again.
 const FAILURE_PENALTY_REQUESTS: f64 = 30.0;
 
+/// Cost of an endpoint of a plain service that named a limit a moment ago, in running requests.
+/// It is chosen last, even after one that fails every request.
+const LIMIT_PENALTY_REQUESTS: u32 = 100;
+
 /// Engines whose homes are asked before a choice: the best as far as this entry knows.
 const MAX_ASKED_ENGINES: usize = 4;
 
@@ -72,6 +78,8 @@
     pub prefers_idle: bool,
     /// Whether only engines that hold the adapter are considered.
     pub only_with_adapter: bool,
+    /// Whether only engines are considered that are spared because of their limits.
+    pub only_spared: bool,
 }
 
 /// The endpoint that a request is sent to.
@@ -112,6 +120,7 @@
     latencies: Mutex<latency::Estimator>,
     notices: notices::Outbox,
     questions: questions::Outbox,
+    limit_outbox: limits::Outbox,
 }
 
 #[derive(Debug, Default)]
@@ -125,6 +134,8 @@
     book: home::Book,
     /// What the homes of other endpoints told.
     learned: BTreeMap<u32, home::Learned>,
+    /// Room at the endpoints with a limit that this entry is the home of.
+    limits: limit::ledger::Ledger,
 }
 
 impl Endpoints {
@@ -146,6 +157,7 @@
             latencies: Mutex::default(),
             notices: notices::Outbox::default(),
             questions: questions::Outbox::default(),
+            limit_outbox: limits::Outbox::default(),
         }
     }
 
@@ -330,20 +342,6 @@
         });
     }
 
-    /// Records the limit that an endpoint names, if it names one; returns whether it changed.
-    pub(crate) fn record_limit(
-        &self,
-        destination: &Destination,
-        limit: Option<rate::Limit>,
-    ) -> bool {
-        let mut has_changed = false;
-        self.update_state(destination, |state| {
-            has_changed = state.limit != limit;
-            state.limit = limit;
-        });
-        has_changed
-    }
-
     /// Records that an engine holds an adapter.
     pub(crate) fn record_adapter(
         &self,
@@ -371,7 +369,7 @@
             let value = serde_json::json!({
                 "ready": state.ready, "models": state.models, "adapters": state.adapters,
                 "retiring": state.retiring, "unread": state.own_backlog.queued_micros, "running": state.own_backlog.running,
-                "limit": state.limit,
+                "limit": state.limit.named(),
             });
             (name.to_string(), value)
         });
@@ -390,7 +388,11 @@
             };
             let residency = self.residencies.get(name);
             let previous = previous_states.remove(name);
+            let previous_boot = previous.as_ref().map(|previous| previous.boot);
             let state = State::new(now, endpoint, residency, domain, previous);
+            if previous_boot.is_some_and(|boot| boot != state.boot) {
+                self.limits.forget(state.name_hash);
+            }
             self.homes
                 .set_endpoint(state.name_hash, &endpoint.announcement.domain);
             self.by_service
@@ -399,6 +401,9 @@
                 .push(name.clone());
             self.states.insert(name.clone(), state);
         }
+        for gone in previous_states.values() {
+            self.limits.forget(gone.name_hash);
+        }
     }
 
     /// Ready endpoints of a service that were not tried; suspect ones if none is ready.
@@ -423,6 +428,7 @@
             .filter(|state| state.holds_model(query.model))
             .filter(|state| !query.only_with_adapter || state.holds_adapter(adapter))
             .collect();
+        let usable = self.filter_by_limit(now, usable, query.only_spared);
         let reachable_states = filter_reachable(now, &usable);
         let session_engine = session_engine(query, &reachable_states);
         let candidates = reachable_states.iter().map(|state| {
@@ -442,6 +448,23 @@
         candidates.collect()
     }
 
+    /// Engines that are not spared because of their limits, or all if there are no others; with
+    /// `only_spared` those that are spared.
+    fn filter_by_limit<'states>(
+        &self,
+        now: duration::Instant,
+        states: Vec<&'states State>,
+        only_spared: bool,
+    ) -> Vec<&'states State> {
+        let (spared, others): (Vec<&State>, Vec<&State>) = states
+            .into_iter()
+            .partition(|state| self.is_spared(now, state));
+        if only_spared || others.is_empty() {
+            return spared;
+        }
+        others
+    }
+
     /// Cost of the usable endpoints of a plain service, in running requests; the time breaks
     /// ties.
     fn plain_costs(
@@ -463,11 +486,10 @@
             )]
             let failure_penalty =
                 (state.failures.failure_rate(now) * FAILURE_PENALTY_REQUESTS) as u32;
+            let limit_penalty = u32::from(self.is_spared(now, state)) * LIMIT_PENALTY_REQUESTS;
             let tie_breaker = prefix_cache::affinity(now.0, &state.endpoint);
-            (
-                (running + remote_penalty + failure_penalty, tie_breaker),
-                state,
-            )
+            let cost = running + remote_penalty + failure_penalty + limit_penalty;
+            ((cost, tie_breaker), state)
         });
         costs.collect()
     }
--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -103,6 +103,11 @@
         entries.any(|entry| entry.address.0 == address)
     }
 
+    /// Number of entries that share the endpoints.
+    pub(super) fn entry_count(&self) -> usize {
+        self.entries.len().max(1)
+    }
+
     /// What is due to be told at `now`, out of the whole own backlog.
     fn due(&mut self, now: duration::Instant, backlogs: &[(u32, backlog::Backlog)]) -> Vec<Told> {
         let mut by_home: BTreeMap<address::Socket, Vec<(u32, backlog::Backlog)>> =
@@ -181,6 +186,8 @@
                 load.backlog = load.backlog.combined(&state.own_backlog);
                 load.recent_micros = load.recent_micros.saturating_add(own_prompts);
             }
+            let statement = inner.limits.statement(*endpoint);
+            load.limit = statement.map(|statement| statement.to_report(now));
             (*endpoint, load)
         });
         Some(loads.collect())
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use cranberrygap_model::{address, duration, id, number, rate};
+use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_routing::limit::known;
 use cranberrygap_routing::prompt::{backlog, prefix_cache, window};
 use cranberrygap_wire::{endpoint, view};
 use smol_str::SmolStr;
@@ -37,8 +38,7 @@
     pub prefix_cache: prefix_cache::Tracker,
     pub failures: Failures,
     pub unreachable_at: Option<duration::Instant>,
-    /// Limit that the endpoint named last.
-    pub limit: Option<rate::Limit>,
+    pub limit: known::Known,
     pub name_hash: u32,
 }
 
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_model::address;
+use cranberrygap_model::{address, duration};
+use cranberrygap_routing::limit;
 use cranberrygap_routing::prompt::{backlog, home};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -45,6 +46,17 @@
         number: u32,
         loads: Vec<(u32, home::Load)>,
     },
+    /// What endpoints of the receiver stated of their limits to the sender.
+    Statements(Vec<(u32, limit::Report)>),
+    /// Asks for room at an endpoint with a limit, as the sender knows it.
+    Claim {
+        number: u32,
+        endpoint: u32,
+        report: limit::Report,
+        max_wait: duration::Span,
+    },
+    /// Answer to a claim.
+    Granted { number: u32, grant: limit::Grant },
 }
 
 /// The task that sends and receives gossip.
@@ -89,6 +101,19 @@
                         self.send(home, &Message::Question { number, endpoints }).await;
                     }
                 }
+                statements = self.core.endpoints.next_statements() => {
+                    self.tell_statements(statements).await;
+                }
+                claims = self.core.endpoints.next_claims() => {
+                    for claim in claims {
+                        self.send(claim.home, &Message::Claim {
+                            number: claim.number,
+                            endpoint: claim.endpoint,
+                            report: claim.report,
+                            max_wait: claim.max_wait,
+                        }).await;
+                    }
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, from)) = received else {
                         continue;
@@ -109,16 +134,33 @@
     }
 
     async fn tell_prompts(&self, notices: Vec<endpoints::Notice>) {
-        let mut by_home: BTreeMap<address::Socket, Vec<endpoints::Notice>> = BTreeMap::new();
-        for notice in notices {
-            if let Some(home) = self.core.endpoints.home_of(notice.name_hash) {
-                by_home.entry(home).or_default().push(notice);
+        for (home, notices) in self.group_by_home(notices, |notice| notice.name_hash) {
+            self.send(home, &Message::Prompts(notices)).await;
+        }
+    }
+
+    async fn tell_statements(&self, statements: Vec<(u32, limit::Report)>) {
+        for (home, statements) in self.group_by_home(statements, |(endpoint, _)| *endpoint) {
+            self.send(home, &Message::Statements(statements)).await;
+        }
+    }
+
+    /// What each home is told of its endpoints, no more than one datagram carries.
+    fn group_by_home<Item>(
+        &self,
+        items: Vec<Item>,
+        endpoint_of: impl Fn(&Item) -> u32,
+    ) -> BTreeMap<address::Socket, Vec<Item>> {
+        let mut by_home: BTreeMap<address::Socket, Vec<Item>> = BTreeMap::new();
+        for item in items {
+            if let Some(home) = self.core.endpoints.home_of(endpoint_of(&item)) {
+                by_home.entry(home).or_default().push(item);
             }
         }
-        for (home, mut notices) in by_home {
-            notices.truncate(MAX_ENDPOINTS_PER_MESSAGE);
-            self.send(home, &Message::Prompts(notices)).await;
+        for items in by_home.values_mut() {
+            items.truncate(MAX_ENDPOINTS_PER_MESSAGE);
         }
+        by_home
     }
 
     async fn send(&self, to: address::Socket, message: &Message) {
@@ -159,6 +201,19 @@
             Message::Answer { number, loads } => {
                 endpoints.apply_answer(now, from, number, &loads);
             }
+            Message::Statements(statements) => endpoints.apply_statements(now, from, &statements),
+            Message::Claim {
+                number,
+                endpoint,
+                report,
+                max_wait,
+            } => {
+                if let Some(grant) = endpoints.grant(now, from, endpoint, report, max_wait) {
+                    let granted = Message::Granted { number, grant };
+                    self.send(address::Socket(from), &granted).await;
+                }
+            }
+            Message::Granted { number, grant } => endpoints.apply_grant(number, grant),
         }
     }
 }
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -6,10 +6,13 @@
 //! wait in [`pending`], at the entry rather than the engine, where they can still be
 //! reordered or sent elsewhere.
 //!
+//! [`limit`] keeps the limits that endpoints in need name.
+//!
 //! [`prompt`] chooses among the engines of a service by the predicted time to the first
 //! event.
 
 pub mod batch;
+pub mod limit;
 pub mod load;
 pub mod pending;
 pub mod prefix;
--- a/crates/cranberrygap-routing/src/prompt/home.rs
+++ b/crates/cranberrygap-routing/src/prompt/home.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{backlog, window};
+use crate::limit;
 
 /// Age at which the backlog that an entry told is no longer counted.
 pub const MAX_BACKLOG_AGE: duration::Span = duration::Span::from_millis(1_200);
@@ -27,12 +28,14 @@
 }
 
 /// Load of one engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Work that waits or runs there.
     pub backlog: backlog::Backlog,
     /// Prefill time in microseconds of what was sent there within [`window::LENGTH`].
     pub recent_micros: u32,
+    /// What the endpoint stated of its limit, if it named one.
+    pub limit: Option<limit::Report>,
 }
 
 /// Returns the home of an engine: an entry of the engine's failure domain, if there is any.
@@ -171,6 +174,7 @@
         Load {
             backlog,
             recent_micros: u32::try_from(recent).unwrap_or(u32::MAX),
+            limit: None,
         }
     }
 
@@ -229,6 +233,16 @@
         Load {
             backlog: self.load.backlog,
             recent_micros: u32::try_from(recent).unwrap_or(u32::MAX),
+            limit: self.load.limit,
         }
     }
+
+    /// What the home told of the endpoint's limit, on this entry's clock.
+    #[must_use]
+    pub fn limit(&self, now: duration::Instant) -> Option<limit::Statement> {
+        if self.is_older_than(now, MAX_BACKLOG_AGE) {
+            return None;
+        }
+        self.load.limit.map(|report| report.to_statement(self.at))
+    }
 }
--- a/crates/cranberrygap-routing/tests/home.rs
+++ b/crates/cranberrygap-routing/tests/home.rs
@@ -144,6 +144,7 @@
     let load = home::Load {
         backlog: backlog_of(1),
         recent_micros: 90_000,
+        limit: None,
     };
     let learned = home::Learned::new(at(0), load);
 
