Do not call a route's request "not run" once an endpoint may have run it

Callers of a lookup or of a stream that may be resumed got 503, "not run", when the first endpoint broke off or answered with an error and no other one could take the request. That it had not run was not true; a refusal must be.

Cause: the gateway decided by its last failure alone, where the API combines the outcomes of all attempts.

The delivery keeps whether an attempt may have run, and turns every failure that says "not run" into 502 or 504 then; the trail names what kept it from being sent again.

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -169,6 +169,7 @@
                 if let (Some((model, work)), true) = (counted_demand, was_refused) {
                     self.gateway.core.demand.record_refusal(&model, work);
                 }
+                let failure = self.truthful(failure);
                 Err((self.log, failure))
             }
         }
@@ -216,6 +217,7 @@
         let status = reply.response.status();
         reply.in_flight.record_outcome(!status.is_server_error());
         if status.is_server_error() && self.is_repeatable() && self.try_take_resend() {
+            self.may_have_run = true;
             self.discard_body(reply.response.into_body(), reply.connection)
                 .await;
             return Ok(None);
@@ -300,13 +302,16 @@
         Err(Failure::NotRun { retry_after })
     }
 
-    /// The failure of a request that is not sent because endpoints crashed under it.
-    fn quarantine_failure(&self, retry_after: duration::Span) -> Failure {
-        if self.may_have_run {
-            return Failure::Broken("endpoints crashed under the request");
+    /// The failure to report: a request that an endpoint may have run is not called "not run",
+    /// whatever kept it from being sent again.
+    fn truthful(&mut self, failure: Failure) -> Failure {
+        if !self.may_have_run || !failure.says_not_run() {
+            return failure;
         }
-        let retry_after = failure::add_jitter(retry_after);
-        Failure::Quarantined { retry_after }
+        let (now, code, cause) = (self.now(), failure.code(), failure.cause());
+        self.log
+            .add_step(now, format_args!("is not sent again: {code} {cause}"));
+        self.failure_after_send("the request was sent and is not sent again")
     }
 
     fn no_endpoint_failure(&self, retry_after: duration::Span, cause: &'static str) -> Failure {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -13,7 +13,7 @@
 use super::target::Target;
 use super::{
     ALONE_RETRY_AFTER, DEADLINE_GRACE, Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER,
-    Reply, dialect, endpoint_connection, in_flight, response,
+    Reply, dialect, endpoint_connection, failure, in_flight, response,
 };
 use crate::gateway::request;
 use crate::quarantine;
@@ -65,9 +65,12 @@
                 return Ok(Outcome::Unreachable);
             }
             Err(quarantine::Denial::NotAlone) => {
-                return Err(self.quarantine_failure(ALONE_RETRY_AFTER));
+                let retry_after = failure::add_jitter(ALONE_RETRY_AFTER);
+                return Err(Failure::Quarantined { retry_after });
+            }
+            Err(quarantine::Denial::Refused(retry_after)) => {
+                return Err(Failure::Quarantined { retry_after });
             }
-            Err(quarantine::Denial::Refused(left)) => return Err(self.quarantine_failure(left)),
         }
         let once_only = !matches!(self.kind(), traffic::Kind::Idempotent);
         let opening = self
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -138,7 +138,7 @@
         let stage = quarantine.stage(self.now(), &view, fingerprint, request::ISOLATION);
         drop(view);
         if let quarantine::Stage::Refused(left) = stage {
-            return Err(self.quarantine_failure(left));
+            return Err(Failure::Quarantined { retry_after: left });
         }
         self.runs_alone = stage == quarantine::Stage::Probation;
         let time_left = self.deadline().since(self.now());
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -144,11 +144,17 @@
         }
     }
 
+    /// Whether the caller is told that no endpoint ran the request.
+    pub(crate) const fn says_not_run(&self) -> bool {
+        !matches!(self, Self::Broken(_) | Self::DeadlineExceeded)
+    }
+
     /// The response to the caller.
     pub(crate) fn to_response(&self) -> Response<response::Body> {
-        let outcome = match self {
-            Self::Broken(_) | Self::DeadlineExceeded => "unknown",
-            _ => "not_run",
+        let outcome = if self.says_not_run() {
+            "not_run"
+        } else {
+            "unknown"
         };
         let body = serde_json::json!({ "error": { "code": self.code(), "outcome": outcome } });
         let mut response = Response::new(response::full_body(body.to_string()));
