Let operators see and lift the quarantine of a request

An operator whose model is mended had to wait until a quarantine ended by itself. `show quarantines` lists the requests that are refused or run only alone, and `release FINGERPRINT` ends that at once; the beginning of a fingerprint, as logs name it, is enough if it is the only one. The release is recorded with its author in the history and the audit trail, and entries forget the crashes under the request, which is quarantined again if it goes on.

Tests: the state's answers to an unknown, an ambiguous and a right beginning; a fleet of processes in which the request runs again after the release.

--- a/crates/cranberrygap-bench/src/soak/quarantine/world.rs
+++ b/crates/cranberrygap-bench/src/soak/quarantine/world.rs
@@ -393,6 +393,7 @@
             }
             view::Change::Released { fingerprint } => {
                 self.restricted[entry].remove(&fingerprint);
+                self.watches[entry].clear_suspicion(&fingerprint);
             }
             _ => {}
         }
--- a/crates/cranberrygap-control/src/operators.rs
+++ b/crates/cranberrygap-control/src/operators.rs
@@ -59,6 +59,13 @@
     );
     let builder = register_method!(builder, context, method::AUDIT, audit::Read, read_audit);
     let builder = register_method!(builder, context, method::DRAIN, operator::Drain, drain);
+    let builder = register_method!(
+        builder,
+        context,
+        method::RELEASE,
+        operator::Release,
+        release
+    );
     let builder = register_method!(builder, shared, method::MEMBER_LIST, (), group::list);
     let builder = register_method!(
         builder,
@@ -173,6 +180,21 @@
     }
 }
 
+async fn release(
+    context: &peers::Context,
+    release: operator::Release,
+) -> Result<operator::Released, server::Fault> {
+    check_author(&release.author)?;
+    match context
+        .proposer
+        .propose(command::Command::Release(release))
+        .await?
+    {
+        answer::Answer::Released(released) => Ok(released),
+        other => Err(proposer::unexpected_answer_fault(&other)),
+    }
+}
+
 /// Reads need the leader too, since a process that is cut off would show an old state.
 async fn list_keys(context: &peers::Context, (): ()) -> Result<Vec<view::Key>, server::Fault> {
     context.proposer.check_leads()?;
--- a/crates/cranberrygap-entry/src/quarantine.rs
+++ b/crates/cranberrygap-entry/src/quarantine.rs
@@ -163,6 +163,7 @@
         }
     }
     for fingerprint in known.keys().filter(|known| !told.contains_key(*known)) {
+        core.quarantine.tracker.lock().clear_suspicion(fingerprint);
         info!("quarantine: {fingerprint} is no longer restricted");
     }
 }
--- a/crates/cranberrygap-policy/src/quarantine/suspects.rs
+++ b/crates/cranberrygap-policy/src/quarantine/suspects.rs
@@ -257,6 +257,11 @@
         Some(completed_at)
     }
 
+    /// Forgets the crashes under a request whose restriction ended.
+    pub fn clear_suspicion(&mut self, fingerprint: &str) {
+        self.suspects.remove(fingerprint);
+    }
+
     /// Returns the endpoints with requests that run or whose connection broke.
     pub fn busy_endpoints(&self) -> impl Iterator<Item = &id::Endpoint> {
         let incarnations = self.running.keys();
--- a/crates/cranberrygap-state/src/answer.rs
+++ b/crates/cranberrygap-state/src/answer.rs
@@ -20,6 +20,8 @@
     Withdrawn(operator::Withdrawn),
     /// Answer to a drain.
     Drained(operator::Drained),
+    /// Answer to a release.
+    Released(operator::Released),
     /// Answer to an entry that asks to run a booking.
     Claimed(claim::Verdict),
 }
--- a/crates/cranberrygap-state/src/audit_event.rs
+++ b/crates/cranberrygap-state/src/audit_event.rs
@@ -43,6 +43,13 @@
                 "change": drain.author.change, "why": drain.author.why, "drained": drain.name,
             }),
         ),
+        command::Command::Release(release) => (
+            "quarantine",
+            release.author.by.clone(),
+            serde_json::json!({
+                "change": release.author.change, "why": release.author.why, "changes": changes,
+            }),
+        ),
         command::Command::Member(_) if !changes.is_empty() => (
             "member",
             SmolStr::new_static("leader"),
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -54,6 +54,8 @@
     Residency(view::Residency),
     /// Takes an entry, control process or endpoint out of service by its name.
     Drain(operator::Drain),
+    /// Ends the quarantine or probation of a request.
+    Release(operator::Release),
 }
 
 impl Command {
@@ -65,6 +67,7 @@
             Self::Key(step) => Some(step.author()),
             Self::Group(step) => Some(&step.author),
             Self::Drain(drain) => Some(&drain.author),
+            Self::Release(release) => Some(&release.author),
             Self::Catalogue(_)
             | Self::Endpoint(_)
             | Self::Member(_)
@@ -88,7 +91,7 @@
             Self::Endpoint(_) => "endpoint",
             Self::Member(_) => "member",
             Self::Claim(_) => "claim",
-            Self::Quarantine(_) => "quarantine",
+            Self::Quarantine(_) | Self::Release(_) => "quarantine",
             Self::Group(_) => "group",
             Self::Share(_) => "share",
             Self::Lender(_) => "lender",
@@ -106,6 +109,7 @@
             Self::Key(step) => step.summary(),
             Self::Group(step) => format!("{} {}", step.instance, step.change).into(),
             Self::Drain(drain) => format!("drain {}", drain.name).into(),
+            Self::Release(release) => format!("release {}", release.fingerprint).into(),
             Self::Traffic(step) => format!("traffic plan {}", step.plan.version).into(),
             _ => SmolStr::new_static(self.subject()),
         }
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -141,6 +141,7 @@
             }
             command::Command::Traffic(step) => self.traffic.apply(step),
             command::Command::Drain(drain) => self.drain(drain),
+            command::Command::Release(release) => self.release(release),
         };
         if is_accepted(&outcome.0)
             && let Some(event) = audit_event::for_command(command, &outcome.0, &outcome.1)
@@ -176,6 +177,20 @@
         (answer::Answer::Refused(reason.into()), Vec::new())
     }
 
+    fn release(&mut self, release: &operator::Release) -> Outcome {
+        let fingerprint = match self.quarantines.find(&release.fingerprint) {
+            Ok(fingerprint) => fingerprint,
+            Err(reason) => return (answer::Answer::Refused(reason), Vec::new()),
+        };
+        let change = self.quarantines.release(&fingerprint);
+        let released = operator::Released {
+            fingerprint,
+            revision: self.revision,
+        };
+        let changes = change.into_iter().collect();
+        (answer::Answer::Released(released), changes)
+    }
+
     fn claim_lifetimes(&self) -> claim::Lifetimes {
         let current = self.configuration.current();
         let exceptions = current.exceptions.iter();
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -93,6 +93,27 @@
         })
     }
 
+    /// The restricted request whose fingerprint begins like this.
+    ///
+    /// # Errors
+    ///
+    /// A sentence for the operator if there is none or more than one.
+    pub fn find(&self, beginning: &str) -> Result<SmolStr, SmolStr> {
+        let restricted = self.active.keys().chain(self.probations.keys());
+        let mut found = restricted.filter(|fingerprint| fingerprint.starts_with(beginning));
+        match (found.next(), found.next()) {
+            (Some(only), None) => Ok(only.clone()),
+            (Some(_), Some(_)) => Err(format!(
+                "several restricted requests begin with {beginning}; name more of the fingerprint"
+            )
+            .into()),
+            (None, _) => Err(format!(
+                "no restricted request begins with {beginning}; show quarantines lists them"
+            )
+            .into()),
+        }
+    }
+
     fn put_on_probation(&mut self, fingerprint: &SmolStr, until: u64) -> Vec<view::Change> {
         if self.probations.insert(fingerprint.clone(), until).is_some() {
             return Vec::new();
--- a/crates/cranberrygap-state/tests/trail.rs
+++ b/crates/cranberrygap-state/tests/trail.rs
@@ -4,8 +4,9 @@
 mod fixture;
 
 use cranberrygap_model::number;
+use cranberrygap_state::answer;
 use cranberrygap_state::{audit, command, quarantine};
-use cranberrygap_wire::{audit as wire, claim, view};
+use cranberrygap_wire::{audit as wire, claim, operator, view};
 
 fn trail() -> wire::Trail {
     let mut group = fixture::Group::default();
@@ -164,3 +165,79 @@
         [view::Change::Released { .. }]
     ));
 }
+
+fn on_probation(group: &fixture::Group) -> Vec<String> {
+    let suspects = group.fleet.quarantines.on_probation();
+    suspects
+        .map(|found| found.fingerprint.to_string())
+        .collect()
+}
+
+// A wave of crashes hits hundreds of requests once. Restricted for that, each of them would wait
+// for the leader.
+#[test]
+fn second_crash_puts_a_request_on_probation_and_the_first_does_not() {
+    let mut group = fixture::Group::default();
+
+    let (_, first) = group.commit(crash(1, &["common", "once"]));
+    let (_, second) = group.commit(crash(2, &["common"]));
+
+    assert!(first.is_empty());
+    assert_eq!(second.len(), 1);
+    assert_eq!(on_probation(&group), ["common"]);
+    assert!(refused(&group).is_empty());
+}
+
+// An entry has completed the request, so it crashes no endpoint.
+#[test]
+fn complete_response_ends_a_probation() {
+    let mut group = fixture::Group::default();
+    group.commit(crash(1, &["common"]));
+    group.commit(crash(2, &["common"]));
+
+    let cleared = claim::Crash {
+        endpoint: "runner-1".parse().unwrap(),
+        boot: number::Boot(3),
+        instance: "entry-1".parse().unwrap(),
+        fingerprints: Vec::new(),
+        cleared: vec!["common".into()],
+        probed: None,
+    };
+    let cleared = command::Command::Quarantine(quarantine::Step { crash: cleared });
+    let (_, changes) = group.commit(cleared);
+
+    assert!(matches!(
+        changes.as_slice(),
+        [view::Change::Released { .. }]
+    ));
+    assert!(on_probation(&group).is_empty());
+}
+
+fn release(fingerprint: &str) -> command::Command {
+    command::Command::Release(operator::Release {
+        author: fixture::author(&format!("release-{fingerprint}"), "ada"),
+        fingerprint: fingerprint.into(),
+    })
+}
+
+// An operator has mended the model that a request crashed, and need not wait for ten minutes.
+#[test]
+fn operator_releases_a_request_by_the_beginning_of_its_fingerprint() {
+    let mut group = fixture::Group::default();
+    group.commit(crash(1, &["abc1", "abc2"]));
+    group.commit(probed(2, &["abc1", "abc2"], "abc1"));
+
+    let (ambiguous, _) = group.commit(release("abc"));
+    let (unknown, _) = group.commit(release("zzz"));
+    let (released, changes) = group.commit(release("abc1"));
+
+    assert!(matches!(ambiguous, answer::Answer::Refused(_)));
+    assert!(matches!(unknown, answer::Answer::Refused(_)));
+    assert!(matches!(released, answer::Answer::Released(_)));
+    assert!(matches!(
+        changes.as_slice(),
+        [view::Change::Released { .. }]
+    ));
+    assert!(refused(&group).is_empty());
+    assert_eq!(on_probation(&group), ["abc2"]);
+}
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -38,6 +38,8 @@
 /// An operator takes an instance or endpoint out of service (`operator::Drain` to
 /// `operator::Drained`).
 pub const DRAIN: &str = "drain";
+/// Ends the quarantine of a request; [`crate::operator::Release`].
+pub const RELEASE: &str = "release";
 /// An operator reads an accepted configuration (`operator::Read` to `operator::Page`).
 pub const CONFIGURATION: &str = "configuration";
 /// An operator reads the audit trail (`audit::Read` to `audit::Trail`).
--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -19,6 +19,7 @@
 pub mod local;
 pub mod logs;
 pub mod member;
+pub mod release;
 pub mod session;
 pub mod show;
 pub mod storage;
@@ -56,6 +57,8 @@
     Dump(dump::Arguments),
     /// Take an entry or endpoint out of service without cutting a request.
     Drain(drain::Arguments),
+    /// End the quarantine of a request that endpoints crashed under.
+    Release(release::Arguments),
     /// Add, remove or list control processes and entries.
     #[command(subcommand)]
     Member(member::Command),
@@ -99,6 +102,7 @@
         Command::Diff(wanted) => wanted,
         Command::Dump(wanted) => wanted,
         Command::Drain(wanted) => wanted,
+        Command::Release(wanted) => wanted,
         Command::Member(wanted) => wanted.chosen(),
         Command::Explain(wanted) => wanted,
         Command::Audit(wanted) => wanted,
--- a/crates/cranberrygap/src/command/show/part.rs
+++ b/crates/cranberrygap/src/command/show/part.rs
@@ -21,6 +21,8 @@
     Endpoints,
     /// Entries and control processes.
     Entries,
+    /// Requests that are refused or run only alone, since endpoints crashed under them.
+    Quarantines,
 }
 
 /// The part as a table; `None` for the whole fleet, which is no table.
@@ -32,6 +34,7 @@
         Part::Workspaces => Some(workspaces(state)),
         Part::Endpoints => Some(endpoints(state)),
         Part::Entries => Some(entries(state)),
+        Part::Quarantines => Some(quarantines(state)),
     }
 }
 
@@ -130,6 +133,22 @@
     table
 }
 
+fn quarantines(state: &view::State) -> Table {
+    let mut table = Table::new(&["fingerprint", "request", "until (Unix ms)"]);
+    for quarantine in &state.quarantines {
+        let treatment = match quarantine.probation {
+            Some(true) => "runs only alone",
+            _ => "refused",
+        };
+        table.push(vec![
+            quarantine.fingerprint.to_string(),
+            treatment.to_owned(),
+            quarantine.until.to_string(),
+        ]);
+    }
+    table
+}
+
 fn words<'text>(names: impl Iterator<Item = &'text str>) -> String {
     let names: Vec<&str> = names.collect();
     if names.is_empty() {
--- a/crates/cranberrygap/tests/requests_streams.rs
+++ b/crates/cranberrygap/tests/requests_streams.rs
@@ -13,7 +13,7 @@
 use cranberrygap_standin::engine::{fault, token};
 use futures_util::future;
 use serde_json::{Value, json};
-use support::{caller, fleet, wait};
+use support::{caller, fleet, group, wait};
 
 const MODEL: &str = "frames-7b";
 const MARKER: &str = "crash-the-engine";
@@ -169,3 +169,27 @@
     assert!([403, 502].contains(&first), "{first}");
     stream_whole(&fleet, &caller, 6).await;
 }
+
+// A request was refused for ten minutes, and its operator has mended the model meanwhile. It must
+// run again at once, and the operator must see which requests are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_releases_a_quarantined_request() {
+    let (fleet, caller) = serving_fleet(2).await;
+    let entry = fleet.entries[0].callers;
+    let path = "/v1/chat/completions";
+    let send = async || {
+        let answer = caller.post(entry, path, &body(MARKER, false)).await;
+        answer.unwrap().status().as_u16()
+    };
+    wait::until("the request is refused", async || send().await == 403).await;
+
+    let shown = group::run(&fleet, &["show", "quarantines"]).await;
+    let shown = String::from_utf8(shown.stdout).unwrap();
+    let line = shown.lines().find(|line| line.contains("refused")).unwrap();
+    let fingerprint = line.split_whitespace().next().unwrap();
+    let released = group::run(&fleet, &["release", &fingerprint[..16]]).await;
+    let again = send().await;
+
+    assert!(released.status.success(), "{released:?}");
+    assert_ne!(again, 403);
+}
