Report to a home after each notice, so that ended requests do not count on

Cause, one of several: a home counts a prompt from its notice until the sender's next report. An entry reports only backlogs that changed since its last report, so a request that ends between two reports, of 150 ms, changed nothing, and its home counted it for up to 1.2 s after its end. With 65 entries most requests of an entry are such. Evidence: read off the code, and two tests that fail without the change.

Change: a home that was told of a prompt gets the next report, whatever it says. What is due moves to routing::prompt::reports, without I/O, with its tests.

--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -4,22 +4,11 @@
 use std::net::SocketAddr;
 
 use cranberrygap_model::{address, duration, id};
-use cranberrygap_routing::prompt::{backlog, home};
+use cranberrygap_routing::prompt::{backlog, home, reports};
 
 use super::{Endpoints, Inner};
 use crate::view;
 
-/// Time after which an unchanged backlog is told again. A home counts it for a little more than
-/// twice as long.
-const REPEAT_INTERVAL: duration::Span = duration::Span::from_millis(500);
-
-/// What this entry tells one home: its backlog at the endpoints of that home.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Told {
-    pub home: address::Socket,
-    pub backlogs: Vec<(u32, backlog::Backlog)>,
-}
-
 /// Assignment of endpoints to entries.
 #[derive(Debug, Default)]
 pub(super) struct Homes {
@@ -29,8 +18,7 @@
     domains: BTreeMap<u32, id::Domain>,
     /// Home of each endpoint by the hash of its name, `None` for this entry.
     assigned: BTreeMap<u32, Option<address::Socket>>,
-    /// What each home was told last, and when.
-    told: BTreeMap<address::Socket, (duration::Instant, Vec<(u32, backlog::Backlog)>)>,
+    reports: reports::Reports,
 }
 
 impl Homes {
@@ -108,38 +96,30 @@
         self.entries.len().max(1)
     }
 
-    /// What is due to be told at `now`, out of the whole own backlog.
-    fn due(&mut self, now: duration::Instant, backlogs: &[(u32, backlog::Backlog)]) -> Vec<Told> {
-        let mut by_home: BTreeMap<address::Socket, Vec<(u32, backlog::Backlog)>> =
-            self.told.keys().map(|home| (*home, Vec::new())).collect();
+    /// Records that a home is told of prompts.
+    pub(super) fn record_notices(&mut self, home: address::Socket) {
+        self.reports.record_notices(home);
+    }
+
+    /// What is due to be reported at `now`, out of the whole own backlog.
+    fn due(
+        &mut self,
+        now: duration::Instant,
+        backlogs: &[(u32, backlog::Backlog)],
+    ) -> Vec<reports::Report> {
+        let mut by_home: BTreeMap<address::Socket, Vec<(u32, backlog::Backlog)>> = BTreeMap::new();
         for (endpoint, backlog) in backlogs {
             if let Some(home) = self.address(*endpoint) {
                 by_home.entry(home).or_default().push((*endpoint, *backlog));
             }
         }
-        let mut due = Vec::new();
-        for (home, backlogs) in by_home {
-            let told = self.told.get(&home);
-            let is_new = told.is_none_or(|(_, told)| *told != backlogs);
-            let is_old = told.is_none_or(|(at, _)| now.since(*at) >= REPEAT_INTERVAL);
-            if !is_new && !is_old {
-                continue;
-            }
-            if backlogs.is_empty() && !is_new {
-                // Told twice that nothing is left.
-                self.told.remove(&home);
-            } else {
-                self.told.insert(home, (now, backlogs.clone()));
-            }
-            due.push(Told { home, backlogs });
-        }
-        due
+        self.reports.due(now, by_home)
     }
 }
 
 impl Endpoints {
-    /// What this entry has to tell the homes of the endpoints that it uses.
-    pub(crate) fn due_backlogs(&self, now: duration::Instant) -> Vec<Told> {
+    /// What this entry has to report to the homes of the endpoints that it uses.
+    pub(crate) fn due_reports(&self, now: duration::Instant) -> Vec<reports::Report> {
         let mut inner = self.inner.lock();
         let Inner { states, homes, .. } = &mut *inner;
         let busy = states
--- a/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Records that a home is told of prompts; it gets a report soon after.
+    pub(crate) fn record_notices(&self, home: address::Socket) {
+        self.inner.lock().homes.record_notices(home);
+    }
+
     /// Address of an endpoint's home, `None` for this entry.
     pub(crate) fn home_of(&self, endpoint: u32) -> Option<address::Socket> {
         self.inner.lock().homes.address(endpoint)
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -125,16 +125,17 @@
     }
 
     async fn tell_backlogs(&self, sequence: u64) {
-        for told in self.core.endpoints.due_backlogs(self.core.now()) {
-            let mut backlogs = told.backlogs;
+        for report in self.core.endpoints.due_reports(self.core.now()) {
+            let mut backlogs = report.backlogs;
             backlogs.truncate(MAX_ENDPOINTS_PER_MESSAGE);
-            self.send(told.home, &Message::Backlogs { sequence, backlogs })
+            self.send(report.home, &Message::Backlogs { sequence, backlogs })
                 .await;
         }
     }
 
     async fn tell_prompts(&self, notices: Vec<endpoints::Notice>) {
         for (home, notices) in self.group_by_home(notices, |notice| notice.name_hash) {
+            self.core.endpoints.record_notices(home);
             self.send(home, &Message::Prompts(notices)).await;
         }
     }
--- a/crates/cranberrygap-routing/src/prompt.rs
+++ b/crates/cranberrygap-routing/src/prompt.rs
@@ -9,5 +9,6 @@
 pub mod home;
 pub mod latency;
 pub mod prefix_cache;
+pub mod reports;
 pub mod selection;
 pub mod window;
--- a/crates/cranberrygap-routing/tests/home.rs
+++ b/crates/cranberrygap-routing/tests/home.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use cranberrygap_model::{address, duration, id};
-use cranberrygap_routing::prompt::{backlog, home};
+use cranberrygap_routing::prompt::{backlog, home, reports};
 
 const PREFILL_MICROS: u32 = 60_000;
 
@@ -202,3 +202,76 @@
         "{counts:?}"
     );
 }
+
+// An entry of many sends a request now and then, and it ends before the entry looks at what has
+// changed. Its home counted each of them for a second after its end, and engines with free places
+// looked full.
+#[test]
+fn request_that_ends_between_two_reports_is_not_counted_any_more() {
+    let home_address = address::Socket(socket(0));
+    let mut book = home::Book::default();
+    let mut reports = reports::Reports::default();
+    let mut sequence = 0;
+    let mut report = |book: &mut home::Book, reports: &mut reports::Reports, millis| {
+        for report in reports.due(at(millis), BTreeMap::new()) {
+            sequence += 1;
+            book.apply_backlogs(at(millis), socket(1), sequence, &report.backlogs);
+        }
+    };
+    report(&mut book, &mut reports, 0);
+
+    reports.record_notices(home_address);
+    book.apply_prompt(at(20), socket(1), 5, 0, PREFILL_MICROS);
+    let while_it_runs = book.load_without(at(100), 5, None);
+    report(&mut book, &mut reports, 150);
+    let after_its_end = book.load_without(at(160), 5, None);
+
+    assert_eq!(while_it_runs.backlog, backlog_of(1));
+    assert_eq!(after_its_end.backlog, backlog::Backlog::default());
+}
+
+// The same beside a request that runs on: the entry's backlog is the same at both of its looks.
+#[test]
+fn request_that_ends_beside_a_longer_one_is_not_counted_any_more() {
+    let home_address = address::Socket(socket(0));
+    let mut book = home::Book::default();
+    let mut reports = reports::Reports::default();
+    let long = || BTreeMap::from([(home_address, vec![(5, backlog_of(1))])]);
+    for (sequence, report) in (1..).zip(reports.due(at(0), long())) {
+        book.apply_backlogs(at(0), socket(1), sequence, &report.backlogs);
+    }
+
+    reports.record_notices(home_address);
+    book.apply_prompt(at(20), socket(1), 5, 0, PREFILL_MICROS);
+    for (sequence, report) in (2..).zip(reports.due(at(150), long())) {
+        book.apply_backlogs(at(150), socket(1), sequence, &report.backlogs);
+    }
+
+    let load = book.load_without(at(160), 5, None);
+    assert_eq!(load.backlog, backlog_of(1));
+}
+
+// Reports that say nothing new cost datagrams, and a home forgets what it is not told again.
+#[test]
+fn unchanged_backlog_is_reported_again_and_an_ended_one_twice() {
+    let home_address = address::Socket(socket(0));
+    let mut reports = reports::Reports::default();
+    let backlogs = |requests| {
+        let backlog = (requests > 0).then(|| (5, backlog_of(requests)));
+        BTreeMap::from([(home_address, backlog.into_iter().collect::<Vec<_>>())])
+    };
+    let mut due = |millis, requests| reports.due(at(millis), backlogs(requests)).len();
+
+    let sent = [
+        due(0, 1),
+        due(150, 1),
+        due(300, 2),
+        due(450, 2),
+        due(800, 2),
+        due(950, 0),
+    ];
+    let last = [due(1_100, 0), due(1_450, 0), due(1_600, 0)];
+
+    assert_eq!(sent, [1, 0, 1, 0, 1, 1]);
+    assert_eq!(last[..2], [0, 1]);
+}
