Log how the end of a response was known, and streams that end within an event

Callers got short streams that looked complete, and no line told whether the endpoint's response had a length, chunks, or ended with its connection.

Lines about requests now name the framing of the last response. A scanner of a few bytes of state follows the events of each stream, also of those that are not split; a stream that ends within an event is always logged. What callers get is unchanged.

--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -7,7 +7,7 @@
 use cranberrygap_wire::traffic;
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
 
 use super::target::Target;
@@ -15,6 +15,7 @@
     ALONE_RETRY_AFTER, DEADLINE_GRACE, Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER,
     Reply, dialect, endpoint_connection, failure, in_flight, response,
 };
+use crate::framing;
 use crate::gateway::request;
 use crate::quarantine;
 
@@ -161,6 +162,8 @@
         let response = match result {
             Ok(Ok(response)) => {
                 connection.read_idle_timeout(response.headers());
+                let length = response.body().size_hint().exact();
+                self.log.framing = Some(framing::Framing::new(response.headers(), length));
                 response
             }
             Ok(Err(_lost)) => {
--- a/crates/cranberrygap-entry/src/gateway/request_log.rs
+++ b/crates/cranberrygap-entry/src/gateway/request_log.rs
@@ -6,6 +6,8 @@
 use cranberrygap_model::duration;
 use smol_str::SmolStr;
 
+use crate::framing;
+
 use super::log_limit::Limiter;
 
 /// One in this many successful requests is logged.
@@ -28,6 +30,8 @@
     pub(crate) fingerprint: SmolStr,
     /// Endpoint of the last attempt.
     pub(crate) endpoint: SmolStr,
+    /// How the end of the last response is known.
+    pub(crate) framing: Option<framing::Framing>,
     /// Version of the plan used last.
     pub(crate) plan_version: u64,
     /// Revision of the view used last.
@@ -78,6 +82,7 @@
                 model = self.model.as_str(),
                 fingerprint = short(&self.fingerprint),
                 endpoint = self.endpoint.as_str(),
+                framing = self.framing.as_ref().map_or("", framing::Framing::as_str),
                 plan = self.plan_version,
                 revision = self.revision,
                 trail = self.trail.as_str(),
@@ -107,6 +112,7 @@
                 model = self.model.as_str(),
                 fingerprint = short(&self.fingerprint),
                 endpoint = self.endpoint.as_str(),
+                framing = self.framing.as_ref().map_or("", framing::Framing::as_str),
                 plan = self.plan_version,
                 revision = self.revision,
                 trail = self.trail.as_str(),
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -23,6 +23,7 @@
     /// Splits the bytes into events. Only streams that another engine can continue need
     /// it, since that engine starts after a whole event.
     splitter: Option<sse::Splitter>,
+    scanner: sse::Scanner,
     last_event_id: Option<String>,
     /// Time at which the last event arrived.
     last_event_at: Option<duration::Instant>,
@@ -59,6 +60,7 @@
             in_flight,
         }),
         splitter,
+        scanner: sse::Scanner::default(),
         last_event_id,
         last_event_at: None,
         late_cause: None,
@@ -84,6 +86,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.scanner.read(&data);
                     match self.take_complete_events(data) {
                         Ok(data) if data.is_empty() => {}
                         other => return Some(other),
@@ -166,6 +169,11 @@
             upstream.in_flight.record_complete();
             self.delivery.gateway.pool.put(upstream.connection);
         }
+        if !self.scanner.is_between_events() {
+            let step = format_args!("the stream ended within an event");
+            self.delivery.log.add_step(now, step);
+            self.late_cause = Some("ended within an event");
+        }
         self.delivery
             .log
             .log_success(&self.delivery.gateway.log_limiter, now, self.late_cause);
@@ -203,6 +211,7 @@
         let resumed = format_args!("another engine continues the stream: {cause}");
         self.delivery.log.add_step(now, resumed);
         self.splitter = Some(sse::Splitter::default());
+        self.scanner = sse::Scanner::default();
         self.upstream = Some(Upstream {
             body: reply.response.into_body(),
             connection: reply.connection,
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod core;
 pub mod discovery;
+pub mod framing;
 pub mod gateway;
 pub mod metric;
 pub mod process;
--- a/crates/cranberrygap-entry/src/sse.rs
+++ b/crates/cranberrygap-entry/src/sse.rs
@@ -1,8 +1,12 @@
 //! Splits a stream of bytes into server-sent events. An event shares the buffer's memory
 //! instead of copying it.
 
+mod scanner;
+
 use bytes::{Bytes, BytesMut};
 
+pub use scanner::Scanner;
+
 /// Largest number of buffered bytes. It limits the memory that an endpoint can occupy with an
 /// event that never ends.
 const MAX_EVENT_BYTES: usize = 1 << 20;
