Do not take a stream that ends within an event for a complete one

What callers saw: streams that had been broken off ended with their last chunk, as if they were complete.

Cause: a response with neither a length nor chunks ends with its connection, and the kernel of an endpoint that died closes it as if the response were over. Only streams that another engine can continue were split into events; for all others the relay took any end without an error for the end of the stream, returned the run as complete and cleared the request in the quarantine.

Change: the head of a response decides once how its end is known (framing::Framing), and every reader of a body asks it: streams, buffered and discarded responses of routes, and calls of plain services. A stream that ends within an event, or with its connection and without any event, is broken off and counts as a break. JSON that ends with its connection has to parse; other content that ends so is believed unless it is empty. A connection that ended with its response is not kept.

Why it works: the end of the connection no longer decides alone; the content has to agree, and where it does not the break takes the path that resets take.

--- a/crates/cranberrygap-entry/src/caller/services/completion.rs
+++ b/crates/cranberrygap-entry/src/caller/services/completion.rs
@@ -7,6 +7,7 @@
 use salvo::http::{HeaderValue, Response, StatusCode, header};
 
 use crate::booking;
+use crate::framing;
 
 /// Result of sending a call to an endpoint.
 #[derive(Debug)]
@@ -29,9 +30,9 @@
         .get(header::CONTENT_TYPE)
         .cloned()
         .unwrap_or(default);
-    // A body that is shorter than its content length is an error here, so a truncated
-    // body does not pass for the whole response.
+    let framing = framing::Framing::new(response.headers(), response.content_length());
     match response.bytes().await {
+        Ok(body) if !framing.is_whole(&body) => Completion::Failed(Evidence::CutAnswer),
         Ok(body) if reports_not_run(status, &body) => Completion::Failed(Evidence::EndpointRefused),
         Ok(body) => Completion::Answered {
             status,
--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -1,44 +1,113 @@
 //! How the end of a response is known, and whether a response that ended is whole.
+//!
+//! The HTTP library reports a body that is shorter than its length, or lacks its last chunk, as
+//! an error. A body that ends with its connection just ends, also if the endpoint died; only its
+//! content can then tell that a part is missing.
 
 use std::fmt;
 
 use http::{HeaderMap, header};
+use serde::de::IgnoredAny;
+
+use crate::sse;
 
 /// What ends the body of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
+enum End {
     /// The body has a known length.
     Length,
     /// The body comes in chunks, of which the last is marked.
     Chunks,
-    /// The body ends with its connection. An endpoint that dies ends it in the same way.
+    /// The body ends with its connection.
     Connection,
 }
 
+/// What a body holds, as far as it shows whether the body is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Content {
+    Events,
+    Json,
+    Other,
+    /// The response names no type.
+    Unspecified,
+}
+
+/// How the end of a response is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Framing {
+    end: End,
+    content: Content,
+}
+
 impl Framing {
     /// The framing of a response with these headers, whose body has `length` bytes if the HTTP
     /// library knows.
     #[must_use]
     pub fn new(headers: &HeaderMap, length: Option<u64>) -> Self {
-        if length.is_some() {
-            return Self::Length;
+        let end = if length.is_some() {
+            End::Length
+        } else if is_chunked(headers) {
+            End::Chunks
+        } else {
+            End::Connection
+        };
+        let content = content(headers);
+        Self { end, content }
+    }
+
+    /// Whether the response to a request for a stream holds server-sent events. Without a
+    /// content type it is expected to.
+    #[must_use]
+    pub fn is_event_stream(self) -> bool {
+        matches!(self.content, Content::Events | Content::Unspecified)
+    }
+
+    /// Whether the body can be checked only once all of it has arrived.
+    #[must_use]
+    pub fn needs_whole_body(self) -> bool {
+        self.end == End::Connection && self.content == Content::Json
+    }
+
+    /// Whether the connection can carry another response.
+    #[must_use]
+    pub fn keeps_connection(self) -> bool {
+        self.end != End::Connection
+    }
+
+    /// Whether a body that ended without an error is whole.
+    ///
+    /// An endpoint with nothing to say says so by a length, so an empty body that ends with its
+    /// connection is not whole. Neither is JSON that cannot be parsed. For other content, the end
+    /// of the connection has to be believed.
+    #[must_use]
+    pub fn is_whole(self, body: &[u8]) -> bool {
+        if self.content == Content::Events {
+            let mut scanner = sse::Scanner::default();
+            scanner.read(body);
+            return self.is_whole_stream(&scanner);
         }
-        let codings = headers.get_all(header::TRANSFER_ENCODING);
-        let last = codings.iter().next_back();
-        let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-        if last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
-            return Self::Chunks;
+        match (self.end, self.content) {
+            (End::Length | End::Chunks, _) => true,
+            (End::Connection, Content::Json) => serde_json::from_slice::<IgnoredAny>(body).is_ok(),
+            (End::Connection, _) => !body.is_empty(),
         }
-        Self::Connection
+    }
+
+    /// Whether a stream of events that ended without an error is whole. One that ends within an
+    /// event is not, whatever its framing.
+    #[must_use]
+    pub fn is_whole_stream(self, scanner: &sse::Scanner) -> bool {
+        let has_content = self.end != End::Connection || scanner.has_events();
+        has_content && scanner.is_between_events()
     }
 
     /// Its name in logs.
     #[must_use]
     pub const fn as_str(&self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunks => "chunks",
-            Self::Connection => "connection",
+        match self.end {
+            End::Length => "length",
+            End::Chunks => "chunks",
+            End::Connection => "connection",
         }
     }
 }
@@ -48,3 +117,26 @@
         f.write_str(self.as_str())
     }
 }
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING);
+    let last = codings.iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
+fn content(headers: &HeaderMap) -> Content {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return Content::Unspecified;
+    };
+    let text = value.to_str().unwrap_or_default();
+    let kind = text.split(';').next().unwrap_or(text).trim();
+    if kind.eq_ignore_ascii_case("text/event-stream") {
+        return Content::Events;
+    }
+    if kind.eq_ignore_ascii_case("application/json") || kind.to_ascii_lowercase().ends_with("+json")
+    {
+        return Content::Json;
+    }
+    Content::Other
+}
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -12,6 +12,7 @@
 
 use crate::admission;
 use crate::control;
+use crate::framing;
 use crate::metric;
 use crate::quarantine;
 
@@ -66,6 +67,7 @@
 /// The head of an endpoint's response and the connection that its body arrives over.
 pub(super) struct Reply {
     pub(super) response: Response<Incoming>,
+    pub(super) framing: framing::Framing,
     pub(super) connection: endpoint_connection::Connection,
     pub(super) in_flight: in_flight::Request,
 }
@@ -144,17 +146,7 @@
     ) -> Result<Response<response::Body>, (request_log::Log, Failure)> {
         let counted_demand = self.count_demand();
         match self.send_until_response().await {
-            Ok(Reply {
-                response,
-                connection,
-                in_flight,
-            }) => {
-                let (head, body) = response.into_parts();
-                let mut response = Response::new(());
-                *response.status_mut() = head.status;
-                *response.headers_mut() = send::forwarded_headers(head.headers);
-                Ok(stream::relay(self, response, body, connection, in_flight))
-            }
+            Ok(reply) => Ok(stream::relay(self, reply)),
             Err(Completion::Responded(response)) => {
                 let now = self.now();
                 let waited = now.since(self.request.arrived_at);
@@ -218,11 +210,11 @@
         reply.in_flight.record_outcome(!status.is_server_error());
         if status.is_server_error() && self.is_repeatable() && self.try_take_resend() {
             self.may_have_run = true;
-            self.discard_body(reply.response.into_body(), reply.connection)
+            self.discard_body(reply.response.into_body(), reply.framing, reply.connection)
                 .await;
             return Ok(None);
         }
-        if self.is_stream() && status.is_success() {
+        if self.is_stream() && status.is_success() && !reply.framing.needs_whole_body() {
             return Ok(Some(reply));
         }
         match self.buffer_response(reply).await {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -162,8 +162,6 @@
         let response = match result {
             Ok(Ok(response)) => {
                 connection.read_idle_timeout(response.headers());
-                let length = response.body().size_hint().exact();
-                self.log.framing = Some(framing::Framing::new(response.headers(), length));
                 response
             }
             Ok(Err(_lost)) => {
@@ -177,6 +175,9 @@
                 return Exchange::Done(Outcome::Unknown("no answer in time"));
             }
         };
+        let length = response.body().size_hint().exact();
+        let framing = framing::Framing::new(response.headers(), length);
+        self.log.framing = Some(framing);
         let id = self.request.metadata.id.as_deref();
         let classification =
             self.gateway
@@ -190,6 +191,7 @@
                 self.mark_permit_used();
                 Outcome::Response(Box::new(Reply {
                     response,
+                    framing,
                     connection,
                     in_flight,
                 }))
@@ -197,7 +199,8 @@
             dialect::Classification::NotRun(cause) => {
                 in_flight.record_outcome(cause != dialect::NotRun::Full);
                 drop(in_flight);
-                self.discard_body(response.into_body(), connection).await;
+                self.discard_body(response.into_body(), framing, connection)
+                    .await;
                 Outcome::NotRun(cause)
             }
             dialect::Classification::Foreign => {
@@ -277,6 +280,7 @@
     ) -> Result<Response<response::Body>, &'static str> {
         let Reply {
             response,
+            framing,
             connection,
             mut in_flight,
         } = reply;
@@ -292,14 +296,20 @@
             }
             Err(_elapsed) => return Err("the answer did not end in time"),
         };
+        if !framing.is_whole(&whole) {
+            in_flight.record_break();
+            return Err("the answer ended with its connection and is not whole");
+        }
         in_flight.record_prefill();
         if head.status.is_success() {
             in_flight.record_complete();
         }
-        self.gateway.pool.put(connection);
+        if framing.keeps_connection() {
+            self.gateway.pool.put(connection);
+        }
         let mut response = Response::new(response::full_body(whole));
         *response.status_mut() = head.status;
-        *response.headers_mut() = forwarded_headers(head.headers);
+        *response.headers_mut() = response::forwarded_headers(head.headers);
         Ok(response)
     }
 
@@ -307,10 +317,14 @@
     pub(super) async fn discard_body(
         &self,
         body: Incoming,
+        framing: framing::Framing,
         connection: endpoint_connection::Connection,
     ) {
         const MAX_DISCARDED_BYTES: usize = 16 << 10;
         const DISCARD_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(20);
+        if !framing.keeps_connection() {
+            return;
+        }
         let reading = Limited::new(body, MAX_DISCARDED_BYTES).collect();
         if let Ok(Ok(_whole)) = tokio::time::timeout(DISCARD_TIMEOUT, reading).await {
             self.gateway.pool.put(connection);
@@ -326,9 +340,3 @@
         Classification::NotRun(NotRun::Misdirected) | Classification::Foreign => false,
     }
 }
-
-/// Headers of an endpoint's response that are forwarded to the caller.
-pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
-    response::strip_hop_by_hop(&mut headers);
-    headers
-}
--- a/crates/cranberrygap-entry/src/gateway/response.rs
+++ b/crates/cranberrygap-entry/src/gateway/response.rs
@@ -47,3 +47,9 @@
     headers.remove("keep-alive");
     headers.remove("proxy-connection");
 }
+
+/// Headers of an endpoint's response that are forwarded to the caller.
+pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    headers
+}
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -3,10 +3,11 @@
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::duration;
 use futures_util::stream;
-use http::Response;
+use http::{Response, header};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use crate::framing;
 use crate::metric;
 use crate::sse;
 
@@ -15,6 +16,9 @@
 use super::in_flight;
 use super::response::{self, Error};
 
+/// Why a stream is not complete although its connection ended in good order.
+const CUT_STREAM: &str = "the stream ended without an event or within one";
+
 /// A stream on its way to the caller. Dropping it, as when the caller leaves, closes the
 /// connection to the engine, which then stops.
 struct Relay {
@@ -23,7 +27,8 @@
     /// Splits the bytes into events. Only streams that another engine can continue need
     /// it, since that engine starts after a whole event.
     splitter: Option<sse::Splitter>,
-    scanner: sse::Scanner,
+    /// Follows the events of the engine that sends now; other content has none.
+    scanner: Option<sse::Scanner>,
     last_event_id: Option<String>,
     /// Time at which the last event arrived.
     last_event_at: Option<duration::Instant>,
@@ -33,6 +38,7 @@
 
 struct Upstream {
     body: Incoming,
+    framing: framing::Framing,
     connection: endpoint_connection::Connection,
     in_flight: in_flight::Request,
 }
@@ -40,12 +46,18 @@
 /// A response whose body is the stream.
 pub(super) fn relay(
     delivery: delivery::Delivery,
-    head: Response<()>,
-    body: Incoming,
-    connection: endpoint_connection::Connection,
-    in_flight: in_flight::Request,
+    reply: delivery::Reply,
 ) -> Response<response::Body> {
-    let splitter = delivery.is_repeatable().then(sse::Splitter::default);
+    let (head, upstream) = split_reply(reply);
+    let mut head = Response::from_parts(head, ());
+    let headers = response::forwarded_headers(std::mem::take(head.headers_mut()));
+    *head.headers_mut() = headers;
+    let is_event_stream = upstream.framing.is_event_stream();
+    let can_continue = is_event_stream && delivery.is_repeatable();
+    if can_continue {
+        // Another engine continues the stream with other bytes.
+        head.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     let last_event_id = delivery
         .request
         .metadata
@@ -54,13 +66,9 @@
         .map(str::to_owned);
     let relay = Relay {
         delivery,
-        upstream: Some(Upstream {
-            body,
-            connection,
-            in_flight,
-        }),
-        splitter,
-        scanner: sse::Scanner::default(),
+        upstream: Some(upstream),
+        splitter: can_continue.then(sse::Splitter::default),
+        scanner: is_event_stream.then(sse::Scanner::default),
         last_event_id,
         last_event_at: None,
         late_cause: None,
@@ -72,6 +80,17 @@
     head.map(|()| StreamBody::new(frames).boxed_unsync())
 }
 
+fn split_reply(reply: delivery::Reply) -> (http::response::Parts, Upstream) {
+    let (head, body) = reply.response.into_parts();
+    let upstream = Upstream {
+        body,
+        framing: reply.framing,
+        connection: reply.connection,
+        in_flight: reply.in_flight,
+    };
+    (head, upstream)
+}
+
 impl Relay {
     async fn next_bytes(&mut self) -> Option<Result<Bytes, Error>> {
         loop {
@@ -86,22 +105,22 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    self.scanner.read(&data);
+                    if let Some(scanner) = &mut self.scanner {
+                        scanner.read(&data);
+                    }
                     match self.take_complete_events(data) {
                         Ok(data) if data.is_empty() => {}
                         other => return Some(other),
                     }
                 }
-                Ok(None) if self.is_between_events() => {
+                Ok(None) if self.is_whole() => {
                     self.finish();
-                    return None;
+                    let rest = self.splitter.as_mut().map(sse::Splitter::take_rest);
+                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
                 }
                 Ok(None) => {
-                    if !self
-                        .continue_elsewhere("the stream ended within an event")
-                        .await
-                    {
-                        return Some(Err(self.interrupt("the stream ended within an event")));
+                    if !self.continue_elsewhere(CUT_STREAM).await {
+                        return Some(Err(self.interrupt(CUT_STREAM)));
                     }
                 }
                 Ok(Some(Err(_broken))) => {
@@ -157,8 +176,12 @@
         Ok(whole.freeze())
     }
 
-    fn is_between_events(&self) -> bool {
-        self.splitter.as_ref().is_none_or(sse::Splitter::is_empty)
+    /// Whether a stream that ended is complete.
+    fn is_whole(&self) -> bool {
+        match (&self.upstream, &self.scanner) {
+            (Some(upstream), Some(scanner)) => upstream.framing.is_whole_stream(scanner),
+            _ => true,
+        }
     }
 
     /// Records that the stream is complete, and keeps its connection.
@@ -167,12 +190,9 @@
         if let Some(mut upstream) = self.upstream.take() {
             upstream.in_flight.record_end(now);
             upstream.in_flight.record_complete();
-            self.delivery.gateway.pool.put(upstream.connection);
-        }
-        if !self.scanner.is_between_events() {
-            let step = format_args!("the stream ended within an event");
-            self.delivery.log.add_step(now, step);
-            self.late_cause = Some("ended within an event");
+            if upstream.framing.keeps_connection() {
+                self.delivery.gateway.pool.put(upstream.connection);
+            }
         }
         self.delivery
             .log
@@ -204,19 +224,16 @@
         }
         let last_event_id = self.last_event_id.clone();
         let resumed = self.delivery.resume_stream(last_event_id.as_deref()).await;
-        let Some(reply) = resumed else {
+        let Some(reply) = resumed.filter(|reply| reply.framing.is_event_stream()) else {
             return false;
         };
         let now = self.delivery.gateway.core.now();
         let resumed = format_args!("another engine continues the stream: {cause}");
         self.delivery.log.add_step(now, resumed);
         self.splitter = Some(sse::Splitter::default());
-        self.scanner = sse::Scanner::default();
-        self.upstream = Some(Upstream {
-            body: reply.response.into_body(),
-            connection: reply.connection,
-            in_flight: reply.in_flight,
-        });
+        self.scanner = Some(sse::Scanner::default());
+        let (_head, upstream) = split_reply(reply);
+        self.upstream = Some(upstream);
         true
     }
 }
--- a/crates/cranberrygap-entry/src/sse.rs
+++ b/crates/cranberrygap-entry/src/sse.rs
@@ -41,10 +41,9 @@
         Ok(())
     }
 
-    /// Whether no part of a further event is buffered.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Removes and returns the bytes after the last complete event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
     }
 
     /// Removes and returns the next complete event, with the blank line that ends it.
