Write what arrived of a stream before its cut

What callers saw: a stream whose endpoint broke right after its first events ended with a closed connection and no response at all.

Cause: the HTTP library drops what it has not written yet when a body fails, and it collects the head and the first events before it writes them.

Change: the body is pending once before it fails, and the library writes while a body is pending.

--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -75,6 +75,11 @@
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let next = relay.next_bytes().await?;
+        if next.is_err() {
+            // The HTTP library drops what it has not written when a body fails. It writes while
+            // the body is pending.
+            tokio::task::yield_now().await;
+        }
         Some((next.map(Frame::data), relay))
     });
     head.map(|()| StreamBody::new(frames).boxed_unsync())
