Send streams of events without the length of their endpoint's response

What callers saw: a stream whose length was reached within an event looked complete.

Cause: the length was passed on, and once its bytes were written there was nothing left by which to show the cut.

Change: streams of events go to callers in chunks. Tests over framing, end and kind of route: with a length, with chunks and with neither, for streams that can be resumed and not, lookups and bookings. The row of a length that ends within an event failed before (the caller saw it whole), the others passed.

--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -54,8 +54,8 @@
     *head.headers_mut() = headers;
     let is_event_stream = upstream.framing.is_event_stream();
     let can_continue = is_event_stream && delivery.is_repeatable();
-    if can_continue {
-        // Another engine continues the stream with other bytes.
+    if is_event_stream {
+        // The caller must see a cut also where all bytes of the first engine arrived.
         head.headers_mut().remove(header::CONTENT_LENGTH);
     }
     let last_event_id = delivery
