Reset the connection of a caller without chunks when its response is cut

What callers saw: with HTTP/1.0, a stream that had been cut ended like a whole one.

Cause: such a response ends with its connection, and a failed body closed the connection in good order. Without chunks and length nothing else tells a cut.

Change: the connection of such a caller ends with a reset when the body of its response fails, and is not shut down before that.

--- a/crates/cranberrygap-entry/src/gateway/activity.rs
+++ b/crates/cranberrygap-entry/src/gateway/activity.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use cranberrygap_link::clock;
 use cranberrygap_model::duration;
@@ -96,20 +97,34 @@
 /// A caller's socket that records when bytes arrive.
 #[derive(Debug, Clone)]
 pub(super) struct Stream {
-    stream: Arc<TcpStream>,
+    socket: Arc<TcpStream>,
     activity: Arc<Activity>,
+    /// Whether the connection is to end with a reset.
+    is_cut: Arc<AtomicBool>,
 }
 
 impl Stream {
-    pub(super) const fn new(stream: Arc<TcpStream>, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
+    pub(super) fn new(socket: Arc<TcpStream>, activity: Arc<Activity>) -> Self {
+        Self {
+            socket,
+            activity,
+            is_cut: Arc::default(),
+        }
+    }
+
+    /// Makes the end of the connection a reset instead of an orderly close.
+    pub(super) fn reset_on_close(&self) {
+        self.is_cut.store(true, Ordering::Release);
+        if let Err(cause) = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO)) {
+            spdlog::warn!("gateway: a caller's connection cannot be reset: {cause}");
+        }
     }
 
     /// Responds that the head did not arrive in time; the request did not run.
     pub(super) fn send_head_timeout(&self) {
         // Nothing else is being written between two requests, and a caller whose buffer is
         // full reads no response anyway.
-        if let Err(cause) = self.stream.try_write(HEAD_TIMEOUT_RESPONSE) {
+        if let Err(cause) = self.socket.try_write(HEAD_TIMEOUT_RESPONSE) {
             spdlog::debug!("gateway: sending 408 to a slow caller failed: {cause}");
         }
     }
@@ -122,8 +137,8 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
                     buf.advance(count);
                     if count > 0 {
@@ -145,8 +160,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match self.socket.try_write(buf) {
                 Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
                 other => return Poll::Ready(other),
             }
@@ -158,6 +173,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        if self.is_cut.load(Ordering::Acquire) {
+            // An orderly close would reach the caller before the reset.
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/caller_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/caller_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cranberrygap_model::duration;
+use http::Version;
 use http_body_util::BodyExt as _;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -43,10 +44,14 @@
     let stream = activity::Stream::new(Arc::new(stream), Arc::clone(&activity));
     let service = {
         let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
+        let stream = stream.clone();
         service_fn(move |incoming| {
             let (gateway, activity) = (Arc::clone(&gateway), Arc::clone(&activity));
+            let stream = stream.clone();
             async move {
                 let guard = activity::Guard::new(activity);
+                // Without chunks, only a reset tells the caller that the response is cut.
+                let has_chunks = incoming.version() > Version::HTTP_10;
                 let response = request::serve(gateway, incoming).await;
                 // A response that is still being sent counts as in progress too.
                 let body = |body: response::Body| {
@@ -54,6 +59,12 @@
                         let _until_sent = &guard;
                         frame
                     });
+                    let sent = sent.map_err(move |cause| {
+                        if !has_chunks {
+                            stream.reset_on_close();
+                        }
+                        cause
+                    });
                     sent.boxed_unsync()
                 };
                 Ok::<_, Infallible>(response.map(body))
