Split events at every line end

What callers saw: a stream that can be resumed and whose events end with CR LF or CR got nothing until its end, and was given up after 1 MiB.

Cause: the splitter knew the blank line of LF alone, while the scanner that decides whether a stream is whole knows each line end; the two could disagree.

Change: the splitter finds the ends of events with the scanner, so there is one rule; it also reads each byte once, where it began anew with each read. Comments after the last event still go on at the end. The data of an event is found behind the LF of a line end that came in two reads.

--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -24,11 +24,8 @@
 struct Relay {
     delivery: delivery::Delivery,
     upstream: Option<Upstream>,
-    /// Splits the bytes into events. Only streams that another engine can continue need
-    /// it, since that engine starts after a whole event.
-    splitter: Option<sse::Splitter>,
-    /// Follows the events of the engine that sends now; other content has none.
-    scanner: Option<sse::Scanner>,
+    /// The events of the engine that sends now; other content has none.
+    events: Option<Events>,
     last_event_id: Option<String>,
     /// Time at which the last event arrived.
     last_event_at: Option<duration::Instant>,
@@ -36,6 +33,30 @@
     late_cause: Option<&'static str>,
 }
 
+/// Events on their way.
+enum Events {
+    /// Only whole events go on, since another engine starts after a whole one.
+    Split(sse::Splitter),
+    /// Bytes go on as they arrive.
+    Passed(sse::Scanner),
+}
+
+impl Events {
+    fn new(can_continue: bool) -> Self {
+        if can_continue {
+            return Self::Split(sse::Splitter::default());
+        }
+        Self::Passed(sse::Scanner::default())
+    }
+
+    fn scanner(&self) -> &sse::Scanner {
+        match self {
+            Self::Split(splitter) => splitter.scanner(),
+            Self::Passed(scanner) => scanner,
+        }
+    }
+}
+
 struct Upstream {
     body: Incoming,
     framing: framing::Framing,
@@ -67,8 +88,7 @@
     let relay = Relay {
         delivery,
         upstream: Some(upstream),
-        splitter: can_continue.then(sse::Splitter::default),
-        scanner: is_event_stream.then(sse::Scanner::default),
+        events: is_event_stream.then(|| Events::new(can_continue)),
         last_event_id,
         last_event_at: None,
         late_cause: None,
@@ -110,9 +130,6 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let Some(scanner) = &mut self.scanner {
-                        scanner.read(&data);
-                    }
                     match self.take_complete_events(data) {
                         Ok(data) if data.is_empty() => {}
                         other => return Some(other),
@@ -120,8 +137,7 @@
                 }
                 Ok(None) if self.is_whole() => {
                     self.finish();
-                    let rest = self.splitter.as_mut().map(sse::Splitter::take_rest);
-                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
+                    return self.take_rest().map(Ok);
                 }
                 Ok(None) => {
                     if !self.continue_elsewhere(CUT_STREAM).await {
@@ -165,8 +181,13 @@
 
     /// The bytes that can be forwarded now.
     fn take_complete_events(&mut self, data: Bytes) -> Result<Bytes, Error> {
-        let Some(splitter) = &mut self.splitter else {
-            return Ok(data);
+        let splitter = match &mut self.events {
+            Some(Events::Split(splitter)) => splitter,
+            Some(Events::Passed(scanner)) => {
+                scanner.read(&data);
+                return Ok(data);
+            }
+            None => return Ok(data),
         };
         if splitter.push(&data).is_err() {
             return Err(self.interrupt("an event is too long"));
@@ -183,12 +204,21 @@
 
     /// Whether a stream that ended is complete.
     fn is_whole(&self) -> bool {
-        match (&self.upstream, &self.scanner) {
-            (Some(upstream), Some(scanner)) => upstream.framing.is_whole_stream(scanner),
+        match (&self.upstream, &self.events) {
+            (Some(upstream), Some(events)) => upstream.framing.is_whole_stream(events.scanner()),
             _ => true,
         }
     }
 
+    /// The comments and blank lines after the last event.
+    fn take_rest(&mut self) -> Option<Bytes> {
+        let Some(Events::Split(splitter)) = &mut self.events else {
+            return None;
+        };
+        let rest = splitter.take_rest();
+        (!rest.is_empty()).then_some(rest)
+    }
+
     /// Records that the stream is complete, and keeps its connection.
     fn finish(&mut self) {
         let now = self.delivery.gateway.core.now();
@@ -224,7 +254,7 @@
         if let Some(mut upstream) = self.upstream.take() {
             upstream.in_flight.record_break();
         }
-        if self.splitter.is_none() {
+        if !matches!(self.events, Some(Events::Split(_))) {
             return false;
         }
         let last_event_id = self.last_event_id.clone();
@@ -235,8 +265,7 @@
         let now = self.delivery.gateway.core.now();
         let resumed = format_args!("another engine continues the stream: {cause}");
         self.delivery.log.add_step(now, resumed);
-        self.splitter = Some(sse::Splitter::default());
-        self.scanner = Some(sse::Scanner::default());
+        self.events = Some(Events::new(true));
         let (_head, upstream) = split_reply(reply);
         self.upstream = Some(upstream);
         true
@@ -246,6 +275,7 @@
 /// The id of an event.
 fn event_id(event: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(event).ok()?;
-    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    let mut lines = text.split(['\r', '\n']);
+    let id = lines.find_map(|line| line.strip_prefix("id:"))?;
     Some(id.trim().to_owned())
 }
--- a/crates/cranberrygap-entry/src/sse.rs
+++ b/crates/cranberrygap-entry/src/sse.rs
@@ -11,8 +11,6 @@
 /// event that never ends.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
 const DATA_PREFIX: &[u8] = b"data:";
 const DONE_MARKER: &[u8] = b"[DONE]";
 
@@ -25,6 +23,9 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    scanner: Scanner,
+    /// Bytes of the buffer that the scanner has read.
+    scanned: usize,
 }
 
 impl Splitter {
@@ -43,20 +44,44 @@
 
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
         self.buffer.split().freeze()
     }
 
     /// Removes and returns the next complete event, with the blank line that ends it.
     pub fn next_event(&mut self) -> Option<Bytes> {
-        let end = find_subslice(&self.buffer, EVENT_END)? + EVENT_END.len();
-        Some(self.buffer.split_to(end).freeze())
+        loop {
+            let ends_event = self.scan_byte()?;
+            if !ends_event {
+                continue;
+            }
+            if self.scanner.is_after_cr() && self.buffer.get(self.scanned) == Some(&b'\n') {
+                self.scan_byte();
+            }
+            let length = std::mem::take(&mut self.scanned);
+            return Some(self.buffer.split_to(length).freeze());
+        }
+    }
+
+    /// Position in the stream after the events that were removed.
+    #[must_use]
+    pub fn scanner(&self) -> &Scanner {
+        &self.scanner
+    }
+
+    /// Whether the next byte ends an event, `None` without one.
+    fn scan_byte(&mut self) -> Option<bool> {
+        let byte = *self.buffer.get(self.scanned)?;
+        self.scanned += 1;
+        Some(self.scanner.read_byte(byte))
     }
 }
 
 /// Returns the data of an event; `None` for comments and other fields.
 #[must_use]
 pub fn data(event: &[u8]) -> Option<&[u8]> {
-    let rest = event.strip_prefix(DATA_PREFIX)?;
+    // The LF of a CR LF may come with the event after it.
+    let rest = event.trim_ascii_start().strip_prefix(DATA_PREFIX)?;
     Some(rest.trim_ascii())
 }
 
@@ -65,9 +90,3 @@
 pub fn is_done(data: &[u8]) -> bool {
     data == DONE_MARKER
 }
-
-fn find_subslice(haystack: &[u8], needle: &[u8]) -> Option<usize> {
-    haystack
-        .windows(needle.len())
-        .position(|window| window == needle)
-}
--- a/crates/cranberrygap-entry/src/sse/scanner.rs
+++ b/crates/cranberrygap-entry/src/sse/scanner.rs
@@ -88,6 +88,11 @@
         self.has_events
     }
 
+    /// Whether an LF that follows belongs to the last line end.
+    pub(super) fn is_after_cr(&self) -> bool {
+        self.after_cr
+    }
+
     fn end_line(&mut self) -> bool {
         let line = std::mem::take(&mut self.line);
         if line != Line::Empty {
