--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -14,6 +14,7 @@
 use crate::admission;
 use crate::announce;
 use crate::control;
+use crate::dial;
 use crate::gateway;
 use crate::quarantine;
 use crate::queue;
@@ -38,6 +39,8 @@
     pub(crate) router: Arc<dyn route::Router>,
     /// Endpoints of the traffic plan's services.
     pub(crate) endpoints: gateway::Endpoints,
+    /// Opens connections to the endpoints of the traffic plan's services.
+    pub(crate) dialer: Arc<dyn dial::Dial>,
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a slot at the engines.
     pub(crate) queues: Arc<queue::Queues>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -47,10 +47,11 @@
 
 impl Gateway {
     pub(crate) fn new(core: Arc<core::Core>, dialect: Arc<dyn dialect::Dialect>) -> Arc<Self> {
+        let pool = pool::Pool::new(Arc::clone(&core.dialer));
         Arc::new(Self {
             core,
             dialect,
-            pool: pool::Pool::default(),
+            pool,
             resend_budget: Mutex::default(),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -103,7 +103,7 @@
             match self.exchange(target, connection, request, time_left).await {
                 // The endpoint closed an idle connection; nothing of the request arrived.
                 Exchange::NotSent { reused: true } => {
-                    match endpoint_connection::Connection::open(target.destination.address).await {
+                    match self.gateway.pool.open(target.destination.address).await {
                         Ok(fresh) => connection = fresh,
                         Err(_refused) => return Ok(Outcome::Unreachable),
                     }
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::dial;
+
 /// Longest wait for a connection. Endpoints are a few milliseconds away; one that does not
 /// accept by then is cut off or has too many callers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -52,8 +54,11 @@
 
 impl Connection {
     /// Opens a connection.
-    pub(crate) async fn open(address: address::Socket) -> std::io::Result<Self> {
-        let connecting = TcpStream::connect(address.0);
+    pub(crate) async fn open(
+        dialer: &dyn dial::Dial,
+        address: address::Socket,
+    ) -> std::io::Result<Self> {
+        let connecting = dialer.connect(address.0);
         let stream = time::timeout(CONNECT_TIMEOUT, connecting).await;
         let stream = stream.map_err(|_elapsed| std::io::ErrorKind::TimedOut)??;
         configure_socket(&stream)?;
--- a/crates/cranberrygap-entry/src/gateway/pool.rs
+++ b/crates/cranberrygap-entry/src/gateway/pool.rs
@@ -1,11 +1,14 @@
 //! Idle connections to endpoints, kept for later requests.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cranberrygap_model::address;
 use parking_lot::Mutex;
 
+use crate::dial;
+
 use super::endpoint_connection;
 
 /// Time that a connection stays idle before a request that may run only once. A device on
@@ -20,8 +23,9 @@
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
+    dialer: Arc<dyn dial::Dial>,
     idle: Mutex<BTreeMap<address::Socket, Vec<Idle>>>,
 }
 
@@ -39,6 +43,14 @@
 }
 
 impl Pool {
+    /// A pool without connections.
+    pub(crate) fn new(dialer: Arc<dyn dial::Dial>) -> Self {
+        Self {
+            dialer,
+            idle: Mutex::default(),
+        }
+    }
+
     /// The most recently used connection, or a new one.
     ///
     /// # Errors
@@ -52,7 +64,19 @@
         if let Some(connection) = self.take_idle(address, once_only) {
             return Ok(connection);
         }
-        endpoint_connection::Connection::open(address).await
+        self.open(address).await
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    ///
+    /// When none can be opened; nothing was sent then.
+    pub(crate) async fn open(
+        &self,
+        address: address::Socket,
+    ) -> std::io::Result<endpoint_connection::Connection> {
+        endpoint_connection::Connection::open(&*self.dialer, address).await
     }
 
     fn take_idle(
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod announce;
 pub mod caller;
 pub mod core;
+pub mod dial;
 pub mod discovery;
 pub mod framing;
 pub mod gateway;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -20,6 +20,7 @@
 use crate::announce;
 use crate::control;
 use crate::core;
+use crate::dial;
 use crate::discovery;
 use crate::gateway::{self, dialect};
 use crate::load;
@@ -106,10 +107,26 @@
     ///
     /// Fails when a listener cannot be opened or the HTTP client cannot be set up.
     pub async fn start_with_dialect(
+        settings: settings::Entry,
+        secrets: Secrets,
+        metrics: Arc<StatsdClient>,
+        dialect: Option<Arc<dyn dialect::Dialect>>,
+    ) -> Result<Self, Error> {
+        let dialer = Arc::new(dial::Tcp);
+        Self::start_with_dialer(settings, secrets, metrics, dialect, dialer).await
+    }
+
+    /// Starts an entry that opens connections to the endpoints of the traffic plan by `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a listener cannot be opened or the HTTP client cannot be set up.
+    pub async fn start_with_dialer(
         mut settings: settings::Entry,
         secrets: Secrets,
         metrics: Arc<StatsdClient>,
         dialect: Option<Arc<dyn dialect::Dialect>>,
+        dialer: Arc<dyn dial::Dial>,
     ) -> Result<Self, Error> {
         apply_control_port(&mut settings.control);
         let fleet = Arc::new(credential::Holder::new(secrets.fleet.clone()));
@@ -119,7 +136,8 @@
         let shares = Arc::new(admission::Shares::new(clock, instance, boot));
         let exchange = listen_lending(&settings).await?;
         let lending = exchange.as_ref().map(|(_, address)| *address);
-        let core = build_core(settings, &fleet, metrics, boot, clock, &shares, lending)?;
+        let mut core = build_core(settings, &fleet, metrics, boot, clock, &shares, lending)?;
+        core.dialer = dialer;
         let core = Arc::new(core);
         let endpoints = listen_endpoints(&core, &secrets)?;
         let callers = listen_callers(&core)?;
@@ -345,6 +363,7 @@
         limiter: Arc::clone(shares) as _,
         lending_address: lending,
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
+        dialer: Arc::new(dial::Tcp),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
         retry_budget: Mutex::new(retry::Budget::new(INITIAL_RETRY_SHARE)),
--- a/crates/cranberrygap-entry/src/quarantine/evidence.rs
+++ b/crates/cranberrygap-entry/src/quarantine/evidence.rs
@@ -7,11 +7,11 @@
 
 use cranberrygap_policy::quarantine::suspects;
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::core;
+use crate::dial;
 
 use super::Place;
 
@@ -68,7 +68,7 @@
     running.insert(incarnation.clone(), result.clone());
     let (core, address) = (Arc::clone(core), place.address.0);
     tokio::spawn(async move {
-        let is_dead = refuses_connections(address).await;
+        let is_dead = refuses_connections(&*core.dialer, address).await;
         if is_dead {
             record_death(&core, &incarnation);
         }
@@ -80,9 +80,9 @@
 
 /// Whether nothing listens at an address. An endpoint with too many connections, or behind a
 /// cut link, does not refuse them.
-async fn refuses_connections(address: SocketAddr) -> bool {
+async fn refuses_connections(dialer: &dyn dial::Dial, address: SocketAddr) -> bool {
     for attempt in 1..=MAX_ATTEMPTS {
-        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        match time::timeout(CONNECT_TIMEOUT, dialer.connect(address)).await {
             Ok(Ok(_connection)) => return false,
             Ok(Err(cause)) if cause.kind() == std::io::ErrorKind::ConnectionRefused => return true,
             Ok(Err(cause)) => {
