Forward requests to another entry when this one reaches no endpoint

What callers saw: at entries that were cut from all endpoints each request got 503 after 1.2 s, while other entries served nearly all.

Cause: an entry had no way to an endpoint but its own, and each request found out for itself that endpoints cannot be reached, 400 ms a connection.

Change: two endpoints that take no connection, with none that does between them, begin a round of probes to others; if none is reached, the path counts as cut (routing::path). Requests then go to another entry, as their callers sent them, over its public address: it checks the key, charges the workspace and keeps the limits, so nothing happens twice. A mark keeps them from being forwarded again and names the plan; an entry with another plan, or without endpoints itself, refuses, and the next one is asked. A request that was not sent goes to another entry also after two failed connections, so that partial cuts are served. Probes run only while the path is cut and end it after two good rounds.

Why it works: the way by another entry is known before a request spends its time on the own one, and another entry is reached as any caller reaches it.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -18,6 +18,7 @@
 use crate::gateway;
 use crate::quarantine;
 use crate::queue;
+use crate::reach;
 use crate::refusal::Refusal;
 use crate::route;
 use crate::trace;
@@ -41,6 +42,7 @@
     pub(crate) endpoints: gateway::Endpoints,
     /// Opens connections to the endpoints of the traffic plan's services.
     pub(crate) dialer: Arc<dyn dial::Dial>,
+    pub(crate) reach: reach::Reach,
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a slot at the engines.
     pub(crate) queues: Arc<queue::Queues>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -11,10 +11,12 @@
 mod endpoint_connection;
 mod endpoints;
 mod failure;
+mod forward;
 mod gossip;
 mod in_flight;
 mod listener;
 mod log_limit;
+mod peers;
 mod pool;
 mod request;
 mod request_log;
@@ -38,6 +40,7 @@
     pub(crate) core: Arc<core::Core>,
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
+    pub(crate) peers: peers::Peers,
     pub(crate) resend_budget: Mutex<resend::Budget>,
     /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
@@ -52,6 +55,7 @@
             core,
             dialect,
             pool,
+            peers: peers::Peers::default(),
             resend_budget: Mutex::default(),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -17,6 +17,7 @@
 use crate::quarantine;
 
 use super::failure::{self, Failure};
+use super::forward;
 use super::request::{Request, Resolution};
 use super::{
     Gateway, dialect, endpoint_connection, endpoints, in_flight, request_log, response, stream,
@@ -35,6 +36,9 @@
 /// Failed connection attempts after which a request is given up.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
+/// Failed connection attempts after which another entry gets a request that was not sent yet.
+const FORWARD_CONNECT_FAILURES: u32 = 2;
+
 /// Retry delay that callers are given when no endpoint has capacity.
 const NO_CAPACITY_RETRY_AFTER: duration::Span = duration::Span::from_millis(500);
 
@@ -187,6 +191,9 @@
                 Outcome::NotRun(cause) => self.handle_not_run(&target, cause)?,
                 Outcome::Unreachable => {
                     self.connect_failures += 1;
+                    if self.should_forward() {
+                        return Err(self.forward().await);
+                    }
                     if self.connect_failures >= MAX_CONNECT_FAILURES {
                         return Err(self
                             .no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "unreachable")
@@ -203,6 +210,29 @@
         }
     }
 
+    /// Whether another entry gets the request, of which nothing was sent so far.
+    fn should_forward(&self) -> bool {
+        let is_own = self.request.forwarded_by.is_none() && !self.may_have_run;
+        let is_stuck =
+            self.connect_failures >= FORWARD_CONNECT_FAILURES || self.gateway.core.reach.is_cut();
+        is_own && self.attempts == 0 && is_stuck
+    }
+
+    /// Has another entry send the request; its workspace pays there.
+    async fn forward(&mut self) -> Completion {
+        self.permit = None;
+        let forwarding = forward::forward(
+            &self.gateway,
+            &self.request,
+            &self.resolution,
+            &mut self.log,
+        );
+        match forwarding.await {
+            Ok(response) => Completion::Responded(Box::new(response)),
+            Err(failure) => Completion::Failed(failure),
+        }
+    }
+
     /// A response whose stream can be forwarded, `None` to try again, or how the request
     /// ended.
     async fn handle_response(&mut self, reply: Reply) -> Result<Option<Reply>, Completion> {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -18,6 +18,7 @@
 use crate::framing;
 use crate::gateway::request;
 use crate::quarantine;
+use crate::reach;
 
 /// Network time of a request to an endpoint and of its response.
 const NETWORK_TIME: duration::Span = duration::Span::from_millis(6);
@@ -80,11 +81,11 @@
             .take(target.destination.address, once_only)
             .await;
         let Ok(mut connection) = opening else {
-            let core = &self.gateway.core;
-            core.endpoints
-                .record_unreachable(core.now(), &target.destination);
-            return Ok(Outcome::Unreachable);
+            return Ok(self.record_unreachable(target));
         };
+        if !connection.is_reused() {
+            self.gateway.core.reach.record_connected();
+        }
         loop {
             // Connecting may have taken long. The view and plan in force now decide
             // whether the request may still be sent.
@@ -105,7 +106,7 @@
                 Exchange::NotSent { reused: true } => {
                     match self.gateway.pool.open(target.destination.address).await {
                         Ok(fresh) => connection = fresh,
-                        Err(_refused) => return Ok(Outcome::Unreachable),
+                        Err(_refused) => return Ok(self.record_unreachable(target)),
                     }
                 }
                 Exchange::NotSent { reused: false } => return Ok(Outcome::Unreachable),
@@ -114,6 +115,14 @@
         }
     }
 
+    fn record_unreachable(&self, target: &Target) -> Outcome {
+        let core = &self.gateway.core;
+        core.endpoints
+            .record_unreachable(core.now(), &target.destination);
+        reach::record_unreachable(core, &target.destination.endpoint);
+        Outcome::Unreachable
+    }
+
     /// Registers the request at an endpoint before anything is sent.
     async fn begin_run(&self, target: &Target) -> Result<quarantine::Run, quarantine::Denial> {
         let destination = &target.destination;
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -92,6 +92,9 @@
     /// Removes the headers that the endpoint must not get and sets those of `attempt`.
     fn write_headers(&self, headers: &mut HeaderMap, attempt: &Attempt<'_>);
 
+    /// Replaces the time that a caller waits for a response by the time that is left.
+    fn write_time_left(&self, headers: &mut HeaderMap, time_left: duration::Span);
+
     /// Classifies the head of a response to the request named `id`.
     fn classify_response(
         &self,
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod notices;
 mod questions;
+mod sample;
 mod state;
 
 use std::collections::BTreeMap;
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -4,7 +4,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use smol_str::SmolStr;
 
-use super::response;
+use super::{forward, response};
 
 /// Shortest retry delay that callers are given, so that they do not all come back at once.
 const MIN_RETRY_AFTER: duration::Span = duration::Span::from_millis(200);
@@ -63,6 +63,16 @@
         /// Time after which it may run again.
         retry_after: duration::Span,
     },
+    /// Neither this entry nor another one reaches an endpoint; it did not run.
+    NoPath {
+        /// Time after which an endpoint may be reached.
+        retry_after: duration::Span,
+    },
+    /// Another entry forwarded the request by another plan; it did not run.
+    OtherPlan {
+        /// Time after which both entries may have the same plan.
+        retry_after: duration::Span,
+    },
     /// An endpoint broke off; the request may have run.
     Broken(&'static str),
     /// The deadline passed while an endpoint was at work.
@@ -95,6 +105,8 @@
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::NotRun { .. } => "not_run",
             Self::Quarantined { .. } => "quarantined",
+            Self::NoPath { .. } => "no_path",
+            Self::OtherPlan { .. } => "other_plan",
             Self::Broken(_) => "endpoint_broke",
             Self::DeadlineExceeded => "deadline_exceeded",
         }
@@ -121,7 +133,9 @@
             Self::NoView { .. }
             | Self::NoEndpoint { .. }
             | Self::NotRun { .. }
-            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined { .. }
+            | Self::NoPath { .. }
+            | Self::OtherPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
@@ -139,7 +153,9 @@
             | Self::OverRate { retry_after }
             | Self::NoEndpoint { retry_after, .. }
             | Self::NotRun { retry_after }
-            | Self::Quarantined { retry_after } => Some((*retry_after).max(MIN_RETRY_AFTER)),
+            | Self::Quarantined { retry_after }
+            | Self::NoPath { retry_after }
+            | Self::OtherPlan { retry_after } => Some((*retry_after).max(MIN_RETRY_AFTER)),
             _ => None,
         }
     }
@@ -168,6 +184,9 @@
                 headers.insert(header::RETRY_AFTER, value);
             }
         }
+        if matches!(self, Self::NoPath { .. } | Self::OtherPlan { .. }) {
+            forward::mark_refusal(headers, self.code());
+        }
         response
     }
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -0,0 +1,308 @@
+//! Requests that another entry sends to an endpoint, since this one reaches none.
+//!
+//! The other entry gets the request as its caller sent it, over its public address: it checks
+//! the key, charges the workspace, chooses the endpoint and keeps the limits. Nothing of this has
+//! happened here, so nothing happens twice. The header that marks such a request only keeps it
+//! from being forwarded once more, so a caller that sets it gains nothing.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cranberrygap_model::{address, duration};
+use cranberrygap_wire::traffic;
+use futures_util::stream;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
+use http_body_util::{BodyExt as _, Full, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use rand::seq::SliceRandom as _;
+
+use crate::framing;
+use crate::metric;
+use crate::view;
+
+use super::delivery::DEADLINE_GRACE;
+use super::failure::{self, Failure};
+use super::{Gateway, endpoint_connection, peers, request, request_log, response};
+
+/// Marks a request that another entry forwarded; holds the version of that entry's plan.
+const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
+
+/// Names why an entry cannot take a forwarded request.
+const REFUSAL: HeaderName = HeaderName::from_static("cranberrygap-refusal");
+
+/// Entries that a request is offered to.
+const MAX_PEERS: usize = 3;
+
+/// Entries that the own failure domain needs for requests to stay in it. A single one would get
+/// the requests of all others.
+const MIN_DOMAIN_PEERS: usize = 2;
+
+/// Entries of which the one with the fewest requests of this entry is taken.
+const DRAWN_PEERS: usize = 2;
+
+/// Time until an entry with another plan is expected to have the same one.
+const PLAN_WAIT: duration::Span = duration::Span::from_millis(60);
+
+/// Retry delay that callers are given when no entry reaches an endpoint.
+const NO_PATH_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
+
+/// Least time that must be left to offer a request to another entry.
+const MIN_TIME_LEFT: duration::Span = duration::Span::from_millis(40);
+
+/// Why another entry did not take a request.
+enum Rejection {
+    /// It could not be asked, or reaches no endpoint either.
+    Unusable,
+    /// It has another plan.
+    OtherPlan,
+    /// The request was sent there and may have run.
+    MayHaveRun,
+}
+
+/// The version of the plan by which another entry forwarded a request. The header is removed.
+pub(super) fn take_mark(headers: &mut HeaderMap) -> Option<u64> {
+    let value = headers.remove(FORWARDED)?;
+    let version = value.to_str().ok().and_then(|text| text.parse().ok());
+    // A mark that cannot be read is one of no plan.
+    Some(version.unwrap_or(u64::MAX))
+}
+
+/// Refuses a forwarded request that this entry cannot take as the other one would.
+pub(super) fn check(gateway: &Gateway, mark: u64, plan_version: u64) -> Result<(), Failure> {
+    if gateway.core.reach.is_cut() {
+        return Err(no_path());
+    }
+    if mark != plan_version {
+        let retry_after = failure::add_jitter(PLAN_WAIT);
+        return Err(Failure::OtherPlan { retry_after });
+    }
+    Ok(())
+}
+
+/// Tells a forwarding entry why its request is not taken.
+pub(super) fn mark_refusal(headers: &mut HeaderMap, code: &'static str) {
+    headers.insert(REFUSAL, HeaderValue::from_static(code));
+}
+
+/// The failure of a request for which no entry reaches an endpoint.
+pub(super) fn no_path() -> Failure {
+    let retry_after = failure::add_jitter(NO_PATH_RETRY_AFTER);
+    Failure::NoPath { retry_after }
+}
+
+/// Sends a request, of which nothing has been sent yet, to another entry.
+///
+/// # Errors
+///
+/// When no other entry can take it, or the one that took it broke off.
+pub(super) async fn forward(
+    gateway: &Arc<Gateway>,
+    request: &request::Request,
+    resolution: &request::Resolution,
+    log: &mut request_log::Log,
+) -> Result<Response<response::Body>, Failure> {
+    let deadline = request.deadline(&resolution.route);
+    let mut may_have_run = false;
+    for _offer in 0..MAX_PEERS {
+        let now = gateway.core.now();
+        if deadline.since(now) <= MIN_TIME_LEFT {
+            break;
+        }
+        let view = request::serving_view(gateway)?;
+        let Some(peer) = choose_peer(gateway, &view, now) else {
+            break;
+        };
+        drop(view);
+        let offered = offer(gateway, peer, request, resolution.plan_version, deadline).await;
+        let now = gateway.core.now();
+        let rejection = match offered {
+            Ok(response) => {
+                let status = response.status().as_u16();
+                log.add_step(
+                    now,
+                    format_args!("the entry at {peer} responded with {status}"),
+                );
+                gateway.core.count(metric::GATEWAY_SENDS, "forwarded");
+                return Ok(response);
+            }
+            Err(rejection) => rejection,
+        };
+        match rejection {
+            Rejection::Unusable => {
+                gateway.core.reach.record_peer_failure(now, peer);
+                log.add_step(now, format_args!("the entry at {peer} cannot send it"));
+            }
+            Rejection::OtherPlan => {
+                log.add_step(now, format_args!("the entry at {peer} has another plan"));
+                tokio::time::sleep(PLAN_WAIT.to_std()).await;
+            }
+            Rejection::MayHaveRun => {
+                gateway.core.reach.record_peer_failure(now, peer);
+                if now >= deadline {
+                    return Err(Failure::DeadlineExceeded);
+                }
+                if !may_repeat(gateway, resolution) {
+                    return Err(Failure::Broken("the other entry broke off"));
+                }
+                may_have_run = true;
+                log.add_step(now, format_args!("the entry at {peer} broke off"));
+            }
+        }
+    }
+    if may_have_run {
+        return Err(Failure::Broken("the other entries broke off"));
+    }
+    Err(no_path())
+}
+
+/// Whether a request that may have run can be sent once more.
+fn may_repeat(gateway: &Gateway, resolution: &request::Resolution) -> bool {
+    let kind = resolution.route.kind;
+    let is_repeatable = matches!(kind, traffic::Kind::Idempotent | traffic::Kind::Resumable);
+    is_repeatable && gateway.resend_budget.lock().spend(&resolution.service)
+}
+
+/// One of the entries that take requests as far as known, at first in the own failure domain.
+fn choose_peer(
+    gateway: &Gateway,
+    view: &view::Snapshot,
+    now: duration::Instant,
+) -> Option<address::Socket> {
+    let core = &gateway.core;
+    let own = core.settings.entry.domain.clone();
+    let others = view
+        .active_entries()
+        .filter(|member| member.instance != *core.instance())
+        .filter(|member| core.reach.is_peer_usable(now, member.address));
+    let mut others: Vec<_> = others.collect();
+    others.shuffle(&mut rand::rng());
+    others.sort_by_key(|member| member.domain != own);
+    let near = others.iter().take_while(|member| member.domain == own);
+    let near = near.count();
+    if near < MIN_DOMAIN_PEERS {
+        others.shuffle(&mut rand::rng());
+    }
+    let drawn = others.iter().take(DRAWN_PEERS);
+    let least = drawn.min_by_key(|member| gateway.peers.in_use(member.address));
+    least.map(|member| member.address)
+}
+
+async fn offer(
+    gateway: &Arc<Gateway>,
+    peer: address::Socket,
+    request: &request::Request,
+    plan_version: u64,
+    deadline: duration::Instant,
+) -> Result<Response<response::Body>, Rejection> {
+    let usage = gateway.peers.begin(peer);
+    let opened = gateway.peers.pool.take(peer, true).await;
+    let mut connection = opened.map_err(|_refused| Rejection::Unusable)?;
+    let time_left = deadline.since(gateway.core.now());
+    let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
+    let response = loop {
+        let outgoing = build(gateway, request, plan_version, time_left);
+        let outgoing = outgoing.ok_or(Rejection::Unusable)?;
+        let sent = tokio::time::timeout(timeout, connection.send(outgoing)).await;
+        match sent {
+            Ok(Ok(response)) => break response,
+            Ok(Err(endpoint_connection::Error::NotSent)) if connection.is_reused() => {
+                let opened = gateway.peers.pool.open(peer).await;
+                connection = opened.map_err(|_refused| Rejection::Unusable)?;
+            }
+            Ok(Err(endpoint_connection::Error::NotSent)) => return Err(Rejection::Unusable),
+            Ok(Err(endpoint_connection::Error::Unknown)) | Err(_) => {
+                return Err(Rejection::MayHaveRun);
+            }
+        }
+    };
+    match response.headers().get(REFUSAL).map(HeaderValue::as_bytes) {
+        Some(b"no_path") => return Err(Rejection::Unusable),
+        Some(b"other_plan") => return Err(Rejection::OtherPlan),
+        _ => {}
+    }
+    connection.read_idle_timeout(response.headers());
+    let length = response.body().size_hint().exact();
+    let framing = framing::Framing::new(response.headers(), length);
+    let (head, body) = response.into_parts();
+    let relay = Relay {
+        gateway: Arc::clone(gateway),
+        body,
+        connection: Some(connection),
+        framing,
+        deadline: deadline.after(DEADLINE_GRACE),
+        _usage: usage,
+    };
+    let mut response = relay.into_response();
+    *response.status_mut() = head.status;
+    *response.headers_mut() = response::forwarded_headers(head.headers);
+    Ok(response)
+}
+
+fn build(
+    gateway: &Gateway,
+    request: &request::Request,
+    plan_version: u64,
+    time_left: duration::Span,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = request.headers.clone();
+    gateway.dialect.write_time_left(&mut headers, time_left);
+    headers.insert(FORWARDED, HeaderValue::from(plan_version));
+    let mut outgoing = Request::new(Full::new(Bytes::clone(&request.body)));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = Uri::try_from(request.target.as_str()).ok()?;
+    *outgoing.headers_mut() = headers;
+    Some(outgoing)
+}
+
+/// A response on its way from another entry. Dropping it, as when the caller leaves, closes the
+/// connection to that entry, which then stops the endpoint.
+struct Relay {
+    gateway: Arc<Gateway>,
+    body: Incoming,
+    connection: Option<endpoint_connection::Connection>,
+    framing: framing::Framing,
+    deadline: duration::Instant,
+    _usage: peers::Usage,
+}
+
+impl Relay {
+    fn into_response(self) -> Response<response::Body> {
+        let frames = stream::unfold(self, |mut relay| async move {
+            let next = relay.next_bytes().await?;
+            if next.is_err() {
+                // The HTTP library writes what has arrived while the body is pending.
+                tokio::task::yield_now().await;
+            }
+            Some((next.map(Frame::data), relay))
+        });
+        Response::new(StreamBody::new(frames).boxed_unsync())
+    }
+
+    async fn next_bytes(&mut self) -> Option<Result<Bytes, response::Error>> {
+        self.connection.as_ref()?;
+        loop {
+            let time_left = self.deadline.since(self.gateway.core.now());
+            let frame = tokio::time::timeout(time_left.to_std(), self.body.frame()).await;
+            let cause = match frame {
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => return Some(Ok(data)),
+                    Err(_trailers) => continue,
+                },
+                Ok(None) => {
+                    let connection = self.connection.take();
+                    if self.framing.keeps_connection() {
+                        self.gateway.peers.pool.put(connection?);
+                    }
+                    return None;
+                }
+                Ok(Some(Err(_broken))) => "the other entry broke off",
+                Err(_elapsed) => "the deadline passed",
+            };
+            self.connection = None;
+            self.gateway
+                .core
+                .count(metric::GATEWAY_FAILURES, "stream_cut");
+            return Some(Err(response::Error::other(cause)));
+        }
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/listener.rs
+++ b/crates/cranberrygap-entry/src/gateway/listener.rs
@@ -113,6 +113,7 @@
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         gateway.pool.close_expired();
+        gateway.peers.pool.close_expired();
     }
 }
 
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -24,6 +24,7 @@
 use super::delivery;
 use super::dialect;
 use super::failure::{self, Failure};
+use super::forward;
 use super::response;
 use super::{Gateway, request_log};
 
@@ -70,6 +71,8 @@
     pub metadata: dialect::Metadata,
     pub chain: prefix_cache::Chain,
     pub arrived_at: duration::Instant,
+    /// Version of the plan by which another entry forwarded the request.
+    pub forwarded_by: Option<u64>,
     /// Random number that selects a split of the route, the same for all attempts.
     pub split_draw: f64,
 }
@@ -267,6 +270,15 @@
     }
     let entries = view.active_entries().count();
     drop(view);
+    match received.forwarded_by {
+        Some(mark) => forward::check(gateway, mark, resolution.plan_version)?,
+        None if gateway.core.reach.is_cut() => {
+            let response = forward::forward(gateway, &received, &resolution, log).await?;
+            log.log_success(&gateway.log_limiter, gateway.core.now(), None);
+            return Ok(response);
+        }
+        None => {}
+    }
     let permit = reserve_tokens(gateway, &received, &resolution).await?;
     log_token_wait(gateway, &received, log);
     gateway
@@ -338,6 +350,7 @@
     response::strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    let forwarded_by = forward::take_mark(&mut headers);
     Ok(Request {
         method: head.method,
         target,
@@ -347,6 +360,7 @@
         metadata,
         chain,
         arrived_at,
+        forwarded_by,
         split_draw: rand::random(),
     })
 }
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod engine;
 mod load;
 mod quarantine;
+mod reach;
 mod relay;
 mod route;
 mod server;
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -47,7 +47,7 @@
         name: GATEWAY_SENDS,
         kind: "c",
         unit: "sends",
-        meaning: "sends to endpoints, tagged answered, not_run, unreachable or unknown",
+        meaning: "sends to endpoints, tagged answered, not_run, unreachable or unknown; and to other entries, tagged forwarded",
     },
     Metric {
         name: GATEWAY_FIRST_EVENT,
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -26,6 +26,7 @@
 use crate::load;
 use crate::quarantine;
 use crate::queue;
+use crate::reach;
 use crate::route;
 use crate::server;
 use crate::trace;
@@ -364,6 +365,7 @@
         lending_address: lending,
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
         dialer: Arc::new(dial::Tcp),
+        reach: reach::Reach::default(),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
         retry_budget: Mutex::new(retry::Budget::new(INITIAL_RETRY_SHARE)),
@@ -446,5 +448,6 @@
         "queues": core.queues.dump(),
         "endpoints": core.endpoints.dump(),
         "quarantine": core.quarantine.dump(),
+        "reach": core.reach.dump(),
     })
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/reach.rs
@@ -0,0 +1,120 @@
+//! Whether this entry, and the others, reach endpoints.
+//!
+//! An entry can lose its path to all endpoints while callers, other entries and the control
+//! processes still reach it. Its requests then go to another entry.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberrygap_model::{address, duration, id};
+use cranberrygap_routing::path;
+use futures_util::future;
+use parking_lot::Mutex;
+use tokio::time;
+
+use crate::core;
+
+/// Endpoints in one round of probes.
+const PROBES: usize = 4;
+
+/// Longest wait for the connection of a probe. Endpoints are some milliseconds away.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time between two rounds of probes while no endpoint can be reached.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time for which another entry that could not take a request gets no more.
+const PEER_BACKOFF: duration::Span = duration::Span::from_secs(1);
+
+/// What this entry knows of its own path and of other entries.
+#[derive(Debug, Default)]
+pub(crate) struct Reach {
+    path: Mutex<path::Path>,
+    /// Entries that could not take a request, and when.
+    failed_peers: Mutex<BTreeMap<address::Socket, duration::Instant>>,
+}
+
+impl Reach {
+    /// Whether this entry reaches no endpoint.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.path.lock().is_cut()
+    }
+
+    /// Records that an endpoint took a connection.
+    pub(crate) fn record_connected(&self) {
+        self.path.lock().record_success();
+    }
+
+    /// Records that another entry could not take a request.
+    pub(crate) fn record_peer_failure(&self, now: duration::Instant, peer: address::Socket) {
+        let mut failed = self.failed_peers.lock();
+        failed.retain(|_, at| now.since(*at) < PEER_BACKOFF);
+        failed.insert(peer, now);
+    }
+
+    /// Whether another entry took requests as far as known.
+    pub(crate) fn is_peer_usable(&self, now: duration::Instant, peer: address::Socket) -> bool {
+        let failed = self.failed_peers.lock();
+        failed
+            .get(&peer)
+            .is_none_or(|at| now.since(*at) >= PEER_BACKOFF)
+    }
+
+    /// The state for a dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let path = self.path.lock();
+        serde_json::json!({
+            "endpoints_cut": path.is_cut(),
+            "failed_endpoints": path.failed(),
+            "failed_entries": self.failed_peers.lock().len(),
+        })
+    }
+}
+
+/// Records that an endpoint took no connection, and begins to probe others once several did not.
+pub(crate) fn record_unreachable(core: &Arc<core::Core>, endpoint: &id::Endpoint) {
+    if core.reach.path.lock().record_failure(endpoint) {
+        tokio::spawn(probe(Arc::clone(core)));
+    }
+}
+
+/// Sends rounds of probes until endpoints can be reached.
+async fn probe(core: Arc<core::Core>) {
+    let mut was_cut = false;
+    loop {
+        let failed = if was_cut {
+            Vec::new()
+        } else {
+            core.reach.path.lock().failed().to_vec()
+        };
+        let (probed, reached) = probe_round(&core, &failed).await;
+        let is_cut = core.reach.path.lock().record_round(probed, reached);
+        if is_cut && !was_cut {
+            spdlog::warn!(
+                "reach: no endpoint can be reached ({probed} more probed), requests go to other entries"
+            );
+        }
+        if !is_cut {
+            if was_cut {
+                spdlog::info!("reach: endpoints can be reached again");
+            }
+            return;
+        }
+        was_cut = true;
+        time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Opens connections to a few endpoints, at first to others than `known`; returns how many were
+/// tried and how many were opened.
+async fn probe_round(core: &core::Core, known: &[id::Endpoint]) -> (usize, usize) {
+    let addresses = core.endpoints.sample(PROBES, known);
+    let probes = addresses.iter().map(|address| async {
+        let connecting = core.dialer.connect(address.0);
+        matches!(time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)))
+    });
+    let results = future::join_all(probes).await;
+    let reached = results.iter().filter(|reached| **reached).count();
+    (results.len(), reached)
+}
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -6,7 +6,8 @@
 //! wait in [`pending`], at the entry rather than the engine, where they can still be
 //! reordered or sent elsewhere.
 //!
-//! [`limit`] keeps the limits that endpoints in need name.
+//! [`limit`] keeps the limits that endpoints in need name, and [`path`] tells whether an entry
+//! reaches the endpoints at all.
 //!
 //! [`prompt`] chooses among the engines of a service by the predicted time to the first
 //! event.
@@ -14,6 +15,7 @@
 pub mod batch;
 pub mod limit;
 pub mod load;
+pub mod path;
 pub mod pending;
 pub mod prefix;
 pub mod prompt;
