Do not take endpoints for dead while the entry reaches none

What callers saw: an entry whose connections were reset and refused by a break of its own path reported the endpoints as dead, with all requests that ran there. Two such endpoints put innocent requests on probation at every entry, and the entry sent nothing to those endpoints after its path was back.

Cause: a refused connection was taken for the death of its endpoint, whatever the entry reached beside it.

Evidence: entry_that_loses_its_way_takes_no_endpoint_for_dead failed before (one suspect, where there must be none).

Change: a refusal counts only if the entry can open a connection to another endpoint, of as many services as possible. Endpoints for probes are drawn from the view, so that this holds for the product's own API too. Without any other endpoint a refusal counts as before.

Why it works: a path that is gone refuses all of them; a new boot still tells of each death.

--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -4,7 +4,6 @@
 mod limits;
 mod notices;
 mod questions;
-mod sample;
 mod state;
 
 use std::collections::BTreeMap;
--- a/crates/cranberrygap-entry/src/quarantine/evidence.rs
+++ b/crates/cranberrygap-entry/src/quarantine/evidence.rs
@@ -12,6 +12,7 @@
 
 use crate::core;
 use crate::dial;
+use crate::reach;
 
 use super::Place;
 
@@ -68,7 +69,9 @@
     running.insert(incarnation.clone(), result.clone());
     let (core, address) = (Arc::clone(core), place.address.0);
     tokio::spawn(async move {
-        let is_dead = refuses_connections(&*core.dialer, address).await;
+        // A refusal proves nothing while this entry reaches no endpoint at all.
+        let is_dead = refuses_connections(&*core.dialer, address).await
+            && reach::reaches_others(&core, &incarnation.endpoint).await;
         if is_dead {
             record_death(&core, &incarnation);
         }
--- a/crates/cranberrygap-entry/src/reach.rs
+++ b/crates/cranberrygap-entry/src/reach.rs
@@ -9,8 +9,11 @@
 
 use cranberrygap_model::{address, duration, id};
 use cranberrygap_routing::path;
+use cranberrygap_wire::view as wire_view;
 use futures_util::future;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use parking_lot::Mutex;
+use rand::seq::SliceRandom as _;
 use tokio::time;
 
 use crate::core;
@@ -79,20 +82,35 @@
     }
 }
 
+/// Whether this entry reaches an endpoint beside `endpoint`; true if there is none to try.
+pub(crate) async fn reaches_others(core: &core::Core, endpoint: &id::Endpoint) -> bool {
+    let addresses = sample(core, std::slice::from_ref(endpoint));
+    let mut probes: FuturesUnordered<_> = probes(core, &addresses).collect();
+    while let Some(reached) = probes.next().await {
+        if reached {
+            return true;
+        }
+    }
+    addresses.is_empty()
+}
+
 /// Sends rounds of probes until endpoints can be reached.
 async fn probe(core: Arc<core::Core>) {
+    let failed = core.reach.path.lock().failed().to_vec();
+    let mut addresses = sample(&core, &failed);
     let mut was_cut = false;
     loop {
-        let failed = if was_cut {
-            Vec::new()
-        } else {
-            core.reach.path.lock().failed().to_vec()
-        };
-        let (probed, reached) = probe_round(&core, &failed).await;
-        let is_cut = core.reach.path.lock().record_round(probed, reached);
+        if addresses.is_empty() {
+            addresses = sample(&core, &[]);
+        }
+        let results = future::join_all(probes(&core, &addresses)).await;
+        let reached = results.iter().filter(|reached| **reached).count();
+        let is_cut = core.reach.path.lock().record_round(results.len(), reached);
         if is_cut && !was_cut {
             spdlog::warn!(
-                "reach: no endpoint can be reached ({probed} more probed), requests go to other entries"
+                "reach: {} endpoints took no connection, nor did {} others: requests go to other entries",
+                failed.len(),
+                results.len()
             );
         }
         if !is_cut {
@@ -103,18 +121,43 @@
         }
         was_cut = true;
         time::sleep(PROBE_INTERVAL).await;
+        addresses = sample(&core, &[]);
     }
 }
 
-/// Opens connections to a few endpoints, at first to others than `known`; returns how many were
-/// tried and how many were opened.
-async fn probe_round(core: &core::Core, known: &[id::Endpoint]) -> (usize, usize) {
-    let addresses = core.endpoints.sample(PROBES, known);
-    let probes = addresses.iter().map(|address| async {
+/// Opens a connection to each address; whether it was opened.
+fn probes<'core>(
+    core: &'core core::Core,
+    addresses: &[address::Socket],
+) -> impl Iterator<Item = impl Future<Output = bool> + use<'core>> {
+    let addresses = addresses.to_vec();
+    addresses.into_iter().map(move |address| async move {
         let connecting = core.dialer.connect(address.0);
         matches!(time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)))
+    })
+}
+
+/// Addresses of a few ready endpoints beside those of `known`, of as many services as possible.
+fn sample(core: &core::Core, known: &[id::Endpoint]) -> Vec<address::Socket> {
+    let Some(view) = core.view.latest() else {
+        return Vec::new();
+    };
+    let endpoints = view.endpoints().values();
+    let mut ready: Vec<_> = endpoints
+        .filter(|endpoint| endpoint.health == wire_view::Health::Ready)
+        .map(|endpoint| &endpoint.announcement)
+        .filter(|announcement| !known.contains(&announcement.endpoint))
+        .collect();
+    ready.shuffle(&mut rand::rng());
+    let mut counts: BTreeMap<Option<&id::Service>, usize> = BTreeMap::new();
+    ready.sort_by_cached_key(|announcement| {
+        let count = counts.entry(announcement.service.as_ref()).or_default();
+        *count += 1;
+        *count
     });
-    let results = future::join_all(probes).await;
-    let reached = results.iter().filter(|reached| **reached).count();
-    (results.len(), reached)
+    ready.truncate(PROBES);
+    ready
+        .iter()
+        .map(|announcement| announcement.address)
+        .collect()
 }
