Say that the user timeout decides over keep-alive probes

With TCP_USER_TIMEOUT set, Linux gives up probes by that time whatever their count, so the numbers of retries had no effect. They go; nothing else changes.

--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -18,13 +18,12 @@
 /// accept by then is cut off or has too many callers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time without acknowledgement after which the kernel closes a connection. No error
-/// arrives when the network is cut.
+/// Time without acknowledgement, of data or of keep-alive probes, after which the kernel closes a
+/// connection. No error arrives when the network is cut. With it, a number of probes has no effect.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time without traffic after which the kernel probes the other end.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
 
 /// An open connection. Dropping it closes it at once, so that the endpoint stops work for
 /// a caller that has left.
@@ -142,8 +141,7 @@
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -10,14 +10,13 @@
 /// connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time without acknowledgement of sent data after which the kernel closes a connection.
+/// Time without acknowledgement, of data or of keepalive probes, after which the kernel closes a
+/// connection. With it, a number of probes has no effect.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time without traffic after which the kernel sends a keepalive probe, and the time between
 /// two probes. The probes detect a dead connection while nothing is sent.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Probes without an answer after which the kernel closes a connection.
-const KEEPALIVE_RETRIES: u32 = 3;
 
 /// HTTP clients of one entry.
 #[derive(Debug, Clone)]
@@ -58,6 +57,5 @@
         .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
         .tcp_keepalive(KEEPALIVE_INTERVAL)
         .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
-        .tcp_keepalive_retries(KEEPALIVE_RETRIES)
         .http1_only()
 }
