Keep the room at endpoints in a module of its own, and name forwarded requests

The table of endpoints grew beyond one subject; nothing is decided differently. The trail of a request says that another entry forwarded it, so that a failure is followed from one entry's lines to the other's by the request's id.

--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -4,12 +4,13 @@
 mod limits;
 mod notices;
 mod questions;
+mod room;
 mod state;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cranberrygap_model::{address, duration, id, number, rate};
+use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_routing::limit;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
@@ -262,32 +263,6 @@
         best.map(|(_, state)| state.destination())
     }
 
-    /// Records what a response says of the rejections that its endpoint bears, and whether it
-    /// turned the request away for want of room; returns whether what it says is new.
-    pub(crate) fn record_room(
-        &self,
-        now: duration::Instant,
-        destination: &Destination,
-        bears: Option<rate::Rejections>,
-        was_rejected: bool,
-    ) -> bool {
-        let mut inner = self.inner.lock();
-        let state = inner.states.get(&destination.endpoint);
-        let Some(state) = state.filter(|state| state.boot == destination.boot) else {
-            return false;
-        };
-        let running = inner.running(now, state);
-        let mut is_new = false;
-        if let Some(state) = inner.states.get_mut(&destination.endpoint) {
-            is_new = state.room.bears() != bears;
-            state.room.record_response(bears);
-            if was_rejected {
-                state.room.record_rejection(now, running);
-            }
-        }
-        is_new
-    }
-
     /// Whether any endpoint of a service can get requests.
     pub(crate) fn has_usable_endpoint(&self, service: &id::Service) -> bool {
         self.has_untried_endpoint(service, &Tried::new())
@@ -529,18 +504,6 @@
         costs.collect()
     }
 
-    /// Requests that all entries have at an endpoint, as far as known.
-    fn running(&self, now: duration::Instant, state: &State) -> u32 {
-        state.own_backlog.running + self.load_of_others(now, state).backlog.running
-    }
-
-    /// Whether an endpoint may get another request without a risk that it falls over.
-    fn has_room(&self, now: duration::Instant, state: &State) -> bool {
-        state
-            .room
-            .has_room(now, self.running(now, state), state.slots)
-    }
-
     /// Load of an endpoint that other entries cause, as its home knows it.
     fn load_of_others(&self, now: duration::Instant, state: &State) -> home::Load {
         if self.homes.is_own(state.name_hash) {
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -271,7 +271,13 @@
     let entries = view.active_entries().count();
     drop(view);
     match received.forwarded_by {
-        Some(mark) => forward::check(gateway, mark, resolution.plan_version)?,
+        Some(mark) => {
+            log.add_step(
+                gateway.core.now(),
+                format_args!("another entry forwarded it"),
+            );
+            forward::check(gateway, mark, resolution.plan_version)?;
+        }
         None if gateway.core.reach.is_cut() => {
             let response = forward::forward(gateway, &received, &resolution, log).await?;
             log.log_success(&gateway.log_limiter, gateway.core.now(), None);
