Log forwarded responses that are cut

A forwarded response that broke off, or did not end in time, was counted and left no line at the entry that forwarded it. The line names the request, so that it is found in the lines of both entries.

--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use rand::seq::SliceRandom as _;
+use smol_str::SmolStr;
 
 use crate::framing;
 use crate::metric;
@@ -169,17 +170,16 @@
     now: duration::Instant,
 ) -> Option<address::Socket> {
     let core = &gateway.core;
-    let own = core.settings.entry.domain.clone();
+    let own = &core.settings.entry.domain;
     let others = view
         .active_entries()
         .filter(|member| member.instance != *core.instance())
         .filter(|member| core.reach.is_peer_usable(now, member.address));
     let mut others: Vec<_> = others.collect();
     others.shuffle(&mut rand::rng());
-    others.sort_by_key(|member| member.domain != own);
-    let near = others.iter().take_while(|member| member.domain == own);
-    let near = near.count();
-    if near < MIN_DOMAIN_PEERS {
+    others.sort_by_key(|member| member.domain != *own);
+    let near = others.iter().take_while(|member| member.domain == *own);
+    if near.count() < MIN_DOMAIN_PEERS {
         others.shuffle(&mut rand::rng());
     }
     let drawn = others.iter().take(DRAWN_PEERS);
@@ -230,6 +230,7 @@
         connection: Some(connection),
         framing,
         deadline: deadline.after(DEADLINE_GRACE),
+        id: request.metadata.id.clone(),
         _usage: usage,
     };
     let mut response = relay.into_response();
@@ -262,6 +263,8 @@
     connection: Option<endpoint_connection::Connection>,
     framing: framing::Framing,
     deadline: duration::Instant,
+    /// Id of the request, for the log.
+    id: Option<SmolStr>,
     _usage: peers::Usage,
 }
 
@@ -298,11 +301,22 @@
                 Ok(Some(Err(_broken))) => "the other entry broke off",
                 Err(_elapsed) => "the deadline passed",
             };
-            self.connection = None;
-            self.gateway
-                .core
-                .count(metric::GATEWAY_FAILURES, "stream_cut");
-            return Some(Err(response::Error::other(cause)));
+            return Some(Err(self.interrupt(cause)));
         }
     }
+
+    /// Ends the response so that the caller sees that it is incomplete.
+    fn interrupt(&mut self, cause: &'static str) -> response::Error {
+        self.connection = None;
+        let core = &self.gateway.core;
+        core.count(metric::GATEWAY_FAILURES, "stream_cut");
+        if let Some(dropped_lines) = self.gateway.log_limiter.take_line(core.now()) {
+            spdlog::info!("gateway: a forwarded request was cut", kv: {
+                request = self.id.as_deref().unwrap_or("-"),
+                cause,
+                lines_dropped = dropped_lines,
+            });
+        }
+        response::Error::other(cause)
+    }
 }
