Check what arrived at endpoints against what callers sent

It holds a record of attempts and arrivals against four promises: the budget of second arrivals in any window, the endpoints of one attempt, the time handed on, and requests that end endpoints.

--- /dev/null
+++ b/crates/cranberrygap-arrivals/src/disturbance.rs
@@ -0,0 +1,13 @@
+//! Disturbances of entries.
+
+use cranberrygap_model::duration;
+use smol_str::SmolStr;
+
+/// A moment at which an entry was killed, started, stopped, frozen or thawed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Disturbance {
+    /// Name of the entry.
+    pub entry: SmolStr,
+    /// When it happened.
+    pub at: duration::Instant,
+}
--- /dev/null
+++ b/crates/cranberrygap-arrivals/src/lib.rs
@@ -0,0 +1,12 @@
+//! Checks what arrived at endpoints against what callers sent.
+//!
+//! A run fills a [`record::Record`]; [`check::findings`] tells which promises about second
+//! attempts it breaks.
+
+pub mod arrival;
+pub mod attempt;
+pub mod check;
+pub mod disturbance;
+pub mod finding;
+pub mod record;
+pub mod rules;
--- /dev/null
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -0,0 +1,47 @@
+//! What a run has seen.
+
+use std::collections::BTreeMap;
+
+use cranberrygap_model::duration;
+use smol_str::SmolStr;
+
+use crate::arrival;
+use crate::attempt;
+use crate::disturbance;
+
+/// Everything that callers sent and endpoints received, in any order.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    /// What callers sent.
+    pub attempts: Vec<attempt::Attempt>,
+    /// What endpoints received.
+    pub arrivals: Vec<arrival::Arrival>,
+    /// When entries were disturbed.
+    pub disturbances: Vec<disturbance::Disturbance>,
+}
+
+impl Record {
+    /// Returns the attempts by their ids.
+    #[must_use]
+    pub fn attempts_by_id(&self) -> BTreeMap<&SmolStr, &attempt::Attempt> {
+        let attempts = self.attempts.iter();
+        attempts.map(|attempt| (&attempt.id, attempt)).collect()
+    }
+
+    /// Returns the arrivals in the order of their times.
+    #[must_use]
+    pub fn ordered_arrivals(&self) -> Vec<&arrival::Arrival> {
+        let mut arrivals: Vec<_> = self.arrivals.iter().collect();
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+
+    /// Returns whether an entry was left alone for `span` before `at`.
+    #[must_use]
+    pub fn is_undisturbed(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
+        let mut disturbances = self.disturbances.iter();
+        !disturbances.any(|disturbance| {
+            disturbance.entry == entry && disturbance.at <= at && at.since(disturbance.at) < span
+        })
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -0,0 +1,189 @@
+//! Each check finds the fault that it is for, and nothing where there is none.
+
+use cranberrygap_arrivals::{arrival, attempt, check, disturbance, finding, record, rules};
+use cranberrygap_model::duration;
+
+const SECOND: u64 = 1_000_000;
+
+fn rules() -> rules::Rules {
+    rules::Rules::builder()
+        .share(0.2)
+        .fixed(5.0)
+        .window(duration::Span::from_secs(10))
+        .tolerance(duration::Span::from_millis(500))
+        .settling(duration::Span::from_secs(3))
+        .max_crashes(3)
+        .max_late_arrivals(3)
+        .build()
+}
+
+fn at(seconds: f64) -> duration::Instant {
+    duration::Instant::default().after(duration::Span(SECOND).scaled(seconds))
+}
+
+fn attempt(number: usize, seconds: f64) -> attempt::Attempt {
+    attempt::Attempt {
+        id: format!("a-{number}").into(),
+        service: "app".parse().unwrap(),
+        entry: "entry-1".into(),
+        sent_at: at(seconds),
+        timeout: duration::Span::from_secs(3),
+        max_endpoints: 2,
+    }
+}
+
+fn arrival(number: usize, endpoint: &str, seconds: f64) -> arrival::Arrival {
+    arrival::Arrival {
+        attempt: format!("a-{number}").into(),
+        content: format!("c-{number}").into(),
+        service: "app".parse().unwrap(),
+        endpoint: endpoint.into(),
+        at: at(seconds),
+        time_left: Some(duration::Span::from_millis(2_400)),
+        end: arrival::End::Ran,
+    }
+}
+
+/// Number of the first attempt that arrives twice.
+const REPEATED: usize = 60;
+
+/// Two hundred attempts in twenty seconds, so many of which arrive twice.
+fn repeated(repeats: usize) -> record::Record {
+    let mut record = record::Record::default();
+    for number in 0..200 {
+        let seconds = number as f64 / 10.0;
+        record.attempts.push(attempt(number, seconds));
+        record.arrivals.push(arrival(number, "i-1", seconds));
+    }
+    for number in REPEATED..REPEATED + repeats {
+        let seconds = number as f64 / 10.0 + 0.2;
+        record.arrivals.push(arrival(number, "i-2", seconds));
+    }
+    record
+}
+
+fn names(findings: &[finding::Finding]) -> Vec<&'static str> {
+    findings.iter().map(|finding| finding.check).collect()
+}
+
+#[test]
+fn repeats_within_share_and_fixed_number_are_allowed() {
+    let findings = check::findings(&repeated(25), &rules());
+
+    assert_eq!(findings, []);
+}
+
+#[test]
+fn repeat_beyond_share_and_fixed_number_is_found() {
+    let findings = check::findings(&repeated(26), &rules());
+
+    assert_eq!(names(&findings), ["budget"]);
+    assert_eq!((findings[0].seen, findings[0].allowed), (26.0, 25.0));
+}
+
+// A repeat is paid for where it arrives: one service's requests allow none at another.
+#[test]
+fn repeats_count_at_the_service_where_they_arrive() {
+    let mut record = repeated(6);
+    let moved = record.arrivals.iter_mut();
+    for arrival in moved.filter(|arrival| arrival.endpoint == "i-2") {
+        arrival.service = "other".parse().unwrap();
+    }
+
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["budget"]);
+    assert_eq!(findings[0].subject, "other");
+}
+
+#[test]
+fn rejected_arrivals_count_as_repeats() {
+    let mut record = repeated(26);
+    for arrival in &mut record.arrivals {
+        arrival.end = arrival::End::Rejected;
+    }
+
+    assert_eq!(names(&check::findings(&record, &rules())), ["budget"]);
+}
+
+#[test]
+fn attempt_at_more_endpoints_than_allowed_is_found() {
+    let mut record = repeated(1);
+    record.arrivals.push(arrival(REPEATED, "i-3", 6.4));
+
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["endpoints"]);
+    assert_eq!((findings[0].seen, findings[0].allowed), (3.0, 2.0));
+}
+
+#[test]
+fn endpoint_that_ended_does_not_count_for_an_attempt() {
+    let mut record = repeated(1);
+    record.arrivals[REPEATED].end = arrival::End::Lost;
+    record.arrivals.push(arrival(REPEATED, "i-3", 6.4));
+
+    assert_eq!(check::findings(&record, &rules()), []);
+}
+
+// An entry that hands on the caller's own number, whatever has passed of it, is found.
+#[test]
+fn deadline_that_was_copied_is_found() {
+    let mut record = repeated(1);
+    for arrival in &mut record.arrivals {
+        arrival.time_left = Some(duration::Span::from_secs(3));
+    }
+    let late = record.arrivals.iter_mut();
+    for arrival in late.filter(|arrival| arrival.endpoint == "i-2") {
+        arrival.at = at(6.6);
+    }
+
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["deadline"]);
+    assert_eq!((findings[0].seen, findings[0].allowed), (3_000.0, 2_900.0));
+}
+
+#[test]
+fn missing_deadline_is_found() {
+    let mut record = repeated(0);
+    record.arrivals[0].time_left = None;
+
+    assert_eq!(names(&check::findings(&record, &rules())), ["deadline"]);
+}
+
+#[test]
+fn times_of_an_entry_that_was_disturbed_are_not_held_against_it() {
+    let mut record = repeated(0);
+    record.arrivals[50].time_left = None;
+    record.disturbances.push(disturbance::Disturbance {
+        entry: "entry-1".into(),
+        at: at(4.0),
+    });
+
+    assert_eq!(check::findings(&record, &rules()), []);
+}
+
+/// A request that ends three endpoints within a second, and arrives so often five seconds later.
+fn deadly(late: usize) -> record::Record {
+    let mut record = record::Record::default();
+    for number in 0..3 + late {
+        let seconds = if number < 3 { 0.3 * number as f64 } else { 5.0 };
+        record.attempts.push(attempt(number, seconds));
+        let mut arrival = arrival(number, &format!("i-{number}"), seconds);
+        arrival.content = "deadly".into();
+        arrival.end = arrival::End::Crashed;
+        record.arrivals.push(arrival);
+    }
+    record
+}
+
+#[test]
+fn request_that_goes_on_ending_endpoints_is_found() {
+    let stopped = check::findings(&deadly(3), &rules());
+    let goes_on = check::findings(&deadly(4), &rules());
+
+    assert_eq!(stopped, []);
+    assert_eq!(names(&goes_on), ["crashes"]);
+    assert_eq!((goes_on[0].seen, goes_on[0].allowed), (4.0, 3.0));
+}
