--- a/crates/cranberrygap/tests/support/process.rs
+++ b/crates/cranberrygap/tests/support/process.rs
@@ -15,16 +15,16 @@
 #[derive(Debug)]
 pub struct Process {
     name: String,
-    binary: &'static str,
+    binary: PathBuf,
     folder: PathBuf,
     child: Child,
 }
 
 impl Process {
     /// Starts the binary with the settings file `NAME.ini` in the folder.
-    pub fn start(name: &str, binary: &'static str, folder: &Path) -> Self {
-        let folder = folder.to_owned();
-        let child = spawn(name, binary, &folder);
+    pub fn start(name: &str, binary: impl AsRef<Path>, folder: &Path) -> Self {
+        let (folder, binary) = (folder.to_owned(), binary.as_ref().to_owned());
+        let child = spawn(name, &binary, &folder);
         Self {
             name: name.to_owned(),
             binary,
@@ -36,7 +36,7 @@
     /// Starts it again with the same settings after it has ended.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.name, self.binary, &self.folder);
+        self.child = spawn(&self.name, &self.binary, &self.folder);
     }
 
     /// Ends it at once, as a power cut would.
@@ -61,6 +61,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks it to read its settings again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Asks for a dump on standard output.
     pub fn ask_dump(&self) {
         self.signal(Signal::USR1);
@@ -101,7 +106,7 @@
     }
 }
 
-fn spawn(name: &str, binary: &str, folder: &Path) -> Child {
+fn spawn(name: &str, binary: &Path, folder: &Path) -> Child {
     let append = |kind: &str| {
         let path = folder.join(format!("{name}.{kind}"));
         File::options()
