Show resends by service and cause, beside their bound

No metric or line told which requests were sent once more, why, and how much of the budget was left, so the hypotheses about resends could not be told apart. The entry counts first sends and resends by service, with the cause and whether the budget gave or denied them, keeps both over the last 10 s beside the bound in gauges and in the dump, and warns once in 10 s when three quarters of the bound are used or a resend is denied. What is sent again and when is unchanged.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -20,6 +20,7 @@
 use crate::queue;
 use crate::reach;
 use crate::refusal::Refusal;
+use crate::resends;
 use crate::route;
 use crate::trace;
 use crate::upstream;
@@ -43,6 +44,8 @@
     /// Opens connections to the endpoints of the traffic plan's services.
     pub(crate) dialer: Arc<dyn dial::Dial>,
     pub(crate) reach: reach::Reach,
+    /// Budget of requests that are sent to endpoints once more.
+    pub(crate) resends: resends::Resends,
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a slot at the engines.
     pub(crate) queues: Arc<queue::Queues>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -29,9 +29,6 @@
 
 use std::sync::Arc;
 
-use cranberrygap_policy::resend;
-use parking_lot::Mutex;
-
 use crate::core;
 
 /// State shared by all requests of a gateway.
@@ -41,7 +38,6 @@
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
     pub(crate) peers: peers::Peers,
-    pub(crate) resend_budget: Mutex<resend::Budget>,
     /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
     /// Limits the lines about limits that endpoints name.
@@ -56,7 +52,6 @@
             dialect,
             pool,
             peers: peers::Peers::default(),
-            resend_budget: Mutex::default(),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
         })
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -15,6 +15,7 @@
 use crate::framing;
 use crate::metric;
 use crate::quarantine;
+use crate::resends;
 
 use super::failure::{self, Failure};
 use super::forward;
@@ -202,7 +203,7 @@
                 }
                 Outcome::Unknown(cause) => {
                     self.may_have_run = true;
-                    if !self.is_repeatable() || !self.try_take_resend() {
+                    if !self.is_repeatable() || !self.try_take_resend(resends::Cause::Unanswered) {
                         return Err(self.failure_after_send(cause).into());
                     }
                 }
@@ -238,7 +239,10 @@
     async fn handle_response(&mut self, reply: Reply) -> Result<Option<Reply>, Completion> {
         let status = reply.response.status();
         reply.in_flight.record_outcome(!status.is_server_error());
-        if status.is_server_error() && self.is_repeatable() && self.try_take_resend() {
+        if status.is_server_error()
+            && self.is_repeatable()
+            && self.try_take_resend(resends::Cause::Failed)
+        {
             self.may_have_run = true;
             self.discard_body(reply.response.into_body(), reply.framing, reply.connection)
                 .await;
@@ -253,7 +257,7 @@
                 self.may_have_run = true;
                 let now = self.now();
                 self.log.add_step(now, format_args!("{cause}"));
-                if self.is_repeatable() && self.try_take_resend() {
+                if self.is_repeatable() && self.try_take_resend(resends::Cause::Cut) {
                     return Ok(None);
                 }
                 Err(Failure::Broken(cause).into())
@@ -302,22 +306,18 @@
     }
 
     /// Takes one resend from the budget; true if the request may be sent again.
-    fn try_take_resend(&mut self) -> bool {
+    fn try_take_resend(&mut self, cause: resends::Cause) -> bool {
         let time_left = self.deadline().since(self.now());
         self.attempts < self.resolution.route.attempts
             && time_left > MIN_TIME_LEFT
-            && self
-                .gateway
-                .resend_budget
-                .lock()
-                .spend(&self.resolution.service)
+            && resends::take(&self.gateway.core, &self.resolution.service, cause)
     }
 
     fn handle_not_run(&mut self, target: &Target, cause: dialect::NotRun) -> Result<(), Failure> {
         if cause == dialect::NotRun::Misdirected {
             self.handle_missing_model(target);
         }
-        if self.try_take_resend() {
+        if self.try_take_resend(resends::Cause::Rejected) {
             return Ok(());
         }
         let retry_after = failure::add_jitter(NO_CAPACITY_RETRY_AFTER);
@@ -373,7 +373,7 @@
     /// Continues the stream at another engine, after `last_event_id`.
     pub(super) async fn resume_stream(&mut self, last_event_id: Option<&str>) -> Option<Reply> {
         self.may_have_run = true;
-        if !self.is_repeatable() || !self.try_take_resend() {
+        if !self.is_repeatable() || !self.try_take_resend(resends::Cause::Cut) {
             return None;
         }
         let target = self.choose_target().await.ok()?;
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 
 use crate::framing;
 use crate::metric;
+use crate::resends;
 use crate::view;
 
 use super::delivery::DEADLINE_GRACE;
@@ -160,7 +161,12 @@
 fn may_repeat(gateway: &Gateway, resolution: &request::Resolution) -> bool {
     let kind = resolution.route.kind;
     let is_repeatable = matches!(kind, traffic::Kind::Idempotent | traffic::Kind::Resumable);
-    is_repeatable && gateway.resend_budget.lock().spend(&resolution.service)
+    is_repeatable
+        && resends::take(
+            &gateway.core,
+            &resolution.service,
+            resends::Cause::Forwarded,
+        )
 }
 
 /// One of the entries that take requests as far as known, at first in the own failure domain.
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -19,6 +19,7 @@
 use crate::digest;
 use crate::metric;
 use crate::quarantine;
+use crate::resends;
 use crate::view::{self, traffic as table};
 
 use super::delivery;
@@ -287,10 +288,7 @@
     }
     let permit = reserve_tokens(gateway, &received, &resolution).await?;
     log_token_wait(gateway, &received, log);
-    gateway
-        .resend_budget
-        .lock()
-        .earn(&resolution.service, entries);
+    resends::record_request(&gateway.core, &resolution.service, entries);
     // The delivery continues the log, also after the head of a stream is sent; it returns
     // the log if it fails before that.
     let delivery =
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -22,7 +22,6 @@
 mod admission;
 mod attainment;
 mod booking;
-
 mod chunk;
 mod control;
 mod digest;
@@ -31,8 +30,8 @@
 mod quarantine;
 mod reach;
 mod relay;
+mod resends;
 mod route;
 mod server;
 mod trace;
-
 mod upstream;
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -18,6 +18,14 @@
 pub(crate) const GATEWAY_FAILURES: &str = "gateway_failures";
 /// Number of requests sent to endpoints.
 pub(crate) const GATEWAY_SENDS: &str = "gateway_sends";
+/// Number of requests sent to an endpoint for the first time.
+pub(crate) const FIRST_SENDS: &str = "first_sends";
+/// Number of resends taken from the budget or denied by it.
+pub(crate) const RESENDS: &str = "resends";
+/// Number of resends in the last 10 s.
+pub(crate) const RESENDS_RECENT: &str = "resends_recent";
+/// Number of resends that the last 10 s allow.
+pub(crate) const RESENDS_BOUND: &str = "resends_bound";
 /// Time from a request's arrival to the first event of its stream.
 pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
 /// Time since the view was last confirmed as the newest.
@@ -90,3 +98,31 @@
         meaning: "time from a streamed request's arrival to its first token",
     },
 ];
+
+/// Metrics of requests that are sent to endpoints, and sent once more.
+pub const RESENDING: [Metric; 4] = [
+    Metric {
+        name: FIRST_SENDS,
+        kind: "c",
+        unit: "requests",
+        meaning: "requests sent to an endpoint for the first time, tagged with the service",
+    },
+    Metric {
+        name: RESENDS,
+        kind: "c",
+        unit: "resends",
+        meaning: "requests to be sent once more, tagged with service, cause (rejected, failed, unanswered, cut, forwarded), and taken or denied by the budget",
+    },
+    Metric {
+        name: RESENDS_RECENT,
+        kind: "g",
+        unit: "resends",
+        meaning: "resends in the last 10 s, tagged with the service; the sum over all entries is the fleet's",
+    },
+    Metric {
+        name: RESENDS_BOUND,
+        kind: "g",
+        unit: "resends",
+        meaning: "resends that the last 10 s allow, tagged alike; the sum over all entries is the fleet's bound",
+    },
+];
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -27,6 +27,7 @@
 use crate::quarantine;
 use crate::queue;
 use crate::reach;
+use crate::resends;
 use crate::route;
 use crate::server;
 use crate::trace;
@@ -366,6 +367,7 @@
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
         dialer: Arc::new(dial::Tcp),
         reach: reach::Reach::default(),
+        resends: resends::Resends::default(),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
         retry_budget: Mutex::new(retry::Budget::new(INITIAL_RETRY_SHARE)),
@@ -449,5 +451,6 @@
         "endpoints": core.endpoints.dump(),
         "quarantine": core.quarantine.dump(),
         "reach": core.reach.dump(),
+        "resends": core.resends.dump(core.now()),
     })
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -0,0 +1,172 @@
+//! Requests that are sent to endpoints once more, within the entry's budget.
+
+use std::collections::BTreeMap;
+
+use cadence::{Counted as _, Gauged as _};
+use cranberrygap_model::{duration, id};
+use cranberrygap_policy::resend::{self, tally};
+use parking_lot::Mutex;
+use spdlog::warn;
+
+use crate::core;
+use crate::metric;
+
+/// Share of the bound at which operators are warned.
+const WARNING_SHARE: f64 = 0.75;
+
+/// Why a request is to be sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// The endpoint did not run it.
+    Rejected,
+    /// The endpoint responded with a server error.
+    Failed,
+    /// No response came.
+    Unanswered,
+    /// The response broke off.
+    Cut,
+    /// Another entry that it was forwarded to broke off.
+    Forwarded,
+}
+
+/// The budget of this entry and what it was used for.
+#[derive(Debug, Default)]
+pub(crate) struct Resends {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    budget: resend::Budget,
+    services: BTreeMap<id::Service, Usage>,
+}
+
+/// What was sent for one service lately.
+#[derive(Debug, Default)]
+struct Usage {
+    tally: tally::Tally,
+    warned_at: Option<duration::Instant>,
+}
+
+impl Cause {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Unanswered => "unanswered",
+            Self::Cut => "cut",
+            Self::Forwarded => "forwarded",
+        }
+    }
+}
+
+impl Resends {
+    /// The state for a dump.
+    pub(crate) fn dump(&self, now: duration::Instant) -> serde_json::Value {
+        let state = self.state.lock();
+        let services = state.services.iter().map(|(service, usage)| {
+            let counts = usage.tally.counts(now);
+            let described = serde_json::json!({
+                "saved": state.budget.saved(service),
+                "last_10s": counts,
+                "bound_10s": bound(counts),
+            });
+            (service.to_string(), described)
+        });
+        services.collect::<serde_json::Map<_, _>>().into()
+    }
+}
+
+/// Records a request for a service, which adds its share to the budget.
+pub(crate) fn record_request(core: &core::Core, service: &id::Service, entries: usize) {
+    let mut state = core.resends.state.lock();
+    state.budget.earn(service, entries);
+    record(core, &mut state, service, tally::Event::FirstSend);
+    drop(state);
+    count(core, metric::FIRST_SENDS, &[service.as_str()]);
+}
+
+/// Takes one resend from the budget; true if the request may be sent once more.
+pub(crate) fn take(core: &core::Core, service: &id::Service, cause: Cause) -> bool {
+    let mut state = core.resends.state.lock();
+    let is_taken = state.budget.spend(service);
+    let (event, result) = if is_taken {
+        (tally::Event::Taken, "taken")
+    } else {
+        (tally::Event::Denied, "denied")
+    };
+    record(core, &mut state, service, event);
+    drop(state);
+    let tags = [service.as_str(), cause.name(), result];
+    count(core, metric::RESENDS, &tags);
+    is_taken
+}
+
+/// Resends that the requests of a window allow.
+fn bound(counts: tally::Counts) -> f64 {
+    f64::from(counts.first_sends) * resend::RESENDS_PER_REQUEST + resend::MAX_SAVED_ENTRY
+}
+
+fn record(core: &core::Core, state: &mut State, service: &id::Service, event: tally::Event) {
+    let now = core.now();
+    if !state.services.contains_key(service) {
+        state.services.insert(service.clone(), Usage::default());
+    }
+    let Some(usage) = state.services.get_mut(service) else {
+        return;
+    };
+    usage.tally.record(now, event);
+    let counts = usage.tally.counts(now);
+    set_gauge(
+        core,
+        metric::RESENDS_RECENT,
+        service,
+        f64::from(counts.taken),
+    );
+    set_gauge(core, metric::RESENDS_BOUND, service, bound(counts));
+    if event == tally::Event::FirstSend || !usage.is_warning_due(now, counts) {
+        return;
+    }
+    usage.warned_at = Some(now);
+    warn!(
+        "resends: {} of {} requests for {service} were sent again in {}, {:.0} are allowed; {} \
+         more were not",
+        counts.taken,
+        counts.first_sends,
+        tally::WINDOW,
+        bound(counts),
+        counts.denied,
+    );
+}
+
+impl Usage {
+    /// Whether the bound is near, and operators were not told in this window.
+    fn is_warning_due(&self, now: duration::Instant, counts: tally::Counts) -> bool {
+        let was_told = self
+            .warned_at
+            .is_some_and(|at| now.since(at) < tally::WINDOW);
+        let is_near = f64::from(counts.taken) >= bound(counts) * WARNING_SHARE;
+        !was_told && (is_near || counts.denied > 0)
+    }
+}
+
+/// Increments a counter with several tags. A metric that cannot be sent is dropped.
+fn count(core: &core::Core, name: &'static str, tags: &[&str]) {
+    let counter = core.metrics.count_with_tags(name, 1);
+    let tagged = tags
+        .iter()
+        .fold(counter, |counter, tag| counter.with_tag_value(tag));
+    tagged.send();
+}
+
+/// Sets a gauge in whole resends, rounded down. A metric that cannot be sent is dropped.
+fn set_gauge(core: &core::Core, name: &'static str, service: &id::Service, value: f64) {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small number that is not negative"
+    )]
+    let value = value as u64;
+    let gauge = core.metrics.gauge_with_tags(name, value);
+    gauge.with_tag_value(service.as_str()).send();
+}
--- a/crates/cranberrygap-policy/src/resend.rs
+++ b/crates/cranberrygap-policy/src/resend.rs
@@ -1,5 +1,7 @@
 //! Budget of resends at one entry, within a limit for all entries together.
 
+pub mod tally;
+
 use std::collections::BTreeMap;
 
 use cranberrygap_model::id;
@@ -8,7 +10,7 @@
 ///
 /// Below the fifth that the fleet allows. Each entry earns only through its own requests, so
 /// the sum over all entries stays within the fleet's share whatever the others do.
-const RESENDS_PER_REQUEST: f64 = 0.17;
+pub const RESENDS_PER_REQUEST: f64 = 0.17;
 
 /// Most resends that all entries together may accumulate.
 ///
@@ -22,7 +24,7 @@
 /// Most resends that one entry may accumulate.
 ///
 /// Keeps an entry with little traffic from sending a burst.
-const MAX_SAVED_ENTRY: f64 = 4.0;
+pub const MAX_SAVED_ENTRY: f64 = 4.0;
 
 /// Resends left for each service.
 #[derive(Debug, Default)]
@@ -53,4 +55,10 @@
         *saved -= 1.0;
         true
     }
+
+    /// Returns the resends left for a service.
+    #[must_use]
+    pub fn saved(&self, service: &id::Service) -> f64 {
+        self.saved.get(service).copied().unwrap_or_default()
+    }
 }
--- /dev/null
+++ b/crates/cranberrygap-policy/src/resend/tally.rs
@@ -0,0 +1,96 @@
+//! Requests and resends of one service in the last seconds.
+
+use std::collections::VecDeque;
+
+use cranberrygap_model::duration;
+use serde::Serialize;
+
+/// Length of the window.
+pub const WINDOW: duration::Span = duration::Span::from_secs(10);
+
+/// Length of one part of the window.
+const SLICE: duration::Span = duration::Span::from_secs(1);
+
+/// What is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// A request was sent for the first time.
+    FirstSend,
+    /// A resend was taken from the budget.
+    Taken,
+    /// The budget had no resend left.
+    Denied,
+}
+
+/// Counts over a time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Requests that were sent for the first time.
+    pub first_sends: u32,
+    /// Resends that were taken from the budget.
+    pub taken: u32,
+    /// Resends that the budget denied.
+    pub denied: u32,
+}
+
+/// Counts of the last seconds.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Counts by the number of their slice, oldest first.
+    slices: VecDeque<(u64, Counts)>,
+}
+
+impl Counts {
+    fn add(&mut self, other: Self) {
+        self.first_sends += other.first_sends;
+        self.taken += other.taken;
+        self.denied += other.denied;
+    }
+}
+
+impl Tally {
+    /// Counts an event.
+    pub fn record(&mut self, now: duration::Instant, event: Event) {
+        let slice = now.0 / SLICE.0;
+        if self.slices.back().is_none_or(|(last, _)| *last != slice) {
+            self.drop_expired(now);
+            self.slices.push_back((slice, Counts::default()));
+        }
+        let Some((_, counts)) = self.slices.back_mut() else {
+            return;
+        };
+        match event {
+            Event::FirstSend => counts.first_sends += 1,
+            Event::Taken => counts.taken += 1,
+            Event::Denied => counts.denied += 1,
+        }
+    }
+
+    /// Returns the counts of the last window.
+    #[must_use]
+    pub fn counts(&self, now: duration::Instant) -> Counts {
+        let oldest = oldest_slice(now);
+        let mut sum = Counts::default();
+        let slices = self.slices.iter();
+        for (_, counts) in slices.filter(|(slice, _)| *slice > oldest) {
+            sum.add(*counts);
+        }
+        sum
+    }
+
+    fn drop_expired(&mut self, now: duration::Instant) {
+        let oldest = oldest_slice(now);
+        while self
+            .slices
+            .front()
+            .is_some_and(|(slice, _)| *slice <= oldest)
+        {
+            self.slices.pop_front();
+        }
+    }
+}
+
+/// Number of the newest slice that is not in the window any more.
+const fn oldest_slice(now: duration::Instant) -> u64 {
+    (now.0 / SLICE.0).saturating_sub(WINDOW.0 / SLICE.0)
+}
