Let a new process start without resends

What callers saw: repeats that pile up after failures, although each entry keeps to its budget. Cause: on routes, the first request for a service gave a new process a whole resend that no request had paid for, and an entry with few others in its view might save four. So resends came with each start of a process, and a starting large fleet saved more than its cap.

A process now starts with none and earns by what it sends; in its first ten seconds it saves one at most, and the cap follows the most entries known in the last window. What all entries send again in a window is then at most what they had saved and a share of its requests, whichever of them start or stop.

--- a/crates/cranberrygap-arrivals/src/lib.rs
+++ b/crates/cranberrygap-arrivals/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod finding;
 pub mod record;
 pub mod rules;
+pub mod stall;
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -8,6 +8,7 @@
 use crate::arrival;
 use crate::attempt;
 use crate::disturbance;
+use crate::stall;
 
 /// Everything that callers sent and endpoints received, in any order.
 #[derive(Debug, Clone, Default)]
@@ -18,6 +19,8 @@
     pub arrivals: Vec<arrival::Arrival>,
     /// When entries were disturbed.
     pub disturbances: Vec<disturbance::Disturbance>,
+    /// When the run itself stood still; it read late what arrived then.
+    pub stalls: Vec<stall::Stall>,
 }
 
 impl Record {
@@ -36,6 +39,13 @@
         arrivals
     }
 
+    /// Returns for how long the run itself stood still between two instants.
+    #[must_use]
+    pub fn stalled(&self, from: duration::Instant, until: duration::Instant) -> duration::Span {
+        let spans = self.stalls.iter().map(|stall| stall.within(from, until).0);
+        duration::Span(spans.sum())
+    }
+
     /// Returns whether an entry was left alone for `span` before `at`.
     #[must_use]
     pub fn is_undisturbed(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -1,6 +1,6 @@
 //! Each check finds the fault that it is for, and nothing where there is none.
 
-use cranberrygap_arrivals::{arrival, attempt, check, disturbance, finding, record, rules};
+use cranberrygap_arrivals::{arrival, attempt, check, disturbance, finding, record, rules, stall};
 use cranberrygap_model::duration;
 
 const SECOND: u64 = 1_000_000;
@@ -164,6 +164,29 @@
     assert_eq!(check::findings(&record, &rules()), []);
 }
 
+// An arrival that the run read late, since it stood still itself, bears the number of its sending.
+#[test]
+fn stall_of_the_run_is_not_held_against_an_entry() {
+    let mut record = repeated(1);
+    for arrival in &mut record.arrivals {
+        arrival.time_left = Some(duration::Span::from_secs(3));
+    }
+    let late = record.arrivals.iter_mut();
+    for arrival in late.filter(|arrival| arrival.endpoint == "i-2") {
+        arrival.at = at(6.8);
+    }
+    let found = check::findings(&record, &rules());
+    record.stalls.push(stall::Stall {
+        from: at(6.1),
+        until: at(6.5),
+    });
+
+    let excused = check::findings(&record, &rules());
+
+    assert_eq!(names(&found), ["deadline"]);
+    assert_eq!(excused, []);
+}
+
 /// A request that ends three endpoints within a second, and arrives so often five seconds later.
 fn deadly(late: usize) -> record::Record {
     let mut record = record::Record::default();
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -80,7 +80,7 @@
 /// Records a request for a service, which adds its share to the budget.
 pub(crate) fn record_request(core: &core::Core, service: &id::Service, entries: usize) {
     let mut state = core.resends.state.lock();
-    state.budget.earn(service, entries);
+    state.budget.earn(core.now(), service, entries);
     record(core, &mut state, service, tally::Event::FirstSend);
     drop(state);
     count(core, metric::FIRST_SENDS, &[service.as_str()]);
--- a/crates/cranberrygap-policy/src/resend.rs
+++ b/crates/cranberrygap-policy/src/resend.rs
@@ -1,18 +1,24 @@
 //! Budget of resends at one entry, within a limit for all entries together.
+//!
+//! A resend is paid for by requests that this process sent before, and a process starts with
+//! none. What all entries send again in some time is then at most what they had saved at its
+//! begin and a share of the requests sent in it, whichever of them start, stop or stand still
+//! meanwhile; what one entry saves is bounded.
 
+mod entries;
 pub mod tally;
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::id;
+use cranberrygap_model::{duration, id};
 
 /// Resends that one request adds to the budget.
 ///
-/// Below the fifth that the fleet allows. Each entry earns only through its own requests, so
-/// the sum over all entries stays within the fleet's share whatever the others do.
+/// Below the fifth that the fleet allows, since a resend may be sent up to two seconds after it
+/// is taken from the budget.
 pub const RESENDS_PER_REQUEST: f64 = 0.17;
 
-/// Most resends that all entries together may accumulate.
+/// Most resends that all entries together may accumulate, beside one for each entry.
 ///
 /// The users allow 54 beyond the share on fleets of seven or eight entries, and more on
 /// larger ones.
@@ -30,20 +36,20 @@
 #[derive(Debug, Default)]
 pub struct Budget {
     saved: BTreeMap<id::Service, f64>,
+    entries: entries::Count,
 }
 
 impl Budget {
     /// Adds the share of one request for a service, at one of `entries` entries.
-    pub fn earn(&mut self, service: &id::Service, entries: usize) {
-        // Without a cap that falls with the number of entries, a large fleet after a quiet
-        // time could answer an outage with hundreds of resends at once.
-        let fleet_part = MAX_SAVED_FLEET / entries.max(1) as f64;
-        let max_saved = fleet_part.clamp(MIN_SAVED_CAP, MAX_SAVED_ENTRY);
+    pub fn earn(&mut self, now: duration::Instant, service: &id::Service, entries: usize) {
+        self.entries.record(now, entries);
+        let max_saved = self.max_saved(now);
+        if !self.saved.contains_key(service) {
+            self.saved.insert(service.clone(), 0.0);
+        }
         if let Some(saved) = self.saved.get_mut(service) {
             *saved = (*saved + RESENDS_PER_REQUEST).min(max_saved);
-            return;
         }
-        self.saved.insert(service.clone(), MIN_SAVED_CAP);
     }
 
     /// Takes one resend from the budget; returns false if none is left.
@@ -61,4 +67,16 @@
     pub fn saved(&self, service: &id::Service) -> f64 {
         self.saved.get(service).copied().unwrap_or_default()
     }
+
+    /// Returns the most resends that this entry may accumulate for a service.
+    #[must_use]
+    pub fn max_saved(&self, now: duration::Instant) -> f64 {
+        // Without a cap that falls with the number of entries, a large fleet after a quiet
+        // time could answer an outage with hundreds of resends at once.
+        let Some(entries) = self.entries.most(now) else {
+            return MIN_SAVED_CAP;
+        };
+        let fleet_part = MAX_SAVED_FLEET / entries.max(1) as f64;
+        fleet_part.clamp(MIN_SAVED_CAP, MAX_SAVED_ENTRY)
+    }
 }
