Count resends of a process's first ten seconds

The window of the last ten seconds left out the first second of a process: its number is 0, and so was that of the newest slice outside the window. Twenty requests of an entry that had just started were shown as none. The test of the counts failed before (0 of 1 in the first second).

--- a/crates/cranberrygap-policy/src/resend/tally.rs
+++ b/crates/cranberrygap-policy/src/resend/tally.rs
@@ -69,28 +69,26 @@
     /// Returns the counts of the last window.
     #[must_use]
     pub fn counts(&self, now: duration::Instant) -> Counts {
-        let oldest = oldest_slice(now);
         let mut sum = Counts::default();
         let slices = self.slices.iter();
-        for (_, counts) in slices.filter(|(slice, _)| *slice > oldest) {
+        for (_, counts) in slices.filter(|(slice, _)| is_recent(*slice, now)) {
             sum.add(*counts);
         }
         sum
     }
 
     fn drop_expired(&mut self, now: duration::Instant) {
-        let oldest = oldest_slice(now);
         while self
             .slices
             .front()
-            .is_some_and(|(slice, _)| *slice <= oldest)
+            .is_some_and(|(slice, _)| !is_recent(*slice, now))
         {
             self.slices.pop_front();
         }
     }
 }
 
-/// Number of the newest slice that is not in the window any more.
-const fn oldest_slice(now: duration::Instant) -> u64 {
-    (now.0 / SLICE.0).saturating_sub(WINDOW.0 / SLICE.0)
+/// Whether a slice lies in the window that ends now.
+const fn is_recent(slice: u64, now: duration::Instant) -> bool {
+    slice + WINDOW.0 / SLICE.0 > now.0 / SLICE.0
 }
--- a/crates/cranberrygap-policy/tests/resends.rs
+++ b/crates/cranberrygap-policy/tests/resends.rs
@@ -1,7 +1,7 @@
 //! Budgets of resends, over many entries.
 
 use cranberrygap_model::{duration, id};
-use cranberrygap_policy::resend;
+use cranberrygap_policy::resend::{self, tally};
 
 /// What the users allow: a share of the requests, and a fixed number over all entries.
 const SHARE: f64 = 0.2;
@@ -104,3 +104,18 @@
 
     assert_eq!(spend_all(&mut budget), 1);
 }
+
+#[test]
+fn counts_cover_the_last_window_from_the_first_second_on() {
+    let at = |seconds| duration::Instant::default().after(duration::Span::from_secs(seconds));
+    let mut tally = tally::Tally::default();
+    tally.record(at(0), tally::Event::FirstSend);
+    tally.record(at(5), tally::Event::Taken);
+
+    let counts = [0, 5, 9, 10, 15].map(|seconds| {
+        let counts = tally.counts(at(seconds));
+        (counts.first_sends, counts.taken)
+    });
+
+    assert_eq!(counts, [(1, 1), (1, 1), (1, 1), (0, 1), (0, 0)]);
+}
