Count a request for resends where it is first sent

What callers saw: more second attempts at a service than a fifth of its requests, while an entry has lost paths to its endpoints. Cause: a request added its share to the budget when it arrived at an entry, so one that was forwarded after two failed connections counted at both entries, and requests that were refused counted as well.

The share is now added when the request is first sent to an endpoint, by the entry that sends it. Test: 39 counted for 19 arrivals before, 20 after; one was lost in a kept connection that hangs, which the bound of the test now allows: each of 20 requests counts once.

--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -19,6 +19,7 @@
 use crate::gateway::request;
 use crate::quarantine;
 use crate::reach;
+use crate::resends;
 
 /// Network time of a request to an endpoint and of its response.
 const NETWORK_TIME: duration::Span = duration::Span::from_millis(6);
@@ -91,6 +92,7 @@
             // whether the request may still be sent.
             let view = request::serving_view(&self.gateway)?;
             self.resolution = self.request.resolve(&view)?;
+            let entries = view.active_entries().count();
             drop(view);
             let time_left = self.deadline().since(self.now());
             if time_left <= MIN_TIME_LEFT {
@@ -101,7 +103,10 @@
                 duration::Span(time_left.0 - NETWORK_TIME.0),
                 last_event_id,
             )?;
-            match self.exchange(target, connection, request, time_left).await {
+            match self
+                .exchange(target, connection, request, time_left, entries)
+                .await
+            {
                 // The endpoint closed an idle connection; nothing of the request arrived.
                 Exchange::NotSent { reused: true } => {
                     match self.gateway.pool.open(target.destination.address).await {
@@ -141,6 +146,7 @@
         mut connection: endpoint_connection::Connection,
         request: Request<Full<Bytes>>,
         time_left: duration::Span,
+        entries: usize,
     ) -> Exchange {
         let core = Arc::clone(&self.gateway.core);
         let chain = self
@@ -165,6 +171,9 @@
             return Exchange::NotSent { reused };
         }
         in_flight.attach(self.run.take());
+        if self.attempts == 0 {
+            resends::record_first_send(&core, &self.resolution.service, entries);
+        }
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
         self.log.endpoint = SmolStr::new(target.destination.endpoint.as_str());
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -19,7 +19,6 @@
 use crate::digest;
 use crate::metric;
 use crate::quarantine;
-use crate::resends;
 use crate::view::{self, traffic as table};
 
 use super::delivery;
@@ -269,7 +268,6 @@
     if let quarantine::Stage::Refused(retry_after) = stage {
         return Err(Failure::Quarantined { retry_after });
     }
-    let entries = view.active_entries().count();
     drop(view);
     match received.forwarded_by {
         Some(mark) => {
@@ -288,7 +286,6 @@
     }
     let permit = reserve_tokens(gateway, &received, &resolution).await?;
     log_token_wait(gateway, &received, log);
-    resends::record_request(&gateway.core, &resolution.service, entries);
     // The delivery continues the log, also after the head of a stream is sent; it returns
     // the log if it fails before that.
     let delivery =
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -77,8 +77,10 @@
     }
 }
 
-/// Records a request for a service, which adds its share to the budget.
-pub(crate) fn record_request(core: &core::Core, service: &id::Service, entries: usize) {
+/// Records a request that was sent for the first time, which adds its share to the budget.
+///
+/// A request that another entry sends in the end pays there, and nowhere else.
+pub(crate) fn record_first_send(core: &core::Core, service: &id::Service, entries: usize) {
     let mut state = core.resends.state.lock();
     state.budget.earn(core.now(), service, entries);
     record(core, &mut state, service, tally::Event::FirstSend);
