Let the service pay for a resend at which it arrives

What callers saw: a service gets second attempts although hardly anybody asks for it. Cause: a resend was taken from the budget of the service that the request had when its attempt failed; then the request waited, was resolved by the plan in force, and went to another service that had not paid.

A resend is now a ticket that belongs to one service. Before sending, the service of the moment has to pay, or the request ends with the failure of its last attempt; a ticket that is not used goes back. Metrics count what was sent or denied, no longer what was taken.

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -61,6 +61,8 @@
     may_have_run: bool,
     /// Whether the request runs only alone, since endpoints crashed under it.
     runs_alone: bool,
+    /// What pays for the next attempt, unless it is the first.
+    resend: Option<resends::Ticket>,
     /// Time until there is room at an endpoint whose limit left none.
     room_after: Option<duration::Span>,
     /// The registration of the next attempt, until it is written.
@@ -110,6 +112,7 @@
             connect_failures: 0,
             may_have_run: false,
             runs_alone: false,
+            resend: None,
             room_after: None,
             run: None,
             adapter_use: None,
@@ -310,7 +313,16 @@
         let time_left = self.deadline().since(self.now());
         self.attempts < self.resolution.route.attempts
             && time_left > MIN_TIME_LEFT
-            && resends::take(&self.gateway.core, &self.resolution.service, cause)
+            && self.take_resend(cause)
+    }
+
+    fn take_resend(&mut self, cause: resends::Cause) -> bool {
+        // One that was taken before and not sent pays for this one.
+        if self.resend.is_none() {
+            let core = &self.gateway.core;
+            self.resend = resends::take(core, &self.resolution.service, cause);
+        }
+        self.resend.is_some()
     }
 
     fn handle_not_run(&mut self, target: &Target, cause: dialect::NotRun) -> Result<(), Failure> {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -94,6 +94,9 @@
             self.resolution = self.request.resolve(&view)?;
             let entries = view.active_entries().count();
             drop(view);
+            if !self.is_paid() {
+                return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no resend is left"));
+            }
             let time_left = self.deadline().since(self.now());
             if time_left <= MIN_TIME_LEFT {
                 return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "out of time"));
@@ -120,6 +123,13 @@
         }
     }
 
+    /// Whether the service of the request, which may have changed, pays for a resend.
+    fn is_paid(&mut self) -> bool {
+        let service = &self.resolution.service;
+        let resend = self.resend.as_mut();
+        resend.is_none_or(|resend| resend.transfer(service))
+    }
+
     fn record_unreachable(&self, target: &Target) -> Outcome {
         let core = &self.gateway.core;
         core.endpoints
@@ -171,8 +181,9 @@
             return Exchange::NotSent { reused };
         }
         in_flight.attach(self.run.take());
-        if self.attempts == 0 {
-            resends::record_first_send(&core, &self.resolution.service, entries);
+        match self.resend.take() {
+            Some(resend) => resend.use_up(),
+            None => resends::record_first_send(&core, &self.resolution.service, entries),
         }
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -158,7 +158,7 @@
 }
 
 /// Whether a request that may have run can be sent once more.
-fn may_repeat(gateway: &Gateway, resolution: &request::Resolution) -> bool {
+fn may_repeat(gateway: &Arc<Gateway>, resolution: &request::Resolution) -> bool {
     let kind = resolution.route.kind;
     let is_repeatable = matches!(kind, traffic::Kind::Idempotent | traffic::Kind::Resumable);
     is_repeatable
@@ -167,6 +167,8 @@
             &resolution.service,
             resends::Cause::Forwarded,
         )
+        .map(resends::Ticket::use_up)
+        .is_some()
 }
 
 /// One of the entries that take requests as far as known, at first in the own failure domain.
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -20,7 +20,7 @@
 pub(crate) const GATEWAY_SENDS: &str = "gateway_sends";
 /// Number of requests sent to an endpoint for the first time.
 pub(crate) const FIRST_SENDS: &str = "first_sends";
-/// Number of resends taken from the budget or denied by it.
+/// Number of requests sent once more, or denied by the budget.
 pub(crate) const RESENDS: &str = "resends";
 /// Number of resends in the last 10 s.
 pub(crate) const RESENDS_RECENT: &str = "resends_recent";
@@ -111,7 +111,7 @@
         name: RESENDS,
         kind: "c",
         unit: "resends",
-        meaning: "requests to be sent once more, tagged with service, cause (rejected, failed, unanswered, cut, forwarded), and taken or denied by the budget",
+        meaning: "requests to be sent once more, tagged with service, cause (rejected, failed, unanswered, cut, forwarded), and sent or denied by the budget",
     },
     Metric {
         name: RESENDS_RECENT,
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -1,6 +1,7 @@
 //! Requests that are sent to endpoints once more, within the entry's budget.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use cadence::{Counted as _, Gauged as _};
 use cranberrygap_model::{duration, id};
@@ -69,7 +70,7 @@
             let described = serde_json::json!({
                 "saved": state.budget.saved(service),
                 "last_10s": counts,
-                "bound_10s": bound(counts),
+                "bound_10s": bound(counts, state.budget.max_saved(now)),
             });
             (service.to_string(), described)
         });
@@ -88,29 +89,91 @@
     count(core, metric::FIRST_SENDS, &[service.as_str()]);
 }
 
-/// Takes one resend from the budget; true if the request may be sent once more.
-pub(crate) fn take(core: &core::Core, service: &id::Service, cause: Cause) -> bool {
+/// A resend taken from the budget of a service; it goes back if it is dropped unused.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    core: Arc<core::Core>,
+    service: id::Service,
+    cause: Cause,
+    is_used: bool,
+}
+
+/// Takes one resend from the budget; `None` if the request must not be sent once more.
+pub(crate) fn take(core: &Arc<core::Core>, service: &id::Service, cause: Cause) -> Option<Ticket> {
+    spend(core, service, cause).then(|| Ticket {
+        core: Arc::clone(core),
+        service: service.clone(),
+        cause,
+        is_used: false,
+    })
+}
+
+impl Ticket {
+    /// Lets the service to which the request goes now pay for it; false if it cannot.
+    ///
+    /// The plan may have changed since the ticket was taken.
+    pub(crate) fn transfer(&mut self, service: &id::Service) -> bool {
+        if self.service == *service {
+            return true;
+        }
+        if !spend(&self.core, service, self.cause) {
+            return false;
+        }
+        self.give_back();
+        self.service = service.clone();
+        true
+    }
+
+    /// Records that the request was sent once more.
+    pub(crate) fn use_up(mut self) {
+        self.is_used = true;
+        let mut state = self.core.resends.state.lock();
+        record(&self.core, &mut state, &self.service, tally::Event::Resend);
+        drop(state);
+        count_resend(&self.core, &self.service, self.cause, "sent");
+    }
+
+    fn give_back(&self) {
+        let mut state = self.core.resends.state.lock();
+        state.budget.give_back(self.core.now(), &self.service);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.give_back();
+        }
+    }
+}
+
+fn spend(core: &core::Core, service: &id::Service, cause: Cause) -> bool {
     let mut state = core.resends.state.lock();
-    let is_taken = state.budget.spend(service);
-    let (event, result) = if is_taken {
-        (tally::Event::Taken, "taken")
-    } else {
-        (tally::Event::Denied, "denied")
-    };
-    record(core, &mut state, service, event);
+    if state.budget.spend(service) {
+        return true;
+    }
+    record(core, &mut state, service, tally::Event::Denied);
     drop(state);
-    let tags = [service.as_str(), cause.name(), result];
-    count(core, metric::RESENDS, &tags);
-    is_taken
+    count_resend(core, service, cause, "denied");
+    false
+}
+
+fn count_resend(core: &core::Core, service: &id::Service, cause: Cause, result: &str) {
+    count(
+        core,
+        metric::RESENDS,
+        &[service.as_str(), cause.name(), result],
+    );
 }
 
-/// Resends that the requests of a window allow.
-fn bound(counts: tally::Counts) -> f64 {
-    f64::from(counts.first_sends) * resend::RESENDS_PER_REQUEST + resend::MAX_SAVED_ENTRY
+/// Resends that the requests of a window allow, beside what was saved before it.
+fn bound(counts: tally::Counts, max_saved: f64) -> f64 {
+    f64::from(counts.first_sends) * resend::RESENDS_PER_REQUEST + max_saved
 }
 
 fn record(core: &core::Core, state: &mut State, service: &id::Service, event: tally::Event) {
     let now = core.now();
+    let max_saved = state.budget.max_saved(now);
     if !state.services.contains_key(service) {
         state.services.insert(service.clone(), Usage::default());
     }
@@ -119,35 +182,35 @@
     };
     usage.tally.record(now, event);
     let counts = usage.tally.counts(now);
+    let bound = bound(counts, max_saved);
     set_gauge(
         core,
         metric::RESENDS_RECENT,
         service,
-        f64::from(counts.taken),
+        f64::from(counts.resends),
     );
-    set_gauge(core, metric::RESENDS_BOUND, service, bound(counts));
-    if event == tally::Event::FirstSend || !usage.is_warning_due(now, counts) {
+    set_gauge(core, metric::RESENDS_BOUND, service, bound);
+    if event == tally::Event::FirstSend || !usage.is_warning_due(now, counts, bound) {
         return;
     }
     usage.warned_at = Some(now);
     warn!(
-        "resends: {} of {} requests for {service} were sent again in {}, {:.0} are allowed; {} \
-         more were not",
-        counts.taken,
+        "resends: {} of {} requests for {service} were sent again in {}, {bound:.0} are allowed; \
+         {} more were not",
+        counts.resends,
         counts.first_sends,
         tally::WINDOW,
-        bound(counts),
         counts.denied,
     );
 }
 
 impl Usage {
     /// Whether the bound is near, and operators were not told in this window.
-    fn is_warning_due(&self, now: duration::Instant, counts: tally::Counts) -> bool {
+    fn is_warning_due(&self, now: duration::Instant, counts: tally::Counts, bound: f64) -> bool {
         let was_told = self
             .warned_at
             .is_some_and(|at| now.since(at) < tally::WINDOW);
-        let is_near = f64::from(counts.taken) >= bound(counts) * WARNING_SHARE;
+        let is_near = f64::from(counts.resends) >= bound * WARNING_SHARE;
         !was_told && (is_near || counts.denied > 0)
     }
 }
--- a/crates/cranberrygap-policy/src/resend.rs
+++ b/crates/cranberrygap-policy/src/resend.rs
@@ -62,6 +62,14 @@
         true
     }
 
+    /// Returns a resend that was taken and not sent. What is beyond the cap is lost.
+    pub fn give_back(&mut self, now: duration::Instant, service: &id::Service) {
+        let max_saved = self.max_saved(now);
+        if let Some(saved) = self.saved.get_mut(service) {
+            *saved = (*saved + 1.0).min(max_saved);
+        }
+    }
+
     /// Returns the resends left for a service.
     #[must_use]
     pub fn saved(&self, service: &id::Service) -> f64 {
--- a/crates/cranberrygap-policy/src/resend/tally.rs
+++ b/crates/cranberrygap-policy/src/resend/tally.rs
@@ -16,8 +16,8 @@
 pub enum Event {
     /// A request was sent for the first time.
     FirstSend,
-    /// A resend was taken from the budget.
-    Taken,
+    /// A request was sent once more.
+    Resend,
     /// The budget had no resend left.
     Denied,
 }
@@ -27,8 +27,8 @@
 pub struct Counts {
     /// Requests that were sent for the first time.
     pub first_sends: u32,
-    /// Resends that were taken from the budget.
-    pub taken: u32,
+    /// Requests that were sent once more.
+    pub resends: u32,
     /// Resends that the budget denied.
     pub denied: u32,
 }
@@ -43,7 +43,7 @@
 impl Counts {
     fn add(&mut self, other: Self) {
         self.first_sends += other.first_sends;
-        self.taken += other.taken;
+        self.resends += other.resends;
         self.denied += other.denied;
     }
 }
@@ -61,7 +61,7 @@
         };
         match event {
             Event::FirstSend => counts.first_sends += 1,
-            Event::Taken => counts.taken += 1,
+            Event::Resend => counts.resends += 1,
             Event::Denied => counts.denied += 1,
         }
     }
--- a/crates/cranberrygap-policy/tests/resends.rs
+++ b/crates/cranberrygap-policy/tests/resends.rs
@@ -110,11 +110,11 @@
     let at = |seconds| duration::Instant::default().after(duration::Span::from_secs(seconds));
     let mut tally = tally::Tally::default();
     tally.record(at(0), tally::Event::FirstSend);
-    tally.record(at(5), tally::Event::Taken);
+    tally.record(at(5), tally::Event::Resend);
 
     let counts = [0, 5, 9, 10, 15].map(|seconds| {
         let counts = tally.counts(at(seconds));
-        (counts.first_sends, counts.taken)
+        (counts.first_sends, counts.resends)
     });
 
     assert_eq!(counts, [(1, 1), (1, 1), (1, 1), (0, 1), (0, 0)]);
