Offer a request to no third entry that the second one may have run

What callers saw: one attempt at more endpoints than its route allows. Cause: the entry that forwards a request has no endpoints of its own and hands on all attempts. When the entry that took it broke off, the request went to the next one, with all attempts again.

It now ends as broken, and its caller decides. Passing on the number of attempts that are left was weighed: the first entry would have to keep one back, and endpoints that fail are more common than entries that break off within a request.

--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{address, duration};
-use cranberrygap_wire::traffic;
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, StreamBody};
@@ -19,7 +18,6 @@
 
 use crate::framing;
 use crate::metric;
-use crate::resends;
 use crate::view;
 
 use super::delivery::DEADLINE_GRACE;
@@ -104,7 +102,6 @@
     log: &mut request_log::Log,
 ) -> Result<Response<response::Body>, Failure> {
     let deadline = request.deadline(&resolution.route);
-    let mut may_have_run = false;
     for _offer in 0..MAX_PEERS {
         let now = gateway.core.now();
         if deadline.since(now) <= MIN_TIME_LEFT {
@@ -139,38 +136,18 @@
                 tokio::time::sleep(PLAN_WAIT.to_std()).await;
             }
             Rejection::MayHaveRun => {
+                // The other entry may have used all attempts that the route allows.
                 gateway.core.reach.record_peer_failure(now, peer);
                 if now >= deadline {
                     return Err(Failure::DeadlineExceeded);
                 }
-                if !may_repeat(gateway, resolution) {
-                    return Err(Failure::Broken("the other entry broke off"));
-                }
-                may_have_run = true;
-                log.add_step(now, format_args!("the entry at {peer} broke off"));
+                return Err(Failure::Broken("the other entry broke off"));
             }
         }
     }
-    if may_have_run {
-        return Err(Failure::Broken("the other entries broke off"));
-    }
     Err(no_path())
 }
 
-/// Whether a request that may have run can be sent once more.
-fn may_repeat(gateway: &Arc<Gateway>, resolution: &request::Resolution) -> bool {
-    let kind = resolution.route.kind;
-    let is_repeatable = matches!(kind, traffic::Kind::Idempotent | traffic::Kind::Resumable);
-    is_repeatable
-        && resends::take(
-            &gateway.core,
-            &resolution.service,
-            resends::Cause::Forwarded,
-        )
-        .map(resends::Ticket::use_up)
-        .is_some()
-}
-
 /// One of the entries that take requests as far as known, at first in the own failure domain.
 fn choose_peer(
     gateway: &Gateway,
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -111,7 +111,7 @@
         name: RESENDS,
         kind: "c",
         unit: "resends",
-        meaning: "requests to be sent once more, tagged with service, cause (rejected, failed, unanswered, cut, forwarded), and sent or denied by the budget",
+        meaning: "requests to be sent once more, tagged with service, cause (rejected, failed, unanswered, cut), and sent or denied by the budget",
     },
     Metric {
         name: RESENDS_RECENT,
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -26,8 +26,6 @@
     Unanswered,
     /// The response broke off.
     Cut,
-    /// Another entry that it was forwarded to broke off.
-    Forwarded,
 }
 
 /// The budget of this entry and what it was used for.
@@ -56,7 +54,6 @@
             Self::Failed => "failed",
             Self::Unanswered => "unanswered",
             Self::Cut => "cut",
-            Self::Forwarded => "forwarded",
         }
     }
 }
