Believe only entries that a request was not taken

What callers saw: a booking runs twice, and its caller is told that it did not run. Cause: entries refuse each other's requests by a response header, and an entry passed that header on when an endpoint had set it. The entry that had forwarded the request took the endpoint's response for a refusal of the other entry, and sent the booking again elsewhere.

The header is now removed from what endpoints respond, so that only an entry can set it. The mark of a forwarded request, in the other direction, gives a caller nothing: its request is charged and sent like any other, and is only not forwarded. Test: two runs and a 503 before, one run and its answer after.

--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
 
 /// Names why an entry cannot take a forwarded request.
-const REFUSAL: HeaderName = HeaderName::from_static("cranberrygap-refusal");
+pub(super) const REFUSAL: HeaderName = HeaderName::from_static("cranberrygap-refusal");
 
 /// Entries that a request is offered to.
 const MAX_PEERS: usize = 3;
--- a/crates/cranberrygap-entry/src/gateway/response.rs
+++ b/crates/cranberrygap-entry/src/gateway/response.rs
@@ -5,6 +5,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
 
+use super::forward;
+
 /// Why a body ends early. The caller's connection is then cut, so that a partial body is
 /// never taken for a whole one.
 pub(crate) type Error = std::io::Error;
@@ -51,5 +53,7 @@
 /// Headers of an endpoint's response that are forwarded to the caller.
 pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
+    // Only an entry refuses a request of another one.
+    headers.remove(forward::REFUSAL);
     headers
 }
