Count a request that waited at a stopped process from the begin of the stall

What callers saw: endpoints that work on requests whose callers have left, after an entry stood still. Cause: a request that waits in the socket of a process that is suspended is read when it goes on, and its time was counted from there.

Each process now notices by a tick that did not come that it stood still, and takes what it reads in the next 100 ms for as old as the stall.

--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -138,7 +138,10 @@
             about: about.clone(),
             path: self.path,
             fingerprint,
-            deadline: self.core.now().after(request_deadline(&view, &body.model)),
+            deadline: self
+                .core
+                .arrival_time()
+                .after(request_deadline(&view, &body.model)),
             body,
         };
         let queue_place = self.enter_queue(&view, &workspace, &engine_request).await?;
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -6,7 +6,7 @@
 use cadence::{Counted as _, StatsdClient, Timed as _};
 use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
-use cranberrygap_policy::retry;
+use cranberrygap_policy::{retry, stall};
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
 use tokio::sync::watch as watch_channel;
@@ -32,6 +32,8 @@
     pub(crate) settings: settings::Entry,
     pub(crate) boot: number::Boot,
     pub(crate) clock: clock::Clock,
+    /// Knows when this process stood still.
+    pub(crate) stalls: Mutex<stall::Detector>,
     pub(crate) view: view::Holder,
     pub(crate) peers: Arc<control::Peers>,
     pub(crate) leader: control::Session,
@@ -129,6 +131,20 @@
         let _never_closed = closing.wait_for(|closing| *closing).await;
     }
 
+    /// Time at which a request that is read now has arrived, counted from the begin of a stall
+    /// that has just ended.
+    pub(crate) fn arrival_time(&self) -> duration::Instant {
+        self.stalls.lock().arrival(self.now())
+    }
+
+    /// Watches for times in which this process stands still, until it stops.
+    pub(crate) async fn watch_stalls(self: Arc<Self>) {
+        loop {
+            self.stalls.lock().tick(self.now());
+            tokio::time::sleep(stall::TICK.to_std()).await;
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -220,7 +220,7 @@
     gateway: Arc<Gateway>,
     request: HttpRequest<Incoming>,
 ) -> Response<response::Body> {
-    let arrived_at = gateway.core.now();
+    let arrived_at = gateway.core.arrival_time();
     let (head, body) = request.into_parts();
     let mut log = request_log::Log::new(arrived_at, None);
     let mut response = match respond(&gateway, arrived_at, head, body, &mut log).await {
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -152,6 +152,7 @@
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
             tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
             tokio::spawn(quarantine::run_reports(Arc::clone(&core))),
+            tokio::spawn(Arc::clone(&core).watch_stalls()),
         ];
         if gateway.is_none() {
             // The load of a traffic plan's endpoints is estimated from the requests sent.
@@ -360,6 +361,7 @@
         peers: Arc::clone(&peers),
         boot,
         clock,
+        stalls: Mutex::default(),
         view: view::Holder::default(),
         leader: control::Session::new(peers, Arc::clone(fleet)),
         limiter: Arc::clone(shares) as _,
--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod quarantine;
 pub mod resend;
 pub mod retry;
+pub mod stall;
 pub mod stream;
