Let both request paths take resends from one budget

What callers saw: at the API, all requests of failing engines are sent three times. Cause: two mechanisms for one promise. Routes had a budget that earns by requests; the API had another that started with 64 resends at each entry, knew no other entry and was full again after each restart.

Test first, on the code before: three entries with 40 streams each before engines that cut every stream sent 320 requests for 120, where a fifth and 44 are allowed (188). After: within it.

Engines, plain services of the API and services of a plan are now scopes of one budget; the API decides on attempts and deadlines as before and then asks it, and every resend is a ticket that is used up when it is sent. Bookings are sent once for a claim and never again. retry_share holds for both paths; its default is 0.17, as routes had, in place of 0.1. What all entries may save together, 32 or one each, is no longer cut to 4 at an entry: two entries may save 16 each, eight 4 as before; a process counts as new for 3 s from its start.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_policy::outcome::{Evidence, Outcome};
+use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::{claims, retry};
 use cranberrygap_trace::note;
 use cranberrygap_wire::{claim, configuration};
@@ -20,6 +21,7 @@
 use crate::core;
 use crate::engine;
 use crate::refusal::Refusal;
+use crate::resends;
 use crate::route;
 use crate::view;
 
@@ -160,7 +162,8 @@
     /// deadline.
     async fn send_idempotent(&self, call: &Call) -> Result<completion::Completion, Refusal> {
         let deadline = self.core.now().after(call.deadline);
-        self.core.retry_budget.lock().record_request();
+        let scope = scope::Scope::Service(call.service.clone());
+        let mut resend: Option<resends::Ticket> = None;
         let mut tried = route::Tried::new();
         let mut outcome = Outcome::NotRun;
         for number in 1.. {
@@ -172,6 +175,10 @@
             } else {
                 self.core.upstream.pooled()
             };
+            match resend.take() {
+                Some(resend) => resend.use_up(),
+                None => resends::record_first_send(&self.core, &scope),
+            }
             let completion = self.dispatch(call, &destination, client).await;
             let completion::Completion::Failed(evidence) = completion else {
                 return Ok(completion);
@@ -183,9 +190,16 @@
                 outcome,
                 deadline,
             };
-            if !self.await_retry(attempt).await {
+            let decision = retry::decide(self.core.now(), attempt, &mut rand::rng());
+            let retry::Decision::Retry(wait) = decision else {
+                break;
+            };
+            let cause = resends::Cause::of(evidence);
+            resend = resends::take(&self.core, &scope, cause);
+            if resend.is_none() {
                 break;
             }
+            tokio::time::sleep(wait.to_std()).await;
         }
         if outcome == Outcome::NotRun {
             return Err(Refusal::NoEndpoint {
@@ -195,20 +209,6 @@
         Err(Refusal::EndpointFailed)
     }
 
-    /// Waits for the backoff of a retry; false if the retry budget denies it.
-    async fn await_retry(&self, attempt: retry::Attempt) -> bool {
-        let now = self.core.now();
-        let decision = {
-            let mut budget = self.core.retry_budget.lock();
-            budget.decide(now, attempt, &mut rand::rng())
-        };
-        let retry::Decision::Retry(wait) = decision else {
-            return false;
-        };
-        tokio::time::sleep(wait.to_std()).await;
-        true
-    }
-
     /// Chooses an endpoint that was not tried, or any if all were, and marks it as tried.
     fn choose_untried(&self, call: &Call, tried: &mut route::Tried) -> Option<route::Destination> {
         let mut destination = self.choose(call, tried);
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -6,7 +6,7 @@
 use cadence::{Counted as _, StatsdClient, Timed as _};
 use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
-use cranberrygap_policy::{retry, stall};
+use cranberrygap_policy::stall;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
 use tokio::sync::watch as watch_channel;
@@ -51,8 +51,6 @@
     pub(crate) upstream: upstream::Clients,
     /// Requests that wait for a slot at the engines.
     pub(crate) queues: Arc<queue::Queues>,
-    /// Budget of retries.
-    pub(crate) retry_budget: Mutex<retry::Budget>,
     /// Requests in progress by endpoint, and requests suspected to crash endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) announcements: announce::Inbox,
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -4,6 +4,7 @@
 
 use cranberrygap_model::{duration, id};
 use cranberrygap_policy::outcome::{Evidence, Outcome};
+use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::retry;
 use salvo::http::{StatusCode, header};
 
@@ -11,6 +12,7 @@
 use crate::quarantine;
 use crate::queue;
 use crate::refusal::Refusal;
+use crate::resends;
 use crate::route;
 
 use super::{ATTEMPT_ID_HEADER, Attempt, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER, Request, Response};
@@ -38,6 +40,8 @@
     attempts: u32,
     crashes: u32,
     outcome: Outcome,
+    /// What pays for the next attempt, unless it is the first.
+    resend: Option<resends::Ticket>,
     /// Place in the queue; dropping it lets the next request in.
     _queue_place: Option<queue::Slot>,
 }
@@ -49,12 +53,6 @@
         request: &Arc<Request>,
         queue_place: Option<queue::Slot>,
     ) -> Self {
-        let mut budget = core.retry_budget.lock();
-        if let Some(view) = core.view.latest() {
-            budget.set_share(view.defaults().retry_share);
-        }
-        budget.record_request();
-        drop(budget);
         Self {
             core: Arc::clone(core),
             request: Arc::clone(request),
@@ -62,6 +60,7 @@
             attempts: 0,
             crashes: 0,
             outcome: Outcome::NotRun,
+            resend: None,
             _queue_place: queue_place,
         }
     }
@@ -92,6 +91,10 @@
         loop {
             self.check_quarantine()?;
             let (destination, run) = self.choose_engine().await?;
+            match self.resend.take() {
+                Some(resend) => resend.use_up(),
+                None => resends::record_first_send(&self.core, &scope::Scope::Engines),
+            }
             self.attempts += 1;
             let attempt = Attempt::new(&self.core, destination, &self.request, self.attempts, run);
             match self.send_attempt(attempt, delivered).await {
@@ -129,19 +132,21 @@
             outcome: self.outcome,
             deadline: self.request.deadline,
         };
-        let now = self.core.now();
-        let decision = self
-            .core
-            .retry_budget
-            .lock()
-            .decide(now, retry_attempt, &mut rand::rng());
-        match decision {
-            retry::Decision::Retry(wait) => {
-                tokio::time::sleep(wait.to_std()).await;
-                Ok(())
-            }
-            retry::Decision::GiveUp(reason) => Err(self.refusal(reason)),
+        let decision = retry::decide(self.core.now(), retry_attempt, &mut rand::rng());
+        let wait = match decision {
+            retry::Decision::Retry(wait) => wait,
+            retry::Decision::GiveUp(reason) => return Err(self.refusal(reason)),
+        };
+        self.resend = resends::take(
+            &self.core,
+            &scope::Scope::Engines,
+            resends::Cause::of(evidence),
+        );
+        if self.resend.is_none() {
+            return Err(self.refusal(retry::Reason::BudgetExhausted));
         }
+        tokio::time::sleep(wait.to_std()).await;
+        Ok(())
     }
 
     fn refusal(&self, reason: retry::Reason) -> Refusal {
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -320,7 +320,7 @@
         // One that was taken before and not sent pays for this one.
         if self.resend.is_none() {
             let core = &self.gateway.core;
-            self.resend = resends::take(core, &self.resolution.service, cause);
+            self.resend = resends::take(core, &self.resolution.scope(), cause);
         }
         self.resend.is_some()
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -92,7 +92,6 @@
             // whether the request may still be sent.
             let view = request::serving_view(&self.gateway)?;
             self.resolution = self.request.resolve(&view)?;
-            let entries = view.active_entries().count();
             drop(view);
             if !self.is_paid() {
                 return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no resend is left"));
@@ -106,10 +105,7 @@
                 duration::Span(time_left.0 - NETWORK_TIME.0),
                 last_event_id,
             )?;
-            match self
-                .exchange(target, connection, request, time_left, entries)
-                .await
-            {
+            match self.exchange(target, connection, request, time_left).await {
                 // The endpoint closed an idle connection; nothing of the request arrived.
                 Exchange::NotSent { reused: true } => {
                     match self.gateway.pool.open(target.destination.address).await {
@@ -125,9 +121,9 @@
 
     /// Whether the service of the request, which may have changed, pays for a resend.
     fn is_paid(&mut self) -> bool {
-        let service = &self.resolution.service;
+        let scope = self.resolution.scope();
         let resend = self.resend.as_mut();
-        resend.is_none_or(|resend| resend.transfer(service))
+        resend.is_none_or(|resend| resend.transfer(&scope))
     }
 
     fn record_unreachable(&self, target: &Target) -> Outcome {
@@ -156,7 +152,6 @@
         mut connection: endpoint_connection::Connection,
         request: Request<Full<Bytes>>,
         time_left: duration::Span,
-        entries: usize,
     ) -> Exchange {
         let core = Arc::clone(&self.gateway.core);
         let chain = self
@@ -183,7 +178,7 @@
         in_flight.attach(self.run.take());
         match self.resend.take() {
             Some(resend) => resend.use_up(),
-            None => resends::record_first_send(&core, &self.resolution.service, entries),
+            None => resends::record_first_send(&core, &self.resolution.scope()),
         }
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_policy::limits::holder;
+use cranberrygap_policy::resend::scope;
 use cranberrygap_routing::prompt::{backlog, prefix_cache};
 use cranberrygap_state::traffic as state;
 use cranberrygap_wire::traffic;
@@ -101,6 +102,11 @@
 }
 
 impl Resolution {
+    /// What pays for resends of the request.
+    pub(crate) fn scope(&self) -> scope::Scope {
+        scope::Scope::Service(self.service.clone())
+    }
+
     /// Priority of the request; 0 is the most urgent.
     pub(crate) fn priority(&self) -> u32 {
         let own_priority = self
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -8,7 +8,6 @@
 use cranberrygap_link::clock;
 use cranberrygap_link::{credential, server as link_server};
 use cranberrygap_model::{address, duration, number};
-use cranberrygap_policy::retry;
 use cranberrygap_wire::settings;
 use parking_lot::Mutex;
 use spdlog::info;
@@ -372,7 +371,6 @@
         resends: resends::Resends::default(),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
-        retry_budget: Mutex::new(retry::Budget::new(INITIAL_RETRY_SHARE)),
         quarantine: quarantine::Quarantine::default(),
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
@@ -384,9 +382,6 @@
     })
 }
 
-/// Share of retries until the configuration is known; equals the configuration's default.
-const INITIAL_RETRY_SHARE: f64 = 0.1;
-
 /// Time after which no other entry still names a draining one: an entry whose view is
 /// older than its lease answers no caller.
 const STALE_VIEW_TIME: duration::Span = duration::Span::from_secs(2);
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use cadence::{Counted as _, Gauged as _};
-use cranberrygap_model::{duration, id};
-use cranberrygap_policy::resend::{self, tally};
+use cranberrygap_model::duration;
+use cranberrygap_policy::outcome::Evidence;
+use cranberrygap_policy::resend::{self, scope, tally};
 use parking_lot::Mutex;
 use spdlog::warn;
 
@@ -37,10 +38,10 @@
 #[derive(Debug, Default)]
 struct State {
     budget: resend::Budget,
-    services: BTreeMap<id::Service, Usage>,
+    usages: BTreeMap<scope::Scope, Usage>,
 }
 
-/// What was sent for one service lately.
+/// What was sent within one scope lately.
 #[derive(Debug, Default)]
 struct Usage {
     tally: tally::Tally,
@@ -48,6 +49,20 @@
 }
 
 impl Cause {
+    /// The cause that an attempt's evidence tells.
+    pub(crate) const fn of(evidence: Evidence) -> Self {
+        match evidence {
+            Evidence::NeverDispatched | Evidence::ConnectFailed | Evidence::EndpointRefused => {
+                Self::Rejected
+            }
+            Evidence::CutAnswer | Evidence::CrossedAnswer => Self::Cut,
+            Evidence::WholeAnswer
+            | Evidence::ConnectionBroke
+            | Evidence::Silence
+            | Evidence::DeadlinePassed => Self::Unanswered,
+        }
+    }
+
     const fn name(self) -> &'static str {
         match self {
             Self::Rejected => "rejected",
@@ -62,62 +77,69 @@
     /// The state for a dump.
     pub(crate) fn dump(&self, now: duration::Instant) -> serde_json::Value {
         let state = self.state.lock();
-        let services = state.services.iter().map(|(service, usage)| {
+        let usages = state.usages.iter().map(|(scope, usage)| {
             let counts = usage.tally.counts(now);
             let described = serde_json::json!({
-                "saved": state.budget.saved(service),
+                "saved": state.budget.saved(scope),
                 "last_10s": counts,
-                "bound_10s": bound(counts, state.budget.max_saved(now)),
+                "bound_10s": bound(&state.budget, now, counts),
             });
-            (service.to_string(), described)
+            (scope.to_string(), described)
         });
-        services.collect::<serde_json::Map<_, _>>().into()
+        usages.collect::<serde_json::Map<_, _>>().into()
     }
 }
 
 /// Records a request that was sent for the first time, which adds its share to the budget.
 ///
 /// A request that another entry sends in the end pays there, and nowhere else.
-pub(crate) fn record_first_send(core: &core::Core, service: &id::Service, entries: usize) {
+pub(crate) fn record_first_send(core: &core::Core, scope: &scope::Scope) {
+    let view = core.view.latest();
+    let entries = view
+        .as_ref()
+        .map_or(0, |view| view.active_entries().count());
     let mut state = core.resends.state.lock();
-    state.budget.earn(core.now(), service, entries);
-    record(core, &mut state, service, tally::Event::FirstSend);
+    if let Some(view) = view {
+        state.budget.set_share(view.defaults().retry_share);
+    }
+    state.budget.earn(core.now(), scope, entries);
+    record(core, &mut state, scope, tally::Event::FirstSend);
     drop(state);
-    count(core, metric::FIRST_SENDS, &[service.as_str()]);
+    count(core, metric::FIRST_SENDS, &[scope.to_string().as_str()]);
 }
 
-/// A resend taken from the budget of a service; it goes back if it is dropped unused.
+/// A resend taken from the budget of a scope; it goes back if it is dropped unused.
 #[derive(Debug)]
 pub(crate) struct Ticket {
     core: Arc<core::Core>,
-    service: id::Service,
+    scope: scope::Scope,
     cause: Cause,
     is_used: bool,
 }
 
 /// Takes one resend from the budget; `None` if the request must not be sent once more.
-pub(crate) fn take(core: &Arc<core::Core>, service: &id::Service, cause: Cause) -> Option<Ticket> {
-    spend(core, service, cause).then(|| Ticket {
+pub(crate) fn take(core: &Arc<core::Core>, scope: &scope::Scope, cause: Cause) -> Option<Ticket> {
+    spend(core, scope, cause).then(|| Ticket {
         core: Arc::clone(core),
-        service: service.clone(),
+        scope: scope.clone(),
         cause,
         is_used: false,
     })
 }
 
 impl Ticket {
-    /// Lets the service to which the request goes now pay for it; false if it cannot.
+    /// Lets the scope to which the request goes now pay for it; false if it cannot.
     ///
     /// The plan may have changed since the ticket was taken.
-    pub(crate) fn transfer(&mut self, service: &id::Service) -> bool {
-        if self.service == *service {
+    pub(crate) fn transfer(&mut self, scope: &scope::Scope) -> bool {
+        if self.scope == *scope {
             return true;
         }
-        if !spend(&self.core, service, self.cause) {
+        if !spend(&self.core, scope, self.cause) {
             return false;
         }
         self.give_back();
-        self.service = service.clone();
+        self.scope = scope.clone();
         true
     }
 
@@ -125,14 +147,14 @@
     pub(crate) fn use_up(mut self) {
         self.is_used = true;
         let mut state = self.core.resends.state.lock();
-        record(&self.core, &mut state, &self.service, tally::Event::Resend);
+        record(&self.core, &mut state, &self.scope, tally::Event::Resend);
         drop(state);
-        count_resend(&self.core, &self.service, self.cause, "sent");
+        count_resend(&self.core, &self.scope, self.cause, "sent");
     }
 
     fn give_back(&self) {
         let mut state = self.core.resends.state.lock();
-        state.budget.give_back(self.core.now(), &self.service);
+        state.budget.give_back(self.core.now(), &self.scope);
     }
 }
 
@@ -144,55 +166,54 @@
     }
 }
 
-fn spend(core: &core::Core, service: &id::Service, cause: Cause) -> bool {
+fn spend(core: &core::Core, scope: &scope::Scope, cause: Cause) -> bool {
     let mut state = core.resends.state.lock();
-    if state.budget.spend(service) {
+    if state.budget.spend(scope) {
         return true;
     }
-    record(core, &mut state, service, tally::Event::Denied);
+    record(core, &mut state, scope, tally::Event::Denied);
     drop(state);
-    count_resend(core, service, cause, "denied");
+    count_resend(core, scope, cause, "denied");
     false
 }
 
-fn count_resend(core: &core::Core, service: &id::Service, cause: Cause, result: &str) {
+fn count_resend(core: &core::Core, scope: &scope::Scope, cause: Cause, result: &str) {
     count(
         core,
         metric::RESENDS,
-        &[service.as_str(), cause.name(), result],
+        &[scope.to_string().as_str(), cause.name(), result],
     );
 }
 
-/// Resends that the requests of a window allow, beside what was saved before it.
-fn bound(counts: tally::Counts, max_saved: f64) -> f64 {
-    f64::from(counts.first_sends) * resend::RESENDS_PER_REQUEST + max_saved
+/// Resends that the requests of a window allow, and those that may be saved before it.
+fn bound(budget: &resend::Budget, now: duration::Instant, counts: tally::Counts) -> f64 {
+    f64::from(counts.first_sends) * budget.share() + budget.max_saved(now)
 }
 
-fn record(core: &core::Core, state: &mut State, service: &id::Service, event: tally::Event) {
+fn record(core: &core::Core, state: &mut State, scope: &scope::Scope, event: tally::Event) {
     let now = core.now();
-    let max_saved = state.budget.max_saved(now);
-    if !state.services.contains_key(service) {
-        state.services.insert(service.clone(), Usage::default());
+    if !state.usages.contains_key(scope) {
+        state.usages.insert(scope.clone(), Usage::default());
     }
-    let Some(usage) = state.services.get_mut(service) else {
+    let Some(usage) = state.usages.get_mut(scope) else {
         return;
     };
     usage.tally.record(now, event);
     let counts = usage.tally.counts(now);
-    let bound = bound(counts, max_saved);
+    let bound = bound(&state.budget, now, counts);
     set_gauge(
         core,
         metric::RESENDS_RECENT,
-        service,
+        scope,
         f64::from(counts.resends),
     );
-    set_gauge(core, metric::RESENDS_BOUND, service, bound);
+    set_gauge(core, metric::RESENDS_BOUND, scope, bound);
     if event == tally::Event::FirstSend || !usage.is_warning_due(now, counts, bound) {
         return;
     }
     usage.warned_at = Some(now);
     warn!(
-        "resends: {} of {} requests for {service} were sent again in {}, {bound:.0} are allowed; \
+        "resends: {} of {} requests for {scope} were sent again in {}, {bound:.0} are allowed; \
          {} more were not",
         counts.resends,
         counts.first_sends,
@@ -222,7 +243,7 @@
 }
 
 /// Sets a gauge in whole resends, rounded down. A metric that cannot be sent is dropped.
-fn set_gauge(core: &core::Core, name: &'static str, service: &id::Service, value: f64) {
+fn set_gauge(core: &core::Core, name: &'static str, scope: &scope::Scope, value: f64) {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -230,5 +251,5 @@
     )]
     let value = value as u64;
     let gauge = core.metrics.gauge_with_tags(name, value);
-    gauge.with_tag_value(service.as_str()).send();
+    gauge.with_tag_value(&scope.to_string()).send();
 }
--- a/crates/cranberrygap-policy/src/resend.rs
+++ b/crates/cranberrygap-policy/src/resend.rs
@@ -6,17 +6,18 @@
 //! meanwhile; what one entry saves is bounded.
 
 mod entries;
+pub mod scope;
 pub mod tally;
 
 use std::collections::BTreeMap;
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::duration;
 
-/// Resends that one request adds to the budget.
+/// Share of a resend that one request adds to the budget until the configuration is known.
 ///
 /// Below the fifth that the fleet allows, since a resend may be sent up to two seconds after it
-/// is taken from the budget.
-pub const RESENDS_PER_REQUEST: f64 = 0.17;
+/// is taken from the budget. Equals the configuration's default.
+const DEFAULT_SHARE: f64 = 0.17;
 
 /// Most resends that all entries together may accumulate, beside one for each entry.
 ///
@@ -27,34 +28,51 @@
 /// Resends that every entry may accumulate, so that a request can be resent at all.
 const MIN_SAVED_CAP: f64 = 1.0;
 
-/// Most resends that one entry may accumulate.
-///
-/// Keeps an entry with little traffic from sending a burst.
-pub const MAX_SAVED_ENTRY: f64 = 4.0;
-
-/// Resends left for each service.
-#[derive(Debug, Default)]
+/// Resends left for each scope.
+#[derive(Debug)]
 pub struct Budget {
-    saved: BTreeMap<id::Service, f64>,
+    share: f64,
+    saved: BTreeMap<scope::Scope, f64>,
     entries: entries::Count,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            share: DEFAULT_SHARE,
+            saved: BTreeMap::new(),
+            entries: entries::Count::default(),
+        }
+    }
+}
+
 impl Budget {
-    /// Adds the share of one request for a service, at one of `entries` entries.
-    pub fn earn(&mut self, now: duration::Instant, service: &id::Service, entries: usize) {
+    /// Sets the resends that one request adds, between 0 and 1.
+    pub const fn set_share(&mut self, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
+    }
+
+    /// Returns the resends that one request adds.
+    #[must_use]
+    pub const fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Adds the share of one request, at one of `entries` entries.
+    pub fn earn(&mut self, now: duration::Instant, scope: &scope::Scope, entries: usize) {
         self.entries.record(now, entries);
         let max_saved = self.max_saved(now);
-        if !self.saved.contains_key(service) {
-            self.saved.insert(service.clone(), 0.0);
+        if !self.saved.contains_key(scope) {
+            self.saved.insert(scope.clone(), 0.0);
         }
-        if let Some(saved) = self.saved.get_mut(service) {
-            *saved = (*saved + RESENDS_PER_REQUEST).min(max_saved);
+        if let Some(saved) = self.saved.get_mut(scope) {
+            *saved = (*saved + self.share).min(max_saved);
         }
     }
 
     /// Takes one resend from the budget; returns false if none is left.
-    pub fn spend(&mut self, service: &id::Service) -> bool {
-        let saved = self.saved.get_mut(service);
+    pub fn spend(&mut self, scope: &scope::Scope) -> bool {
+        let saved = self.saved.get_mut(scope);
         let Some(saved) = saved.filter(|saved| **saved >= 1.0) else {
             return false;
         };
@@ -63,20 +81,20 @@
     }
 
     /// Returns a resend that was taken and not sent. What is beyond the cap is lost.
-    pub fn give_back(&mut self, now: duration::Instant, service: &id::Service) {
+    pub fn give_back(&mut self, now: duration::Instant, scope: &scope::Scope) {
         let max_saved = self.max_saved(now);
-        if let Some(saved) = self.saved.get_mut(service) {
+        if let Some(saved) = self.saved.get_mut(scope) {
             *saved = (*saved + 1.0).min(max_saved);
         }
     }
 
-    /// Returns the resends left for a service.
+    /// Returns the resends left for a scope.
     #[must_use]
-    pub fn saved(&self, service: &id::Service) -> f64 {
-        self.saved.get(service).copied().unwrap_or_default()
+    pub fn saved(&self, scope: &scope::Scope) -> f64 {
+        self.saved.get(scope).copied().unwrap_or_default()
     }
 
-    /// Returns the most resends that this entry may accumulate for a service.
+    /// Returns the most resends that this entry may accumulate for a scope.
     #[must_use]
     pub fn max_saved(&self, now: duration::Instant) -> f64 {
         // Without a cap that falls with the number of entries, a large fleet after a quiet
@@ -85,6 +103,6 @@
             return MIN_SAVED_CAP;
         };
         let fleet_part = MAX_SAVED_FLEET / entries.max(1) as f64;
-        fleet_part.clamp(MIN_SAVED_CAP, MAX_SAVED_ENTRY)
+        fleet_part.max(MIN_SAVED_CAP)
     }
 }
--- a/crates/cranberrygap/tests/requests_streams.rs
+++ b/crates/cranberrygap/tests/requests_streams.rs
@@ -41,10 +41,25 @@
             known >= engines && chat.is_ok_and(|answer| answer.status().is_success())
         })
         .await;
+        pay_for_resends(&fleet, entry, &caller).await;
     }
     (fleet, caller)
 }
 
+/// Sends requests until the entry may send as many again as one engine runs in these tests.
+async fn pay_for_resends(fleet: &fleet::Fleet, entry: &fleet::Entry, caller: &caller::Caller) {
+    const RESENDS: f64 = 15.0;
+    const AT_ONCE: usize = 20;
+    wait::until("the entry has saved resends", async || {
+        let chats = (0..AT_ONCE).map(|_| caller.chat(entry.callers, MODEL, "paid", false));
+        future::join_all(chats).await;
+        let dump = fleet.dump(entry.admin).await;
+        let saved = dump["resends"]["(engines)"]["saved"].as_f64();
+        saved.is_some_and(|saved| saved >= RESENDS)
+    })
+    .await;
+}
+
 fn body(prompt: &str, stream: bool) -> Value {
     json!({
         "model": MODEL,
