--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod placement;
 pub mod quarantine;
+pub mod resends;
 pub mod residency;
 pub mod view;
 
@@ -60,6 +61,7 @@
         Box::new(endpoint_limits::EndpointLimits),
         Box::new(bookings::Bookings),
         Box::new(quarantine::Quarantine),
+        Box::new(resends::Resends),
         Box::new(view::View::default()),
         Box::new(view::Minority),
         Box::new(view::Quiet::default()),
