Hand on the time that is left when a forwarded request is sent

Opening a second connection to another entry, after the kept one turned out to be closed, may take 0.4 s; the time handed on was from before. Seen by reading, no test of its own: the run of real processes holds what is handed on against what the caller has left.

--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -182,9 +182,10 @@
     let usage = gateway.peers.begin(peer);
     let opened = gateway.peers.pool.take(peer, true).await;
     let mut connection = opened.map_err(|_refused| Rejection::Unusable)?;
-    let time_left = deadline.since(gateway.core.now());
-    let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
     let response = loop {
+        // Opening a connection takes a part of the time that is handed on.
+        let time_left = deadline.since(gateway.core.now());
+        let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
         let outgoing = build(gateway, request, plan_version, time_left);
         let outgoing = outgoing.ok_or(Rejection::Unusable)?;
         let sent = tokio::time::timeout(timeout, connection.send(outgoing)).await;
