--- a/crates/cranberrygap-arrivals/src/check/budget.rs
+++ b/crates/cranberrygap-arrivals/src/check/budget.rs
@@ -31,9 +31,9 @@
             let times = requests.entry(&attempt.service).or_default();
             times.push(attempt.sent_at);
         }
-        requests
-            .values_mut()
-            .for_each(|times| times.sort_unstable());
+        for times in requests.values_mut() {
+            times.sort_unstable();
+        }
         let repeats = repeats(record);
         let worst = repeats.iter().filter_map(|(service, repeats)| {
             let none = Vec::new();
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -24,7 +24,7 @@
 fn attempt(number: usize, seconds: f64) -> attempt::Attempt {
     attempt::Attempt {
         id: format!("a-{number}").into(),
-        service: "app".parse().unwrap(),
+        service: "app".parse().expect("a name"),
         entry: "entry-1".into(),
         sent_at: at(seconds),
         timeout: duration::Span::from_secs(3),
@@ -36,7 +36,7 @@
     arrival::Arrival {
         attempt: format!("a-{number}").into(),
         content: format!("c-{number}").into(),
-        service: "app".parse().unwrap(),
+        service: "app".parse().expect("a name"),
         endpoint: endpoint.into(),
         at: at(seconds),
         time_left: Some(duration::Span::from_millis(2_400)),
@@ -87,7 +87,7 @@
     let mut record = repeated(6);
     let moved = record.arrivals.iter_mut();
     for arrival in moved.filter(|arrival| arrival.endpoint == "i-2") {
-        arrival.service = "other".parse().unwrap();
+        arrival.service = "other".parse().expect("a name");
     }
 
     let findings = check::findings(&record, &rules());
--- a/crates/cranberrygap-bench/src/soak/resends/world.rs
+++ b/crates/cranberrygap-bench/src/soak/resends/world.rs
@@ -270,7 +270,7 @@
         }
     }
 
-    fn note(&mut self, what: String) {
+    fn note(&mut self, what: &str) {
         if self.trace.len() == TRACE {
             self.trace.pop_front();
         }
@@ -446,7 +446,7 @@
             Kind::Restart => self.restart(entry),
             Kind::RestartMany => {
                 let share = self.random.random::<f64>();
-                self.note(format!("{share:.2} of all entries restart"));
+                self.note(&format!("{share:.2} of all entries restart"));
                 for entry in 0..self.entries.len() {
                     if self.random.random::<f64>() < share {
                         self.restart(entry);
@@ -455,12 +455,12 @@
             }
             Kind::Pause => {
                 let pause = duration::Span::from_millis(self.random.random_range(100..4_000));
-                self.note(format!("{entry} stands still for {pause}"));
+                self.note(&format!("{entry} stands still for {pause}"));
                 self.entries[entry].paused_until = self.now.after(pause);
             }
             Kind::Cut => {
                 let share = self.random.random::<f64>();
-                self.note(format!("{share:.2} of all entries are cut"));
+                self.note(&format!("{share:.2} of all entries are cut"));
                 for entry in &mut self.entries {
                     entry.is_cut = self.random.random::<f64>() < share;
                 }
@@ -468,12 +468,12 @@
             Kind::Move => {
                 self.routes[1] = 1 - self.routes[1];
                 let service = self.services[self.routes[1]].clone();
-                self.note(format!("the second route leads to {service}"));
+                self.note(&format!("the second route leads to {service}"));
             }
             Kind::Fail => {
                 let route = self.random.random_range(0..2);
                 let share = [0.0, 0.9, 1.0][self.random.random_range(0..3)];
-                self.note(format!("{share} of the requests on route {route} fail"));
+                self.note(&format!("{share} of the requests on route {route} fail"));
                 self.failing[route] = share;
             }
         }
--- a/crates/cranberrygap-bench/tests/soak_resends.rs
+++ b/crates/cranberrygap-bench/tests/soak_resends.rs
@@ -21,7 +21,7 @@
     let clean = world::run_scene(1, STEPS, Flaw::None, scene.clone());
     assert!(clean.is_ok(), "{clean:?}");
     let found = world::run_scene(1, STEPS, flaw, scene.clone());
-    found.unwrap_err().invariant
+    found.expect_err("the mistake shows").invariant
 }
 
 #[test]
--- a/crates/cranberrygap-policy/tests/resends.rs
+++ b/crates/cranberrygap-policy/tests/resends.rs
@@ -10,7 +10,7 @@
 const ENTRIES: usize = 8;
 
 fn service() -> scope::Scope {
-    scope::Scope::Service("app".parse().unwrap())
+    scope::Scope::Service("app".parse().expect("a name"))
 }
 
 /// Time between two requests.
--- a/crates/cranberrygap/tests/requests_resends.rs
+++ b/crates/cranberrygap/tests/requests_resends.rs
@@ -1,10 +1,5 @@
 //! Model requests and calls that are sent to endpoints once more, at several entries.
 
-#![expect(
-    clippy::unwrap_used,
-    reason = "a fixture that fails should fail its test"
-)]
-
 mod support;
 
 use cranberrygap_standin::engine::fault;
