Send the last metrics of a process that falls idle

What an operator saw: the last counts before a quiet time do not arrive until the next request. Cause: StatsD datagrams were sent only when full.

They are flushed each second.

--- a/crates/cranberrygap/src/daemon/metrics.rs
+++ b/crates/cranberrygap/src/daemon/metrics.rs
@@ -1,12 +1,14 @@
 //! Metrics as StatsD datagrams, or served as text.
 
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
 
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use cranberrygap_wire::settings;
 use eyre::WrapErr;
 use http::StatusCode;
+use tokio::time;
 
 use super::{http as listener, scrape};
 
@@ -17,6 +19,9 @@
 /// Metrics that may wait for the sending thread; more are dropped.
 const QUEUE_LENGTH: usize = 4096;
 
+/// Longest time for which a metric waits for others.
+const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Path at which metrics are served.
 const PATH: &str = "/metrics";
 
@@ -44,7 +49,21 @@
     socket.set_nonblocking(true)?;
     let datagrams = BufferedUdpMetricSink::from(receiver.0, socket)?;
     let queue = QueuingMetricSink::with_capacity(datagrams, QUEUE_LENGTH);
-    Ok(Arc::new(StatsdClient::from_sink(prefix, queue)))
+    let client = Arc::new(StatsdClient::from_sink(prefix, queue));
+    tokio::spawn(flush_regularly(Arc::downgrade(&client)));
+    Ok(client)
+}
+
+/// Sends what is buffered, until the client is dropped. A datagram is only sent when it is full
+/// otherwise.
+async fn flush_regularly(client: Weak<StatsdClient>) {
+    while let Some(client) = client.upgrade() {
+        if let Err(cause) = client.flush() {
+            spdlog::debug!("metrics: flushing failed: {cause}");
+        }
+        drop(client);
+        time::sleep(FLUSH_INTERVAL).await;
+    }
 }
 
 /// Keeps metrics and serves them.
