--- a/crates/cranberrygap-arrivals/src/check/crashes.rs
+++ b/crates/cranberrygap-arrivals/src/check/crashes.rs
@@ -46,7 +46,7 @@
                 .filter(|arrival| {
                     let attempt = attempts.get(&arrival.attempt);
                     attempt.is_some_and(|attempt| {
-                        record.is_undisturbed(&attempt.entry, arrival.at, rules.settling)
+                        record.is_settled(&attempt.entry, arrival.at, rules.settling)
                     })
                 })
                 .collect();
--- a/crates/cranberrygap-arrivals/src/check/deadline.rs
+++ b/crates/cranberrygap-arrivals/src/check/deadline.rs
@@ -27,7 +27,7 @@
             let Some(attempt) = attempts.get(&arrival.attempt) else {
                 continue;
             };
-            if !record.is_undisturbed(&attempt.entry, arrival.at, rules.settling) {
+            if !record.is_settled(&attempt.entry, arrival.at, rules.settling) {
                 continue;
             }
             if let Some(finding) = compare(record, rules, attempt, arrival) {
--- a/crates/cranberrygap-arrivals/src/lib.rs
+++ b/crates/cranberrygap-arrivals/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod arrival;
 pub mod attempt;
 pub mod check;
-pub mod disturbance;
+pub mod fault;
 pub mod finding;
 pub mod record;
 pub mod rules;
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -7,7 +7,7 @@
 
 use crate::arrival;
 use crate::attempt;
-use crate::disturbance;
+use crate::fault;
 use crate::stall;
 
 /// Everything that callers sent and endpoints received, in any order.
@@ -17,8 +17,8 @@
     pub attempts: Vec<attempt::Attempt>,
     /// What endpoints received.
     pub arrivals: Vec<arrival::Arrival>,
-    /// When entries were disturbed.
-    pub disturbances: Vec<disturbance::Disturbance>,
+    /// When entries had faults.
+    pub faults: Vec<fault::Fault>,
     /// When the run itself stood still; it read late what arrived then.
     pub stalls: Vec<stall::Stall>,
 }
@@ -48,10 +48,8 @@
 
     /// Returns whether an entry was left alone for `span` before `at`.
     #[must_use]
-    pub fn is_undisturbed(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
-        let mut disturbances = self.disturbances.iter();
-        !disturbances.any(|disturbance| {
-            disturbance.entry == entry && disturbance.at <= at && at.since(disturbance.at) < span
-        })
+    pub fn is_settled(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
+        let mut faults = self.faults.iter();
+        !faults.any(|fault| fault.entry == entry && fault.at <= at && at.since(fault.at) < span)
     }
 }
--- a/crates/cranberrygap-arrivals/src/rules.rs
+++ b/crates/cranberrygap-arrivals/src/rules.rs
@@ -13,7 +13,7 @@
     pub window: duration::Span,
     /// Time beyond the caller's own that an endpoint may be given.
     pub tolerance: duration::Span,
-    /// Time after a disturbance of an entry for which its times are not held against it.
+    /// Time after a fault of an entry for which its times are not held against it.
     pub settling: duration::Span,
     /// Endpoints that a request may end before it is stopped.
     pub max_crashes: usize,
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -1,6 +1,6 @@
 //! Each check finds the fault that it is for, and nothing where there is none.
 
-use cranberrygap_arrivals::{arrival, attempt, check, disturbance, finding, record, rules, stall};
+use cranberrygap_arrivals::{arrival, attempt, check, fault, finding, record, rules, stall};
 use cranberrygap_model::duration;
 
 const SECOND: u64 = 1_000_000;
@@ -153,10 +153,10 @@
 }
 
 #[test]
-fn times_of_an_entry_that_was_disturbed_are_not_held_against_it() {
+fn times_of_an_entry_that_had_a_fault_are_not_held_against_it() {
     let mut record = repeated(0);
     record.arrivals[50].time_left = None;
-    record.disturbances.push(disturbance::Disturbance {
+    record.faults.push(fault::Fault {
         entry: "entry-1".into(),
         at: at(4.0),
     });
--- a/crates/cranberrygap-bench/src/soak/resends/world.rs
+++ b/crates/cranberrygap-bench/src/soak/resends/world.rs
@@ -31,10 +31,10 @@
 /// Share of the requests on the first route, which always leads to the first service.
 const FIRST_ROUTE_SHARE: f64 = 0.7;
 
-/// Mean time between two disturbances, in milliseconds.
-const DISTURBANCE_INTERVAL_MS: u64 = 300;
+/// Mean time between two faults, in milliseconds.
+const FAULT_INTERVAL_MS: u64 = 300;
 
-/// How often the kind of disturbance that a seed prefers comes.
+/// How often the kind of fault that a seed prefers comes.
 const PREFERRED_SHARE: f64 = 0.6;
 
 /// Time after which an entry's view names as many entries as there are.
@@ -97,9 +97,9 @@
     pub failing: [f64; 2],
     /// Share of the entries that forward their requests at first.
     pub cut: f64,
-    /// The disturbance that comes in series.
+    /// The fault that comes in series.
     pub preferred: Kind,
-    /// How often it comes; other disturbances come else.
+    /// How often it comes; other faults come else.
     pub preferred_share: f64,
 }
 
@@ -125,7 +125,7 @@
     resends: u64,
     denied: u64,
     starts: u64,
-    disturbances: u64,
+    faults: u64,
 }
 
 /// One entry process.
@@ -202,15 +202,15 @@
     let rate = scene.rate;
     let mut world = World::new(random, flaw, scene);
     world.counts.seed = seed;
-    let mut next_disturbance = world.now;
+    let mut next_fault = world.now;
     for step in 0..steps {
         let pause = -world.random.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
         world.advance(duration::Span::from_secs(1).scaled(pause));
         world.request();
-        while next_disturbance <= world.now {
-            world.disturb();
-            let pause = world.random.random_range(0..2 * DISTURBANCE_INTERVAL_MS);
-            next_disturbance = next_disturbance.after(duration::Span::from_millis(pause));
+        while next_fault <= world.now {
+            world.inject();
+            let pause = world.random.random_range(0..2 * FAULT_INTERVAL_MS);
+            next_fault = next_fault.after(duration::Span::from_millis(pause));
         }
         world.counts.steps = step + 1;
     }
@@ -434,8 +434,8 @@
         entry.budget.spend(&scope)
     }
 
-    fn disturb(&mut self) {
-        self.counts.disturbances += 1;
+    fn inject(&mut self) {
+        self.counts.faults += 1;
         let entry = self.random.random_range(0..self.entries.len());
         let kind = if self.random.random::<f64>() < self.scene.preferred_share {
             self.scene.preferred
--- a/crates/cranberrygap-bench/tests/soak_resends.rs
+++ b/crates/cranberrygap-bench/tests/soak_resends.rs
@@ -4,7 +4,7 @@
 
 const STEPS: u64 = 10_000;
 
-/// Eight entries before endpoints that all fail, with one disturbance again and again.
+/// Eight entries before endpoints that all fail, with one fault again and again.
 fn scene(preferred: Kind) -> Scene {
     Scene {
         entries: 8,
