Tell which software version an endpoint runs, and which streams go on

Callers got streams of two versions, and neither logs nor metrics told which version an endpoint had, whether the entry or the caller went on with a stream, and whose first attempt it was. Heartbeats name the version; it was dropped where they are read. Announcements now carry it, entries keep it with each endpoint's boot, and the trail of a request names it with each response, also of those by which an entry continues a stream. A counter tells begun, continued and taken-up streams apart. The choice of endpoints is unchanged.

--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -52,6 +52,7 @@
             role: None,
             sequence: number::Sequence(1),
             service: None,
+            software: None,
         },
         health: view::Health::Ready,
     }
--- a/crates/cranberrygap-bench/src/measure/policy/ours.rs
+++ b/crates/cranberrygap-bench/src/measure/policy/ours.rs
@@ -448,6 +448,7 @@
         role: None,
         sequence: number::Sequence(0),
         service: None,
+        software: None,
     };
     view::Endpoint {
         announcement,
--- a/crates/cranberrygap-bench/src/measure/slopes.rs
+++ b/crates/cranberrygap-bench/src/measure/slopes.rs
@@ -199,6 +199,7 @@
             role: None,
             sequence: number::Sequence(1),
             service: None,
+            software: None,
         };
         Ok(view::Endpoint {
             announcement,
--- a/crates/cranberrygap-bench/src/soak/placement/world.rs
+++ b/crates/cranberrygap-bench/src/soak/placement/world.rs
@@ -436,6 +436,7 @@
         role: None,
         sequence: number::Sequence(0),
         service: None,
+        software: None,
     };
     view::Endpoint {
         announcement,
--- a/crates/cranberrygap-bench/src/soak/residency/runner.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/runner.rs
@@ -396,6 +396,7 @@
             checks_fence: false,
             resident: resident.collect(),
             service: Some("lm".parse().expect("names of the run are valid")),
+            software: None,
             role: None,
             accelerators: 0,
             order: None,
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -275,8 +275,9 @@
         match outcome {
             Outcome::Response(reply) => {
                 let status = reply.response.status().as_u16();
-                self.log
-                    .add_step(now, format_args!("{endpoint} responded with {status}"));
+                let software = target.destination.software_name();
+                let step = format_args!("{endpoint} of version {software} responded with {status}");
+                self.log.add_step(now, step);
                 self.gateway.core.count(metric::GATEWAY_SENDS, "answered");
             }
             Outcome::NotRun(cause) => {
@@ -377,8 +378,19 @@
         let core = &self.gateway.core;
         let now = core.now();
         let waited = now.since(self.request.arrived_at);
-        self.log
-            .add_step(now, format_args!("the first event is forwarded"));
+        let metadata = &self.request.metadata;
+        let first_attempt = metadata.first_attempt.as_deref();
+        let event = metadata.last_event_id.as_deref();
+        if let Some(event) = event {
+            let first_attempt = first_attempt.unwrap_or("-");
+            let step = format_args!("the stream of {first_attempt} goes on after event {event}");
+            self.log.add_step(now, step);
+        } else {
+            self.log
+                .add_step(now, format_args!("the first event is forwarded"));
+        }
+        let tag = if event.is_some() { "taken_up" } else { "begun" };
+        core.count(metric::GATEWAY_STREAMS, tag);
         core.record_time(metric::GATEWAY_FIRST_EVENT, waited);
     }
 
@@ -389,8 +401,14 @@
             return None;
         }
         let target = self.choose_target().await.ok()?;
-        match self.send(&target, last_event_id).await.ok()? {
-            Outcome::Response(reply) if reply.response.status().is_success() => Some(*reply),
+        let outcome = self.send(&target, last_event_id).await.ok()?;
+        self.log_attempt(&target, &outcome);
+        match outcome {
+            Outcome::Response(reply) if reply.response.status().is_success() => {
+                let core = &self.gateway.core;
+                core.count(metric::GATEWAY_STREAMS, "continued");
+                Some(*reply)
+            }
             _ => None,
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -30,6 +30,8 @@
     pub prompt_parts: SmallVec<[prefix_cache::Part; INLINE_PROMPT_PARTS]>,
     /// Last event that the caller received of an interrupted stream.
     pub last_event_id: Option<SmolStr>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub first_attempt: Option<SmolStr>,
 }
 
 /// Token counts of a request.
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, software};
 use cranberrygap_routing::limit;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
@@ -89,6 +89,16 @@
     pub endpoint: id::Endpoint,
     pub address: address::Socket,
     pub boot: number::Boot,
+    /// Version of the software that this boot runs.
+    pub software: Option<software::Version>,
+}
+
+impl Destination {
+    /// The version of its software, for logs.
+    pub(crate) fn software_name(&self) -> &str {
+        let software = self.software.as_ref();
+        software.map_or("unnamed", software::Version::as_str)
+    }
 }
 
 /// The engine chosen for a request, with the estimates behind the choice.
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, software};
 use cranberrygap_routing::brittle;
 use cranberrygap_routing::limit::known;
 use cranberrygap_routing::prompt::{backlog, prefix_cache, window};
@@ -27,6 +27,8 @@
     pub endpoint: id::Endpoint,
     pub boot: number::Boot,
     pub address: address::Socket,
+    /// Version of the software that this boot runs.
+    pub software: Option<software::Version>,
     pub same_domain: bool,
     pub ready: bool,
     pub suspect: bool,
@@ -108,6 +110,7 @@
             endpoint: announced.endpoint.clone(),
             boot: announced.boot,
             address: announced.address,
+            software: announced.software.clone(),
             same_domain: announced.domain == *domain,
             ready: endpoint.health == view::Health::Ready && is_staying,
             suspect: endpoint.health == view::Health::Suspect && is_staying,
@@ -151,6 +154,7 @@
             endpoint: self.endpoint.clone(),
             address: self.address,
             boot: self.boot,
+            software: self.software.clone(),
         }
     }
 }
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -28,11 +28,13 @@
 pub(crate) const RESENDS_BOUND: &str = "resends_bound";
 /// Time from a request's arrival to the first event of its stream.
 pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
+/// Number of streams that began, or went on after a break.
+pub(crate) const GATEWAY_STREAMS: &str = "gateway_streams";
 /// Time since the view was last confirmed as the newest.
 pub(crate) const VIEW_AGE: &str = "view_age";
 
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 5] = [
+pub const GATEWAY: [Metric; 6] = [
     Metric {
         name: VIEW_AGE,
         kind: "ms",
@@ -57,6 +59,12 @@
         unit: "sends",
         meaning: "sends to endpoints, tagged answered, not_run, unreachable or unknown; and to other entries, tagged forwarded",
     },
+    Metric {
+        name: GATEWAY_STREAMS,
+        kind: "c",
+        unit: "streams",
+        meaning: "streams of routes, tagged begun, continued (by this entry) or taken_up (by their callers)",
+    },
     Metric {
         name: GATEWAY_FIRST_EVENT,
         kind: "ms",
--- a/crates/cranberrygap-model/src/lib.rs
+++ b/crates/cranberrygap-model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod number;
 pub mod rate;
 pub mod size;
+pub mod software;
 pub mod token;
 
 mod parse_error;
--- a/crates/cranberrygap-standin/src/booking.rs
+++ b/crates/cranberrygap-standin/src/booking.rs
@@ -191,6 +191,7 @@
             role: None,
             sequence: number::Sequence(sequence),
             service: Some(self.settings.service.clone()),
+            software: None,
         }
     }
 }
--- a/crates/cranberrygap-standin/src/engine/state.rs
+++ b/crates/cranberrygap-standin/src/engine/state.rs
@@ -208,6 +208,7 @@
             role: Some(memory.role),
             sequence: number::Sequence(self.sequence.fetch_add(1, Ordering::Relaxed) + 1),
             service: None,
+            software: None,
         }
     }
 }
