Let endpoints of a new software version serve once all entries know of it

One that has not heard of a version would take a stream that it began for one of the version that it knows: views reach entries at different times, and an entry may serve from an older one until its lease ends.

The fleet's state now keeps the software versions of each service. An endpoint whose version is new there, or that returns under its old name with other software, is registered as joining and gets no work. The leader admits it once each entry has confirmed the revision that shows it, or holds no lease any more; this is what acknowledged configurations wait for already. A version is forgotten only after the longest deadline of the plan, and at least 60 s, without an endpoint. The first version of a service is admitted at once. A process has one version for its life: a heartbeat of the same boot that names another one is another sender's.

--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -152,6 +152,7 @@
         traffic: None,
         residencies: Vec::new(),
         lenders: Vec::new(),
+        versions: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::{duration, id, number};
 use cranberrygap_placement::residency::{engine, order, planner, runner as known};
 use cranberrygap_state::endpoint as state;
 use cranberrygap_wire::{endpoint, view};
@@ -366,7 +366,7 @@
         });
         if news {
             let step = state::Step::Announced(Box::new(announcement));
-            let _changes = self.endpoints.apply(&step);
+            let _changes = self.endpoints.apply(number::Revision(0), &step);
         }
     }
 
--- a/crates/cranberrygap-control/src/delta.rs
+++ b/crates/cranberrygap-control/src/delta.rs
@@ -42,6 +42,7 @@
     Residency(id::Endpoint),
     Member(id::Instance),
     Lender(id::Workspace),
+    Versions(Option<id::Service>),
 }
 
 impl Buffer {
@@ -133,6 +134,7 @@
         view::Change::Resided { residency } => Some(Key::Residency(residency.endpoint.clone())),
         view::Change::MemberChanged { member } => Some(Key::Member(member.instance.clone())),
         view::Change::Lent { lender } => Some(Key::Lender(lender.workspace.clone())),
+        view::Change::Versioned { versions } => Some(Key::Versions(versions.service.clone())),
         view::Change::Amended { .. }
         | view::Change::KeyIssued { .. }
         | view::Change::KeyWithdrawn { .. }
--- a/crates/cranberrygap-control/src/detector.rs
+++ b/crates/cranberrygap-control/src/detector.rs
@@ -116,7 +116,10 @@
                 self.with_leadership(|now, leadership| {
                     self.state.read(|fleet| {
                         leadership.prune(now, fleet);
-                        leadership.check_liveness(now, fleet)
+                        let mut transitions = leadership.check_liveness(now, fleet);
+                        let versions = leadership.check_versions(now, fleet);
+                        transitions.endpoints.extend(versions);
+                        transitions
                     })
                 })
             };
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cranberrygap_model::{duration, id, number};
-use cranberrygap_state::{endpoint, fleet, member};
+use cranberrygap_state::{endpoint, fleet, member, software};
 use cranberrygap_wire::{endpoint as announced, view};
 
 use crate::boots;
@@ -36,6 +36,11 @@
 /// Silence after which an endpoint that did not announce leaving is forgotten.
 pub const FORGET_AFTER: duration::Span = duration::Span::from_secs(600);
 
+/// Least time for which a software version is remembered after its last endpoint.
+///
+/// No stream lasts longer unless the plan in force allows it.
+pub const MIN_VERSION_RETENTION: duration::Span = duration::Span::from_secs(60);
+
 /// Revision samples that are kept. There is at most one for each check of the detector, so they
 /// cover far more than [`MAX_VIEW_LAG`].
 const MAX_REVISION_SAMPLES: usize = 64;
@@ -50,6 +55,8 @@
     revision_samples: VecDeque<RevisionSample>,
     /// Latest revision that was acknowledged as in force at all entries.
     acknowledged: number::Revision,
+    /// Software versions that no endpoint has, and since when.
+    unused_versions: BTreeMap<software::Reference, duration::Instant>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -81,6 +88,8 @@
 /// State of an endpoint when its silence is evaluated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EndpointState {
+    /// Entries do not know its software version yet.
+    Joining,
     Ready,
     Suspect,
     /// The endpoint announced that it leaves; once silent, it has left.
@@ -114,6 +123,7 @@
             endpoints: BTreeMap::new(),
             revision_samples: VecDeque::from([sample]),
             acknowledged: number::Revision(0),
+            unused_versions: BTreeMap::new(),
         }
     }
 
@@ -297,6 +307,40 @@
         });
     }
 
+    /// Returns the commands that let endpoints of new software versions serve, and that forget
+    /// versions whose streams are over.
+    ///
+    /// An endpoint is admitted once each entry has confirmed the revision that shows its version,
+    /// or serves no longer. From then on no entry takes the version for one that never served.
+    pub fn check_versions(
+        &mut self,
+        now: duration::Instant,
+        fleet: &fleet::Fleet,
+    ) -> Vec<endpoint::Step> {
+        let joining = fleet.endpoints.joining();
+        let known_to_all = joining.filter(|(_, revision)| {
+            let mut behind = self.iter_entries_behind(now, *revision, fleet);
+            behind.next().is_none()
+        });
+        let admitted = known_to_all.map(|(found, _)| endpoint::Step::Admitted(to_seen(found)));
+        let mut steps: Vec<endpoint::Step> = admitted.collect();
+        let unused = fleet.endpoints.versions().contested();
+        let unused = unused.filter(|version| !fleet.endpoints.has_version(version));
+        let unused: BTreeMap<software::Reference, duration::Instant> = unused
+            .map(|version| {
+                let since = self.unused_versions.get(&version).copied();
+                (version, since.unwrap_or(now))
+            })
+            .collect();
+        let retention = version_retention(fleet);
+        let over = unused
+            .iter()
+            .filter(|(_, since)| now.since(**since) > retention);
+        steps.extend(over.map(|(version, _)| endpoint::Step::Retired(version.clone())));
+        self.unused_versions = unused;
+        steps
+    }
+
     /// Returns the commands for endpoints and entries that fell silent or were heard again.
     #[must_use]
     pub fn check_liveness(&self, now: duration::Instant, fleet: &fleet::Fleet) -> Transitions {
@@ -404,6 +448,7 @@
 
 const fn endpoint_state(health: view::Health, leaves: bool) -> EndpointState {
     match health {
+        view::Health::Joining => EndpointState::Joining,
         view::Health::Ready => EndpointState::Ready,
         view::Health::Suspect => EndpointState::Suspect,
         view::Health::Leaving if leaves => EndpointState::Leaving,
@@ -412,6 +457,15 @@
     }
 }
 
+/// Returns how long a software version is remembered after its last endpoint: until the streams
+/// that it began are over, and the entries that may still have sent to it serve no longer.
+fn version_retention(fleet: &fleet::Fleet) -> duration::Span {
+    let plan = fleet.traffic.plan().into_iter();
+    let deadlines = plan.flat_map(|plan| plan.routes.iter().map(|route| route.deadline));
+    let longest = deadlines.fold(MIN_VERSION_RETENTION, duration::Span::max);
+    duration::Span(longest.0 + LEASE.0 + CLOCK_DRIFT.0)
+}
+
 /// Returns the heartbeat that an announcement implies.
 pub(crate) fn to_seen(announcement: &announced::Announcement) -> view::Seen {
     view::Seen {
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -28,6 +28,7 @@
     traffic: Option<Arc<traffic::Table>>,
     residencies: Arc<BTreeMap<id::Endpoint, view::Residency>>,
     lenders: Arc<BTreeMap<id::Workspace, id::Instance>>,
+    versions: Arc<Vec<view::Versions>>,
 }
 
 impl Snapshot {
@@ -48,6 +49,7 @@
                 residency.endpoint.clone()
             })),
             lenders: Arc::new(index_lenders(state.lenders)),
+            versions: Arc::new(state.versions),
             traffic: state
                 .traffic
                 .map(|plan| Arc::new(traffic::Table::new(plan))),
@@ -113,6 +115,11 @@
                     None => lenders.remove(&lender.workspace),
                 };
             }
+            view::Change::Versioned { versions } => {
+                let known = Arc::make_mut(&mut self.versions);
+                known.retain(|other| other.service != versions.service);
+                known.push(versions);
+            }
             view::Change::Rerouted { plan } => {
                 self.traffic = Some(Arc::new(traffic::Table::new(plan)));
             }
@@ -247,6 +254,12 @@
         &self.lenders
     }
 
+    /// Software versions that may have begun streams which still last, by service.
+    #[must_use]
+    pub fn versions(&self) -> &Arc<Vec<view::Versions>> {
+        &self.versions
+    }
+
     /// All members by name.
     #[must_use]
     pub fn members(&self) -> &BTreeMap<id::Instance, view::Member> {
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -11,6 +11,7 @@
         traffic: None,
         residencies: Vec::new(),
         lenders: Vec::new(),
+        versions: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-state/src/endpoint.rs
+++ b/crates/cranberrygap-state/src/endpoint.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::answer;
+use crate::software;
 
 /// Most endpoints that are kept: seven times the planned number.
 const MAX_ENDPOINTS: usize = 4_096;
@@ -27,10 +28,14 @@
 /// All endpoints, by name.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Endpoints {
-    endpoints: BTreeMap<id::Endpoint, Registration>,
+    #[serde(rename = "endpoints")]
+    by_name: BTreeMap<id::Endpoint, Registration>,
     /// Boots that have left for good, oldest first.
     #[serde(default)]
     departed: VecDeque<(id::Endpoint, number::Boot)>,
+    /// Software versions that may have begun streams which still last.
+    #[serde(default)]
+    versions: software::Versions,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -39,6 +44,9 @@
     health: view::Health,
     /// Whether an operator took the endpoint out of service; reset by the next boot.
     drained: bool,
+    /// Revision that all entries must have before the endpoint may serve.
+    #[serde(default)]
+    joining: Option<number::Revision>,
     #[serde(rename = "former")]
     former_boots: SmallVec<[number::Boot; 2]>,
 }
@@ -55,16 +63,24 @@
     Heard(view::Seen),
     /// The endpoint left, or was silent for so long that it is removed.
     Forgotten(view::Seen),
+    /// All entries know the endpoint's software version; it may serve.
+    Admitted(view::Seen),
+    /// No endpoint has had a software version for longer than streams last.
+    Retired(software::Reference),
     /// The endpoint said that it leaves, without the boot of the process that left.
     Departed(id::Endpoint),
 }
 
 impl Endpoints {
     /// Applies a change of an endpoint; a stale one changes nothing.
-    pub fn apply(&mut self, step: &Step) -> (answer::Answer, Vec<view::Change>) {
+    pub fn apply(
+        &mut self,
+        revision: number::Revision,
+        step: &Step,
+    ) -> (answer::Answer, Vec<view::Change>) {
         let change = match step {
             Step::Announced(announcement) => {
-                return match self.announce(announcement) {
+                return match self.announce(revision, announcement) {
                     Ok(changes) => (answer::Answer::Done, changes),
                     Err(reason) => (answer::Answer::Refused(reason.into()), Vec::new()),
                 };
@@ -72,6 +88,8 @@
             Step::Silent(seen) => self.set_health(seen, view::Health::Suspect),
             Step::Heard(seen) => self.set_health(seen, view::Health::Ready),
             Step::Forgotten(seen) => self.remove_if_current(seen),
+            Step::Admitted(seen) => self.admit(seen),
+            Step::Retired(reference) => self.retire(reference),
             Step::Departed(name) => self.remove_departed(name),
         };
         (answer::Answer::Done, change.into_iter().collect())
@@ -79,34 +97,55 @@
 
     fn announce(
         &mut self,
+        revision: number::Revision,
         announcement: &endpoint::Announcement,
     ) -> Result<Vec<view::Change>, &'static str> {
         let name = &announcement.endpoint;
         if self.is_departed(name, announcement.boot) {
             return Ok(Vec::new());
         }
-        if let Some(registration) = self.endpoints.get(name) {
+        if let Some(registration) = self.by_name.get(name) {
             if registration.is_stale(announcement) {
                 return Ok(Vec::new());
             }
-        } else if self.endpoints.len() >= MAX_ENDPOINTS {
+        } else if self.by_name.len() >= MAX_ENDPOINTS {
             return Err("there are too many endpoints");
         }
         let Ok(mut changes) = self.release_address(announcement) else {
             return Ok(Vec::new());
         };
-        changes.push(self.register(announcement));
+        let reference = reference(announcement);
+        changes.extend(self.versions.add(&reference));
+        changes.push(self.register(revision, announcement, &reference));
         Ok(changes)
     }
 
-    fn register(&mut self, announcement: &endpoint::Announcement) -> view::Change {
+    fn register(
+        &mut self,
+        revision: number::Revision,
+        announcement: &endpoint::Announcement,
+        reference: &software::Reference,
+    ) -> view::Change {
         let name = announcement.endpoint.clone();
-        let registration = self.endpoints.entry(name).or_insert_with(|| Registration {
+        let is_admitted = self.versions.is_admitted(reference);
+        let previous = self.by_name.get(&name);
+        let is_new_boot = previous.is_none_or(|previous| previous.has_other_boot(announcement));
+        // Entries that have not heard of the restart would take it for the earlier process.
+        let has_left = self.departed.iter().any(|(gone, _)| *gone == name);
+        let is_replaced = previous.map_or(has_left, |previous| {
+            previous.has_other_software(announcement)
+        });
+        let joining = (!is_admitted || is_replaced).then_some(revision);
+        let registration = self.by_name.entry(name).or_insert_with(|| Registration {
             announcement: announcement.clone(),
-            health: health(announcement, false),
+            health: view::Health::Joining,
             drained: false,
+            joining: None,
             former_boots: SmallVec::new(),
         });
+        if is_new_boot || is_replaced {
+            registration.joining = joining;
+        }
         registration.update(announcement);
         change_of(registration)
     }
@@ -128,7 +167,7 @@
             registration.announcement.address == announcement.address
                 && registration.announcement.endpoint != announcement.endpoint
         };
-        let others: Vec<&Registration> = self.endpoints.values().filter(has_address).collect();
+        let others: Vec<&Registration> = self.by_name.values().filter(has_address).collect();
         if others
             .iter()
             .any(|other| started_or_default(&other.announcement) > started)
@@ -145,9 +184,28 @@
             .collect())
     }
 
+    /// Lets an endpoint serve, unless another process has taken its place.
+    fn admit(&mut self, seen: &view::Seen) -> Option<view::Change> {
+        let registration = self.current_registration(seen)?;
+        registration.joining.take()?;
+        registration.health = registration.own_health();
+        let reference = reference(&registration.announcement);
+        let change = change_of(registration);
+        self.versions.admit(&reference);
+        Some(change)
+    }
+
+    /// Removes a software version that no endpoint has.
+    fn retire(&mut self, retired: &software::Reference) -> Option<view::Change> {
+        if self.has_version(retired) {
+            return None;
+        }
+        self.versions.remove(retired)
+    }
+
     /// Removes an endpoint for good; its process does not return.
     fn remove_departed(&mut self, name: &id::Endpoint) -> Option<view::Change> {
-        let registration = self.endpoints.remove(name)?;
+        let registration = self.by_name.remove(name)?;
         self.departed
             .push_back((name.clone(), registration.announcement.boot));
         while self.departed.len() > MAX_DEPARTED {
@@ -178,14 +236,14 @@
 
     fn remove_if_current(&mut self, seen: &view::Seen) -> Option<view::Change> {
         self.current_registration(seen)?;
-        self.endpoints.remove(&seen.endpoint);
+        self.by_name.remove(&seen.endpoint);
         let endpoint = seen.endpoint.clone();
         Some(view::Change::EndpointRemoved { endpoint })
     }
 
     /// Returns the registration, if the message is from its current process.
     fn current_registration(&mut self, seen: &view::Seen) -> Option<&mut Registration> {
-        let registration = self.endpoints.get_mut(&seen.endpoint)?;
+        let registration = self.by_name.get_mut(&seen.endpoint)?;
         let is_same_boot = registration.announcement.boot == seen.boot;
         // An older sequence is from before the latest announcement: it was heard since.
         let is_latest = registration.announcement.sequence <= seen.sequence;
@@ -194,7 +252,7 @@
 
     /// Takes an endpoint out of service until its next boot.
     pub fn drain(&mut self, name: &str) -> Option<Vec<view::Change>> {
-        let registration = self.endpoints.get_mut(name)?;
+        let registration = self.by_name.get_mut(name)?;
         registration.drained = true;
         registration.health = view::Health::Leaving;
         Some(vec![change_of(registration)])
@@ -203,13 +261,13 @@
     /// Returns whether an endpoint is known.
     #[must_use]
     pub fn contains(&self, name: &id::Endpoint) -> bool {
-        self.endpoints.contains_key(name)
+        self.by_name.contains_key(name)
     }
 
     /// Returns whether an announcement tells anything besides a heartbeat.
     #[must_use]
     pub fn would_change(&self, announcement: &endpoint::Announcement) -> bool {
-        let Some(registration) = self.endpoints.get(&announcement.endpoint) else {
+        let Some(registration) = self.by_name.get(&announcement.endpoint) else {
             return true;
         };
         let mut current = registration.announcement.clone();
@@ -220,17 +278,39 @@
     /// Returns one endpoint.
     #[must_use]
     pub fn get(&self, name: &id::Endpoint) -> Option<view::Endpoint> {
-        self.endpoints.get(name).map(Registration::to_view)
+        self.by_name.get(name).map(Registration::to_view)
+    }
+
+    /// Returns the software versions that may have begun streams which still last.
+    #[must_use]
+    pub const fn versions(&self) -> &software::Versions {
+        &self.versions
+    }
+
+    /// Returns whether any endpoint has a software version.
+    #[must_use]
+    pub fn has_version(&self, asked: &software::Reference) -> bool {
+        self.announcements().any(|(announcement, _)| {
+            announcement.service == asked.service && announcement.software == asked.version
+        })
+    }
+
+    /// Returns the endpoints that wait until all entries have a revision.
+    pub fn joining(&self) -> impl Iterator<Item = (&endpoint::Announcement, number::Revision)> {
+        self.by_name.values().filter_map(|registration| {
+            let revision = registration.joining?;
+            Some((&registration.announcement, revision))
+        })
     }
 
     /// Returns all endpoints by name.
     pub fn iter(&self) -> impl Iterator<Item = view::Endpoint> + '_ {
-        self.endpoints.values().map(Registration::to_view)
+        self.by_name.values().map(Registration::to_view)
     }
 
     /// Returns announcements with health, without copying.
     pub fn announcements(&self) -> impl Iterator<Item = (&endpoint::Announcement, view::Health)> {
-        self.endpoints
+        self.by_name
             .values()
             .map(|registration| (&registration.announcement, registration.health))
     }
@@ -239,7 +319,9 @@
 impl Registration {
     fn is_stale(&self, other: &endpoint::Announcement) -> bool {
         if other.boot == self.announcement.boot {
-            return other.sequence <= self.announcement.sequence;
+            // One process has one version: who names another one is another sender.
+            let is_foreign = self.announcement.software.is_some() && self.has_other_software(other);
+            return is_foreign || other.sequence <= self.announcement.sequence;
         }
         let started_before = started(other) < started(&self.announcement);
         started_before || self.former_boots.contains(&other.boot)
@@ -254,7 +336,24 @@
             self.drained = false;
         }
         self.announcement = announcement.clone();
-        self.health = health(announcement, self.drained);
+        self.health = self.own_health();
+    }
+
+    fn has_other_boot(&self, announcement: &endpoint::Announcement) -> bool {
+        self.announcement.boot != announcement.boot
+    }
+
+    fn has_other_software(&self, announcement: &endpoint::Announcement) -> bool {
+        self.announcement.software != announcement.software
+    }
+
+    fn own_health(&self) -> view::Health {
+        match self.announcement.phase {
+            endpoint::Phase::Ready if self.drained => view::Health::Leaving,
+            endpoint::Phase::Ready if self.joining.is_some() => view::Health::Joining,
+            endpoint::Phase::Ready => view::Health::Ready,
+            endpoint::Phase::Leaving => view::Health::Leaving,
+        }
     }
 
     fn to_view(&self) -> view::Endpoint {
@@ -277,10 +376,12 @@
     started(announcement).unwrap_or_default()
 }
 
-const fn health(announcement: &endpoint::Announcement, drained: bool) -> view::Health {
-    match announcement.phase {
-        endpoint::Phase::Ready if !drained => view::Health::Ready,
-        _ => view::Health::Leaving,
+/// Returns the service and software version of an endpoint.
+#[must_use]
+pub fn reference(announcement: &endpoint::Announcement) -> software::Reference {
+    software::Reference {
+        service: announcement.service.clone(),
+        version: announcement.software.clone(),
     }
 }
 
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -107,7 +107,7 @@
             command::Command::Catalogue(step) => (answer::Answer::Done, self.catalogue.apply(step)),
             command::Command::Key(step) => self.keys.apply(revision, step),
             command::Command::Endpoint(step) => {
-                let outcome = self.endpoints.apply(step);
+                let outcome = self.endpoints.apply(revision, step);
                 self.residencies.apply_removals(&outcome.1);
                 outcome
             }
@@ -219,6 +219,7 @@
             traffic: self.traffic.plan().cloned(),
             residencies: self.residencies.iter().cloned().collect(),
             lenders: self.lenders.view().collect(),
+            versions: self.endpoints.versions().view().collect(),
         }
     }
 
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod quarantine;
 pub mod residency;
 pub mod share;
+pub mod software;
 pub mod traffic;
 
 mod audit_event;
--- a/crates/cranberrygap-wire/src/binding.rs
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -6,7 +6,8 @@
 ///
 /// Where models and adapters are, and which entries and endpoints are there, changes all
 /// the time in a large fleet; an entry that learns of that later chooses less well, and
-/// breaks no promise.
+/// breaks no promise. A software version that is new to a service is an exception: an entry
+/// that does not know of it would take a stream up at a version that did not begin it.
 #[must_use]
 pub const fn is_binding(change: &view::Change) -> bool {
     match change {
@@ -18,9 +19,13 @@
         | view::Change::Quarantined { .. }
         | view::Change::Rerouted { .. }
         | view::Change::Amended { .. }
+        | view::Change::Versioned { .. }
         | view::Change::WorkspaceAdded { .. } => true,
         view::Change::EndpointChanged { endpoint } => {
-            matches!(endpoint.health, view::Health::Leaving | view::Health::Gone)
+            matches!(
+                endpoint.health,
+                view::Health::Joining | view::Health::Leaving | view::Health::Gone
+            )
         }
         view::Change::MemberChanged { .. }
         | view::Change::Released { .. }
