--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -260,6 +260,7 @@
         self.core.limiter.apply_view(&view);
         self.core.router.apply_view(&view);
         self.core.endpoints.apply_view(self.core.now(), &view);
+        self.core.origins.apply_view(self.core.now(), &view);
         quarantine::apply_view(&self.core, &view);
         let controls = view.control_members().map(|member| address::Peer {
             instance: member.instance.clone(),
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -43,6 +43,8 @@
     pub(crate) router: Arc<dyn route::Router>,
     /// Endpoints of the traffic plan's services.
     pub(crate) endpoints: gateway::Endpoints,
+    /// Origins of the streams of the traffic plan's routes.
+    pub(crate) origins: gateway::Origins,
     /// Opens connections to the endpoints of the traffic plan's services.
     pub(crate) dialer: Arc<dyn dial::Dial>,
     pub(crate) reach: reach::Reach,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -16,6 +16,7 @@
 mod in_flight;
 mod listener;
 mod log_limit;
+mod origins;
 mod peers;
 mod pool;
 mod request;
@@ -26,6 +27,7 @@
 pub(crate) use endpoints::Endpoints;
 pub(crate) use gossip::Gossip;
 pub(crate) use listener::Listener;
+pub(crate) use origins::Origins;
 
 use std::sync::Arc;
 
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id};
+use cranberrygap_routing::origin;
 use cranberrygap_wire::traffic;
 use http::Response;
 use hyper::body::Incoming;
@@ -34,6 +35,9 @@
 /// delivered.
 pub(super) const DEADLINE_GRACE: duration::Span = duration::Span::from_millis(120);
 
+/// Time beyond a route's deadline for which the caller of a stream may still come back.
+const RETURN_TIME: duration::Span = duration::Span::from_secs(5);
+
 /// Failed connection attempts after which a request is given up.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -55,6 +59,8 @@
     permit: Option<admission::Permit>,
     pub(super) log: request_log::Log,
     tried: endpoints::Tried,
+    /// What the last attempt was sent to.
+    sent_to: Option<origin::Origin>,
     attempts: u32,
     connect_failures: u32,
     /// Whether an endpoint may have run the request.
@@ -108,6 +114,7 @@
             permit,
             log,
             tried: endpoints::Tried::new(),
+            sent_to: None,
             attempts: 0,
             connect_failures: 0,
             may_have_run: false,
@@ -255,7 +262,12 @@
             return Ok(Some(reply));
         }
         match self.buffer_response(reply).await {
-            Ok(response) => Err(Completion::Responded(Box::new(response))),
+            Ok(response) => {
+                if self.is_stream() && status.is_success() {
+                    self.record_origin();
+                }
+                Err(Completion::Responded(Box::new(response)))
+            }
             Err(cause) => {
                 self.may_have_run = true;
                 let now = self.now();
@@ -373,6 +385,37 @@
         Some((model, work))
     }
 
+    /// Keeps the origin of a stream of which an event is forwarded. From now on it goes on only at
+    /// the version that began it.
+    pub(super) fn record_origin(&mut self) {
+        if self.kind() != traffic::Kind::Resumable {
+            return;
+        }
+        if self.request.origin.is_none() {
+            self.request.origin = self.sent_to.clone();
+        }
+        let (Some(key), Some(origin)) = (
+            self.request.stream_key(&self.resolution),
+            &self.request.origin,
+        ) else {
+            return;
+        };
+        let tale = origin::Tale {
+            key,
+            origin: origin.clone(),
+            time_left: duration::Span(self.resolution.route.deadline.0 + RETURN_TIME.0),
+        };
+        let core = &self.gateway.core;
+        let insertion = core.origins.record(core.now(), &tale);
+        metric::count_origin(core, insertion);
+        if insertion == origin::Insertion::Conflict {
+            let id = self.request.metadata.id.as_deref().unwrap_or("-");
+            spdlog::warn!(
+                "gateway: the stream of {id} has two origins, and cannot go on elsewhere"
+            );
+        }
+    }
+
     /// Records that the first event of the stream is forwarded.
     pub(super) fn record_first_event(&mut self) {
         let core = &self.gateway.core;
@@ -394,13 +437,27 @@
         core.record_time(metric::GATEWAY_FIRST_EVENT, waited);
     }
 
+    /// Chooses the engine at which a broken stream continues: the same one once more if no other
+    /// engine of its version can take it. A connection may break while its engine goes on.
+    async fn choose_next_target(&mut self) -> Result<Target, Failure> {
+        match self.choose_target().await {
+            Err(Failure::NoEndpoint { .. } | Failure::NotRun { .. })
+                if self.request.origin.is_some() && !self.tried.is_empty() =>
+            {
+                self.tried.clear();
+                self.choose_target().await
+            }
+            chosen => chosen,
+        }
+    }
+
     /// Continues the stream at another engine, after `last_event_id`.
     pub(super) async fn resume_stream(&mut self, last_event_id: Option<&str>) -> Option<Reply> {
         self.may_have_run = true;
         if !self.is_repeatable() || !self.try_take_resend(resends::Cause::Cut) {
             return None;
         }
-        let target = self.choose_target().await.ok()?;
+        let target = self.choose_next_target().await.ok()?;
         let outcome = self.send(&target, last_event_id).await.ok()?;
         self.log_attempt(&target, &outcome);
         match outcome {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cranberrygap_model::duration;
+use cranberrygap_routing::origin;
 use cranberrygap_wire::traffic;
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -93,6 +94,10 @@
             let view = request::serving_view(&self.gateway)?;
             self.resolution = self.request.resolve(&view)?;
             drop(view);
+            self.check_origin()?;
+            if !self.may_begin_at(target) {
+                return Ok(Outcome::Unreachable);
+            }
             if !self.is_paid() {
                 return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no resend is left"));
             }
@@ -119,6 +124,18 @@
         }
     }
 
+    /// Whether the endpoint of a stream is still the one that was chosen, and has the version that
+    /// the stream may go on at.
+    fn may_begin_at(&self, target: &Target) -> bool {
+        if self.kind() != traffic::Kind::Resumable {
+            return true;
+        }
+        let destination = &target.destination;
+        let endpoints = &self.gateway.core.endpoints;
+        endpoints.is_current(destination)
+            && self.requirement().admits(destination.software.as_ref())
+    }
+
     /// Whether the service of the request, which may have changed, pays for a resend.
     fn is_paid(&mut self) -> bool {
         let scope = self.resolution.scope();
@@ -183,6 +200,10 @@
         self.attempts += 1;
         self.tried.push(target.destination.endpoint.clone());
         self.log.endpoint = SmolStr::new(target.destination.endpoint.as_str());
+        self.sent_to = Some(origin::Origin {
+            service: self.resolution.service.clone(),
+            software: target.destination.software.clone(),
+        });
         let response = match result {
             Ok(Ok(response)) => {
                 connection.read_idle_timeout(response.headers());
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -2,14 +2,16 @@
 
 use std::sync::Arc;
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::{duration, id, software};
 use cranberrygap_routing::limit;
+use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::latency;
 use cranberrygap_wire::{method, traffic};
 use smol_str::SmolStr;
 
 use super::{Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER, endpoints};
 use crate::gateway::{in_flight, request};
+use crate::metric;
 use crate::quarantine;
 
 /// Share of the objective within which the first event must be predicted. The rest covers
@@ -131,6 +133,7 @@
         // The plan may have changed while the request waited; the plan in force at the
         // time of sending decides.
         self.resolution = self.request.resolve(&view)?;
+        self.check_origin()?;
         self.log.plan_version = self.resolution.plan_version;
         self.log.revision = view.revision().0;
         let quarantine = &self.gateway.core.quarantine;
@@ -149,9 +152,46 @@
             Some(model) if self.resolution.has_engine => self.choose_engine(&model).await,
             _ => self.choose_plain_endpoint().await,
         };
+        if let Err(failure) = &chosen {
+            self.count_unversioned(failure);
+        }
         chosen.map_err(|failure| self.failure_by_limit(failure))
     }
 
+    /// Software versions at which the request may run.
+    pub(super) fn requirement(&self) -> origin::Requirement<'_> {
+        origin::Requirement::of(self.request.origin.as_ref())
+    }
+
+    /// Refuses a request whose stream began at another service than its route leads to now.
+    pub(super) fn check_origin(&self) -> Result<(), Failure> {
+        let origin = self.request.origin.as_ref();
+        if origin.is_none_or(|origin| origin.service == self.resolution.service) {
+            return Ok(());
+        }
+        self.gateway
+            .core
+            .count(metric::GATEWAY_STREAMS, "no_version");
+        let cause = "the route does not lead to the stream's service any more";
+        Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, cause))
+    }
+
+    /// Counts a stream that cannot go on, since no endpoint of its version can take it.
+    pub(super) fn count_unversioned(&mut self, failure: &Failure) {
+        let is_refused = matches!(failure, Failure::NoEndpoint { .. } | Failure::NotRun { .. });
+        let Some(origin) = self.request.origin.as_ref().filter(|_| is_refused) else {
+            return;
+        };
+        let software = origin.software.as_ref();
+        let software = software.map_or("unnamed", software::Version::as_str);
+        let now = self.gateway.core.now();
+        let step = format_args!("no endpoint of version {software} can take the stream");
+        self.log.add_step(now, step);
+        self.gateway
+            .core
+            .count(metric::GATEWAY_STREAMS, "no_version");
+    }
+
     /// The failure of a request for which only endpoints without room by their limits are left:
     /// its caller is told when there is room.
     fn failure_by_limit(&self, failure: Failure) -> Failure {
@@ -192,17 +232,18 @@
         let core = Arc::clone(&self.gateway.core);
         let service = self.resolution.service.clone();
         core.endpoints
-            .refresh_plain_endpoints(self.now(), &service, &self.tried)
+            .refresh_plain_endpoints(self.now(), &service, &self.tried, self.requirement())
             .await;
         let wait = duration::Span(self.resolution.route.objective.0 / ROOM_WAIT_DIVISOR);
         let give_up_at = self.now().after(wait);
         let destination = loop {
-            let found = core
-                .endpoints
-                .choose_plain_endpoint(self.now(), &service, &self.tried);
+            let requirement = self.requirement();
+            let endpoints = &core.endpoints;
+            let found =
+                endpoints.choose_plain_endpoint(self.now(), &service, &self.tried, requirement);
             let Some(destination) = found else {
                 if self.now() >= give_up_at
-                    || !core.endpoints.has_untried_endpoint(&service, &self.tried)
+                    || !endpoints.has_untried_endpoint(&service, &self.tried, requirement)
                 {
                     return Err(self.no_endpoint_failure(
                         NO_CAPACITY_RETRY_AFTER,
@@ -398,8 +439,10 @@
         };
         loop {
             let now = self.now();
-            let is_hopeless =
-                !self.tried.is_empty() || !endpoints.has_usable_endpoint(&self.resolution.service);
+            // A load is ordered for a model, not for a version of the engines' software.
+            let is_hopeless = !self.tried.is_empty()
+                || self.request.origin.is_some()
+                || !endpoints.has_usable_endpoint(&self.resolution.service, self.requirement());
             if is_hopeless || now >= until {
                 let retry_after = copy_ready.since(now).max(NO_CAPACITY_RETRY_AFTER);
                 return Err(self.no_endpoint_failure(retry_after, "no engine holds the model"));
@@ -442,6 +485,7 @@
             latency,
             slots: self.resolution.slots,
             tried: &self.tried,
+            requirement: self.requirement(),
             prefers_idle: self.runs_alone,
             only_with_adapter,
             only_spared: false,
@@ -575,9 +619,10 @@
                 None
             }
         };
-        if let Some(destination) =
-            endpoint.and_then(|endpoint| core.endpoints.destination(&endpoint, model))
-        {
+        if let Some(destination) = endpoint.and_then(|endpoint| {
+            core.endpoints
+                .destination(&endpoint, model, self.requirement())
+        }) {
             core.endpoints.record_adapter(&destination, model, adapter);
             return Ok(destination);
         }
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -34,6 +34,14 @@
     pub first_attempt: Option<SmolStr>,
 }
 
+impl Metadata {
+    /// Whether the caller takes up a stream that it has events of.
+    #[must_use]
+    pub fn takes_up(&self) -> bool {
+        self.first_attempt.is_some() || self.last_event_id.is_some()
+    }
+}
+
 /// Token counts of a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Tokens {
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -12,6 +12,7 @@
 
 use cranberrygap_model::{address, duration, id, number, software};
 use cranberrygap_routing::limit;
+use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
@@ -75,6 +76,8 @@
     pub latency: latency::Estimate,
     pub slots: u32,
     pub tried: &'request Tried,
+    /// Software versions at which the request may run.
+    pub requirement: origin::Requirement<'request>,
     /// Whether an engine with few requests is preferred, since it may crash.
     pub prefers_idle: bool,
     /// Whether only engines that hold the adapter are considered.
@@ -228,10 +231,11 @@
         now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
+        requirement: origin::Requirement<'_>,
     ) {
         let questions = {
             let inner = self.inner.lock();
-            let mut costs = inner.plain_costs(now, service, tried);
+            let mut costs = inner.plain_costs(now, service, tried, requirement);
             costs.sort_by_key(|(cost, _)| *cost);
             let best = costs.into_iter().take(MAX_ASKED_PLAIN_ENDPOINTS);
             inner.questions_about(now, best.map(|(_, state)| &state.endpoint))
@@ -249,15 +253,27 @@
         observe(&mut self.latencies.lock());
     }
 
-    /// Destination of an engine, if it still serves the model.
+    /// Destination of an engine, if it still serves the model and has a version that the request
+    /// may run at.
     pub(crate) fn destination(
         &self,
         endpoint: &id::Endpoint,
         model: &id::Model,
+        requirement: origin::Requirement<'_>,
     ) -> Option<Destination> {
         let inner = self.inner.lock();
         let state = inner.states.get(endpoint)?;
-        (state.ready && state.holds_model(model)).then(|| state.destination())
+        let is_usable = state.ready && state.holds_model(model);
+        (is_usable && requirement.admits(state.software.as_ref())).then(|| state.destination())
+    }
+
+    /// Whether the endpoint still runs the process that was chosen.
+    pub(crate) fn is_current(&self, destination: &Destination) -> bool {
+        let inner = self.inner.lock();
+        let state = inner.states.get(&destination.endpoint);
+        state.is_some_and(|state| {
+            state.boot == destination.boot && state.software == destination.software
+        })
     }
 
     /// The endpoint of a plain service with the fewest requests of this entry.
@@ -266,23 +282,35 @@
         now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
+        requirement: origin::Requirement<'_>,
     ) -> Option<Destination> {
         let inner = self.inner.lock();
-        let costs = inner.plain_costs(now, service, tried).into_iter();
+        let costs = inner.plain_costs(now, service, tried, requirement);
+        let costs = costs.into_iter();
         let best = costs.min_by_key(|(cost, _)| *cost);
         best.map(|(_, state)| state.destination())
     }
 
     /// Whether any endpoint of a service can get requests.
-    pub(crate) fn has_usable_endpoint(&self, service: &id::Service) -> bool {
-        self.has_untried_endpoint(service, &Tried::new())
+    pub(crate) fn has_usable_endpoint(
+        &self,
+        service: &id::Service,
+        requirement: origin::Requirement<'_>,
+    ) -> bool {
+        self.has_untried_endpoint(service, &Tried::new(), requirement)
     }
 
     /// Whether any endpoint of a service beside those in `tried` can get requests, now or once it
     /// has room.
-    pub(crate) fn has_untried_endpoint(&self, service: &id::Service, tried: &Tried) -> bool {
+    pub(crate) fn has_untried_endpoint(
+        &self,
+        service: &id::Service,
+        tried: &Tried,
+        requirement: origin::Requirement<'_>,
+    ) -> bool {
         let inner = self.inner.lock();
-        inner.usable_states(service, tried).next().is_some()
+        let mut usable = inner.usable_states(service, tried, requirement);
+        usable.next().is_some()
     }
 
     /// Records that a request was sent.
@@ -424,10 +452,17 @@
         }
     }
 
-    /// Ready endpoints of a service that were not tried; suspect ones if none is ready.
-    fn usable_states(&self, service: &id::Service, tried: &Tried) -> impl Iterator<Item = &State> {
+    /// Ready endpoints of a service that were not tried, of versions that the request may run at;
+    /// suspect ones if none is ready.
+    fn usable_states<'inner>(
+        &'inner self,
+        service: &id::Service,
+        tried: &Tried,
+        requirement: origin::Requirement<'_>,
+    ) -> impl Iterator<Item = &'inner State> {
         let names = self.by_service.get(service).into_iter().flatten();
         let states = names.filter_map(|name| self.states.get(name));
+        let states = states.filter(move |state| requirement.admits(state.software.as_ref()));
         let untried = states.filter(|state| !tried.contains(&state.endpoint));
         let any_ready = untried.clone().any(|state| state.ready);
         untried.filter(move |state| state.ready || (state.suspect && !any_ready))
@@ -442,7 +477,7 @@
         let adapter = query.adapter_name();
         let adapter = adapter.as_ref();
         let usable: Vec<&State> = self
-            .usable_states(query.service, query.tried)
+            .usable_states(query.service, query.tried, query.requirement)
             .filter(|state| state.holds_model(query.model))
             .filter(|state| !query.only_with_adapter || state.holds_adapter(adapter))
             .filter(|state| self.has_room(now, state))
@@ -491,8 +526,9 @@
         now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
+        requirement: origin::Requirement<'_>,
     ) -> Vec<((u32, u64), &State)> {
-        let usable = self.usable_states(service, tried);
+        let usable = self.usable_states(service, tried, requirement);
         let usable: Vec<&State> = usable.filter(|state| self.has_room(now, state)).collect();
         let reachable_states = filter_reachable(now, &usable);
         let costs = reachable_states.into_iter().map(|state| {
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -63,6 +63,11 @@
         /// Time after which it may run again.
         retry_after: duration::Span,
     },
+    /// Its caller takes up a stream of which no entry knows where it began; it did not run.
+    UnknownOrigin {
+        /// Time after which the caller may begin anew.
+        retry_after: duration::Span,
+    },
     /// Neither this entry nor another one reaches an endpoint; it did not run.
     NoPath {
         /// Time after which an endpoint may be reached.
@@ -105,6 +110,7 @@
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::NotRun { .. } => "not_run",
             Self::Quarantined { .. } => "quarantined",
+            Self::UnknownOrigin { .. } => "origin_unknown",
             Self::NoPath { .. } => "no_path",
             Self::OtherPlan { .. } => "other_plan",
             Self::Broken(_) => "endpoint_broke",
@@ -134,6 +140,7 @@
             | Self::NoEndpoint { .. }
             | Self::NotRun { .. }
             | Self::Quarantined { .. }
+            | Self::UnknownOrigin { .. }
             | Self::NoPath { .. }
             | Self::OtherPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -154,6 +161,7 @@
             | Self::NoEndpoint { retry_after, .. }
             | Self::NotRun { retry_after }
             | Self::Quarantined { retry_after }
+            | Self::UnknownOrigin { retry_after }
             | Self::NoPath { retry_after }
             | Self::OtherPlan { retry_after } => Some((*retry_after).max(MIN_RETRY_AFTER)),
             _ => None,
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! Each endpoint has a home entry. The others tell it what they send there and ask it for the
 //! load before they choose. A lost datagram costs a slightly worse choice, so nothing is repeated
-//! or acknowledged.
+//! or acknowledged. Entries also tell and ask each other where streams began.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,14 +11,16 @@
 
 use cranberrygap_model::{address, duration};
 use cranberrygap_routing::limit;
+use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, home};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::core;
+use crate::metric;
 
-use super::endpoints;
+use super::{endpoints, origins};
 
 /// Time between two looks at what changed. Prompts are told at once; this tells of their ends.
 const SEND_INTERVAL: Duration = Duration::from_millis(150);
@@ -29,6 +31,9 @@
 /// Endpoints in one message; more would not fit.
 const MAX_ENDPOINTS_PER_MESSAGE: usize = 45;
 
+/// Origins of streams in one message; with the longest names no more would fit.
+const MAX_ORIGINS_PER_MESSAGE: usize = 4;
+
 /// A message between two entries.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -57,6 +62,15 @@
     },
     /// Answer to a claim.
     Granted { number: u32, grant: limit::Grant },
+    /// Origins of streams.
+    Origins(Vec<origin::Tale>),
+    /// Asks for the origin of a stream.
+    OriginQuestion { number: u32, key: origin::Key },
+    /// Answer about the origin of a stream; without one the sender does not know it.
+    OriginAnswer {
+        number: u32,
+        tale: Option<origin::Tale>,
+    },
 }
 
 /// The task that sends and receives gossip.
@@ -114,6 +128,7 @@
                         }).await;
                     }
                 }
+                messages = self.core.origins.next_outgoing() => self.send_origins(messages).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, from)) = received else {
                         continue;
@@ -146,6 +161,25 @@
         }
     }
 
+    /// Sends what other entries are told and asked of origins of streams.
+    async fn send_origins(&self, messages: Vec<(address::Socket, origins::Outgoing)>) {
+        let mut tales: BTreeMap<address::Socket, Vec<origin::Tale>> = BTreeMap::new();
+        for (to, message) in messages {
+            match message {
+                origins::Outgoing::Tale(tale) => tales.entry(to).or_default().push(tale),
+                origins::Outgoing::Question { number, key } => {
+                    let question = Message::OriginQuestion { number, key };
+                    self.send(to, &question).await;
+                }
+            }
+        }
+        for (to, tales) in tales {
+            for part in tales.chunks(MAX_ORIGINS_PER_MESSAGE) {
+                self.send(to, &Message::Origins(part.to_vec())).await;
+            }
+        }
+    }
+
     /// What each home is told of its endpoints, no more than one datagram carries.
     fn group_by_home<Item>(
         &self,
@@ -215,6 +249,22 @@
                 }
             }
             Message::Granted { number, grant } => endpoints.apply_grant(number, grant),
+            Message::Origins(tales) => {
+                for insertion in self.core.origins.apply_tales(now, from, &tales) {
+                    metric::count_origin(&self.core, insertion);
+                }
+            }
+            Message::OriginQuestion { number, key } => {
+                let origins = &self.core.origins;
+                if origins.is_entry(from) {
+                    let tale = origins.answer(now, key);
+                    let answer = Message::OriginAnswer { number, tale };
+                    self.send(address::Socket(from), &answer).await;
+                }
+            }
+            Message::OriginAnswer { number, tale } => {
+                self.core.origins.apply_answer(from, number, tale);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/origins.rs
@@ -0,0 +1,263 @@
+//! Origins of streams: kept here, told to other entries and asked of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cranberrygap_model::{address, duration, id, software};
+use cranberrygap_routing::origin;
+use cranberrygap_wire::traffic;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, mpsc};
+use tokio::time;
+
+use crate::metric;
+use crate::view;
+
+use super::failure::{self, Failure};
+use super::{Gateway, request, request_log};
+
+/// Time after which entries that did not answer are asked once more; a datagram may be lost.
+const REPEAT_AFTER: Duration = Duration::from_millis(40);
+
+/// Longest wait for the entries that are asked together. Callers that come back have lost time
+/// already, and what is not known by then is refused.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Retry delay of callers whose stream is unknown. They may begin anew at once; the delay keeps
+/// many of them from coming back together.
+const UNKNOWN_RETRY_AFTER: duration::Span = duration::Span::from_millis(200);
+
+/// What is sent to another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Outgoing {
+    /// The origin of a stream.
+    Tale(origin::Tale),
+    /// Asks for the origin of a stream.
+    Question { number: u32, key: origin::Key },
+}
+
+/// Origins of streams that this entry knows, and questions that wait for other entries.
+#[derive(Debug)]
+pub(crate) struct Origins {
+    gossip_port: Option<u16>,
+    keeper: Mutex<origin::Keeper>,
+    waiting: Mutex<Waiting>,
+    added: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    last_number: u32,
+    unsent: Vec<(address::Socket, Outgoing)>,
+    answers: BTreeMap<u32, mpsc::UnboundedSender<Answer>>,
+}
+
+/// What another entry answered.
+type Answer = (address::Socket, Option<origin::Tale>);
+
+impl Origins {
+    /// Creates the origins of the entry `own`, without any.
+    ///
+    /// `gossip_port` is the port at which all entries tell and ask each other; without one
+    /// there is no other entry to ask.
+    pub(crate) fn new(own: id::Instance, gossip_port: Option<u16>) -> Self {
+        Self {
+            gossip_port,
+            keeper: Mutex::new(origin::Keeper::new(own)),
+            waiting: Mutex::default(),
+            added: Notify::new(),
+        }
+    }
+
+    /// Applies the entries and software versions of a new view.
+    pub(crate) fn apply_view(&self, now: duration::Instant, view: &view::Snapshot) {
+        let Some(port) = self.gossip_port else {
+            return;
+        };
+        let entries = view.active_entries().map(|member| {
+            let mut address = member.address;
+            address.0.set_port(port);
+            origin::Entry {
+                instance: member.instance.clone(),
+                domain: member.domain.clone(),
+                address,
+            }
+        });
+        let mut keeper = self.keeper.lock();
+        let tales = keeper.apply_view(now, entries.collect(), view.versions());
+        drop(keeper);
+        let tales = tales.into_iter();
+        self.send(tales.map(|(home, tale)| (home, Outgoing::Tale(tale))));
+    }
+
+    /// Records that events of a stream are forwarded here. Its homes are told.
+    pub(crate) fn record(&self, now: duration::Instant, tale: &origin::Tale) -> origin::Insertion {
+        let (insertion, homes) = self.keeper.lock().record(now, tale);
+        let told = homes.into_iter();
+        self.send(told.map(|home| (home, Outgoing::Tale(tale.clone()))));
+        insertion
+    }
+
+    /// Records what another entry tells. One that the view does not know is ignored.
+    pub(crate) fn apply_tales(
+        &self,
+        now: duration::Instant,
+        from: SocketAddr,
+        tales: &[origin::Tale],
+    ) -> Vec<origin::Insertion> {
+        let mut keeper = self.keeper.lock();
+        if !keeper.is_entry(from) {
+            return Vec::new();
+        }
+        let insertions = tales.iter().map(|tale| keeper.apply_tale(now, tale));
+        insertions.collect()
+    }
+
+    /// Returns the origin of a stream, if this entry knows it.
+    pub(crate) fn find(&self, now: duration::Instant, key: origin::Key) -> Option<origin::Origin> {
+        self.keeper.lock().find(now, key).cloned()
+    }
+
+    /// Whether an address belongs to an entry of the view.
+    pub(crate) fn is_entry(&self, address: SocketAddr) -> bool {
+        self.keeper.lock().is_entry(address)
+    }
+
+    /// Returns what another entry asks for, if this one has a record of it.
+    pub(crate) fn answer(&self, now: duration::Instant, key: origin::Key) -> Option<origin::Tale> {
+        self.keeper.lock().answer(now, key)
+    }
+
+    /// Asks the homes of a stream for its origin, and then all other entries.
+    pub(crate) async fn ask(&self, key: origin::Key) -> Option<origin::Tale> {
+        let homes: Vec<address::Socket> = self.keeper.lock().other_homes(key).to_vec();
+        if let Some(tale) = self.ask_each(key, homes.clone()).await {
+            return Some(tale);
+        }
+        let others: Vec<address::Socket> = {
+            let keeper = self.keeper.lock();
+            let others = keeper.other_entries();
+            others.filter(|other| !homes.contains(other)).collect()
+        };
+        self.ask_each(key, others).await
+    }
+
+    /// Asks some entries together. Returns the first origin, or nothing once all have answered
+    /// or the time is over.
+    async fn ask_each(
+        &self,
+        key: origin::Key,
+        mut silent: Vec<address::Socket>,
+    ) -> Option<origin::Tale> {
+        if silent.is_empty() {
+            return None;
+        }
+        let (answered, mut answers) = mpsc::unbounded_channel();
+        let number = {
+            let mut waiting = self.waiting.lock();
+            waiting.answers.retain(|_, answered| !answered.is_closed());
+            waiting.last_number = waiting.last_number.wrapping_add(1);
+            let number = waiting.last_number;
+            waiting.answers.insert(number, answered);
+            number
+        };
+        let begun = time::Instant::now();
+        for until in [REPEAT_AFTER, ANSWER_TIMEOUT] {
+            let question = Outgoing::Question { number, key };
+            let asked = silent.iter().map(|entry| (*entry, question.clone()));
+            self.send(asked);
+            while let Ok(Some((from, tale))) = time::timeout_at(begun + until, answers.recv()).await
+            {
+                if tale.is_some() {
+                    return tale;
+                }
+                silent.retain(|entry| *entry != from);
+                if silent.is_empty() {
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    /// Applies the answer of another entry.
+    pub(crate) fn apply_answer(&self, from: SocketAddr, number: u32, tale: Option<origin::Tale>) {
+        if let Some(answered) = self.waiting.lock().answers.get(&number) {
+            // Fails if the request that asked has ended.
+            let _ended = answered.send((address::Socket(from), tale));
+        }
+    }
+
+    /// Waits for what has to be sent.
+    pub(crate) async fn next_outgoing(&self) -> Vec<(address::Socket, Outgoing)> {
+        loop {
+            let unsent = std::mem::take(&mut self.waiting.lock().unsent);
+            if !unsent.is_empty() {
+                return unsent;
+            }
+            self.added.notified().await;
+        }
+    }
+
+    /// Number of streams whose origin is known, for operators.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        serde_json::json!({ "streams": self.keeper.lock().len() })
+    }
+
+    fn send(&self, messages: impl Iterator<Item = (address::Socket, Outgoing)>) {
+        let mut waiting = self.waiting.lock();
+        let before = waiting.unsent.len();
+        waiting.unsent.extend(messages);
+        if waiting.unsent.len() > before {
+            self.added.notify_one();
+        }
+    }
+}
+
+/// Returns the origin of a stream that its caller takes up; absent for other requests.
+///
+/// # Errors
+///
+/// When no entry knows where the stream began and several versions may have begun it.
+pub(super) async fn find(
+    gateway: &Gateway,
+    request: &request::Request,
+    resolution: &request::Resolution,
+    log: &mut request_log::Log,
+) -> Result<Option<origin::Origin>, Failure> {
+    let is_resumable = resolution.route.kind == traffic::Kind::Resumable;
+    if !is_resumable || !request.metadata.takes_up() {
+        return Ok(None);
+    }
+    let core = &gateway.core;
+    let key = request.stream_key(resolution);
+    let own = key.and_then(|key| core.origins.find(core.now(), key));
+    let view = request::serving_view(gateway)?;
+    let sole = origin::sole_origin(view.versions(), &resolution.service);
+    drop(view);
+    let found = match (own, sole, key) {
+        (Some(origin), _, _) => Some((origin, "known_here")),
+        (None, Some(origin), _) => Some((origin, "sole_version")),
+        (None, None, Some(key)) => {
+            let tale = core.origins.ask(key).await;
+            tale.map(|tale| (tale.origin, "known_elsewhere"))
+        }
+        (None, None, None) => None,
+    };
+    let now = core.now();
+    let first = request.metadata.first_attempt.as_deref().unwrap_or("-");
+    let Some((origin, proof)) = found else {
+        let step = format_args!("nobody knows which version began the stream of {first}");
+        log.add_step(now, step);
+        core.count(metric::GATEWAY_STREAMS, "unknown");
+        let retry_after = failure::add_jitter(UNKNOWN_RETRY_AFTER);
+        return Err(Failure::UnknownOrigin { retry_after });
+    };
+    let software = origin.software.as_ref();
+    let software = software.map_or("unnamed", software::Version::as_str);
+    let step = format_args!("the stream of {first} began at version {software}: {proof}");
+    log.add_step(now, step);
+    core.count(metric::STREAM_ORIGINS, proof);
+    Ok(Some(origin))
+}
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -7,6 +7,7 @@
 use cranberrygap_model::{duration, id, token};
 use cranberrygap_policy::limits::holder;
 use cranberrygap_policy::resend::scope;
+use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, prefix_cache};
 use cranberrygap_state::traffic as state;
 use cranberrygap_wire::traffic;
@@ -27,7 +28,7 @@
 use super::failure::{self, Failure};
 use super::forward;
 use super::response;
-use super::{Gateway, request_log};
+use super::{Gateway, origins, request_log};
 
 /// Longest time to read a body. Callers are on fast networks and send some kilobytes.
 const BODY_TIMEOUT: Duration = Duration::from_secs(8);
@@ -74,7 +75,9 @@
     pub arrived_at: duration::Instant,
     /// Version of the plan by which another entry forwarded the request.
     pub forwarded_by: Option<u64>,
-    /// Random number that selects a split of the route, the same for all attempts.
+    /// What began the stream, once its caller has an event of it.
+    pub origin: Option<origin::Origin>,
+    /// Number that selects a split of the route, the same for all attempts of a stream.
     pub split_draw: f64,
 }
 
@@ -131,7 +134,7 @@
         let route = table.route(&self.host, self.target.path());
         let route = route.ok_or(Failure::NoRoute)?;
         let workspace = self.paying_workspace(table, route)?;
-        let service = pick_split(route, self.split_draw).ok_or(Failure::NoRoute)?;
+        let service = self.pick_service(route).ok_or(Failure::NoRoute)?;
         let service_plan = table.service(&service);
         Ok(Resolution {
             route: route.clone(),
@@ -165,6 +168,31 @@
         }))
     }
 
+    /// The service that began the stream while the route leads to it, or else the one that the
+    /// draw selects.
+    fn pick_service(&self, route: &traffic::Route) -> Option<id::Service> {
+        let origin = self.origin.as_ref();
+        let mut splits = route.splits.iter().filter(|split| split.weight > 0);
+        let began_there =
+            |split: &&traffic::Split| origin.is_some_and(|origin| origin.service == split.service);
+        let kept = splits.find(began_there);
+        kept.map(|split| split.service.clone())
+            .or_else(|| pick_split(route, self.split_draw))
+    }
+
+    /// Identifies the stream for entries that its caller may come back to; absent if the caller
+    /// does not name the attempt that brought its first event.
+    pub(crate) fn stream_key(&self, resolution: &Resolution) -> Option<origin::Key> {
+        let metadata = &self.metadata;
+        let own = metadata.id.as_ref().filter(|_| !metadata.takes_up());
+        let first = metadata.first_attempt.as_ref().or(own)?;
+        let workspace = resolution.workspace.as_ref();
+        let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
+        let hash = digest::hash([workspace.as_bytes(), first.as_bytes()]);
+        let (head, _tail) = hash.split_first_chunk()?;
+        Some(origin::Key(u128::from_le_bytes(*head)))
+    }
+
     /// Identifies what is asked for, whenever and wherever in the fleet it is sent again.
     ///
     /// The id and the deadline differ each time and are not part of it.
@@ -264,7 +292,7 @@
     let metadata = metadata.map_err(Failure::Malformed)?;
     log.id.clone_from(&metadata.id);
     let body = read_body(gateway, body).await?;
-    let received = to_request(arrived_at, head, body, metadata)?;
+    let mut received = to_request(arrived_at, head, body, metadata)?;
     let view = serving_view(gateway)?;
     let resolution = received.resolve(&view)?;
     log.revision = view.revision().0;
@@ -290,6 +318,7 @@
         }
         None => {}
     }
+    received.origin = origins::find(gateway, &received, &resolution, log).await?;
     let permit = reserve_tokens(gateway, &received, &resolution).await?;
     log_token_wait(gateway, &received, log);
     // The delivery continues the log, also after the head of a stream is sent; it returns
@@ -358,6 +387,8 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let forwarded_by = forward::take_mark(&mut headers);
+    let first_attempt = metadata.first_attempt.as_ref().or(metadata.id.as_ref());
+    let split_draw = first_attempt.map_or_else(rand::random, |id| draw(id));
     Ok(Request {
         method: head.method,
         target,
@@ -368,10 +399,21 @@
         chain,
         arrived_at,
         forwarded_by,
-        split_draw: rand::random(),
+        origin: None,
+        split_draw,
     })
 }
 
+/// A number from 0 to 1 by the id of an attempt.
+fn draw(id: &str) -> f64 {
+    /// Bits that a floating-point number holds exactly.
+    const BITS: u32 = 53;
+    let hash = digest::hash([id.as_bytes(), b"split"]);
+    let (head, _tail) = hash.split_first_chunk().unwrap_or((&[0; 8], &[]));
+    let bits = u64::from_le_bytes(*head) >> (u64::BITS - BITS);
+    bits as f64 / (1_u64 << BITS) as f64
+}
+
 /// The host that the caller names, in lower case and without a port.
 fn host_name(head: &request::Parts) -> Option<SmolStr> {
     let named = head.headers.get(header::HOST);
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -27,6 +27,8 @@
     /// The events of the engine that sends now; other content has none.
     events: Option<Events>,
     last_event_id: Option<String>,
+    /// Whether the caller has got any part of the stream in this response.
+    has_passed_on: bool,
     /// Time at which the last event arrived.
     last_event_at: Option<duration::Instant>,
     /// Why the stream is late, if it is.
@@ -90,6 +92,7 @@
         upstream: Some(upstream),
         events: is_event_stream.then(|| Events::new(can_continue)),
         last_event_id,
+        has_passed_on: false,
         last_event_at: None,
         late_cause: None,
     };
@@ -132,12 +135,12 @@
                     };
                     match self.take_complete_events(data) {
                         Ok(data) if data.is_empty() => {}
-                        other => return Some(other),
+                        other => return Some(self.pass_on(other)),
                     }
                 }
                 Ok(None) if self.is_whole() => {
                     self.finish();
-                    return self.take_rest().map(Ok);
+                    return self.take_rest().map(|rest| self.pass_on(Ok(rest)));
                 }
                 Ok(None) => {
                     if !self.continue_elsewhere(CUT_STREAM).await {
@@ -153,6 +156,14 @@
         }
     }
 
+    /// Hands on what the caller gets next. Before the first bytes the origin of the stream is kept.
+    fn pass_on(&mut self, next: Result<Bytes, Error>) -> Result<Bytes, Error> {
+        if next.is_ok() && !std::mem::replace(&mut self.has_passed_on, true) {
+            self.delivery.record_origin();
+        }
+        next
+    }
+
     /// Records that more of the stream arrived, and whether it is late.
     fn record_progress(&mut self) {
         let now = self.delivery.gateway.core.now();
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -1,7 +1,10 @@
 //! Metrics of an entry: name, kind, unit and meaning.
 
+use cranberrygap_routing::origin;
 use cranberrygap_trace::metric::Metric;
 
+use crate::core;
+
 /// Number of responses to callers.
 pub(crate) const REQUESTS: &str = "requests";
 /// Number of refused requests.
@@ -30,11 +33,13 @@
 pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
 /// Number of streams that began, or went on after a break.
 pub(crate) const GATEWAY_STREAMS: &str = "gateway_streams";
+/// Number of origins of streams that were found, kept or lost.
+pub(crate) const STREAM_ORIGINS: &str = "stream_origins";
 /// Time since the view was last confirmed as the newest.
 pub(crate) const VIEW_AGE: &str = "view_age";
 
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 6] = [
+pub const GATEWAY: [Metric; 7] = [
     Metric {
         name: VIEW_AGE,
         kind: "ms",
@@ -63,7 +68,13 @@
         name: GATEWAY_STREAMS,
         kind: "c",
         unit: "streams",
-        meaning: "streams of routes, tagged begun, continued (by this entry) or taken_up (by their callers)",
+        meaning: "streams of routes, tagged begun, continued (by this entry) or taken_up (by their callers); no_version (no endpoint of the version that began them can take them) or unknown (nobody knows that version)",
+    },
+    Metric {
+        name: STREAM_ORIGINS,
+        kind: "c",
+        unit: "streams",
+        meaning: "versions that began streams, tagged kept, replaced (others were forgotten, too many last) or conflict (two were told); for streams that callers took up, known_here, known_elsewhere (another entry told it) or sole_version",
     },
     Metric {
         name: GATEWAY_FIRST_EVENT,
@@ -134,3 +145,14 @@
         meaning: "resends that the last 10 s allow, tagged alike; the sum over all entries is the fleet's bound",
     },
 ];
+
+/// Counts the origin of a stream that was told to this entry or found here.
+pub(crate) fn count_origin(core: &core::Core, insertion: origin::Insertion) {
+    let tag = match insertion {
+        origin::Insertion::New => "kept",
+        origin::Insertion::Known => return,
+        origin::Insertion::Replaced => "replaced",
+        origin::Insertion::Conflict => "conflict",
+    };
+    core.count(STREAM_ORIGINS, tag);
+}
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -357,6 +357,10 @@
             settings.entry.domain.clone(),
             settings.listen.gossip.map(|address| address.0.port()),
         ),
+        origins: gateway::Origins::new(
+            settings.entry.instance.clone(),
+            settings.listen.gossip.map(|address| address.0.port()),
+        ),
         peers: Arc::clone(&peers),
         boot,
         clock,
@@ -446,6 +450,7 @@
         "routing": core.router.dump(),
         "queues": core.queues.dump(),
         "endpoints": core.endpoints.dump(),
+        "origins": core.origins.dump(),
         "quarantine": core.quarantine.dump(),
         "reach": core.reach.dump(),
         "resends": core.resends.dump(core.now()),
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -11,6 +11,8 @@
 //! [`limit`] keeps the limits that endpoints in need name, and [`path`] tells whether an entry
 //! reaches the endpoints at all.
 //!
+//! [`origin`] keeps streams at the software version that began them.
+//!
 //! [`prompt`] chooses among the engines of a service by the predicted time to the first
 //! event.
 
@@ -18,6 +20,7 @@
 pub mod brittle;
 pub mod limit;
 pub mod load;
+pub mod origin;
 pub mod path;
 pub mod pending;
 pub mod prefix;
--- /dev/null
+++ b/crates/cranberrygap-routing/src/origin/keeper.rs
@@ -0,0 +1,144 @@
+//! What one entry knows of the origins of streams.
+
+use std::net::SocketAddr;
+
+use cranberrygap_model::{address, duration, id};
+use cranberrygap_wire::view;
+use smallvec::SmallVec;
+
+use super::{Book, Entry, Insertion, Key, Origin, Tale, homes, versions};
+
+/// Keeps the origins of streams, and knows which entries to tell and to ask.
+#[derive(Debug, Default)]
+pub struct Keeper {
+    book: Book,
+    /// This entry.
+    own: Option<id::Instance>,
+    /// Entries that keep origins, this one among them.
+    entries: Vec<Entry>,
+    versions: Vec<view::Versions>,
+}
+
+impl Keeper {
+    /// Creates a keeper of the entry `own`.
+    #[must_use]
+    pub fn new(own: id::Instance) -> Self {
+        Self {
+            own: Some(own),
+            ..Self::default()
+        }
+    }
+
+    /// Applies the entries and software versions of a new view. Returns what has to be told to
+    /// whom: the streams of services that have several versions from now on.
+    pub fn apply_view(
+        &mut self,
+        now: duration::Instant,
+        entries: Vec<Entry>,
+        versions: &[view::Versions],
+    ) -> Vec<(address::Socket, Tale)> {
+        self.entries = entries;
+        if self.versions == versions {
+            return Vec::new();
+        }
+        let had_several: Vec<Option<id::Service>> = self
+            .versions
+            .iter()
+            .filter(|known| versions::count(known) > 1)
+            .map(|known| known.service.clone())
+            .collect();
+        self.versions = versions.to_vec();
+        let streams = self.book.iter(now).filter(|(_, origin, _)| {
+            self.has_several_versions(&origin.service)
+                && !had_several.contains(&Some(origin.service.clone()))
+        });
+        let tales = streams.flat_map(|(key, origin, until)| {
+            let tale = Tale {
+                key,
+                origin: origin.clone(),
+                time_left: until.since(now),
+            };
+            self.other_homes(key)
+                .into_iter()
+                .map(move |home| (home, tale.clone()))
+        });
+        tales.collect()
+    }
+
+    /// Records that this entry forwards events of a stream that began at `origin`. Returns the
+    /// homes that have to be told, none while the service has a single version.
+    pub fn record(
+        &mut self,
+        now: duration::Instant,
+        tale: &Tale,
+    ) -> (Insertion, SmallVec<[address::Socket; 2]>) {
+        let until = now.after(tale.time_left);
+        let insertion = self.book.insert(now, tale.key, &tale.origin, until);
+        if !self.has_several_versions(&tale.origin.service) {
+            return (insertion, SmallVec::new());
+        }
+        (insertion, self.other_homes(tale.key))
+    }
+
+    /// Records what another entry tells.
+    pub fn apply_tale(&mut self, now: duration::Instant, tale: &Tale) -> Insertion {
+        let until = now.after(tale.time_left);
+        self.book.insert(now, tale.key, &tale.origin, until)
+    }
+
+    /// Returns the origin of a stream, if this entry has a record of it.
+    #[must_use]
+    pub fn find(&self, now: duration::Instant, key: Key) -> Option<&Origin> {
+        self.book.get(now, key)
+    }
+
+    /// Returns the origin of a stream that this entry has a record of, and how long it lasts.
+    #[must_use]
+    pub fn answer(&self, now: duration::Instant, key: Key) -> Option<Tale> {
+        let (origin, until) = self.book.get_with_end(now, key)?;
+        Some(Tale {
+            key,
+            origin: origin.clone(),
+            time_left: until.since(now),
+        })
+    }
+
+    /// Returns the homes of a stream beside this entry, which are asked first.
+    #[must_use]
+    pub fn other_homes(&self, key: Key) -> SmallVec<[address::Socket; 2]> {
+        let homes = homes(key, &self.entries).into_iter();
+        let others = homes.filter(|home| Some(&home.instance) != self.own.as_ref());
+        others.map(|home| home.address).collect()
+    }
+
+    /// Returns whether an address belongs to an entry of the view.
+    #[must_use]
+    pub fn is_entry(&self, address: SocketAddr) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.address.0 == address)
+    }
+
+    /// Returns all entries beside this one.
+    pub fn other_entries(&self) -> impl Iterator<Item = address::Socket> + '_ {
+        let entries = self.entries.iter();
+        let others = entries.filter(|entry| Some(&entry.instance) != self.own.as_ref());
+        others.map(|entry| entry.address)
+    }
+
+    /// Number of streams whose origin is remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.book.len()
+    }
+
+    /// Whether no origin is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.book.is_empty()
+    }
+
+    fn has_several_versions(&self, service: &id::Service) -> bool {
+        versions::of_service(&self.versions, service)
+            .is_some_and(|known| versions::count(known) > 1)
+    }
+}
--- /dev/null
+++ b/crates/cranberrygap-routing/tests/origins.rs
@@ -0,0 +1,201 @@
+//! Origins of streams: what an entry keeps, whom it tells, and what it takes for proven.
+#![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
+
+use cranberrygap_model::{address, duration, id};
+use cranberrygap_routing::origin::{self, Insertion};
+use cranberrygap_wire::view;
+
+const NOW: duration::Instant = duration::Instant(1_000_000);
+const LIFETIME: duration::Span = duration::Span::from_secs(20);
+
+fn service() -> id::Service {
+    "lm".parse().unwrap()
+}
+
+fn origin(version: &str) -> origin::Origin {
+    origin::Origin {
+        service: service(),
+        software: Some(version.parse().unwrap()),
+    }
+}
+
+fn tale(key: u128, version: &str) -> origin::Tale {
+    origin::Tale {
+        key: origin::Key(key),
+        origin: origin(version),
+        time_left: LIFETIME,
+    }
+}
+
+fn versions(named: &[&str], unnamed: bool) -> Vec<view::Versions> {
+    vec![view::Versions {
+        service: Some(service()),
+        named: named.iter().map(|name| name.parse().unwrap()).collect(),
+        unnamed,
+    }]
+}
+
+/// Entries `entry-0` and so on, in three failure domains.
+fn entries(count: usize) -> Vec<origin::Entry> {
+    let entries = (0..count).map(|number| origin::Entry {
+        instance: format!("entry-{number}").parse().unwrap(),
+        domain: format!("oslo-{}", number % 3).parse().unwrap(),
+        address: address::Socket(([10, 0, 0, u8::try_from(number).unwrap()], 7_601).into()),
+    });
+    entries.collect()
+}
+
+fn keeper(versions: &[view::Versions]) -> origin::Keeper {
+    let mut keeper = origin::Keeper::new("entry-0".parse().unwrap());
+    keeper.apply_view(NOW, entries(8), versions);
+    keeper
+}
+
+#[test]
+fn requirement_admits_the_version_of_the_origin_only() {
+    let (first, second) = (origin("v1"), origin("v2"));
+    let unnamed = origin::Origin {
+        software: None,
+        ..first.clone()
+    };
+    let only_first = origin::Requirement::of(Some(&first));
+
+    assert!(only_first.admits(first.software.as_ref()));
+    assert!(!only_first.admits(second.software.as_ref()));
+    assert!(!only_first.admits(None));
+    assert!(origin::Requirement::of(Some(&unnamed)).admits(None));
+    assert!(!origin::Requirement::of(Some(&unnamed)).admits(first.software.as_ref()));
+    assert!(origin::Requirement::of(None).admits(second.software.as_ref()));
+}
+
+#[test]
+fn homes_lie_in_different_failure_domains_and_move_little() {
+    let (all, fewer) = (entries(9), entries(8));
+    let mut moved = 0;
+    for number in 0..1_000 {
+        let key = origin::Key(number * 0x9e37_79b9_7f4a_7c15);
+        let homes = origin::homes(key, &all);
+        let [first, second] = homes.as_slice() else {
+            panic!("{homes:?}");
+        };
+        assert_ne!(first.domain, second.domain);
+        let left = origin::homes(key, &fewer);
+        moved += usize::from(
+            left.iter()
+                .map(|home| &home.instance)
+                .ne([&first.instance, &second.instance]),
+        );
+    }
+
+    // Two of nine homes lie at the entry that left, and a few second ones follow.
+    assert!((150..350).contains(&moved), "{moved}");
+}
+
+#[test]
+fn stream_of_the_only_version_is_told_to_nobody() {
+    let mut keeper = keeper(&versions(&["v1"], false));
+
+    let (insertion, homes) = keeper.record(NOW, &tale(1, "v1"));
+
+    assert_eq!(insertion, Insertion::New);
+    assert!(homes.is_empty());
+}
+
+#[test]
+fn stream_beside_another_version_is_told_to_its_homes() {
+    let mut keeper = keeper(&versions(&["v1", "v2"], false));
+
+    let (_, homes) = keeper.record(NOW, &tale(1, "v1"));
+
+    assert!(!homes.is_empty());
+    assert_eq!(homes, keeper.other_homes(origin::Key(1)));
+}
+
+// Streams that began while one version served are taken up while two serve; without this, all of
+// them would be refused once their entry is gone.
+#[test]
+fn streams_from_before_a_second_version_are_told_when_it_appears() {
+    let mut keeper = keeper(&versions(&["v1"], false));
+    keeper.record(NOW, &tale(1, "v1"));
+    keeper.record(NOW, &tale(2, "v1"));
+
+    let told = keeper.apply_view(NOW, entries(8), &versions(&["v1", "v2"], false));
+    let again = keeper.apply_view(NOW, entries(8), &versions(&["v1", "v2", "v3"], false));
+
+    let keys: Vec<u128> = told.iter().map(|(_, tale)| tale.key.0).collect();
+    assert!(keys.contains(&1) && keys.contains(&2), "{told:?}");
+    assert!(again.is_empty());
+}
+
+// The first event of a stream has one version. If two are told, either may be wrong.
+#[test]
+fn stream_with_two_origins_is_not_known() {
+    let mut keeper = keeper(&versions(&["v1", "v2"], false));
+    keeper.apply_tale(NOW, &tale(1, "v1"));
+
+    let conflict = keeper.apply_tale(NOW, &tale(1, "v2"));
+    let repeated = keeper.apply_tale(NOW, &tale(1, "v1"));
+
+    assert_eq!(conflict, Insertion::Conflict);
+    assert_eq!(repeated, Insertion::Conflict);
+    assert_eq!(keeper.find(NOW, origin::Key(1)), None);
+    assert_eq!(keeper.answer(NOW, origin::Key(1)), None);
+}
+
+#[test]
+fn stream_that_is_told_again_is_known_for_longer() {
+    let mut keeper = keeper(&versions(&["v1", "v2"], false));
+    let later = NOW.after(duration::Span::from_secs(15));
+    keeper.apply_tale(NOW, &tale(1, "v1"));
+
+    let again = keeper.apply_tale(later, &tale(1, "v1"));
+    let mid = later.after(duration::Span::from_secs(15));
+    let late = later.after(LIFETIME);
+
+    assert_eq!(again, Insertion::Known);
+    assert_eq!(keeper.find(mid, origin::Key(1)), Some(&origin("v1")));
+    assert_eq!(keeper.find(late, origin::Key(1)), None);
+}
+
+#[test]
+fn memory_is_bounded_and_the_stream_that_ends_first_goes() {
+    const MOST: u64 = 1 << 16;
+    let mut book = origin::Book::default();
+    for number in 0..MOST {
+        let until = NOW.after(duration::Span(1_000_000 + number));
+        let key = origin::Key(number.into());
+        book.insert(NOW, key, &origin("v1"), until);
+    }
+
+    let until = NOW.after(LIFETIME);
+    let insertion = book.insert(NOW, origin::Key(MOST.into()), &origin("v1"), until);
+
+    assert_eq!(insertion, Insertion::Replaced);
+    assert_eq!(book.len() as u64, MOST);
+    assert_eq!(book.get(NOW, origin::Key(0)), None);
+    assert!(book.get(NOW, origin::Key(1)).is_some());
+}
+
+#[test]
+fn only_a_service_with_one_version_proves_an_origin() {
+    let named = versions(&["v1"], false);
+    let unnamed = versions(&[], true);
+    let several = versions(&["v1"], true);
+    let other: id::Service = "other".parse().unwrap();
+
+    assert_eq!(origin::sole_origin(&named, &service()), Some(origin("v1")));
+    let without = origin::sole_origin(&unnamed, &service()).unwrap();
+    assert_eq!(without.software, None);
+    assert_eq!(origin::sole_origin(&several, &service()), None);
+    assert_eq!(origin::sole_origin(&versions(&[], false), &service()), None);
+    assert_eq!(origin::sole_origin(&named, &other), None);
+}
+
+#[test]
+fn key_is_read_as_it_is_written() {
+    let key = origin::Key(0x1f);
+
+    assert_eq!(key.to_string().parse(), Ok(key));
+    "+1f".parse::<origin::Key>().unwrap_err();
+    "".parse::<origin::Key>().unwrap_err();
+}
