Keep answers of the API at the software version that began them

The API's entries resume a broken answer at any engine that holds the model. Its engines may run several versions as well, and what two of them write does not fit together. The router's query takes the same requirement as that of routes, and the delivery keeps the engine that wrote the first token.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -10,6 +10,7 @@
 use cranberrygap_policy::outcome::{Evidence, Outcome};
 use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::{claims, retry};
+use cranberrygap_routing::origin;
 use cranberrygap_trace::note;
 use cranberrygap_wire::{claim, configuration};
 use salvo::http::{HeaderValue, Request, Response, header};
@@ -284,6 +285,7 @@
             model: None,
             service: Some(&call.service),
             tried,
+            requirement: origin::Requirement::Any,
         };
         self.core.router.choose(self.core.now(), &query)
     }
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -6,6 +6,7 @@
 use cranberrygap_policy::outcome::{Evidence, Outcome};
 use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::retry;
+use cranberrygap_routing::origin;
 use salvo::http::{StatusCode, header};
 
 use crate::core;
@@ -39,6 +40,10 @@
     tried: route::Tried,
     attempts: u32,
     crashes: u32,
+    /// Engine of the last attempt.
+    last_engine: Option<route::Destination>,
+    /// Engine that wrote the first token, once the caller has one.
+    first_engine: Option<route::Destination>,
     outcome: Outcome,
     /// What pays for the next attempt, unless it is the first.
     resend: Option<resends::Ticket>,
@@ -59,6 +64,8 @@
             tried: route::Tried::new(),
             attempts: 0,
             crashes: 0,
+            last_engine: None,
+            first_engine: None,
             outcome: Outcome::NotRun,
             resend: None,
             _queue_place: queue_place,
@@ -88,6 +95,9 @@
     ///
     /// The final refusal.
     pub(crate) async fn send(&mut self, delivered: u64) -> Result<Response, Refusal> {
+        if delivered > 0 && self.first_engine.is_none() {
+            self.first_engine.clone_from(&self.last_engine);
+        }
         loop {
             self.check_quarantine()?;
             let (destination, run) = self.choose_engine().await?;
@@ -96,6 +106,7 @@
                 None => resends::record_first_send(&self.core, &scope::Scope::Engines),
             }
             self.attempts += 1;
+            self.last_engine = Some(destination.clone());
             let attempt = Attempt::new(&self.core, destination, &self.request, self.attempts, run);
             match self.send_attempt(attempt, delivered).await {
                 Ok(answer) => return Ok(answer),
@@ -230,11 +241,20 @@
         destination.ok_or_else(|| self.refusal(retry::Reason::AttemptsExhausted))
     }
 
+    /// Versions at which the rest of the answer may come from.
+    fn requirement(&self) -> origin::Requirement<'_> {
+        let first = self.first_engine.as_ref();
+        first.map_or(origin::Requirement::Any, |first| {
+            origin::Requirement::Only(first.software.as_ref())
+        })
+    }
+
     fn ask_router(&self) -> Option<route::Destination> {
         let query = route::Query {
             model: Some(&self.request.body.model),
             service: None,
             tried: &self.tried,
+            requirement: self.requirement(),
         };
         self.core.router.choose(self.core.now(), &query)
     }
--- a/crates/cranberrygap-entry/src/route.rs
+++ b/crates/cranberrygap-entry/src/route.rs
@@ -4,7 +4,8 @@
 
 use std::fmt;
 
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, software};
+use cranberrygap_routing::origin;
 use cranberrygap_wire::endpoint;
 use smallvec::SmallVec;
 
@@ -23,6 +24,8 @@
     pub service: Option<&'request id::Service>,
     /// Endpoints to leave out.
     pub tried: &'request Tried,
+    /// Software versions at which the request may run.
+    pub requirement: origin::Requirement<'request>,
 }
 
 /// The endpoint that a request is sent to.
@@ -34,6 +37,8 @@
     pub address: address::Socket,
     /// Boot of the endpoint at the time of the choice.
     pub boot: number::Boot,
+    /// Version of the software that this boot runs.
+    pub software: Option<software::Version>,
 }
 
 /// A runner that can be asked for its load.
--- a/crates/cranberrygap-entry/src/route/least_loaded.rs
+++ b/crates/cranberrygap-entry/src/route/least_loaded.rs
@@ -73,8 +73,15 @@
             .service
             .and_then(|service| self.by_service.get(service));
         let serving = by_model.or(by_service).into_iter().flatten();
+        let admitted = serving.filter(|name| {
+            let endpoint = self.endpoints.get(*name);
+            endpoint.is_some_and(|endpoint| {
+                let software = endpoint.announcement.software.as_ref();
+                query.requirement.admits(software)
+            })
+        });
         let untried =
-            serving.filter(|name| !query.tried.contains(name) && !self.leaving.contains(*name));
+            admitted.filter(|name| !query.tried.contains(name) && !self.leaving.contains(*name));
         untried.cloned().collect()
     }
 
@@ -171,6 +178,7 @@
             endpoint: chosen,
             address: announcement.address,
             boot: announcement.boot,
+            software: announcement.software.clone(),
         })
     }
 
