--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -5,6 +5,7 @@
 pub mod demand;
 pub mod endpoint_limits;
 pub mod limits;
+pub mod origins;
 pub mod placement;
 pub mod quarantine;
 pub mod resends;
@@ -62,6 +63,7 @@
         Box::new(bookings::Bookings),
         Box::new(quarantine::Quarantine),
         Box::new(resends::Resends),
+        Box::new(origins::Origins),
         Box::new(view::View::default()),
         Box::new(view::Minority),
         Box::new(view::Quiet::default()),
