Let engines of the API refuse requests meant for other software

An engine that starts again under its name with other software is taken for the process before until its first announcement is heard. On the API's path it may hold models from its start, so it ran what was meant for the earlier software. Entries now send the version that they expect, and an engine of another one answers 421 without running the request; stand-ins do, and their tokens tell versions apart.

Two tests of real processes: cut answers go on at engines of their version (with the requirement taken out, an answer has tokens of two versions), and an engine with other software than announced runs nothing (without the header, an answer has tokens of two versions).

--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -19,6 +19,10 @@
 /// Header with the id of the request.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Header with the version of the only software that may run the request. An engine that has
+/// started again with another one is found out before its entry has heard of it.
+pub(crate) const EXPECTED_SOFTWARE_HEADER: &str = "x-expect-software";
+
 /// Longest wait for the first byte of a stream.
 ///
 /// It is several times what an engine at its limit takes. A connection that stays silent
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -16,7 +16,10 @@
 use crate::resends;
 use crate::route;
 
-use super::{ATTEMPT_ID_HEADER, Attempt, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER, Request, Response};
+use super::{
+    ATTEMPT_ID_HEADER, Attempt, EXPECTED_SOFTWARE_HEADER, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER,
+    Request, Response,
+};
 
 /// Retry delay that callers are given when no engine holds the model.
 const NO_ENGINE_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
@@ -280,8 +283,14 @@
             .header(ATTEMPT_ID_HEADER, attempt_id.as_str())
             .header(REQUEST_ID_HEADER, self.request.id.as_str())
             .timeout(self.remaining().to_std())
-            .body(self.request.body.resume_after(delivered))
-            .send();
+            .body(self.request.body.resume_after(delivered));
+        let engine = self.last_engine.as_ref();
+        let software = engine.and_then(|engine| engine.software.as_ref());
+        let call = match software {
+            Some(software) => call.header(EXPECTED_SOFTWARE_HEADER, software.as_str()),
+            None => call,
+        };
+        let call = call.send();
         let timeout = if self.request.body.stream {
             FIRST_BYTE_TIMEOUT.min(self.remaining())
         } else {
@@ -325,9 +334,10 @@
     match status {
         StatusCode::OK => None,
         // With these statuses, the engine itself says that it did not run the request.
-        StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            Some(Evidence::EndpointRefused)
-        }
+        StatusCode::NOT_FOUND
+        | StatusCode::MISDIRECTED_REQUEST
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE => Some(Evidence::EndpointRefused),
         _ => Some(Evidence::CutAnswer),
     }
 }
--- a/crates/cranberrygap-standin/src/engine.rs
+++ b/crates/cranberrygap-standin/src/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_model::{address, duration, id, size};
+use cranberrygap_model::{address, duration, id, size, software};
 use cranberrygap_wire::endpoint;
 use parking_lot::Mutex;
 use salvo::Router;
@@ -44,6 +44,8 @@
     /// Models in memory at each start.
     #[builder(default)]
     pub preloaded: Vec<endpoint::Resident>,
+    /// Version of the software that it runs and announces. Tokens of two versions differ.
+    pub software: Option<software::Version>,
     /// Accelerators that it announces.
     #[builder(default = 8)]
     pub accelerators: u32,
@@ -154,6 +156,12 @@
         *self.state.fault.lock() = fault;
     }
 
+    /// Runs other software from now on, as after a start that nobody has heard of yet; what it
+    /// announces stays.
+    pub fn replace_software(&self, software: Option<software::Version>) {
+        *self.state.software.lock() = software;
+    }
+
     /// What goes wrong with orders from now on.
     pub fn set_order_fault(&self, fault: fault::OrderFault) {
         *self.state.order_fault.lock() = fault;
--- a/crates/cranberrygap-standin/src/engine/handler.rs
+++ b/crates/cranberrygap-standin/src/engine/handler.rs
@@ -16,6 +16,8 @@
 
 /// Header that carries the attempt id there and back.
 pub const ATTEMPT: &str = "x-attempt-id";
+/// Header with the software version that the entry expects.
+pub const EXPECTED_SOFTWARE: &str = "x-expect-software";
 /// Largest body that is read.
 const LARGEST_BODY: usize = 16 << 20;
 /// Bytes of prompt text that make a token.
@@ -130,6 +132,12 @@
     if fault == fault::Fault::Refuse {
         return refuse(res, StatusCode::SERVICE_UNAVAILABLE, "busy");
     }
+    let software = state.software.lock().clone();
+    let expected: Option<String> = req.header(EXPECTED_SOFTWARE);
+    let own = software.as_ref().map(ToString::to_string);
+    if expected.is_some() && expected != own {
+        return refuse(res, StatusCode::MISDIRECTED_REQUEST, "other_software");
+    }
     if !state.memory.lock().resident.contains_key(&call.model) {
         return refuse(res, StatusCode::NOT_FOUND, "model_not_found");
     }
@@ -151,7 +159,7 @@
     }
     let work = Work {
         state: Arc::clone(state),
-        tokens: token::Tokens::new(call.model.as_str(), &prompt),
+        tokens: token::Tokens::of_version(call.model.as_str(), software.as_ref(), &prompt),
         frame: answer::Frame::new(form, format!("cmpl-{attempt}"), call.model.clone()),
         usage: answer::Usage {
             prompt: prompt.len().div_ceil(TEXT_OF_TOKEN) as u64,
--- a/crates/cranberrygap-standin/src/engine/state.rs
+++ b/crates/cranberrygap-standin/src/engine/state.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use cranberrygap_model::{duration, id, number, size};
+use cranberrygap_model::{duration, id, number, size, software};
 use cranberrygap_wire::endpoint;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -38,6 +38,8 @@
     pub counts: Mutex<Counts>,
     /// Requests seen.
     pub record: record::Record,
+    /// Version of the software that runs.
+    pub software: Mutex<Option<software::Version>>,
     /// Told when the engine has to crash.
     pub crash: Notify,
     /// Attempt and prompt of the last request, for crossed answers.
@@ -72,6 +74,7 @@
             orders: Mutex::default(),
             counts: Mutex::default(),
             record: record::Record::default(),
+            software: Mutex::new(settings.software.clone()),
             crash: Notify::new(),
             last: Mutex::default(),
             report: Mutex::default(),
@@ -208,7 +211,7 @@
             role: Some(memory.role),
             sequence: number::Sequence(self.sequence.fetch_add(1, Ordering::Relaxed) + 1),
             service: None,
-            software: None,
+            software: self.settings.software.clone(),
         }
     }
 }
--- a/crates/cranberrygap-standin/src/engine/token.rs
+++ b/crates/cranberrygap-standin/src/engine/token.rs
@@ -1,5 +1,6 @@
 //! Made-up tokens: the same for the same model and prompt on every engine.
 
+use cranberrygap_model::software;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -28,6 +29,15 @@
         Self { seed }
     }
 
+    /// The tokens of an engine whose software has a version; those of two versions differ.
+    #[must_use]
+    pub fn of_version(model: &str, software: Option<&software::Version>, prompt: &str) -> Self {
+        let plain = Self::new(model, prompt);
+        software.map_or(plain, |version| Self {
+            seed: hash(plain.seed, version.as_str().as_bytes()),
+        })
+    }
+
     /// The token at a place, counted from 0.
     #[must_use]
     pub fn at(&self, place: u64) -> SmolStr {
--- a/crates/cranberrygap/tests/requests_streams.rs
+++ b/crates/cranberrygap/tests/requests_streams.rs
@@ -7,6 +7,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cranberrygap::local::call;
@@ -21,10 +22,19 @@
 const LONG: u64 = 60;
 
 async fn serving_fleet(engines: usize) -> (fleet::Fleet, caller::Caller) {
+    serving_versions(engines, &[]).await
+}
+
+/// A fleet whose engines have these software versions.
+async fn serving_versions(
+    engines: usize,
+    versions: &[&'static str],
+) -> (fleet::Fleet, caller::Caller) {
     let shape = fleet::Shape::builder()
         .controls(1)
         .entries(2)
         .engines(engines)
+        .versions(versions.to_vec())
         .services(0)
         .crash_marker(MARKER.to_owned())
         .build();
@@ -73,6 +83,36 @@
     token::Tokens::new(MODEL, &format!("user: {prompt}\n")).text(0, LONG)
 }
 
+/// Streams so many prompts at once, and counts the answers by the version of all their tokens.
+async fn stream_versions(
+    fleet: &fleet::Fleet,
+    caller: &caller::Caller,
+    count: usize,
+    versions: &[&'static str],
+) -> BTreeMap<&'static str, usize> {
+    let entry = fleet.entries[0].callers;
+    let requests = (0..count).map(async |number| {
+        let prompt = format!("hello {number}");
+        let answer = caller
+            .post(entry, "/v1/chat/completions", &body(&prompt, true))
+            .await;
+        let text = call::streamed_text(&answer.unwrap().text().await.unwrap());
+        let of_version = |version: &&&'static str| {
+            let software = version.parse().unwrap();
+            let prompt = format!("user: {prompt}\n");
+            let tokens = token::Tokens::of_version(MODEL, Some(&software), &prompt);
+            tokens.text(0, LONG) == text
+        };
+        let version = versions.iter().find(of_version);
+        *version.unwrap_or_else(|| panic!("{prompt} has tokens of two versions: {text}"))
+    });
+    let mut counts = BTreeMap::new();
+    for version in future::join_all(requests).await {
+        *counts.entry(version).or_default() += 1;
+    }
+    counts
+}
+
 /// Streams so many prompts at once and checks every answer word for word.
 async fn stream_whole(fleet: &fleet::Fleet, caller: &caller::Caller, count: usize) {
     let entry = fleet.entries[0].callers;
@@ -100,6 +140,38 @@
     assert!(fleet.engines[0].counts().cancelled > 0);
 }
 
+// What engines of two versions write does not fit together. An answer that is cut goes on at an
+// engine of the version that wrote its begin.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_streams_go_on_at_an_engine_of_their_version() {
+    const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+    let (fleet, caller) = serving_versions(VERSIONS.len(), &VERSIONS).await;
+    for engine in &fleet.engines[..2] {
+        engine.set_fault(fault::Fault::Cut { after: 20 });
+    }
+
+    let counts = stream_versions(&fleet, &caller, 16, &VERSIONS).await;
+
+    assert!(counts.values().sum::<usize>() == 16, "{counts:?}");
+    assert!(fleet.engines[0].counts().cancelled + fleet.engines[1].counts().cancelled > 0);
+}
+
+// An engine starts again under its name with other software. Until entries hear of it, they send it
+// the rest of answers that the software before began.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_with_other_software_than_announced_runs_nothing() {
+    const VERSIONS: [&str; 3] = ["v1", "v1", "v1"];
+    let (fleet, caller) = serving_versions(VERSIONS.len(), &VERSIONS).await;
+    let before = fleet.engines[1].counts().started;
+    fleet.engines[0].set_fault(fault::Fault::Cut { after: 20 });
+    fleet.engines[1].replace_software(Some("v2".parse().unwrap()));
+
+    let counts = stream_versions(&fleet, &caller, 8, &["v1", "v2"]).await;
+
+    assert_eq!(counts.get("v1"), Some(&8), "{counts:?}");
+    assert_eq!(fleet.engines[1].counts().started, before);
+}
+
 // An engine stops sending in the middle, with its connections open. Without a
 // limit between tokens the callers would wait for ever.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/cranberrygap/tests/support/fleet.rs
+++ b/crates/cranberrygap/tests/support/fleet.rs
@@ -43,6 +43,9 @@
     /// Booking services.
     #[builder(default = 1)]
     pub services: usize,
+    /// Software versions of the engines, in their order; further ones name none.
+    #[builder(default)]
+    pub versions: Vec<&'static str>,
     /// Models that each engine holds from its start.
     #[builder(default = vec!["frames-7b", "codes-3b"])]
     pub models: Vec<&'static str>,
@@ -397,6 +400,12 @@
             .announce_to(rotated(listeners, place))
             .token(ENDPOINT_TOKEN.to_owned())
             .maybe_crash_marker(shape.crash_marker.clone())
+            .maybe_software(
+                shape
+                    .versions
+                    .get(place)
+                    .map(|version| version.parse().unwrap()),
+            )
             .build()
     }
 }
