--- a/crates/cranberrygap-arrivals/src/check.rs
+++ b/crates/cranberrygap-arrivals/src/check.rs
@@ -4,6 +4,8 @@
 mod crashes;
 mod deadline;
 mod endpoints;
+mod returns;
+mod versions;
 
 use smol_str::SmolStr;
 
@@ -15,11 +17,13 @@
 pub use crashes::Crashes;
 pub use deadline::Deadline;
 pub use endpoints::Endpoints;
+pub use returns::Returns;
+pub use versions::Versions;
 
 /// Attempts that a finding names.
 const MAX_NAMED_ATTEMPTS: usize = 5;
 
-/// A promise about second attempts.
+/// A promise about second attempts and streams.
 pub trait Check {
     /// Name in findings.
     fn name(&self) -> &'static str;
@@ -31,12 +35,14 @@
 
 /// All checks.
 #[must_use]
-pub fn registry() -> [Box<dyn Check>; 4] {
+pub fn registry() -> [Box<dyn Check>; 6] {
     [
         Box::new(Budget),
         Box::new(Endpoints),
         Box::new(Deadline),
         Box::new(Crashes),
+        Box::new(Versions),
+        Box::new(Returns),
     ]
 }
 
--- a/crates/cranberrygap-arrivals/src/lib.rs
+++ b/crates/cranberrygap-arrivals/src/lib.rs
@@ -1,7 +1,7 @@
 //! Checks what arrived at endpoints against what callers sent.
 //!
 //! A run fills a [`record::Record`]; [`check::findings`] tells which promises about second
-//! attempts it breaks.
+//! attempts and streams it breaks.
 
 pub mod arrival;
 pub mod attempt;
@@ -11,3 +11,4 @@
 pub mod record;
 pub mod rules;
 pub mod stall;
+pub mod stream;
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -9,6 +9,7 @@
 use crate::attempt;
 use crate::fault;
 use crate::stall;
+use crate::stream;
 
 /// Everything that callers sent and endpoints received, in any order.
 #[derive(Debug, Clone, Default)]
@@ -17,6 +18,8 @@
     pub attempts: Vec<attempt::Attempt>,
     /// What endpoints received.
     pub arrivals: Vec<arrival::Arrival>,
+    /// Streams as their callers received them.
+    pub streams: Vec<stream::Stream>,
     /// When entries had faults.
     pub faults: Vec<fault::Fault>,
     /// When the run itself stood still; it read late what arrived then.
--- a/crates/cranberrygap-arrivals/src/rules.rs
+++ b/crates/cranberrygap-arrivals/src/rules.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_model::duration;
 
-/// Bounds of second attempts.
+/// Bounds of second attempts, and of callers that come back to streams.
 #[derive(Debug, Clone, bon::Builder)]
 pub struct Rules {
     /// Second and later arrivals that each request for a service allows.
@@ -19,4 +19,10 @@
     pub max_crashes: usize,
     /// Arrivals of such a request that were on their way when it was stopped.
     pub max_late_arrivals: usize,
+    /// Callers that come back to streams, below which their share is not judged.
+    #[builder(default = 12)]
+    pub min_returns: usize,
+    /// Share of them that go on, as a part of the share of new streams that begin.
+    #[builder(default = 0.5)]
+    pub min_return_share: f64,
 }
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -1,6 +1,8 @@
 //! Each check finds the fault that it is for, and nothing where there is none.
 
-use cranberrygap_arrivals::{arrival, attempt, check, fault, finding, record, rules, stall};
+use cranberrygap_arrivals::{
+    arrival, attempt, check, fault, finding, record, rules, stall, stream,
+};
 use cranberrygap_model::duration;
 
 const SECOND: u64 = 1_000_000;
@@ -210,3 +212,84 @@
     assert_eq!(names(&goes_on), ["crashes"]);
     assert_eq!((goes_on[0].seen, goes_on[0].allowed), (4.0, 3.0));
 }
+
+fn part(number: usize, versions: &[&str], is_return: bool) -> stream::Part {
+    stream::Part {
+        attempt: format!("a-{number}").into(),
+        entry: "entry-1".into(),
+        sent_at: at(number as f64),
+        versions: versions.iter().map(|version| (*version).into()).collect(),
+        is_return,
+        is_possible: true,
+    }
+}
+
+/// Twenty streams that break, of which so many go on when their callers come back.
+fn returned(going_on: usize) -> record::Record {
+    let streams = (0..20).map(|number| {
+        let rest: &[&str] = if number < going_on { &["v1"] } else { &[] };
+        stream::Stream {
+            content: format!("c-{number}").into(),
+            parts: vec![part(number, &["v1"], false), part(number + 1, rest, true)],
+        }
+    });
+    record::Record {
+        streams: streams.collect(),
+        ..record::Record::default()
+    }
+}
+
+#[test]
+fn stream_of_one_version_is_allowed() {
+    assert!(check::findings(&returned(20), &rules()).is_empty());
+}
+
+#[test]
+fn stream_of_two_versions_is_found() {
+    let mut record = returned(20);
+    record.streams[3].parts[1].versions = vec!["v2".into()];
+
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["versions"]);
+    assert_eq!(findings[0].subject, "c-3");
+}
+
+// An entry may mix versions within one response, too.
+#[test]
+fn response_of_two_versions_is_found() {
+    let mut record = returned(20);
+    record.streams[3].parts[0].versions = vec!["v1".into(), "v2".into()];
+
+    assert_eq!(names(&check::findings(&record, &rules())), ["versions"]);
+}
+
+#[test]
+fn callers_that_are_refused_when_they_come_back_are_found() {
+    let half = check::findings(&returned(10), &rules());
+    let fewer = check::findings(&returned(9), &rules());
+
+    assert!(half.is_empty(), "{half:?}");
+    assert_eq!(names(&fewer), ["returns"]);
+}
+
+#[test]
+fn callers_that_come_back_in_vain_are_excused() {
+    let mut disturbed = returned(0);
+    disturbed.faults = (0..25)
+        .map(|number| fault::Fault {
+            entry: "entry-1".into(),
+            at: at(f64::from(number)),
+        })
+        .collect();
+    let mut impossible = returned(0);
+    for stream in &mut impossible.streams {
+        stream.parts[1].is_possible = false;
+    }
+    let mut few = returned(0);
+    few.streams.truncate(11);
+
+    for record in [disturbed, impossible, few] {
+        assert!(check::findings(&record, &rules()).is_empty());
+    }
+}
