--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -176,6 +176,7 @@
                 if let (Some((model, work)), true) = (counted_demand, was_refused) {
                     self.gateway.core.demand.record_refusal(&model, work);
                 }
+                self.record_unversioned(&failure);
                 let failure = self.truthful(failure);
                 Err((self.log, failure))
             }
@@ -287,8 +288,11 @@
         match outcome {
             Outcome::Response(reply) => {
                 let status = reply.response.status().as_u16();
-                let software = target.destination.software_name();
-                let step = format_args!("{endpoint} of version {software} responded with {status}");
+                let (software, boot) =
+                    (target.destination.software_name(), target.destination.boot);
+                let step = format_args!(
+                    "{endpoint} of version {software}, boot {boot}, responded with {status}"
+                );
                 self.log.add_step(now, step);
                 self.gateway.core.count(metric::GATEWAY_SENDS, "answered");
             }
@@ -457,7 +461,13 @@
         if !self.is_repeatable() || !self.try_take_resend(resends::Cause::Cut) {
             return None;
         }
-        let target = self.choose_next_target().await.ok()?;
+        let target = match self.choose_next_target().await {
+            Ok(target) => target,
+            Err(failure) => {
+                self.record_unversioned(&failure);
+                return None;
+            }
+        };
         let outcome = self.send(&target, last_event_id).await.ok()?;
         self.log_attempt(&target, &outcome);
         match outcome {
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -152,9 +152,6 @@
             Some(model) if self.resolution.has_engine => self.choose_engine(&model).await,
             _ => self.choose_plain_endpoint().await,
         };
-        if let Err(failure) = &chosen {
-            self.count_unversioned(failure);
-        }
         chosen.map_err(|failure| self.failure_by_limit(failure))
     }
 
@@ -169,15 +166,12 @@
         if origin.is_none_or(|origin| origin.service == self.resolution.service) {
             return Ok(());
         }
-        self.gateway
-            .core
-            .count(metric::GATEWAY_STREAMS, "no_version");
         let cause = "the route does not lead to the stream's service any more";
         Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, cause))
     }
 
-    /// Counts a stream that cannot go on, since no endpoint of its version can take it.
-    pub(super) fn count_unversioned(&mut self, failure: &Failure) {
+    /// Counts a stream that does not go on, since no endpoint of its version can take it.
+    pub(super) fn record_unversioned(&mut self, failure: &Failure) {
         let is_refused = matches!(failure, Failure::NoEndpoint { .. } | Failure::NotRun { .. });
         let Some(origin) = self.request.origin.as_ref().filter(|_| is_refused) else {
             return;
@@ -427,9 +421,9 @@
         }
         let latest_start = self.latest_start(model);
         let copy_ready = started.after(self.load_time(model)).after(EVICTION_TIME);
-        // A request with enough time for a load waits for it; others wait for a copy that
-        // is near.
-        let until = if copy_ready <= latest_start {
+        // A request with enough time for a load waits for it; others wait for a copy that is near,
+        // as do those that need one of several versions: a load may go to an engine of any.
+        let until = if copy_ready <= latest_start && !self.needs_one_of_several_versions() {
             copy_ready.after(EVICTION_TIME).min(latest_start)
         } else {
             self.request
@@ -439,9 +433,7 @@
         };
         loop {
             let now = self.now();
-            // A load is ordered for a model, not for a version of the engines' software.
             let is_hopeless = !self.tried.is_empty()
-                || self.request.origin.is_some()
                 || !endpoints.has_usable_endpoint(&self.resolution.service, self.requirement());
             if is_hopeless || now >= until {
                 let retry_after = copy_ready.since(now).max(NO_CAPACITY_RETRY_AFTER);
@@ -455,6 +447,15 @@
         }
     }
 
+    /// Whether the stream goes on at one of several versions that serve.
+    fn needs_one_of_several_versions(&self) -> bool {
+        let view = self.gateway.core.view.latest();
+        self.request.origin.is_some()
+            && view.is_some_and(|view| {
+                origin::sole_origin(view.versions(), &self.resolution.service).is_none()
+            })
+    }
+
     /// Time to load the model from the store, according to the plan in force.
     fn load_time(&self, model: &id::Model) -> duration::Span {
         let view = self.gateway.core.view.latest();
--- a/crates/cranberrygap-entry/src/gateway/origins.rs
+++ b/crates/cranberrygap-entry/src/gateway/origins.rs
@@ -240,6 +240,7 @@
         (Some(origin), _, _) => Some((origin, "known_here")),
         (None, Some(origin), _) => Some((origin, "sole_version")),
         (None, None, Some(key)) => {
+            core.count(metric::STREAM_ORIGINS, "asked");
             let tale = core.origins.ask(key).await;
             tale.map(|tale| (tale.origin, "known_elsewhere"))
         }
