Read entries and versions of a view only when they have changed

Each new view, some tens a second, listed all entries anew for the origins of streams. Parts of the view that it shares with the last one are recognised.

--- a/crates/cranberrygap-entry/src/gateway/origins.rs
+++ b/crates/cranberrygap-entry/src/gateway/origins.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cranberrygap_model::{address, duration, id, software};
 use cranberrygap_routing::origin;
-use cranberrygap_wire::traffic;
+use cranberrygap_wire::{traffic, view as wire_view};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, mpsc};
 use tokio::time;
@@ -42,10 +43,18 @@
 pub(crate) struct Origins {
     gossip_port: Option<u16>,
     keeper: Mutex<origin::Keeper>,
+    applied: Mutex<Applied>,
     waiting: Mutex<Waiting>,
     added: Notify,
 }
 
+/// Parts of the last view that matter here, shared with it.
+#[derive(Debug, Default)]
+struct Applied {
+    members: Arc<BTreeMap<id::Instance, wire_view::Member>>,
+    versions: Arc<Vec<wire_view::Versions>>,
+}
+
 #[derive(Debug, Default)]
 struct Waiting {
     last_number: u32,
@@ -65,6 +74,7 @@
         Self {
             gossip_port,
             keeper: Mutex::new(origin::Keeper::new(own)),
+            applied: Mutex::default(),
             waiting: Mutex::default(),
             added: Notify::new(),
         }
@@ -75,6 +85,15 @@
         let Some(port) = self.gossip_port else {
             return;
         };
+        let mut applied = self.applied.lock();
+        // Most revisions change something else.
+        if Arc::ptr_eq(view.members(), &applied.members)
+            && Arc::ptr_eq(view.versions(), &applied.versions)
+        {
+            return;
+        }
+        applied.members = Arc::clone(view.members());
+        applied.versions = Arc::clone(view.versions());
         let entries = view.active_entries().map(|member| {
             let mut address = member.address;
             address.0.set_port(port);
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -262,7 +262,7 @@
 
     /// All members by name.
     #[must_use]
-    pub fn members(&self) -> &BTreeMap<id::Instance, view::Member> {
+    pub fn members(&self) -> &Arc<BTreeMap<id::Instance, view::Member>> {
         &self.members
     }
 
