Do not believe a response that may come from after the lease

An entry decides under its lease which process of an endpoint gets a stream, and writes the request a moment later. If it stands still in between for longer than its lease, the leader no longer waits for it: a process with other software may have taken the endpoint's name and hold the model by the time at which the request is written, and the stream would hold its events.

An entry now remembers when it decided and until when its lease lasted, and does not pass on the response if it stood still beyond the lease since. Stalls are also logged, with their length.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -134,13 +134,33 @@
     /// Time at which a request that is read now has arrived, counted from the begin of a stall
     /// that has just ended.
     pub(crate) fn arrival_time(&self) -> duration::Instant {
-        self.stalls.lock().arrival(self.now())
+        let now = self.now();
+        self.tick(now);
+        self.stalls.lock().arrival(now)
+    }
+
+    /// Whether something that was decided at `decided_at` under a lease may have been done after
+    /// the lease had ended, since this process stood still in between.
+    pub(crate) fn may_have_outlasted(
+        &self,
+        decided_at: duration::Instant,
+        lease_end: duration::Instant,
+    ) -> bool {
+        self.tick(self.now());
+        self.stalls.lock().may_have_delayed(decided_at, lease_end)
+    }
+
+    fn tick(&self, now: duration::Instant) {
+        let stood_still = self.stalls.lock().tick(now);
+        if let Some(span) = stood_still {
+            spdlog::info!("entry: stood still for {span}");
+        }
     }
 
     /// Watches for times in which this process stands still, until it stops.
     pub(crate) async fn watch_stalls(self: Arc<Self>) {
         loop {
-            self.stalls.lock().tick(self.now());
+            self.tick(self.now());
             tokio::time::sleep(stall::TICK.to_std()).await;
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -44,6 +44,13 @@
     Unknown(&'static str),
 }
 
+/// When it was decided to send a request, and until when the view behind that was valid.
+#[derive(Debug, Clone, Copy)]
+struct Decision {
+    at: duration::Instant,
+    lease_end: duration::Instant,
+}
+
 /// Result of sending over one connection.
 enum Exchange {
     /// Nothing was written; `reused` tells whether the connection had been used before.
@@ -105,12 +112,17 @@
             if time_left <= MIN_TIME_LEFT {
                 return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "out of time"));
             }
+            let decision = Decision {
+                at: self.now(),
+                lease_end: self.gateway.core.view.lease_end(),
+            };
             let request = self.build_request(
                 target,
                 duration::Span(time_left.0 - NETWORK_TIME.0),
                 last_event_id,
             )?;
-            match self.exchange(target, connection, request, time_left).await {
+            let exchange = self.exchange(target, connection, request, time_left, decision);
+            match exchange.await {
                 // The endpoint closed an idle connection; nothing of the request arrived.
                 Exchange::NotSent { reused: true } => {
                     match self.gateway.pool.open(target.destination.address).await {
@@ -169,6 +181,7 @@
         mut connection: endpoint_connection::Connection,
         request: Request<Full<Bytes>>,
         time_left: duration::Span,
+        decision: Decision,
     ) -> Exchange {
         let core = Arc::clone(&self.gateway.core);
         let chain = self
@@ -220,6 +233,13 @@
                 return Exchange::Done(Outcome::Unknown("no answer in time"));
             }
         };
+        if self.kind() == traffic::Kind::Resumable
+            && core.may_have_outlasted(decision.at, decision.lease_end)
+        {
+            // Entries without a lease are not waited for before another version serves.
+            self.mark_permit_used();
+            return Exchange::Done(Outcome::Unknown("the entry stood still beyond its lease"));
+        }
         let length = response.body().size_hint().exact();
         let framing = framing::Framing::new(response.headers(), length);
         self.log.framing = Some(framing);
--- a/crates/cranberrygap-policy/src/stall.rs
+++ b/crates/cranberrygap-policy/src/stall.rs
@@ -24,23 +24,36 @@
 }
 
 impl Detector {
-    /// Records that the process runs.
-    pub fn tick(&mut self, now: duration::Instant) {
-        if let Some(last_tick) = self.last_tick
-            && now.since(last_tick) >= MIN_STALL
-        {
-            self.stall = Some((last_tick, now));
+    /// Records that the process runs. Returns how long it stood still, if it just did.
+    pub fn tick(&mut self, now: duration::Instant) -> Option<duration::Span> {
+        let last_tick = self.last_tick.replace(now)?;
+        let stood_still = now.since(last_tick);
+        if stood_still < MIN_STALL {
+            return None;
         }
-        self.last_tick = Some(now);
+        self.stall = Some((last_tick, now));
+        Some(stood_still)
     }
 
     /// Returns when a request that is read now arrived at the latest that is certain.
     pub fn arrival(&mut self, now: duration::Instant) -> duration::Instant {
         // The tick that is due after a stall may come after the first request.
-        self.tick(now);
+        let _stood_still = self.tick(now);
         match self.stall {
             Some((from, until)) if now.since(until) < BACKLOG_TIME => from,
             _ => now,
         }
     }
+
+    /// Whether something that was decided at `decided_at` may have been done only at `limit` or
+    /// later, since the process stood still in between.
+    #[must_use]
+    pub fn may_have_delayed(
+        &self,
+        decided_at: duration::Instant,
+        limit: duration::Instant,
+    ) -> bool {
+        self.stall
+            .is_some_and(|(_, until)| until >= decided_at && until >= limit)
+    }
 }
--- a/crates/cranberrygap-policy/tests/stalls.rs
+++ b/crates/cranberrygap-policy/tests/stalls.rs
@@ -11,7 +11,7 @@
 fn ticking(until: u64) -> stall::Detector {
     let mut detector = stall::Detector::default();
     for millis in (0..=until).step_by(100) {
-        detector.tick(at(millis));
+        assert_eq!(detector.tick(at(millis)), None);
     }
     detector
 }
@@ -23,7 +23,7 @@
     let mut detector = ticking(1_000);
 
     let first = detector.arrival(at(3_000));
-    detector.tick(at(3_010));
+    assert_eq!(detector.tick(at(3_010)), None);
     let second = detector.arrival(at(3_090));
     let later = detector.arrival(at(3_100));
 
@@ -43,3 +43,35 @@
 fn first_request_of_a_process_arrives_when_it_is_read() {
     assert_eq!(stall::Detector::default().arrival(at(5_000)), at(5_000));
 }
+
+#[test]
+fn tick_after_a_stall_tells_how_long_it_was() {
+    let mut detector = ticking(1_000);
+
+    let stood_still = detector.tick(at(3_000));
+    let again = detector.tick(at(3_010));
+
+    assert_eq!(stood_still, Some(duration::Span::from_millis(2_000)));
+    assert_eq!(again, None);
+}
+
+// A request is decided under a lease, and the process stands still before it writes it. Its lease
+// ends meanwhile, and an endpoint with other software may serve in the place of the one that was
+// chosen.
+#[test]
+fn request_that_may_be_written_after_the_lease_is_found() {
+    let mut detector = ticking(1_000);
+    let lease_end = at(2_500);
+
+    let before = detector.may_have_delayed(at(1_000), lease_end);
+    let stood_still = detector.tick(at(2_600));
+    let beyond = detector.may_have_delayed(at(1_000), lease_end);
+    let within = detector.may_have_delayed(at(1_000), at(2_700));
+    let decided_later = detector.may_have_delayed(at(2_601), at(5_000));
+
+    assert!(stood_still.is_some());
+    assert_eq!(
+        (before, beyond, within, decided_later),
+        (false, true, false, false)
+    );
+}
