--- a/crates/cranberrygap-bench/src/soak/endpoint_limits/world.rs
+++ b/crates/cranberrygap-bench/src/soak/endpoint_limits/world.rs
@@ -43,7 +43,7 @@
 /// One in so many datagrams is lost.
 const LOSS: u32 = 30;
 
-/// Mean steps between two disturbances.
+/// Mean steps between two faults.
 const DISTURBANCE_STEPS: u32 = 400;
 
 /// A mistake built into the run, to show that the checks find it.
@@ -66,7 +66,7 @@
     refused: u64,
     /// Requests that got room without a home's answer.
     by_part: u64,
-    disturbances: u64,
+    faults: u64,
     /// Most requests in a window, in hundredths of what was allowed there.
     fullest_window: u64,
     /// Requests that arrived while a limit was kept, in hundredths of what it names.
@@ -273,7 +273,7 @@
     }
 
     fn disturb(&mut self) {
-        self.counts.disturbances += 1;
+        self.counts.faults += 1;
         let entry = self.random.random_range(0..ENTRIES);
         let length = self.random.random_range(200..6_000);
         let until = self.now + length;
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -153,7 +153,7 @@
     fn tick(&self, now: duration::Instant) {
         let stood_still = self.stalls.lock().tick(now);
         if let Some(span) = stood_still {
-            spdlog::info!("entry: stood still for {span}");
+            spdlog::info!("entry: stood still for {}ms", span.0 / 1_000);
         }
     }
 
--- a/crates/cranberrygap-entry/src/resends.rs
+++ b/crates/cranberrygap-entry/src/resends.rs
@@ -1,11 +1,14 @@
 //! Requests that are sent to endpoints once more, within the entry's budget.
 
+mod cause;
+mod ticket;
+mod usage;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cadence::{Counted as _, Gauged as _};
 use cranberrygap_model::duration;
-use cranberrygap_policy::outcome::Evidence;
 use cranberrygap_policy::resend::{self, scope, tally};
 use parking_lot::Mutex;
 use spdlog::warn;
@@ -13,21 +16,9 @@
 use crate::core;
 use crate::metric;
 
-/// Share of the bound at which operators are warned.
-const WARNING_SHARE: f64 = 0.75;
-
-/// Why a request is to be sent once more.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Cause {
-    /// The endpoint did not run it.
-    Rejected,
-    /// The endpoint responded with a server error.
-    Failed,
-    /// No response came.
-    Unanswered,
-    /// The response broke off.
-    Cut,
-}
+pub(crate) use cause::Cause;
+pub(crate) use ticket::Ticket;
+use usage::Usage;
 
 /// The budget of this entry and what it was used for.
 #[derive(Debug, Default)]
@@ -41,38 +32,6 @@
     usages: BTreeMap<scope::Scope, Usage>,
 }
 
-/// What was sent within one scope lately.
-#[derive(Debug, Default)]
-struct Usage {
-    tally: tally::Tally,
-    warned_at: Option<duration::Instant>,
-}
-
-impl Cause {
-    /// The cause that an attempt's evidence tells.
-    pub(crate) const fn of(evidence: Evidence) -> Self {
-        match evidence {
-            Evidence::NeverDispatched | Evidence::ConnectFailed | Evidence::EndpointRefused => {
-                Self::Rejected
-            }
-            Evidence::CutAnswer | Evidence::CrossedAnswer => Self::Cut,
-            Evidence::WholeAnswer
-            | Evidence::ConnectionBroke
-            | Evidence::Silence
-            | Evidence::DeadlinePassed => Self::Unanswered,
-        }
-    }
-
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Rejected => "rejected",
-            Self::Failed => "failed",
-            Self::Unanswered => "unanswered",
-            Self::Cut => "cut",
-        }
-    }
-}
-
 impl Resends {
     /// The state for a dump.
     pub(crate) fn dump(&self, now: duration::Instant) -> serde_json::Value {
@@ -108,15 +67,6 @@
     count(core, metric::FIRST_SENDS, &[scope.to_string().as_str()]);
 }
 
-/// A resend taken from the budget of a scope; it goes back if it is dropped unused.
-#[derive(Debug)]
-pub(crate) struct Ticket {
-    core: Arc<core::Core>,
-    scope: scope::Scope,
-    cause: Cause,
-    is_used: bool,
-}
-
 /// Takes one resend from the budget; `None` if the request must not be sent once more.
 pub(crate) fn take(core: &Arc<core::Core>, scope: &scope::Scope, cause: Cause) -> Option<Ticket> {
     spend(core, scope, cause).then(|| Ticket {
@@ -127,45 +77,6 @@
     })
 }
 
-impl Ticket {
-    /// Lets the scope to which the request goes now pay for it; false if it cannot.
-    ///
-    /// The plan may have changed since the ticket was taken.
-    pub(crate) fn transfer(&mut self, scope: &scope::Scope) -> bool {
-        if self.scope == *scope {
-            return true;
-        }
-        if !spend(&self.core, scope, self.cause) {
-            return false;
-        }
-        self.give_back();
-        self.scope = scope.clone();
-        true
-    }
-
-    /// Records that the request was sent once more.
-    pub(crate) fn use_up(mut self) {
-        self.is_used = true;
-        let mut state = self.core.resends.state.lock();
-        record(&self.core, &mut state, &self.scope, tally::Event::Resend);
-        drop(state);
-        count_resend(&self.core, &self.scope, self.cause, "sent");
-    }
-
-    fn give_back(&self) {
-        let mut state = self.core.resends.state.lock();
-        state.budget.give_back(self.core.now(), &self.scope);
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.give_back();
-        }
-    }
-}
-
 fn spend(core: &core::Core, scope: &scope::Scope, cause: Cause) -> bool {
     let mut state = core.resends.state.lock();
     if state.budget.spend(scope) {
@@ -222,17 +133,6 @@
     );
 }
 
-impl Usage {
-    /// Whether the bound is near, and operators were not told in this window.
-    fn is_warning_due(&self, now: duration::Instant, counts: tally::Counts, bound: f64) -> bool {
-        let was_told = self
-            .warned_at
-            .is_some_and(|at| now.since(at) < tally::WINDOW);
-        let is_near = f64::from(counts.resends) >= bound * WARNING_SHARE;
-        !was_told && (is_near || counts.denied > 0)
-    }
-}
-
 /// Increments a counter with several tags. A metric that cannot be sent is dropped.
 fn count(core: &core::Core, name: &'static str, tags: &[&str]) {
     let counter = core.metrics.count_with_tags(name, 1);
