Call what entries send each other of streams a record, and say resume

The new code said tale and take up, which no reader of this field expects. Names, metric tags and log texts only; nothing decides otherwise.

--- a/crates/cranberrygap-bench/src/soak/origins/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/origins/entry.rs
@@ -16,7 +16,7 @@
 pub enum Message {
     Frame(Box<view::Frame>),
     Confirmed(duration::Instant, view::Confirmed),
-    Tale(origin::Tale),
+    Record(origin::Record),
 }
 
 /// One entry.
@@ -85,7 +85,7 @@
     }
 
     /// Applies what has arrived; returns what has to be told to whom.
-    pub fn receive(&mut self, now: duration::Instant) -> Vec<(address::Socket, origin::Tale)> {
+    pub fn receive(&mut self, now: duration::Instant) -> Vec<(address::Socket, origin::Record)> {
         let mut told = Vec::new();
         while let Some(message) = self.inbox.take(now) {
             match message {
@@ -97,8 +97,8 @@
                 Message::Confirmed(sent, confirmed) => {
                     self.holder.apply_confirmation(sent, &confirmed);
                 }
-                Message::Tale(tale) => {
-                    self.keeper.apply_tale(now, &tale);
+                Message::Record(record) => {
+                    self.keeper.apply_record(now, &record);
                 }
             }
         }
--- a/crates/cranberrygap-bench/src/soak/origins/world.rs
+++ b/crates/cranberrygap-bench/src/soak/origins/world.rs
@@ -303,8 +303,8 @@
                 continue;
             }
             let told = self.entries[number].receive(self.now);
-            for (home, tale) in told {
-                self.tell(number, home, &tale);
+            for (home, record) in told {
+                self.tell(number, home, &record);
             }
             if !self.entries[number].reaches_control(self.now)
                 || self.now < self.control.vacant_until
@@ -333,7 +333,7 @@
     }
 
     /// Sends a datagram about a stream, which may be lost.
-    fn tell(&mut self, from: usize, home: address::Socket, tale: &origin::Tale) {
+    fn tell(&mut self, from: usize, home: address::Socket, record: &origin::Record) {
         let loss = if self.now < self.loss.1 {
             self.loss.0
         } else {
@@ -346,7 +346,7 @@
             .find(|entry| super::entry::member(entry.number, view::Phase::Active).address == home);
         if let Some(to) = to.filter(|to| !is_lost && to.number != from && self.now >= to.down_until)
         {
-            let message = Message::Tale(tale.clone());
+            let message = Message::Record(record.clone());
             to.inbox.put(self.now.after(delay), message);
         }
     }
@@ -409,7 +409,7 @@
     fn begin_stream(&mut self, entry: usize, engine: usize, known: &view::Endpoint) {
         self.next_key += 1;
         let key = origin::Key(self.next_key.wrapping_mul(0x9e37_79b9_7f4a_7c15_9e37));
-        let tale = origin::Tale {
+        let record = origin::Record {
             key,
             origin: origin::Origin {
                 service: fleet::service(),
@@ -417,9 +417,9 @@
             },
             time_left: duration::Span(PATIENCE.0 + SETTLING.0),
         };
-        let (_, homes) = self.entries[entry].keeper.record(self.now, &tale);
+        let (_, homes) = self.entries[entry].keeper.record(self.now, &record);
         for home in homes {
-            self.tell(entry, home, &tale);
+            self.tell(entry, home, &record);
         }
         let length = self.draw_span(200..6_000);
         self.streams.push(Stream {
@@ -546,7 +546,7 @@
                 found = found.or_else(|| entry.keeper.answer(now, key));
             }
         }
-        found.map(|tale| tale.origin)
+        found.map(|record| record.origin)
     }
 
     /// The entry sends the rest of a stream to an engine.
@@ -580,14 +580,14 @@
                 writer.boot,
             ));
         }
-        let tale = origin::Tale {
+        let record = origin::Record {
             key: stream.key,
             origin: found.origin.clone(),
             time_left: duration::Span(PATIENCE.0 + SETTLING.0),
         };
-        let (_, homes) = self.entries[entry].keeper.record(self.now, &tale);
+        let (_, homes) = self.entries[entry].keeper.record(self.now, &record);
         for home in homes {
-            self.tell(entry, home, &tale);
+            self.tell(entry, home, &record);
         }
         let engine_boot = self.engines[engine].boot;
         self.streams.push(Stream {
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -404,13 +404,13 @@
         ) else {
             return;
         };
-        let tale = origin::Tale {
+        let record = origin::Record {
             key,
             origin: origin.clone(),
             time_left: duration::Span(self.resolution.route.deadline.0 + RETURN_TIME.0),
         };
         let core = &self.gateway.core;
-        let insertion = core.origins.record(core.now(), &tale);
+        let insertion = core.origins.record(core.now(), &record);
         metric::count_origin(core, insertion);
         if insertion == origin::Insertion::Conflict {
             let id = self.request.metadata.id.as_deref().unwrap_or("-");
@@ -430,13 +430,17 @@
         let event = metadata.last_event_id.as_deref();
         if let Some(event) = event {
             let first_attempt = first_attempt.unwrap_or("-");
-            let step = format_args!("the stream of {first_attempt} goes on after event {event}");
+            let step = format_args!("resumes the stream of {first_attempt} after event {event}");
             self.log.add_step(now, step);
         } else {
             self.log
                 .add_step(now, format_args!("the first event is forwarded"));
         }
-        let tag = if event.is_some() { "taken_up" } else { "begun" };
+        let tag = if event.is_some() {
+            "resumed"
+        } else {
+            "started"
+        };
         core.count(metric::GATEWAY_STREAMS, tag);
         core.record_time(metric::GATEWAY_FIRST_EVENT, waited);
     }
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -35,9 +35,9 @@
 }
 
 impl Metadata {
-    /// Whether the caller takes up a stream that it has events of.
+    /// Whether the caller resumes a stream that it has events of.
     #[must_use]
-    pub fn takes_up(&self) -> bool {
+    pub fn is_resumption(&self) -> bool {
         self.first_attempt.is_some() || self.last_event_id.is_some()
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -63,7 +63,7 @@
         /// Time after which it may run again.
         retry_after: duration::Span,
     },
-    /// Its caller takes up a stream of which no entry knows where it began; it did not run.
+    /// Its caller resumes a stream, and no entry knows which version began it; it did not run.
     UnknownOrigin {
         /// Time after which the caller may begin anew.
         retry_after: duration::Span,
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -63,13 +63,13 @@
     /// Answer to a claim.
     Granted { number: u32, grant: limit::Grant },
     /// Origins of streams.
-    Origins(Vec<origin::Tale>),
+    Origins(Vec<origin::Record>),
     /// Asks for the origin of a stream.
     OriginQuestion { number: u32, key: origin::Key },
     /// Answer about the origin of a stream; without one the sender does not know it.
     OriginAnswer {
         number: u32,
-        tale: Option<origin::Tale>,
+        record: Option<origin::Record>,
     },
 }
 
@@ -163,18 +163,18 @@
 
     /// Sends what other entries are told and asked of origins of streams.
     async fn send_origins(&self, messages: Vec<(address::Socket, origins::Outgoing)>) {
-        let mut tales: BTreeMap<address::Socket, Vec<origin::Tale>> = BTreeMap::new();
+        let mut records: BTreeMap<address::Socket, Vec<origin::Record>> = BTreeMap::new();
         for (to, message) in messages {
             match message {
-                origins::Outgoing::Tale(tale) => tales.entry(to).or_default().push(tale),
+                origins::Outgoing::Record(record) => records.entry(to).or_default().push(record),
                 origins::Outgoing::Question { number, key } => {
                     let question = Message::OriginQuestion { number, key };
                     self.send(to, &question).await;
                 }
             }
         }
-        for (to, tales) in tales {
-            for part in tales.chunks(MAX_ORIGINS_PER_MESSAGE) {
+        for (to, records) in records {
+            for part in records.chunks(MAX_ORIGINS_PER_MESSAGE) {
                 self.send(to, &Message::Origins(part.to_vec())).await;
             }
         }
@@ -249,21 +249,21 @@
                 }
             }
             Message::Granted { number, grant } => endpoints.apply_grant(number, grant),
-            Message::Origins(tales) => {
-                for insertion in self.core.origins.apply_tales(now, from, &tales) {
+            Message::Origins(records) => {
+                for insertion in self.core.origins.apply_records(now, from, &records) {
                     metric::count_origin(&self.core, insertion);
                 }
             }
             Message::OriginQuestion { number, key } => {
                 let origins = &self.core.origins;
                 if origins.is_entry(from) {
-                    let tale = origins.answer(now, key);
-                    let answer = Message::OriginAnswer { number, tale };
+                    let record = origins.answer(now, key);
+                    let answer = Message::OriginAnswer { number, record };
                     self.send(address::Socket(from), &answer).await;
                 }
             }
-            Message::OriginAnswer { number, tale } => {
-                self.core.origins.apply_answer(from, number, tale);
+            Message::OriginAnswer { number, record } => {
+                self.core.origins.apply_answer(from, number, record);
             }
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/origins.rs
+++ b/crates/cranberrygap-entry/src/gateway/origins.rs
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outgoing {
     /// The origin of a stream.
-    Tale(origin::Tale),
+    Record(origin::Record),
     /// Asks for the origin of a stream.
     Question { number: u32, key: origin::Key },
 }
@@ -63,7 +63,7 @@
 }
 
 /// What another entry answered.
-type Answer = (address::Socket, Option<origin::Tale>);
+type Answer = (address::Socket, Option<origin::Record>);
 
 impl Origins {
     /// Creates the origins of the entry `own`, without any.
@@ -104,32 +104,38 @@
             }
         });
         let mut keeper = self.keeper.lock();
-        let tales = keeper.apply_view(now, entries.collect(), view.versions());
+        let records = keeper.apply_view(now, entries.collect(), view.versions());
         drop(keeper);
-        let tales = tales.into_iter();
-        self.send(tales.map(|(home, tale)| (home, Outgoing::Tale(tale))));
+        let records = records.into_iter();
+        self.send(records.map(|(home, record)| (home, Outgoing::Record(record))));
     }
 
     /// Records that events of a stream are forwarded here. Its homes are told.
-    pub(crate) fn record(&self, now: duration::Instant, tale: &origin::Tale) -> origin::Insertion {
-        let (insertion, homes) = self.keeper.lock().record(now, tale);
+    pub(crate) fn record(
+        &self,
+        now: duration::Instant,
+        record: &origin::Record,
+    ) -> origin::Insertion {
+        let (insertion, homes) = self.keeper.lock().record(now, record);
         let told = homes.into_iter();
-        self.send(told.map(|home| (home, Outgoing::Tale(tale.clone()))));
+        self.send(told.map(|home| (home, Outgoing::Record(record.clone()))));
         insertion
     }
 
     /// Records what another entry tells. One that the view does not know is ignored.
-    pub(crate) fn apply_tales(
+    pub(crate) fn apply_records(
         &self,
         now: duration::Instant,
         from: SocketAddr,
-        tales: &[origin::Tale],
+        records: &[origin::Record],
     ) -> Vec<origin::Insertion> {
         let mut keeper = self.keeper.lock();
         if !keeper.is_entry(from) {
             return Vec::new();
         }
-        let insertions = tales.iter().map(|tale| keeper.apply_tale(now, tale));
+        let insertions = records
+            .iter()
+            .map(|record| keeper.apply_record(now, record));
         insertions.collect()
     }
 
@@ -144,15 +150,19 @@
     }
 
     /// Returns what another entry asks for, if this one has a record of it.
-    pub(crate) fn answer(&self, now: duration::Instant, key: origin::Key) -> Option<origin::Tale> {
+    pub(crate) fn answer(
+        &self,
+        now: duration::Instant,
+        key: origin::Key,
+    ) -> Option<origin::Record> {
         self.keeper.lock().answer(now, key)
     }
 
     /// Asks the homes of a stream for its origin, and then all other entries.
-    pub(crate) async fn ask(&self, key: origin::Key) -> Option<origin::Tale> {
+    pub(crate) async fn ask(&self, key: origin::Key) -> Option<origin::Record> {
         let homes: Vec<address::Socket> = self.keeper.lock().other_homes(key).to_vec();
-        if let Some(tale) = self.ask_each(key, homes.clone()).await {
-            return Some(tale);
+        if let Some(record) = self.ask_each(key, homes.clone()).await {
+            return Some(record);
         }
         let others: Vec<address::Socket> = {
             let keeper = self.keeper.lock();
@@ -168,7 +178,7 @@
         &self,
         key: origin::Key,
         mut silent: Vec<address::Socket>,
-    ) -> Option<origin::Tale> {
+    ) -> Option<origin::Record> {
         if silent.is_empty() {
             return None;
         }
@@ -186,10 +196,11 @@
             let question = Outgoing::Question { number, key };
             let asked = silent.iter().map(|entry| (*entry, question.clone()));
             self.send(asked);
-            while let Ok(Some((from, tale))) = time::timeout_at(begun + until, answers.recv()).await
+            while let Ok(Some((from, record))) =
+                time::timeout_at(begun + until, answers.recv()).await
             {
-                if tale.is_some() {
-                    return tale;
+                if record.is_some() {
+                    return record;
                 }
                 silent.retain(|entry| *entry != from);
                 if silent.is_empty() {
@@ -201,10 +212,15 @@
     }
 
     /// Applies the answer of another entry.
-    pub(crate) fn apply_answer(&self, from: SocketAddr, number: u32, tale: Option<origin::Tale>) {
+    pub(crate) fn apply_answer(
+        &self,
+        from: SocketAddr,
+        number: u32,
+        record: Option<origin::Record>,
+    ) {
         if let Some(answered) = self.waiting.lock().answers.get(&number) {
             // Fails if the request that asked has ended.
-            let _ended = answered.send((address::Socket(from), tale));
+            let _ended = answered.send((address::Socket(from), record));
         }
     }
 
@@ -234,7 +250,7 @@
     }
 }
 
-/// Returns the origin of a stream that its caller takes up; absent for other requests.
+/// Returns the origin of a stream that its caller resumes; absent for other requests.
 ///
 /// # Errors
 ///
@@ -246,7 +262,7 @@
     log: &mut request_log::Log,
 ) -> Result<Option<origin::Origin>, Failure> {
     let is_resumable = resolution.route.kind == traffic::Kind::Resumable;
-    if !is_resumable || !request.metadata.takes_up() {
+    if !is_resumable || !request.metadata.is_resumption() {
         return Ok(None);
     }
     let core = &gateway.core;
@@ -260,8 +276,8 @@
         (None, Some(origin), _) => Some((origin, "sole_version")),
         (None, None, Some(key)) => {
             core.count(metric::STREAM_ORIGINS, "asked");
-            let tale = core.origins.ask(key).await;
-            tale.map(|tale| (tale.origin, "known_elsewhere"))
+            let record = core.origins.ask(key).await;
+            record.map(|record| (record.origin, "known_elsewhere"))
         }
         (None, None, None) => None,
     };
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -184,7 +184,7 @@
     /// does not name the attempt that brought its first event.
     pub(crate) fn stream_key(&self, resolution: &Resolution) -> Option<origin::Key> {
         let metadata = &self.metadata;
-        let own = metadata.id.as_ref().filter(|_| !metadata.takes_up());
+        let own = metadata.id.as_ref().filter(|_| !metadata.is_resumption());
         let first = metadata.first_attempt.as_ref().or(own)?;
         let workspace = resolution.workspace.as_ref();
         let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -68,13 +68,13 @@
         name: GATEWAY_STREAMS,
         kind: "c",
         unit: "streams",
-        meaning: "streams of routes, tagged begun, continued (by this entry) or taken_up (by their callers); no_version (no endpoint of the version that began them could take them) or unknown (nobody knows that version)",
+        meaning: "streams of routes, tagged started, continued (by this entry) or resumed (by their callers); no_version (no endpoint of the version that began them could take them) or unknown (nobody knows that version)",
     },
     Metric {
         name: STREAM_ORIGINS,
         kind: "c",
         unit: "streams",
-        meaning: "versions that began streams, tagged kept, replaced (others were forgotten, too many last) or conflict (two were told); for streams that callers took up, known_here, sole_version, asked (other entries) or known_elsewhere (one of them told it)",
+        meaning: "versions that began streams, tagged kept, replaced (others were forgotten, too many last) or conflict (two were told); for streams that callers resume, known_here, sole_version, asked (other entries) or known_elsewhere (one of them told it)",
     },
     Metric {
         name: GATEWAY_FIRST_EVENT,
--- a/crates/cranberrygap-routing/src/origin.rs
+++ b/crates/cranberrygap-routing/src/origin.rs
@@ -13,8 +13,8 @@
 mod home;
 mod keeper;
 mod key;
+mod record;
 mod requirement;
-mod tale;
 mod versions;
 
 use cranberrygap_model::{id, software};
@@ -24,8 +24,8 @@
 pub use home::{Entry, HOMES, homes};
 pub use keeper::Keeper;
 pub use key::Key;
+pub use record::Record;
 pub use requirement::Requirement;
-pub use tale::Tale;
 pub use versions::sole_origin;
 
 /// What wrote the first event of a stream.
--- a/crates/cranberrygap-routing/src/origin/keeper.rs
+++ b/crates/cranberrygap-routing/src/origin/keeper.rs
@@ -6,7 +6,7 @@
 use cranberrygap_wire::view;
 use smallvec::SmallVec;
 
-use super::{Book, Entry, Insertion, Key, Origin, Tale, homes, versions};
+use super::{Book, Entry, Insertion, Key, Origin, Record, homes, versions};
 
 /// Keeps the origins of streams, and knows which entries to tell and to ask.
 #[derive(Debug, Default)]
@@ -36,7 +36,7 @@
         now: duration::Instant,
         entries: Vec<Entry>,
         versions: &[view::Versions],
-    ) -> Vec<(address::Socket, Tale)> {
+    ) -> Vec<(address::Socket, Record)> {
         self.entries = entries;
         if self.versions == versions {
             return Vec::new();
@@ -52,17 +52,17 @@
             self.has_several_versions(&origin.service)
                 && !had_several.contains(&Some(origin.service.clone()))
         });
-        let tales = streams.flat_map(|(key, origin, until)| {
-            let tale = Tale {
+        let records = streams.flat_map(|(key, origin, until)| {
+            let record = Record {
                 key,
                 origin: origin.clone(),
                 time_left: until.since(now),
             };
             self.other_homes(key)
                 .into_iter()
-                .map(move |home| (home, tale.clone()))
+                .map(move |home| (home, record.clone()))
         });
-        tales.collect()
+        records.collect()
     }
 
     /// Records that this entry forwards events of a stream that began at `origin`. Returns the
@@ -70,20 +70,20 @@
     pub fn record(
         &mut self,
         now: duration::Instant,
-        tale: &Tale,
+        record: &Record,
     ) -> (Insertion, SmallVec<[address::Socket; 2]>) {
-        let until = now.after(tale.time_left);
-        let insertion = self.book.insert(now, tale.key, &tale.origin, until);
-        if !self.has_several_versions(&tale.origin.service) {
+        let until = now.after(record.time_left);
+        let insertion = self.book.insert(now, record.key, &record.origin, until);
+        if !self.has_several_versions(&record.origin.service) {
             return (insertion, SmallVec::new());
         }
-        (insertion, self.other_homes(tale.key))
+        (insertion, self.other_homes(record.key))
     }
 
     /// Records what another entry tells.
-    pub fn apply_tale(&mut self, now: duration::Instant, tale: &Tale) -> Insertion {
-        let until = now.after(tale.time_left);
-        self.book.insert(now, tale.key, &tale.origin, until)
+    pub fn apply_record(&mut self, now: duration::Instant, record: &Record) -> Insertion {
+        let until = now.after(record.time_left);
+        self.book.insert(now, record.key, &record.origin, until)
     }
 
     /// Returns the origin of a stream, if this entry has a record of it.
@@ -94,9 +94,9 @@
 
     /// Returns the origin of a stream that this entry has a record of, and how long it lasts.
     #[must_use]
-    pub fn answer(&self, now: duration::Instant, key: Key) -> Option<Tale> {
+    pub fn answer(&self, now: duration::Instant, key: Key) -> Option<Record> {
         let (origin, until) = self.book.get_with_end(now, key)?;
-        Some(Tale {
+        Some(Record {
             key,
             origin: origin.clone(),
             time_left: until.since(now),
--- a/crates/cranberrygap-routing/src/origin/tale.rs
+++ b/crates/cranberrygap-routing/src/origin/record.rs
@@ -1,13 +1,13 @@
-//! What one entry tells others of a stream.
+//! Records of streams, as entries send them to each other.
 
 use cranberrygap_model::duration;
 use serde::{Deserialize, Serialize};
 
 use super::{Key, Origin};
 
-/// The origin of a stream, as one entry tells it to another.
+/// The origin of a stream, and for how long it matters.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tale {
+pub struct Record {
     /// The stream.
     pub key: Key,
     /// What began it.
--- a/crates/cranberrygap-routing/tests/origins.rs
+++ b/crates/cranberrygap-routing/tests/origins.rs
@@ -19,8 +19,8 @@
     }
 }
 
-fn tale(key: u128, version: &str) -> origin::Tale {
-    origin::Tale {
+fn record(key: u128, version: &str) -> origin::Record {
+    origin::Record {
         key: origin::Key(key),
         origin: origin(version),
         time_left: LIFETIME,
@@ -95,7 +95,7 @@
 fn stream_of_the_only_version_is_told_to_nobody() {
     let mut keeper = keeper(&versions(&["v1"], false));
 
-    let (insertion, homes) = keeper.record(NOW, &tale(1, "v1"));
+    let (insertion, homes) = keeper.record(NOW, &record(1, "v1"));
 
     assert_eq!(insertion, Insertion::New);
     assert!(homes.is_empty());
@@ -105,7 +105,7 @@
 fn stream_beside_another_version_is_told_to_its_homes() {
     let mut keeper = keeper(&versions(&["v1", "v2"], false));
 
-    let (_, homes) = keeper.record(NOW, &tale(1, "v1"));
+    let (_, homes) = keeper.record(NOW, &record(1, "v1"));
 
     assert!(!homes.is_empty());
     assert_eq!(homes, keeper.other_homes(origin::Key(1)));
@@ -116,13 +116,13 @@
 #[test]
 fn streams_from_before_a_second_version_are_told_when_it_appears() {
     let mut keeper = keeper(&versions(&["v1"], false));
-    keeper.record(NOW, &tale(1, "v1"));
-    keeper.record(NOW, &tale(2, "v1"));
+    keeper.record(NOW, &record(1, "v1"));
+    keeper.record(NOW, &record(2, "v1"));
 
     let told = keeper.apply_view(NOW, entries(8), &versions(&["v1", "v2"], false));
     let again = keeper.apply_view(NOW, entries(8), &versions(&["v1", "v2", "v3"], false));
 
-    let keys: Vec<u128> = told.iter().map(|(_, tale)| tale.key.0).collect();
+    let keys: Vec<u128> = told.iter().map(|(_, record)| record.key.0).collect();
     assert!(keys.contains(&1) && keys.contains(&2), "{told:?}");
     assert!(again.is_empty());
 }
@@ -131,10 +131,10 @@
 #[test]
 fn stream_with_two_origins_is_not_known() {
     let mut keeper = keeper(&versions(&["v1", "v2"], false));
-    keeper.apply_tale(NOW, &tale(1, "v1"));
+    keeper.apply_record(NOW, &record(1, "v1"));
 
-    let conflict = keeper.apply_tale(NOW, &tale(1, "v2"));
-    let repeated = keeper.apply_tale(NOW, &tale(1, "v1"));
+    let conflict = keeper.apply_record(NOW, &record(1, "v2"));
+    let repeated = keeper.apply_record(NOW, &record(1, "v1"));
 
     assert_eq!(conflict, Insertion::Conflict);
     assert_eq!(repeated, Insertion::Conflict);
@@ -146,9 +146,9 @@
 fn stream_that_is_told_again_is_known_for_longer() {
     let mut keeper = keeper(&versions(&["v1", "v2"], false));
     let later = NOW.after(duration::Span::from_secs(15));
-    keeper.apply_tale(NOW, &tale(1, "v1"));
+    keeper.apply_record(NOW, &record(1, "v1"));
 
-    let again = keeper.apply_tale(later, &tale(1, "v1"));
+    let again = keeper.apply_record(later, &record(1, "v1"));
     let mid = later.after(duration::Span::from_secs(15));
     let late = later.after(LIFETIME);
 
