--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -430,7 +430,7 @@
         let event = metadata.last_event_id.as_deref();
         if let Some(event) = event {
             let first_attempt = first_attempt.unwrap_or("-");
-            let step = format_args!("resumes the stream of {first_attempt} after event {event}");
+            let step = format_args!("the stream of {first_attempt} is resumed after event {event}");
             self.log.add_step(now, step);
         } else {
             self.log
