List callers that lose their streams to herds of entries in a row

The origin of a stream is known to the entry that began it and to two homes; the first is gone with the connection, and both homes are among the killed in a third of the cases, more after the next herd.

--- a/crates/cranberrygap-bench/tests/soak_origins.rs
+++ b/crates/cranberrygap-bench/tests/soak_origins.rs
@@ -60,3 +60,14 @@
 fn callers_that_are_refused_are_found() {
     assert_found(Flaw::Refused, "half as often", SMALL);
 }
+
+// Records of streams die with the entries that keep them: after herds of kills in a row, callers of
+// streams beside several versions are refused too often.
+#[test]
+fn callers_go_on_after_herds_of_entries_in_a_row() {
+    const SEED: u64 = 5_007;
+
+    let counts = world::run(SEED, STEPS, Flaw::None);
+
+    counts.unwrap_or_else(|violation| panic!("{violation}"));
+}
