Choose homes of engines and of streams by one weight, and name versions once

Reading the change once more found pieces that stood twice: the entry that may be a home and its rendezvous weight (prompt::home and origin::home), the list of a view's entries with their gossip addresses (homes and origins), the name of a version in logs (three places), and a detector of stalls that was locked and ticked twice for each request. Each stands once now. The keeper of origins asks whether a service has several versions where it did so by a list of its own.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -8,7 +8,7 @@
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_policy::stall;
 use cranberrygap_wire::settings;
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::watch as watch_channel;
 
 use crate::admission;
@@ -135,8 +135,7 @@
     /// that has just ended.
     pub(crate) fn arrival_time(&self) -> duration::Instant {
         let now = self.now();
-        self.tick(now);
-        self.stalls.lock().arrival(now)
+        self.stalls(now).arrival(now)
     }
 
     /// Whether something that was decided at `decided_at` under a lease may have been done after
@@ -146,21 +145,23 @@
         decided_at: duration::Instant,
         lease_end: duration::Instant,
     ) -> bool {
-        self.tick(self.now());
-        self.stalls.lock().may_have_delayed(decided_at, lease_end)
+        let stalls = self.stalls(self.now());
+        stalls.may_have_delayed(decided_at, lease_end)
     }
 
-    fn tick(&self, now: duration::Instant) {
-        let stood_still = self.stalls.lock().tick(now);
-        if let Some(span) = stood_still {
+    /// The stalls so far, with one that has just ended.
+    fn stalls(&self, now: duration::Instant) -> MutexGuard<'_, stall::Detector> {
+        let mut stalls = self.stalls.lock();
+        if let Some(span) = stalls.tick(now) {
             spdlog::info!("entry: stood still for {}ms", span.0 / 1_000);
         }
+        stalls
     }
 
     /// Watches for times in which this process stands still, until it stops.
     pub(crate) async fn watch_stalls(self: Arc<Self>) {
         loop {
-            self.tick(self.now());
+            drop(self.stalls(self.now()));
             tokio::time::sleep(stall::TICK.to_std()).await;
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use cranberrygap_model::{duration, id};
+use cranberrygap_model::{duration, id, software};
 use cranberrygap_routing::origin;
 use cranberrygap_wire::traffic;
 use http::Response;
@@ -288,8 +288,8 @@
         match outcome {
             Outcome::Response(reply) => {
                 let status = reply.response.status().as_u16();
-                let (software, boot) =
-                    (target.destination.software_name(), target.destination.boot);
+                let boot = target.destination.boot;
+                let software = software::name(target.destination.software.as_ref());
                 let step = format_args!(
                     "{endpoint} of version {software}, boot {boot}, responded with {status}"
                 );
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -176,8 +176,7 @@
         let Some(origin) = self.request.origin.as_ref().filter(|_| is_refused) else {
             return;
         };
-        let software = origin.software.as_ref();
-        let software = software.map_or("unnamed", software::Version::as_str);
+        let software = software::name(origin.software.as_ref());
         let now = self.gateway.core.now();
         let step = format_args!("no endpoint of version {software} can take the stream");
         self.log.add_step(now, step);
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -96,14 +96,6 @@
     pub software: Option<software::Version>,
 }
 
-impl Destination {
-    /// The version of its software, for logs.
-    pub(crate) fn software_name(&self) -> &str {
-        let software = self.software.as_ref();
-        software.map_or("unnamed", software::Version::as_str)
-    }
-}
-
 /// The engine chosen for a request, with the estimates behind the choice.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Choice {
--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -7,6 +7,7 @@
 use cranberrygap_routing::prompt::{backlog, home, reports};
 
 use super::{Endpoints, Inner};
+use crate::gateway::gossip;
 use crate::view;
 
 /// Assignment of endpoints to entries.
@@ -36,16 +37,7 @@
         let Some(port) = self.gossip_port else {
             return;
         };
-        let entries = view.active_entries().map(|member| {
-            let mut address = member.address;
-            address.0.set_port(port);
-            home::Entry {
-                instance: member.instance.clone(),
-                domain: member.domain.clone(),
-                address,
-            }
-        });
-        let entries: Vec<home::Entry> = entries.collect();
+        let entries = gossip::entries(view, port);
         if entries == self.entries {
             return;
         }
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -19,6 +19,7 @@
 
 use crate::core;
 use crate::metric;
+use crate::view;
 
 use super::{endpoints, origins};
 
@@ -73,6 +74,20 @@
     },
 }
 
+/// Entries of a view, each with the address of its gossip.
+pub(super) fn entries(view: &view::Snapshot, port: u16) -> Vec<home::Entry> {
+    let entries = view.active_entries().map(|member| {
+        let mut address = member.address;
+        address.0.set_port(port);
+        home::Entry {
+            instance: member.instance.clone(),
+            domain: member.domain.clone(),
+            address,
+        }
+    });
+    entries.collect()
+}
+
 /// The task that sends and receives gossip.
 #[derive(Debug)]
 pub(crate) struct Gossip {
--- a/crates/cranberrygap-entry/src/gateway/origins.rs
+++ b/crates/cranberrygap-entry/src/gateway/origins.rs
@@ -16,7 +16,7 @@
 use crate::view;
 
 use super::failure::{self, Failure};
-use super::{Gateway, request, request_log};
+use super::{Gateway, gossip, request, request_log};
 
 /// Time after which entries that did not answer are asked once more; a datagram may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(40);
@@ -94,17 +94,9 @@
         }
         applied.members = Arc::clone(view.members());
         applied.versions = Arc::clone(view.versions());
-        let entries = view.active_entries().map(|member| {
-            let mut address = member.address;
-            address.0.set_port(port);
-            origin::Entry {
-                instance: member.instance.clone(),
-                domain: member.domain.clone(),
-                address,
-            }
-        });
+        let entries = gossip::entries(view, port);
         let mut keeper = self.keeper.lock();
-        let records = keeper.apply_view(now, entries.collect(), view.versions());
+        let records = keeper.apply_view(now, entries, view.versions());
         drop(keeper);
         let records = records.into_iter();
         self.send(records.map(|(home, record)| (home, Outgoing::Record(record))));
@@ -290,8 +282,7 @@
         let retry_after = failure::add_jitter(UNKNOWN_RETRY_AFTER);
         return Err(Failure::UnknownOrigin { retry_after });
     };
-    let software = origin.software.as_ref();
-    let software = software.map_or("unnamed", software::Version::as_str);
+    let software = software::name(origin.software.as_ref());
     let step = format_args!("the stream of {first} began at version {software}: {proof}");
     log.add_step(now, step);
     core.count(metric::STREAM_ORIGINS, proof);
--- a/crates/cranberrygap-model/src/software.rs
+++ b/crates/cranberrygap-model/src/software.rs
@@ -28,6 +28,12 @@
     }
 }
 
+/// Returns a version for logs; endpoints may name none.
+#[must_use]
+pub fn name(version: Option<&Version>) -> &str {
+    version.map_or("unnamed", Version::as_str)
+}
+
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(&self.0)
--- a/crates/cranberrygap-routing/src/origin/keeper.rs
+++ b/crates/cranberrygap-routing/src/origin/keeper.rs
@@ -38,19 +38,10 @@
         versions: &[view::Versions],
     ) -> Vec<(address::Socket, Record)> {
         self.entries = entries;
-        if self.versions == versions {
-            return Vec::new();
-        }
-        let had_several: Vec<Option<id::Service>> = self
-            .versions
-            .iter()
-            .filter(|known| versions::count(known) > 1)
-            .map(|known| known.service.clone())
-            .collect();
-        self.versions = versions.to_vec();
+        let previous = std::mem::replace(&mut self.versions, versions.to_vec());
         let streams = self.book.iter(now).filter(|(_, origin, _)| {
-            self.has_several_versions(&origin.service)
-                && !had_several.contains(&Some(origin.service.clone()))
+            versions::are_several(versions, &origin.service)
+                && !versions::are_several(&previous, &origin.service)
         });
         let records = streams.flat_map(|(key, origin, until)| {
             let record = Record {
@@ -72,9 +63,8 @@
         now: duration::Instant,
         record: &Record,
     ) -> (Insertion, SmallVec<[address::Socket; 2]>) {
-        let until = now.after(record.time_left);
-        let insertion = self.book.insert(now, record.key, &record.origin, until);
-        if !self.has_several_versions(&record.origin.service) {
+        let insertion = self.apply_record(now, record);
+        if !versions::are_several(&self.versions, &record.origin.service) {
             return (insertion, SmallVec::new());
         }
         (insertion, self.other_homes(record.key))
@@ -136,9 +126,4 @@
     pub fn is_empty(&self) -> bool {
         self.book.is_empty()
     }
-
-    fn has_several_versions(&self, service: &id::Service) -> bool {
-        versions::of_service(&self.versions, service)
-            .is_some_and(|known| versions::count(known) > 1)
-    }
 }
--- a/crates/cranberrygap-routing/src/origin/versions.rs
+++ b/crates/cranberrygap-routing/src/origin/versions.rs
@@ -19,7 +19,12 @@
     })
 }
 
-pub(super) fn of_service<'view>(
+/// Returns whether several versions may have begun streams of a service.
+pub(super) fn are_several(versions: &[view::Versions], service: &id::Service) -> bool {
+    of_service(versions, service).is_some_and(|known| count(known) > 1)
+}
+
+fn of_service<'view>(
     versions: &'view [view::Versions],
     service: &id::Service,
 ) -> Option<&'view view::Versions> {
@@ -27,6 +32,6 @@
     versions.find(|known| known.service.as_ref() == Some(service))
 }
 
-pub(super) fn count(versions: &view::Versions) -> usize {
+fn count(versions: &view::Versions) -> usize {
     versions.named.len() + usize::from(versions.unnamed)
 }
--- a/crates/cranberrygap-routing/src/prompt/home.rs
+++ b/crates/cranberrygap-routing/src/prompt/home.rs
@@ -16,7 +16,7 @@
 /// Age at which the backlog that an entry told is no longer counted.
 pub const MAX_BACKLOG_AGE: duration::Span = duration::Span::from_millis(1_200);
 
-/// An entry that may be the home of engines.
+/// An entry that may be the home of engines or streams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
     /// Name of the entry.
@@ -49,20 +49,19 @@
     entries: &'entries [Entry],
 ) -> Option<&'entries Entry> {
     let heaviest = |left: &&Entry, right: &&Entry| {
-        let weights = (weight(engine, left), weight(engine, right));
-        weights.0.cmp(&weights.1)
+        let engine = engine.to_le_bytes();
+        weight(&engine, left).cmp(&weight(&engine, right))
     };
     let near = entries.iter().filter(|entry| entry.domain == *domain);
     near.max_by(heaviest)
         .or_else(|| entries.iter().max_by(heaviest))
 }
 
-/// Weight of an entry for an engine; the highest one decides.
-fn weight(engine: u32, entry: &Entry) -> (u64, &id::Instance) {
+/// Weight of an entry for what it may be the home of; the highest one decides.
+pub(crate) fn weight<'entry>(key: &[u8], entry: &'entry Entry) -> (u64, &'entry id::Instance) {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let engine = engine.to_le_bytes();
-    let bytes = engine.iter().chain(entry.instance.as_str().as_bytes());
+    let bytes = key.iter().chain(entry.instance.as_str().as_bytes());
     let hash = bytes.fold(OFFSET, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
     });
