Offer requests of cut entries to entries that reach endpoints

Callers of a failure domain whose entries had all lost their paths to endpoints were refused (no_path) again and again, although the entries of other domains had paths.

Cause: an entry offers a request to three others of its own failure domain. At two others there, the third offer leaves the domain; at sixteen all three stay in it, and each was remembered as cut for a second only. The number of offers and the time were chosen for eight entries. The lists of addresses named cut entries, and callers of a domain got only those of that domain.

Ruled out as the cause: late detection. Two failed connections check the path, and each request that needs new ones fails twice within 0.8 s.

Change: cut entries tell the others, at a change twice and then every two seconds (a datagram of a few bytes, a new message that older software drops). Entries that are known to be cut get no offer and stand on no list while others reach endpoints. Where nothing was told, a refusal leads to entries that took a request lately and to other failure domains, and each further refusal doubles the time for which an entry gets none (routing::peers).

Why it works: what an entry knows of paths now comes from those that lost them, so the number of offers that are wasted does not grow with the fleet.

--- a/crates/cranberrygap-entry/src/discovery.rs
+++ b/crates/cranberrygap-entry/src/discovery.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{address, duration, id};
+use cranberrygap_wire::view as wire_view;
 use rand::seq::SliceRandom as _;
 
 use crate::core;
@@ -40,13 +41,13 @@
         let Ok(view) = self.core.serving_view() else {
             return Vec::new();
         };
-        let same_domain = view
-            .active_entries()
-            .filter(|entry| Some(&entry.domain) == domain);
+        let all: Vec<&wire_view::Member> = view.active_entries().collect();
+        let reaching = self.entries_with_paths(&all);
+        let listed = if reaching.is_empty() { &all } else { &reaching };
+        let same_domain = listed.iter().filter(|entry| Some(&entry.domain) == domain);
         let mut addresses: Vec<address::Socket> = same_domain.map(|entry| entry.address).collect();
         if addresses.len() < MIN_DOMAIN_ENTRIES {
-            let all = view.active_entries();
-            addresses = all.map(|entry| entry.address).collect();
+            addresses = listed.iter().map(|entry| entry.address).collect();
         }
         if addresses.is_empty() && !self.core.is_draining() {
             // The fleet has just started and lists no entry yet. This entry holds a lease, so it
@@ -57,6 +58,22 @@
         addresses
     }
 
+    /// Entries that reach endpoints as far as known. The others serve their callers by these.
+    fn entries_with_paths<'view>(
+        &self,
+        entries: &[&'view wire_view::Member],
+    ) -> Vec<&'view wire_view::Member> {
+        let (now, reach) = (self.core.now(), &self.core.reach);
+        let peers = reach.peers();
+        let has_path = |entry: &&&wire_view::Member| {
+            if entry.instance == *self.core.instance() {
+                return !reach.is_cut();
+            }
+            !peers.is_known_cut(now, entry.address)
+        };
+        entries.iter().filter(has_path).copied().collect()
+    }
+
     /// Time for which callers may keep an address list, in whole seconds, at least one.
     ///
     /// Some callers keep it three times as long, and a stopping entry must serve until they
--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -110,6 +110,15 @@
 }
 
 impl Endpoints {
+    /// Addresses at which the other entries of the view are told and asked.
+    pub(crate) fn other_entries(&self) -> Vec<address::Socket> {
+        let inner = self.inner.lock();
+        let homes = &inner.homes;
+        let others = homes.entries.iter();
+        let others = others.filter(|entry| Some(&entry.instance) != homes.own.as_ref());
+        others.map(|entry| entry.address).collect()
+    }
+
     /// What this entry has to report to the homes of the endpoints that it uses.
     pub(crate) fn due_reports(&self, now: duration::Instant) -> Vec<reports::Report> {
         let mut inner = self.inner.lock();
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cranberrygap_model::{address, duration};
+use cranberrygap_model::{address, duration, id};
+use cranberrygap_routing::peers;
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use rand::seq::SliceRandom as _;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use crate::framing;
@@ -22,7 +23,7 @@
 
 use super::delivery::DEADLINE_GRACE;
 use super::failure::{self, Failure};
-use super::{Gateway, endpoint_connection, peers, request, request_log, response};
+use super::{Gateway, endpoint_connection, request, request_log, response};
 
 /// Marks a request that another entry forwarded; holds the version of that entry's plan.
 const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
@@ -33,13 +34,6 @@
 /// Entries that a request is offered to.
 const MAX_PEERS: usize = 3;
 
-/// Entries that the own failure domain needs for requests to stay in it. A single one would get
-/// the requests of all others.
-const MIN_DOMAIN_PEERS: usize = 2;
-
-/// Entries of which the one with the fewest requests of this entry is taken.
-const DRAWN_PEERS: usize = 2;
-
 /// Time until an entry with another plan is expected to have the same one.
 const PLAN_WAIT: duration::Span = duration::Span::from_millis(60);
 
@@ -51,8 +45,10 @@
 
 /// Why another entry did not take a request.
 enum Rejection {
-    /// It could not be asked, or reaches no endpoint either.
-    Unusable,
+    /// It could not be asked.
+    Failed,
+    /// It reaches no endpoint either.
+    Cut,
     /// It has another plan.
     OtherPlan,
     /// The request was sent there and may have run.
@@ -102,34 +98,44 @@
     log: &mut request_log::Log,
 ) -> Result<Response<response::Body>, Failure> {
     let deadline = request.deadline(&resolution.route);
+    let mut refused: SmallVec<[id::Domain; MAX_PEERS]> = SmallVec::new();
     for _offer in 0..MAX_PEERS {
         let now = gateway.core.now();
         if deadline.since(now) <= MIN_TIME_LEFT {
             break;
         }
         let view = request::serving_view(gateway)?;
-        let Some(peer) = choose_peer(gateway, &view, now) else {
+        let Some((peer, domain)) = choose_peer(gateway, &view, now, &refused) else {
             break;
         };
         drop(view);
         let offered = offer(gateway, peer, request, resolution.plan_version, deadline).await;
-        let now = gateway.core.now();
+        let core = &gateway.core;
+        let now = core.now();
         let rejection = match offered {
             Ok(response) => {
+                core.reach.peers().record_taken(now, peer);
                 let status = response.status().as_u16();
                 log.add_step(
                     now,
                     format_args!("the entry at {peer} responded with {status}"),
                 );
-                gateway.core.count(metric::GATEWAY_SENDS, "forwarded");
+                core.count(metric::GATEWAY_SENDS, "forwarded");
                 return Ok(response);
             }
             Err(rejection) => rejection,
         };
         match rejection {
-            Rejection::Unusable => {
-                gateway.core.reach.record_peer_failure(now, peer);
-                log.add_step(now, format_args!("the entry at {peer} cannot send it"));
+            Rejection::Failed => {
+                let failed = peers::Rejection::Failed;
+                core.reach.peers().record_rejection(now, peer, failed);
+                log.add_step(now, format_args!("the entry at {peer} cannot be asked"));
+            }
+            Rejection::Cut => {
+                let cut = peers::Rejection::Cut;
+                core.reach.peers().record_rejection(now, peer, cut);
+                log.add_step(now, format_args!("the entry at {peer} is cut, too"));
+                refused.push(domain);
             }
             Rejection::OtherPlan => {
                 log.add_step(now, format_args!("the entry at {peer} has another plan"));
@@ -137,7 +143,8 @@
             }
             Rejection::MayHaveRun => {
                 // The other entry may have used all attempts that the route allows.
-                gateway.core.reach.record_peer_failure(now, peer);
+                let failed = peers::Rejection::Failed;
+                core.reach.peers().record_rejection(now, peer, failed);
                 if now >= deadline {
                     return Err(Failure::DeadlineExceeded);
                 }
@@ -148,28 +155,27 @@
     Err(no_path())
 }
 
-/// One of the entries that take requests as far as known, at first in the own failure domain.
+/// An entry that takes requests as far as known, and its failure domain.
 fn choose_peer(
     gateway: &Gateway,
     view: &view::Snapshot,
     now: duration::Instant,
-) -> Option<address::Socket> {
+    refused: &[id::Domain],
+) -> Option<(address::Socket, id::Domain)> {
     let core = &gateway.core;
-    let own = &core.settings.entry.domain;
     let others = view
         .active_entries()
-        .filter(|member| member.instance != *core.instance())
-        .filter(|member| core.reach.is_peer_usable(now, member.address));
-    let mut others: Vec<_> = others.collect();
-    others.shuffle(&mut rand::rng());
-    others.sort_by_key(|member| member.domain != *own);
-    let near = others.iter().take_while(|member| member.domain == *own);
-    if near.count() < MIN_DOMAIN_PEERS {
-        others.shuffle(&mut rand::rng());
-    }
-    let drawn = others.iter().take(DRAWN_PEERS);
-    let least = drawn.min_by_key(|member| gateway.peers.in_use(member.address));
-    least.map(|member| member.address)
+        .filter(|member| member.instance != *core.instance());
+    let candidates = others.map(|member| peers::Candidate {
+        address: member.address,
+        domain: &member.domain,
+        in_use: gateway.peers.in_use(member.address),
+    });
+    let own_domain = &core.settings.entry.domain;
+    let known = core.reach.peers();
+    let candidates = candidates.collect();
+    let chosen = known.choose(now, candidates, own_domain, refused, &mut rand::rng())?;
+    Some((chosen.address, chosen.domain.clone()))
 }
 
 async fn offer(
@@ -181,28 +187,28 @@
 ) -> Result<Response<response::Body>, Rejection> {
     let usage = gateway.peers.begin(peer);
     let opened = gateway.peers.pool.take(peer, true).await;
-    let mut connection = opened.map_err(|_refused| Rejection::Unusable)?;
+    let mut connection = opened.map_err(|_refused| Rejection::Failed)?;
     let response = loop {
         // Opening a connection takes a part of the time that is handed on.
         let time_left = deadline.since(gateway.core.now());
         let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
         let outgoing = build(gateway, request, plan_version, time_left);
-        let outgoing = outgoing.ok_or(Rejection::Unusable)?;
+        let outgoing = outgoing.ok_or(Rejection::Failed)?;
         let sent = tokio::time::timeout(timeout, connection.send(outgoing)).await;
         match sent {
             Ok(Ok(response)) => break response,
             Ok(Err(endpoint_connection::Error::NotSent)) if connection.is_reused() => {
                 let opened = gateway.peers.pool.open(peer).await;
-                connection = opened.map_err(|_refused| Rejection::Unusable)?;
+                connection = opened.map_err(|_refused| Rejection::Failed)?;
             }
-            Ok(Err(endpoint_connection::Error::NotSent)) => return Err(Rejection::Unusable),
+            Ok(Err(endpoint_connection::Error::NotSent)) => return Err(Rejection::Failed),
             Ok(Err(endpoint_connection::Error::Unknown)) | Err(_) => {
                 return Err(Rejection::MayHaveRun);
             }
         }
     };
     match response.headers().get(REFUSAL).map(HeaderValue::as_bytes) {
-        Some(b"no_path") => return Err(Rejection::Unusable),
+        Some(b"no_path") => return Err(Rejection::Cut),
         Some(b"other_plan") => return Err(Rejection::OtherPlan),
         _ => {}
     }
@@ -251,7 +257,7 @@
     deadline: duration::Instant,
     /// Id of the request, for the log.
     id: Option<SmolStr>,
-    _usage: peers::Usage,
+    _usage: super::peers::Usage,
 }
 
 impl Relay {
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -19,6 +19,7 @@
 
 use crate::core;
 use crate::metric;
+use crate::reach;
 use crate::view;
 
 use super::{endpoints, origins};
@@ -72,6 +73,8 @@
         number: u32,
         record: Option<origin::Record>,
     },
+    /// Whether the sender reaches no endpoint. Processes of older software drop it.
+    Path { is_cut: bool },
 }
 
 /// Entries of a view, each with the address of its gossip.
@@ -117,6 +120,7 @@
         ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut sequence = 0;
         let mut buffer = [0; MAX_MESSAGE_BYTES];
+        let mut teller = reach::Teller::default();
         loop {
             tokio::select! {
                 _ = ticker.tick() => {
@@ -144,6 +148,7 @@
                     }
                 }
                 messages = self.core.origins.next_outgoing() => self.send_origins(messages).await,
+                is_cut = self.core.reach.next_news(&mut teller) => self.tell_path(is_cut).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, from)) = received else {
                         continue;
@@ -163,6 +168,13 @@
         }
     }
 
+    /// Tells all other entries whether this one reaches endpoints.
+    async fn tell_path(&self, is_cut: bool) {
+        for entry in self.core.endpoints.other_entries() {
+            self.send(entry, &Message::Path { is_cut }).await;
+        }
+    }
+
     async fn tell_prompts(&self, notices: Vec<endpoints::Notice>) {
         for (home, notices) in self.group_by_home(notices, |notice| notice.name_hash) {
             self.core.endpoints.record_notices(home);
@@ -280,6 +292,20 @@
             Message::OriginAnswer { number, record } => {
                 self.core.origins.apply_answer(from, number, record);
             }
+            Message::Path { is_cut } => self.record_path(from, is_cut),
+        }
+    }
+
+    /// Records what the entry at a host tells of its path.
+    fn record_path(&self, from: SocketAddr, is_cut: bool) {
+        let Some(view) = self.core.view.latest() else {
+            return;
+        };
+        let now = self.core.now();
+        let mut peers = self.core.reach.peers();
+        let entries = view.active_entries();
+        for entry in entries.filter(|entry| entry.address.0.ip() == from.ip()) {
+            peers.record_told(now, entry.address, is_cut);
         }
     }
 }
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -452,7 +452,7 @@
         "endpoints": core.endpoints.dump(),
         "origins": core.origins.dump(),
         "quarantine": core.quarantine.dump(),
-        "reach": core.reach.dump(),
+        "reach": core.reach.dump(core.now()),
         "resends": core.resends.dump(core.now()),
     })
 }
--- a/crates/cranberrygap-entry/src/reach.rs
+++ b/crates/cranberrygap-entry/src/reach.rs
@@ -3,21 +3,26 @@
 //! An entry can lose its path to all endpoints while callers, other entries and the control
 //! processes still reach it. Its requests then go to another entry.
 
+mod teller;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cranberrygap_model::{address, duration, id};
-use cranberrygap_routing::path;
+use cranberrygap_routing::{path, peers};
 use cranberrygap_wire::view as wire_view;
 use futures_util::future;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use rand::seq::SliceRandom as _;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::core;
 
+pub(crate) use teller::Teller;
+
 /// Endpoints in one round of probes.
 const PROBES: usize = 4;
 
@@ -27,15 +32,12 @@
 /// Time between two rounds of probes while no endpoint can be reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which another entry that could not take a request gets no more.
-const PEER_BACKOFF: duration::Span = duration::Span::from_secs(1);
-
 /// What this entry knows of its own path and of other entries.
 #[derive(Debug, Default)]
 pub(crate) struct Reach {
     path: Mutex<path::Path>,
-    /// Entries that could not take a request, and when.
-    failed_peers: Mutex<BTreeMap<address::Socket, duration::Instant>>,
+    peers: Mutex<peers::Table>,
+    changed: Notify,
 }
 
 impl Reach {
@@ -49,28 +51,30 @@
         self.path.lock().record_success();
     }
 
-    /// Records that another entry could not take a request.
-    pub(crate) fn record_peer_failure(&self, now: duration::Instant, peer: address::Socket) {
-        let mut failed = self.failed_peers.lock();
-        failed.retain(|_, at| now.since(*at) < PEER_BACKOFF);
-        failed.insert(peer, now);
+    /// What is known of the paths of other entries.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, peers::Table> {
+        self.peers.lock()
     }
 
-    /// Whether another entry took requests as far as known.
-    pub(crate) fn is_peer_usable(&self, now: duration::Instant, peer: address::Socket) -> bool {
-        let failed = self.failed_peers.lock();
-        failed
-            .get(&peer)
-            .is_none_or(|at| now.since(*at) >= PEER_BACKOFF)
+    /// Waits until the other entries have to be told whether this one is cut.
+    pub(crate) async fn next_news(&self, teller: &mut Teller) -> bool {
+        loop {
+            if let Some(is_cut) = teller.take_due(self.is_cut()) {
+                return is_cut;
+            }
+            let wait = teller.wait();
+            // Either way there may be something to tell.
+            let _elapsed = time::timeout(wait, self.changed.notified()).await;
+        }
     }
 
     /// The state for a dump.
-    pub(crate) fn dump(&self) -> serde_json::Value {
+    pub(crate) fn dump(&self, now: duration::Instant) -> serde_json::Value {
         let path = self.path.lock();
         serde_json::json!({
             "endpoints_cut": path.is_cut(),
             "failed_endpoints": path.failed(),
-            "failed_entries": self.failed_peers.lock().len(),
+            "avoided_entries": self.peers.lock().avoided_count(now),
         })
     }
 }
@@ -106,6 +110,9 @@
         let results = future::join_all(probes(&core, &addresses)).await;
         let reached = results.iter().filter(|reached| **reached).count();
         let is_cut = core.reach.path.lock().record_round(results.len(), reached);
+        if is_cut != was_cut {
+            core.reach.changed.notify_one();
+        }
         if is_cut && !was_cut {
             spdlog::warn!(
                 "reach: {} endpoints took no connection, nor did {} others: requests go to other entries",
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -9,7 +9,8 @@
 //! [`brittle`] spares endpoints that fall over when they turn away requests.
 //!
 //! [`limit`] keeps the limits that endpoints in need name, and [`path`] tells whether an entry
-//! reaches the endpoints at all.
+//! reaches the endpoints at all; [`peers`] chooses the entry that sends requests for one that
+//! does not.
 //!
 //! [`origin`] keeps streams at the software version that began them.
 //!
@@ -22,6 +23,7 @@
 pub mod load;
 pub mod origin;
 pub mod path;
+pub mod peers;
 pub mod pending;
 pub mod prefix;
 pub mod prompt;
