Grant the places of brittle endpoints at their homes

Endpoints that fall over when they turn away too many requests kept falling over in large fleets.

Cause: entries read the load of an endpoint at its home, up to 50 ms old, and each decided by itself whether there was room. All saw the same free place in the same milliseconds. The excess is a few requests at three entries and more than an endpoint bears at dozens. Each entry learned by itself that an endpoint has less room than slots, and a process that had just started counted as robust until it had answered each entry.

Change: the home grants each place, for one request, and counts it until the entry tells of the request (brittle::ledger). It is told of ends and rejections at once, so its room is the same for all. An entry whose home does not answer keeps to a part of the slots; the parts of all entries together fit the slots (home::part). Endpoints that are not brittle cost nothing.

Why it works: who may use a place is decided where all entries ask, not where each of them looks.

--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -203,12 +203,12 @@
         let endpoints = &self.gateway.core.endpoints;
         let grant = endpoints.take_room(self.now(), destination, max_wait).await;
         match grant {
-            limit::Grant::Unlimited => true,
+            limit::Grant::Unlimited => self.take_place(destination).await,
             limit::Grant::After(wait) => {
                 if wait.0 > 0 {
                     tokio::time::sleep(wait.to_std()).await;
                 }
-                true
+                self.take_place(destination).await
             }
             limit::Grant::Full(wait) => {
                 let (now, endpoint) = (self.now(), &destination.endpoint);
@@ -221,6 +221,19 @@
         }
     }
 
+    /// Takes a place at a brittle endpoint. Without one the endpoint is not considered for a
+    /// moment.
+    async fn take_place(&mut self, destination: &endpoints::Destination) -> bool {
+        let endpoints = &self.gateway.core.endpoints;
+        let has_place = endpoints.take_place(self.now(), destination).await;
+        if !has_place {
+            let (now, endpoint) = (self.now(), &destination.endpoint);
+            self.log
+                .add_step(now, format_args!("{endpoint} has no place"));
+        }
+        has_place
+    }
+
     async fn choose_plain_endpoint(&mut self) -> Result<Target, Failure> {
         let core = Arc::clone(&self.gateway.core);
         let service = self.resolution.service.clone();
@@ -304,11 +317,15 @@
             let late = self.now() >= late_from;
             let choice = self.find_engine(model, late).await?;
             let Err(failure) = self.check_overload(&choice, late) else {
-                if !self.take_room(&choice.destination).await {
-                    continue;
+                if self.take_room(&choice.destination).await {
+                    self.reserve_prefill(&choice.destination, choice.prefill_time);
+                    return Ok(choice);
                 }
-                self.reserve_prefill(&choice.destination, choice.prefill_time);
-                return Ok(choice);
+                if self.now() >= give_up_at {
+                    let retry_after = NO_CAPACITY_RETRY_AFTER;
+                    return Err(self.no_endpoint_failure(retry_after, "no engine has room"));
+                }
+                continue;
             };
             if let Some(choice) = self.choose_spared_engine(model, late).await {
                 self.reserve_prefill(&choice.destination, choice.prefill_time);
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -10,7 +10,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cranberrygap_model::{address, duration, id, number, software};
+use cranberrygap_model::{address, duration, id, number, rate, software};
+use cranberrygap_routing::brittle;
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
@@ -21,8 +22,10 @@
 
 use crate::view;
 
+pub(crate) use limits::{Claim, Wanted};
 pub(crate) use notices::Notice;
 pub(crate) use questions::Question;
+pub(crate) use room::News;
 use state::State;
 
 /// Endpoints that a request was already sent to.
@@ -142,6 +145,10 @@
     learned: BTreeMap<u32, home::Learned>,
     /// Room at the endpoints with a limit that this entry is the home of.
     limits: limit::ledger::Ledger,
+    /// Places at the brittle endpoints that this entry is the home of.
+    places: brittle::ledger::Ledger,
+    /// Services of which an endpoint said that it is brittle, with when it did.
+    brittle_services: BTreeMap<id::Service, (rate::Rejections, duration::Instant)>,
 }
 
 impl Endpoints {
@@ -315,13 +322,18 @@
         chain: Option<&prefix_cache::Chain>,
     ) {
         let mut plain_endpoint = None;
+        let mut sent_to = None;
         self.update_state(destination, |state| {
+            sent_to = Some(state.name_hash);
             state.own_backlog.add(rank, prefill_micros);
             match chain {
                 Some(chain) => state.prefix_cache.record_sent(now, chain),
                 None => plain_endpoint = Some(state.name_hash),
             }
         });
+        if let Some(name_hash) = sent_to {
+            self.inner.lock().places.settle(name_hash, None);
+        }
         // A prompt was told of when its engine was chosen.
         if let Some(name_hash) = plain_endpoint {
             self.add_notice(name_hash, rank, prefill_micros);
@@ -341,8 +353,9 @@
     }
 
     /// Records that a request ended.
-    pub(crate) fn record_ended(&self, destination: &Destination) {
+    pub(crate) fn record_ended(&self, now: duration::Instant, destination: &Destination) {
         self.update_state(destination, |state| state.own_backlog.finish_request());
+        self.tell_end(now, &destination.endpoint);
     }
 
     /// Records whether an endpoint responded as it should.
@@ -427,9 +440,10 @@
             let residency = self.residencies.get(name);
             let previous = previous_states.remove(name);
             let previous_boot = previous.as_ref().map(|previous| previous.boot);
-            let state = State::new(now, endpoint, residency, domain, previous);
+            let state = State::new(now, service, endpoint, residency, domain, previous);
             if previous_boot.is_some_and(|boot| boot != state.boot) {
                 self.limits.forget(state.name_hash);
+                self.places.forget(state.name_hash);
             }
             self.homes
                 .set_endpoint(state.name_hash, &endpoint.announcement.domain);
@@ -441,6 +455,7 @@
         }
         for gone in previous_states.values() {
             self.limits.forget(gone.name_hash);
+            self.places.forget(gone.name_hash);
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -88,6 +88,14 @@
         self.entries.len().max(1)
     }
 
+    /// Requests that this entry may have at an endpoint whose home does not answer.
+    pub(super) fn part(&self, endpoint: u32, slots: u32) -> u32 {
+        match &self.own {
+            Some(own) => home::part(endpoint, slots, own, &self.entries),
+            None => slots,
+        }
+    }
+
     /// Records that a home is told of prompts.
     pub(super) fn record_notices(&mut self, home: address::Socket) {
         self.reports.record_notices(home);
--- a/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
 
+use super::room::News;
 use super::state::State;
 use super::{Destination, Endpoints, Inner};
 
@@ -32,8 +33,16 @@
     pub home: address::Socket,
     pub number: u32,
     pub endpoint: u32,
-    pub report: limit::Report,
-    pub max_wait: duration::Span,
+    pub wanted: Wanted,
+}
+
+/// What a claim asks for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Wanted {
+    /// Room within the limit that the endpoint named, after a wait at most.
+    Room(limit::Report, duration::Span),
+    /// A place at an endpoint that bears so many rejections a second.
+    Place(rate::Rejections),
 }
 
 /// Statements and claims that are not sent yet, and claims that wait for an answer.
@@ -42,12 +51,14 @@
     inner: Mutex<Waiting>,
     has_statements: Notify,
     has_claims: Notify,
+    has_news: Notify,
 }
 
 #[derive(Debug, Default)]
 struct Waiting {
     statements: Vec<(u32, limit::Report)>,
     claims: Vec<Claim>,
+    news: Vec<(u32, News)>,
     last_number: u32,
     answers: BTreeMap<u32, oneshot::Sender<limit::Grant>>,
     silent_until: BTreeMap<address::Socket, duration::Instant>,
@@ -59,14 +70,35 @@
         self.has_statements.notify_one();
     }
 
+    /// Queues what the home of a brittle endpoint is told.
+    pub(super) fn push_news(&self, endpoint: u32, news: News) {
+        self.inner.lock().news.push((endpoint, news));
+        self.has_news.notify_one();
+    }
+
+    /// Takes the news that is not sent yet.
+    pub(super) fn take_news(&self) -> Vec<(u32, News)> {
+        std::mem::take(&mut self.inner.lock().news)
+    }
+
+    /// Waits for news to tell the homes of their endpoints.
+    pub(super) async fn next_news(&self) -> Vec<(u32, News)> {
+        loop {
+            let news = self.take_news();
+            if !news.is_empty() {
+                return news;
+            }
+            self.has_news.notified().await;
+        }
+    }
+
     /// Asks a home for room; `None` if it does not answer.
-    async fn claim(
+    pub(super) async fn claim(
         &self,
         now: duration::Instant,
         home: address::Socket,
         endpoint: u32,
-        report: limit::Report,
-        max_wait: duration::Span,
+        wanted: Wanted,
     ) -> Option<limit::Grant> {
         for _ask in 0..MAX_ASKS {
             let (number, answer) = {
@@ -84,8 +116,7 @@
                     home,
                     number,
                     endpoint,
-                    report,
-                    max_wait,
+                    wanted,
                 });
                 (number, answer)
             };
@@ -181,10 +212,8 @@
             };
             (endpoint, home, limit, statement.to_report(now))
         };
-        let granted = self
-            .limit_outbox
-            .claim(now, home, endpoint, report, max_wait)
-            .await;
+        let wanted = Wanted::Room(report, max_wait);
+        let granted = self.limit_outbox.claim(now, home, endpoint, wanted).await;
         let mut inner = self.inner.lock();
         let entries = inner.homes.entry_count();
         let Some(state) = inner.states.get_mut(&destination.endpoint) else {
--- a/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/notices.rs
@@ -103,6 +103,7 @@
             inner
                 .book
                 .apply_prompt(now, from, notice.name_hash, rank, micros);
+            inner.places.settle(notice.name_hash, Some(from));
         }
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub endpoint: id::Endpoint,
+    pub service: id::Service,
     pub boot: number::Boot,
     pub address: address::Socket,
     /// Version of the software that this boot runs.
@@ -43,6 +44,8 @@
     pub unreachable_at: Option<duration::Instant>,
     pub limit: known::Known,
     pub room: brittle::Guard,
+    /// Time until which there is no room, by its home.
+    pub full_until: duration::Instant,
     /// Requests that it runs at a time; 0 if it does not say.
     pub slots: u32,
     pub name_hash: u32,
@@ -59,6 +62,7 @@
 impl State {
     pub(super) fn new(
         now: duration::Instant,
+        service: &id::Service,
         endpoint: &view::Endpoint,
         residency: Option<&view::Residency>,
         domain: &id::Domain,
@@ -108,6 +112,7 @@
         let is_staying = !leaving && !is_removed;
         Self {
             endpoint: announced.endpoint.clone(),
+            service: service.clone(),
             boot: announced.boot,
             address: announced.address,
             software: announced.software.clone(),
@@ -126,6 +131,7 @@
             unreachable_at,
             limit,
             room,
+            full_until: now,
             slots: announced
                 .details
                 .as_ref()
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_model::{address, duration};
+use cranberrygap_model::{address, duration, rate};
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, home};
@@ -73,8 +73,34 @@
         number: u32,
         record: Option<origin::Record>,
     },
-    /// Whether the sender reaches no endpoint. Processes of older software drop it.
+    /// Whether the sender reaches no endpoint. Processes of older software drop this message and
+    /// those after it.
     Path { is_cut: bool },
+    /// Asks for a place at a brittle endpoint; the answer is [`Message::Granted`].
+    PlaceClaim {
+        number: u32,
+        endpoint: u32,
+        bears: rate::Rejections,
+    },
+    /// What happened at brittle endpoints of the receiver.
+    News(Vec<(u32, endpoints::News)>),
+}
+
+fn to_message(claim: &endpoints::Claim) -> Message {
+    let (number, endpoint) = (claim.number, claim.endpoint);
+    match claim.wanted {
+        endpoints::Wanted::Room(report, max_wait) => Message::Claim {
+            number,
+            endpoint,
+            report,
+            max_wait,
+        },
+        endpoints::Wanted::Place(bears) => Message::PlaceClaim {
+            number,
+            endpoint,
+            bears,
+        },
+    }
 }
 
 /// Entries of a view, each with the address of its gossip.
@@ -139,14 +165,10 @@
                 }
                 claims = self.core.endpoints.next_claims() => {
                     for claim in claims {
-                        self.send(claim.home, &Message::Claim {
-                            number: claim.number,
-                            endpoint: claim.endpoint,
-                            report: claim.report,
-                            max_wait: claim.max_wait,
-                        }).await;
+                        self.send(claim.home, &to_message(&claim)).await;
                     }
                 }
+                news = self.core.endpoints.next_news() => self.tell_news(news).await,
                 messages = self.core.origins.next_outgoing() => self.send_origins(messages).await,
                 is_cut = self.core.reach.next_news(&mut teller) => self.tell_path(is_cut).await,
                 received = self.socket.recv_from(&mut buffer) => {
@@ -160,7 +182,10 @@
     }
 
     async fn tell_backlogs(&self, sequence: u64) {
-        for report in self.core.endpoints.due_reports(self.core.now()) {
+        let reports = self.core.endpoints.due_reports(self.core.now());
+        // What is told of an end after a report that knows of it would count twice.
+        self.tell_news(self.core.endpoints.take_news()).await;
+        for report in reports {
             let mut backlogs = report.backlogs;
             backlogs.truncate(MAX_ENDPOINTS_PER_MESSAGE);
             self.send(report.home, &Message::Backlogs { sequence, backlogs })
@@ -188,6 +213,12 @@
         }
     }
 
+    async fn tell_news(&self, news: Vec<(u32, endpoints::News)>) {
+        for (home, news) in self.group_by_home(news, |(endpoint, _)| *endpoint) {
+            self.send(home, &Message::News(news)).await;
+        }
+    }
+
     /// Sends what other entries are told and asked of origins of streams.
     async fn send_origins(&self, messages: Vec<(address::Socket, origins::Outgoing)>) {
         let mut records: BTreeMap<address::Socket, Vec<origin::Record>> = BTreeMap::new();
@@ -293,6 +324,17 @@
                 self.core.origins.apply_answer(from, number, record);
             }
             Message::Path { is_cut } => self.record_path(from, is_cut),
+            Message::PlaceClaim {
+                number,
+                endpoint,
+                bears,
+            } => {
+                if let Some(grant) = endpoints.grant_place(now, from, endpoint, bears) {
+                    let granted = Message::Granted { number, grant };
+                    self.send(address::Socket(from), &granted).await;
+                }
+            }
+            Message::News(news) => endpoints.apply_news(now, from, &news),
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/in_flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/in_flight.rs
@@ -155,6 +155,7 @@
 impl Drop for Request {
     fn drop(&mut self) {
         self.record_prefill();
-        self.core.endpoints.record_ended(&self.destination);
+        let now = self.core.now();
+        self.core.endpoints.record_ended(now, &self.destination);
     }
 }
--- a/crates/cranberrygap-model/src/rate.rs
+++ b/crates/cranberrygap-model/src/rate.rs
@@ -74,7 +74,7 @@
 }
 
 /// Rejections a second for want of room beyond which an endpoint falls over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rejections(u32);
 
 impl fmt::Display for Rejections {
--- a/crates/cranberrygap-routing/src/brittle.rs
+++ b/crates/cranberrygap-routing/src/brittle.rs
@@ -3,6 +3,11 @@
 //! Such an endpoint gets no more requests at a time than it has slots, so that none has to wait
 //! for room. One that turns a request away nevertheless has less room than that: it gets none for
 //! a moment, and then fewer at a time than it had.
+//!
+//! The home entry of an endpoint grants its places, see [`ledger`]: entries that each count by
+//! themselves take the same free place in the same milliseconds.
+
+pub mod ledger;
 
 use cranberrygap_model::{duration, rate};
 
@@ -20,6 +25,8 @@
 pub struct Guard {
     /// Rejections a second that the endpoint bears; `None` if it does not fall over.
     bears: Option<rate::Rejections>,
+    /// Whether any response has arrived.
+    has_response: bool,
     rejection: Option<Rejection>,
 }
 
@@ -34,6 +41,13 @@
     /// Records what a response says of the rejections that the endpoint bears.
     pub fn record_response(&mut self, bears: Option<rate::Rejections>) {
         self.bears = bears;
+        self.has_response = true;
+    }
+
+    /// Whether the endpoint has said anything.
+    #[must_use]
+    pub fn has_response(&self) -> bool {
+        self.has_response
     }
 
     /// What the endpoint said last.
--- a/crates/cranberrygap-routing/src/prompt/home.rs
+++ b/crates/cranberrygap-routing/src/prompt/home.rs
@@ -57,6 +57,25 @@
         .or_else(|| entries.iter().max_by(heaviest))
 }
 
+/// Part of an engine's slots that an entry may use without asking the home. The parts of all
+/// entries together are no more than the slots; without known slots there is no bound.
+#[must_use]
+pub fn part(engine: u32, slots: u32, own: &id::Instance, entries: &[Entry]) -> u32 {
+    if slots == 0 {
+        return u32::MAX;
+    }
+    let count = u32::try_from(entries.len().max(1)).unwrap_or(u32::MAX);
+    if slots >= count {
+        return slots / count;
+    }
+    let engine = engine.to_le_bytes();
+    let own = entries.iter().find(|entry| entry.instance == *own);
+    let own = own.map(|own| weight(&engine, own));
+    let heavier = entries.iter();
+    let heavier = heavier.filter(|entry| Some(weight(&engine, entry)) > own);
+    u32::from(own.is_some() && heavier.count() < slots as usize)
+}
+
 /// Weight of an entry for what it may be the home of; the highest one decides.
 pub(crate) fn weight<'entry>(key: &[u8], entry: &'entry Entry) -> (u64, &'entry id::Instance) {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -149,6 +168,15 @@
         told.backlog.add(rank, prefill_micros);
     }
 
+    /// Applies that a request of an entry has ended.
+    pub fn apply_end(&mut self, from: SocketAddr, engine: u32) {
+        let account = self.engines.get_mut(&engine);
+        let told = account.and_then(|account| account.backlogs.get_mut(&from));
+        if let Some(told) = told {
+            told.backlog.finish_request();
+        }
+    }
+
     /// Load of an engine without the part of one entry, which knows that better.
     #[must_use]
     pub fn load_without(
