Keep room for loads of an earlier leader at processes that restarted

Cause: suspected, not shown. Counts of accepted orders start anew with each process of an engine. A leader guards against its own delayed loads (stale_orders), but a new leader does not know those of the one before: one lands at a restarted process that has accepted as many orders as it names, and may find it full.

Change: for 15 s after the earlier leader may have ordered last, a process that had not been up for 20 s when the term began keeps room for the largest model and one adapter. Without an earlier leader, and for processes that have been up for longer, nothing changes.

Two hypotheses remain: sizes of earlier plans, which the users' plans do not change, and loads that land later than 15 s.

--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -38,6 +38,10 @@
 /// Time for which a new leader orders nothing.
 const SUCCESSION: duration::Span = duration::Span::from_millis(3_300);
 
+/// Uptime from which a runner gets no order of an earlier leader that was meant for its process
+/// before.
+const SETTLED_UPTIME: duration::Span = duration::Span::from_secs(15);
+
 /// Age of what a report tells, in milliseconds.
 const REPORT_AGE: std::ops::Range<u64> = 200..600;
 
@@ -386,7 +390,14 @@
 
 fn take_office(number: u64, fleet: &Fleet, now: duration::Instant) -> Leader {
     let service = "lm".parse().expect("names of the run are valid");
-    let book = planner::Planner::new(service, fleet.engine.clone(), now, SUCCESSION);
+    let settled_before = (number > 1).then(|| now.0.saturating_sub(SETTLED_UPTIME.0));
+    let book = planner::Planner::new(
+        service,
+        fleet.engine.clone(),
+        now,
+        SUCCESSION,
+        settled_before,
+    );
     Leader { number, book }
 }
 
--- a/crates/cranberrygap-control/src/residency/term.rs
+++ b/crates/cranberrygap-control/src/residency/term.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use cranberrygap_link::clock;
 use cranberrygap_model::{duration, id, number};
 use cranberrygap_placement::residency::{engine, planner};
 use cranberrygap_state::fleet;
@@ -13,6 +14,10 @@
 /// ended, and that order takes a moment to arrive.
 const TAKEOVER_DELAY: duration::Span = duration::Span::from_millis(3_300);
 
+/// Uptime from which a runner process gets no order that was meant for an earlier process of its
+/// name: the longest delivery of an order, and some seconds by which clocks differ.
+const SETTLED_UPTIME: duration::Span = duration::Span::from_secs(20);
+
 /// State of one leader's term.
 #[derive(Debug)]
 pub(super) struct State {
@@ -90,10 +95,20 @@
             }
             let delay = self.start.after(TAKEOVER_DELAY).since(now);
             let name = service.service.clone();
-            let planner = planner::Planner::new(name.clone(), engine, now, delay);
+            let before = settled_before(fleet);
+            let planner = planner::Planner::new(name.clone(), engine, now, delay, before);
             self.planners.insert(name, planner);
         }
         self.planners
             .retain(|name, _| planned_services.contains(name));
     }
 }
+
+/// Time before which runner processes started that no order of an earlier leader reaches by
+/// mistake; `None` if no leader has ordered anything. One that orders publishes before what
+/// runners hold.
+fn settled_before(fleet: &fleet::Fleet) -> Option<u64> {
+    let uptime = SETTLED_UPTIME.0 / 1_000;
+    let has_predecessor = fleet.residencies.iter().next().is_some();
+    has_predecessor.then(|| clock::unix_millis().saturating_sub(uptime))
+}
--- a/crates/cranberrygap-placement/src/residency/engine.rs
+++ b/crates/cranberrygap-placement/src/residency/engine.rs
@@ -122,6 +122,18 @@
         }
     }
 
+    /// Whether a runner has capacity for any model or adapter beside what it holds.
+    #[must_use]
+    pub fn fits_any_load(&self, inventory: &inventory::Inventory) -> bool {
+        let models = inventory.models().iter();
+        let adapters = inventory.adapters().keys().map(|(model, _)| model);
+        let all = self.models.values().chain(self.former_models.values());
+        let largest = all.map(|weights| weights.size.0.max(weights.adapter_size.0));
+        let used = self.memory_used(models, adapters) + largest.max().unwrap_or_default();
+        let has_slot = self.adapter_slots == 0 || inventory.adapters().len() < self.adapter_slots;
+        has_slot && used <= self.memory.0
+    }
+
     /// Memory in bytes that models and adapters take. An unknown model counts as the
     /// largest known one.
     #[must_use]
--- a/crates/cranberrygap-placement/src/residency/planner.rs
+++ b/crates/cranberrygap-placement/src/residency/planner.rs
@@ -98,17 +98,24 @@
     differences: Vec<diagnostics::Difference>,
     /// Loads of which a copy may still be delivered.
     outstanding_loads: Vec<stale_orders::OutstandingLoad>,
+    /// Loads that an earlier leader ordered.
+    inherited_loads: Option<stale_orders::Inheritance>,
 }
 
 impl Planner {
     /// Creates the planner of a leader. Its term began at `now`, and it may order after
     /// `wait`.
+    ///
+    /// If an earlier leader may have ordered loads, `settled_before` is the time, in Unix
+    /// milliseconds, before which a runner process has started for which that leader ordered
+    /// nothing at an earlier process of the same name.
     #[must_use]
     pub fn new(
         service: id::Service,
         engine: engine::Engine,
         now: duration::Instant,
         wait: duration::Span,
+        settled_before: Option<u64>,
     ) -> Self {
         let load_bucket = load_bucket::Bucket::new(engine.store_rate, now);
         Self {
@@ -127,6 +134,8 @@
             plan_count: 0,
             differences: Vec::new(),
             outstanding_loads: Vec::new(),
+            inherited_loads: settled_before
+                .map(|before| stale_orders::Inheritance::new(now.after(wait), before)),
         }
     }
 
--- a/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
@@ -4,11 +4,15 @@
 //! count belongs. A delayed order is accepted when the new process reaches the count that
 //! it names. So a runner is not brought to that count unless what the stale order loads
 //! would fit.
+//!
+//! A new leader does not know which loads its predecessor ordered. Until the last of them has
+//! arrived, a process that may have a predecessor of its own keeps room for any load.
 
 use cranberrygap_model::{duration, id, number};
 
 use super::Planner;
 use crate::residency::order;
+use crate::residency::runner;
 
 /// Time after which an order is no longer delivered. Delayed orders take up to twelve
 /// seconds; while one may still arrive, orders that would let it be accepted wait.
@@ -21,6 +25,24 @@
     sent_at: duration::Instant,
 }
 
+/// Loads of an earlier leader that may still be delivered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Inheritance {
+    until: duration::Instant,
+    /// Processes that started before this time, in Unix milliseconds, get none of them.
+    settled_before: u64,
+}
+
+impl Inheritance {
+    /// The earlier leader orders nothing after `ordered_until`.
+    pub(super) const fn new(ordered_until: duration::Instant, settled_before: u64) -> Self {
+        Self {
+            until: ordered_until.after(MAX_DELIVERY_TIME),
+            settled_before,
+        }
+    }
+}
+
 impl OutstandingLoad {
     /// Whether the load was ordered under this number.
     pub(super) const fn has_number(&self, number: u64) -> bool {
@@ -46,6 +68,13 @@
         }
     }
 
+    /// Whether a load of an earlier leader may land at a runner's process.
+    fn may_get_inherited_load(&self, now: duration::Instant, runner: &runner::Runner) -> bool {
+        self.inherited_loads.is_some_and(|inherited| {
+            now < inherited.until && runner.started >= inherited.settled_before
+        })
+    }
+
     /// Whether an order brings its runner to the count of a stale load that would then
     /// not fit.
     pub(super) fn exposes_to_stale_load(
@@ -60,13 +89,14 @@
         let Some(count) = runner.inventory.accepted_count() else {
             return false;
         };
+        let inventory_after = runner.inventory.after_action(now, action);
+        if self.may_get_inherited_load(now, runner) && !self.engine.fits_any_load(&inventory_after)
+        {
+            return true;
+        }
         let is_exposed =
             |load: &&OutstandingLoad| is_stale_at_count(load, name, runner.boot, count + 1);
-        let mut stale_loads = self.outstanding_loads.iter().filter(is_exposed).peekable();
-        if stale_loads.peek().is_none() {
-            return false;
-        }
-        let inventory_after = runner.inventory.after_action(now, action);
+        let mut stale_loads = self.outstanding_loads.iter().filter(is_exposed);
         stale_loads.any(|load| !self.engine.fits(&inventory_after, &load.order.action))
     }
 }
--- a/crates/cranberrygap-placement/src/residency/planner/updates.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/updates.rs
@@ -377,6 +377,11 @@
     };
     runner::Runner {
         boot: announcement.boot,
+        // A process that does not say when it started may have started just now.
+        started: announcement
+            .details
+            .as_ref()
+            .map_or(u64::MAX, |details| details.started),
         address: announcement.address,
         service: announcement
             .service
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -66,6 +66,8 @@
 pub struct Runner {
     /// The runner process.
     pub boot: number::Boot,
+    /// Time at which the process started, in Unix milliseconds.
+    pub started: u64,
     /// Address of the runner.
     pub address: address::Socket,
     /// Service of the runner.
--- a/crates/cranberrygap-placement/tests/residency.rs
+++ b/crates/cranberrygap-placement/tests/residency.rs
@@ -118,7 +118,7 @@
     reports: &[order::Report],
 ) -> planner::Planner {
     let service = "lm".parse().expect("a name");
-    let mut planner = planner::Planner::new(service, engine_with(models), at(0), wait);
+    let mut planner = planner::Planner::new(service, engine_with(models), at(0), wait, None);
     update_endpoints(&mut planner, 0, announcements);
     planner.tick(at(10));
     for (announcement, report) in announcements.iter().zip(reports) {
@@ -346,7 +346,7 @@
 fn new_leader_sends_no_order_while_its_predecessor_may() {
     let service = "lm".parse().expect("a name");
     let wait = duration::Span::from_secs(3);
-    let mut planner = planner::Planner::new(service, engine_with(&["hot"]), at(0), wait);
+    let mut planner = planner::Planner::new(service, engine_with(&["hot"]), at(0), wait, None);
     let announcements = [
         announcement("r1", 1, &["hot"], &[]),
         announcement("r2", 1, &[], &[]),
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -83,9 +83,14 @@
 
 /// The planner of a leader that may order after 100 ms.
 fn new_planner(models: &[&str]) -> planner::Planner {
+    succeeding_planner(models, None)
+}
+
+/// The same, where an earlier leader ordered nothing for processes that started before a time.
+fn succeeding_planner(models: &[&str], settled_before: Option<u64>) -> planner::Planner {
     let service = "lm".parse().expect("a name");
     let wait = duration::Span::from_millis(100);
-    planner::Planner::new(service, engine_with(models), at(0), wait)
+    planner::Planner::new(service, engine_with(models), at(0), wait, settled_before)
 }
 
 /// A planner that has `r1`'s announcement, and its report at 20 ms.
@@ -554,3 +559,53 @@
     let ask = planner::Output::FetchReport(name("r1"));
     assert!(outputs.contains(&ask), "{outputs:?}");
 }
+
+/// Times in milliseconds at which a new leader orders loads at `r1`, which is empty and has
+/// started anew, if an earlier leader ordered nothing for processes before this time.
+fn loads_of_a_new_leader(settled_before: Option<u64>) -> Vec<u64> {
+    let mut planner = succeeding_planner(&["a", "b"], settled_before);
+    update_endpoints(&mut planner, 0, &announcement(1, &[]));
+    planner.tick(at(10));
+    planner.handle_report(at(20), &name("r1"), &report(0, &[], &[]));
+    planner.set_demand(at(20), demand(&[("a", 0.5), ("b", 0.5)]));
+    let mut loads = Vec::new();
+    let mut held: Vec<&str> = Vec::new();
+    for now in (100..30_000).step_by(100) {
+        for order in orders(&mut planner, now) {
+            let accepted = order::Verdict::Accepted;
+            planner.handle_verdict(at(now + 4), &name("r1"), order.number, accepted);
+            if let order::Action::Load(loaded) = &order.action {
+                loads.push(now);
+                held.push(if loaded.as_str() == "a" { "a" } else { "b" });
+                let sequence = 1 + held.len() as u64;
+                update_endpoints(&mut planner, now + 50, &announcement(sequence, &held));
+            }
+        }
+    }
+    loads
+}
+
+// The leader before ordered a load at an earlier process of the runner's name, and no log knows
+// its count. It may land once the new process has accepted as many orders as it names, and must
+// fit then.
+#[test]
+fn load_of_an_earlier_leader_fits_whenever_it_lands() {
+    const DELIVERED: u64 = 15_100;
+
+    let loads = loads_of_a_new_leader(Some(1));
+
+    assert_eq!(loads.len(), 2, "{loads:?}");
+    assert!(loads[0] < 1_000 && loads[1] >= DELIVERED, "{loads:?}");
+}
+
+// A process that has been up for long gets no such load, and neither does any without an earlier
+// leader.
+#[test]
+fn runner_without_loads_of_an_earlier_leader_is_filled_at_once() {
+    for settled_before in [None, Some(2)] {
+        let loads = loads_of_a_new_leader(settled_before);
+
+        assert_eq!(loads.len(), 2, "{loads:?}");
+        assert!(loads[1] < 1_000, "{loads:?}");
+    }
+}
