Log and measure the steps from an entry's start to its first response

No line told which step was not taken: view, plan, lease, endpoint, response.

Each step now has a line and a metric with its time, and a step that is not taken after 5 s is named, again every 5 s. The dump has them all. No decision uses them.

--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -22,6 +22,7 @@
 use crate::refusal::Refusal;
 use crate::resends;
 use crate::route;
+use crate::startup;
 use crate::trace;
 use crate::upstream;
 use crate::view;
@@ -48,6 +49,7 @@
     /// Opens connections to the endpoints of the traffic plan's services.
     pub(crate) dialer: Arc<dyn dial::Dial>,
     pub(crate) reach: reach::Reach,
+    pub(crate) startup: startup::Startup,
     /// Budget of requests that are sent to endpoints once more.
     pub(crate) resends: resends::Resends,
     pub(crate) upstream: upstream::Clients,
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -255,6 +255,7 @@
         }
         Exchange::Done(match classification {
             dialect::Classification::Answer => {
+                core.startup.record_response();
                 self.mark_permit_used();
                 Outcome::Response(Box::new(Reply {
                     response,
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -115,6 +115,7 @@
         let rejection = match offered {
             Ok(response) => {
                 core.reach.peers().record_taken(now, peer);
+                core.startup.record_response();
                 let status = response.status().as_u16();
                 log.add_step(
                     now,
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -33,5 +33,6 @@
 mod resends;
 mod route;
 mod server;
+mod startup;
 mod trace;
 mod upstream;
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -38,8 +38,17 @@
 /// Time since the view was last confirmed as the newest.
 pub(crate) const VIEW_AGE: &str = "view_age";
 
+/// Time from the start of the process to each step up to its first response.
+pub(crate) const STARTUP: &str = "startup";
+
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 7] = [
+pub const GATEWAY: [Metric; 8] = [
+    Metric {
+        name: STARTUP,
+        kind: "ms",
+        unit: "milliseconds",
+        meaning: "time from the start to the first view, plan, lease, endpoint and response, each a tag",
+    },
     Metric {
         name: VIEW_AGE,
         kind: "ms",
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -29,6 +29,7 @@
 use crate::resends;
 use crate::route;
 use crate::server;
+use crate::startup;
 use crate::trace;
 use crate::upstream;
 use crate::view;
@@ -157,6 +158,9 @@
             // The load of a traffic plan's endpoints is estimated from the requests sent.
             tasks.push(tokio::spawn(load::Poller::new(Arc::clone(&core)).run()));
         }
+        if gateway.is_some() {
+            tasks.push(tokio::spawn(startup::watch(Arc::clone(&core))));
+        }
         tasks.extend(gossip.map(|gossip| tokio::spawn(gossip.run())));
         if let Some((socket, _)) = exchange {
             let exchange = admission::Exchange::new(Arc::clone(&shares), socket);
@@ -372,6 +376,7 @@
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
         dialer: Arc::new(dial::Tcp),
         reach: reach::Reach::default(),
+        startup: startup::Startup::default(),
         resends: resends::Resends::default(),
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
@@ -453,6 +458,7 @@
         "origins": core.origins.dump(),
         "quarantine": core.quarantine.dump(),
         "reach": core.reach.dump(core.now()),
+        "startup": core.startup.dump(),
         "resends": core.resends.dump(core.now()),
     })
 }
