Quarantine parts of prompts that crash endpoints

Cause: the quarantine knows requests by a hash of workspace, path and body. These share only a part of their prompts, so each was seen once or twice.

Change: a request has several subjects, itself and the shared parts of its prompt, but for the last; all go through the same reports, log, view and permissions as fingerprints. - A part is accused at a death unless a response with it was completed here in the last 2 s. Three deaths bring it on probation: one request with it runs at a time, alone among suspects. Entries speak for parts that they have completed. - At a death under a permission the subject with the most crashes is condemned; of equals the request before its part, which sound requests may hold. A condemned part explains its deaths: they accuse nothing else any more, and what they accused is released. - A request with a condemned part is refused as its caller's error (400, no Retry-After). - A response without a marked end counts as complete once its endpoint is known to be alive after it. - A leader's first permissions come a lease after its term began, not after the first request for one.

Why it works: what all the crashes share is counted by itself, once for the whole fleet, and any complete response with it, anywhere, speaks for it.

--- a/crates/cranberrygap-bench/src/soak/quarantine/world.rs
+++ b/crates/cranberrygap-bench/src/soak/quarantine/world.rs
@@ -417,8 +417,8 @@
         let endpoint = self.random.random_range(0..ENDPOINTS);
         let place = place(endpoint, self.boots[endpoint]);
         let now = self.instant();
-        let started =
-            self.watches[entry].start_request(now, &place, &request.fingerprint, self.isolation);
+        let subjects = std::slice::from_ref(&request.fingerprint);
+        let started = self.watches[entry].start_request(now, &place, subjects, self.isolation);
         let Ok(number) = started else {
             self.deny(request);
             return Ok(());
@@ -528,7 +528,7 @@
         let (now, entry) = (self.instant(), request.entry);
         let complete = suspects::Ending::Complete;
         let was_suspect = self.watches[entry].finish_request(now, &place, number, complete);
-        if was_suspect || self.restricted[entry].contains_key(&request.fingerprint) {
+        if !was_suspect.is_empty() || self.restricted[entry].contains_key(&request.fingerprint) {
             self.clear(entry, &place, request.fingerprint.clone());
         }
     }
--- a/crates/cranberrygap-control/src/leadership.rs
+++ b/crates/cranberrygap-control/src/leadership.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Returns the time at which this term began here.
+    #[must_use]
+    pub const fn start(&self) -> duration::Instant {
+        self.start
+    }
+
     /// Returns the number of this term.
     #[must_use]
     pub const fn term(&self) -> number::Term {
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -232,7 +232,8 @@
         );
         let shares =
             shares::Coordinator::new(Arc::clone(&state), proposer.clone(), clock, metrics.clone());
-        let permissions = permission::Permissions::new(proposer.clone(), clock);
+        let permissions =
+            permission::Permissions::new(proposer.clone(), Arc::clone(&detector), clock);
         let orders =
             orders::Coordinator::new(Arc::clone(&state), proposer.clone(), endpoint_client, clock);
         let instance = settings.control.instance.clone();
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -9,6 +9,7 @@
 use cranberrygap_policy::stall;
 use cranberrygap_wire::settings;
 use parking_lot::{Mutex, MutexGuard};
+use smol_str::SmolStr;
 use tokio::sync::watch as watch_channel;
 
 use crate::admission;
@@ -186,15 +187,21 @@
     pub(crate) fn check_quarantine(
         &self,
         view: &view::Snapshot,
-        fingerprint: &str,
+        fingerprint: &SmolStr,
     ) -> Result<(), Refusal> {
         let isolation = quarantine::Isolation::AfterFirstCrash;
-        let stage = self
-            .quarantine
-            .stage(self.now(), view, fingerprint, isolation);
+        let stage = self.quarantine.stage(
+            self.now(),
+            view,
+            std::slice::from_ref(fingerprint),
+            isolation,
+        );
         match stage {
             quarantine::Stage::Refused(retry_after) => Err(Refusal::Quarantined { retry_after }),
-            quarantine::Stage::Free | quarantine::Stage::Probation => Ok(()),
+            // The parts of prompts are not named at the API.
+            quarantine::Stage::Free
+            | quarantine::Stage::Probation
+            | quarantine::Stage::PartRefused => Ok(()),
         }
     }
 }
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -203,7 +203,8 @@
                 address: destination.address,
             };
             let fingerprint = &self.request.fingerprint;
-            let begun = quarantine::Run::begin(&self.core, place, fingerprint, ISOLATION).await;
+            let subjects = std::slice::from_ref(fingerprint);
+            let begun = quarantine::Run::begin(&self.core, place, subjects, ISOLATION).await;
             let denial = match begun {
                 Ok(run) => return Ok((destination, run)),
                 Err(denial) => denial,
--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -68,6 +68,12 @@
         self.end == End::Connection && self.content == Content::Json
     }
 
+    /// Whether the end of the body is marked. Another one looks the same if the endpoint died.
+    #[must_use]
+    pub fn has_known_end(self) -> bool {
+        self.end != End::Connection
+    }
+
     /// Whether the connection can carry another response.
     #[must_use]
     pub fn keeps_connection(self) -> bool {
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -82,6 +82,7 @@
             Err(quarantine::Denial::Refused(retry_after)) => {
                 return Err(Failure::Quarantined { retry_after });
             }
+            Err(quarantine::Denial::PartRefused) => return Err(Failure::PartQuarantined),
         }
         let once_only = !matches!(self.kind(), traffic::Kind::Idempotent);
         let opening = self
@@ -165,14 +166,9 @@
 
     /// Registers the request at an endpoint before anything is sent.
     async fn begin_run(&self, target: &Target) -> Result<quarantine::Run, quarantine::Denial> {
-        let destination = &target.destination;
-        let place = quarantine::Place {
-            endpoint: destination.endpoint.clone(),
-            boot: destination.boot,
-            address: destination.address,
-        };
-        let (core, fingerprint) = (&self.gateway.core, &self.log.fingerprint);
-        quarantine::Run::begin(core, place, fingerprint, request::ISOLATION).await
+        let (core, subjects) = (&self.gateway.core, &self.request.subjects);
+        let place = target.destination.place();
+        quarantine::Run::begin(core, place, subjects, request::ISOLATION).await
     }
 
     async fn exchange(
@@ -240,6 +236,8 @@
             self.mark_permit_used();
             return Exchange::Done(Outcome::Unknown("the entry stood still beyond its lease"));
         }
+        let place = target.destination.place();
+        quarantine::record_alive(&core, &place.incarnation(), sent_at);
         let length = response.body().size_hint().exact();
         let framing = framing::Framing::new(response.headers(), length);
         self.log.framing = Some(framing);
@@ -395,7 +393,7 @@
         }
         in_flight.record_prefill();
         if head.status.is_success() {
-            in_flight.record_complete();
+            in_flight.record_complete(framing);
         }
         if framing.keeps_connection() {
             self.gateway.pool.put(connection);
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -137,11 +137,15 @@
         self.log.plan_version = self.resolution.plan_version;
         self.log.revision = view.revision().0;
         let quarantine = &self.gateway.core.quarantine;
-        let fingerprint = &self.log.fingerprint;
-        let stage = quarantine.stage(self.now(), &view, fingerprint, request::ISOLATION);
+        let subjects = &self.request.subjects;
+        let stage = quarantine.stage(self.now(), &view, subjects, request::ISOLATION);
         drop(view);
-        if let quarantine::Stage::Refused(left) = stage {
-            return Err(Failure::Quarantined { retry_after: left });
+        match stage {
+            quarantine::Stage::Refused(left) => {
+                return Err(Failure::Quarantined { retry_after: left });
+            }
+            quarantine::Stage::PartRefused => return Err(Failure::PartQuarantined),
+            quarantine::Stage::Free | quarantine::Stage::Probation => {}
         }
         self.runs_alone = stage == quarantine::Stage::Probation;
         let time_left = self.deadline().since(self.now());
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -20,6 +20,7 @@
 use smallvec::SmallVec;
 use smol_str::{SmolStr, format_smolstr};
 
+use crate::quarantine;
 use crate::view;
 
 pub(crate) use limits::{Claim, Wanted};
@@ -99,6 +100,17 @@
     pub software: Option<software::Version>,
 }
 
+impl Destination {
+    /// Where it runs, as the quarantine sees it.
+    pub(crate) fn place(&self) -> quarantine::Place {
+        quarantine::Place {
+            endpoint: self.endpoint.clone(),
+            boot: self.boot,
+            address: self.address,
+        }
+    }
+}
+
 /// The engine chosen for a request, with the estimates behind the choice.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Choice {
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -63,6 +63,9 @@
         /// Time after which it may run again.
         retry_after: duration::Span,
     },
+    /// Endpoints crashed under a part of its prompt, whatever else it held; it did not run. Its
+    /// caller gains nothing by coming back.
+    PartQuarantined,
     /// Its caller resumes a stream, and no entry knows which version began it; it did not run.
     UnknownOrigin {
         /// Time after which the caller may begin anew.
@@ -110,6 +113,7 @@
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::NotRun { .. } => "not_run",
             Self::Quarantined { .. } => "quarantined",
+            Self::PartQuarantined => "prompt_part_quarantined",
             Self::UnknownOrigin { .. } => "origin_unknown",
             Self::NoPath { .. } => "no_path",
             Self::OtherPlan { .. } => "other_plan",
@@ -145,7 +149,7 @@
             | Self::OtherPlan { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
-            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::Malformed(_) | Self::PartQuarantined => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody | Self::BrokenBody => StatusCode::REQUEST_TIMEOUT,
             Self::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/cranberrygap-entry/src/gateway/in_flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/in_flight.rs
@@ -6,6 +6,7 @@
 use cranberrygap_routing::prompt::prefix_cache;
 
 use crate::core;
+use crate::framing;
 use crate::quarantine;
 
 use super::delivery;
@@ -74,10 +75,15 @@
         self.run = run;
     }
 
-    /// Records that the complete response arrived.
-    pub(crate) fn record_complete(&mut self) {
-        if let Some(run) = &mut self.run {
+    /// Records that the response arrived and looks complete.
+    pub(crate) fn record_complete(&mut self, framing: framing::Framing) {
+        let Some(run) = &mut self.run else {
+            return;
+        };
+        if framing.has_known_end() {
             run.record_complete();
+        } else {
+            run.record_unconfirmed_end();
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use cranberrygap_model::{duration, id, token};
+use cranberrygap_model::{duration, id, subject, token};
 use cranberrygap_policy::limits::holder;
 use cranberrygap_policy::resend::scope;
 use cranberrygap_routing::origin;
@@ -79,6 +79,8 @@
     pub origin: Option<origin::Origin>,
     /// Number that selects a split of the route, the same for all attempts of a stream.
     pub split_draw: f64,
+    /// What is suspected if an endpoint dies under the request.
+    pub subjects: quarantine::Subjects,
 }
 
 /// What the plan in force says about a request.
@@ -202,6 +204,15 @@
         digest::hash_parts([workspace.as_bytes(), target.as_bytes(), &self.body])
     }
 
+    /// The request itself and the parts of its prompt, but for the last, which belongs to it or to
+    /// its session.
+    fn find_subjects(&self, fingerprint: &SmolStr) -> quarantine::Subjects {
+        let parts = &self.metadata.prompt_parts;
+        let shared = parts.split_last().map_or(&[][..], |(_own, shared)| shared);
+        let parts = shared.iter().map(|part| subject::part(part.id));
+        std::iter::once(fingerprint.clone()).chain(parts).collect()
+    }
+
     /// Tokens that the request costs its workspace.
     fn cost(&self, workspace: &Workspace) -> token::Count {
         if !workspace.by_tokens {
@@ -297,10 +308,15 @@
     let resolution = received.resolve(&view)?;
     log.revision = view.revision().0;
     log_resolution(log, &received, &resolution);
+    received.subjects = received.find_subjects(&log.fingerprint);
     let quarantine = &gateway.core.quarantine;
-    let stage = quarantine.stage(gateway.core.now(), &view, &log.fingerprint, ISOLATION);
-    if let quarantine::Stage::Refused(retry_after) = stage {
-        return Err(Failure::Quarantined { retry_after });
+    let stage = quarantine.stage(gateway.core.now(), &view, &received.subjects, ISOLATION);
+    match stage {
+        quarantine::Stage::Refused(retry_after) => {
+            return Err(Failure::Quarantined { retry_after });
+        }
+        quarantine::Stage::PartRefused => return Err(Failure::PartQuarantined),
+        quarantine::Stage::Free | quarantine::Stage::Probation => {}
     }
     drop(view);
     match received.forwarded_by {
@@ -401,6 +417,7 @@
         forwarded_by,
         origin: None,
         split_draw,
+        subjects: quarantine::Subjects::new(),
     })
 }
 
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -235,7 +235,7 @@
         let now = self.delivery.gateway.core.now();
         if let Some(mut upstream) = self.upstream.take() {
             upstream.in_flight.record_end(now);
-            upstream.in_flight.record_complete();
+            upstream.in_flight.record_complete(upstream.framing);
             if upstream.framing.keeps_connection() {
                 self.delivery.gateway.pool.put(upstream.connection);
             }
--- a/crates/cranberrygap-entry/src/quarantine.rs
+++ b/crates/cranberrygap-entry/src/quarantine.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use cranberrygap_link::clock;
-use cranberrygap_model::{address, duration, id, number};
+use cranberrygap_model::{address, duration, id, number, subject};
 use cranberrygap_policy::quarantine::suspects;
 use cranberrygap_wire::{claim, view as wire_view};
 use parking_lot::Mutex;
@@ -24,7 +24,7 @@
 use crate::view;
 
 pub(crate) use run::{Denial, Run};
-pub(crate) use suspects::Isolation;
+pub(crate) use suspects::{Isolation, Subjects};
 
 /// One boot of an endpoint and where it listens.
 #[derive(Debug, Clone)]
@@ -43,6 +43,8 @@
     Probation,
     /// It is refused for this time.
     Refused(duration::Span),
+    /// A part of its prompt is refused.
+    PartRefused,
 }
 
 /// Requests in progress by endpoint, and requests suspected to crash endpoints.
@@ -56,7 +58,7 @@
 }
 
 impl Place {
-    fn incarnation(&self) -> suspects::Incarnation {
+    pub(crate) fn incarnation(&self) -> suspects::Incarnation {
         suspects::Incarnation {
             endpoint: self.endpoint.clone(),
             boot: self.boot,
@@ -70,18 +72,37 @@
         &self,
         now: duration::Instant,
         view: &view::Snapshot,
-        fingerprint: &str,
+        subjects: &[SmolStr],
         isolation: Isolation,
     ) -> Stage {
-        let by_view = view.quarantine(fingerprint).map_or(Stage::Free, to_stage);
-        if by_view != Stage::Free {
-            return by_view;
-        }
         let tracker = self.tracker.lock();
-        if tracker.needs_permission(now, fingerprint, isolation) {
-            return Stage::Probation;
+        let mut stage = Stage::Free;
+        for subject in subjects {
+            match view.quarantine(subject).map_or(Stage::Free, to_stage) {
+                Stage::Refused(_) if subject::is_part(subject) => return Stage::PartRefused,
+                Stage::Refused(left) => return Stage::Refused(left),
+                Stage::Probation => stage = Stage::Probation,
+                _ if tracker.needs_permission(now, subject, isolation) => stage = Stage::Probation,
+                _ => {}
+            }
         }
-        Stage::Free
+        stage
+    }
+
+    /// The last subject of a request that runs only alone; it stands for the request where a
+    /// permission is asked for.
+    fn suspect<'subjects>(
+        &self,
+        now: duration::Instant,
+        view: &view::Snapshot,
+        subjects: &'subjects [SmolStr],
+        isolation: Isolation,
+    ) -> Option<&'subjects SmolStr> {
+        let mut subjects = subjects.iter().rev();
+        subjects.find(|subject| {
+            let alone = std::slice::from_ref(*subject);
+            self.stage(now, view, alone, isolation) == Stage::Probation
+        })
     }
 
     /// Number of suspects of this entry, for a dump.
@@ -137,7 +158,7 @@
             continue;
         }
         match to_stage(quarantine) {
-            Stage::Free => continue,
+            Stage::Free | Stage::PartRefused => continue,
             Stage::Probation => info!(
                 "quarantine: {fingerprint} runs only alone until {}: endpoints crashed under it",
                 quarantine.until
@@ -158,8 +179,7 @@
                 "quarantine: {fingerprint} was completed at {} and crashes no endpoint",
                 completed_at.endpoint
             );
-            let clearance = outbox::clearance(core, completed_at, fingerprint.clone());
-            core.quarantine.outbox.push(clearance);
+            outbox::clear(core, completed_at, vec![fingerprint.clone()]);
         }
     }
     for fingerprint in known.keys().filter(|known| !told.contains_key(*known)) {
@@ -168,14 +188,29 @@
     }
 }
 
+/// Records that an endpoint was alive after `since`: what ended with its connection before was
+/// complete.
+pub(crate) fn record_alive(
+    core: &core::Core,
+    incarnation: &suspects::Incarnation,
+    since: duration::Instant,
+) {
+    let cleared = {
+        let mut tracker = core.quarantine.tracker.lock();
+        tracker.confirm(core.now(), incarnation, since)
+    };
+    outbox::clear(core, incarnation.clone(), cleared.into_vec());
+}
+
 /// Logs the death of an endpoint and reports the requests that ran there to the leader.
 fn report_crash(core: &core::Core, crash: suspects::Crash) {
     let incarnation = crash.incarnation;
     warn!(
-        "quarantine: {} died while it ran {} requests of this entry that were not completed \
-         elsewhere",
+        "quarantine: {} died while it ran {} requests and prompt parts of this entry that were not \
+         completed elsewhere: {}",
         incarnation.endpoint,
-        crash.fingerprints.len()
+        crash.fingerprints.len(),
+        list_parts(&crash.fingerprints)
     );
     if crash.fingerprints.is_empty() {
         return;
@@ -190,6 +225,14 @@
     });
 }
 
+/// The first parts among subjects, for a log line.
+fn list_parts(subjects: &[SmolStr]) -> String {
+    const MOST: usize = 8;
+    let parts = subjects.iter().filter(|subject| subject::is_part(subject));
+    let parts: Vec<&str> = parts.take(MOST).map(SmolStr::as_str).collect();
+    parts.join(" ")
+}
+
 /// Sends what the leader has to know, until the process stops.
 pub(crate) async fn run_reports(core: Arc<core::Core>) {
     core.quarantine.outbox.run(&core).await;
--- a/crates/cranberrygap-entry/src/quarantine/outbox.rs
+++ b/crates/cranberrygap-entry/src/quarantine/outbox.rs
@@ -32,20 +32,23 @@
     added: Notify,
 }
 
-/// The report that a suspect got a complete response at an endpoint.
-pub(super) fn clearance(
+/// Reports that subjects got a complete response at an endpoint.
+pub(super) fn clear(
     core: &core::Core,
     completed_at: suspects::Incarnation,
-    fingerprint: SmolStr,
-) -> claim::Crash {
-    claim::Crash {
+    subjects: Vec<SmolStr>,
+) {
+    if subjects.is_empty() {
+        return;
+    }
+    core.quarantine.outbox.push(claim::Crash {
         endpoint: completed_at.endpoint,
         boot: completed_at.boot,
         instance: core.instance().clone(),
         fingerprints: Vec::new(),
-        cleared: vec![fingerprint],
+        cleared: subjects,
         probed: None,
-    }
+    });
 }
 
 impl Outbox {
--- a/crates/cranberrygap-entry/src/quarantine/run.rs
+++ b/crates/cranberrygap-entry/src/quarantine/run.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Run {
     core: Arc<core::Core>,
     place: Place,
-    fingerprint: SmolStr,
+    subjects: suspects::Subjects,
     number: u64,
     /// Permission of a suspect; it ends with the run.
     permission: Option<permission::Permission>,
@@ -32,6 +32,8 @@
     NotAlone,
     /// The request is refused for this time.
     Refused(duration::Span),
+    /// A part of its prompt is refused.
+    PartRefused,
 }
 
 impl Run {
@@ -43,21 +45,27 @@
     pub(crate) async fn begin(
         core: &Arc<core::Core>,
         place: Place,
-        fingerprint: &SmolStr,
+        subjects: &[SmolStr],
         isolation: suspects::Isolation,
     ) -> Result<Self, Denial> {
         let now = core.now();
         let view = core.view.latest();
-        let stage = view.map_or(Stage::Free, |view| {
-            core.quarantine.stage(now, &view, fingerprint, isolation)
+        let stage = view.as_ref().map_or(Stage::Free, |view| {
+            core.quarantine.stage(now, view, subjects, isolation)
         });
-        if let Stage::Refused(left) = stage {
-            return Err(Denial::Refused(left));
+        match stage {
+            Stage::Refused(left) => return Err(Denial::Refused(left)),
+            Stage::PartRefused => return Err(Denial::PartRefused),
+            Stage::Free | Stage::Probation => {}
         }
+        let suspect = view.and_then(|view| {
+            let suspect = core.quarantine.suspect(now, &view, subjects, isolation);
+            suspect.cloned()
+        });
         let incarnation = place.incarnation();
         let started = {
             let mut tracker = core.quarantine.tracker.lock();
-            tracker.start_request(now, &incarnation, fingerprint, isolation)
+            tracker.start_request(now, &incarnation, subjects, isolation)
         };
         let number = started.map_err(|denial| match denial {
             suspects::Denial::Dead => Denial::Dead,
@@ -66,29 +74,48 @@
         let mut run = Self {
             core: Arc::clone(core),
             place,
-            fingerprint: fingerprint.clone(),
+            subjects: subjects.iter().cloned().collect(),
             number,
             permission: None,
             has_ended: false,
         };
-        if stage == Stage::Probation {
-            let permission = permission::Permission::acquire(core, &incarnation, fingerprint).await;
+        if let Some(suspect) = suspect {
+            let permission = permission::Permission::acquire(core, &incarnation, &suspect).await;
             run.permission = Some(permission.ok_or(Denial::NotAlone)?);
         }
         Ok(run)
     }
 
-    /// Records that the complete response arrived. A suspect is cleared by it, and the leader
-    /// is told.
+    /// Records that the complete response arrived. Suspects are cleared by it, and the leader is
+    /// told.
     pub(crate) fn record_complete(&mut self) {
-        let was_suspect = self.end(suspects::Ending::Complete);
+        let cleared = self.end(suspects::Ending::Complete);
         let view = self.core.view.latest();
-        let is_restricted = view.is_some_and(|view| view.quarantine(&self.fingerprint).is_some());
-        if was_suspect || is_restricted {
-            let (place, fingerprint) = (self.place.incarnation(), self.fingerprint.clone());
-            let clearance = outbox::clearance(&self.core, place, fingerprint);
-            self.core.quarantine.outbox.push(clearance);
-        }
+        let subjects = self.subjects.iter();
+        let restricted = subjects.filter(|subject| {
+            let view = view.as_ref();
+            view.is_some_and(|view| view.quarantine(subject).is_some())
+        });
+        let restricted = restricted.filter(|subject| !cleared.contains(*subject));
+        let spoken_for = cleared.iter().chain(restricted).cloned().collect();
+        outbox::clear(&self.core, self.place.incarnation(), spoken_for);
+    }
+
+    /// Records that the response ended with its connection, as it does if the endpoint has died.
+    /// It counts as complete once the endpoint is known to be alive after it, and a suspect keeps
+    /// its permission until then.
+    pub(crate) fn record_unconfirmed_end(&mut self) {
+        self.end(suspects::Ending::Unconfirmed);
+        let (core, place, number) = (Arc::clone(&self.core), self.place.clone(), self.number);
+        let permission = self.permission.take();
+        tokio::spawn(async move {
+            let is_alive = evidence::confirm(&core, &place, number).await;
+            if let Some(permission) = permission
+                && !is_alive
+            {
+                permission.keep_until_lease_end();
+            }
+        });
     }
 
     /// Records that the connection broke, and checks in the background whether the endpoint is
@@ -113,9 +140,9 @@
         }
     }
 
-    fn end(&mut self, ending: suspects::Ending) -> bool {
+    fn end(&mut self, ending: suspects::Ending) -> suspects::Subjects {
         if self.has_ended {
-            return false;
+            return suspects::Subjects::new();
         }
         self.has_ended = true;
         let mut tracker = self.core.quarantine.tracker.lock();
--- a/crates/cranberrygap-model/src/lib.rs
+++ b/crates/cranberrygap-model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod rate;
 pub mod size;
 pub mod software;
+pub mod subject;
 pub mod token;
 
 mod parse_error;
--- a/crates/cranberrygap-policy/src/quarantine/completions.rs
+++ b/crates/cranberrygap-policy/src/quarantine/completions.rs
@@ -1,4 +1,4 @@
-//! Memory of requests that were completed recently.
+//! Memory of subjects that were completed recently.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -13,7 +13,7 @@
 /// Most completions that are remembered; the oldest are forgotten first.
 const MAX_COMPLETIONS: usize = 4_096;
 
-/// Completed requests by fingerprint.
+/// Completed subjects.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
     completed: BTreeMap<SmolStr, Completion>,
@@ -60,6 +60,17 @@
         recent.map(|completion| completion.incarnation)
     }
 
+    /// Whether a subject was completed less than `span` ago.
+    pub(super) fn is_recent(
+        &self,
+        now: duration::Instant,
+        subject: &str,
+        span: duration::Span,
+    ) -> bool {
+        let completion = self.completed.get(subject);
+        completion.is_some_and(|completion| now.since(completion.at) < span)
+    }
+
     fn forget_oldest(&mut self) {
         let Some((at, fingerprint)) = self.order.pop_front() else {
             return;
--- a/crates/cranberrygap-policy/src/quarantine/suspects.rs
+++ b/crates/cranberrygap-policy/src/quarantine/suspects.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cranberrygap_model::{duration, id, number};
+use cranberrygap_model::{duration, id, number, subject};
 use serde::Serialize;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use super::completions;
@@ -14,6 +15,14 @@
 /// not stay suspect forever.
 const SUSPICION_DURATION: duration::Span = duration::Span::from_secs(600);
 
+/// Crashes under a part of prompts after which requests with it run only alone. Many requests hold
+/// one part, and a wave of ordinary crashes hits parts twice more often than requests.
+const PART_ISOLATION_CRASHES: usize = 3;
+
+/// Time for which a completion keeps a part from being suspected. Common parts are completed all
+/// the time, and a culprit never is.
+const PART_CLEARANCE: duration::Span = duration::Span::from_secs(2);
+
 /// Time for which a request whose connection broke is kept. A new boot of its endpoint may be
 /// announced some seconds after the crash.
 const BREAK_RETENTION: duration::Span = duration::Span::from_secs(15);
@@ -21,6 +30,10 @@
 /// Most suspects that are kept; the oldest are dropped first.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// What is suspected if the endpoint of a request dies: the request itself and shared parts of its
+/// prompt, in order.
+pub type Subjects = SmallVec<[SmolStr; 4]>;
+
 /// One boot of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct Incarnation {
@@ -35,7 +48,7 @@
 pub struct Crash {
     /// Endpoint and boot that died.
     pub incarnation: Incarnation,
-    /// Fingerprints of the requests of this entry that ran there.
+    /// Subjects of the requests of this entry that ran there.
     pub fingerprints: Vec<SmolStr>,
     /// The suspect that ran there with the leader's permission.
     pub probed: Option<SmolStr>,
@@ -66,6 +79,8 @@
 pub enum Ending {
     /// With a complete response.
     Complete,
+    /// With a response that ended with its connection. It looks the same if the endpoint died.
+    Unconfirmed,
     /// Without a complete response, while its connection held.
     Incomplete,
     /// Its connection broke; the endpoint may have crashed.
@@ -86,8 +101,10 @@
 /// A request that was sent to an endpoint.
 #[derive(Debug)]
 struct Run {
-    fingerprint: SmolStr,
+    subjects: Subjects,
     broken_at: Option<duration::Instant>,
+    /// When its response ended with its connection.
+    unconfirmed_since: Option<duration::Instant>,
 }
 
 /// Crashes under a fingerprint that this entry has seen.
@@ -98,7 +115,11 @@
 }
 
 impl Isolation {
-    const fn crashes(self) -> usize {
+    /// Crashes after which a subject runs only alone.
+    fn crashes(self, subject: &str) -> usize {
+        if subject::is_part(subject) {
+            return PART_ISOLATION_CRASHES;
+        }
         match self {
             Self::AfterFirstCrash => 1,
             Self::AfterSecondCrash => 2,
@@ -116,21 +137,23 @@
         &mut self,
         now: duration::Instant,
         incarnation: &Incarnation,
-        fingerprint: &SmolStr,
+        subjects: &[SmolStr],
         isolation: Isolation,
     ) -> Result<u64, Denial> {
         if self.dead.contains_key(incarnation) {
             return Err(Denial::Dead);
         }
-        if self.needs_permission(now, fingerprint, isolation)
-            && self.has_other_suspect(now, incarnation, fingerprint, isolation)
+        let mut suspects = subjects.iter();
+        if suspects.any(|subject| self.needs_permission(now, subject, isolation))
+            && self.has_other_suspect(now, incarnation, subjects, isolation)
         {
             return Err(Denial::OtherSuspect);
         }
         self.last_number += 1;
         let run = Run {
-            fingerprint: fingerprint.clone(),
+            subjects: subjects.iter().cloned().collect(),
             broken_at: None,
+            unconfirmed_since: None,
         };
         self.running
             .entry(incarnation.clone())
@@ -139,38 +162,93 @@
         Ok(self.last_number)
     }
 
-    /// Records how a request ended; returns true if it was suspect and is cleared.
+    /// Records how a request ended; returns the suspects among its subjects, which are cleared.
     ///
-    /// A suspect with a complete response is innocent, since a culprit crashes every endpoint.
+    /// A suspect with a complete response is innocent, since a culprit crashes every endpoint. A
+    /// response whose end is unconfirmed waits for [`Tracker::confirm`] or the endpoint's death.
     pub fn finish_request(
         &mut self,
         now: duration::Instant,
         incarnation: &Incarnation,
         number: u64,
         ending: Ending,
-    ) -> bool {
+    ) -> Subjects {
         let Some(requests) = self.running.get_mut(incarnation) else {
-            return false;
+            return Subjects::new();
         };
-        if ending == Ending::Broken {
-            if let Some(run) = requests.get_mut(&number) {
-                run.broken_at = Some(now);
+        match ending {
+            Ending::Broken | Ending::Unconfirmed => {
+                if let Some(run) = requests.get_mut(&number) {
+                    let is_broken = ending == Ending::Broken;
+                    run.broken_at = is_broken.then_some(now);
+                    run.unconfirmed_since = (!is_broken).then_some(now);
+                }
+                Subjects::new()
+            }
+            Ending::Complete | Ending::Incomplete => {
+                let run = requests.remove(&number);
+                if requests.is_empty() {
+                    self.running.remove(incarnation);
+                }
+                let complete = run.filter(|_| ending == Ending::Complete);
+                complete.map_or_else(Subjects::new, |run| {
+                    self.record_completion(now, incarnation, run.subjects)
+                })
             }
-            return false;
         }
-        let run = requests.remove(&number);
+    }
+
+    /// Records that an endpoint was alive after `since`; returns the suspects that are cleared.
+    ///
+    /// Responses that ended with their connections before were complete.
+    pub fn confirm(
+        &mut self,
+        now: duration::Instant,
+        incarnation: &Incarnation,
+        since: duration::Instant,
+    ) -> Subjects {
+        let Some(requests) = self.running.get_mut(incarnation) else {
+            return Subjects::new();
+        };
+        let ended = requests.extract_if(.., |_, run| {
+            run.unconfirmed_since.is_some_and(|ended| ended <= since)
+        });
+        let confirmed: Vec<Subjects> = ended.map(|(_, run)| run.subjects).collect();
         if requests.is_empty() {
             self.running.remove(incarnation);
         }
-        match run {
-            Some(run) if ending == Ending::Complete => {
-                let was_suspect = self.suspects.remove(&run.fingerprint).is_some();
-                let place = incarnation.clone();
-                self.completions.record(now, run.fingerprint, place);
-                was_suspect
+        let confirmed = confirmed.into_iter();
+        confirmed
+            .flat_map(|subjects| self.record_completion(now, incarnation, subjects))
+            .collect()
+    }
+
+    /// Whether the end of a response is unconfirmed still.
+    #[must_use]
+    pub fn is_unconfirmed(&self, incarnation: &Incarnation, number: u64) -> bool {
+        let run = self
+            .running
+            .get(incarnation)
+            .and_then(|runs| runs.get(&number));
+        run.is_some_and(|run| run.unconfirmed_since.is_some())
+    }
+
+    /// Records that the subjects were completed; returns the suspects among them.
+    fn record_completion(
+        &mut self,
+        now: duration::Instant,
+        incarnation: &Incarnation,
+        subjects: Subjects,
+    ) -> Subjects {
+        let mut cleared = Subjects::new();
+        for subject in subjects {
+            if self.suspects.remove(&subject).is_some() {
+                cleared.push(subject.clone());
             }
-            _ => false,
+            let place = incarnation.clone();
+            self.completions.record(now, subject, place);
         }
+        cleared
     }
 
     /// Records that an endpoint is dead and makes every request that ran on it suspect.
@@ -178,7 +256,7 @@
     /// An endpoint is dead when it refuses connections or has returned with another boot. A
     /// broken connection alone is no evidence: anything on the network path may have cut it,
     /// and innocent requests would become suspect. A request that was completed elsewhere since
-    /// it was last suspected is not suspected either.
+    /// it was last suspected is not suspected either, nor is a part that was completed lately.
     pub fn record_death(
         &mut self,
         now: duration::Instant,
@@ -187,11 +265,17 @@
         self.drop_expired(now);
         let requests = self.running.remove(incarnation)?;
         self.dead.insert(incarnation.clone(), now);
-        let fingerprints: BTreeSet<SmolStr> =
-            requests.into_values().map(|run| run.fingerprint).collect();
+        let subjects = requests.into_values().flat_map(|run| run.subjects);
+        let subjects: BTreeSet<SmolStr> = subjects.collect();
         let mut accused = Vec::new();
-        for fingerprint in fingerprints {
-            if self.completions.take(now, &fingerprint).is_some() {
+        for fingerprint in subjects {
+            let is_cleared = if subject::is_part(&fingerprint) {
+                self.completions
+                    .is_recent(now, &fingerprint, PART_CLEARANCE)
+            } else {
+                self.completions.take(now, &fingerprint).is_some()
+            };
+            if is_cleared {
                 continue;
             }
             let suspicion = self.suspects.entry(fingerprint.clone());
@@ -227,7 +311,7 @@
         crashes.collect()
     }
 
-    /// Returns whether this entry has seen so many crashes under a request that it needs the
+    /// Returns whether this entry has seen so many crashes under a subject that it needs the
     /// leader's permission, whether or not the leader knows of them yet.
     #[must_use]
     pub fn needs_permission(
@@ -238,7 +322,7 @@
     ) -> bool {
         let suspicion = self.suspects.get(fingerprint);
         suspicion.is_some_and(|suspicion| {
-            suspicion.crashes.len() >= isolation.crashes()
+            suspicion.crashes.len() >= isolation.crashes(fingerprint)
                 && now.since(suspicion.last_crash) < SUSPICION_DURATION
         })
     }
@@ -299,18 +383,18 @@
         self.suspects.len()
     }
 
+    /// Whether another request runs there that is suspect by a subject beside `subjects`.
     fn has_other_suspect(
         &self,
         now: duration::Instant,
         incarnation: &Incarnation,
-        fingerprint: &str,
+        subjects: &[SmolStr],
         isolation: Isolation,
     ) -> bool {
-        let mut running = self.running.get(incarnation).into_iter().flatten();
-        running.any(|(_, run)| {
-            run.fingerprint != fingerprint
-                && self.needs_permission(now, &run.fingerprint, isolation)
-        })
+        let runs = self.running.get(incarnation).into_iter().flatten();
+        let mut others = runs.flat_map(|(_, run)| &run.subjects);
+        others
+            .any(|other| !subjects.contains(other) && self.needs_permission(now, other, isolation))
     }
 
     fn drop_expired(&mut self, now: duration::Instant) {
@@ -320,8 +404,8 @@
             .retain(|_, since| now.since(*since) < SUSPICION_DURATION);
         self.running.retain(|_, requests| {
             requests.retain(|_, run| {
-                run.broken_at
-                    .is_none_or(|broken_at| now.since(broken_at) < BREAK_RETENTION)
+                let ended_at = run.broken_at.or(run.unconfirmed_since);
+                ended_at.is_none_or(|ended_at| now.since(ended_at) < BREAK_RETENTION)
             });
             !requests.is_empty()
         });
--- a/crates/cranberrygap-policy/tests/suspects.rs
+++ b/crates/cranberrygap-policy/tests/suspects.rs
@@ -24,7 +24,7 @@
     fingerprint: &SmolStr,
 ) -> u64 {
     tracker
-        .start_request(at(0), incarnation, fingerprint, LATER)
+        .start_request(at(0), incarnation, std::slice::from_ref(fingerprint), LATER)
         .expect("it may run there")
 }
 
@@ -134,7 +134,7 @@
     let complete = suspects::Ending::Complete;
     let cleared = tracker.finish_request(at(0), &incarnation(2), again, complete);
 
-    assert!(cleared);
+    assert_eq!(cleared.as_slice(), std::slice::from_ref(&innocent));
     assert!(!tracker.needs_permission(at(1), "innocent", SOON));
 }
 
@@ -145,8 +145,10 @@
     let mut tracker = suspects::Tracker::default();
     let (first, second) = (SmolStr::new("first"), SmolStr::new("second"));
     crash_under(&mut tracker, 1, &[&first, &second]);
-    let mut try_start =
-        |boot, fingerprint| tracker.start_request(at(1), &incarnation(boot), fingerprint, SOON);
+    let mut try_start = |boot, fingerprint| {
+        let subjects = std::slice::from_ref(fingerprint);
+        tracker.start_request(at(1), &incarnation(boot), subjects, SOON)
+    };
 
     let dead = try_start(1, &first);
     let alone = try_start(2, &first);
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cranberrygap_model::{duration, id, number};
+use cranberrygap_model::{duration, id, number, subject};
 use cranberrygap_wire::{claim, view};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -15,10 +15,14 @@
 /// A wave of ordinary crashes hits hundreds of requests once and hardly any twice.
 const PROBATION_CRASHES: usize = 2;
 
+/// The same for a part of prompts.
+const PART_PROBATION_CRASHES: usize = 3;
+
 /// Most requests on probation; those whose probation ends first are released first.
 const MAX_PROBATIONS: usize = 1_024;
 
-/// Suspected requests, and requests that are restricted or refused for a time, by fingerprint.
+/// Suspected requests and parts of prompts, and those that are restricted or refused for a time, by
+/// subject.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Quarantines {
     suspects: BTreeMap<SmolStr, Suspect>,
@@ -48,8 +52,9 @@
 impl Quarantines {
     /// Applies a crash report.
     ///
-    /// A request under which several endpoints crashed comes on probation, and one that crashed
-    /// an endpoint alone is quarantined. Both last for `span`.
+    /// A subject under which several endpoints crashed comes on probation, and one that crashed
+    /// an endpoint alone is quarantined. Both last for `span`. A death under a quarantined part
+    /// is explained and accuses nothing else.
     pub fn apply(&mut self, at: u64, span: duration::Span, step: &Step) -> Vec<view::Change> {
         let until = at + span.0 / 1_000;
         let mut changes = self.release_expired(at, span);
@@ -58,29 +63,122 @@
             changes.extend(self.release(fingerprint));
         }
         let process = (crash.endpoint.clone(), crash.boot);
+        if let Some(explaining) = self.explaining_part(crash, &process) {
+            self.accuse(at, &explaining, &process);
+            return changes;
+        }
+        let accused = crash.fingerprints.iter();
+        let accused = accused.filter(|fingerprint| !self.active.contains_key(*fingerprint));
+        let accused: Vec<SmolStr> = accused.cloned().collect();
+        for fingerprint in &accused {
+            self.accuse(at, fingerprint, &process);
+        }
         // Innocent requests run on the same endpoint as the culprit, and entries report
         // independently of each other. Only a suspect that ran there with the leader's
         // permission is certain to have been the only suspect there.
-        let probed = crash.probed.clone();
-        let culprit = probed.filter(|probed| self.is_suspect_elsewhere(probed, &process));
-        for fingerprint in &crash.fingerprints {
-            if self.active.contains_key(fingerprint) {
-                continue;
-            }
-            let suspect = self.suspects.entry(fingerprint.clone()).or_default();
-            suspect.last_report = at;
-            suspect.crashes.insert(process.clone());
-            if suspect.crashes.len() >= PROBATION_CRASHES && culprit.as_ref() != Some(fingerprint) {
+        let probed = crash.probed.as_ref();
+        let culprit = probed.and_then(|probed| self.find_culprit(probed, &accused));
+        for fingerprint in &accused {
+            if culprit.as_ref() != Some(fingerprint) && self.needs_probation(fingerprint) {
                 changes.extend(self.put_on_probation(fingerprint, until));
             }
         }
         if let Some(culprit) = culprit {
             changes.push(self.quarantine(&culprit, until));
+            if subject::is_part(&culprit) {
+                changes.extend(self.release_explained(&culprit));
+            }
         }
         self.evict_oldest_suspects();
         changes
     }
 
+    fn accuse(&mut self, at: u64, subject: &SmolStr, process: &(id::Endpoint, number::Boot)) {
+        let suspect = self.suspects.entry(subject.clone()).or_default();
+        suspect.last_report = at;
+        suspect.crashes.insert(process.clone());
+    }
+
+    /// The quarantined part under which a process died.
+    fn explaining_part(
+        &self,
+        crash: &claim::Crash,
+        process: &(id::Endpoint, number::Boot),
+    ) -> Option<SmolStr> {
+        let mut parts = self
+            .active
+            .keys()
+            .filter(|subject| subject::is_part(subject));
+        let explains = |part: &&SmolStr| {
+            let suspect = self.suspects.get(*part);
+            let is_known = suspect.is_some_and(|suspect| suspect.crashes.contains(process));
+            is_known || crash.fingerprints.contains(*part)
+        };
+        parts.find(explains).cloned()
+    }
+
+    /// The culprit of a crash, of which the suspect `probed` was the only one there.
+    ///
+    /// The request has several subjects, and the one with the most crashes explains them best. Of
+    /// those with as many, the request itself is taken before a part of it, which sound requests
+    /// may hold; the part then stays on probation.
+    fn find_culprit(&self, probed: &SmolStr, accused: &[SmolStr]) -> Option<SmolStr> {
+        let count = |subject: &SmolStr| {
+            let suspect = self.suspects.get(subject);
+            suspect.map_or(0, |suspect| suspect.crashes.len())
+        };
+        let is_suspect = |subject: &&SmolStr| {
+            let may_stand_with = subject::is_part(probed) || subject::is_part(subject);
+            *subject == probed || (may_stand_with && self.probations.contains_key(*subject))
+        };
+        let suspects = accused.iter().filter(is_suspect);
+        let culprit = suspects.max_by_key(|subject| {
+            (
+                count(subject),
+                !subject::is_part(subject),
+                *subject == probed,
+            )
+        })?;
+        let least = if subject::is_part(culprit) {
+            PART_PROBATION_CRASHES
+        } else {
+            PROBATION_CRASHES
+        };
+        (count(culprit) >= least).then(|| culprit.clone())
+    }
+
+    fn needs_probation(&self, subject: &str) -> bool {
+        let least = if subject::is_part(subject) {
+            PART_PROBATION_CRASHES
+        } else {
+            PROBATION_CRASHES
+        };
+        let suspect = self.suspects.get(subject);
+        suspect.is_some_and(|suspect| suspect.crashes.len() >= least)
+    }
+
+    /// Takes the crashes under a quarantined part off all other subjects, and releases those that
+    /// nothing else accuses.
+    fn release_explained(&mut self, part: &SmolStr) -> Vec<view::Change> {
+        let explained = self.suspects.get(part);
+        let explained = explained
+            .map(|part| part.crashes.clone())
+            .unwrap_or_default();
+        let mut cleared = Vec::new();
+        for (other, suspect) in &mut self.suspects {
+            if other == part {
+                continue;
+            }
+            let before = suspect.crashes.len();
+            suspect.crashes.retain(|crash| !explained.contains(crash));
+            if suspect.crashes.len() < before && suspect.crashes.len() < PROBATION_CRASHES {
+                cleared.push(other.clone());
+            }
+        }
+        let released = cleared.iter().filter_map(|subject| self.release(subject));
+        released.collect()
+    }
+
     /// Forgets all that is known of a request; `None` if it was not restricted.
     ///
     /// A request with a complete response crashes no endpoint, and an operator may know better.
@@ -129,17 +227,7 @@
         changes
     }
 
-    fn is_suspect_elsewhere(
-        &self,
-        fingerprint: &SmolStr,
-        process: &(id::Endpoint, number::Boot),
-    ) -> bool {
-        let suspect = self.suspects.get(fingerprint);
-        suspect.is_some_and(|suspect| suspect.crashes.iter().any(|other| other != process))
-    }
-
     fn quarantine(&mut self, fingerprint: &SmolStr, until: u64) -> view::Change {
-        self.suspects.remove(fingerprint);
         self.probations.remove(fingerprint);
         self.active.insert(fingerprint.clone(), until);
         view::Change::Quarantined {
@@ -148,8 +236,10 @@
     }
 
     fn release_expired(&mut self, at: u64, span: duration::Span) -> Vec<view::Change> {
-        self.suspects
-            .retain(|_, suspect| at < suspect.last_report + span.0 / 1_000);
+        let active = &self.active;
+        self.suspects.retain(|subject, suspect| {
+            active.contains_key(subject) || at < suspect.last_report + span.0 / 1_000
+        });
         let ends = self.active.iter().chain(&self.probations);
         let expired = ends.filter(|(_, until)| **until <= at);
         let expired: Vec<SmolStr> = expired
@@ -163,9 +253,9 @@
 
     fn evict_oldest_suspects(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
-            let oldest = self
-                .suspects
-                .iter()
+            let candidates = self.suspects.iter();
+            let oldest = candidates
+                .filter(|(subject, _)| !self.active.contains_key(*subject))
                 .min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.last_report));
             let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
                 return;
