--- a/crates/cranberrygap-bench/src/soak/quarantine/world.rs
+++ b/crates/cranberrygap-bench/src/soak/quarantine/world.rs
@@ -680,14 +680,14 @@
     }
 }
 
-fn place(endpoint: usize, boot: u64) -> suspects::Incarnation {
+pub(super) fn place(endpoint: usize, boot: u64) -> suspects::Incarnation {
     suspects::Incarnation {
         endpoint: format!("runner-{endpoint}").parse().expect("a valid name"),
         boot: number::Boot(boot),
     }
 }
 
-fn crash(
+pub(super) fn crash(
     entry: usize,
     place: &suspects::Incarnation,
     fingerprints: Vec<SmolStr>,
@@ -703,7 +703,7 @@
     }
 }
 
-fn leave(entry: usize, fingerprint: &SmolStr) -> permission::Permission {
+pub(super) fn leave(entry: usize, fingerprint: &SmolStr) -> permission::Permission {
     permission::Permission {
         fingerprint: fingerprint.clone(),
         instance: format!("entry-{entry}").parse().expect("a valid name"),
--- a/crates/cranberrygap-bench/tests/soak_quarantine.rs
+++ b/crates/cranberrygap-bench/tests/soak_quarantine.rs
@@ -1,6 +1,7 @@
 //! The seeded run of the quarantine: clean as built, and able to find mistakes.
 
 use cranberrygap_bench::soak::Violation;
+use cranberrygap_bench::soak::quarantine::parts::{self, Flaw, Setting};
 use cranberrygap_bench::soak::quarantine::world::{self, Fault, Trouble};
 use cranberrygap_policy::quarantine::suspects::Isolation;
 
@@ -72,3 +73,45 @@
 
     assert!(violation.invariant.contains("third crash"), "{violation}");
 }
+
+fn run_parts(seed: u64, entries: usize, has_trouble: bool, flaw: Flaw) -> Result<(), Violation> {
+    const TWO_SERIES: u64 = 9_000;
+    let setting = Setting {
+        entries,
+        has_trouble,
+        flaw,
+    };
+    parts::run(seed, TWO_SERIES, setting).map(drop)
+}
+
+// No two requests are alike that crash endpoints, and they share a part with nobody. Few of them
+// may reach endpoints, and sound requests with the same first part must begin.
+#[test]
+fn parts_are_recognised_and_sound_requests_begin() {
+    for (entries, has_trouble) in [(8, false), (8, true), (24, true)] {
+        for seed in 1..=3 {
+            let result = run_parts(seed, entries, has_trouble, Flaw::None);
+
+            assert!(result.is_ok(), "{entries}: {}", result.unwrap_err());
+        }
+    }
+}
+
+// Without parts each request is seen once or twice.
+#[test]
+fn series_that_is_not_recognised_is_found() {
+    let violation = run_parts(1, 8, false, Flaw::NoParts).unwrap_err();
+
+    assert!(violation.invariant.contains("fifth crash"), "{violation}");
+}
+
+// Refusing the first part stops the series, and sound requests with it.
+#[test]
+fn condemned_first_part_is_found() {
+    let violation = run_parts(1, 8, false, Flaw::CondemnedFirstPart).unwrap_err();
+
+    assert!(
+        violation.invariant.contains("sound requests"),
+        "{violation}"
+    );
+}
--- a/crates/cranberrygap-entry/src/quarantine.rs
+++ b/crates/cranberrygap-entry/src/quarantine.rs
@@ -79,11 +79,13 @@
         let mut stage = Stage::Free;
         for subject in subjects {
             match view.quarantine(subject).map_or(Stage::Free, to_stage) {
-                Stage::Refused(_) if subject::is_part(subject) => return Stage::PartRefused,
+                Stage::PartRefused => return Stage::PartRefused,
                 Stage::Refused(left) => return Stage::Refused(left),
                 Stage::Probation => stage = Stage::Probation,
-                _ if tracker.needs_permission(now, subject, isolation) => stage = Stage::Probation,
-                _ => {}
+                Stage::Free if tracker.needs_permission(now, subject, isolation) => {
+                    stage = Stage::Probation;
+                }
+                Stage::Free => {}
             }
         }
         stage
@@ -116,12 +118,14 @@
 
 fn to_stage(quarantine: &wire_view::Quarantine) -> Stage {
     let left = quarantine.until.saturating_sub(clock::unix_millis());
-    if left == 0 {
-        return Stage::Free;
-    }
+    let is_part = subject::is_part(&quarantine.fingerprint);
     match quarantine.probation {
+        // The end of its time is a trial.
+        None | Some(false) if is_part && left == 0 => Stage::Probation,
+        None | Some(false) if is_part => Stage::PartRefused,
+        _ if left == 0 => Stage::Free,
         Some(true) => Stage::Probation,
-        _ => Stage::Refused(duration::Span::from_millis(left)),
+        None | Some(false) => Stage::Refused(duration::Span::from_millis(left)),
     }
 }
 
@@ -158,12 +162,12 @@
             continue;
         }
         match to_stage(quarantine) {
-            Stage::Free | Stage::PartRefused => continue,
+            Stage::Free => continue,
             Stage::Probation => info!(
                 "quarantine: {fingerprint} runs only alone until {}: endpoints crashed under it",
                 quarantine.until
             ),
-            Stage::Refused(_) => warn!(
+            Stage::Refused(_) | Stage::PartRefused => warn!(
                 "quarantine: {fingerprint} is refused until {}: it crashed endpoints",
                 quarantine.until
             ),
--- a/crates/cranberrygap-policy/tests/suspects.rs
+++ b/crates/cranberrygap-policy/tests/suspects.rs
@@ -204,3 +204,88 @@
     assert!(after_end);
     assert!(after_lease);
 }
+
+/// Starts a request with a part of its prompt.
+fn start_with_part(tracker: &mut suspects::Tracker, boot: u64, request: &str, part: &str) -> u64 {
+    let subjects = [SmolStr::new(request), SmolStr::new(part)];
+    let started = tracker.start_request(at(0), &incarnation(boot), &subjects, LATER);
+    started.expect("it may run there")
+}
+
+// A response that ends with its connection looks whole when its endpoint has died between two
+// events. Taken for complete, it would clear the culprit.
+#[test]
+fn unconfirmed_end_is_accused_if_its_endpoint_is_dead() {
+    let mut tracker = suspects::Tracker::default();
+    let run = start_with_part(&mut tracker, 1, "culprit", "part:bad");
+
+    let ending = suspects::Ending::Unconfirmed;
+    let cleared = tracker.finish_request(at(10), &incarnation(1), run, ending);
+    let crash = tracker.record_death(at(200), &incarnation(1)).unwrap();
+
+    assert!(cleared.is_empty());
+    assert_eq!(crash.fingerprints, ["culprit", "part:bad"]);
+}
+
+#[test]
+fn unconfirmed_end_is_complete_once_its_endpoint_was_alive_after_it() {
+    let mut tracker = suspects::Tracker::default();
+    let run = start_with_part(&mut tracker, 1, "request", "part:sound");
+    let ending = suspects::Ending::Unconfirmed;
+    tracker.finish_request(at(10), &incarnation(1), run, ending);
+
+    tracker.confirm(at(20), &incarnation(1), at(9));
+    assert!(
+        tracker.is_unconfirmed(&incarnation(1), run),
+        "sent before the end"
+    );
+    tracker.confirm(at(20), &incarnation(1), at(10));
+
+    assert!(!tracker.is_unconfirmed(&incarnation(1), run));
+    assert!(tracker.record_death(at(30), &incarnation(1)).is_none());
+    start_with_part(&mut tracker, 2, "other", "part:sound");
+    let crash = tracker.record_death(at(40), &incarnation(2)).unwrap();
+    assert_eq!(crash.fingerprints, ["other"]);
+}
+
+// Most requests hold a common part, and endpoints crash in waves for other reasons.
+#[test]
+fn part_that_was_completed_lately_is_not_accused() {
+    let mut tracker = suspects::Tracker::default();
+    let complete = suspects::Ending::Complete;
+    let run = start_with_part(&mut tracker, 9, "request", "part:common");
+    tracker.finish_request(at(1_000), &incarnation(9), run, complete);
+
+    let mut accused = Vec::new();
+    for (boot, now) in [(1, 1_100), (2, 2_999), (3, 3_000)] {
+        start_with_part(
+            &mut tracker,
+            boot,
+            &format!("request-{boot}"),
+            "part:common",
+        );
+        let crash = tracker.record_death(at(now), &incarnation(boot)).unwrap();
+        accused.push(
+            crash
+                .fingerprints
+                .iter()
+                .any(|subject| subject == "part:common"),
+        );
+    }
+
+    assert_eq!(accused, [false, false, true]);
+}
+
+// A request that crashes endpoints by itself comes on probation sooner than one of its parts.
+#[test]
+fn part_needs_permission_only_after_its_third_crash() {
+    let mut tracker = suspects::Tracker::default();
+    let mut needs = Vec::new();
+    for boot in 1..=3 {
+        start_with_part(&mut tracker, boot, &format!("request-{boot}"), "part:bad");
+        tracker.record_death(at(0), &incarnation(boot));
+        needs.push(tracker.needs_permission(at(1), "part:bad", LATER));
+    }
+
+    assert_eq!(needs, [false, false, true]);
+}
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -18,6 +18,9 @@
 /// The same for a part of prompts.
 const PART_PROBATION_CRASHES: usize = 3;
 
+/// Doublings of the time for which a part is refused, at most.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// Most requests on probation; those whose probation ends first are released first.
 const MAX_PROBATIONS: usize = 1_024;
 
@@ -40,6 +43,9 @@
     #[serde(rename = "latest")]
     last_report: u64,
     crashes: BTreeSet<(id::Endpoint, number::Boot)>,
+    /// Times that it was quarantined.
+    #[serde(default)]
+    verdicts: u32,
 }
 
 /// Report of an endpoint that died while these requests ran on it.
@@ -84,7 +90,7 @@
             }
         }
         if let Some(culprit) = culprit {
-            changes.push(self.quarantine(&culprit, until));
+            changes.push(self.quarantine(at, span, &culprit));
             if subject::is_part(&culprit) {
                 changes.extend(self.release_explained(&culprit));
             }
@@ -227,7 +233,13 @@
         changes
     }
 
-    fn quarantine(&mut self, fingerprint: &SmolStr, until: u64) -> view::Change {
+    /// Quarantines a subject for `span`. A part that was quarantined before has crashed another
+    /// endpoint at its trial, and is refused for twice as long each time.
+    fn quarantine(&mut self, at: u64, span: duration::Span, fingerprint: &SmolStr) -> view::Change {
+        let suspect = self.suspects.entry(fingerprint.clone()).or_default();
+        let doublings = suspect.verdicts.min(MAX_DOUBLINGS);
+        suspect.verdicts += 1;
+        let until = at + ((span.0 / 1_000) << doublings);
         self.probations.remove(fingerprint);
         self.active.insert(fingerprint.clone(), until);
         view::Change::Quarantined {
@@ -235,10 +247,26 @@
         }
     }
 
+    /// Ends what is over. A part comes on probation first, so that its trial costs one endpoint at
+    /// most.
     fn release_expired(&mut self, at: u64, span: duration::Span) -> Vec<view::Change> {
-        let active = &self.active;
+        let mut changes = Vec::new();
+        let is_over =
+            |(subject, until): &(&SmolStr, &u64)| subject::is_part(subject) && **until <= at;
+        let tried: Vec<SmolStr> = self
+            .active
+            .iter()
+            .filter(is_over)
+            .map(|(part, _)| part.clone())
+            .collect();
+        for part in tried {
+            self.active.remove(&part);
+            changes.extend(self.put_on_probation(&part, at + span.0 / 1_000));
+        }
+        let (active, probations) = (&self.active, &self.probations);
         self.suspects.retain(|subject, suspect| {
-            active.contains_key(subject) || at < suspect.last_report + span.0 / 1_000
+            let is_restricted = active.contains_key(subject) || probations.contains_key(subject);
+            is_restricted || at < suspect.last_report + span.0 / 1_000
         });
         let ends = self.active.iter().chain(&self.probations);
         let expired = ends.filter(|(_, until)| **until <= at);
@@ -246,16 +274,18 @@
             .map(|(fingerprint, _)| fingerprint.clone())
             .collect();
         let released = expired.iter();
-        released
-            .filter_map(|fingerprint| self.release(fingerprint))
-            .collect()
+        changes.extend(released.filter_map(|fingerprint| self.release(fingerprint)));
+        changes
     }
 
     fn evict_oldest_suspects(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS {
             let candidates = self.suspects.iter();
+            let is_restricted = |subject: &SmolStr| {
+                self.active.contains_key(subject) || self.probations.contains_key(subject)
+            };
             let oldest = candidates
-                .filter(|(subject, _)| !self.active.contains_key(*subject))
+                .filter(|(subject, _)| !is_restricted(subject))
                 .min_by_key(|(_, suspect)| (suspect.crashes.len(), suspect.last_report));
             let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
                 return;
