--- a/crates/cranberrygap-bench/src/soak/quarantine.rs
+++ b/crates/cranberrygap-bench/src/soak/quarantine.rs
@@ -34,7 +34,7 @@
         let entries = ENTRIES[usize::try_from(seed).unwrap_or_default() % ENTRIES.len()];
         let setting = parts::Setting {
             entries,
-            has_trouble: seed % 2 == 0,
+            has_trouble: seed.is_multiple_of(2),
             flaw: parts::Flaw::None,
         };
         Ok(serde_json::json!({
--- a/crates/cranberrygap-bench/src/soak/quarantine/parts.rs
+++ b/crates/cranberrygap-bench/src/soak/quarantine/parts.rs
@@ -378,16 +378,16 @@
                 reason = "a number below a small one"
             )]
             let second = subject::part(0x1000 + (rank * SECOND_PARTS as f64) as u64);
-            self.begin(vec![first, second], false);
+            self.begin(&[first, second], false);
         }
         if self.is_in_series() && self.now >= self.next_culprit {
             self.next_culprit = self.now + self.random.random_range(1..=SERIES_INTERVAL);
-            let parts = vec![subject::part(1), self.culprit_part()];
-            self.begin(parts, true);
+            let parts = [subject::part(1), self.culprit_part()];
+            self.begin(&parts, true);
         }
     }
 
-    fn begin(&mut self, parts: Vec<SmolStr>, is_culprit: bool) {
+    fn begin(&mut self, parts: &[SmolStr], is_culprit: bool) {
         self.counts.requests += 1;
         self.unique += 1;
         let mut subjects = vec![format_smolstr!("request-{}", self.unique)];
@@ -398,7 +398,7 @@
             entry: self.random.random_range(0..self.setting.entries),
             subjects,
             is_culprit,
-            is_unframed: self.random.random_ratio(1, 4),
+            is_unframed: self.is_unframed(is_culprit),
             attempts: 0,
         };
         let has_begun = self.send(&request);
@@ -414,6 +414,14 @@
         }
     }
 
+    /// Whether the response to a request ends with its connection; those of every second series do.
+    fn is_unframed(&mut self, is_culprit: bool) -> bool {
+        if is_culprit {
+            return self.series.is_multiple_of(2);
+        }
+        self.random.random_ratio(1, 4)
+    }
+
     fn is_lost(&self, entry: usize, life: u64) -> bool {
         self.lives[entry] != life
     }
--- a/crates/cranberrygap-bench/tests/soak_quarantine.rs
+++ b/crates/cranberrygap-bench/tests/soak_quarantine.rs
@@ -115,3 +115,11 @@
         "{violation}"
     );
 }
+
+// A stream that ends with its connection looks whole when its endpoint has died.
+#[test]
+fn believed_ends_are_found() {
+    let violation = run_parts(1, 8, false, Flaw::BelievedEnds).unwrap_err();
+
+    assert!(violation.invariant.contains("fifth crash"), "{violation}");
+}
