Keep the origin of a stream at three homes

Cause: a record died with its entry and two homes. Change: a third home. It costs one more datagram a stream, only while a service has several versions.

--- a/crates/cranberrygap-routing/src/origin/home.rs
+++ b/crates/cranberrygap-routing/src/origin/home.rs
@@ -6,8 +6,9 @@
 pub use crate::prompt::home::Entry;
 use crate::prompt::home::weight;
 
-/// Entries that are told of each stream, beside the one that began it.
-pub const HOMES: usize = 2;
+/// Entries that are told of each stream, beside the one that began it. Herds of entries die
+/// together, and a record dies with all that keep it.
+pub const HOMES: usize = 3;
 
 /// Returns the homes of a stream, in different failure domains if there are several.
 ///
--- a/crates/cranberrygap-routing/src/origin/keeper.rs
+++ b/crates/cranberrygap-routing/src/origin/keeper.rs
@@ -6,7 +6,7 @@
 use cranberrygap_wire::view;
 use smallvec::SmallVec;
 
-use super::{Book, Entry, Insertion, Key, Origin, Record, homes, versions};
+use super::{Book, Entry, HOMES, Insertion, Key, Origin, Record, homes, versions};
 
 /// Keeps the origins of streams, and knows which entries to tell and to ask.
 #[derive(Debug, Default)]
@@ -62,7 +62,7 @@
         &mut self,
         now: duration::Instant,
         record: &Record,
-    ) -> (Insertion, SmallVec<[address::Socket; 2]>) {
+    ) -> (Insertion, SmallVec<[address::Socket; HOMES]>) {
         let insertion = self.apply_record(now, record);
         if !versions::are_several(&self.versions, &record.origin.service) {
             return (insertion, SmallVec::new());
@@ -95,7 +95,7 @@
 
     /// Returns the homes of a stream beside this entry, which are asked first.
     #[must_use]
-    pub fn other_homes(&self, key: Key) -> SmallVec<[address::Socket; 2]> {
+    pub fn other_homes(&self, key: Key) -> SmallVec<[address::Socket; HOMES]> {
         let homes = homes(key, &self.entries).into_iter();
         let others = homes.filter(|home| Some(&home.instance) != self.own.as_ref());
         others.map(|home| home.address).collect()
