--- a/crates/cranberrygap-entry/src/quarantine/evidence.rs
+++ b/crates/cranberrygap-entry/src/quarantine/evidence.rs
@@ -132,8 +132,8 @@
     result
 }
 
-/// Finds out whether nothing listens at an address. An endpoint with too many connections, or behind a
-/// cut link, does not refuse them.
+/// Finds out whether something listens at an address. An endpoint with too many connections, or
+/// behind a cut link, does not refuse them.
 async fn try_connecting(dialer: &dyn dial::Dial, address: SocketAddr) -> Finding {
     for attempt in 1..=MAX_ATTEMPTS {
         match time::timeout(CONNECT_TIMEOUT, dialer.connect(address)).await {
--- a/crates/cranberrygap-policy/src/quarantine/suspects.rs
+++ b/crates/cranberrygap-policy/src/quarantine/suspects.rs
@@ -16,7 +16,7 @@
 const SUSPICION_DURATION: duration::Span = duration::Span::from_secs(600);
 
 /// Crashes under a part of prompts after which requests with it run only alone. Many requests hold
-/// one part, and a wave of ordinary crashes hits parts twice more often than requests.
+/// one part, so a wave of ordinary crashes hits it more often than each of them.
 const PART_ISOLATION_CRASHES: usize = 3;
 
 /// Time for which a completion keeps a part from being suspected. Common parts are completed all
--- a/crates/cranberrygap-state/src/quarantine.rs
+++ b/crates/cranberrygap-state/src/quarantine.rs
@@ -145,22 +145,12 @@
                 *subject == probed,
             )
         })?;
-        let least = if subject::is_part(culprit) {
-            PART_PROBATION_CRASHES
-        } else {
-            PROBATION_CRASHES
-        };
-        (count(culprit) >= least).then(|| culprit.clone())
+        (count(culprit) >= probation_crashes(culprit)).then(|| culprit.clone())
     }
 
     fn needs_probation(&self, subject: &str) -> bool {
-        let least = if subject::is_part(subject) {
-            PART_PROBATION_CRASHES
-        } else {
-            PROBATION_CRASHES
-        };
         let suspect = self.suspects.get(subject);
-        suspect.is_some_and(|suspect| suspect.crashes.len() >= least)
+        suspect.is_some_and(|suspect| suspect.crashes.len() >= probation_crashes(subject))
     }
 
     /// Takes the crashes under a quarantined part off all other subjects, and releases those that
@@ -307,6 +297,15 @@
     }
 }
 
+/// Crashed endpoints after which a subject runs only alone.
+fn probation_crashes(subject: &str) -> usize {
+    if subject::is_part(subject) {
+        PART_PROBATION_CRASHES
+    } else {
+        PROBATION_CRASHES
+    }
+}
+
 fn quarantine(fingerprint: &SmolStr, until: u64) -> view::Quarantine {
     view::Quarantine {
         fingerprint: fingerprint.clone(),
