Keep room for loads of an earlier leader only where a name had another process

Wherever the leader changed within the first 20 s after engines had started, new loads and adapters were held back for 18 s: requests got no_endpoint ("no engine holds the model", "no engine holds the adapter", "the engine's batch is full").

Change: the state knows whether an endpoint had another process under its name; only those keep room. Engines mostly return under new names, at which no such load can land.

--- a/crates/cranberrygap-bench/src/soak/residency/world.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/world.rs
@@ -218,6 +218,7 @@
         let book = &mut self.leader.book;
         let endpoints = self.endpoints.announcements();
         book.update_endpoints(self.now, endpoints, |name| self.told.get(name).cloned());
+        book.record_restarts(|name| self.endpoints.has_restarted(name));
         book.set_demand(self.now, self.fleet.demand.clone());
     }
 
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -270,6 +270,7 @@
                 let endpoints = fleet.endpoints.announcements();
                 planner
                     .update_endpoints(now, endpoints, |name| fleet.residencies.get(name).cloned());
+                planner.record_restarts(|name| fleet.endpoints.has_restarted(name));
                 planner.set_demand(now, demand.clone());
                 for adapter in &used_adapters {
                     planner.mark_adapter_used(now, adapter);
--- a/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
@@ -71,7 +71,8 @@
     /// Whether a load of an earlier leader may land at a runner's process.
     fn may_get_inherited_load(&self, now: duration::Instant, runner: &runner::Runner) -> bool {
         self.inherited_loads.is_some_and(|inherited| {
-            now < inherited.until && runner.started >= inherited.settled_before
+            let is_recent = runner.has_restarted && runner.started >= inherited.settled_before;
+            is_recent && now < inherited.until
         })
     }
 
--- a/crates/cranberrygap-placement/src/residency/planner/updates.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/updates.rs
@@ -35,6 +35,13 @@
         self.runners.retain(|name, _| known.contains(name));
     }
 
+    /// Records which runners had another process before.
+    pub fn record_restarts(&mut self, has_restarted: impl Fn(&id::Endpoint) -> bool) {
+        for (name, runner) in &mut self.runners {
+            runner.has_restarted = has_restarted(name);
+        }
+    }
+
     fn handle_announcement(
         &mut self,
         now: duration::Instant,
@@ -382,6 +389,7 @@
             .details
             .as_ref()
             .map_or(u64::MAX, |details| details.started),
+        has_restarted: false,
         address: announcement.address,
         service: announcement
             .service
--- a/crates/cranberrygap-placement/src/residency/runner.rs
+++ b/crates/cranberrygap-placement/src/residency/runner.rs
@@ -68,6 +68,8 @@
     pub boot: number::Boot,
     /// Time at which the process started, in Unix milliseconds.
     pub started: u64,
+    /// Whether another process ran under this name before.
+    pub has_restarted: bool,
     /// Address of the runner.
     pub address: address::Socket,
     /// Service of the runner.
--- a/crates/cranberrygap-placement/tests/residency_room.rs
+++ b/crates/cranberrygap-placement/tests/residency_room.rs
@@ -560,11 +560,12 @@
     assert!(outputs.contains(&ask), "{outputs:?}");
 }
 
-/// Times in milliseconds at which a new leader orders loads at `r1`, which is empty and has
-/// started anew, if an earlier leader ordered nothing for processes before this time.
-fn loads_of_a_new_leader(settled_before: Option<u64>) -> Vec<u64> {
+/// Times in milliseconds at which a new leader orders loads at `r1`, which is empty, if an earlier
+/// leader ordered nothing for processes before this time.
+fn loads_of_a_new_leader(settled_before: Option<u64>, has_restarted: bool) -> Vec<u64> {
     let mut planner = succeeding_planner(&["a", "b"], settled_before);
     update_endpoints(&mut planner, 0, &announcement(1, &[]));
+    planner.record_restarts(|_| has_restarted);
     planner.tick(at(10));
     planner.handle_report(at(20), &name("r1"), &report(0, &[], &[]));
     planner.set_demand(at(20), demand(&[("a", 0.5), ("b", 0.5)]));
@@ -592,18 +593,18 @@
 fn load_of_an_earlier_leader_fits_whenever_it_lands() {
     const DELIVERED: u64 = 15_100;
 
-    let loads = loads_of_a_new_leader(Some(1));
+    let loads = loads_of_a_new_leader(Some(1), true);
 
     assert_eq!(loads.len(), 2, "{loads:?}");
     assert!(loads[0] < 1_000 && loads[1] >= DELIVERED, "{loads:?}");
 }
 
-// A process that has been up for long gets no such load, and neither does any without an earlier
-// leader.
+// A process that has been up for long or is the first of its name gets no such load, and neither
+// does any without an earlier leader.
 #[test]
 fn runner_without_loads_of_an_earlier_leader_is_filled_at_once() {
-    for settled_before in [None, Some(2)] {
-        let loads = loads_of_a_new_leader(settled_before);
+    for (settled_before, has_restarted) in [(None, true), (Some(2), true), (Some(1), false)] {
+        let loads = loads_of_a_new_leader(settled_before, has_restarted);
 
         assert_eq!(loads.len(), 2, "{loads:?}");
         assert!(loads[1] < 1_000, "{loads:?}");
--- a/crates/cranberrygap-state/src/endpoint.rs
+++ b/crates/cranberrygap-state/src/endpoint.rs
@@ -308,6 +308,13 @@
         self.by_name.values().map(Registration::to_view)
     }
 
+    /// Returns whether another process of this endpoint ran before the present one.
+    #[must_use]
+    pub fn has_restarted(&self, endpoint: &id::Endpoint) -> bool {
+        let registration = self.by_name.get(endpoint);
+        registration.is_some_and(|registration| !registration.former_boots.is_empty())
+    }
+
     /// Returns announcements with health, without copying.
     pub fn announcements(&self) -> impl Iterator<Item = (&endpoint::Announcement, view::Health)> {
         self.by_name
