Do no work for stale loads, suspects and the first response where there are none

- Run::begin looked for the suspect among the subjects of every request, which took the tracker's lock three times more; it looks only for requests on probation.
- An entry without requests looked for its first response 20 times a second for ever; it is woken by the first one.
What is logged, and when, is as before.

Checked: clippy with warnings denied; residency, residency_room, path, prompt_parts, quarantine and startup pass.

--- a/crates/cranberrygap-entry/src/quarantine/run.rs
+++ b/crates/cranberrygap-entry/src/quarantine/run.rs
@@ -58,6 +58,7 @@
             Stage::PartRefused => return Err(Denial::PartRefused),
             Stage::Free | Stage::Probation => {}
         }
+        let view = view.filter(|_| stage == Stage::Probation);
         let suspect = view.and_then(|view| {
             let suspect = core.quarantine.suspect(now, &view, subjects, isolation);
             suspect.cloned()
--- a/crates/cranberrygap-entry/src/startup.rs
+++ b/crates/cranberrygap-entry/src/startup.rs
@@ -12,6 +12,7 @@
 use cranberrygap_model::duration;
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::core;
@@ -84,13 +85,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Startup {
     has_responded: AtomicBool,
+    responded: Notify,
     taken: Mutex<Vec<(Step, duration::Instant)>>,
 }
 
 impl Startup {
     /// Records that a request got a response from an endpoint.
     pub(crate) fn record_response(&self) {
-        self.has_responded.store(true, Ordering::Relaxed);
+        if !self.has_responded.swap(true, Ordering::Relaxed) {
+            self.responded.notify_one();
+        }
     }
 
     /// The steps with their times since the start, for a dump.
@@ -113,7 +117,13 @@
                 overdue_at = now.after(OVERDUE_AFTER);
                 spdlog::info!("startup: waits for its first {step} after {now}");
             }
-            time::sleep(LOOK_INTERVAL).await;
+            // A process without requests may wait long for the last step.
+            let wait = if step == Step::Response {
+                OVERDUE_AFTER.to_std()
+            } else {
+                LOOK_INTERVAL
+            };
+            let _elapsed = time::timeout(wait, core.startup.responded.notified()).await;
         }
         let now = core.now();
         core.startup.taken.lock().push((step, now));
--- a/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
+++ b/crates/cranberrygap-placement/src/residency/planner/stale_orders.rs
@@ -90,14 +90,17 @@
         let Some(count) = runner.inventory.accepted_count() else {
             return false;
         };
+        let may_get_inherited_load = self.may_get_inherited_load(now, runner);
+        let is_exposed =
+            |load: &&OutstandingLoad| is_stale_at_count(load, name, runner.boot, count + 1);
+        let mut stale_loads = self.outstanding_loads.iter().filter(is_exposed).peekable();
+        if !may_get_inherited_load && stale_loads.peek().is_none() {
+            return false;
+        }
         let inventory_after = runner.inventory.after_action(now, action);
-        if self.may_get_inherited_load(now, runner) && !self.engine.fits_any_load(&inventory_after)
-        {
+        if may_get_inherited_load && !self.engine.fits_any_load(&inventory_after) {
             return true;
         }
-        let is_exposed =
-            |load: &&OutstandingLoad| is_stale_at_count(load, name, runner.boot, count + 1);
-        let mut stale_loads = self.outstanding_loads.iter().filter(is_exposed);
         stale_loads.any(|load| !self.engine.fits(&inventory_after, &load.order.action))
     }
 }
