--- a/crates/cranberrygap-policy/tests/stalls.rs
+++ b/crates/cranberrygap-policy/tests/stalls.rs
@@ -25,9 +25,39 @@
     let first = detector.arrival(at(3_000));
     assert_eq!(detector.tick(at(3_010)), None);
     let second = detector.arrival(at(3_090));
-    let later = detector.arrival(at(3_100));
+    assert_eq!(detector.tick(at(3_110)), None);
+    assert_eq!(detector.tick(at(3_210)), None);
+    let later = detector.arrival(at(3_250));
 
-    assert_eq!((first, second, later), (at(1_000), at(1_000), at(3_100)));
+    assert_eq!((first, second, later), (at(1_000), at(1_000), at(3_250)));
+}
+
+// A process that was suspended gets little processor time after it. What waited is read later than
+// the backlog time, and its endpoint must not be told of time that the caller does not have.
+#[test]
+fn request_that_a_late_process_reads_after_a_stall_counts_from_its_begin() {
+    let mut detector = ticking(1_000);
+
+    assert!(detector.tick(at(3_000)).is_some());
+    assert_eq!(detector.tick(at(3_160)), None);
+    assert_eq!(detector.tick(at(3_330)), None);
+    let read_late = detector.arrival(at(3_480));
+
+    assert_eq!(read_late, at(1_000));
+}
+
+// A process that is always late has read its backlog at some time. Its requests must not count as
+// old for good.
+#[test]
+fn lateness_prolongs_a_stall_for_a_bounded_time() {
+    let mut detector = ticking(1_000);
+
+    for late in (3_000..=5_600).step_by(200) {
+        detector.tick(at(late));
+    }
+    let arrival = detector.arrival(at(5_700));
+
+    assert_eq!(arrival, at(5_700));
 }
 
 #[test]
