Keep evacuations of failure domains as agreed orders

Change: an order to evacuate a failure domain, or its withdrawal, is a command of the replicated log (state::evacuation). It is acknowledged once it is committed and in force at all entries; sent again, it changes nothing and has the same answer; a domain that neither the settings (group.domains) nor any instance or endpoint names is refused with its name. It is in the command line (evacuation start, finish, list), in show, the dumps, the audit trail and the history. Endpoints of an evacuated domain count as leaving for placement, so models whose only copies are there are loaded elsewhere and no order goes there.

--- a/crates/cranberrygap-bench/src/measure/agreement/group.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/group.rs
@@ -93,6 +93,7 @@
                 settings: settings::Control {
                     control: identity(&name),
                     group: settings::ControlGroup {
+                        domains: Vec::new(),
                         losses: 1,
                         first: true,
                         tend: false,
--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -149,6 +149,7 @@
 /// A view with so many of each.
 pub(super) fn view(runners: usize, models: usize, entries: usize, keys: usize) -> view::State {
     view::State {
+        evacuated: Vec::new(),
         traffic: None,
         residencies: Vec::new(),
         lenders: Vec::new(),
--- a/crates/cranberrygap-bench/src/soak/residency/runner.rs
+++ b/crates/cranberrygap-bench/src/soak/residency/runner.rs
@@ -408,6 +408,7 @@
                 cached: self.cached.iter().cloned().collect(),
                 stored: self.stored.iter().cloned().collect(),
                 gone_at: None,
+                cold: false,
             }),
         }
     }
--- a/crates/cranberrygap-control/src/delta.rs
+++ b/crates/cranberrygap-control/src/delta.rs
@@ -43,6 +43,7 @@
     Member(id::Instance),
     Lender(id::Workspace),
     Versions(Option<id::Service>),
+    Evacuation(id::Domain),
 }
 
 impl Buffer {
@@ -135,6 +136,9 @@
         view::Change::MemberChanged { member } => Some(Key::Member(member.instance.clone())),
         view::Change::Lent { lender } => Some(Key::Lender(lender.workspace.clone())),
         view::Change::Versioned { versions } => Some(Key::Versions(versions.service.clone())),
+        view::Change::Evacuated { domain } | view::Change::Returned { domain } => {
+            Some(Key::Evacuation(domain.clone()))
+        }
         view::Change::Amended { .. }
         | view::Change::KeyIssued { .. }
         | view::Change::KeyWithdrawn { .. }
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod transport;
 
 mod boots;
+mod evacuation;
 mod operators;
 mod orders;
 mod peers;
--- a/crates/cranberrygap-control/src/operators.rs
+++ b/crates/cranberrygap-control/src/operators.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_link::{credential, server};
 use cranberrygap_model::number;
-use cranberrygap_state::{answer, command, configuration, key};
+use cranberrygap_state::{answer, command, configuration, evacuation, key};
 use cranberrygap_wire::{audit, ini, method, operator, view};
 
 use crate::peers;
@@ -59,6 +59,13 @@
     );
     let builder = register_method!(builder, context, method::AUDIT, audit::Read, read_audit);
     let builder = register_method!(builder, context, method::DRAIN, operator::Drain, drain);
+    let builder = register_method!(
+        builder,
+        shared,
+        method::EVACUATE,
+        operator::Evacuate,
+        evacuate
+    );
     let builder = register_method!(
         builder,
         context,
@@ -180,6 +187,19 @@
     }
 }
 
+async fn evacuate(
+    shared: &process::Shared,
+    evacuate: operator::Evacuate,
+) -> Result<operator::Evacuation, server::Fault> {
+    check_author(&evacuate.author)?;
+    let step = evacuation::Step {
+        domain: evacuate.domain,
+        active: evacuate.active,
+        author: Some(evacuate.author),
+    };
+    shared.context.evacuation_handler.order(step).await
+}
+
 async fn release(
     context: &peers::Context,
     release: operator::Release,
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::confirmation;
 use crate::detector;
+use crate::evacuation;
 use crate::leadership;
 use crate::metric;
 use crate::orders;
@@ -36,6 +37,7 @@
     pub(crate) proposer: proposer::Proposer,
     pub(crate) detector: Arc<detector::Detector>,
     pub(crate) confirmation_handler: confirmation::Handler,
+    pub(crate) evacuation_handler: evacuation::Handler,
     pub(crate) shares: Arc<shares::Coordinator>,
     pub(crate) permissions: permission::Permissions,
     pub(crate) orders: Arc<orders::Coordinator>,
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -11,6 +11,7 @@
 
 use crate::confirmation;
 use crate::detector;
+use crate::evacuation;
 use crate::links;
 use crate::metric;
 use crate::operators;
@@ -246,12 +247,18 @@
             metrics.clone(),
         );
         let relay = Arc::new(relay::Relay::new(proposer.clone(), links));
+        let evacuations = evacuation::Handler::new(
+            Arc::clone(&state),
+            proposer.clone(),
+            &settings.group.domains,
+        );
         let context = peers::Context {
             state,
             proposer,
             relay,
             detector,
             confirmation_handler: confirmations,
+            evacuation_handler: evacuations,
             shares: Arc::new(shares),
             permissions,
             orders: Arc::new(orders),
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -6,7 +6,7 @@
 
 use cranberrygap_link::server;
 use cranberrygap_model::{address, id, number};
-use cranberrygap_state::{command, endpoint, traffic as state};
+use cranberrygap_state::{command, endpoint, evacuation, traffic as state};
 use cranberrygap_wire::{endpoint as announced, method, traffic};
 use smol_str::SmolStr;
 
@@ -175,6 +175,23 @@
         self.wait_until_in_force().await
     }
 
+    /// Evacuates a failure domain, or withdraws that, and waits until it is in force at all
+    /// entries. An order that already holds changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The failure domain is unknown, or this process cannot commit the order.
+    pub async fn evacuate(&self, domain: id::Domain, active: bool) -> Result<(), Refusal> {
+        let step = evacuation::Step {
+            domain,
+            active,
+            author: None,
+        };
+        let ordered = self.context.evacuation_handler.order(step).await;
+        ordered.map(drop).map_err(|fault| to_refusal(&fault))?;
+        self.wait_until_in_force().await
+    }
+
     /// Fails unless this process leads.
     ///
     /// # Errors
--- a/crates/cranberrygap-control/src/residency.rs
+++ b/crates/cranberrygap-control/src/residency.rs
@@ -267,7 +267,7 @@
         self.state.read(|fleet| {
             term.update_from_plan(now, fleet);
             for planner in term.planners.values_mut() {
-                let endpoints = fleet.endpoints.announcements();
+                let endpoints = fleet.endpoints_to_place();
                 planner
                     .update_endpoints(now, endpoints, |name| fleet.residencies.get(name).cloned());
                 planner.record_restarts(|name| fleet.endpoints.has_restarted(name));
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -1,6 +1,6 @@
 //! The view at one revision, indexed for request handling.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cranberrygap_model::{address, id, number};
@@ -29,6 +29,7 @@
     residencies: Arc<BTreeMap<id::Endpoint, view::Residency>>,
     lenders: Arc<BTreeMap<id::Workspace, id::Instance>>,
     versions: Arc<Vec<view::Versions>>,
+    evacuated: Arc<BTreeSet<id::Domain>>,
 }
 
 impl Snapshot {
@@ -50,6 +51,7 @@
             })),
             lenders: Arc::new(index_lenders(state.lenders)),
             versions: Arc::new(state.versions),
+            evacuated: Arc::new(state.evacuated.into_iter().collect()),
             traffic: state
                 .traffic
                 .map(|plan| Arc::new(traffic::Table::new(plan))),
@@ -120,6 +122,12 @@
                 known.retain(|other| other.service != versions.service);
                 known.push(versions);
             }
+            view::Change::Evacuated { domain } => {
+                Arc::make_mut(&mut self.evacuated).insert(domain);
+            }
+            view::Change::Returned { domain } => {
+                Arc::make_mut(&mut self.evacuated).remove(&domain);
+            }
             view::Change::Rerouted { plan } => {
                 self.traffic = Some(Arc::new(traffic::Table::new(plan)));
             }
@@ -260,6 +268,12 @@
         &self.versions
     }
 
+    /// Failure domains whose endpoints get no requests.
+    #[must_use]
+    pub fn evacuated(&self) -> &Arc<BTreeSet<id::Domain>> {
+        &self.evacuated
+    }
+
     /// All members by name.
     #[must_use]
     pub fn members(&self) -> &Arc<BTreeMap<id::Instance, view::Member>> {
@@ -280,6 +294,7 @@
             "quarantines": *self.quarantines,
             "workspaces": *self.workspaces,
             "lenders": *self.lenders,
+            "evacuated": *self.evacuated,
         })
     }
 }
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -8,6 +8,7 @@
 
 fn state() -> wire_view::State {
     wire_view::State {
+        evacuated: Vec::new(),
         traffic: None,
         residencies: Vec::new(),
         lenders: Vec::new(),
--- a/crates/cranberrygap-model/src/rate.rs
+++ b/crates/cranberrygap-model/src/rate.rs
@@ -33,6 +33,12 @@
         duration::Span::from_secs(1).scaled(1.0 / self.0)
     }
 
+    /// The limit times `factor`, at most the highest limit.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self((self.0 * factor).clamp(f64::MIN_POSITIVE, MAX_REQUESTS_PER_SECOND))
+    }
+
     /// A part of the limit; `divisor` is at least 1.
     #[must_use]
     pub fn divided_by(self, divisor: f64) -> Self {
@@ -50,15 +56,26 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let wrong = || ParseError::new(text, "a number of requests a second above 0");
-        let number: f64 = text.trim().parse().map_err(|_cause| wrong())?;
+        let number: f64 = text.trim().parse().map_err(|_cause| wrong(text))?;
+        Self::try_from(number)
+    }
+}
+
+impl TryFrom<f64> for Limit {
+    type Error = ParseError;
+
+    fn try_from(number: f64) -> Result<Self, ParseError> {
         if number > 0.0 && number <= MAX_REQUESTS_PER_SECOND {
             return Ok(Self(number));
         }
-        Err(wrong())
+        Err(wrong(&number.to_string()))
     }
 }
 
+fn wrong(text: &str) -> ParseError {
+    ParseError::new(text, "a number of requests a second above 0")
+}
+
 impl TryFrom<SmolStr> for Limit {
     type Error = ParseError;
 
--- a/crates/cranberrygap-state/src/answer.rs
+++ b/crates/cranberrygap-state/src/answer.rs
@@ -20,6 +20,8 @@
     Withdrawn(operator::Withdrawn),
     /// Answer to a drain.
     Drained(operator::Drained),
+    /// Answer to the evacuation of a failure domain, or to its withdrawal.
+    Evacuation(operator::Evacuation),
     /// Answer to a release.
     Released(operator::Released),
     /// Answer to an entry that asks to run a booking.
--- a/crates/cranberrygap-state/src/audit_event.rs
+++ b/crates/cranberrygap-state/src/audit_event.rs
@@ -43,6 +43,17 @@
                 "change": drain.author.change, "why": drain.author.why, "drained": drain.name,
             }),
         ),
+        command::Command::Evacuation(step) if !changes.is_empty() => {
+            let author = step.author.as_ref();
+            (
+                "evacuation",
+                author.map_or_else(|| "operator".into(), |author| author.by.clone()),
+                serde_json::json!({
+                    "change": author.map(|author| &author.change),
+                    "why": author.map(|author| &author.why), "what": step.summary(),
+                }),
+            )
+        }
         command::Command::Release(release) => (
             "quarantine",
             release.author.by.clone(),
@@ -75,7 +86,8 @@
             serde_json::json!(record),
         ),
         command::Command::Claim(step) => claim_event(step, answer),
-        command::Command::Lender(_)
+        command::Command::Evacuation(_)
+        | command::Command::Lender(_)
         | command::Command::Member(_)
         | command::Command::Quarantine(_)
         | command::Command::Share(_)
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    catalogue, claim, configuration, endpoint, group, key, lender, member, quarantine, share,
-    traffic,
+    catalogue, claim, configuration, endpoint, evacuation, group, key, lender, member, quarantine,
+    share, traffic,
 };
 
 /// A command and the leader's clock when it was proposed.
@@ -54,6 +54,8 @@
     Residency(view::Residency),
     /// Takes an entry, control process or endpoint out of service by its name.
     Drain(operator::Drain),
+    /// Evacuates a failure domain, or lets its endpoints get requests again.
+    Evacuation(evacuation::Step),
     /// Ends the quarantine or probation of a request.
     Release(operator::Release),
 }
@@ -68,6 +70,7 @@
             Self::Group(step) => Some(&step.author),
             Self::Drain(drain) => Some(&drain.author),
             Self::Release(release) => Some(&release.author),
+            Self::Evacuation(step) => step.author.as_ref(),
             Self::Catalogue(_)
             | Self::Endpoint(_)
             | Self::Member(_)
@@ -99,6 +102,7 @@
             Self::Traffic(_) => "traffic",
             Self::Residency(_) => "residency",
             Self::Drain(_) => "drain",
+            Self::Evacuation(_) => "evacuation",
         }
     }
 
@@ -110,6 +114,7 @@
             Self::Group(step) => format!("{} {}", step.instance, step.change).into(),
             Self::Drain(drain) => format!("drain {}", drain.name).into(),
             Self::Release(release) => format!("release {}", release.fingerprint).into(),
+            Self::Evacuation(step) => step.summary(),
             Self::Traffic(step) => format!("traffic plan {}", step.plan.version).into(),
             _ => SmolStr::new_static(self.subject()),
         }
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The whole replicated state of the fleet.
 
-use cranberrygap_model::{duration, number, size};
+use cranberrygap_model::{duration, id, number, size};
 use cranberrygap_placement::journal;
 use cranberrygap_wire::{binding, configuration as wire, endpoint as announced, operator, view};
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
 
 use crate::{
     answer, audit, audit_event, catalogue, claim, command, configuration, deduplication, endpoint,
-    history, key, lender, member, quarantine, residency, share, traffic,
+    evacuation, history, key, lender, member, quarantine, residency, share, traffic,
 };
 
 /// Replicated state of the fleet.
@@ -33,6 +33,9 @@
     pub keys: key::Keys,
     /// Endpoints and their health.
     pub endpoints: endpoint::Endpoints,
+    /// Failure domains whose endpoints get no requests.
+    #[serde(default)]
+    pub evacuations: evacuation::Evacuations,
     /// Entries and control processes.
     pub members: member::Members,
     /// Claims of bookings.
@@ -142,6 +145,7 @@
             command::Command::Traffic(step) => self.traffic.apply(step),
             command::Command::Drain(drain) => self.drain(drain),
             command::Command::Release(release) => self.release(release),
+            command::Command::Evacuation(step) => self.evacuations.apply(revision, step),
         };
         if is_accepted(&outcome.0)
             && let Some(event) = audit_event::for_command(command, &outcome.0, &outcome.1)
@@ -201,6 +205,29 @@
         }
     }
 
+    /// Returns all endpoints with the health by which copies of models are placed. Those of an
+    /// evacuated failure domain count as leaving.
+    pub fn endpoints_to_place(
+        &self,
+    ) -> impl Iterator<Item = (&announced::Announcement, view::Health)> {
+        let endpoints = self.endpoints.announcements();
+        endpoints.map(|(announcement, health)| {
+            if self.evacuations.contains(&announcement.domain) {
+                return (announcement, view::Health::Leaving);
+            }
+            (announcement, health)
+        })
+    }
+
+    /// Whether any instance or endpoint is known in a failure domain.
+    #[must_use]
+    pub fn has_domain(&self, domain: &id::Domain) -> bool {
+        let mut members = self.members.iter();
+        let mut endpoints = self.endpoints.announcements();
+        members.any(|member| member.domain == *domain)
+            || endpoints.any(|(announcement, _)| announcement.domain == *domain)
+    }
+
     /// Returns the part of the state that entries keep.
     #[must_use]
     pub fn view(&self) -> view::State {
@@ -220,6 +247,7 @@
             residencies: self.residencies.iter().cloned().collect(),
             lenders: self.lenders.view().collect(),
             versions: self.endpoints.versions().view().collect(),
+            evacuated: self.evacuations.domains().cloned().collect(),
         }
     }
 
--- a/crates/cranberrygap-state/src/lib.rs
+++ b/crates/cranberrygap-state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod deduplication;
 pub mod endpoint;
+pub mod evacuation;
 pub mod fleet;
 pub mod group;
 pub mod history;
--- a/crates/cranberrygap-state/tests/traffic.rs
+++ b/crates/cranberrygap-state/tests/traffic.rs
@@ -41,6 +41,7 @@
         version,
         routes: vec![route("lookup", "/lookup/", "app")],
         services: vec![traffic::Service {
+            cold_limit: None,
             service: "app".parse().expect("a name"),
             health: "/health".into(),
             connections: 100,
--- a/crates/cranberrygap-wire/src/binding.rs
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -20,6 +20,8 @@
         | view::Change::Rerouted { .. }
         | view::Change::Amended { .. }
         | view::Change::Versioned { .. }
+        | view::Change::Evacuated { .. }
+        | view::Change::Returned { .. }
         | view::Change::WorkspaceAdded { .. } => true,
         view::Change::EndpointChanged { endpoint } => {
             matches!(
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -38,6 +38,9 @@
 /// An operator takes an instance or endpoint out of service (`operator::Drain` to
 /// `operator::Drained`).
 pub const DRAIN: &str = "drain";
+/// An operator evacuates a failure domain, or withdraws that (`operator::Evacuate` to
+/// `operator::Evacuation`).
+pub const EVACUATE: &str = "evacuate";
 /// Ends the quarantine of a request; [`crate::operator::Release`].
 pub const RELEASE: &str = "release";
 /// An operator reads an accepted configuration (`operator::Read` to `operator::Page`).
--- a/crates/cranberrygap/src/command.rs
+++ b/crates/cranberrygap/src/command.rs
@@ -11,6 +11,7 @@
 pub mod diff;
 pub mod drain;
 pub mod dump;
+pub mod evacuation;
 pub mod explain;
 pub mod failure;
 pub mod force;
@@ -57,6 +58,9 @@
     Dump(dump::Arguments),
     /// Take an entry or endpoint out of service without cutting a request.
     Drain(drain::Arguments),
+    /// Evacuate a failure domain, let it get requests again, or list those evacuated.
+    #[command(subcommand)]
+    Evacuation(evacuation::Command),
     /// End the quarantine of a request that endpoints crashed under.
     Release(release::Arguments),
     /// Add, remove or list control processes and entries.
@@ -102,6 +106,7 @@
         Command::Diff(wanted) => wanted,
         Command::Dump(wanted) => wanted,
         Command::Drain(wanted) => wanted,
+        Command::Evacuation(wanted) => wanted.chosen(),
         Command::Release(wanted) => wanted,
         Command::Member(wanted) => wanted.chosen(),
         Command::Explain(wanted) => wanted,
--- a/crates/cranberrygap/src/command/show.rs
+++ b/crates/cranberrygap/src/command/show.rs
@@ -154,6 +154,9 @@
             ),
         );
     }
+    for domain in &state.evacuated {
+        line(&mut text, format_args!("evacuated: {domain}"));
+    }
     line(
         &mut text,
         format_args!("quarantined requests: {}", state.quarantines.len()),
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -69,6 +69,7 @@
         settings::Control {
             control: identity("control-1"),
             group: settings::ControlGroup {
+                domains: Vec::new(),
                 first: true,
                 tend: false,
                 losses: 1,
