Send nothing to evacuated domains, and grant the requests of endpoints that may be cold

Evacuations had no effect.

Cause: nothing knew of coldness, and entries that each choose the least loaded engine choose the same empty ones of a domain that has just returned.

Change: - Entries send nothing to endpoints of evacuated domains, whatever the request: first attempts, resends, resumed streams, adapters. A request that was on its way to such an endpoint is withdrawn before it is written and chooses again. For 2 s after the news an engine there still gets what no other engine holds; its copies are loaded elsewhere meanwhile. - Requests to every endpoint of a service that can be cold are granted by the endpoint's home entry (routing::cold), cold or not: 1.2 limits to a warm one, one limit to a cold one, in bursts of 0.3 s, and a grant holds for 150 ms. So an endpoint that becomes cold without notice has within any second no more than it bears. A home that has just become one grants nothing at a cold endpoint for as long as entries with an older view may ask the home before. An entry whose home does not answer sends nothing to a cold endpoint, and keeps to a small part at a warm one.

Compared: a bound only while an endpoint is known to be cold. It begins up to a heartbeat (1.2 s) after the coldness, which is when the standing code broke the rule; it was not built.

Networkless at 8, 56, 100 and 390 entries: no second with more than 24 arrivals, across a change of the home and from warm to cold (routing/tests/cold.rs).

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -71,6 +71,8 @@
     resend: Option<resends::Ticket>,
     /// Time until there is room at an endpoint whose limit left none.
     room_after: Option<duration::Span>,
+    /// Time until which the request may use the room that an endpoint granted it.
+    cold_room_until: duration::Instant,
     /// The registration of the next attempt, until it is written.
     run: Option<quarantine::Run>,
     /// Tells the leader that the request's adapter is in use.
@@ -121,6 +123,7 @@
             runs_alone: false,
             resend: None,
             room_after: None,
+            cold_room_until: duration::Instant::default(),
             run: None,
             adapter_use: None,
         }
@@ -201,6 +204,7 @@
                     }
                 }
                 Outcome::NotRun(cause) => self.handle_not_run(&target, cause)?,
+                Outcome::Withdrawn(_) => {}
                 Outcome::Unreachable => {
                     self.connect_failures += 1;
                     if self.should_forward() {
@@ -310,6 +314,11 @@
                     .core
                     .count(metric::GATEWAY_SENDS, "unreachable");
             }
+            Outcome::Withdrawn(cause) => {
+                self.log
+                    .add_step(now, format_args!("{endpoint} gets no request: {cause}"));
+                self.gateway.core.count(metric::GATEWAY_SENDS, "withdrawn");
+            }
             Outcome::Unknown(cause) => {
                 self.log.add_step(now, format_args!("{endpoint}: {cause}"));
                 self.gateway.core.count(metric::GATEWAY_SENDS, "unknown");
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -40,6 +40,8 @@
     NotRun(dialect::NotRun),
     /// No connection could be opened; nothing was sent.
     Unreachable,
+    /// The endpoint may not get the request any more; nothing was sent.
+    Withdrawn(&'static str),
     /// The request was sent, and no response arrived.
     Unknown(&'static str),
 }
@@ -106,6 +108,17 @@
             if !self.may_begin_at(target) {
                 return Ok(Outcome::Unreachable);
             }
+            if !self
+                .gateway
+                .core
+                .endpoints
+                .may_send(self.now(), &target.destination)
+            {
+                return Ok(Outcome::Withdrawn("its failure domain is evacuated"));
+            }
+            if !self.renew_cold_room(target).await {
+                return Ok(Outcome::Withdrawn("it has no room while it is cold"));
+            }
             if !self.is_paid() {
                 return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "no resend is left"));
             }
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id, software};
-use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::latency;
+use cranberrygap_routing::{cold, limit};
 use cranberrygap_wire::{method, traffic};
 use smol_str::SmolStr;
 
@@ -207,12 +207,11 @@
         let endpoints = &self.gateway.core.endpoints;
         let grant = endpoints.take_room(self.now(), destination, max_wait).await;
         match grant {
-            limit::Grant::Unlimited => self.take_place(destination).await,
+            limit::Grant::Unlimited => {}
             limit::Grant::After(wait) => {
                 if wait.0 > 0 {
                     tokio::time::sleep(wait.to_std()).await;
                 }
-                self.take_place(destination).await
             }
             limit::Grant::Full(wait) => {
                 let (now, endpoint) = (self.now(), &destination.endpoint);
@@ -220,9 +219,37 @@
                 self.log.add_step(now, step);
                 self.room_after = Some(self.room_after.map_or(wait, |other| other.min(wait)));
                 self.tried.push(destination.endpoint.clone());
-                false
+                return false;
             }
         }
+        self.take_place(destination).await && self.take_cold_room(destination).await
+    }
+
+    /// Takes room at an endpoint that may be cold, and waits a moment for it.
+    async fn take_cold_room(&mut self, destination: &endpoints::Destination) -> bool {
+        let max_wait = duration::Span(self.resolution.route.objective.0 / ROOM_WAIT_DIVISOR);
+        let endpoints = &self.gateway.core.endpoints;
+        let grant = endpoints
+            .take_cold_room(self.now(), destination, max_wait)
+            .await;
+        match grant {
+            limit::Grant::Unlimited => {}
+            limit::Grant::After(wait) if wait.0 == 0 => {}
+            limit::Grant::After(wait) => tokio::time::sleep(wait.to_std()).await,
+            limit::Grant::Full(_) => {
+                let (now, endpoint) = (self.now(), &destination.endpoint);
+                self.log
+                    .add_step(now, format_args!("{endpoint} gets no more requests now"));
+                return false;
+            }
+        }
+        self.cold_room_until = self.now().after(cold::GRANT_DURATION);
+        true
+    }
+
+    /// Takes room anew if the request could not be sent within the time of its grant.
+    pub(super) async fn renew_cold_room(&mut self, target: &Target) -> bool {
+        self.now() < self.cold_room_until || self.take_cold_room(&target.destination).await
     }
 
     /// Takes a place at a brittle endpoint. Without one the endpoint is not considered for a
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -1,5 +1,7 @@
 //! State of the endpoints of each service, and the choice among them.
 
+mod cold;
+mod evacuation;
 mod homes;
 mod limits;
 mod notices;
@@ -12,6 +14,7 @@
 
 use cranberrygap_model::{address, duration, id, number, rate, software};
 use cranberrygap_routing::brittle;
+use cranberrygap_routing::cold::ledger as cold_ledger;
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
@@ -22,6 +25,7 @@
 
 use crate::quarantine;
 use crate::view;
+use crate::view::traffic;
 
 pub(crate) use limits::{Claim, Wanted};
 pub(crate) use notices::Notice;
@@ -161,6 +165,13 @@
     places: brittle::ledger::Ledger,
     /// Services of which an endpoint said that it is brittle, with when it did.
     brittle_services: BTreeMap<id::Service, (rate::Rejections, duration::Instant)>,
+    /// Room at the endpoints of this home that may be cold.
+    cold_rooms: cold_ledger::Ledger,
+    /// Requests a second that a cold endpoint bears, by service.
+    cold_limits: BTreeMap<id::Service, rate::Limit>,
+    traffic: Option<Arc<traffic::Table>>,
+    /// Failure domains whose endpoints get no requests, with when this entry learned of it.
+    evacuated: BTreeMap<id::Domain, duration::Instant>,
 }
 
 impl Endpoints {
@@ -189,7 +200,9 @@
     /// Applies the endpoints of a new view.
     pub(crate) fn apply_view(&self, now: duration::Instant, view: &view::Snapshot) {
         let mut inner = self.inner.lock();
-        inner.homes.apply_view(view);
+        inner.homes.apply_view(now, view);
+        inner.apply_evacuations(now, view);
+        inner.apply_traffic(view);
         let same = Arc::ptr_eq(view.endpoints(), &inner.endpoints)
             && Arc::ptr_eq(view.residencies(), &inner.residencies);
         if same {
@@ -274,10 +287,18 @@
     ) -> Option<Destination> {
         let inner = self.inner.lock();
         let state = inner.states.get(endpoint)?;
-        let is_usable = state.ready && state.holds_model(model);
+        let is_usable = state.ready && state.holds_model(model) && !inner.is_evacuated(state);
         (is_usable && requirement.admits(state.software.as_ref())).then(|| state.destination())
     }
 
+    /// Whether a request may be sent to an endpoint that was chosen a moment ago, whose failure
+    /// domain may have been evacuated since.
+    pub(crate) fn may_send(&self, now: duration::Instant, destination: &Destination) -> bool {
+        let inner = self.inner.lock();
+        let state = inner.states.get(&destination.endpoint);
+        state.is_none_or(|state| !inner.is_evacuated(state) || inner.is_evacuating(now, state))
+    }
+
     /// Whether the endpoint still runs the process that was chosen.
     pub(crate) fn is_current(&self, destination: &Destination) -> bool {
         let inner = self.inner.lock();
@@ -431,7 +452,7 @@
             let value = serde_json::json!({
                 "ready": state.ready, "models": state.models, "adapters": state.adapters,
                 "retiring": state.retiring, "unread": state.own_backlog.queued_micros, "running": state.own_backlog.running,
-                "limit": state.limit.named(),
+                "limit": state.limit.named(), "temperature": state.temperature, "evacuated": inner.is_evacuated(state),
                 "bears_rejections": state.room.bears().map(|bears| bears.to_string()),
             });
             (name.to_string(), value)
@@ -441,6 +462,33 @@
 }
 
 impl Inner {
+    fn apply_evacuations(&mut self, now: duration::Instant, view: &view::Snapshot) {
+        let evacuated = view.evacuated();
+        self.evacuated
+            .retain(|domain, _| evacuated.contains(domain));
+        for domain in evacuated.iter() {
+            self.evacuated.entry(domain.clone()).or_insert(now);
+        }
+    }
+
+    fn apply_traffic(&mut self, view: &view::Snapshot) {
+        let same = match (view.traffic(), &self.traffic) {
+            (Some(new), Some(old)) => Arc::ptr_eq(new, old),
+            (new, old) => new.is_none() && old.is_none(),
+        };
+        if same {
+            return;
+        }
+        self.traffic = view.traffic().cloned();
+        let services = self.traffic.iter();
+        let services = services.flat_map(|table| &table.plan().services);
+        let limits = services.filter_map(|planned| {
+            let limit = planned.cold_limit?;
+            Some((planned.service.clone(), limit))
+        });
+        self.cold_limits = limits.collect();
+    }
+
     fn rebuild_states(&mut self, now: duration::Instant, domain: &id::Domain) {
         let mut previous_states = std::mem::take(&mut self.states);
         self.by_service.clear();
@@ -468,19 +516,46 @@
         for gone in previous_states.values() {
             self.limits.forget(gone.name_hash);
             self.places.forget(gone.name_hash);
+            self.cold_rooms.forget(gone.name_hash);
         }
+        self.homes.forget_gone_endpoints();
     }
 
     /// Ready endpoints of a service that were not tried, of versions that the request may run at;
-    /// suspect ones if none is ready.
+    /// suspect ones if none is ready. Those of evacuated failure domains are not among them.
     fn usable_states<'inner>(
         &'inner self,
         service: &id::Service,
         tried: &Tried,
         requirement: origin::Requirement<'_>,
+    ) -> impl Iterator<Item = &'inner State> {
+        let in_service = |state: &&State| !self.is_evacuated(state);
+        self.usable_states_among(service, tried, requirement, in_service)
+    }
+
+    /// The same of those that were evacuated a moment ago. They still get requests that no other
+    /// endpoint can serve.
+    fn usable_evacuating_states<'inner>(
+        &'inner self,
+        now: duration::Instant,
+        service: &id::Service,
+        tried: &Tried,
+        requirement: origin::Requirement<'_>,
+    ) -> impl Iterator<Item = &'inner State> {
+        let is_evacuating = move |state: &&State| self.is_evacuating(now, state);
+        self.usable_states_among(service, tried, requirement, is_evacuating)
+    }
+
+    fn usable_states_among<'inner>(
+        &'inner self,
+        service: &id::Service,
+        tried: &Tried,
+        requirement: origin::Requirement<'_>,
+        is_considered: impl Fn(&&'inner State) -> bool + Clone,
     ) -> impl Iterator<Item = &'inner State> {
         let names = self.by_service.get(service).into_iter().flatten();
         let states = names.filter_map(|name| self.states.get(name));
+        let states = states.filter(is_considered);
         let states = states.filter(move |state| requirement.admits(state.software.as_ref()));
         let untried = states.filter(|state| !tried.contains(&state.endpoint));
         let any_ready = untried.clone().any(|state| state.ready);
@@ -495,12 +570,18 @@
     ) -> Vec<selection::Candidate<'inner>> {
         let adapter = query.adapter_name();
         let adapter = adapter.as_ref();
-        let usable: Vec<&State> = self
-            .usable_states(query.service, query.tried, query.requirement)
-            .filter(|state| state.holds_model(query.model))
-            .filter(|state| !query.only_with_adapter || state.holds_adapter(adapter))
-            .filter(|state| self.has_room(now, state))
-            .collect();
+        let holds = |state: &&State| {
+            state.holds_model(query.model)
+                && (!query.only_with_adapter || state.holds_adapter(adapter))
+        };
+        let (service, tried, requirement) = (query.service, query.tried, query.requirement);
+        let usable = self.usable_states(service, tried, requirement);
+        let mut usable: Vec<&State> = usable.filter(holds).collect();
+        if usable.is_empty() {
+            let evacuating = self.usable_evacuating_states(now, service, tried, requirement);
+            usable.extend(evacuating.filter(holds));
+        }
+        usable.retain(|state| self.has_room(now, state));
         let usable = self.filter_by_limit(now, usable, query.only_spared);
         let reachable_states = filter_reachable(now, &usable);
         let session_engine = session_engine(query, &reachable_states);
@@ -548,7 +629,11 @@
         requirement: origin::Requirement<'_>,
     ) -> Vec<((u32, u64), &State)> {
         let usable = self.usable_states(service, tried, requirement);
-        let usable: Vec<&State> = usable.filter(|state| self.has_room(now, state)).collect();
+        let mut usable: Vec<&State> = usable.collect();
+        if usable.is_empty() {
+            usable.extend(self.usable_evacuating_states(now, service, tried, requirement));
+        }
+        usable.retain(|state| self.has_room(now, state));
         let reachable_states = filter_reachable(now, &usable);
         let costs = reachable_states.into_iter().map(|state| {
             let others = self.load_of_others(now, state);
--- a/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/homes.rs
@@ -19,6 +19,10 @@
     domains: BTreeMap<u32, id::Domain>,
     /// Home of each endpoint by the hash of its name, `None` for this entry.
     assigned: BTreeMap<u32, Option<address::Socket>>,
+    /// Time since which this entry is the home, by endpoint.
+    own_since: BTreeMap<u32, duration::Instant>,
+    /// Time since which the entries are these.
+    entries_since: duration::Instant,
     reports: reports::Reports,
 }
 
@@ -33,7 +37,7 @@
     }
 
     /// Applies the entries of a new view.
-    pub(super) fn apply_view(&mut self, view: &view::Snapshot) {
+    pub(super) fn apply_view(&mut self, now: duration::Instant, view: &view::Snapshot) {
         let Some(port) = self.gossip_port else {
             return;
         };
@@ -42,6 +46,7 @@
             return;
         }
         self.entries = entries;
+        self.entries_since = now;
         let domains = std::mem::take(&mut self.domains);
         self.assigned.clear();
         for (endpoint, domain) in &domains {
@@ -55,6 +60,19 @@
         self.assigned.clear();
     }
 
+    /// Forgets since when this entry is the home of endpoints that are gone.
+    pub(super) fn forget_gone_endpoints(&mut self) {
+        let domains = &self.domains;
+        self.own_since
+            .retain(|endpoint, _| domains.contains_key(endpoint));
+    }
+
+    /// Time since which this entry is the home of an endpoint; `None` if it is not. Another entry
+    /// may have been the home of an endpoint that is new until the entries changed last.
+    pub(super) fn own_since(&self, endpoint: u32) -> Option<duration::Instant> {
+        self.own_since.get(&endpoint).copied()
+    }
+
     pub(super) fn set_endpoint(&mut self, endpoint: u32, domain: &id::Domain) {
         self.domains.insert(endpoint, domain.clone());
         self.assign(endpoint, domain);
@@ -65,6 +83,12 @@
         let other = home.filter(|home| Some(&home.instance) != self.own.as_ref());
         let address = other.map(|home| home.address);
         self.assigned.insert(endpoint, address);
+        if address.is_some() {
+            self.own_since.remove(&endpoint);
+        } else {
+            let since = self.entries_since;
+            self.own_since.entry(endpoint).or_insert(since);
+        }
     }
 
     /// Whether this entry is the home of an endpoint, or knows of none.
--- a/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cranberrygap_model::{address, duration, rate};
-use cranberrygap_routing::limit;
+use cranberrygap_routing::{cold, limit};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
@@ -43,6 +43,8 @@
     Room(limit::Report, duration::Span),
     /// A place at an endpoint that bears so many rejections a second.
     Place(rate::Rejections),
+    /// Room at an endpoint that may be cold.
+    Cold(cold::Claim),
 }
 
 /// Statements and claims that are not sent yet, and claims that wait for an answer.
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -4,6 +4,7 @@
 
 use cranberrygap_model::{address, duration, id, number, software};
 use cranberrygap_routing::brittle;
+use cranberrygap_routing::cold::{self, part};
 use cranberrygap_routing::limit::known;
 use cranberrygap_routing::prompt::{backlog, prefix_cache, window};
 use cranberrygap_wire::{endpoint, view};
@@ -30,6 +31,7 @@
     pub address: address::Socket,
     /// Version of the software that this boot runs.
     pub software: Option<software::Version>,
+    pub domain: id::Domain,
     pub same_domain: bool,
     pub ready: bool,
     pub suspect: bool,
@@ -44,6 +46,9 @@
     pub unreachable_at: Option<duration::Instant>,
     pub limit: known::Known,
     pub room: brittle::Guard,
+    pub temperature: cold::Temperature,
+    /// This entry's part of the requests to it while its home does not answer.
+    pub cold_part: part::Part,
     /// Time until which there is no room, by its home.
     pub full_until: duration::Instant,
     /// Requests that it runs at a time; 0 if it does not say.
@@ -100,10 +105,19 @@
                 previous.unreachable_at,
                 previous.limit,
                 previous.room,
+                previous.cold_part,
             )
         });
-        let (own_backlog, recent_prompts, prefix_cache, failures, unreachable_at, limit, room) =
-            previous.unwrap_or_default();
+        let (
+            own_backlog,
+            recent_prompts,
+            prefix_cache,
+            failures,
+            unreachable_at,
+            limit,
+            room,
+            cold_part,
+        ) = previous.unwrap_or_default();
         let leaving = announced.phase == endpoint::Phase::Leaving;
         let is_removed = announced
             .details
@@ -116,6 +130,7 @@
             boot: announced.boot,
             address: announced.address,
             software: announced.software.clone(),
+            domain: announced.domain.clone(),
             same_domain: announced.domain == *domain,
             ready: endpoint.health == view::Health::Ready && is_staying,
             suspect: endpoint.health == view::Health::Suspect && is_staying,
@@ -131,6 +146,8 @@
             unreachable_at,
             limit,
             room,
+            temperature: temperature(announced),
+            cold_part,
             full_until: now,
             slots: announced
                 .details
@@ -192,6 +209,13 @@
     }
 }
 
+fn temperature(announced: &endpoint::Announcement) -> cold::Temperature {
+    match &announced.details {
+        Some(details) if details.cold => cold::Temperature::Cold,
+        _ => cold::Temperature::Warm,
+    }
+}
+
 /// A short hash of the endpoint's name, for messages between entries.
 fn name_hash(endpoint: &id::Endpoint) -> u32 {
     const SEED: u64 = 0;
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use cranberrygap_model::{address, duration, rate};
-use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, home};
+use cranberrygap_routing::{cold, limit};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time;
@@ -84,6 +84,12 @@
     },
     /// What happened at brittle endpoints of the receiver.
     News(Vec<(u32, endpoints::News)>),
+    /// Asks for room at an endpoint that may be cold; the answer is [`Message::Granted`].
+    ColdClaim {
+        number: u32,
+        endpoint: u32,
+        claim: cold::Claim,
+    },
 }
 
 fn to_message(claim: &endpoints::Claim) -> Message {
@@ -100,6 +106,11 @@
             endpoint,
             bears,
         },
+        endpoints::Wanted::Cold(claim) => Message::ColdClaim {
+            number,
+            endpoint,
+            claim,
+        },
     }
 }
 
@@ -335,6 +346,16 @@
                 }
             }
             Message::News(news) => endpoints.apply_news(now, from, &news),
+            Message::ColdClaim {
+                number,
+                endpoint,
+                claim,
+            } => {
+                if let Some(grant) = endpoints.answer_cold(now, from, endpoint, &claim) {
+                    let granted = Message::Granted { number, grant };
+                    self.send(address::Socket(from), &granted).await;
+                }
+            }
         }
     }
 
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod batch;
 pub mod brittle;
+pub mod cold;
 pub mod limit;
 pub mod load;
 pub mod origin;
