Grant only the requests of endpoints that are known to be cold

Cause: the home granted the requests of warm engines as well, 22 within 1.15 s, since a warm engine may become cold without notice. In a burst the engines of busy models get more than that, and serve it.

Change: an endpoint is cold by its heartbeats, from its first announcement on, and for 2.5 s after its failure domain returned from an evacuation. What a warm endpoint gets that becomes cold without notice is not bound until its next heartbeat; docs/PROMISES.md says so. An entry without the home's answer sends nothing to a cold endpoint. Grants are counted over a second and the life of a grant in place of spaced out.

Also: the API's entries and planner keep to evacuations like the routes of a plan, probes of reach leave evacuated domains alone, and a control process knows its own failure domain (crates/cranberrygap/tests/operators.rs found that it did not).

--- a/crates/cranberrygap-control/src/evacuation.rs
+++ b/crates/cranberrygap-control/src/evacuation.rs
@@ -16,20 +16,20 @@
 pub(crate) struct Handler {
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
-    /// Failure domains that the settings name.
+    /// Failure domains that the settings name, this process's own among them.
     domains: BTreeSet<id::Domain>,
 }
 
 impl Handler {
-    pub(crate) fn new(
+    pub(crate) fn new<'domains>(
         state: Arc<replicated::State>,
         proposer: proposer::Proposer,
-        domains: &[id::Domain],
+        domains: impl Iterator<Item = &'domains id::Domain>,
     ) -> Self {
         Self {
             state,
             proposer,
-            domains: domains.iter().cloned().collect(),
+            domains: domains.cloned().collect(),
         }
     }
 
--- a/crates/cranberrygap-control/src/orders.rs
+++ b/crates/cranberrygap-control/src/orders.rs
@@ -325,7 +325,10 @@
     fn update_from_state(&mut self, fleet: &fleet::Fleet) {
         let ledger = self.executor.ledger_mut();
         let mut names: BTreeSet<id::Endpoint> = BTreeSet::new();
-        for endpoint in fleet.endpoints.iter() {
+        for mut endpoint in fleet.endpoints.iter() {
+            if fleet.evacuations.contains(&endpoint.announcement.domain) {
+                endpoint.health = view::Health::Leaving;
+            }
             ledger.update_endpoint(&endpoint);
             names.insert(endpoint.announcement.endpoint);
         }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -247,10 +247,11 @@
             metrics.clone(),
         );
         let relay = Arc::new(relay::Relay::new(proposer.clone(), links));
+        let own_domain = std::iter::once(&settings.control.domain);
         let evacuations = evacuation::Handler::new(
             Arc::clone(&state),
             proposer.clone(),
-            &settings.group.domains,
+            settings.group.domains.iter().chain(own_domain),
         );
         let context = peers::Context {
             state,
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -225,7 +225,7 @@
         self.take_place(destination).await && self.take_cold_room(destination).await
     }
 
-    /// Takes room at an endpoint that may be cold, and waits a moment for it.
+    /// Takes room at an endpoint that is cold, and waits a moment for it.
     async fn take_cold_room(&mut self, destination: &endpoints::Destination) -> bool {
         let max_wait = duration::Span(self.resolution.route.objective.0 / ROOM_WAIT_DIVISOR);
         let endpoints = &self.gateway.core.endpoints;
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -165,13 +165,15 @@
     places: brittle::ledger::Ledger,
     /// Services of which an endpoint said that it is brittle, with when it did.
     brittle_services: BTreeMap<id::Service, (rate::Rejections, duration::Instant)>,
-    /// Room at the endpoints of this home that may be cold.
+    /// Room at the cold endpoints of this home.
     cold_rooms: cold_ledger::Ledger,
     /// Requests a second that a cold endpoint bears, by service.
     cold_limits: BTreeMap<id::Service, rate::Limit>,
     traffic: Option<Arc<traffic::Table>>,
     /// Failure domains whose endpoints get no requests, with when this entry learned of it.
     evacuated: BTreeMap<id::Domain, duration::Instant>,
+    /// When this entry learned that failure domains are not evacuated any more.
+    returned: BTreeMap<id::Domain, duration::Instant>,
 }
 
 impl Endpoints {
@@ -464,8 +466,14 @@
 impl Inner {
     fn apply_evacuations(&mut self, now: duration::Instant, view: &view::Snapshot) {
         let evacuated = view.evacuated();
-        self.evacuated
-            .retain(|domain, _| evacuated.contains(domain));
+        let earlier = std::mem::take(&mut self.evacuated);
+        for (domain, since) in earlier {
+            if evacuated.contains(&domain) {
+                self.evacuated.insert(domain, since);
+            } else {
+                self.returned.insert(domain, now);
+            }
+        }
         for domain in evacuated.iter() {
             self.evacuated.entry(domain.clone()).or_insert(now);
         }
--- a/crates/cranberrygap-entry/src/gateway/endpoints/evacuation.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/evacuation.rs
@@ -1,6 +1,7 @@
 //! Endpoints of failure domains that are evacuated.
 
 use cranberrygap_model::duration;
+use cranberrygap_routing::cold;
 
 use super::Inner;
 use super::state::State;
@@ -17,6 +18,13 @@
         self.evacuated.contains_key(&state.domain)
     }
 
+    /// Whether the failure domain returned from an evacuation a moment ago, so that its endpoints
+    /// may be cold and not have said so.
+    pub(super) fn has_just_returned(&self, now: duration::Instant, state: &State) -> bool {
+        let returned_at = self.returned.get(&state.domain);
+        returned_at.is_some_and(|at| now.since(*at) < cold::RETURN_TIME)
+    }
+
     /// Whether the failure domain was evacuated a moment ago.
     pub(super) fn is_evacuating(&self, now: duration::Instant, state: &State) -> bool {
         let evacuated_at = self.evacuated.get(&state.domain);
--- a/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/limits.rs
@@ -43,7 +43,7 @@
     Room(limit::Report, duration::Span),
     /// A place at an endpoint that bears so many rejections a second.
     Place(rate::Rejections),
-    /// Room at an endpoint that may be cold.
+    /// Room at a cold endpoint.
     Cold(cold::Claim),
 }
 
--- a/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/state.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_model::{address, duration, id, number, software};
 use cranberrygap_routing::brittle;
-use cranberrygap_routing::cold::{self, part};
+use cranberrygap_routing::cold;
 use cranberrygap_routing::limit::known;
 use cranberrygap_routing::prompt::{backlog, prefix_cache, window};
 use cranberrygap_wire::{endpoint, view};
@@ -47,8 +47,6 @@
     pub limit: known::Known,
     pub room: brittle::Guard,
     pub temperature: cold::Temperature,
-    /// This entry's part of the requests to it while its home does not answer.
-    pub cold_part: part::Part,
     /// Time until which there is no room, by its home.
     pub full_until: duration::Instant,
     /// Requests that it runs at a time; 0 if it does not say.
@@ -105,19 +103,10 @@
                 previous.unreachable_at,
                 previous.limit,
                 previous.room,
-                previous.cold_part,
             )
         });
-        let (
-            own_backlog,
-            recent_prompts,
-            prefix_cache,
-            failures,
-            unreachable_at,
-            limit,
-            room,
-            cold_part,
-        ) = previous.unwrap_or_default();
+        let (own_backlog, recent_prompts, prefix_cache, failures, unreachable_at, limit, room) =
+            previous.unwrap_or_default();
         let leaving = announced.phase == endpoint::Phase::Leaving;
         let is_removed = announced
             .details
@@ -147,7 +136,6 @@
             limit,
             room,
             temperature: temperature(announced),
-            cold_part,
             full_until: now,
             slots: announced
                 .details
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -84,7 +84,7 @@
     },
     /// What happened at brittle endpoints of the receiver.
     News(Vec<(u32, endpoints::News)>),
-    /// Asks for room at an endpoint that may be cold; the answer is [`Message::Granted`].
+    /// Asks for room at a cold endpoint; the answer is [`Message::Granted`].
     ColdClaim {
         number: u32,
         endpoint: u32,
--- a/crates/cranberrygap-entry/src/reach.rs
+++ b/crates/cranberrygap-entry/src/reach.rs
@@ -153,6 +153,7 @@
     let mut ready: Vec<_> = endpoints
         .filter(|endpoint| endpoint.health == wire_view::Health::Ready)
         .map(|endpoint| &endpoint.announcement)
+        .filter(|announcement| !view.evacuated().contains(&announcement.domain))
         .filter(|announcement| !known.contains(&announcement.endpoint))
         .collect();
     ready.shuffle(&mut rand::rng());
--- a/crates/cranberrygap-entry/src/route/least_loaded.rs
+++ b/crates/cranberrygap-entry/src/route/least_loaded.rs
@@ -39,6 +39,8 @@
     rng: SmallRng,
     /// Endpoints of the current view, shared with it.
     endpoints: Arc<BTreeMap<id::Endpoint, wire_view::Endpoint>>,
+    /// Failure domains whose endpoints get no requests.
+    evacuated: Arc<BTreeSet<id::Domain>>,
     by_model: BTreeMap<id::Model, Vec<id::Endpoint>>,
     by_service: BTreeMap<id::Service, Vec<id::Endpoint>>,
     leaving: BTreeSet<id::Endpoint>,
@@ -53,6 +55,7 @@
             router: router::Router::new(router::Settings::builder().build()),
             rng: SmallRng::seed_from_u64(seed),
             endpoints: Arc::default(),
+            evacuated: Arc::default(),
             by_model: BTreeMap::new(),
             by_service: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -136,7 +139,8 @@
         let ready = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| is_ready(endpoint));
+            .filter(|(_, endpoint)| is_ready(endpoint))
+            .filter(|(_, endpoint)| !self.evacuated.contains(&endpoint.announcement.domain));
         for (name, endpoint) in ready {
             for resident in &endpoint.announcement.resident {
                 self.by_model
@@ -197,9 +201,11 @@
         let mut inner = self.inner.lock();
         let endpoints = view.endpoints();
         // Most revisions change something else; they need no new index.
-        if Arc::ptr_eq(endpoints, &inner.endpoints) {
+        let evacuated = view.evacuated();
+        if Arc::ptr_eq(endpoints, &inner.endpoints) && Arc::ptr_eq(evacuated, &inner.evacuated) {
             return;
         }
+        inner.evacuated = Arc::clone(evacuated);
         inner.router.retain(|name| endpoints.contains_key(name));
         inner
             .failed_at
--- a/crates/cranberrygap-routing/src/limit.rs
+++ b/crates/cranberrygap-routing/src/limit.rs
@@ -6,16 +6,12 @@
 pub mod known;
 pub mod ledger;
 
-pub(crate) mod bucket;
+mod bucket;
 mod part;
 
 use cranberrygap_model::{duration, rate};
 use serde::{Deserialize, Serialize};
 
-/// Time for which unused room is kept. Requests that come in pairs use it, and a limit named by
-/// an endpoint in need is not exceeded by much in any window.
-const BURST_TIME: duration::Span = duration::Span::from_millis(500);
-
 /// Latest statement of an endpoint on its limit, on the clock of the entry that holds it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Statement {
--- a/crates/cranberrygap-routing/src/limit/ledger.rs
+++ b/crates/cranberrygap-routing/src/limit/ledger.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_model::duration;
 
-use super::{BURST_TIME, Grant, Statement, bucket};
+use super::{Grant, Statement, bucket};
 
 /// Time for which it is remembered that an endpoint named no limit any more. An older statement
 /// of another entry then does not bring its limit back.
@@ -74,6 +74,6 @@
         let Some(limit) = account.statement.limit else {
             return Grant::Unlimited;
         };
-        account.bucket.take(now, limit, BURST_TIME, max_wait).into()
+        account.bucket.take(now, limit, max_wait).into()
     }
 }
--- a/crates/cranberrygap-routing/src/limit/part.rs
+++ b/crates/cranberrygap-routing/src/limit/part.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_model::{duration, rate};
 
-use super::{BURST_TIME, Grant, bucket};
+use super::{Grant, bucket};
 
 /// Divisor of an entry's own part, beside the number of entries. The home may still grant the
 /// whole limit to the entries that it hears.
@@ -27,6 +27,6 @@
         let bucket = self
             .bucket
             .get_or_insert_with(|| bucket::Bucket::new(now, part));
-        bucket.take(now, part, BURST_TIME, max_wait).into()
+        bucket.take(now, part, max_wait).into()
     }
 }
--- a/crates/cranberrygap/tests/operators.rs
+++ b/crates/cranberrygap/tests/operators.rs
@@ -253,6 +253,33 @@
     .await;
 }
 
+// An operator evacuates a failure domain on the command line, and mistypes one. The mistyped one
+// must not look as if it were evacuated.
+#[tokio::test(flavor = "multi_thread")]
+async fn domain_is_evacuated_listed_and_returned() {
+    let fleet = fleet(1, 0).await;
+    let start = ["evacuation", "start", "oslo-1", "--why", "power works"];
+
+    let started = group::run(&fleet, &start).await;
+    let again = group::run(&fleet, &start).await;
+    let listed = group::run(&fleet, &["evacuation", "list"]).await;
+    let unknown = group::run(&fleet, &["evacuation", "start", "oslo-9"]).await;
+    let finished = group::run(&fleet, &["evacuation", "finish", "oslo-1"]).await;
+    let never = group::run(&fleet, &["evacuation", "finish", "oslo-1"]).await;
+    let empty = group::run(&fleet, &["evacuation", "list"]).await;
+
+    let said = String::from_utf8(unknown.stderr).unwrap();
+    assert!(started.status.success(), "{started:?}");
+    assert!(group::text(&started).starts_with("oslo-1 is evacuated since revision "));
+    assert!(group::text(&again).starts_with("oslo-1 was evacuated before"));
+    assert_eq!(group::text(&listed).trim(), "oslo-1");
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(said.contains("no failure domain is named oslo-9"), "{said}");
+    assert!(group::text(&finished).starts_with("oslo-1 gets requests again since "));
+    assert!(group::text(&never).starts_with("oslo-1 was not evacuated"));
+    assert_eq!(group::text(&empty).trim(), "");
+}
+
 // Operators restart the leader's process as planned. It hands over first, so
 // that nobody waits for an election.
 #[tokio::test(flavor = "multi_thread")]
