Send nothing to an evacuated domain from entries that learn of it late

An entry that restarts, or was cut off, has the news long after the acknowledgement, and would have sent there for 2 s from then on.

Change: what an entry knows of evacuations is a module without I/O (routing::evacuation).

--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -15,6 +15,7 @@
 use cranberrygap_model::{address, duration, id, number, rate, software};
 use cranberrygap_routing::brittle;
 use cranberrygap_routing::cold::ledger as cold_ledger;
+use cranberrygap_routing::evacuation as evacuations;
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
@@ -170,10 +171,8 @@
     /// Requests a second that a cold endpoint bears, by service.
     cold_limits: BTreeMap<id::Service, rate::Limit>,
     traffic: Option<Arc<traffic::Table>>,
-    /// Failure domains whose endpoints get no requests, with when this entry learned of it.
-    evacuated: BTreeMap<id::Domain, duration::Instant>,
-    /// When this entry learned that failure domains are not evacuated any more.
-    returned: BTreeMap<id::Domain, duration::Instant>,
+    /// Failure domains whose endpoints get no requests.
+    evacuations: evacuations::Book,
 }
 
 impl Endpoints {
@@ -203,7 +202,7 @@
     pub(crate) fn apply_view(&self, now: duration::Instant, view: &view::Snapshot) {
         let mut inner = self.inner.lock();
         inner.homes.apply_view(now, view);
-        inner.apply_evacuations(now, view);
+        inner.evacuations.apply_view(now, view.evacuated());
         inner.apply_traffic(view);
         let same = Arc::ptr_eq(view.endpoints(), &inner.endpoints)
             && Arc::ptr_eq(view.residencies(), &inner.residencies);
@@ -464,21 +463,6 @@
 }
 
 impl Inner {
-    fn apply_evacuations(&mut self, now: duration::Instant, view: &view::Snapshot) {
-        let evacuated = view.evacuated();
-        let earlier = std::mem::take(&mut self.evacuated);
-        for (domain, since) in earlier {
-            if evacuated.contains(&domain) {
-                self.evacuated.insert(domain, since);
-            } else {
-                self.returned.insert(domain, now);
-            }
-        }
-        for domain in evacuated.iter() {
-            self.evacuated.entry(domain.clone()).or_insert(now);
-        }
-    }
-
     fn apply_traffic(&mut self, view: &view::Snapshot) {
         let same = match (view.traffic(), &self.traffic) {
             (Some(new), Some(old)) => Arc::ptr_eq(new, old),
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -6,7 +6,8 @@
 //! wait in [`pending`], at the entry rather than the engine, where they can still be
 //! reordered or sent elsewhere.
 //!
-//! [`brittle`] spares endpoints that fall over when they turn away requests.
+//! [`brittle`] spares endpoints that fall over when they turn away requests, [`cold`] those that
+//! bear few requests after their start, and [`evacuation`] tells which failure domains get none.
 //!
 //! [`limit`] keeps the limits that endpoints in need name, and [`path`] tells whether an entry
 //! reaches the endpoints at all; [`peers`] chooses the entry that sends requests for one that
@@ -20,6 +21,7 @@
 pub mod batch;
 pub mod brittle;
 pub mod cold;
+pub mod evacuation;
 pub mod limit;
 pub mod load;
 pub mod origin;
