Read all that endpoints say of themselves in one place, and log it

What callers saw: nothing yet; nothing decides by it.

All statements of a response are now read in one place, as one typed set: the limit and the rejections as before, the time for which an endpoint wants no request (seconds with fractions, or a date, which counts from the response's own), and a drain. Each is logged and counted (gateway_statements), bounded; a malformed one too, and so is a header of the endpoints' own family that nothing reads, as this one was.

The limit and the rejections count for the same responses as before.

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -22,6 +22,8 @@
 mod request;
 mod request_log;
 mod response;
+pub mod retry_after;
+pub mod statement;
 mod stream;
 
 pub(crate) use endpoints::Endpoints;
@@ -42,7 +44,7 @@
     pub(crate) peers: peers::Peers,
     /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
-    /// Limits the lines about limits that endpoints name.
+    /// Limits the lines about what endpoints say of themselves.
     pub(crate) endpoint_log_limiter: log_limit::Limiter,
 }
 
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -1,6 +1,7 @@
 //! The delivery of one request to an endpoint, over all its attempts.
 
 mod send;
+mod statements;
 mod target;
 
 use std::sync::Arc;
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -6,7 +6,7 @@
 use cranberrygap_model::duration;
 use cranberrygap_routing::origin;
 use cranberrygap_wire::traffic;
-use http::{HeaderMap, Request, Response, Uri};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
@@ -259,11 +259,7 @@
             self.gateway
                 .dialect
                 .classify_response(id, response.status(), response.headers());
-        if is_from_endpoint(classification) {
-            self.read_limit(target, sent_at, response.headers());
-            let is_full = classification == dialect::Classification::NotRun(dialect::NotRun::Full);
-            self.read_brittleness(target, response.headers(), is_full);
-        }
+        self.record_statements(target, sent_at, &response, classification);
         Exchange::Done(match classification {
             dialect::Classification::Answer => {
                 core.startup.record_response();
@@ -290,61 +286,6 @@
         })
     }
 
-    /// Reads the limit that the endpoint names. A malformed one is logged; the response is not
-    /// its fault and still goes to the caller.
-    fn read_limit(&self, target: &Target, sent_at: duration::Instant, headers: &HeaderMap) {
-        let limiter = &self.gateway.endpoint_log_limiter;
-        let endpoint = &target.destination.endpoint;
-        match self.gateway.dialect.read_limit(headers) {
-            Ok(limit) => {
-                let endpoints = &self.gateway.core.endpoints;
-                let now = self.now();
-                if !endpoints.record_limit(now, &target.destination, sent_at, limit)
-                    || limiter.take_line(now).is_none()
-                {
-                    return;
-                }
-                if let Some(limit) = limit {
-                    spdlog::info!(
-                        "gateway: {endpoint} takes {limit} requests a second from all entries"
-                    );
-                } else {
-                    spdlog::info!("gateway: {endpoint} names no limit any more");
-                }
-            }
-            Err(cause) => {
-                if limiter.take_line(self.now()).is_some() {
-                    spdlog::warn!("gateway: ignored the limit of {endpoint}: {cause}");
-                }
-            }
-        }
-    }
-
-    /// Reads the rejections that the endpoint bears. A malformed number is logged and counts as
-    /// none.
-    fn read_brittleness(&self, target: &Target, headers: &HeaderMap, was_rejected: bool) {
-        let limiter = &self.gateway.endpoint_log_limiter;
-        let endpoint = &target.destination.endpoint;
-        let now = self.now();
-        let read = self.gateway.dialect.read_brittleness(headers);
-        let bears = read.unwrap_or_else(|cause| {
-            if limiter.take_line(now).is_some() {
-                spdlog::warn!("gateway: ignored the rejections that {endpoint} bears: {cause}");
-            }
-            None
-        });
-        let endpoints = &self.gateway.core.endpoints;
-        let is_new = endpoints.record_room(now, &target.destination, bears, was_rejected);
-        if !is_new || limiter.take_line(now).is_none() {
-            return;
-        }
-        if let Some(bears) = bears {
-            spdlog::info!("gateway: {endpoint} falls over beyond {bears} rejections a second");
-        } else {
-            spdlog::info!("gateway: {endpoint} does not fall over any more");
-        }
-    }
-
     fn mark_permit_used(&mut self) {
         if let Some(permit) = &mut self.permit {
             permit.mark_all_used();
@@ -435,12 +376,3 @@
         }
     }
 }
-
-/// Whether a response is known to come from the endpoint that it was expected from.
-fn is_from_endpoint(classification: dialect::Classification) -> bool {
-    use dialect::{Classification, NotRun};
-    match classification {
-        Classification::Answer | Classification::NotRun(NotRun::Full | NotRun::Wrong) => true,
-        Classification::NotRun(NotRun::Misdirected) | Classification::Foreign => false,
-    }
-}
--- a/crates/cranberrygap-entry/src/gateway/dialect.rs
+++ b/crates/cranberrygap-entry/src/gateway/dialect.rs
@@ -1,13 +1,16 @@
 //! Dialects: how requests and responses carry the facts that the gateway needs.
 
 use std::fmt;
+use std::time::SystemTime;
 
-use cranberrygap_model::{ParseError, duration, id, rate};
+use cranberrygap_model::{duration, id};
 use cranberrygap_routing::prompt::prefix_cache;
 use http::{HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use super::statement;
+
 /// Prompt parts that are stored without an allocation; callers send about three.
 const INLINE_PROMPT_PARTS: usize = 4;
 
@@ -113,19 +116,11 @@
         headers: &HeaderMap,
     ) -> Classification;
 
-    /// Reads the limit that an endpoint names in a response; `None` if it names none.
-    ///
-    /// # Errors
-    ///
-    /// When what it names is no limit.
-    fn read_limit(&self, headers: &HeaderMap) -> Result<Option<rate::Limit>, ParseError>;
-
-    /// Reads the rejections a second beyond which an endpoint says that it falls over; `None` if
-    /// it says nothing of them.
-    ///
-    /// # Errors
-    ///
-    /// When what it says is no number of rejections.
-    fn read_brittleness(&self, headers: &HeaderMap)
-    -> Result<Option<rate::Rejections>, ParseError>;
+    /// Reads what an endpoint says of itself in the head of a response, which arrived at `now`.
+    fn read_statements(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        now: SystemTime,
+    ) -> statement::Set;
 }
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -33,6 +33,8 @@
 pub(crate) const GATEWAY_FIRST_EVENT: &str = "gateway_first_event";
 /// Number of streams that began, or went on after a break.
 pub(crate) const GATEWAY_STREAMS: &str = "gateway_streams";
+/// Number of statements of endpoints about themselves.
+pub(crate) const GATEWAY_STATEMENTS: &str = "gateway_statements";
 /// Number of origins of streams that were found, kept or lost.
 pub(crate) const STREAM_ORIGINS: &str = "stream_origins";
 /// Time since the view was last confirmed as the newest.
@@ -42,7 +44,7 @@
 pub(crate) const STARTUP: &str = "startup";
 
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 8] = [
+pub const GATEWAY: [Metric; 9] = [
     Metric {
         name: STARTUP,
         kind: "ms",
@@ -79,6 +81,12 @@
         unit: "streams",
         meaning: "streams of routes, tagged started, continued (by this entry) or resumed (by their callers); no_version (no endpoint of the version that began them could take them) or unknown (nobody knows that version)",
     },
+    Metric {
+        name: GATEWAY_STATEMENTS,
+        kind: "c",
+        unit: "responses",
+        meaning: "responses of endpoints that ask for rest or say that they drain, tagged rest or draining; malformed or unknown for statements that are not obeyed",
+    },
     Metric {
         name: STREAM_ORIGINS,
         kind: "c",
