Add failing tests of rests, drains and responses without end

The judge of arrivals gets both rules: at most two requests reach an endpoint from an entry between half a second after it has asked this entry for rest and the end of the rest; no request that a caller sends later than 2 s after the entry passed on an announcement of a drain reaches that process from it. A restart or a pause of the entry excuses it.

--- a/crates/cranberrygap-arrivals/src/check.rs
+++ b/crates/cranberrygap-arrivals/src/check.rs
@@ -3,7 +3,9 @@
 mod budget;
 mod crashes;
 mod deadline;
+mod drains;
 mod endpoints;
+mod rests;
 mod returns;
 mod versions;
 
@@ -16,7 +18,9 @@
 pub use budget::Budget;
 pub use crashes::Crashes;
 pub use deadline::Deadline;
+pub use drains::Drains;
 pub use endpoints::Endpoints;
+pub use rests::Rests;
 pub use returns::Returns;
 pub use versions::Versions;
 
@@ -35,7 +39,7 @@
 
 /// All checks.
 #[must_use]
-pub fn registry() -> [Box<dyn Check>; 6] {
+pub fn registry() -> [Box<dyn Check>; 8] {
     [
         Box::new(Budget),
         Box::new(Endpoints),
@@ -43,6 +47,8 @@
         Box::new(Crashes),
         Box::new(Versions),
         Box::new(Returns),
+        Box::new(Rests),
+        Box::new(Drains),
     ]
 }
 
--- a/crates/cranberrygap-arrivals/src/lib.rs
+++ b/crates/cranberrygap-arrivals/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod record;
 pub mod rules;
 pub mod stall;
+pub mod statement;
 pub mod stream;
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -9,6 +9,7 @@
 use crate::attempt;
 use crate::fault;
 use crate::stall;
+use crate::statement;
 use crate::stream;
 
 /// Everything that callers sent and endpoints received, in any order.
@@ -22,6 +23,8 @@
     pub streams: Vec<stream::Stream>,
     /// When entries had faults.
     pub faults: Vec<fault::Fault>,
+    /// What endpoints asked of entries.
+    pub statements: Vec<statement::Statement>,
     /// When the run itself stood still; it read late what arrived then.
     pub stalls: Vec<stall::Stall>,
 }
@@ -49,6 +52,31 @@
         duration::Span(spans.sum())
     }
 
+    /// Returns the arrivals at the endpoint of a statement that came from the entry that it was made
+    /// to, with their attempts. Those after a fault of the entry are left out.
+    pub(crate) fn arrivals_after<'record>(
+        &'record self,
+        statement: &'record statement::Statement,
+        attempts: &'record BTreeMap<&SmolStr, &attempt::Attempt>,
+    ) -> impl Iterator<Item = (&'record arrival::Arrival, &'record attempt::Attempt)> {
+        let entry = attempts
+            .get(&statement.attempt)
+            .map(|attempt| &attempt.entry);
+        let arrivals = self
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.endpoint == statement.endpoint && arrival.at > statement.at);
+        arrivals.filter_map(move |arrival| {
+            let attempt = *attempts.get(&arrival.attempt)?;
+            let is_from_entry = Some(&attempt.entry) == entry;
+            let mut faults = self.faults.iter();
+            let is_excused = faults.any(|fault| {
+                fault.entry == attempt.entry && fault.at >= statement.at && fault.at <= arrival.at
+            });
+            (is_from_entry && !is_excused).then_some((arrival, attempt))
+        })
+    }
+
     /// Returns whether an entry was left alone for `span` before `at`.
     #[must_use]
     pub fn is_settled(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -1,7 +1,8 @@
 //! Each check finds the fault that it is for, and nothing where there is none.
 
+use cranberrygap_arrivals::check::Check as _;
 use cranberrygap_arrivals::{
-    arrival, attempt, check, fault, finding, record, rules, stall, stream,
+    arrival, attempt, check, fault, finding, record, rules, stall, statement, stream,
 };
 use cranberrygap_model::duration;
 
@@ -293,3 +294,94 @@
         assert!(check::findings(&record, &rules()).is_empty());
     }
 }
+
+/// A request of `entry-1` every quarter of a second for six seconds, all at one endpoint.
+fn steady() -> record::Record {
+    let mut record = record::Record::default();
+    for number in 0..24 {
+        let seconds = number as f64 / 4.0;
+        record.attempts.push(attempt(number, seconds));
+        record.arrivals.push(arrival(number, "i-1", seconds));
+    }
+    record
+}
+
+fn states(number: usize, endpoint: &str, wish: statement::Wish) -> statement::Statement {
+    statement::Statement {
+        attempt: format!("a-{number}").into(),
+        endpoint: endpoint.into(),
+        at: at(number as f64 / 4.0),
+        wish,
+    }
+}
+
+fn rest(seconds: f64) -> statement::Wish {
+    statement::Wish::Rest(duration::Span(SECOND).scaled(seconds))
+}
+
+// Half a second after the rejection at 1 s requests may be on their way: of those from 1.75 s on,
+// two may arrive in a rest of 1.2 s, and a third in a longer one breaks it.
+#[test]
+fn third_request_in_a_rest_is_found() {
+    let mut record = steady();
+    record.statements = vec![states(4, "i-1", rest(1.2))];
+    assert_eq!(check::findings(&record, &rules()), []);
+
+    record.statements = vec![states(4, "i-1", rest(1.4))];
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["rests"]);
+    assert_eq!((findings[0].seen, findings[0].at), (3.0, at(2.25)));
+}
+
+// The entry of a caller's attempt was asked, and no other one.
+#[test]
+fn rest_binds_the_entry_that_was_asked_only() {
+    let mut record = steady();
+    record.statements = vec![states(4, "i-1", rest(4.0))];
+    for attempt in &mut record.attempts[5..] {
+        attempt.entry = "entry-2".into();
+    }
+    assert_eq!(check::findings(&record, &rules()), []);
+
+    record.statements = vec![states(4, "i-2", rest(4.0))];
+    assert_eq!(check::findings(&record, &rules()), []);
+}
+
+#[test]
+fn fault_of_the_entry_excuses_requests_in_a_rest() {
+    let mut record = steady();
+    record.statements = vec![
+        states(4, "i-1", rest(4.0)),
+        states(4, "i-1", statement::Wish::Drain),
+    ];
+    record.faults = vec![fault::Fault {
+        entry: "entry-1".into(),
+        at: at(1.6),
+    }];
+
+    assert_eq!(check::findings(&record, &rules()), []);
+}
+
+// The caller got the announcement at 1 s; what callers send from 3 s on must go elsewhere.
+#[test]
+fn request_after_an_announced_drain_is_found() {
+    let mut record = steady();
+    record.statements = vec![states(4, "i-1", statement::Wish::Drain)];
+
+    let findings = check::findings(&record, &rules());
+
+    assert_eq!(names(&findings), ["drains"]);
+    assert_eq!(findings[0].at, at(3.25));
+}
+
+#[test]
+fn requests_sent_before_the_bound_of_a_drain_may_arrive_after_it() {
+    let mut record = steady();
+    record.statements = vec![states(4, "i-1", statement::Wish::Drain)];
+    for attempt in &mut record.attempts {
+        attempt.sent_at = attempt.sent_at.min(at(2.9));
+    }
+
+    assert_eq!(check::Drains.run(&record, &rules()), []);
+}
--- a/crates/cranberrygap/tests/support/process.rs
+++ b/crates/cranberrygap/tests/support/process.rs
@@ -71,6 +71,12 @@
         self.signal(Signal::USR1);
     }
 
+    /// The number of its process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until it has ended by itself.
     pub async fn ended(&mut self) -> ExitStatus {
         let what = format!("{} ends", self.name);
