Tell by their addresses which entries requests come from

What operators get: on instances with several addresses the connections to endpoints can come from a chosen one ([listen] outgoing).

The judge took the entry that the caller had asked for the one that sent the request.

Evidence: arrivals/tests/checks.rs, the new case.

--- a/crates/cranberrygap-arrivals/src/arrival.rs
+++ b/crates/cranberrygap-arrivals/src/arrival.rs
@@ -21,6 +21,8 @@
 pub struct Arrival {
     /// Id of the caller's attempt.
     pub attempt: SmolStr,
+    /// Entry that sent it, where that is known; otherwise it is the one that the caller asked.
+    pub sender: Option<SmolStr>,
     /// What is asked for, the same in all attempts of a caller.
     pub content: SmolStr,
     /// Service of the endpoint.
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -59,21 +59,22 @@
         statement: &'record statement::Statement,
         attempts: &'record BTreeMap<&SmolStr, &attempt::Attempt>,
     ) -> impl Iterator<Item = (&'record arrival::Arrival, &'record attempt::Attempt)> {
-        let entry = attempts
-            .get(&statement.attempt)
-            .map(|attempt| &attempt.entry);
+        let asked = self.arrivals.iter().find(|arrival| {
+            arrival.attempt == statement.attempt && arrival.endpoint == statement.endpoint
+        });
+        let asked = asked.and_then(|arrival| sender(arrival, attempts));
         let arrivals = self
             .arrivals
             .iter()
             .filter(|arrival| arrival.endpoint == statement.endpoint && arrival.at > statement.at);
         arrivals.filter_map(move |arrival| {
-            let attempt = *attempts.get(&arrival.attempt)?;
-            let is_from_entry = Some(&attempt.entry) == entry;
+            let entry = sender(arrival, attempts)?;
             let mut faults = self.faults.iter();
             let is_excused = faults.any(|fault| {
-                fault.entry == attempt.entry && fault.at >= statement.at && fault.at <= arrival.at
+                fault.entry == *entry && fault.at >= statement.at && fault.at <= arrival.at
             });
-            (is_from_entry && !is_excused).then_some((arrival, attempt))
+            let attempt = *attempts.get(&arrival.attempt)?;
+            (Some(entry) == asked && !is_excused).then_some((arrival, attempt))
         })
     }
 
@@ -84,3 +85,13 @@
         !faults.any(|fault| fault.entry == entry && fault.at <= at && at.since(fault.at) < span)
     }
 }
+
+/// The entry that sent an arrival.
+fn sender<'record>(
+    arrival: &'record arrival::Arrival,
+    attempts: &BTreeMap<&SmolStr, &'record attempt::Attempt>,
+) -> Option<&'record SmolStr> {
+    let caller = attempts.get(&arrival.attempt);
+    let caller = caller.map(|attempt| &attempt.entry);
+    arrival.sender.as_ref().or(caller)
+}
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -38,6 +38,7 @@
 fn arrival(number: usize, endpoint: &str, seconds: f64) -> arrival::Arrival {
     arrival::Arrival {
         attempt: format!("a-{number}").into(),
+        sender: None,
         content: format!("c-{number}").into(),
         service: "app".parse().expect("a name"),
         endpoint: endpoint.into(),
@@ -348,6 +349,21 @@
     assert_eq!(check::findings(&record, &rules()), []);
 }
 
+// An entry that is cut off has another one send its requests. That one was not asked for rest.
+#[test]
+fn requests_that_another_entry_sends_are_its_own() {
+    let mut record = steady();
+    record.statements = vec![
+        states(4, "i-1", rest(4.0)),
+        states(4, "i-1", statement::Wish::Drain),
+    ];
+    for arrival in &mut record.arrivals[5..] {
+        arrival.sender = Some("entry-2".into());
+    }
+
+    assert_eq!(check::findings(&record, &rules()), []);
+}
+
 #[test]
 fn fault_of_the_entry_excuses_requests_in_a_rest() {
     let mut record = steady();
--- a/crates/cranberrygap-bench/src/measure/agreement/group.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/group.rs
@@ -225,6 +225,7 @@
         listen: settings::EntryListen {
             gateway: None,
             directory: None,
+            outgoing: None,
             ready: None,
             gossip: None,
             lending: None,
--- a/crates/cranberrygap-bench/src/soak/resends/world.rs
+++ b/crates/cranberrygap-bench/src/soak/resends/world.rs
@@ -393,6 +393,7 @@
         let attempt = &self.record.attempts[sending.attempt];
         let number = self.record.arrivals.len();
         let arrival = arrival::Arrival {
+            sender: None,
             attempt: attempt.id.clone(),
             content: attempt.id.clone(),
             service: self.services[service].clone(),
--- a/crates/cranberrygap-entry/src/dial.rs
+++ b/crates/cranberrygap-entry/src/dial.rs
@@ -2,11 +2,11 @@
 
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// A way to open connections to endpoints.
 pub trait Dial: fmt::Debug + Send + Sync {
@@ -23,3 +23,21 @@
         TcpStream::connect(address).boxed()
     }
 }
+
+/// Opens TCP connections that come from one of the instance's addresses.
+#[derive(Debug, Clone, Copy)]
+pub struct TcpFrom(pub IpAddr);
+
+impl Dial for TcpFrom {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<TcpStream>> {
+        async move {
+            let socket = match address {
+                SocketAddr::V4(_) => TcpSocket::new_v4()?,
+                SocketAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.bind(SocketAddr::new(self.0, 0))?;
+            socket.connect(address).await
+        }
+        .boxed()
+    }
+}
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -114,7 +114,10 @@
         metrics: Arc<StatsdClient>,
         dialect: Option<Arc<dyn dialect::Dialect>>,
     ) -> Result<Self, Error> {
-        let dialer = Arc::new(dial::Tcp);
+        let dialer: Arc<dyn dial::Dial> = match settings.listen.outgoing {
+            Some(address) => Arc::new(dial::TcpFrom(address.0.ip())),
+            None => Arc::new(dial::Tcp),
+        };
         Self::start_with_dialer(settings, secrets, metrics, dialect, dialer).await
     }
 
--- a/crates/cranberrygap/src/local/page.rs
+++ b/crates/cranberrygap/src/local/page.rs
@@ -107,6 +107,7 @@
             listen: settings::EntryListen {
                 gateway: None,
                 directory: None,
+                outgoing: None,
                 ready: None,
                 gossip: None,
                 lending: None,
