Send nothing to endpoints in the rest that they ask for

The endpoints got up to 7 requests of one entry in a rest of 3 s, 2 are allowed.

Cause: nothing read Retry-After of an endpoint's response. An endpoint that rejects at once looks idle, so it was preferred.

Change: - routing::gate keeps what processes of endpoints asked this entry for, by process and beside the state that is rebuilt with each view. The latest end of overlapping rests counts; a success in between ends nothing; another process under the name does not inherit it. - Endpoints that rest are not chosen, by no fallback (suspect, evacuating, spared, unreachable). The last question before a request is written asks again, after the connection is open and room, place and grant were waited for; evacuations are asked there too. A request that may not be written chooses anew and its connection is kept; so does a stream that goes on elsewhere. - Requests that only resting endpoints could serve wait if the rest ends within half of their objective (engines: as long as for a copy that is near), and are refused at once otherwise, with the earliest end as time to come back. What is refused counts as demand for the model, as before. - After a rest requests come back by a slow start: one, then one more each 200 ms and two for each that is accepted, for 2 s. - Each rest has a line at its begin and one at its end with the requests that were kept away; gateway_kept_away counts them; the dump tells the state.

Decided: a rest binds this instance only. Other entries are not told, or one instance's rest would take the endpoint from the whole fleet. No request is used to look whether a long rest is still wanted: a success would end nothing.

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -1,5 +1,6 @@
 //! The delivery of one request to an endpoint, over all its attempts.
 
+mod rest;
 mod send;
 mod statements;
 mod target;
@@ -359,7 +360,7 @@
         if self.try_take_resend(resends::Cause::Rejected) {
             return Ok(());
         }
-        let retry_after = failure::add_jitter(NO_CAPACITY_RETRY_AFTER);
+        let retry_after = failure::add_jitter(self.retry_after_rejection());
         Err(Failure::NotRun { retry_after })
     }
 
@@ -475,22 +476,25 @@
         if !self.is_repeatable() || !self.try_take_resend(resends::Cause::Cut) {
             return None;
         }
-        let target = match self.choose_next_target().await {
-            Ok(target) => target,
-            Err(failure) => {
-                self.record_unversioned(&failure);
-                return None;
-            }
-        };
-        let outcome = self.send(&target, last_event_id).await.ok()?;
-        self.log_attempt(&target, &outcome);
-        match outcome {
-            Outcome::Response(reply) if reply.response.status().is_success() => {
-                let core = &self.gateway.core;
-                core.count(metric::GATEWAY_STREAMS, "continued");
-                Some(*reply)
+        loop {
+            let target = match self.choose_next_target().await {
+                Ok(target) => target,
+                Err(failure) => {
+                    self.record_unversioned(&failure);
+                    return None;
+                }
+            };
+            let outcome = self.send(&target, last_event_id).await.ok()?;
+            self.log_attempt(&target, &outcome);
+            match outcome {
+                Outcome::Response(reply) if reply.response.status().is_success() => {
+                    let core = &self.gateway.core;
+                    core.count(metric::GATEWAY_STREAMS, "continued");
+                    return Some(*reply);
+                }
+                Outcome::Withdrawn(_) => {}
+                _ => return None,
             }
-            _ => None,
         }
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -14,7 +14,7 @@
 use super::target::Target;
 use super::{
     ALONE_RETRY_AFTER, DEADLINE_GRACE, Delivery, Failure, MIN_TIME_LEFT, NO_CAPACITY_RETRY_AFTER,
-    Reply, dialect, endpoint_connection, failure, in_flight, response,
+    Reply, dialect, endpoint_connection, endpoints, failure, in_flight, response,
 };
 use crate::framing;
 use crate::gateway::request;
@@ -108,15 +108,8 @@
             if !self.may_begin_at(target) {
                 return Ok(Outcome::Unreachable);
             }
-            if !self
-                .gateway
-                .core
-                .endpoints
-                .may_send(self.now(), &target.destination)
-            {
-                return Ok(Outcome::Withdrawn("its failure domain is evacuated"));
-            }
             if !self.renew_cold_room(target).await {
+                self.gateway.pool.put(connection);
                 return Ok(Outcome::Withdrawn("it has no room while it is cold"));
             }
             if !self.is_paid() {
@@ -135,8 +128,27 @@
                 duration::Span(time_left.0 - NETWORK_TIME.0),
                 last_event_id,
             )?;
-            let exchange = self.exchange(target, connection, request, time_left, decision);
-            match exchange.await {
+            // Nothing may be awaited between this check and the write.
+            let is_writable = connection.is_ready().await;
+            let endpoints = &self.gateway.core.endpoints;
+            if let endpoints::Verdict::Stop(cause) =
+                endpoints.enter(self.now(), &target.destination)
+            {
+                self.gateway.pool.put(connection);
+                return Ok(Outcome::Withdrawn(cause));
+            }
+            let exchange = if is_writable {
+                self.exchange(target, connection, request, time_left, decision)
+                    .await
+            } else {
+                Exchange::NotSent {
+                    reused: connection.is_reused(),
+                }
+            };
+            if matches!(exchange, Exchange::NotSent { .. }) {
+                self.gateway.core.endpoints.leave(&target.destination);
+            }
+            match exchange {
                 // The endpoint closed an idle connection; nothing of the request arrived.
                 Exchange::NotSent { reused: true } => {
                     match self.gateway.pool.open(target.destination.address).await {
--- a/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
@@ -34,6 +34,14 @@
                 target.destination.endpoint
             ));
         }
+        if read.rest == statement::Field::Absent
+            && classification == dialect::Classification::Answer
+        {
+            let endpoints = &self.gateway.core.endpoints;
+            endpoints.record_accepted(&target.destination);
+        }
+        // Whatever became of the request, the endpoint spoke to this instance. A process that has
+        // taken the endpoint's address speaks for one that is gone.
         self.record_rest(target, read.rest);
         self.record_draining(target, read.draining);
         if is_from_endpoint(classification) {
@@ -44,27 +52,34 @@
     }
 
     fn record_rest(&self, target: &Target, rest: statement::Field<duration::Span>) {
-        let endpoint = &target.destination.endpoint;
+        let destination = &target.destination;
         match rest {
             statement::Field::Absent => {}
             statement::Field::Malformed(cause) => self.ignore_malformed(target, "rest", &cause),
             statement::Field::Known(rest) => {
                 self.count_statement("rest");
-                self.log_statement(format_args!(
-                    "{endpoint} wants no request from this entry for {rest}"
-                ));
+                let endpoints = &self.gateway.core.endpoints;
+                if endpoints.record_rest(self.now(), destination, rest) {
+                    let (endpoint, boot) = (&destination.endpoint, destination.boot);
+                    self.log_statement(format_args!(
+                        "{endpoint}, boot {boot}, asks this entry for {rest} of rest"
+                    ));
+                }
             }
         }
     }
 
     fn record_draining(&self, target: &Target, draining: statement::Field<()>) {
-        let endpoint = &target.destination.endpoint;
+        let destination = &target.destination;
         match draining {
             statement::Field::Absent => {}
             statement::Field::Malformed(cause) => self.ignore_malformed(target, "drain", &cause),
             statement::Field::Known(()) => {
                 self.count_statement("draining");
-                self.log_statement(format_args!("{endpoint} says in a response that it drains"));
+                let (endpoint, boot) = (&destination.endpoint, destination.boot);
+                self.log_statement(format_args!(
+                    "{endpoint}, boot {boot}, says in a response that it drains"
+                ));
             }
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -152,9 +152,10 @@
         if time_left <= MIN_TIME_LEFT {
             return Err(self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, "out of time"));
         }
-        let chosen = match self.request.metadata.model.clone() {
-            Some(model) if self.resolution.has_engine => self.choose_engine(&model).await,
-            _ => self.choose_plain_endpoint().await,
+        self.count_kept_away();
+        let chosen = match self.engine_model().cloned() {
+            Some(model) => self.choose_engine(&model).await,
+            None => self.choose_plain_endpoint().await,
         };
         chosen.map_err(|failure| self.failure_by_limit(failure))
     }
@@ -279,9 +280,14 @@
             let found =
                 endpoints.choose_plain_endpoint(self.now(), &service, &self.tried, requirement);
             let Some(destination) = found else {
-                if self.now() >= give_up_at
-                    || !endpoints.has_untried_endpoint(&service, &self.tried, requirement)
-                {
+                let now = self.now();
+                let is_open =
+                    endpoints.has_untried_endpoint(now, &service, &self.tried, requirement);
+                if let Some(end) = self.rest_end().filter(|_| !is_open) {
+                    self.wait_for_rest(end).await?;
+                    continue;
+                }
+                if now >= give_up_at || !is_open {
                     return Err(self.no_endpoint_failure(
                         NO_CAPACITY_RETRY_AFTER,
                         "no endpoint is ready or has room",
@@ -468,6 +474,8 @@
         }
         let latest_start = self.latest_start(model);
         let copy_ready = started.after(self.load_time(model)).after(EVICTION_TIME);
+        // A model whose engines rest for a moment is as near as a copy that is being loaded.
+        let rest_end = self.rest_end();
         // A request with enough time for a load waits for it; others wait for a copy that is near,
         // as do those that need one of several versions: a load may go to an engine of any.
         let until = if copy_ready <= latest_start && !self.needs_one_of_several_versions() {
@@ -480,9 +488,14 @@
         };
         loop {
             let now = self.now();
-            let is_hopeless = !self.tried.is_empty()
-                || !endpoints.has_usable_endpoint(&self.resolution.service, self.requirement());
-            if is_hopeless || now >= until {
+            let service = &self.resolution.service;
+            let has_hope = self.tried.is_empty()
+                && endpoints.has_usable_endpoint(now, service, self.requirement());
+            let is_rested_soon = rest_end.is_some_and(|end| now < end && end < until);
+            if now >= until || !(has_hope || is_rested_soon) {
+                if let Some(end) = rest_end.filter(|end| *end < copy_ready || !has_hope) {
+                    return Err(self.rest_failure(end));
+                }
                 let retry_after = copy_ready.since(now).max(NO_CAPACITY_RETRY_AFTER);
                 return Err(self.no_endpoint_failure(retry_after, "no engine holds the model"));
             }
@@ -669,7 +682,7 @@
         };
         if let Some(destination) = endpoint.and_then(|endpoint| {
             core.endpoints
-                .destination(&endpoint, model, self.requirement())
+                .destination(core.now(), &endpoint, model, self.requirement())
         }) {
             core.endpoints.record_adapter(&destination, model, adapter);
             return Ok(destination);
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -78,6 +78,11 @@
         })
     }
 
+    /// Waits until a request would be written at once; false if none can be written any more.
+    pub(crate) async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &mut self,
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod evacuation;
+mod gate;
 mod homes;
 mod limits;
 mod notices;
@@ -16,6 +17,7 @@
 use cranberrygap_routing::brittle;
 use cranberrygap_routing::cold::ledger as cold_ledger;
 use cranberrygap_routing::evacuation as evacuations;
+use cranberrygap_routing::gate::book as gate_book;
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
@@ -28,6 +30,7 @@
 use crate::view;
 use crate::view::traffic;
 
+pub(crate) use gate::Verdict;
 pub(crate) use limits::{Claim, Wanted};
 pub(crate) use notices::Notice;
 pub(crate) use questions::Question;
@@ -173,6 +176,8 @@
     traffic: Option<Arc<traffic::Table>>,
     /// Failure domains whose endpoints get no requests.
     evacuations: evacuations::Book,
+    /// Processes that asked this entry for rest, or drain.
+    gate: gate_book::Book,
 }
 
 impl Endpoints {
@@ -282,24 +287,20 @@
     /// may run at.
     pub(crate) fn destination(
         &self,
+        now: duration::Instant,
         endpoint: &id::Endpoint,
         model: &id::Model,
         requirement: origin::Requirement<'_>,
     ) -> Option<Destination> {
         let inner = self.inner.lock();
         let state = inner.states.get(endpoint)?;
-        let is_usable = state.ready && state.holds_model(model) && !inner.is_evacuated(state);
+        let is_usable = state.ready
+            && state.holds_model(model)
+            && !inner.is_evacuated(state)
+            && inner.is_open(now, state);
         (is_usable && requirement.admits(state.software.as_ref())).then(|| state.destination())
     }
 
-    /// Whether a request may be sent to an endpoint that was chosen a moment ago, whose failure
-    /// domain may have been evacuated since.
-    pub(crate) fn may_send(&self, now: duration::Instant, destination: &Destination) -> bool {
-        let inner = self.inner.lock();
-        let state = inner.states.get(&destination.endpoint);
-        state.is_none_or(|state| !inner.is_evacuated(state) || inner.is_evacuating(now, state))
-    }
-
     /// Whether the endpoint still runs the process that was chosen.
     pub(crate) fn is_current(&self, destination: &Destination) -> bool {
         let inner = self.inner.lock();
@@ -327,22 +328,24 @@
     /// Whether any endpoint of a service can get requests.
     pub(crate) fn has_usable_endpoint(
         &self,
+        now: duration::Instant,
         service: &id::Service,
         requirement: origin::Requirement<'_>,
     ) -> bool {
-        self.has_untried_endpoint(service, &Tried::new(), requirement)
+        self.has_untried_endpoint(now, service, &Tried::new(), requirement)
     }
 
     /// Whether any endpoint of a service beside those in `tried` can get requests, now or once it
     /// has room.
     pub(crate) fn has_untried_endpoint(
         &self,
+        now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
         requirement: origin::Requirement<'_>,
     ) -> bool {
         let inner = self.inner.lock();
-        let mut usable = inner.usable_states(service, tried, requirement);
+        let mut usable = inner.usable_states(now, service, tried, requirement);
         usable.next().is_some()
     }
 
@@ -447,7 +450,7 @@
     }
 
     /// State of all endpoints, for operators.
-    pub(crate) fn dump(&self) -> serde_json::Value {
+    pub(crate) fn dump(&self, now: duration::Instant) -> serde_json::Value {
         let inner = self.inner.lock();
         let states = inner.states.iter().map(|(name, state)| {
             let value = serde_json::json!({
@@ -455,6 +458,7 @@
                 "retiring": state.retiring, "unread": state.own_backlog.queued_micros, "running": state.own_backlog.running,
                 "limit": state.limit.named(), "temperature": state.temperature, "evacuated": inner.is_evacuated(state),
                 "bears_rejections": state.room.bears().map(|bears| bears.to_string()),
+                "gate": inner.gate.describe(now, state.process()),
             });
             (name.to_string(), value)
         });
@@ -511,18 +515,21 @@
             self.cold_rooms.forget(gone.name_hash);
         }
         self.homes.forget_gone_endpoints();
+        self.record_seen(now);
     }
 
     /// Ready endpoints of a service that were not tried, of versions that the request may run at;
-    /// suspect ones if none is ready. Those of evacuated failure domains are not among them.
+    /// suspect ones if none is ready. Those of evacuated failure domains, those that rest and those
+    /// that drain are not among them.
     fn usable_states<'inner>(
         &'inner self,
+        now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
         requirement: origin::Requirement<'_>,
     ) -> impl Iterator<Item = &'inner State> {
         let in_service = |state: &&State| !self.is_evacuated(state);
-        self.usable_states_among(service, tried, requirement, in_service)
+        self.usable_states_among(now, service, tried, requirement, in_service)
     }
 
     /// The same of those that were evacuated a moment ago. They still get requests that no other
@@ -535,11 +542,12 @@
         requirement: origin::Requirement<'_>,
     ) -> impl Iterator<Item = &'inner State> {
         let is_evacuating = move |state: &&State| self.is_evacuating(now, state);
-        self.usable_states_among(service, tried, requirement, is_evacuating)
+        self.usable_states_among(now, service, tried, requirement, is_evacuating)
     }
 
     fn usable_states_among<'inner>(
         &'inner self,
+        now: duration::Instant,
         service: &id::Service,
         tried: &Tried,
         requirement: origin::Requirement<'_>,
@@ -548,6 +556,7 @@
         let names = self.by_service.get(service).into_iter().flatten();
         let states = names.filter_map(|name| self.states.get(name));
         let states = states.filter(is_considered);
+        let states = states.filter(move |state| self.is_open(now, state));
         let states = states.filter(move |state| requirement.admits(state.software.as_ref()));
         let untried = states.filter(|state| !tried.contains(&state.endpoint));
         let any_ready = untried.clone().any(|state| state.ready);
@@ -567,7 +576,7 @@
                 && (!query.only_with_adapter || state.holds_adapter(adapter))
         };
         let (service, tried, requirement) = (query.service, query.tried, query.requirement);
-        let usable = self.usable_states(service, tried, requirement);
+        let usable = self.usable_states(now, service, tried, requirement);
         let mut usable: Vec<&State> = usable.filter(holds).collect();
         if usable.is_empty() {
             let evacuating = self.usable_evacuating_states(now, service, tried, requirement);
@@ -620,7 +629,7 @@
         tried: &Tried,
         requirement: origin::Requirement<'_>,
     ) -> Vec<((u32, u64), &State)> {
-        let usable = self.usable_states(service, tried, requirement);
+        let usable = self.usable_states(now, service, tried, requirement);
         let mut usable: Vec<&State> = usable.collect();
         if usable.is_empty() {
             usable.extend(self.usable_evacuating_states(now, service, tried, requirement));
--- a/crates/cranberrygap-entry/src/gateway/listener.rs
+++ b/crates/cranberrygap-entry/src/gateway/listener.rs
@@ -114,6 +114,22 @@
         time::sleep(SWEEP_INTERVAL).await;
         gateway.pool.close_expired();
         gateway.peers.pool.close_expired();
+        log_ended_rests(&gateway);
+    }
+}
+
+fn log_ended_rests(gateway: &Gateway) {
+    let now = gateway.core.now();
+    for ended in gateway.core.endpoints.prune_gate(now) {
+        let Some(dropped) = gateway.endpoint_log_limiter.take_line(now) else {
+            continue;
+        };
+        let (endpoint, kept_away) = (&ended.endpoint, ended.kept_away);
+        let millis = ended.length.0 / 1_000;
+        spdlog::info!(
+            "gateway: {endpoint} has rested for {millis}ms, {kept_away} requests were kept away",
+            kv: { lines_dropped = dropped }
+        );
     }
 }
 
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -35,6 +35,8 @@
 pub(crate) const GATEWAY_STREAMS: &str = "gateway_streams";
 /// Number of statements of endpoints about themselves.
 pub(crate) const GATEWAY_STATEMENTS: &str = "gateway_statements";
+/// Number of requests that endpoints did not get since they rest or drain.
+pub(crate) const GATEWAY_KEPT_AWAY: &str = "gateway_kept_away";
 /// Number of origins of streams that were found, kept or lost.
 pub(crate) const STREAM_ORIGINS: &str = "stream_origins";
 /// Time since the view was last confirmed as the newest.
@@ -44,7 +46,7 @@
 pub(crate) const STARTUP: &str = "startup";
 
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 9] = [
+pub const GATEWAY: [Metric; 10] = [
     Metric {
         name: STARTUP,
         kind: "ms",
@@ -87,6 +89,12 @@
         unit: "responses",
         meaning: "responses of endpoints that ask for rest or say that they drain, tagged rest or draining; malformed or unknown for statements that are not obeyed",
     },
+    Metric {
+        name: GATEWAY_KEPT_AWAY,
+        kind: "c",
+        unit: "requests",
+        meaning: "requests that went elsewhere, waited or were refused since an endpoint that could serve them did not want them, tagged rest or draining",
+    },
     Metric {
         name: STREAM_ORIGINS,
         kind: "c",
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -457,7 +457,7 @@
         "limits": core.limiter.dump(),
         "routing": core.router.dump(),
         "queues": core.queues.dump(),
-        "endpoints": core.endpoints.dump(),
+        "endpoints": core.endpoints.dump(core.now()),
         "origins": core.origins.dump(),
         "quarantine": core.quarantine.dump(),
         "reach": core.reach.dump(core.now()),
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -9,6 +9,8 @@
 //! [`brittle`] spares endpoints that fall over when they turn away requests, [`cold`] those that
 //! bear few requests after their start, and [`evacuation`] tells which failure domains get none.
 //!
+//! [`gate`] closes processes that asked for rest or drain.
+//!
 //! [`limit`] keeps the limits that endpoints in need name, and [`path`] tells whether an entry
 //! reaches the endpoints at all; [`peers`] chooses the entry that sends requests for one that
 //! does not.
@@ -22,6 +24,7 @@
 pub mod brittle;
 pub mod cold;
 pub mod evacuation;
+pub mod gate;
 pub mod limit;
 pub mod load;
 pub mod origin;
