Send nothing new to a process that says in a response that it drains

What callers saw: requests that are sent to a process between its word and its end may be lost with it.

The header had no reader, and a heartbeat that says ready, delayed or not, was believed.

Change: the gate of the entry closes for that process from the response on, by the process and not by the view: it outlives views without the endpoint, no heartbeat opens it, and the next process under the name is not meant. The entry tells the leader (endpoint_draining), again until it is accepted; the leader takes this boot out of service as an operator's drain does, so the other entries and the placement of models know before the endpoint's own announcement. The reports of crashes had such an outbox; both have one now.

--- a/crates/cranberrygap-control/src/metric.rs
+++ b/crates/cranberrygap-control/src/metric.rs
@@ -39,7 +39,7 @@
 pub(crate) const PROCESSOR: &str = "processor";
 
 /// Methods with a tag of their own; all others share one.
-const TAGGED_METHODS: [&str; 9] = [
+const TAGGED_METHODS: [&str; 10] = [
     method::VIEW_CONFIRM,
     method::SHARE_RENEW,
     method::CLAIM_OPEN,
@@ -49,6 +49,7 @@
     method::ADAPTER_WANT,
     method::AGREEMENT,
     method::ENDPOINTS_HEARD,
+    method::ENDPOINT_DRAINING,
 ];
 
 /// All metrics of a control process.
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrygap_link::{credential, server};
-use cranberrygap_state::{answer, claim, command, quarantine};
+use cranberrygap_state::{answer, claim, command, endpoint, quarantine};
 use cranberrygap_wire::{claim as wire_claim, method, share, traffic, view};
 use parking_lot::Mutex;
 
@@ -128,6 +128,17 @@
             async move { context.confirmation_handler.record_heard(heard).await }
         })
     };
+    let builder = {
+        let context = Arc::clone(context);
+        builder.method(
+            method::ENDPOINT_DRAINING,
+            role,
+            move |draining: view::Draining| {
+                let context = Arc::clone(&context);
+                async move { context.record_draining(draining).await }
+            },
+        )
+    };
     let context = Arc::clone(context);
     builder.method(
         method::CRASH_REPORT,
@@ -152,6 +163,25 @@
         }
     }
 
+    /// Takes a process out of service that said to an entry that it drains. Each entry that hears
+    /// it tells; only the first one changes anything.
+    async fn record_draining(&self, draining: view::Draining) -> Result<(), server::Fault> {
+        self.proposer.check_leads()?;
+        if !self
+            .state
+            .read(|fleet| fleet.endpoints.would_drain(&draining))
+        {
+            return Ok(());
+        }
+        spdlog::info!(
+            "endpoint: {}, boot {}, drains, as it said to an entry",
+            draining.endpoint,
+            draining.boot
+        );
+        let command = command::Command::Endpoint(endpoint::Step::Draining(draining));
+        self.proposer.propose(command).await.map(drop)
+    }
+
     /// Answers a confirmation, and logs if that was slow.
     async fn handle_confirmation(
         &self,
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -7,7 +7,7 @@
 use cranberrygap_link::clock;
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_policy::stall;
-use cranberrygap_wire::settings;
+use cranberrygap_wire::{settings, view as wire_view};
 use parking_lot::{Mutex, MutexGuard};
 use smol_str::SmolStr;
 use tokio::sync::watch as watch_channel;
@@ -17,6 +17,7 @@
 use crate::control;
 use crate::dial;
 use crate::gateway;
+use crate::outbox;
 use crate::quarantine;
 use crate::queue;
 use crate::reach;
@@ -58,6 +59,8 @@
     pub(crate) queues: Arc<queue::Queues>,
     /// Requests in progress by endpoint, and requests suspected to crash endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
+    /// Processes of endpoints that drain, for the leader.
+    pub(crate) drains: outbox::Outbox<wire_view::Draining>,
     pub(crate) announcements: announce::Inbox,
     pub(crate) demand: control::Demand,
     pub(crate) metrics: Arc<StatsdClient>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -8,6 +8,7 @@
 mod caller_connection;
 mod delivery;
 pub mod dialect;
+mod drain;
 mod endpoint_connection;
 mod endpoints;
 mod failure;
--- a/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
@@ -9,7 +9,7 @@
 
 use super::target::Target;
 use super::{Delivery, dialect};
-use crate::gateway::statement;
+use crate::gateway::{drain, statement};
 use crate::metric;
 
 impl Delivery {
@@ -76,10 +76,7 @@
             statement::Field::Malformed(cause) => self.ignore_malformed(target, "drain", &cause),
             statement::Field::Known(()) => {
                 self.count_statement("draining");
-                let (endpoint, boot) = (&destination.endpoint, destination.boot);
-                self.log_statement(format_args!(
-                    "{endpoint}, boot {boot}, says in a response that it drains"
-                ));
+                drain::record(&self.gateway, &destination.endpoint, destination.boot);
             }
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/endpoints/gate.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/gate.rs
@@ -35,6 +35,11 @@
         inner.gate.rest(now, destination.process(), length)
     }
 
+    /// Records that a process drains; returns whether that is new.
+    pub(crate) fn record_drain(&self, now: duration::Instant, process: gate::Process<'_>) -> bool {
+        self.inner.lock().gate.drain(now, process)
+    }
+
     /// Records that a process accepted a request.
     pub(crate) fn record_accepted(&self, destination: &Destination) {
         let mut inner = self.inner.lock();
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod digest;
 mod engine;
 mod load;
+mod outbox;
 mod quarantine;
 mod reach;
 mod relay;
--- a/crates/cranberrygap-entry/src/quarantine/outbox.rs
+++ b/crates/cranberrygap-entry/src/outbox.rs
@@ -1,14 +1,14 @@
-//! Reports of crashes, sent to the leader until it has accepted them.
+//! Reports to the leader that are sent until it has accepted them.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use cranberrygap_link::error::Error;
-use cranberrygap_model::duration;
-use cranberrygap_policy::quarantine::suspects;
-use cranberrygap_wire::{claim, method};
+use cranberrygap_model::{duration, id};
+use cranberrygap_wire::method;
 use parking_lot::Mutex;
-use smol_str::SmolStr;
+use serde::Serialize;
 use spdlog::warn;
 use tokio::sync::Notify;
 use tokio::time;
@@ -25,42 +25,44 @@
 /// Most reports that wait; the oldest are dropped first.
 const MAX_PENDING: usize = 512;
 
+/// A report about an endpoint.
+pub(crate) trait Report: fmt::Debug + Serialize + Send + Sync {
+    /// Method of the leader that takes it.
+    const METHOD: &'static str;
+    /// First word of log lines about it.
+    const AREA: &'static str;
+
+    /// The endpoint that it is about, for the log.
+    fn endpoint(&self) -> &id::Endpoint;
+}
+
 /// Reports that the leader has not accepted yet, oldest first.
-#[derive(Debug, Default)]
-pub(super) struct Outbox {
-    pending: Mutex<VecDeque<claim::Crash>>,
+#[derive(Debug)]
+pub(crate) struct Outbox<Kind> {
+    pending: Mutex<VecDeque<Kind>>,
     added: Notify,
 }
 
-/// Reports that subjects got a complete response at an endpoint.
-pub(super) fn clear(
-    core: &core::Core,
-    completed_at: suspects::Incarnation,
-    subjects: Vec<SmolStr>,
-) {
-    if subjects.is_empty() {
-        return;
+impl<Kind> Default for Outbox<Kind> {
+    fn default() -> Self {
+        Self {
+            pending: Mutex::default(),
+            added: Notify::new(),
+        }
     }
-    core.quarantine.outbox.push(claim::Crash {
-        endpoint: completed_at.endpoint,
-        boot: completed_at.boot,
-        instance: core.instance().clone(),
-        fingerprints: Vec::new(),
-        cleared: subjects,
-        probed: None,
-    });
 }
 
-impl Outbox {
+impl<Kind: Report> Outbox<Kind> {
     /// Queues a report.
-    pub(super) fn push(&self, report: claim::Crash) {
+    pub(crate) fn push(&self, report: Kind) {
         let mut pending = self.pending.lock();
         if pending.len() == MAX_PENDING
             && let Some(dropped) = pending.pop_front()
         {
             warn!(
-                "quarantine: dropped the report about {}, {MAX_PENDING} newer ones wait",
-                dropped.endpoint
+                "{}: dropped the report about {}, {MAX_PENDING} newer ones wait",
+                Kind::AREA,
+                dropped.endpoint()
             );
         }
         pending.push_back(report);
@@ -69,38 +71,33 @@
     }
 
     /// Number of reports that wait.
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.pending.lock().len()
     }
 
     /// Sends reports until the process stops.
-    pub(super) async fn run(&self, core: &core::Core) {
+    pub(crate) async fn run(&self, core: &core::Core) {
         let mut is_failing = false;
         loop {
             let Some(report) = self.pending.lock().pop_front() else {
                 self.added.notified().await;
                 continue;
             };
-            let result: Result<(), Error> = core
-                .leader
-                .call(method::CRASH_REPORT, &report, CALL_TIMEOUT)
-                .await;
+            let result: Result<(), Error> =
+                core.leader.call(Kind::METHOD, &report, CALL_TIMEOUT).await;
             let Err(cause) = result else {
                 is_failing = false;
                 continue;
             };
+            let (area, endpoint) = (Kind::AREA, report.endpoint());
             if is_final(&cause) {
-                warn!(
-                    "quarantine: dropped the report about {}: {cause}",
-                    report.endpoint
-                );
+                warn!("{area}: dropped the report about {endpoint}: {cause}");
                 continue;
             }
             if !is_failing {
                 warn!(
-                    "quarantine: the leader did not accept the report about {}, it is sent again \
-                     until it does: {cause}",
-                    report.endpoint
+                    "{area}: the leader did not accept the report about {endpoint}, it is sent \
+                     again until it does: {cause}"
                 );
             }
             is_failing = true;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -23,6 +23,7 @@
 use crate::discovery;
 use crate::gateway::{self, dialect};
 use crate::load;
+use crate::outbox;
 use crate::quarantine;
 use crate::queue;
 use crate::reach;
@@ -155,6 +156,7 @@
             tokio::spawn(control::Heartbeat::new(Arc::clone(&core)).run()),
             tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
             tokio::spawn(quarantine::run_reports(Arc::clone(&core))),
+            tokio::spawn(report_drains(Arc::clone(&core))),
             tokio::spawn(Arc::clone(&core).watch_stalls()),
         ];
         if gateway.is_none() {
@@ -295,6 +297,11 @@
     }
 }
 
+/// Tells the leader which processes of endpoints drain, until this one stops.
+async fn report_drains(core: Arc<core::Core>) {
+    core.drains.run(&core).await;
+}
+
 /// Replaces the ports of the control processes' addresses by the group's own port, when
 /// the settings give one because the addresses are the public ones.
 fn apply_control_port(control: &mut settings::EntryControl) {
@@ -384,6 +391,7 @@
         upstream: upstream::Clients::new()?,
         queues: Arc::new(queue::Queues::new(clock)),
         quarantine: quarantine::Quarantine::default(),
+        drains: outbox::Outbox::default(),
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
         trace: trace::Trace::new(Arc::clone(&metrics)),
--- a/crates/cranberrygap-entry/src/quarantine.rs
+++ b/crates/cranberrygap-entry/src/quarantine.rs
@@ -5,8 +5,8 @@
 //! tells which requests are refused or run only alone.
 
 mod evidence;
-mod outbox;
 mod permission;
+mod report;
 mod run;
 
 use std::collections::BTreeMap;
@@ -21,6 +21,7 @@
 use spdlog::{info, warn};
 
 use crate::core;
+use crate::outbox;
 use crate::view;
 
 pub(crate) use run::{Denial, Run};
@@ -52,7 +53,7 @@
 pub(crate) struct Quarantine {
     tracker: Mutex<suspects::Tracker>,
     checks: evidence::Checks,
-    outbox: outbox::Outbox,
+    outbox: outbox::Outbox<claim::Crash>,
     /// The restricted requests of the view that was applied last.
     known: Mutex<Arc<BTreeMap<SmolStr, wire_view::Quarantine>>>,
 }
@@ -183,7 +184,7 @@
                 "quarantine: {fingerprint} was completed at {} and crashes no endpoint",
                 completed_at.endpoint
             );
-            outbox::clear(core, completed_at, vec![fingerprint.clone()]);
+            report::clear(core, completed_at, vec![fingerprint.clone()]);
         }
     }
     for fingerprint in known.keys().filter(|known| !told.contains_key(*known)) {
@@ -203,7 +204,7 @@
         let mut tracker = core.quarantine.tracker.lock();
         tracker.confirm(core.now(), incarnation, since)
     };
-    outbox::clear(core, incarnation.clone(), cleared.into_vec());
+    report::clear(core, incarnation.clone(), cleared.into_vec());
 }
 
 /// Logs the death of an endpoint and reports the requests that ran there to the leader.
--- a/crates/cranberrygap-entry/src/quarantine/run.rs
+++ b/crates/cranberrygap-entry/src/quarantine/run.rs
@@ -8,7 +8,7 @@
 
 use crate::core;
 
-use super::{Place, Stage, evidence, outbox, permission};
+use super::{Place, Stage, evidence, permission, report};
 
 /// A request that is about to be sent or was sent; dropping it ends it without a response.
 #[derive(Debug)]
@@ -99,7 +99,7 @@
         });
         let restricted = restricted.filter(|subject| !cleared.contains(*subject));
         let spoken_for = cleared.iter().chain(restricted).cloned().collect();
-        outbox::clear(&self.core, self.place.incarnation(), spoken_for);
+        report::clear(&self.core, self.place.incarnation(), spoken_for);
     }
 
     /// Records that the response ended with its connection, as it does if the endpoint has died.
--- a/crates/cranberrygap-state/src/endpoint.rs
+++ b/crates/cranberrygap-state/src/endpoint.rs
@@ -42,7 +42,8 @@
 struct Registration {
     announcement: endpoint::Announcement,
     health: view::Health,
-    /// Whether an operator took the endpoint out of service; reset by the next boot.
+    /// Whether an operator took the endpoint out of service, or the process said to an entry that
+    /// it drains; reset by the next boot.
     drained: bool,
     /// Revision that all entries must have before the endpoint may serve.
     #[serde(default)]
@@ -69,6 +70,8 @@
     Retired(software::Reference),
     /// The endpoint said that it leaves, without the boot of the process that left.
     Departed(id::Endpoint),
+    /// The process said in a response to an entry that it drains.
+    Draining(view::Draining),
 }
 
 impl Endpoints {
@@ -91,6 +94,7 @@
             Step::Admitted(seen) => self.admit(seen),
             Step::Retired(reference) => self.retire(reference),
             Step::Departed(name) => self.remove_departed(name),
+            Step::Draining(draining) => self.drain_process(draining),
         };
         (answer::Answer::Done, change.into_iter().collect())
     }
@@ -258,6 +262,24 @@
         Some(vec![change_of(registration)])
     }
 
+    /// Takes a process out of service; a later one of its name is not meant.
+    fn drain_process(&mut self, draining: &view::Draining) -> Option<view::Change> {
+        let registration = self.by_name.get_mut(&draining.endpoint)?;
+        if !registration.can_drain(draining.boot) {
+            return None;
+        }
+        registration.drained = true;
+        registration.health = view::Health::Leaving;
+        Some(change_of(registration))
+    }
+
+    /// Returns whether the word that a process drains would change anything.
+    #[must_use]
+    pub fn would_drain(&self, draining: &view::Draining) -> bool {
+        let registration = self.by_name.get(&draining.endpoint);
+        registration.is_some_and(|registration| registration.can_drain(draining.boot))
+    }
+
     /// Returns whether an endpoint is known.
     #[must_use]
     pub fn contains(&self, name: &id::Endpoint) -> bool {
@@ -346,6 +368,11 @@
         self.health = self.own_health();
     }
 
+    /// Returns whether this boot is in service.
+    fn can_drain(&self, boot: number::Boot) -> bool {
+        self.announcement.boot == boot && self.health != view::Health::Leaving
+    }
+
     fn has_other_boot(&self, announcement: &endpoint::Announcement) -> bool {
         self.announcement.boot != announcement.boot
     }
--- a/crates/cranberrygap-state/tests/endpoints.rs
+++ b/crates/cranberrygap-state/tests/endpoints.rs
@@ -88,3 +88,40 @@
     assert_eq!(same_boot, view::Health::Leaving);
     assert_eq!(health(&group), view::Health::Ready);
 }
+
+fn draining(boot: u64) -> command::Command {
+    step(endpoint::Step::Draining(view::Draining {
+        endpoint: runner(),
+        boot: number::Boot(boot),
+    }))
+}
+
+// An announcement that was made before the process drained may arrive after an entry has told that
+// it drains. The process must not serve again.
+#[test]
+fn process_that_drains_stays_out_of_service_whatever_it_announces() {
+    let mut group = fixture::Group::default();
+    group.commit(fixture::announce(1, 1));
+
+    let (_, changes) = group.commit(draining(1));
+    let (_, again) = group.commit(draining(1));
+    group.commit(fixture::announce(1, 2));
+    group.commit(step(endpoint::Step::Heard(fixture::seen(1, 3))));
+
+    assert_eq!((changes.len(), again.len()), (1, 0));
+    assert_eq!(health(&group), view::Health::Leaving);
+}
+
+// The word of a process that is gone arrives after the next one of its name has started.
+#[test]
+fn drain_of_an_earlier_process_changes_nothing() {
+    let mut group = fixture::Group::default();
+    group.commit(fixture::announce(7, 1));
+    group.commit(draining(7));
+
+    group.commit(fixture::announce(3, 1));
+    let (_, changes) = group.commit(draining(7));
+
+    assert!(changes.is_empty());
+    assert_eq!(health(&group), view::Health::Ready);
+}
--- a/crates/cranberrygap-wire/src/method.rs
+++ b/crates/cranberrygap-wire/src/method.rs
@@ -12,6 +12,8 @@
 pub const CLAIM_CLOSE: &str = "claim_close";
 /// An entry tells what ran on a dead endpoint (`claim::Crash` to nothing).
 pub const CRASH_REPORT: &str = "crash_report";
+/// An entry tells of an endpoint that said to it that it drains (`view::Draining` to nothing).
+pub const ENDPOINT_DRAINING: &str = "endpoint_draining";
 /// An entry asks to run a suspect on an endpoint (`claim::Leave` to a boolean).
 pub const SUSPECT_LEAVE: &str = "suspect_leave";
 /// An entry asks for an adapter (`traffic::Want` to `traffic::Placed`).
