Bind entries to drains in responses that other entries brought

What callers saw: a cut entry has another one send its requests, and passes the response on with the word of the endpoint that it drains. When it reaches endpoints again it would have sent requests there.

The sending entry names the process to the one that forwarded the request (Cranberrygap-Draining, name and boot), which records it like a word of its own and keeps the header to itself; one that an endpoint or a caller makes up is dropped. Weighed: to keep Server-Leaving from the other entry's caller. That hides the word and still leaves the cut entry without it.

A rest is asked of the instance that sent, so it is not passed on.

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -9,7 +9,7 @@
 
 use cranberrygap_model::{duration, id, software};
 use cranberrygap_routing::origin;
-use cranberrygap_wire::traffic;
+use cranberrygap_wire::{traffic, view};
 use http::Response;
 use hyper::body::Incoming;
 
@@ -24,7 +24,8 @@
 use super::forward;
 use super::request::{Request, Resolution};
 use super::{
-    Gateway, dialect, endpoint_connection, endpoints, in_flight, request_log, response, stream,
+    Gateway, dialect, drain, endpoint_connection, endpoints, in_flight, request_log, response,
+    stream,
 };
 use send::Outcome;
 pub(super) use target::Target;
@@ -77,6 +78,8 @@
     cold_room_until: duration::Instant,
     /// The registration of the next attempt, until it is written.
     run: Option<quarantine::Run>,
+    /// The process of the last response, if it drains.
+    draining: Option<view::Draining>,
     /// Tells the leader that the request's adapter is in use.
     adapter_use: Option<control::Use>,
 }
@@ -127,6 +130,7 @@
             room_after: None,
             cold_room_until: duration::Instant::default(),
             run: None,
+            draining: None,
             adapter_use: None,
         }
     }
@@ -166,8 +170,18 @@
     ) -> Result<Response<response::Body>, (request_log::Log, Failure)> {
         let counted_demand = self.count_demand();
         match self.send_until_response().await {
-            Ok(reply) => Ok(stream::relay(self, reply)),
-            Err(Completion::Responded(response)) => {
+            Ok(reply) => {
+                let mark = self.drain_mark();
+                let mut response = stream::relay(self, reply);
+                if let Some(draining) = mark {
+                    drain::mark(response.headers_mut(), &draining);
+                }
+                Ok(response)
+            }
+            Err(Completion::Responded(mut response)) => {
+                if let Some(draining) = self.drain_mark() {
+                    drain::mark(response.headers_mut(), &draining);
+                }
                 let now = self.now();
                 let waited = now.since(self.request.arrived_at);
                 let late_cause = (waited > self.resolution.route.objective).then_some("the answer");
@@ -228,6 +242,12 @@
         }
     }
 
+    /// The process that drains, if the entry that forwarded the request has to know it.
+    fn drain_mark(&self) -> Option<view::Draining> {
+        self.request.forwarded_by?;
+        self.draining.clone()
+    }
+
     /// Whether another entry gets the request, of which nothing was sent so far.
     fn should_forward(&self) -> bool {
         let is_own = self.request.forwarded_by.is_none() && !self.may_have_run;
--- a/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/statements.rs
@@ -4,6 +4,7 @@
 use std::time::SystemTime;
 
 use cranberrygap_model::{ParseError, duration, rate};
+use cranberrygap_wire::view;
 use http::Response;
 use hyper::body::Incoming;
 
@@ -16,7 +17,7 @@
     /// Records everything that a response says of its endpoint. A malformed statement is logged;
     /// the response is not its fault and still goes to the caller.
     pub(super) fn record_statements(
-        &self,
+        &mut self,
         target: &Target,
         sent_at: duration::Instant,
         response: &Response<Incoming>,
@@ -69,14 +70,17 @@
         }
     }
 
-    fn record_draining(&self, target: &Target, draining: statement::Field<()>) {
+    fn record_draining(&mut self, target: &Target, draining: statement::Field<()>) {
         let destination = &target.destination;
+        self.draining = None;
         match draining {
             statement::Field::Absent => {}
             statement::Field::Malformed(cause) => self.ignore_malformed(target, "drain", &cause),
             statement::Field::Known(()) => {
                 self.count_statement("draining");
-                drain::record(&self.gateway, &destination.endpoint, destination.boot);
+                let (endpoint, boot) = (destination.endpoint.clone(), destination.boot);
+                drain::record(&self.gateway, &endpoint, boot);
+                self.draining = Some(view::Draining { endpoint, boot });
             }
         }
     }
--- a/crates/cranberrygap-entry/src/gateway/drain.rs
+++ b/crates/cranberrygap-entry/src/gateway/drain.rs
@@ -3,10 +3,15 @@
 use cranberrygap_model::{id, number};
 use cranberrygap_routing::gate;
 use cranberrygap_wire::{method, view};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 use super::Gateway;
 use crate::outbox;
 
+/// Names the process whose response one entry passes on to another, and that drains: the name of
+/// the endpoint and its boot.
+pub(super) const DRAINING: HeaderName = HeaderName::from_static("cranberrygap-draining");
+
 impl outbox::Report for view::Draining {
     const METHOD: &'static str = method::ENDPOINT_DRAINING;
     const AREA: &'static str = "gateway";
@@ -38,3 +43,27 @@
         boot,
     });
 }
+
+/// Tells the entry that forwarded a request whose response its caller gets. It passes the word of
+/// the process on, and is bound by it like the entry that sent the request.
+pub(super) fn mark(headers: &mut HeaderMap, draining: &view::Draining) {
+    let text = format!("{} {}", draining.endpoint, draining.boot);
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(DRAINING, value);
+    }
+}
+
+/// Records the process that the response of another entry names, if it names one.
+pub(super) fn record_mark(gateway: &Gateway, headers: &HeaderMap) {
+    let Some(value) = headers.get(DRAINING) else {
+        return;
+    };
+    let named = value.to_str().ok().and_then(|text| {
+        let (endpoint, boot) = text.split_once(' ')?;
+        Some((endpoint.parse().ok()?, boot.parse().ok()?))
+    });
+    match named {
+        Some((endpoint, boot)) => record(gateway, &endpoint, boot),
+        None => spdlog::warn!("gateway: another entry names {value:?}, which is no process"),
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -23,7 +23,7 @@
 
 use super::delivery::DEADLINE_GRACE;
 use super::failure::{self, Failure};
-use super::{Gateway, endpoint_connection, request, request_log, response};
+use super::{Gateway, drain, endpoint_connection, request, request_log, response};
 
 /// Marks a request that another entry forwarded; holds the version of that entry's plan.
 const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
@@ -213,6 +213,7 @@
         Some(b"other_plan") => return Err(Rejection::OtherPlan),
         _ => {}
     }
+    drain::record_mark(gateway, response.headers());
     connection.read_idle_timeout(response.headers());
     let length = response.body().size_hint().exact();
     let framing = framing::Framing::new(response.headers(), length);
--- a/crates/cranberrygap-entry/src/gateway/response.rs
+++ b/crates/cranberrygap-entry/src/gateway/response.rs
@@ -5,7 +5,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
 
-use super::forward;
+use super::{drain, forward};
 
 /// Why a body ends early. The caller's connection is then cut, so that a partial body is
 /// never taken for a whole one.
@@ -53,7 +53,8 @@
 /// Headers of an endpoint's response that are forwarded to the caller.
 pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
-    // Only an entry refuses a request of another one.
+    // Only entries tell each other these.
     headers.remove(forward::REFUSAL);
+    headers.remove(drain::DRAINING);
     headers
 }
