Bound the bytes of heads and of all responses that are read whole

What callers saw: bytes that are no response may come without end. Interim responses were read until the request's deadline (16 MB at 8 MB/s), and 300 responses of 1 MB at once took 348 MB of an instance that has 256.

A connection reads at most 64 KiB before a head is complete, interim responses included, and buffers 32 KiB at a time. A response beyond its bounds is one that broke off: it counts as the endpoint's failure and does not reach the caller.

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -5,6 +5,7 @@
 //! A [`dialect::Dialect`] reads and writes the headers of callers and endpoints.
 
 mod activity;
+mod buffer;
 mod caller_connection;
 mod delivery;
 pub mod dialect;
@@ -14,6 +15,7 @@
 mod failure;
 mod forward;
 mod gossip;
+mod head_limit;
 mod in_flight;
 mod listener;
 mod log_limit;
@@ -43,6 +45,7 @@
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
     pub(crate) peers: peers::Peers,
+    memory: buffer::Memory,
     /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
     /// Limits the lines about what endpoints say of themselves.
@@ -57,6 +60,7 @@
             dialect,
             pool,
             peers: peers::Peers::default(),
+            memory: buffer::Memory::default(),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
         })
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -29,9 +29,6 @@
 /// responses of the users' services arrive within half of it.
 const REPEATABLE_ATTEMPT_TIMEOUT: duration::Span = duration::Span::from_millis(900);
 
-/// Largest response that is buffered until it is complete, in bytes.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
-
 /// Result of one attempt.
 pub(super) enum Outcome {
     /// The head of a response, and its connection.
@@ -343,13 +340,12 @@
         } = reply;
         let (head, body) = response.into_parts();
         let timeout = duration::Span(self.deadline().since(self.now()).0 + DEADLINE_GRACE.0);
-        let collecting = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-        let collected = tokio::time::timeout(timeout.to_std(), collecting).await;
-        let whole = match collected {
-            Ok(Ok(whole)) => whole.to_bytes(),
-            Ok(Err(_broken)) => {
+        let reading = self.gateway.memory.read(body);
+        let whole = match tokio::time::timeout(timeout.to_std(), reading).await {
+            Ok(Ok(whole)) => whole,
+            Ok(Err(cause)) => {
                 in_flight.record_break();
-                return Err("the answer broke off");
+                return Err(cause.cause());
             }
             Err(_elapsed) => return Err("the answer did not end in time"),
         };
--- a/crates/cranberrygap-entry/src/gateway/drain.rs
+++ b/crates/cranberrygap-entry/src/gateway/drain.rs
@@ -62,8 +62,9 @@
         let (endpoint, boot) = text.split_once(' ')?;
         Some((endpoint.parse().ok()?, boot.parse().ok()?))
     });
-    match named {
-        Some((endpoint, boot)) => record(gateway, &endpoint, boot),
-        None => spdlog::warn!("gateway: another entry names {value:?}, which is no process"),
-    }
+    let Some((endpoint, boot)) = named else {
+        spdlog::warn!("gateway: another entry names {value:?}, which is no process");
+        return;
+    };
+    record(gateway, &endpoint, boot);
 }
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -14,6 +14,8 @@
 
 use crate::dial;
 
+use super::head_limit;
+
 /// Longest wait for a connection. Endpoints are a few milliseconds away; one that does not
 /// accept by then is cut off or has too many callers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -25,12 +27,16 @@
 /// Time without traffic after which the kernel probes the other end.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bytes that are read ahead of a response's reader. A head that is longer is an error.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// An open connection. Dropping it closes it at once, so that the endpoint stops work for
 /// a caller that has left.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: tokio::task::JoinHandle<()>,
+    head: head_limit::Allowance,
     address: address::Socket,
     is_reused: bool,
     idle_timeout: Option<Duration>,
@@ -61,8 +67,12 @@
         let stream = time::timeout(CONNECT_TIMEOUT, connecting).await;
         let stream = stream.map_err(|_elapsed| std::io::ErrorKind::TimedOut)??;
         configure_socket(&stream)?;
-        let io = TokioIo::new(stream);
-        let handshake = http1::handshake::<_, Full<Bytes>>(io).await;
+        let head = head_limit::Allowance::default();
+        head.begin();
+        let io = TokioIo::new(head_limit::Limited::new(stream, head.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let handshake = builder.handshake::<_, Full<Bytes>>(io).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(cause) = connection.await {
@@ -72,6 +82,7 @@
         Ok(Self {
             sender,
             driver,
+            head,
             address,
             is_reused: false,
             idle_timeout: None,
@@ -91,8 +102,12 @@
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
+        self.head.begin();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head.end();
+                Ok(response)
+            }
             Err(mut failed) => match failed.take_message() {
                 Some(_unsent) => Err(Error::NotSent),
                 None => Err(Error::Unknown),
--- /dev/null
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -0,0 +1,97 @@
+//! A limit on the bytes that an endpoint may send before the head of a response is complete.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes up to the end of a head, interim responses included. Heads have about one kilobyte.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Bytes that a connection may still read before a head.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Allowance(Arc<AtomicUsize>);
+
+/// A connection whose reads are counted while a head is awaited.
+#[derive(Debug)]
+pub(super) struct Limited {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+impl Allowance {
+    /// Awaits a head from now on.
+    pub(super) fn begin(&self) {
+        self.0.store(MAX_HEAD_BYTES, Ordering::Release);
+    }
+
+    /// Lifts the limit, since the head has arrived.
+    pub(super) fn end(&self) {
+        self.0.store(usize::MAX, Ordering::Release);
+    }
+}
+
+impl Limited {
+    pub(super) const fn new(stream: TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for Limited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let left = self.allowance.0.load(Ordering::Acquire);
+        if left == 0 {
+            let message = "the head of the response does not end";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        // The limit may be lifted by another thread meanwhile, and must not come back then.
+        let _lifted = self.allowance.0.compare_exchange(
+            left,
+            left.saturating_sub(read),
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+        polled
+    }
+}
+
+impl AsyncWrite for Limited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
