Give up streams that bring no events, and bodies beyond their bounds

What callers saw: a stream of comments, or an event that never ends, was passed on until the deadline (17 MB), and bytes that are always ready kept the time limit itself from running out, since a read that is ready comes before the timer.

A stream has to bring an event within 1 MiB, other content on such routes has 1 MiB at most; both then count as broken by the endpoint, and a stream that may be resumed goes on elsewhere. Relays look at the deadline before each read. The product's own paths (model requests, calls of services, reports) read bodies with a bound; they had none.

--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -17,6 +17,7 @@
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::relay;
+use crate::upstream;
 use crate::view;
 
 use super::{auth, body};
@@ -30,6 +31,10 @@
 /// Requests that one entry may always have at one engine, however many entries there are.
 const MIN_REQUESTS_PER_ENGINE: usize = 4;
 
+/// Largest response that is read whole, in bytes. The longest completions have some hundred
+/// kilobytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// Handler of the model requests on one path.
 #[derive(Debug)]
 pub(crate) struct Generate {
@@ -203,7 +208,8 @@
     loop {
         let answer = delivery.send(0).await?;
         let mut attempt = answer.attempt;
-        let evidence = match answer.http.bytes().await {
+        let body = upstream::read_body(answer.http, MAX_RESPONSE_BYTES).await;
+        let evidence = match body {
             Ok(bytes) => match serde_json::from_slice::<serde_json::Value>(&bytes) {
                 Ok(parsed) => {
                     attempt.record_complete();
--- a/crates/cranberrygap-entry/src/caller/services/completion.rs
+++ b/crates/cranberrygap-entry/src/caller/services/completion.rs
@@ -8,6 +8,10 @@
 
 use crate::booking;
 use crate::framing;
+use crate::upstream;
+
+/// Largest response of a call, in bytes.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Result of sending a call to an endpoint.
 #[derive(Debug)]
@@ -31,7 +35,7 @@
         .cloned()
         .unwrap_or(default);
     let framing = framing::Framing::new(response.headers(), response.content_length());
-    match response.bytes().await {
+    match upstream::read_body(response, MAX_RESPONSE_BYTES).await {
         Ok(body) if !framing.is_whole(&body) => Completion::Failed(Evidence::CutAnswer),
         Ok(body) if reports_not_run(status, &body) => Completion::Failed(Evidence::EndpointRefused),
         Ok(body) => Completion::Answered {
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -279,6 +279,9 @@
         self.connection.as_ref()?;
         loop {
             let time_left = self.deadline.since(self.gateway.core.now());
+            if time_left.0 == 0 {
+                return Some(Err(self.interrupt("the deadline passed")));
+            }
             let frame = tokio::time::timeout(time_left.to_std(), self.body.frame()).await;
             let cause = match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use crate::metric;
 use crate::sse;
 
+use super::buffer;
 use super::delivery;
 use super::endpoint_connection;
 use super::in_flight;
@@ -19,6 +20,13 @@
 /// Why a stream is not complete although its connection ended in good order.
 const CUT_STREAM: &str = "the stream ended without an event or within one";
 
+/// Why a stream is given up that goes on without end.
+const ENDLESS_STREAM: &str = "the stream brings no events";
+
+/// Bytes without an event after which a stream is given up. Other content is no longer than a
+/// response that is read to its end first.
+const MAX_BYTES_WITHOUT_EVENT: usize = buffer::MAX_RESPONSE_BYTES;
+
 /// A stream on its way to the caller. Dropping it, as when the caller leaves, closes the
 /// connection to the engine, which then stops.
 struct Relay {
@@ -64,6 +72,9 @@
     framing: framing::Framing,
     connection: endpoint_connection::Connection,
     in_flight: in_flight::Request,
+    /// Bytes that have arrived since the last event, and the number of that event.
+    bytes_without_event: usize,
+    last_event: u64,
 }
 
 /// A response whose body is the stream.
@@ -115,6 +126,8 @@
         framing: reply.framing,
         connection: reply.connection,
         in_flight: reply.in_flight,
+        bytes_without_event: 0,
+        last_event: 0,
     };
     (head, upstream)
 }
@@ -125,6 +138,10 @@
             let deadline = self.delivery.deadline().after(delivery::DEADLINE_GRACE);
             let time_left = deadline.since(self.delivery.gateway.core.now());
             let upstream = self.upstream.as_mut()?;
+            if time_left.0 == 0 {
+                // Bytes that are always ready would never let the time run out.
+                return Some(Err(self.interrupt("the deadline passed")));
+            }
             let frame = tokio::time::timeout(time_left.to_std(), upstream.body.frame()).await;
             match frame {
                 Err(_elapsed) => return Some(Err(self.interrupt("the deadline passed"))),
@@ -133,7 +150,15 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    match self.take_complete_events(data) {
+                    let length = data.len();
+                    let taken = self.take_complete_events(data);
+                    if !self.brings_events(length) {
+                        if !self.continue_elsewhere(ENDLESS_STREAM).await {
+                            return Some(Err(self.interrupt(ENDLESS_STREAM)));
+                        }
+                        continue;
+                    }
+                    match taken {
                         Ok(data) if data.is_empty() => {}
                         other => return Some(self.pass_on(other)),
                     }
@@ -201,6 +226,9 @@
             None => return Ok(data),
         };
         if splitter.push(&data).is_err() {
+            if let Some(upstream) = &mut self.upstream {
+                upstream.in_flight.record_break();
+            }
             return Err(self.interrupt("an event is too long"));
         }
         let mut whole = BytesMut::new();
@@ -213,6 +241,23 @@
         Ok(whole.freeze())
     }
 
+    /// Whether a stream of which so many bytes have arrived still brings events from time to time.
+    fn brings_events(&mut self, length: usize) -> bool {
+        let count = self
+            .events
+            .as_ref()
+            .map_or(0, |events| events.scanner().event_count());
+        let Some(upstream) = &mut self.upstream else {
+            return true;
+        };
+        if count > std::mem::replace(&mut upstream.last_event, count) {
+            upstream.bytes_without_event = 0;
+            return true;
+        }
+        upstream.bytes_without_event = upstream.bytes_without_event.saturating_add(length);
+        upstream.bytes_without_event <= MAX_BYTES_WITHOUT_EVENT
+    }
+
     /// Whether a stream that ended is complete.
     fn is_whole(&self) -> bool {
         match (&self.upstream, &self.events) {
--- a/crates/cranberrygap-entry/src/load.rs
+++ b/crates/cranberrygap-entry/src/load.rs
@@ -11,6 +11,7 @@
 
 use crate::core;
 use crate::route;
+use crate::upstream;
 
 /// Time between polling rounds. Reports lag anyway, so shorter intervals would add little.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
@@ -32,6 +33,9 @@
 /// Assumed size in bytes of a report before the first one arrives.
 const INITIAL_REPORT_BYTES: u64 = 750;
 
+/// Largest report that is read, in bytes; thousands of models fit.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
 /// Divisor of the moving mean of report sizes: the latest report weighs `1 / MEAN_DIVISOR`.
 const MEAN_DIVISOR: u64 = 8;
 
@@ -144,7 +148,7 @@
         .timeout(REPORT_TIMEOUT)
         .send();
     let response = request.await.ok()?.error_for_status().ok()?;
-    let bytes = response.bytes().await.ok()?;
+    let bytes = upstream::read_body(response, MAX_REPORT_BYTES).await.ok()?;
     let report = serde_json::from_slice(&bytes).ok()?;
     let size = bytes.len() as u64 + HEADER_BYTES;
     Some(Response { report, size })
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -72,8 +72,14 @@
     async fn next_events(&mut self) -> Option<Bytes> {
         while !self.finished {
             let timeout = self.read_timeout();
-            let evidence = match tokio::time::timeout(timeout.to_std(), self.upstream.next()).await
-            {
+            let next = async {
+                // Bytes that are always ready would never let the time run out.
+                if timeout.0 == 0 {
+                    std::future::pending::<()>().await;
+                }
+                self.upstream.next().await
+            };
+            let evidence = match tokio::time::timeout(timeout.to_std(), next).await {
                 Err(_elapsed) => Evidence::Silence,
                 Ok(None) => Evidence::CutAnswer,
                 Ok(Some(Err(_cause))) => Evidence::ConnectionBroke,
--- a/crates/cranberrygap-entry/src/sse/scanner.rs
+++ b/crates/cranberrygap-entry/src/sse/scanner.rs
@@ -38,7 +38,7 @@
     /// Whether the last byte was a CR, so that an LF belongs to the same line end.
     after_cr: bool,
     mark: Mark,
-    has_events: bool,
+    event_count: u64,
 }
 
 impl Scanner {
@@ -84,8 +84,14 @@
 
     /// Whether a whole event has arrived.
     #[must_use]
-    pub fn has_events(&self) -> bool {
-        self.has_events
+    pub const fn has_events(&self) -> bool {
+        self.event_count > 0
+    }
+
+    /// Number of whole events that have arrived. Comments are none.
+    #[must_use]
+    pub const fn event_count(&self) -> u64 {
+        self.event_count
     }
 
     /// Whether an LF that follows belongs to the last line end.
@@ -99,7 +105,7 @@
             self.has_field |= line == Line::Field;
             return false;
         }
-        self.has_events |= std::mem::take(&mut self.has_field);
+        self.event_count += u64::from(std::mem::take(&mut self.has_field));
         true
     }
 
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
+
 /// Longest wait for a TCP connection. Endpoints are about a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -18,6 +20,32 @@
 /// two probes. The probes detect a dead connection while nothing is sent.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why the body of a response was not read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The connection broke.
+    #[error("the response broke off: {0}")]
+    Broken(#[from] reqwest::Error),
+    /// It is larger than it may be.
+    #[error("the response has more than {0} bytes")]
+    TooLarge(usize),
+}
+
+/// Reads the body of a response that may have so many bytes at most.
+pub(crate) async fn read_body(
+    mut response: reqwest::Response,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = response.chunk().await? {
+        if whole.len() + chunk.len() > max_bytes {
+            return Err(BodyError::TooLarge(max_bytes));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
 /// HTTP clients of one entry.
 #[derive(Debug, Clone)]
 pub(crate) struct Clients {
