--- a/crates/cranberrygap-arrivals/src/check.rs
+++ b/crates/cranberrygap-arrivals/src/check.rs
@@ -5,6 +5,7 @@
 mod deadline;
 mod drains;
 mod endpoints;
+mod pairs;
 mod rests;
 mod returns;
 mod versions;
--- a/crates/cranberrygap-arrivals/src/check/drains.rs
+++ b/crates/cranberrygap-arrivals/src/check/drains.rs
@@ -1,6 +1,6 @@
 //! Drains that endpoints announce in responses.
 
-use super::{Check, some_of};
+use super::{Check, pairs, some_of};
 use crate::finding;
 use crate::record;
 use crate::rules;
@@ -20,19 +20,19 @@
     }
 
     fn run(&self, record: &record::Record, rules: &rules::Rules) -> Vec<finding::Finding> {
-        let attempts = record.attempts_by_id();
+        let pairs = pairs::Pairs::new(record);
         let mut findings = Vec::new();
         for said in &record.statements {
             if said.wish != statement::Wish::Drain {
                 continue;
             }
             let known_at = said.at.after(rules.drain_time);
-            let arrivals = record.arrivals_after(said, &attempts);
+            let arrivals = pairs.after(said).iter();
             let late: Vec<_> = arrivals
                 .filter(|(_, attempt)| attempt.sent_at > known_at)
                 .map(|(arrival, _)| arrival)
                 .collect();
-            if let Some(first) = late.iter().min_by_key(|arrival| arrival.at) {
+            if let Some(first) = late.first() {
                 findings.push(finding::Finding {
                     check: self.name(),
                     at: first.at,
--- a/crates/cranberrygap-arrivals/src/check/rests.rs
+++ b/crates/cranberrygap-arrivals/src/check/rests.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_model::duration;
 
-use super::{Check, some_of};
+use super::{Check, pairs, some_of};
 use crate::finding;
 use crate::record;
 use crate::rules;
@@ -22,24 +22,23 @@
     }
 
     fn run(&self, record: &record::Record, rules: &rules::Rules) -> Vec<finding::Finding> {
-        let attempts = record.attempts_by_id();
+        let pairs = pairs::Pairs::new(record);
         let mut findings = Vec::new();
         for asked in &record.statements {
             let statement::Wish::Rest(rest) = asked.wish else {
                 continue;
             };
             let until = asked.at.after(rest);
-            let arrivals = record.arrivals_after(asked, &attempts);
-            let mut arrivals: Vec<_> = arrivals
-                .map(|(arrival, _)| arrival)
+            let arrivals = pairs.after(asked).iter().map(|(arrival, _)| arrival);
+            let arrivals = arrivals.take_while(|arrival| arrival.at < until);
+            let arrivals: Vec<_> = arrivals
                 .filter(|arrival| {
                     // What arrived while the run stood still was read late.
                     let stalled = record.stalled(asked.at, arrival.at);
                     let arrived_at = duration::Instant(arrival.at.0.saturating_sub(stalled.0));
-                    arrived_at > asked.at.after(rules.rest_grace) && arrival.at < until
+                    arrived_at > asked.at.after(rules.rest_grace)
                 })
                 .collect();
-            arrivals.sort_by_key(|arrival| arrival.at);
             if let Some(first) = arrivals.get(rules.max_rest_arrivals) {
                 findings.push(finding::Finding {
                     check: self.name(),
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -52,32 +52,6 @@
         duration::Span(spans.sum())
     }
 
-    /// Returns the arrivals at the endpoint of a statement that came from the entry that it was made
-    /// to, with their attempts. Those after a fault of the entry are left out.
-    pub(crate) fn arrivals_after<'record>(
-        &'record self,
-        statement: &'record statement::Statement,
-        attempts: &'record BTreeMap<&SmolStr, &attempt::Attempt>,
-    ) -> impl Iterator<Item = (&'record arrival::Arrival, &'record attempt::Attempt)> {
-        let asked = self.arrivals.iter().find(|arrival| {
-            arrival.attempt == statement.attempt && arrival.endpoint == statement.endpoint
-        });
-        let asked = asked.and_then(|arrival| sender(arrival, attempts));
-        let arrivals = self
-            .arrivals
-            .iter()
-            .filter(|arrival| arrival.endpoint == statement.endpoint && arrival.at > statement.at);
-        arrivals.filter_map(move |arrival| {
-            let entry = sender(arrival, attempts)?;
-            let mut faults = self.faults.iter();
-            let is_excused = faults.any(|fault| {
-                fault.entry == *entry && fault.at >= statement.at && fault.at <= arrival.at
-            });
-            let attempt = *attempts.get(&arrival.attempt)?;
-            (Some(entry) == asked && !is_excused).then_some((arrival, attempt))
-        })
-    }
-
     /// Returns whether an entry was left alone for `span` before `at`.
     #[must_use]
     pub fn is_settled(&self, entry: &str, at: duration::Instant, span: duration::Span) -> bool {
@@ -85,13 +59,3 @@
         !faults.any(|fault| fault.entry == entry && fault.at <= at && at.since(fault.at) < span)
     }
 }
-
-/// The entry that sent an arrival.
-fn sender<'record>(
-    arrival: &'record arrival::Arrival,
-    attempts: &BTreeMap<&SmolStr, &'record attempt::Attempt>,
-) -> Option<&'record SmolStr> {
-    let caller = attempts.get(&arrival.attempt);
-    let caller = caller.map(|attempt| &attempt.entry);
-    arrival.sender.as_ref().or(caller)
-}
--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -10,6 +10,7 @@
 pub mod quarantine;
 pub mod resends;
 pub mod residency;
+pub mod rests;
 pub mod view;
 
 use std::fmt;
@@ -63,6 +64,7 @@
         Box::new(bookings::Bookings),
         Box::new(quarantine::Quarantine),
         Box::new(resends::Resends),
+        Box::new(rests::Rests),
         Box::new(origins::Origins),
         Box::new(view::View::default()),
         Box::new(view::Minority),
--- a/crates/cranberrygap-entry/src/gateway/endpoints/gate.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints/gate.rs
@@ -25,6 +25,8 @@
 
 impl Endpoints {
     /// Records that a process asks for rest; returns whether it did not rest before.
+    ///
+    /// Where the view names another process at the address by now, the response may be its own.
     pub(crate) fn record_rest(
         &self,
         now: duration::Instant,
@@ -32,7 +34,13 @@
         length: duration::Span,
     ) -> bool {
         let mut inner = self.inner.lock();
-        inner.gate.rest(now, destination.process(), length)
+        let Inner { states, gate, .. } = &mut *inner;
+        let named = states.get(&destination.endpoint);
+        let named = named.filter(|state| state.address == destination.address);
+        if let Some(state) = named.filter(|state| state.boot != destination.boot) {
+            gate.rest(now, state.process(), length);
+        }
+        gate.rest(now, destination.process(), length)
     }
 
     /// Records that a process drains; returns whether that is new.
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -44,17 +44,17 @@
 impl AsyncRead for Limited {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let left = self.allowance.0.load(Ordering::Acquire);
         if left == 0 {
             let message = "the head of the response does not end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let read = buffer.filled().len() - before;
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
         // The limit may be lifted by another thread meanwhile, and must not come back then.
         let _lifted = self.allowance.0.compare_exchange(
             left,
@@ -69,29 +69,29 @@
 impl AsyncWrite for Limited {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/cranberrygap-routing/src/gate/book.rs
+++ b/crates/cranberrygap-routing/src/gate/book.rs
@@ -11,6 +11,10 @@
 /// be missing from the views of a new leader until its next heartbeat.
 const DRAIN_MEMORY: duration::Span = duration::Span::from_secs(600);
 
+/// Time in which a view names the next process of an endpoint. A response that is read until then
+/// may come from that one already, though the request was meant for the one before.
+const NEWS_TIME: duration::Span = duration::Span::from_secs(3);
+
 /// Processes of one name that may be known at a time.
 type Processes = SmallVec<[State; 1]>;
 
@@ -33,6 +37,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Rest {
     began_at: duration::Instant,
+    /// When the process asked last.
+    asked_at: duration::Instant,
     until: duration::Instant,
     ramp: ramp::Ramp,
 }
@@ -61,11 +67,13 @@
         let state = self.state(process);
         match &mut state.rest {
             Some(rest) if now < rest.until => {
+                rest.asked_at = now;
                 rest.until = rest.until.max(until);
                 false
             }
             // It was asked again, and rejected that: the same rest goes on.
             Some(rest) if !rest.ramp.is_over(rest.until, now) => {
+                rest.asked_at = now;
                 rest.until = until;
                 rest.ramp = ramp::Ramp::default();
                 false
@@ -73,6 +81,7 @@
             rest => {
                 *rest = Some(Rest {
                     began_at: now,
+                    asked_at: now,
                     until,
                     ramp: ramp::Ramp::default(),
                 });
@@ -160,12 +169,24 @@
     }
 
     /// Records that a view names a process.
+    ///
+    /// A rest that was asked for a moment before the first view with this process may be its own.
+    /// A drain is not taken over: it does not end, and the next response says so again.
     pub fn record_seen(&mut self, now: duration::Instant, process: Process<'_>) {
-        let drains_since = self
-            .find_mut(process)
-            .and_then(|state| state.drains_since.as_mut());
-        if let Some(since) = drains_since {
-            *since = now;
+        let Some(states) = self.states.get_mut(process.endpoint) else {
+            return;
+        };
+        let known = states.iter_mut().find(|state| state.boot == process.boot);
+        if let Some(state) = known {
+            if let Some(since) = &mut state.drains_since {
+                *since = now;
+            }
+            return;
+        }
+        let rests = states.iter().filter_map(|state| state.rest);
+        let recent = rests.filter(|rest| now < rest.until && now.since(rest.asked_at) < NEWS_TIME);
+        if let Some(rest) = recent.max_by_key(|rest| rest.until) {
+            self.state(process).rest = Some(rest);
         }
     }
 
--- a/crates/cranberrygap-routing/tests/gate.rs
+++ b/crates/cranberrygap-routing/tests/gate.rs
@@ -141,3 +141,29 @@
     assert_eq!(ended[0].kept_away, 2);
     assert!(book.is_empty());
 }
+
+// An endpoint restarted and rejected a request before any view named its new process. The rest was
+// booked on the process before, and the view opened the endpoint.
+#[test]
+fn rest_that_the_next_process_may_have_asked_for_binds_it() {
+    let name = endpoint();
+    let mut book = Book::default();
+    book.rest(at(1_000), process(&name, 1), REST);
+    book.drain(at(1_000), process(&name, 1));
+
+    book.record_seen(at(1_300), process(&name, 2));
+
+    let next = book.passage(at(1_300), process(&name, 2));
+    assert_eq!(next, Passage::After(at(4_000)));
+}
+
+#[test]
+fn rest_of_a_process_that_ended_long_ago_binds_no_other() {
+    let name = endpoint();
+    let mut book = Book::default();
+    book.rest(at(1_000), process(&name, 1), duration::Span::from_secs(60));
+
+    book.record_seen(at(4_000), process(&name, 2));
+
+    assert_eq!(book.passage(at(4_000), process(&name, 2)), Passage::Open);
+}
