Take a late rest over by a process that the view named before

A request that was meant for an earlier process was rejected by the next one while the view did not name the endpoint; the next view named a process that was known already, so nothing was taken over.

--- a/crates/cranberrygap-bench/src/soak/rests/endpoint.rs
+++ b/crates/cranberrygap-bench/src/soak/rests/endpoint.rs
@@ -23,8 +23,11 @@
 /// An endpoint as it is.
 #[derive(Debug)]
 pub struct Endpoint {
+    /// Name of all its processes.
     pub name: id::Endpoint,
+    /// The process that runs, or starts next.
     pub boot: number::Boot,
+    /// Whether the process says that it drains.
     pub is_draining: bool,
     /// Until when it is down.
     pub down_until: duration::Instant,
@@ -35,6 +38,7 @@
 
 impl Endpoint {
     /// Creates an endpoint that takes requests.
+    #[must_use]
     pub fn new(name: id::Endpoint) -> Self {
         Self {
             name,
--- a/crates/cranberrygap-bench/src/soak/rests/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/rests/entry.rs
@@ -12,7 +12,9 @@
 /// What a view says of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Seen {
+    /// Its process.
     pub boot: number::Boot,
+    /// Whether it takes requests.
     pub is_ready: bool,
 }
 
@@ -30,11 +32,13 @@
 /// One entry.
 #[derive(Debug, Default)]
 pub struct Entry {
+    /// What processes asked it for.
     pub book: Book,
     /// What its view says, by endpoint; nothing of those that it does not name.
     pub view: Vec<Option<Seen>>,
     /// Requests that it has at each endpoint.
     pub running: Vec<u32>,
+    /// Until when it stands still.
     pub frozen_until: duration::Instant,
     /// Counts its processes.
     pub life: u64,
@@ -42,6 +46,7 @@
 
 impl Entry {
     /// Creates an entry whose view names no endpoint yet.
+    #[must_use]
     pub fn new(book: Book, endpoints: usize) -> Self {
         Self {
             book,
--- a/crates/cranberrygap-routing/src/gate/book.rs
+++ b/crates/cranberrygap-routing/src/gate/book.rs
@@ -176,17 +176,21 @@
         let Some(states) = self.states.get_mut(process.endpoint) else {
             return;
         };
+        let rests = states.iter().filter(|state| state.boot != process.boot);
+        let recent = rests
+            .filter_map(|state| state.rest)
+            .filter(|rest| now < rest.until && now.since(rest.asked_at) < NEWS_TIME);
+        let other = recent.max_by_key(|rest| rest.until);
         let known = states.iter_mut().find(|state| state.boot == process.boot);
-        if let Some(state) = known {
-            if let Some(since) = &mut state.drains_since {
-                *since = now;
-            }
-            return;
+        if let Some(since) = known.and_then(|state| state.drains_since.as_mut()) {
+            *since = now;
         }
-        let rests = states.iter().filter_map(|state| state.rest);
-        let recent = rests.filter(|rest| now < rest.until && now.since(rest.asked_at) < NEWS_TIME);
-        if let Some(rest) = recent.max_by_key(|rest| rest.until) {
-            self.state(process).rest = Some(rest);
+        let Some(other) = other else {
+            return;
+        };
+        let state = self.state(process);
+        if state.rest.is_none_or(|rest| rest.until < other.until) {
+            state.rest = Some(other);
         }
     }
 
--- a/crates/cranberrygap-routing/tests/gate.rs
+++ b/crates/cranberrygap-routing/tests/gate.rs
@@ -167,3 +167,22 @@
 
     assert_eq!(book.passage(at(4_000), process(&name, 2)), Passage::Open);
 }
+
+// The next process was known, and missing from the view while a request that was meant for the one
+// before reached it.
+#[test]
+fn longer_rest_that_was_booked_on_the_process_before_binds_a_known_one() {
+    let name = endpoint();
+    let mut book = Book::default();
+    book.rest(
+        at(1_000),
+        process(&name, 2),
+        duration::Span::from_millis(100),
+    );
+    book.rest(at(1_050), process(&name, 1), REST);
+
+    book.record_seen(at(1_300), process(&name, 2));
+
+    let next = book.passage(at(1_300), process(&name, 2));
+    assert_eq!(next, Passage::After(at(4_050)));
+}
