--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -27,6 +27,10 @@
 /// Time without traffic after which the kernel probes the other end.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest wait for a kept connection to take a request. A new one is opened within a few
+/// milliseconds.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Bytes that are read ahead of a response's reader. A head that is longer is an error.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
@@ -89,9 +93,13 @@
         })
     }
 
-    /// Waits until a request would be written at once; false if none can be written any more.
+    /// Waits a moment until a request would be written at once; false if none would.
+    ///
+    /// An endpoint may respond before it has read a long body. The connection is not ready until
+    /// it has.
     pub(crate) async fn is_ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
+        let ready = time::timeout(READY_TIMEOUT, self.sender.ready()).await;
+        matches!(ready, Ok(Ok(())))
     }
 
     /// Sends a request and waits for the head of its response.
