Deliver what is ready at the deadline, up to a bound

The bound of streams whose bytes are always ready also cut what was ready when a process that had stood still went on: ready answers are delivered, also late.

--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -40,7 +40,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: tokio::task::JoinHandle<()>,
-    head: head_limit::Allowance,
+    head: head_limit::Budget,
     address: address::Socket,
     is_reused: bool,
     idle_timeout: Option<Duration>,
@@ -71,7 +71,7 @@
         let stream = time::timeout(CONNECT_TIMEOUT, connecting).await;
         let stream = stream.map_err(|_elapsed| std::io::ErrorKind::TimedOut)??;
         configure_socket(&stream)?;
-        let head = head_limit::Allowance::default();
+        let head = head_limit::Budget::default();
         head.begin();
         let io = TokioIo::new(head_limit::Limited::new(stream, head.clone()));
         let mut builder = http1::Builder::new();
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -23,7 +23,7 @@
 
 use super::delivery::DEADLINE_GRACE;
 use super::failure::{self, Failure};
-use super::{Gateway, drain, endpoint_connection, request, request_log, response};
+use super::{Gateway, buffer, drain, endpoint_connection, request, request_log, response};
 
 /// Marks a request that another entry forwarded; holds the version of that entry's plan.
 const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
@@ -224,6 +224,7 @@
         connection: Some(connection),
         framing,
         deadline: deadline.after(DEADLINE_GRACE),
+        bytes_after_deadline: 0,
         id: request.metadata.id.clone(),
         _usage: usage,
     };
@@ -257,6 +258,8 @@
     connection: Option<endpoint_connection::Connection>,
     framing: framing::Framing,
     deadline: duration::Instant,
+    /// Bytes that were ready after the deadline; they are delivered also late, up to a bound.
+    bytes_after_deadline: usize,
     /// Id of the request, for the log.
     id: Option<SmolStr>,
     _usage: super::peers::Usage,
@@ -279,13 +282,18 @@
         self.connection.as_ref()?;
         loop {
             let time_left = self.deadline.since(self.gateway.core.now());
-            if time_left.0 == 0 {
+            if self.bytes_after_deadline > buffer::MAX_RESPONSE_BYTES {
                 return Some(Err(self.interrupt("the deadline passed")));
             }
             let frame = tokio::time::timeout(time_left.to_std(), self.body.frame()).await;
             let cause = match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
+                    Ok(data) => {
+                        if time_left.0 == 0 {
+                            self.bytes_after_deadline += data.len();
+                        }
+                        return Some(Ok(data));
+                    }
                     Err(_trailers) => continue,
                 },
                 Ok(None) => {
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -14,16 +14,16 @@
 
 /// Bytes that a connection may still read before a head.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Allowance(Arc<AtomicUsize>);
+pub(super) struct Budget(Arc<AtomicUsize>);
 
 /// A connection whose reads are counted while a head is awaited.
 #[derive(Debug)]
 pub(super) struct Limited {
     stream: TcpStream,
-    allowance: Allowance,
+    budget: Budget,
 }
 
-impl Allowance {
+impl Budget {
     /// Awaits a head from now on.
     pub(super) fn begin(&self) {
         self.0.store(MAX_HEAD_BYTES, Ordering::Release);
@@ -36,8 +36,8 @@
 }
 
 impl Limited {
-    pub(super) const fn new(stream: TcpStream, allowance: Allowance) -> Self {
-        Self { stream, allowance }
+    pub(super) const fn new(stream: TcpStream, budget: Budget) -> Self {
+        Self { stream, budget }
     }
 }
 
@@ -47,7 +47,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.allowance.0.load(Ordering::Acquire);
+        let left = self.budget.0.load(Ordering::Acquire);
         if left == 0 {
             let message = "the head of the response does not end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -56,7 +56,7 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read = buf.filled().len() - before;
         // The limit may be lifted by another thread meanwhile, and must not come back then.
-        let _lifted = self.allowance.0.compare_exchange(
+        let _lifted = self.budget.0.compare_exchange(
             left,
             left.saturating_sub(read),
             Ordering::AcqRel,
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -41,6 +41,9 @@
     last_event_at: Option<duration::Instant>,
     /// Why the stream is late, if it is.
     late_cause: Option<&'static str>,
+    /// Bytes that were ready after the deadline. Without a bound, bytes that are always ready
+    /// would never let the time run out.
+    bytes_after_deadline: usize,
 }
 
 /// Events on their way.
@@ -106,6 +109,7 @@
         has_passed_on: false,
         last_event_at: None,
         late_cause: None,
+        bytes_after_deadline: 0,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let next = relay.next_bytes().await?;
@@ -138,10 +142,10 @@
             let deadline = self.delivery.deadline().after(delivery::DEADLINE_GRACE);
             let time_left = deadline.since(self.delivery.gateway.core.now());
             let upstream = self.upstream.as_mut()?;
-            if time_left.0 == 0 {
-                // Bytes that are always ready would never let the time run out.
+            if self.bytes_after_deadline > MAX_BYTES_WITHOUT_EVENT {
                 return Some(Err(self.interrupt("the deadline passed")));
             }
+            // What is ready is delivered also late.
             let frame = tokio::time::timeout(time_left.to_std(), upstream.body.frame()).await;
             match frame {
                 Err(_elapsed) => return Some(Err(self.interrupt("the deadline passed"))),
@@ -151,6 +155,9 @@
                         continue;
                     };
                     let length = data.len();
+                    if time_left.0 == 0 {
+                        self.bytes_after_deadline += length;
+                    }
                     let taken = self.take_complete_events(data);
                     if !self.brings_events(length) {
                         if !self.continue_elsewhere(ENDLESS_STREAM).await {
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -18,6 +18,10 @@
 
 type Upstream = Pin<Box<dyn Stream<Item = reqwest::Result<Bytes>> + Send>>;
 
+/// Bytes that may still be ready after the deadline. Without a bound, bytes that are always ready
+/// would never let the time run out.
+const MAX_BYTES_AFTER_DEADLINE: usize = 1 << 20;
+
 /// Event that marks the end of a stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -35,6 +39,8 @@
     attainment: attainment::Progress,
     /// Whether no byte has arrived from the engine in this attempt.
     awaiting_first_byte: bool,
+    /// Bytes that were ready after the deadline. They are delivered also late, up to a bound.
+    bytes_after_deadline: usize,
     finished: bool,
 }
 
@@ -56,6 +62,7 @@
             permit,
             attainment,
             awaiting_first_byte: true,
+            bytes_after_deadline: 0,
             finished: false,
         }
     }
@@ -72,9 +79,9 @@
     async fn next_events(&mut self) -> Option<Bytes> {
         while !self.finished {
             let timeout = self.read_timeout();
+            let is_over = self.bytes_after_deadline > MAX_BYTES_AFTER_DEADLINE;
             let next = async {
-                // Bytes that are always ready would never let the time run out.
-                if timeout.0 == 0 {
+                if is_over {
                     std::future::pending::<()>().await;
                 }
                 self.upstream.next().await
@@ -106,6 +113,13 @@
         timeout.min(self.delivery.remaining())
     }
 
+    /// Counts bytes that were ready after the deadline.
+    fn count_late_bytes(&mut self, bytes: &[u8]) {
+        if self.delivery.remaining().0 == 0 {
+            self.bytes_after_deadline += bytes.len();
+        }
+    }
+
     /// Accepts bytes from the engine and returns the events to send to the caller.
     ///
     /// # Errors
@@ -113,6 +127,7 @@
     /// The evidence of the failure if the stream is malformed.
     fn accept_bytes(&mut self, bytes: &[u8]) -> Result<Bytes, Evidence> {
         self.awaiting_first_byte = false;
+        self.count_late_bytes(bytes);
         if self.splitter.push(bytes).is_err() {
             return Err(Evidence::CutAnswer);
         }
