Learn the speed of each engine at its home

Cause: times were learned by service and model at each entry alone, so engines of 0.6 and 1.6 looked alike; one entry of 75 sees an engine once in 16 s.

Change: entries tell the home of an engine what each stream showed (time per prompt token, median of the first pauses); the home keeps both by model, with the engine's present state and its spread, and tells them to entries that ask for its load. Choice, wait and the prefill budget use the engine's own speed. What is not known is taken from the peers with the same model, and what is old decays to them. In the dump as 'speed'.

Run: tests of the routing crate.

--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -339,6 +339,7 @@
             uncached_tokens: choice.uncached_tokens,
             max_output_tokens: self.max_output_tokens(),
             had_free_slot: choice.has_adapter && choice.running < self.resolution.slots,
+            event_interval: self.latency(model).event_interval(),
         }
     }
 
--- a/crates/cranberrygap-entry/src/gateway/endpoints.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoints.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod questions;
 mod room;
+mod speeds;
 mod state;
 
 use std::collections::BTreeMap;
@@ -20,7 +21,7 @@
 use cranberrygap_routing::gate::book as gate_book;
 use cranberrygap_routing::limit;
 use cranberrygap_routing::origin;
-use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection};
+use cranberrygap_routing::prompt::{home, latency, prefix_cache, selection, speed};
 use cranberrygap_wire::view as wire_view;
 use parking_lot::Mutex;
 use smallvec::SmallVec;
@@ -35,6 +36,7 @@
 pub(crate) use notices::Notice;
 pub(crate) use questions::Question;
 pub(crate) use room::News;
+pub(crate) use speeds::Observed;
 use state::State;
 
 /// Endpoints that a request was already sent to.
@@ -150,6 +152,7 @@
     notices: notices::Outbox,
     questions: questions::Outbox,
     limit_outbox: limits::Outbox,
+    speed_outbox: speeds::Outbox,
 }
 
 #[derive(Debug, Default)]
@@ -163,6 +166,10 @@
     book: home::Book,
     /// What the homes of other endpoints told.
     learned: BTreeMap<u32, home::Learned>,
+    /// Speeds of the engines that this entry is the home of.
+    speeds: speed::book::Book,
+    /// Speeds of all engines as far as their homes told them.
+    known_speeds: speed::known::Known,
     /// Room at the endpoints with a limit that this entry is the home of.
     limits: limit::ledger::Ledger,
     /// Places at the brittle endpoints that this entry is the home of.
@@ -200,6 +207,7 @@
             notices: notices::Outbox::default(),
             questions: questions::Outbox::default(),
             limit_outbox: limits::Outbox::default(),
+            speed_outbox: speeds::Outbox::default(),
         }
     }
 
@@ -459,6 +467,7 @@
                 "limit": state.limit.named(), "temperature": state.temperature, "evacuated": inner.is_evacuated(state),
                 "bears_rejections": state.room.bears().map(|bears| bears.to_string()),
                 "gate": inner.gate.describe(now, state.process()),
+                "speed": inner.dump_speed(state),
             });
             (name.to_string(), value)
         });
@@ -500,6 +509,8 @@
             if previous_boot.is_some_and(|boot| boot != state.boot) {
                 self.limits.forget(state.name_hash);
                 self.places.forget(state.name_hash);
+                self.speeds.forget(state.name_hash);
+                self.known_speeds.forget(state.name_hash);
             }
             self.homes
                 .set_endpoint(state.name_hash, &endpoint.announcement.domain);
@@ -513,6 +524,8 @@
             self.limits.forget(gone.name_hash);
             self.places.forget(gone.name_hash);
             self.cold_rooms.forget(gone.name_hash);
+            self.speeds.forget(gone.name_hash);
+            self.known_speeds.forget(gone.name_hash);
         }
         self.homes.forget_gone_endpoints();
         self.record_seen(now);
@@ -586,6 +599,8 @@
         let usable = self.filter_by_limit(now, usable, query.only_spared);
         let reachable_states = filter_reachable(now, &usable);
         let session_engine = session_engine(query, &reachable_states);
+        let model = speed::model_key(query.model);
+        let peers = self.known_speeds.peers(model);
         let candidates = reachable_states.iter().map(|state| {
             let others = self.load_of_others(now, state);
             let own_prompts = state.recent_prompts.prefill_time(now);
@@ -598,6 +613,7 @@
                 same_domain: state.same_domain,
                 has_adapter: state.holds_adapter(adapter),
                 failure_rate: state.failures.failure_rate(now),
+                speed: Some(self.speed(now, state, model, &peers)),
             }
         });
         candidates.collect()
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -11,7 +11,7 @@
 
 use cranberrygap_model::{address, duration, rate};
 use cranberrygap_routing::origin;
-use cranberrygap_routing::prompt::{backlog, home};
+use cranberrygap_routing::prompt::{backlog, home, speed};
 use cranberrygap_routing::{cold, limit};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -33,6 +33,9 @@
 /// Endpoints in one message; more would not fit.
 const MAX_ENDPOINTS_PER_MESSAGE: usize = 45;
 
+/// Engines whose speeds stand in one message; with the most models no more would fit.
+const MAX_SPEEDS_PER_MESSAGE: usize = 4;
+
 /// Origins of streams in one message; with the longest names no more would fit.
 const MAX_ORIGINS_PER_MESSAGE: usize = 4;
 
@@ -90,6 +93,10 @@
         endpoint: u32,
         claim: cold::Claim,
     },
+    /// What streams of the sender showed of the speed of engines of the receiver.
+    Observations(Vec<endpoints::Observed>),
+    /// Speeds of engines of the sender, beside the answer to a question about their load.
+    Speeds(Vec<(u32, speed::Report)>),
 }
 
 fn to_message(claim: &endpoints::Claim) -> Message {
@@ -196,6 +203,8 @@
         let reports = self.core.endpoints.due_reports(self.core.now());
         // What is told of an end after a report that knows of it would count twice.
         self.tell_news(self.core.endpoints.take_news()).await;
+        self.tell_observations(self.core.endpoints.take_speeds())
+            .await;
         for report in reports {
             let mut backlogs = report.backlogs;
             backlogs.truncate(MAX_ENDPOINTS_PER_MESSAGE);
@@ -230,6 +239,12 @@
         }
     }
 
+    async fn tell_observations(&self, observed: Vec<endpoints::Observed>) {
+        for (home, observed) in self.group_by_home(observed, |(engine, ..)| *engine) {
+            self.send(home, &Message::Observations(observed)).await;
+        }
+    }
+
     /// Sends what other entries are told and asked of origins of streams.
     async fn send_origins(&self, messages: Vec<(address::Socket, origins::Outgoing)>) {
         let mut records: BTreeMap<address::Socket, Vec<origin::Record>> = BTreeMap::new();
@@ -301,6 +316,13 @@
                     let answer = Message::Answer { number, loads };
                     self.send(address::Socket(from), &answer).await;
                 }
+                for told in endpoints
+                    .speeds_for(now, from, &asked)
+                    .chunks(MAX_SPEEDS_PER_MESSAGE)
+                {
+                    let speeds = Message::Speeds(told.to_vec());
+                    self.send(address::Socket(from), &speeds).await;
+                }
             }
             Message::Answer { number, loads } => {
                 endpoints.apply_answer(now, from, number, &loads);
@@ -334,6 +356,8 @@
             Message::OriginAnswer { number, record } => {
                 self.core.origins.apply_answer(from, number, record);
             }
+            Message::Observations(observed) => endpoints.apply_observations(now, from, &observed),
+            Message::Speeds(reports) => endpoints.apply_speeds(now, from, reports),
             Message::Path { is_cut } => self.record_path(from, is_cut),
             Message::PlaceClaim {
                 number,
--- a/crates/cranberrygap-entry/src/gateway/in_flight.rs
+++ b/crates/cranberrygap-entry/src/gateway/in_flight.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id};
-use cranberrygap_routing::prompt::prefix_cache;
+use cranberrygap_routing::prompt::{prefix_cache, speed};
+use smallvec::SmallVec;
 
 use crate::core;
 use crate::framing;
@@ -25,8 +26,18 @@
     pub max_output_tokens: u64,
     /// Whether the batch had a free slot when the request was sent.
     pub had_free_slot: bool,
+    /// Predicted time between two events.
+    pub event_interval: duration::Span,
 }
 
+/// Pauses of a stream of which the median shows the speed of its engine. A slow engine is seen
+/// before its streams end.
+const OBSERVED_PAUSES: usize = 7;
+
+/// The time to the first event divided by this is the most that prompts ahead may take of it for
+/// the rest to show the engine's speed.
+const MAX_AHEAD_DIVISOR: u64 = 4;
+
 /// A request that counts as sent to an endpoint.
 ///
 /// Dropping it, for whatever reason, counts it as read and ended.
@@ -41,6 +52,8 @@
     latency_sample: Option<Sample>,
     sent_at: duration::Instant,
     first_event_at: Option<duration::Instant>,
+    /// First pauses between events, in microseconds.
+    pauses: SmallVec<[u32; OBSERVED_PAUSES]>,
     /// The request as the quarantine sees it, once it was written.
     run: Option<quarantine::Run>,
 }
@@ -66,6 +79,7 @@
             latency_sample: target.latency_sample.clone(),
             sent_at,
             first_event_at: None,
+            pauses: SmallVec::new(),
             run: None,
         }
     }
@@ -108,6 +122,13 @@
                 let (prefill_ahead, uncached_tokens) =
                     (sample.prefill_ahead, sample.uncached_tokens);
                 let elapsed = now.since(self.sent_at);
+                let other = duration::Span(prefill_ahead.0 + sample.event_interval.0);
+                if let Some(observation) = speed::observe_prompt(uncached_tokens, other, elapsed)
+                    && prefill_ahead.0 <= elapsed.0 / MAX_AHEAD_DIVISOR
+                {
+                    let endpoints = &self.core.endpoints;
+                    endpoints.observe_speed(now, &self.destination, model, observation);
+                }
                 self.core.endpoints.observe_latency(|estimator| {
                     estimator.observe_first_event(
                         service,
@@ -122,6 +143,26 @@
             self.core.endpoints.observe_latency(|estimator| {
                 estimator.observe_event_interval(service, model, pause);
             });
+            self.record_pause(now, pause);
+        }
+    }
+
+    /// Keeps one of the first pauses; the last of them shows the engine's speed.
+    fn record_pause(&mut self, now: duration::Instant, pause: duration::Span) {
+        if self.pauses.len() == OBSERVED_PAUSES {
+            return;
+        }
+        self.pauses.push(u32::try_from(pause.0).unwrap_or(u32::MAX));
+        if self.pauses.len() < OBSERVED_PAUSES {
+            return;
+        }
+        let mut sorted = self.pauses.clone();
+        sorted.sort_unstable();
+        let median = sorted.get(OBSERVED_PAUSES / 2).copied();
+        if let (Some(sample), Some(median)) = (&self.latency_sample, median) {
+            let observation = speed::Observation::Event(median);
+            let endpoints = &self.core.endpoints;
+            endpoints.observe_speed(now, &self.destination, &sample.model, observation);
         }
     }
 
--- a/crates/cranberrygap-routing/src/prompt.rs
+++ b/crates/cranberrygap-routing/src/prompt.rs
@@ -11,4 +11,5 @@
 pub mod prefix_cache;
 pub mod reports;
 pub mod selection;
+pub mod speed;
 pub mod window;
--- a/crates/cranberrygap-routing/src/prompt/latency.rs
+++ b/crates/cranberrygap-routing/src/prompt/latency.rs
@@ -9,7 +9,7 @@
 
 use cranberrygap_model::{duration, id};
 
-use super::backlog;
+use super::{backlog, speed};
 
 /// Share of the observations that should lie below an estimate. Queues that this entry
 /// doesn't see lengthen what it observes, and prompt parts that it didn't know to be
@@ -156,6 +156,19 @@
         from_micros(f64::from(ahead) * self.answer_time / f64::from(slots))
     }
 
+    /// This estimate at an engine whose own speed is known.
+    #[must_use]
+    pub fn at_speed(mut self, speed: &speed::Speed) -> Self {
+        let bounded = |micros: f64| micros.clamp(MIN_MICROS, MAX_MICROS);
+        if let Some(prefill) = speed.prefill_micros {
+            self.prefill_per_token.micros = bounded(prefill);
+        }
+        if let Some(event) = speed.event_micros {
+            self.event_interval.micros = bounded(event);
+        }
+        self
+    }
+
     fn observe_first_event(
         &mut self,
         prefill_ahead: duration::Span,
--- a/crates/cranberrygap-routing/src/prompt/selection.rs
+++ b/crates/cranberrygap-routing/src/prompt/selection.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_model::{duration, id};
 
-use super::{backlog, latency, window};
+use super::{backlog, latency, speed, window};
 
 /// Expected cached share, in tenths, of a session's shared tokens at its affinity engine,
 /// while this entry has not sent the session there itself.
@@ -34,6 +34,8 @@
     pub has_adapter: bool,
     /// Share of the recent requests to the engine that failed, 0 to 1.
     pub failure_rate: f64,
+    /// The engine's own speed with the request's model, if it is known.
+    pub speed: Option<speed::Speed>,
 }
 
 /// A request as the selection sees it.
@@ -45,7 +47,7 @@
     pub prompt_tokens: u64,
     /// Number of prompt tokens shared with other requests of the session.
     pub shared_tokens: u64,
-    /// Prefill time that an engine may get within [`window::LENGTH`].
+    /// Prefill time that an engine of the speed of `latency` may get within [`window::LENGTH`].
     pub prefill_budget: duration::Span,
     /// Recent prefill time beside which a large prompt may exceed the budget.
     pub large_prompt_grace: duration::Span,
@@ -80,6 +82,8 @@
     pub running: u32,
     /// Prefill time of the prompts sent to the engine within [`window::LENGTH`].
     pub recent_prefill: duration::Span,
+    /// Prefill time that the engine may get within [`window::LENGTH`].
+    pub prefill_budget: duration::Span,
 }
 
 impl Choice {
@@ -87,6 +91,7 @@
     /// exceeds the budget by itself goes to an engine that got nothing.
     #[must_use]
     pub const fn fits(&self, request: &Request) -> bool {
+        let request = request.with_budget(self.prefill_budget);
         request.fits(self.recent_prefill, self.prefill_time)
     }
 }
@@ -95,6 +100,21 @@
 const LARGE_PROMPT_DIVISOR: u64 = 4;
 
 impl Request {
+    /// This request at an engine with another prefill budget.
+    const fn with_budget(self, prefill_budget: duration::Span) -> Self {
+        Self {
+            prefill_budget,
+            ..self
+        }
+    }
+
+    /// Prefill time that an engine may get within a pause, of which its own event takes a part.
+    fn budget_at(&self, latency: &latency::Estimate) -> duration::Span {
+        let usual = self.latency.event_interval().0;
+        let pause = self.prefill_budget.0.saturating_add(usual);
+        duration::Span(pause.saturating_sub(latency.event_interval().0))
+    }
+
     /// Whether a prompt that takes `prefill_time` may go where `recent_prefill` was sent.
     #[must_use]
     pub const fn fits(&self, recent_prefill: duration::Span, prefill_time: duration::Span) -> bool {
@@ -141,7 +161,10 @@
 ) -> impl Iterator<Item = (u64, Choice)> {
     candidates.map(move |candidate| {
         let uncached_tokens = uncached_tokens(request, &candidate);
-        let latency = &request.latency;
+        let latency = candidate
+            .speed
+            .map_or(request.latency, |speed| request.latency.at_speed(&speed));
+        let prefill_budget = request.budget_at(&latency);
         let prefill_time = latency.prefill_time(uncached_tokens);
         let time_to_first_event = latency.time_to_first_event(
             &candidate.backlog,
@@ -159,7 +182,8 @@
         } else {
             request.adapter_penalty.0
         };
-        let over_budget = if request.fits(candidate.recent_prefill, prefill_time) {
+        let budgeted = request.with_budget(prefill_budget);
+        let over_budget = if budgeted.fits(candidate.recent_prefill, prefill_time) {
             0
         } else {
             OVER_BUDGET_PENALTY.0
@@ -182,6 +206,7 @@
             prefill_ahead: candidate.backlog.prefill_ahead(request.rank),
             running: candidate.backlog.running,
             recent_prefill: candidate.recent_prefill,
+            prefill_budget,
         };
         (cost, choice)
     })
--- a/crates/cranberrygap-routing/tests/pacing.rs
+++ b/crates/cranberrygap-routing/tests/pacing.rs
@@ -158,6 +158,7 @@
         same_domain: true,
         has_adapter: true,
         failure_rate: 0.0,
+        speed: None,
     };
 
     let fits = [0, 15].map(|recent| {
@@ -185,6 +186,7 @@
         same_domain: true,
         has_adapter: true,
         failure_rate: 0.0,
+        speed: None,
     };
     let request = |prompt_tokens, grace| selection::Request {
         rank: 0,
--- a/crates/cranberrygap-routing/tests/prompt.rs
+++ b/crates/cranberrygap-routing/tests/prompt.rs
@@ -20,6 +20,7 @@
         same_domain: true,
         has_adapter: true,
         failure_rate: 0.0,
+        speed: None,
     }
 }
 
