Count what links carry, by kind and failure domain

Callers saw: nothing; nobody could tell which kind of traffic crosses failure domains.

Cause: links counted calls and processor time, not bytes, and neither end knew where the other is.

The two ends of a link tell each other their failure domains in the handshake; processes of older software ignore the field and count as at an unknown place. Sizes are those of the compressed bodies plus a constant for the envelope.

--- a/crates/cranberrygap-link/src/client.rs
+++ b/crates/cranberrygap-link/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::marker::PhantomData;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use crate::handshake;
 use crate::message;
 use crate::session;
+use crate::traffic;
 
 /// Timeout for connecting and the handshake together. It allows for a few round trips, also
 /// between regions. With a longer one, a hung process would delay callers that look for the
@@ -47,6 +49,7 @@
     rpc: ws_client::WsClient,
     keys: session::Keys,
     counter: AtomicU64,
+    flow: Option<traffic::Flow>,
 }
 
 /// A subscription to a stream of frames of type `F`.
@@ -56,6 +59,8 @@
     counter: u64,
     sequence: u64,
     finished: bool,
+    flow: Option<traffic::Flow>,
+    kind: traffic::Kind,
     frame: PhantomData<fn() -> F>,
 }
 
@@ -70,7 +75,30 @@
         role: credential::Role,
         secret: &credential::Secret,
     ) -> Result<Self, Error> {
-        let attempt = Self::connect_without_timeout(address, role, secret);
+        Self::connect_within_timeout(address, role, secret, None).await
+    }
+
+    /// Connects as [`Self::connect`] does, and counts what the connection carries with `meter`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::connect`].
+    pub async fn connect_metered(
+        address: address::Socket,
+        role: credential::Role,
+        secret: &credential::Secret,
+        meter: &Arc<traffic::Meter>,
+    ) -> Result<Self, Error> {
+        Self::connect_within_timeout(address, role, secret, Some(meter)).await
+    }
+
+    async fn connect_within_timeout(
+        address: address::Socket,
+        role: credential::Role,
+        secret: &credential::Secret,
+        meter: Option<&Arc<traffic::Meter>>,
+    ) -> Result<Self, Error> {
+        let attempt = Self::connect_without_timeout(address, role, secret, meter);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, attempt).await;
         connected.unwrap_or_else(|_elapsed| Err(unreachable(&"connecting timed out")))
     }
@@ -79,6 +107,7 @@
         address: address::Socket,
         role: credential::Role,
         secret: &credential::Secret,
+        meter: Option<&Arc<traffic::Meter>>,
     ) -> Result<Self, Error> {
         let ping = rpc::async_client::PingConfig::new()
             .ping_interval(message::PING_INTERVAL)
@@ -95,11 +124,12 @@
             .build(format!("ws://{address}"))
             .await
             .map_err(|cause| unreachable(&cause))?;
-        let keys = authenticate(&rpc, role, secret).await?;
+        let (keys, place) = authenticate(&rpc, role, secret, meter).await?;
         Ok(Self {
             rpc,
             keys,
             counter: AtomicU64::new(0),
+            flow: meter.map(|meter| traffic::Flow::new(Arc::clone(meter), place)),
         })
     }
 
@@ -116,6 +146,10 @@
     ) -> Result<R, Error> {
         let envelope = self.seal_call(method, params)?;
         let counter = envelope.counter;
+        let kind = traffic::Kind::of_method(method);
+        if let Some(flow) = &self.flow {
+            flow.record_sent(kind, envelope.size());
+        }
         let request = self.rpc.request(message::CALL, rpc_params![envelope]);
         let response = tokio::time::timeout(deadline.to_std(), request).await;
         let response: session::Envelope = match response {
@@ -123,6 +157,9 @@
             Ok(Err(rpc::Error::RequestTimeout)) | Err(_) => return Err(Error::TimedOut),
             Ok(Err(_cause)) => return Err(Error::Closed),
         };
+        if let Some(flow) = &self.flow {
+            flow.record_received(kind, response.size());
+        }
         // An intermediary altered the response or returned that of another call. As
         // after a lost response, it is unknown whether the call ran.
         let is_expected = response.counter == counter && response.sequence == 0;
@@ -148,6 +185,10 @@
     ) -> Result<Subscription<F>, Error> {
         let envelope = self.seal_call(method, params)?;
         let counter = envelope.counter;
+        let kind = traffic::Kind::of_method(method);
+        if let Some(flow) = &self.flow {
+            flow.record_sent(kind, envelope.size());
+        }
         let request = self
             .rpc
             .subscribe(message::OPEN, rpc_params![envelope], message::CLOSE);
@@ -162,6 +203,8 @@
             counter,
             sequence: 0,
             finished: false,
+            flow: self.flow.clone(),
+            kind,
             frame: PhantomData,
         };
         // The first frame is empty; it confirms that the server opened the stream.
@@ -257,6 +300,9 @@
             Ok(envelope) => envelope,
             Err(cause) => return Some(Err(malformed(&cause))),
         };
+        if let Some(flow) = &self.flow {
+            flow.record_received(self.kind, envelope.size());
+        }
         let is_expected = envelope.counter == self.counter && envelope.sequence == self.sequence;
         if !is_expected || !self.keys.is_authentic(session::Purpose::Frame, &envelope) {
             return Some(Err(Error::Closed));
@@ -282,22 +328,27 @@
     }
 }
 
-/// Runs the handshake and returns the session keys.
+/// Runs the handshake and returns the session keys and where the server is.
 async fn authenticate(
     rpc: &ws_client::WsClient,
     role: credential::Role,
     secret: &credential::Secret,
-) -> Result<session::Keys, Error> {
+    meter: Option<&Arc<traffic::Meter>>,
+) -> Result<(session::Keys, traffic::Place), Error> {
     let client = handshake::Nonce::generate().map_err(|cause| unreachable(&cause))?;
-    let hello = handshake::Hello {
-        role,
-        nonce: client.to_hex(),
-        compression: true,
+    let hello = handshake::Located {
+        message: handshake::Hello {
+            role,
+            nonce: client.to_hex(),
+            compression: true,
+        },
+        domain: meter.map(|meter| meter.domain().clone()),
     };
-    let challenge: handshake::Challenge = rpc
+    let located: handshake::Located<handshake::Challenge> = rpc
         .request(message::HELLO, rpc_params![hello])
         .await
         .map_err(handshake_error)?;
+    let (challenge, domain) = (located.message, located.domain);
     let server = handshake::Nonce::from_hex(&challenge.nonce).ok_or(Error::NotAuthentic)?;
     let transcript = handshake::Transcript {
         role,
@@ -312,7 +363,11 @@
         return Err(Error::NotAuthentic);
     }
     let keys = transcript.session_keys(secret);
-    Ok(keys.with_compression(challenge.compression))
+    let place = meter.map(|meter| meter.place_of(domain.as_ref()));
+    Ok((
+        keys.with_compression(challenge.compression),
+        place.unwrap_or_default(),
+    ))
 }
 
 /// Maps a JSON-RPC error during the handshake: an error response means that the server
--- a/crates/cranberrygap-link/src/handshake.rs
+++ b/crates/cranberrygap-link/src/handshake.rs
@@ -1,5 +1,6 @@
 //! Mutual challenge-response handshake over a shared secret.
 
+use cranberrygap_model::id;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -35,6 +36,18 @@
     pub compression: bool,
 }
 
+/// A hello or challenge with the failure domain of its sender. Older processes neither send nor
+/// read it. It is not authenticated and serves only to count traffic.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Located<Message> {
+    /// The message itself.
+    #[serde(flatten)]
+    pub(crate) message: Message,
+    /// Failure domain of the sender.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) domain: Option<id::Domain>,
+}
+
 /// Third and fourth message: the proof of the client, then that of the server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
--- a/crates/cranberrygap-link/src/lib.rs
+++ b/crates/cranberrygap-link/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod processor;
 pub mod server;
 pub mod session;
+pub mod traffic;
 
 mod message;
--- a/crates/cranberrygap-link/src/server.rs
+++ b/crates/cranberrygap-link/src/server.rs
@@ -17,6 +17,7 @@
 
 use crate::credential;
 use crate::message;
+use crate::traffic;
 
 mod accept;
 mod connection;
@@ -79,6 +80,7 @@
     streams: BTreeMap<SmolStr, Stream>,
     max_connections: Option<usize>,
     meter: Option<Meter>,
+    traffic: Option<Arc<traffic::Meter>>,
 }
 
 impl Fault {
@@ -132,6 +134,13 @@
         self
     }
 
+    /// Counts what the connections carry with `meter`.
+    #[must_use]
+    pub fn traffic(mut self, meter: Arc<traffic::Meter>) -> Self {
+        self.traffic = Some(meter);
+        self
+    }
+
     /// Adds a method for clients authenticated as `role`.
     #[must_use]
     pub fn method<P, R, H, A>(mut self, name: &str, role: credential::Role, handler: H) -> Self
@@ -195,7 +204,7 @@
     pub async fn start(self, address: address::Socket) -> Result<Handle, Error> {
         let limit = self.max_connections.unwrap_or(MAX_CONNECTIONS);
         let registry = registry::Registry::new(self.secrets, self.methods, self.streams, limit);
-        let registry = registry.with_meter(self.meter);
+        let registry = registry.with_meter(self.meter).with_traffic(self.traffic);
         Handle::listen(Arc::new(registry), address).await
     }
 }
--- a/crates/cranberrygap-link/src/server/accept.rs
+++ b/crates/cranberrygap-link/src/server/accept.rs
@@ -20,6 +20,7 @@
 use crate::message;
 use crate::processor;
 use crate::session;
+use crate::traffic;
 
 /// Time within which a client must authenticate. Otherwise unauthenticated clients could
 /// hold connections open until the limit leaves none for the fleet.
@@ -184,9 +185,9 @@
     let distinct = "method names on a link are distinct";
     module
         .register_method(message::HELLO, |params, registry, extensions| {
-            let hello: handshake::Hello = params.one()?;
+            let hello: handshake::Located<handshake::Hello> = params.one()?;
             let connection = find_connection(registry, extensions)?;
-            connection.challenge(&hello).ok_or_else(unauthenticated)
+            answer_hello(registry, &connection, &hello)
         })
         .expect(distinct);
     module
@@ -213,6 +214,23 @@
     module.into()
 }
 
+/// Answers a hello with a challenge; each end tells the other its failure domain.
+fn answer_hello(
+    registry: &Registry,
+    connection: &Connection,
+    hello: &handshake::Located<handshake::Hello>,
+) -> Result<handshake::Located<handshake::Challenge>, ErrorObjectOwned> {
+    let challenge = connection.challenge(&hello.message);
+    let message = challenge.ok_or_else(unauthenticated)?;
+    let meter = registry.traffic();
+    if let Some(meter) = meter {
+        let place = meter.place_of(hello.domain.as_ref());
+        connection.set_flow(traffic::Flow::new(Arc::clone(meter), place));
+    }
+    let domain = meter.map(|meter| meter.domain().clone());
+    Ok(handshake::Located { message, domain })
+}
+
 fn verify_proof(
     registry: &Registry,
     extensions: &jsonrpsee::Extensions,
@@ -248,7 +266,11 @@
     };
     let body = message::to_raw_json(&message::Response::new(result));
     let purpose = session::Purpose::Response;
-    Ok(caller.keys.seal(purpose, envelope.counter, 0, body))
+    let response = caller.keys.seal(purpose, envelope.counter, 0, body);
+    let kind = traffic::Kind::of_method(name);
+    connection.record_received(kind, &envelope);
+    connection.record_sent(kind, &response);
+    Ok(response)
 }
 
 async fn run_method(
--- a/crates/cranberrygap-link/src/server/connection.rs
+++ b/crates/cranberrygap-link/src/server/connection.rs
@@ -1,5 +1,7 @@
 //! One accepted connection and its authentication state.
 
+use std::sync::OnceLock;
+
 use jsonrpsee::server;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -7,6 +9,7 @@
 use crate::credential;
 use crate::handshake;
 use crate::session;
+use crate::traffic;
 
 /// One accepted connection.
 pub(super) struct Connection {
@@ -14,6 +17,8 @@
     stop: server::ServerHandle,
     authenticated: watch::Sender<bool>,
     closed: watch::Sender<bool>,
+    /// Counts what the connection carries, once the client has said where it is.
+    flow: OnceLock<traffic::Flow>,
 }
 
 enum Phase {
@@ -47,6 +52,26 @@
             stop,
             authenticated: watch::Sender::new(false),
             closed: watch::Sender::new(false),
+            flow: OnceLock::new(),
+        }
+    }
+
+    /// Counts from now on what the connection carries. Only the first call has an effect.
+    pub(super) fn set_flow(&self, flow: traffic::Flow) {
+        let _first_stays = self.flow.set(flow);
+    }
+
+    /// Counts a message from the client.
+    pub(super) fn record_received(&self, kind: traffic::Kind, envelope: &session::Envelope) {
+        if let Some(flow) = self.flow.get() {
+            flow.record_received(kind, envelope.size());
+        }
+    }
+
+    /// Counts a message to the client.
+    pub(super) fn record_sent(&self, kind: traffic::Kind, envelope: &session::Envelope) {
+        if let Some(flow) = self.flow.get() {
+            flow.record_sent(kind, envelope.size());
         }
     }
 
--- a/crates/cranberrygap-link/src/server/registry.rs
+++ b/crates/cranberrygap-link/src/server/registry.rs
@@ -9,6 +9,7 @@
 use super::connection::Connection;
 use super::{Meter, Method, Stream};
 use crate::credential;
+use crate::traffic;
 
 /// Unauthenticated connections may take one in this many of all connections.
 const UNAUTHENTICATED_DIVISOR: usize = 16;
@@ -21,6 +22,7 @@
     connections: Mutex<BTreeMap<u32, Arc<Connection>>>,
     max_connections: usize,
     meter: Option<Meter>,
+    traffic: Option<Arc<traffic::Meter>>,
 }
 
 impl Registry {
@@ -37,6 +39,7 @@
             connections: Mutex::new(BTreeMap::new()),
             max_connections,
             meter: None,
+            traffic: None,
         }
     }
 
@@ -45,6 +48,15 @@
         Self { meter, ..self }
     }
 
+    /// Sets the meter of what connections carry.
+    pub(super) fn with_traffic(self, traffic: Option<Arc<traffic::Meter>>) -> Self {
+        Self { traffic, ..self }
+    }
+
+    pub(super) const fn traffic(&self) -> Option<&Arc<traffic::Meter>> {
+        self.traffic.as_ref()
+    }
+
     pub(super) const fn meter(&self) -> Option<&Meter> {
         self.meter.as_ref()
     }
--- a/crates/cranberrygap-link/src/server/stream.rs
+++ b/crates/cranberrygap-link/src/server/stream.rs
@@ -11,9 +11,12 @@
 use super::{Fault, Frames, accept};
 use crate::message;
 use crate::session;
+use crate::traffic;
 
 struct Writer {
     sink: SubscriptionSink,
+    connection: Arc<Connection>,
+    kind: traffic::Kind,
     caller: Caller,
     counter: u64,
     sequence: u64,
@@ -32,13 +35,17 @@
         pending.reject(accept::unauthenticated()).await;
         return;
     };
-    let opened = open_frames(&registry, &caller, &envelope).await;
+    let mut kind = traffic::Kind::Calls;
+    let opened = open_frames(&registry, &caller, &envelope, &mut kind).await;
+    connection.record_received(kind, &envelope);
     // Fails only if the connection has closed in the meantime.
     let Ok(sink) = pending.accept().await else {
         return;
     };
     let mut writer = Writer {
         sink,
+        connection: Arc::clone(&connection),
+        kind,
         caller,
         counter: envelope.counter,
         sequence: 0,
@@ -67,8 +74,10 @@
     registry: &Registry,
     caller: &Caller,
     envelope: &session::Envelope,
+    kind: &mut traffic::Kind,
 ) -> Result<Frames, Fault> {
     let call = message::Call::read(&envelope.body)?;
+    *kind = traffic::Kind::of_method(&call.method);
     let stream = registry.stream(&call.method);
     let stream = stream.filter(|stream| stream.role == caller.role);
     let unknown = || Fault::new(message::UNKNOWN_METHOD, "no such stream for this role");
@@ -104,6 +113,7 @@
         let body = message::to_raw_json(response);
         let keys = &self.caller.keys;
         let envelope = keys.seal(purpose, self.counter, self.sequence, body);
+        self.connection.record_sent(self.kind, &envelope);
         self.sequence += 1;
         self.sink
             .send(message::to_raw_json(&envelope))
--- a/crates/cranberrygap-link/src/session.rs
+++ b/crates/cranberrygap-link/src/session.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::compression;
+use crate::traffic;
 
 /// Maximum number of out-of-order counters remembered per connection, so that memory stays
 /// bounded. Counters older than these are rejected.
@@ -37,6 +38,13 @@
     pub seal: SmolStr,
 }
 
+impl Envelope {
+    /// Size on the connection in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.body.get().len() + traffic::ENVELOPE_BYTES
+    }
+}
+
 /// The keys of one session, one for each direction.
 #[derive(Clone)]
 pub struct Keys {
