Count the traffic of entries and control processes across failure domains

Cause: entries counted requests and streams, control processes the size of view frames, neither by the failure domain of the peer.

Change: metric traffic_bytes by kind, direction and place of the peer, sent every 5 s; totals with bytes and messages under traffic in the dump of both processes; a log line with what crosses a border, every 30 s at entries and every 5 s at control processes. Datagrams are classified by their message, endpoints by the address at which a connection is opened, links by the handshake. Counting takes two relaxed additions for each datagram, message, read or write, and a look-up in a map of entries for each datagram.

--- a/crates/cranberrygap-control/src/links.rs
+++ b/crates/cranberrygap-control/src/links.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrygap_link::{client, compression, credential, server};
+use cranberrygap_link::{client, compression, credential, server, traffic};
 use cranberrygap_model::{address, duration};
 use cranberrygap_wire::method;
 use futures_util::StreamExt as _;
@@ -80,12 +80,13 @@
     own: address::Peer,
     configured_peers: Vec<address::Peer>,
     secret: credential::Holder,
+    meter: Arc<traffic::Meter>,
     queues: Mutex<BTreeMap<address::Peer, mpsc::Sender<Bytes>>>,
     weak_self: Weak<Self>,
 }
 
 impl Links {
-    /// Creates links from `own`; must be used within tokio.
+    /// Creates links from `own`, whose traffic `meter` counts; must be used within tokio.
     ///
     /// An instance in `configured` is reached at the address there, any other at its address in the
     /// group's membership, which is the one that the founder uses.
@@ -94,16 +95,23 @@
         own: address::Peer,
         configured: Vec<address::Peer>,
         secret: credential::Secret,
+        meter: Arc<traffic::Meter>,
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             own,
             configured_peers: configured,
             secret: credential::Holder::new(secret),
+            meter,
             queues: Mutex::default(),
             weak_self: Weak::clone(weak),
         })
     }
 
+    /// The meter of these links.
+    pub(crate) const fn meter(&self) -> &Arc<traffic::Meter> {
+        &self.meter
+    }
+
     /// Replaces the secret that is presented from the next connection on.
     pub fn replace_secret(&self, secret: credential::Secret) {
         self.secret.replace(secret);
@@ -120,7 +128,8 @@
     ) -> Result<client::Client, cranberrygap_link::error::Error> {
         let role = credential::Role::Fleet;
         let address = self.resolve(peer).address;
-        client::Client::connect(address, role, &self.secret.current()).await
+        let secret = self.secret.current();
+        client::Client::connect_metered(address, role, &secret, &self.meter).await
     }
 
     fn resolve(&self, peer: &address::Peer) -> address::Peer {
@@ -173,10 +182,12 @@
             let Some(links) = self.links.upgrade() else {
                 return;
             };
-            let secret = links.secret.current();
+            let (secret, meter) = (links.secret.current(), Arc::clone(&links.meter));
             drop(links);
             let role = credential::Role::Fleet;
-            match client::Client::connect(self.peer.address, role, &secret).await {
+            let connecting =
+                client::Client::connect_metered(self.peer.address, role, &secret, &meter);
+            match connecting.await {
                 Ok(client) => self.send_messages(&client).await,
                 Err(cause) => {
                     spdlog::debug!("agreement: could not connect to {}: {cause}", self.peer);
--- a/crates/cranberrygap-control/src/metric.rs
+++ b/crates/cranberrygap-control/src/metric.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cadence::{Counted as _, Gauged as _, StatsdClient, Timed as _};
-use cranberrygap_link::processor;
+use cranberrygap_link::{processor, traffic};
 use cranberrygap_trace::metric::Metric;
 use cranberrygap_wire::method;
 use parking_lot::Mutex;
@@ -37,6 +37,8 @@
 pub(crate) const CALL_WORK: &str = "call_work";
 /// Processor time of the whole process.
 pub(crate) const PROCESSOR: &str = "processor";
+/// Bytes that this process sent and received over links.
+pub(crate) const TRAFFIC_BYTES: &str = "traffic_bytes";
 
 /// Methods with a tag of their own; all others share one.
 const TAGGED_METHODS: [&str; 10] = [
@@ -53,7 +55,7 @@
 ];
 
 /// All metrics of a control process.
-pub const ALL: [Metric; 12] = [
+pub const ALL: [Metric; 13] = [
     Metric {
         name: LEADS,
         kind: "g",
@@ -126,6 +128,12 @@
         unit: "nanoseconds",
         meaning: "processor time of the whole process, with sockets and all else",
     },
+    Metric {
+        name: TRAFFIC_BYTES,
+        kind: "c",
+        unit: "bytes",
+        meaning: "bytes over links without the headers of TCP and IP, tagged with kind, sent or received, and same_domain, other_domain or unknown_domain by where the peer is",
+    },
 ];
 
 /// Kinds of work whose processor time is measured.
@@ -235,8 +243,22 @@
         self.count(CALL_WORK, method, nanos(spent));
     }
 
-    /// Logs a summary every [`SUMMARY_PERIOD`] until the process stops.
-    pub(crate) async fn log_summaries(self) {
+    /// Sends what `meter` has counted since the last call.
+    fn send_traffic(&self, meter: &traffic::Meter) {
+        for change in meter.take_changes() {
+            let bytes = i64::try_from(change.bytes).unwrap_or(i64::MAX);
+            let counter = self
+                .client
+                .count_with_tags(TRAFFIC_BYTES, bytes)
+                .with_tag_value(change.kind.name())
+                .with_tag_value(change.direction.name())
+                .with_tag_value(change.place.name());
+            counter.send();
+        }
+    }
+
+    /// Logs a summary every [`SUMMARY_INTERVAL`] until the process stops.
+    pub(crate) async fn log_summaries(self, meter: Arc<traffic::Meter>) {
         let mut before = processor::process_time();
         loop {
             tokio::time::sleep(SUMMARY_INTERVAL).await;
@@ -249,6 +271,11 @@
                 SUMMARY_INTERVAL.as_secs(),
                 summary.to_line()
             );
+            self.send_traffic(&meter);
+            let crossing = meter.summary();
+            if !crossing.is_empty() {
+                spdlog::info!("traffic: bytes across failure domains since the start: {crossing}");
+            }
         }
     }
 }
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cranberrygap_link::clock;
-use cranberrygap_link::{credential, server};
+use cranberrygap_link::{credential, server, traffic};
 use cranberrygap_model::address;
 use cranberrygap_wire::settings;
 use serde_json::json;
@@ -64,6 +64,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     settings: settings::Control,
+    meter: Arc<traffic::Meter>,
     clock: clock::Clock,
     pub(crate) context: Arc<peers::Context>,
     pub(crate) replica: Arc<replica::Replica>,
@@ -109,7 +110,9 @@
         complete_settings(&mut settings);
         let own = own_peer(&settings);
         let secret = secrets.fleet.first().cloned().ok_or(Error::NoSecret)?;
-        let links = links::Links::new(own.clone(), settings.group.voters.clone(), secret);
+        let meter = Arc::new(traffic::Meter::new(settings.control.domain.clone()));
+        let voters = settings.group.voters.clone();
+        let links = links::Links::new(own.clone(), voters, secret, meter);
         let state = Arc::new(replicated::State::new(metrics.clone()));
         let replica = start_replica(&settings, own, &state, &links)?;
         let endpoint_client =
@@ -246,6 +249,7 @@
             clock,
             metrics.clone(),
         );
+        let meter = Arc::clone(links.meter());
         let relay = Arc::new(relay::Relay::new(proposer.clone(), links));
         let own_domain = std::iter::once(&settings.control.domain);
         let evacuations = evacuation::Handler::new(
@@ -270,6 +274,7 @@
         };
         Self {
             settings,
+            meter,
             clock,
             context: Arc::new(context),
             replica,
@@ -282,7 +287,12 @@
             tokio::spawn(Arc::clone(detector).run()),
             tokio::spawn(Arc::clone(&self.context.shares).run()),
             tokio::spawn(Arc::clone(&self.context.relay).run()),
-            tokio::spawn(self.context.metrics.clone().log_summaries()),
+            tokio::spawn(
+                self.context
+                    .metrics
+                    .clone()
+                    .log_summaries(Arc::clone(&self.meter)),
+            ),
         ];
         // Runners are moved either by the traffic plan, which arrives at the public listener, or by
         // the store's list.
@@ -326,6 +336,7 @@
             "leader": status.leader,
             "term": status.term,
             "failure": self.replica.failure(),
+            "traffic": self.meter.dump(),
             "leadership": leadership,
             "orders": self.context.orders.dump(),
             "residency": self.context.residency.dump().await,
@@ -398,7 +409,8 @@
     let metrics = shared.context.metrics.clone();
     let builder = server::Builder::new()
         .secrets(credential::Role::Fleet, secrets)
-        .meter(move |method, spent| metrics.record_call(method, spent));
+        .meter(move |method, spent| metrics.record_call(method, spent))
+        .traffic(Arc::clone(&shared.meter));
     let builder = links::register(builder, &shared.replica);
     let builder = peers::register(builder, &shared.context);
     builder.start(shared.settings.listen.peers).await
--- a/crates/cranberrygap-entry/src/admission/loans.rs
+++ b/crates/cranberrygap-entry/src/admission/loans.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use cranberrygap_link::traffic::Kind;
 use cranberrygap_model::address;
 use cranberrygap_wire::share;
 use serde::{Deserialize, Serialize};
@@ -45,7 +46,10 @@
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => self.handle_datagram(address::Socket(from), &buffer[..length]).await,
+                    Ok((length, from)) => {
+                        core.traffic.record_received(Kind::Loans, from, length);
+                        self.handle_datagram(&core, address::Socket(from), &buffer[..length]).await;
+                    }
                     // The port of a stopped entry is closed; requests to it time out by
                     // themselves.
                     Err(cause) => spdlog::debug!("limits: receiving a datagram failed: {cause}"),
@@ -53,16 +57,16 @@
                 () = self.shares.wait_for_borrowing() => {}
             }
             for (to, request) in self.shares.due_loan_requests(core.instance()) {
-                self.send(to, &Message::Request(request)).await;
+                self.send(&core, to, &Message::Request(request)).await;
             }
         }
     }
 
-    async fn handle_datagram(&self, from: address::Socket, bytes: &[u8]) {
+    async fn handle_datagram(&self, core: &core::Core, from: address::Socket, bytes: &[u8]) {
         match postcard::from_bytes(bytes) {
             Ok(Message::Request(request)) => {
                 if let Some(loan) = self.shares.answer_loan_request(from, &request) {
-                    self.send(from, &Message::Loan(loan)).await;
+                    self.send(core, from, &Message::Loan(loan)).await;
                 }
             }
             Ok(Message::Loan(loan)) => self.shares.apply_loan(from, &loan),
@@ -72,7 +76,7 @@
         }
     }
 
-    async fn send(&self, to: address::Socket, message: &Message) {
+    async fn send(&self, core: &core::Core, to: address::Socket, message: &Message) {
         let bytes = match postcard::to_stdvec(message) {
             Ok(bytes) => bytes,
             Err(cause) => {
@@ -80,6 +84,7 @@
                 return;
             }
         };
+        core.traffic.record_sent(Kind::Loans, to.0, bytes.len());
         if let Err(cause) = self.socket.send_to(&bytes, to.0).await {
             // Counts as a lost datagram; a loan request is sent again.
             spdlog::debug!("limits: sending a datagram to {to} failed: {cause}");
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cranberrygap_link::{client, credential};
+use cranberrygap_link::{client, credential, traffic};
 use cranberrygap_model::{address, duration};
 use cranberrygap_wire::method;
 use parking_lot::Mutex;
@@ -25,6 +25,7 @@
 pub(crate) struct Session {
     peers: Arc<peers::Peers>,
     secret: Arc<credential::Holder>,
+    meter: Arc<traffic::Meter>,
     inner: Mutex<Inner>,
     connecting: tokio::sync::Mutex<()>,
 }
@@ -41,11 +42,17 @@
 }
 
 impl Session {
-    /// Creates a session that searches for the leader among `peers`.
-    pub(crate) fn new(peers: Arc<peers::Peers>, secret: Arc<credential::Holder>) -> Self {
+    /// Creates a session that searches for the leader among `peers` and counts its traffic with
+    /// `meter`.
+    pub(crate) fn new(
+        peers: Arc<peers::Peers>,
+        secret: Arc<credential::Holder>,
+        meter: Arc<traffic::Meter>,
+    ) -> Self {
         Self {
             peers,
             secret,
+            meter,
             inner: Mutex::default(),
             connecting: tokio::sync::Mutex::default(),
         }
@@ -146,7 +153,9 @@
         }
         let target = self.target().ok_or_else(unreachable_error)?;
         let role = credential::Role::Fleet;
-        let client = Arc::new(client::Client::connect(target, role, &self.secret.current()).await?);
+        let secret = self.secret.current();
+        let connecting = client::Client::connect_metered(target, role, &secret, &self.meter);
+        let client = Arc::new(connecting.await?);
         let mut inner = self.inner.lock();
         inner.client = Some(Arc::clone(&client));
         inner.connected_to = Some(target);
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -109,7 +109,9 @@
         );
         async move {
             let role = credential::Role::Fleet;
-            let client = client::Client::connect(peer.address, role, &secret.current()).await?;
+            let (secret, meter) = (secret.current(), core.traffic.meter());
+            let client = client::Client::connect_metered(peer.address, role, &secret, meter);
+            let client = client.await?;
             let request = wire_view::Subscribe {
                 instance: core.instance().clone(),
                 boot: core.boot,
@@ -261,6 +263,7 @@
         self.core.router.apply_view(&view);
         self.core.endpoints.apply_view(self.core.now(), &view);
         self.core.origins.apply_view(self.core.now(), &view);
+        self.core.traffic.apply_view(&view);
         quarantine::apply_view(&self.core, &view);
         let controls = view.control_members().map(|member| address::Peer {
             instance: member.instance.clone(),
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -26,6 +26,7 @@
 use crate::route;
 use crate::startup;
 use crate::trace;
+use crate::traffic;
 use crate::upstream;
 use crate::view;
 
@@ -65,6 +66,8 @@
     pub(crate) demand: control::Demand,
     pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) trace: trace::Trace,
+    /// Bytes by kind, and where the peers are.
+    pub(crate) traffic: Arc<traffic::Traffic>,
     pub(crate) draining: AtomicBool,
     /// True once a planned stop accepts no new requests.
     pub(crate) closing: watch_channel::Sender<bool>,
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -36,7 +36,10 @@
 
 use std::sync::Arc;
 
+use cranberrygap_link::traffic::Kind;
+
 use crate::core;
+use crate::dial;
 
 /// State shared by all requests of a gateway.
 #[derive(Debug)]
@@ -54,12 +57,16 @@
 
 impl Gateway {
     pub(crate) fn new(core: Arc<core::Core>, dialect: Arc<dyn dialect::Dialect>) -> Arc<Self> {
-        let pool = pool::Pool::new(Arc::clone(&core.dialer));
+        let traffic = &core.traffic;
+        let dialer = Arc::clone(&core.dialer);
+        let pool = pool::Pool::new(dialer, Arc::clone(traffic), Kind::Endpoints);
+        let between_entries =
+            pool::Pool::new(Arc::new(dial::Tcp), Arc::clone(traffic), Kind::Forwards);
         Arc::new(Self {
             core,
             dialect,
             pool,
-            peers: peers::Peers::default(),
+            peers: peers::Peers::new(between_entries),
             memory: buffer::Memory::default(),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -62,10 +62,11 @@
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection whose bytes `counter` counts.
     pub(crate) async fn open(
         dialer: &dyn dial::Dial,
         address: address::Socket,
+        counter: head_limit::Counter,
     ) -> std::io::Result<Self> {
         let connecting = dialer.connect(address.0);
         let stream = time::timeout(CONNECT_TIMEOUT, connecting).await;
@@ -73,7 +74,7 @@
         configure_socket(&stream)?;
         let head = head_limit::Budget::default();
         head.begin();
-        let io = TokioIo::new(head_limit::Limited::new(stream, head.clone()));
+        let io = TokioIo::new(head_limit::Limited::new(stream, head.clone(), counter));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let handshake = builder.handshake::<_, Full<Bytes>>(io).await;
--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrygap_link::traffic::Kind;
 use cranberrygap_model::{address, duration, rate};
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, home};
@@ -92,6 +93,27 @@
     },
 }
 
+impl Message {
+    /// Kind of traffic that it is counted as.
+    const fn kind(&self) -> Kind {
+        match self {
+            Self::Backlogs { .. } => Kind::Reports,
+            Self::Question { .. } | Self::Answer { .. } => Kind::Questions,
+            Self::Origins(_) | Self::OriginQuestion { .. } | Self::OriginAnswer { .. } => {
+                Kind::Origins
+            }
+            Self::Path { .. } => Kind::Paths,
+            Self::Prompts(_)
+            | Self::Statements(_)
+            | Self::Claim { .. }
+            | Self::Granted { .. }
+            | Self::PlaceClaim { .. }
+            | Self::News(_)
+            | Self::ColdClaim { .. } => Kind::Notices,
+        }
+    }
+}
+
 fn to_message(claim: &endpoints::Claim) -> Message {
     let (number, endpoint) = (claim.number, claim.endpoint);
     match claim.wanted {
@@ -275,6 +297,8 @@
                 return;
             }
         };
+        let traffic = &self.core.traffic;
+        traffic.record_sent(message.kind(), to.0, bytes.len());
         if let Err(cause) = self.socket.send_to(&bytes, to.0).await {
             // Counts as a lost datagram.
             spdlog::debug!("gateway: sending a datagram to {to} failed: {cause}");
@@ -286,6 +310,8 @@
             spdlog::debug!("gateway: dropped a malformed datagram from {from}");
             return;
         };
+        let traffic = &self.core.traffic;
+        traffic.record_received(message.kind(), from, bytes.len());
         let now = self.core.now();
         let endpoints = &self.core.endpoints;
         match message {
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -1,4 +1,5 @@
-//! A limit on the bytes that an endpoint may send before the head of a response is complete.
+//! A limit on the bytes that an endpoint may send before the head of a response is complete, and
+//! the count of what its connection carries.
 
 use std::io;
 use std::pin::Pin;
@@ -6,6 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
+use cranberrygap_link::traffic::{Flow, Kind};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -16,11 +18,19 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Budget(Arc<AtomicUsize>);
 
+/// Counts the bytes of one connection.
+#[derive(Debug)]
+pub(crate) struct Counter {
+    pub(super) flow: Flow,
+    pub(super) kind: Kind,
+}
+
 /// A connection whose reads are counted while a head is awaited.
 #[derive(Debug)]
 pub(super) struct Limited {
     stream: TcpStream,
     budget: Budget,
+    counter: Counter,
 }
 
 impl Budget {
@@ -36,8 +46,19 @@
 }
 
 impl Limited {
-    pub(super) const fn new(stream: TcpStream, budget: Budget) -> Self {
-        Self { stream, budget }
+    pub(super) const fn new(stream: TcpStream, budget: Budget, counter: Counter) -> Self {
+        Self {
+            stream,
+            budget,
+            counter,
+        }
+    }
+
+    fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.counter.flow.record_sent(self.counter.kind, *bytes);
+        }
+        written
     }
 }
 
@@ -55,6 +76,9 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read = buf.filled().len() - before;
+        if read > 0 {
+            self.counter.flow.record_received(self.counter.kind, read);
+        }
         // The limit may be lifted by another thread meanwhile, and must not come back then.
         let _lifted = self.budget.0.compare_exchange(
             left,
@@ -72,7 +96,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count_written(written)
     }
 
     fn poll_write_vectored(
@@ -80,7 +105,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/cranberrygap-entry/src/gateway/peers.rs
+++ b/crates/cranberrygap-entry/src/gateway/peers.rs
@@ -6,8 +6,6 @@
 use cranberrygap_model::address;
 use parking_lot::Mutex;
 
-use crate::dial;
-
 use super::pool;
 
 type Counts = Mutex<BTreeMap<address::Socket, usize>>;
@@ -19,16 +17,15 @@
     in_use: Arc<Counts>,
 }
 
-impl Default for Peers {
-    fn default() -> Self {
+impl Peers {
+    /// Entries that requests are sent to over the connections of `pool`.
+    pub(super) fn new(pool: pool::Pool) -> Self {
         Self {
-            pool: pool::Pool::new(Arc::new(dial::Tcp)),
+            pool,
             in_use: Arc::default(),
         }
     }
-}
 
-impl Peers {
     /// Requests of this entry that another one has now.
     pub(super) fn in_use(&self, peer: address::Socket) -> usize {
         self.in_use.lock().get(&peer).copied().unwrap_or_default()
--- a/crates/cranberrygap-entry/src/gateway/pool.rs
+++ b/crates/cranberrygap-entry/src/gateway/pool.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cranberrygap_link::traffic::Kind;
 use cranberrygap_model::address;
 use parking_lot::Mutex;
 
 use crate::dial;
+use crate::traffic;
 
-use super::endpoint_connection;
+use super::{endpoint_connection, head_limit};
 
 /// Time that a connection stays idle before a request that may run only once. A device on
 /// the way, or the endpoint, may close or forget an idle connection; a request sent over
@@ -26,6 +28,9 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     dialer: Arc<dyn dial::Dial>,
+    traffic: Arc<traffic::Traffic>,
+    /// What the connections are counted as.
+    kind: Kind,
     idle: Mutex<BTreeMap<address::Socket, Vec<Idle>>>,
 }
 
@@ -43,10 +48,16 @@
 }
 
 impl Pool {
-    /// A pool without connections.
-    pub(crate) fn new(dialer: Arc<dyn dial::Dial>) -> Self {
+    /// A pool without connections; what they carry is counted as `kind`.
+    pub(crate) fn new(
+        dialer: Arc<dyn dial::Dial>,
+        traffic: Arc<traffic::Traffic>,
+        kind: Kind,
+    ) -> Self {
         Self {
             dialer,
+            traffic,
+            kind,
             idle: Mutex::default(),
         }
     }
@@ -76,7 +87,11 @@
         &self,
         address: address::Socket,
     ) -> std::io::Result<endpoint_connection::Connection> {
-        endpoint_connection::Connection::open(&*self.dialer, address).await
+        let counter = head_limit::Counter {
+            flow: self.traffic.flow(self.kind, address),
+            kind: self.kind,
+        };
+        endpoint_connection::Connection::open(&*self.dialer, address, counter).await
     }
 
     fn take_idle(
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -36,4 +36,5 @@
 mod server;
 mod startup;
 mod trace;
+mod traffic;
 mod upstream;
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -39,6 +39,8 @@
 pub(crate) const GATEWAY_KEPT_AWAY: &str = "gateway_kept_away";
 /// Number of origins of streams that were found, kept or lost.
 pub(crate) const STREAM_ORIGINS: &str = "stream_origins";
+/// Bytes that this entry sent and received.
+pub(crate) const TRAFFIC_BYTES: &str = "traffic_bytes";
 /// Time since the view was last confirmed as the newest.
 pub(crate) const VIEW_AGE: &str = "view_age";
 
@@ -143,6 +145,14 @@
     },
 ];
 
+/// Metrics of the bytes that an entry sends and receives.
+pub const TRAFFIC: [Metric; 1] = [Metric {
+    name: TRAFFIC_BYTES,
+    kind: "c",
+    unit: "bytes",
+    meaning: "bytes without the headers of TCP, UDP and IP, tagged with kind, sent or received, and same_domain, other_domain or unknown_domain by where the peer is",
+}];
+
 /// Metrics of requests that are sent to endpoints, and sent once more.
 pub const RESENDING: [Metric; 4] = [
     Metric {
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -32,6 +32,7 @@
 use crate::server;
 use crate::startup;
 use crate::trace;
+use crate::traffic;
 use crate::upstream;
 use crate::view;
 
@@ -157,6 +158,7 @@
             tokio::spawn(Arc::clone(&shares).run(Arc::clone(&core))),
             tokio::spawn(quarantine::run_reports(Arc::clone(&core))),
             tokio::spawn(report_drains(Arc::clone(&core))),
+            tokio::spawn(traffic::report(Arc::clone(&core))),
             tokio::spawn(Arc::clone(&core).watch_stalls()),
         ];
         if gateway.is_none() {
@@ -365,6 +367,10 @@
     lending: Option<address::Socket>,
 ) -> Result<core::Core, Error> {
     let peers = Arc::new(control::Peers::new(settings.control.peers.clone()));
+    let traffic = Arc::new(traffic::Traffic::new(
+        settings.entry.domain.clone(),
+        settings.listen.gossip.map(|address| address.0.port()),
+    ));
     Ok(core::Core {
         endpoints: gateway::Endpoints::new(
             settings.entry.instance.clone(),
@@ -380,7 +386,7 @@
         clock,
         stalls: Mutex::default(),
         view: view::Holder::default(),
-        leader: control::Session::new(peers, Arc::clone(fleet)),
+        leader: control::Session::new(peers, Arc::clone(fleet), Arc::clone(traffic.meter())),
         limiter: Arc::clone(shares) as _,
         lending_address: lending,
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
@@ -395,6 +401,7 @@
         announcements: announce::Inbox::default(),
         demand: control::Demand::default(),
         trace: trace::Trace::new(Arc::clone(&metrics)),
+        traffic,
         metrics,
         draining: AtomicBool::new(false),
         closing: tokio::sync::watch::Sender::new(false),
@@ -471,5 +478,6 @@
         "reach": core.reach.dump(core.now()),
         "startup": core.startup.dump(),
         "resends": core.resends.dump(core.now()),
+        "traffic": core.traffic.dump(),
     })
 }
