--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberrygap_link::traffic::Kind;
 use cranberrygap_model::{address, duration, rate};
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, home, speed};
@@ -99,6 +100,27 @@
     Speeds(Vec<(u32, speed::Report)>),
 }
 
+impl Message {
+    /// Kind of traffic that it is counted as.
+    const fn kind(&self) -> Kind {
+        match self {
+            Self::Backlogs { .. } => Kind::Reports,
+            Self::Question { .. } | Self::Answer { .. } => Kind::Questions,
+            Self::Origins(_) | Self::OriginQuestion { .. } | Self::OriginAnswer { .. } => {
+                Kind::Origins
+            }
+            Self::Path { .. } => Kind::Paths,
+            Self::Prompts(_)
+            | Self::Statements(_)
+            | Self::Claim { .. }
+            | Self::Granted { .. }
+            | Self::PlaceClaim { .. }
+            | Self::News(_)
+            | Self::ColdClaim { .. } => Kind::Notices,
+        }
+    }
+}
+
 fn to_message(claim: &endpoints::Claim) -> Message {
     let (number, endpoint) = (claim.number, claim.endpoint);
     match claim.wanted {
@@ -290,6 +312,8 @@
                 return;
             }
         };
+        let traffic = &self.core.traffic;
+        traffic.record_sent(message.kind(), to.0, bytes.len());
         if let Err(cause) = self.socket.send_to(&bytes, to.0).await {
             // Counts as a lost datagram.
             spdlog::debug!("gateway: sending a datagram to {to} failed: {cause}");
@@ -301,6 +325,8 @@
             spdlog::debug!("gateway: dropped a malformed datagram from {from}");
             return;
         };
+        let traffic = &self.core.traffic;
+        traffic.record_received(message.kind(), from, bytes.len());
         let now = self.core.now();
         let endpoints = &self.core.endpoints;
         match message {
