Let requests with long objectives leave free slots to urgent ones

Callers of rank 0 with an objective of 500 ms were refused or late during floods of requests with 15 s to spare, which took every slot as soon as it became free, and which were themselves refused after 420 ms or 1.5 s.

Cause: every request searches for an engine in the same way from its arrival, whatever time it has.

Streams that go on elsewhere and engines without known slots are served as before. The decision is `routing::admission::patience`.

--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id, software};
+use cranberrygap_routing::admission::patience;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::latency;
 use cranberrygap_routing::{cold, limit};
@@ -343,12 +344,73 @@
         }
     }
 
+    /// How long the request leaves free slots to urgent ones; `None` if it has no time to spare.
+    ///
+    /// A stream that goes on elsewhere has none: its caller sees a pause.
+    fn patience(&self, model: &id::Model) -> Option<patience::Patience> {
+        if self.may_have_run || self.request.origin.is_some() {
+            return None;
+        }
+        let objective = self.resolution.route.objective;
+        let latency = self.latency(model);
+        let first_event = latency.prefill_time(self.prompt_tokens()).0 + latency.event_interval().0;
+        let on_time = objective.scaled(FIRST_EVENT_SHARE_OF_OBJECTIVE).0;
+        let on_time = duration::Span(on_time.saturating_sub(first_event));
+        let on_time_start = self.request.arrived_at.after(on_time);
+        patience::Patience::new(
+            &patience::Request::builder()
+                .rank(self.resolution.rank())
+                .objective(objective)
+                .slots(self.resolution.slots)
+                .latest_start(on_time_start.min(self.latest_start(model)))
+                .margin(MAX_OVERLOAD_WAIT)
+                .build(),
+        )
+    }
+
+    /// Waits for an engine with slots to spare, as long as the request has time to spare.
+    async fn wait_patiently(
+        &mut self,
+        model: &id::Model,
+        patience: patience::Patience,
+    ) -> Result<Option<endpoints::Choice>, Failure> {
+        let mut is_logged = false;
+        while patience.lasts(self.now()) {
+            // The limits for late requests also hold for those that let others go first.
+            let choice = self.find_engine(model, true).await?;
+            let failure = self.check_overload(&choice, true).err();
+            let is_admitted = failure.is_none() && patience.admits(choice.running);
+            if is_admitted && self.take_room(&choice.destination).await {
+                self.reserve_prefill(&choice.destination, choice.prefill_time);
+                return Ok(Some(choice));
+            }
+            if !is_logged {
+                let failure = failure.unwrap_or_else(|| {
+                    let cause = "more urgent requests come first";
+                    self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, cause)
+                });
+                self.log_wait(&choice, &failure);
+                is_logged = true;
+            }
+            let interval = patience.interval(self.now(), rand::random());
+            tokio::time::sleep(interval.to_std()).await;
+        }
+        Ok(None)
+    }
+
     /// The best engine that is not overloaded; waits a moment for one.
     async fn wait_for_capacity(&mut self, model: &id::Model) -> Result<endpoints::Choice, Failure> {
         let objective = self.resolution.route.objective;
         let wait = duration::Span(objective.0 / OVERLOAD_WAIT_DIVISOR).min(MAX_OVERLOAD_WAIT);
-        let late_from = self.request.arrived_at.after(wait);
-        let give_up_at = self.request.arrived_at.after(MAX_LATE_WAIT);
+        let mut competes_from = self.request.arrived_at;
+        if let Some(patience) = self.patience(model) {
+            competes_from = competes_from.max(patience.until());
+            if let Some(choice) = self.wait_patiently(model, patience).await? {
+                return Ok(choice);
+            }
+        }
+        let late_from = competes_from.after(wait);
+        let give_up_at = competes_from.after(MAX_LATE_WAIT);
         let give_up_at = give_up_at.min(self.latest_start(model));
         let mut logged_cause = "";
         loop {
--- a/crates/cranberrygap-routing/src/lib.rs
+++ b/crates/cranberrygap-routing/src/lib.rs
@@ -6,6 +6,8 @@
 //! wait in [`pending`], at the entry rather than the engine, where they can still be
 //! reordered or sent elsewhere.
 //!
+//! [`admission`] decides which requests get the scarce slots of an engine.
+//!
 //! [`brittle`] spares endpoints that fall over when they turn away requests, [`cold`] those that
 //! bear few requests after their start, and [`evacuation`] tells which failure domains get none.
 //!
@@ -20,6 +22,7 @@
 //! [`prompt`] chooses among the engines of a service by the predicted time to the first
 //! event.
 
+pub mod admission;
 pub mod batch;
 pub mod brittle;
 pub mod cold;
