--- a/crates/cranberrygap-entry/src/gateway/gossip.rs
+++ b/crates/cranberrygap-entry/src/gateway/gossip.rs
@@ -116,7 +116,9 @@
             | Self::Granted { .. }
             | Self::PlaceClaim { .. }
             | Self::News(_)
-            | Self::ColdClaim { .. } => Kind::Notices,
+            | Self::ColdClaim { .. }
+            | Self::Observations(_)
+            | Self::Speeds(_) => Kind::Notices,
         }
     }
 }
