Decide who is cut when memory for callers is full

Callers that stop reading make an entry hold what they have not read, and nothing bounds the total. Nobody is affected yet: the decision is not wired in.

Change: policy::memory, an account of limit, holders and charges without I/O or clock.

--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fairness;
 pub mod leader_calls;
 pub mod limits;
+pub mod memory;
 pub mod outcome;
 pub mod quarantine;
 pub mod resend;
