Read streams ahead of slow callers, and cut those that stop reading

Seen: an entry read from an engine only when the caller took more. An engine ends a response that stays unread for some seconds, so a slow caller lost the rest of its stream. Callers that stop reading held connections and buffers without a bound.

Cause: the HTTP library does not poll a body while it has no room for more.

Change: gateway::read_ahead keeps up to 64 KiB of a response, polled in the task of the caller's connection, so it ends with it; reading pauses between frames only. A failure follows what was read and is held back until the rest is written. gateway::readers keeps the account of policy::memory: a third of the new setting [limits] memory, 48 MiB without it. What the HTTP library took counts until the socket took it; the buffers of a blocked response count with 96 KiB. A connection that is cut ends with a reset and one line with request id and bytes, outside the limit of lines. With the setting, the kernel's send buffer for a caller is bounded. Less than 3 MiB is refused at start with section and key.

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -22,6 +22,8 @@
 mod origins;
 mod peers;
 mod pool;
+mod read_ahead;
+mod readers;
 mod request;
 mod request_log;
 mod response;
@@ -36,8 +38,13 @@
 
 use std::sync::Arc;
 
+use cranberrygap_model::size;
+
 use crate::core;
 
+/// Least memory of an entry, in bytes, whose third holds a single response of any size.
+pub const MIN_MEMORY: size::Bytes = size::Bytes(3 * buffer::MAX_RESPONSE_BYTES as u64);
+
 /// State shared by all requests of a gateway.
 #[derive(Debug)]
 pub(crate) struct Gateway {
@@ -46,6 +53,8 @@
     pub(crate) pool: pool::Pool,
     pub(crate) peers: peers::Peers,
     memory: buffer::Memory,
+    /// Memory that is held for callers.
+    readers: Arc<readers::Readers>,
     /// Limits the lines about requests.
     pub(crate) log_limiter: log_limit::Limiter,
     /// Limits the lines about what endpoints say of themselves.
@@ -55,12 +64,16 @@
 impl Gateway {
     pub(crate) fn new(core: Arc<core::Core>, dialect: Arc<dyn dialect::Dialect>) -> Arc<Self> {
         let pool = pool::Pool::new(Arc::clone(&core.dialer));
+        let limits = core.settings.limits.as_ref();
+        let memory = limits.and_then(|limits| limits.memory);
+        let readers = readers::Readers::new(core.clock, memory);
         Arc::new(Self {
             core,
             dialect,
             pool,
             peers: peers::Peers::default(),
             memory: buffer::Memory::default(),
+            readers: Arc::new(readers),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
         })
--- a/crates/cranberrygap-entry/src/gateway/activity.rs
+++ b/crates/cranberrygap-entry/src/gateway/activity.rs
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::read_ahead;
+
 /// Marks a time as absent: no head is arriving, or a request is in progress.
 const ABSENT: u64 = u64::MAX;
 
@@ -94,20 +96,26 @@
     }
 }
 
-/// A caller's socket that records when bytes arrive.
+/// A caller's socket that records when bytes arrive, and which are written.
 #[derive(Debug, Clone)]
 pub(super) struct Stream {
     socket: Arc<TcpStream>,
     activity: Arc<Activity>,
+    read_ahead: Arc<read_ahead::ReadAhead>,
     /// Whether the connection is to end with a reset.
     is_cut: Arc<AtomicBool>,
 }
 
 impl Stream {
-    pub(super) fn new(socket: Arc<TcpStream>, activity: Arc<Activity>) -> Self {
+    pub(super) fn new(
+        socket: Arc<TcpStream>,
+        activity: Arc<Activity>,
+        read_ahead: Arc<read_ahead::ReadAhead>,
+    ) -> Self {
         Self {
             socket,
             activity,
+            read_ahead,
             is_cut: Arc::default(),
         }
     }
@@ -163,12 +171,18 @@
             ready!(self.socket.poll_write_ready(cx))?;
             match self.socket.try_write(buf) {
                 Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => {}
-                other => return Poll::Ready(other),
+                Ok(count) => {
+                    self.read_ahead.record_written(count);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(cause) => return Poll::Ready(Err(cause)),
             }
         }
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes once it has written all that it has.
+        self.read_ahead.record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -62,6 +62,10 @@
 /// crashes hits are sent again at once, and must not wait for the leader or for each other.
 pub(super) const ISOLATION: quarantine::Isolation = quarantine::Isolation::AfterSecondCrash;
 
+/// Id that the caller gave a request; goes with the response to the connection's log.
+#[derive(Debug, Clone)]
+pub(super) struct Id(pub(super) SmolStr);
+
 /// A request as it arrived, with its body.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -279,6 +283,9 @@
             failure.to_response()
         }
     };
+    if let Some(id) = log.id.take() {
+        response.extensions_mut().insert(Id(id));
+    }
     let status = response.status();
     gateway
         .core
@@ -339,8 +346,9 @@
     log_token_wait(gateway, &received, log);
     // The delivery continues the log, also after the head of a stream is sent; it returns
     // the log if it fails before that.
-    let delivery =
-        delivery::Delivery::new(gateway, received, resolution, permit, std::mem::take(log));
+    let id = log.id.clone();
+    let taken_log = std::mem::replace(log, request_log::Log::new(arrived_at, id));
+    let delivery = delivery::Delivery::new(gateway, received, resolution, permit, taken_log);
     match delivery.run().await {
         Ok(response) => Ok(response),
         Err((returned_log, failure)) => {
--- a/crates/cranberrygap/src/daemon/entry.rs
+++ b/crates/cranberrygap/src/daemon/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranberrygap_entry::gateway::dialect;
+use cranberrygap_entry::gateway::{self, dialect};
 use cranberrygap_entry::{discovery, process};
 use cranberrygap_link::credential;
 use cranberrygap_wire::settings;
@@ -128,12 +128,14 @@
     }
 }
 
-/// Reads the files that the settings name and checks who may reach operators' methods.
+/// Reads the files that the settings name and checks who may reach operators' methods, and the
+/// memory for callers.
 ///
 /// # Errors
 ///
-/// A file that cannot be used, with section and key.
+/// A file or value that cannot be used, with section and key.
 pub fn secrets(settings: &settings::Entry) -> eyre::Result<process::Secrets> {
+    check_memory(settings)?;
     let named = &settings.secrets;
     let fleet = fleet_secrets(named)?;
     let fleet = fleet.into_iter().next();
@@ -160,6 +162,19 @@
     })
 }
 
+fn check_memory(settings: &settings::Entry) -> eyre::Result<()> {
+    let limits = settings.limits.as_ref();
+    let memory = limits.and_then(|limits| limits.memory);
+    if let Some(memory) = memory.filter(|memory| *memory < gateway::MIN_MEMORY) {
+        eyre::bail!(
+            "[limits] memory: {memory} is too little, as a third of it must hold a response; \
+             set it to {} or more, or leave it out",
+            gateway::MIN_MEMORY
+        );
+    }
+    Ok(())
+}
+
 fn token(path: &str) -> eyre::Result<String> {
     credential::Secret::read(path).wrap_err("[secrets] endpoint")?;
     let text = std::fs::read_to_string(path).wrap_err("[secrets] endpoint")?;
