Refuse connections for heartbeats beyond what a control process can answer in time

What was seen: with 300 entries and 3,000 endpoints started at once all control processes stay at their allotment, and the first configuration is never acknowledged.

Cause: an endpoint whose heartbeat is not answered within a second opens a new connection to the next control process. A process accepted all of them, so that it answered most of them late, and each late answer came back as one more connection. Orders and configuration arrive at the same listener and waited behind them, as did the agreement, whose elections followed each other.

Change: the public listener tells heartbeats by the first bytes of a connection, which are not read yet. Other calls are not bounded.

--- a/crates/cranberrygap/src/daemon.rs
+++ b/crates/cranberrygap/src/daemon.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod gate;
 pub mod http;
 pub mod launch;
 pub mod log;
--- a/crates/cranberrygap/src/daemon/http.rs
+++ b/crates/cranberrygap/src/daemon/http.rs
@@ -12,7 +12,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpSocket};
+use parking_lot::Mutex;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use super::gate;
 
 /// Largest body of a call, in bytes: a configuration of 4 MiB and some more.
 const LARGEST_BODY: usize = 5 << 20;
@@ -53,7 +57,23 @@
     A: Future<Output = Answer> + Send + 'static,
 {
     let listener = listen(address)?;
-    tokio::spawn(accept(listener, Arc::new(handler)));
+    tokio::spawn(accept(listener, None, Arc::new(handler)));
+    Ok(())
+}
+
+/// Serves `handler` at `address` until the process ends, and refuses new connections whose first
+/// call is beyond the bound of `gate` before anything is parsed.
+///
+/// # Errors
+///
+/// When the address cannot be listened on.
+pub fn serve_bounded<H, A>(address: SocketAddr, gate: gate::Gate, handler: H) -> std::io::Result<()>
+where
+    H: Fn(Call) -> A + Send + Sync + 'static,
+    A: Future<Output = Answer> + Send + 'static,
+{
+    let listener = listen(address)?;
+    tokio::spawn(accept(listener, Some(gate), Arc::new(handler)));
     Ok(())
 }
 
@@ -68,7 +88,7 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept<H, A>(listener: TcpListener, handler: Arc<H>)
+async fn accept<H, A>(listener: TcpListener, gate: Option<gate::Gate>, handler: Arc<H>)
 where
     H: Fn(Call) -> A + Send + Sync + 'static,
     A: Future<Output = Answer> + Send + 'static,
@@ -78,20 +98,77 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let handler = Arc::clone(&handler);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let handler = Arc::clone(&handler);
-                async move { Ok::<_, Infallible>(answer(&*handler, request).await) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(cause) = connection.await {
-                spdlog::debug!("http: a connection ended: {cause}");
-            }
-        });
+        tokio::spawn(serve_connection(stream, gate.clone(), Arc::clone(&handler)));
     }
 }
 
+async fn serve_connection<H, A>(mut stream: TcpStream, gate: Option<gate::Gate>, handler: Arc<H>)
+where
+    H: Fn(Call) -> A + Send + Sync + 'static,
+    A: Future<Output = Answer> + Send + 'static,
+{
+    let mut first = None;
+    if let Some(gate) = &gate {
+        match decide(gate, &stream).await {
+            Ok(gate::Decision::Admitted(pass)) => first = Some(pass),
+            Ok(gate::Decision::Unbounded) => {}
+            Ok(gate::Decision::Refused) => return refuse(&mut stream).await,
+            Ok(gate::Decision::Undecided) | Err(_) => return,
+        }
+    }
+    let (gate, first) = (Arc::new(gate), Arc::new(Mutex::new(first)));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (handler, gate) = (Arc::clone(&handler), Arc::clone(&gate));
+        let first = first.lock().take();
+        async move {
+            let count =
+                |gate: &gate::Gate| gate.count(request.method().as_str(), request.uri().path());
+            let _counted = first.or_else(|| gate.as_ref().as_ref().and_then(count));
+            Ok::<_, Infallible>(answer(&*handler, request).await)
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(cause) = connection.await {
+        spdlog::debug!("http: a connection ended: {cause}");
+    }
+}
+
+/// Waits for enough bytes of the first call to decide about a connection; they are left unread.
+/// [`gate::Decision::Undecided`] means that they did not come in time.
+async fn decide(gate: &gate::Gate, stream: &TcpStream) -> std::io::Result<gate::Decision> {
+    let mut head = vec![0; gate.prefix_length()];
+    let deciding = async {
+        let mut length = 0;
+        loop {
+            let peeked = stream.peek(&mut head).await?;
+            if peeked == length {
+                // The caller has closed its side, or the rest of a split head is on its way.
+                if peeked == 0 {
+                    return Ok(gate::Decision::Undecided);
+                }
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+            length = peeked;
+            match gate.decide(&head[..length]) {
+                gate::Decision::Undecided => {}
+                decided => return Ok(decided),
+            }
+        }
+    };
+    let decided = tokio::time::timeout(BODY_TIME, deciding).await;
+    decided.unwrap_or(Ok(gate::Decision::Undecided))
+}
+
+/// Refuses a connection. What was received is read first, since the system resets a connection
+/// that is closed with unread bytes, and the caller would lose the answer.
+async fn refuse(stream: &mut TcpStream) {
+    const READ_SIZE: usize = 8 << 10;
+    let mut unread = [0; READ_SIZE];
+    let _received = stream.try_read(&mut unread);
+    // An error means that the caller has left.
+    let _sent = stream.write_all(gate::REFUSAL).await;
+}
+
 async fn answer<H, A>(handler: &H, request: Request<Incoming>) -> Answer
 where
     H: Fn(Call) -> A + Send + Sync,
