--- a/crates/cranberrygap-entry/src/control/heartbeat.rs
+++ b/crates/cranberrygap-entry/src/control/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cranberrygap_model::{duration, number};
-use cranberrygap_policy::{backoff, leader_calls};
+use cranberrygap_policy::leader_calls;
 use cranberrygap_wire::{method, view as wire_view};
 use spdlog::{info, warn};
 
@@ -15,11 +15,8 @@
 /// Time between heartbeats, a seventh of the lease, so that several may be lost.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time between heartbeats while the leader does not answer, and its bounds after several
-/// failures. An entry with a lease has to find the next leader before the lease ends.
-const RETRY_INTERVAL: duration::Span = duration::Span::from_millis(60);
-const MAX_RETRY_INTERVAL_WITH_LEASE: duration::Span = duration::Span::from_millis(240);
-const MAX_RETRY_INTERVAL: duration::Span = duration::Span::from_millis(960);
+/// Time between heartbeats while the leader does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Time between checks for updates that should not wait for the next heartbeat.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -36,7 +33,6 @@
     confirmed_revision: number::Revision,
     is_leader_reachable: bool,
     is_view_behind: bool,
-    backoff: backoff::Backoff,
 }
 
 impl Heartbeat {
@@ -47,7 +43,6 @@
             confirmed_revision: number::Revision::default(),
             is_leader_reachable: false,
             is_view_behind: false,
-            backoff: backoff::Backoff::new(RETRY_INTERVAL, MAX_RETRY_INTERVAL),
         }
     }
 
@@ -61,33 +56,23 @@
 
     /// Waits until the next heartbeat is due. It is due early when an operator waits for a
     /// revision to be confirmed or when an endpoint's announcement is new.
-    async fn wait_for_next(&mut self) {
+    async fn wait_for_next(&self) {
         let view = self.core.view.latest();
-        let min_interval = leader_calls::min_interval(view.map_or(0, |view| view.entries()));
+        let min_interval =
+            leader_calls::min_interval(view.map_or(0, |view| view.entries())).to_std();
         if !self.is_leader_reachable {
-            tokio::time::sleep(self.retry_delay(min_interval)).await;
+            tokio::time::sleep(RETRY_INTERVAL.max(min_interval)).await;
             return;
         }
-        self.backoff.reset();
         let started = tokio::time::Instant::now();
         while started.elapsed() < INTERVAL {
             tokio::time::sleep(POLL_INTERVAL).await;
-            if started.elapsed() >= min_interval.to_std() && self.has_urgent_update() {
+            if started.elapsed() >= min_interval && self.has_urgent_update() {
                 return;
             }
         }
     }
 
-    /// Time until the next attempt while the leader does not answer.
-    fn retry_delay(&mut self, floor: duration::Span) -> Duration {
-        let delay = self.backoff.next_delay(floor, rand::random());
-        let has_lease = self.core.view.current(self.core.now()).is_some();
-        if !has_lease {
-            return delay.to_std();
-        }
-        delay.min(MAX_RETRY_INTERVAL_WITH_LEASE.max(floor)).to_std()
-    }
-
     /// Whether there is an update that should not wait for the next heartbeat.
     fn has_urgent_update(&self) -> bool {
         self.core.announcements.has_new_content()
--- a/crates/cranberrygap-entry/src/control/session.rs
+++ b/crates/cranberrygap-entry/src/control/session.rs
@@ -12,7 +12,7 @@
 
 use super::peers;
 
-/// Most attempts per call to reach the leader: one for each of seven control processes and one
+/// Attempts per call to reach the leader: one for each of seven control processes and one
 /// more for a leader that changed meanwhile.
 const MAX_HOPS: usize = 8;
 
@@ -76,9 +76,7 @@
         deadline: duration::Span,
     ) -> Result<R, cranberrygap_link::error::Error> {
         let mut last_error = unreachable_error();
-        // While there is no leader, a second round only costs more connections.
-        let hops = (self.peers.list().len() + 1).min(MAX_HOPS);
-        for _hop in 0..hops {
+        for _hop in 0..MAX_HOPS {
             let client = match self.connected_client().await {
                 Ok(client) => client,
                 Err(error) => {
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -5,7 +5,6 @@
 
 use cranberrygap_link::{client, credential, error};
 use cranberrygap_model::{address, duration};
-use cranberrygap_policy::{backoff, leader_calls};
 use cranberrygap_wire::{method, view as wire_view};
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
@@ -24,20 +23,12 @@
 const MIN_FOLLOW_TIME: duration::Span = duration::Span::from_millis(500);
 const FOLLOW_TIME_SPREAD: duration::Span = duration::Span::from_millis(1_500);
 
-/// Longest delay before the next subscription attempt.
-const MAX_RECONNECT_DELAY: duration::Span = duration::Span::from_millis(1_600);
-
-/// Time for which a source must be followed for the next delay to be short again. A source that
-/// can serve a snapshot and nothing after it has too many subscribers.
-const STABLE_TIME: duration::Span = duration::Span::from_secs(3);
-
 /// Task that receives the view's frames.
 #[derive(Debug)]
 pub(crate) struct Subscription {
     core: Arc<core::Core>,
     secret: Arc<credential::Holder>,
     preference: preference::Preference,
-    backoff: backoff::Backoff,
 }
 
 /// An open stream of frames.
@@ -64,7 +55,6 @@
             core,
             secret,
             preference,
-            backoff: backoff::Backoff::new(source::RECONNECT_DELAY, MAX_RECONNECT_DELAY),
         }
     }
 
@@ -75,24 +65,13 @@
             turn = turn.wrapping_add(1);
             let peers = self.core.peers.list();
             let by_turn = || peers.get(turn % peers.len().max(1)).cloned();
-            let started = self.core.now();
             if let Some(peer) = self.preferred_peer(&peers).or_else(by_turn) {
                 self.follow_from(peer).await;
             }
-            if self.core.now().since(started) >= STABLE_TIME {
-                self.backoff.reset();
-            }
-            tokio::time::sleep(self.reconnect_delay().to_std()).await;
+            tokio::time::sleep(source::RECONNECT_DELAY.to_std()).await;
         }
     }
 
-    /// Time until the next subscription attempt, longer with more entries that may need one.
-    fn reconnect_delay(&mut self) -> duration::Span {
-        let view = self.core.view.latest();
-        let floor = leader_calls::min_interval(view.map_or(0, |view| view.entries()));
-        self.backoff.next_delay(floor, rand::random())
-    }
-
     /// Follows a control process, and then each better one, until one fails.
     async fn follow_from(&mut self, first: address::Peer) {
         let mut next = self.open(&first).await;
--- a/crates/cranberrygap-policy/src/lib.rs
+++ b/crates/cranberrygap-policy/src/lib.rs
@@ -1,6 +1,5 @@
 //! Request decisions without I/O: limits, fairness, routing, retries, quarantine, bookings.
 
-pub mod backoff;
 pub mod claims;
 pub mod fairness;
 pub mod leader_calls;
