Charge bodies on their way to the memory for callers

Seen: nothing bounded the request bodies that an entry holds; each may have a megabyte. Responses that are read to their end had 64 MB of their own, more than half of an instance of 120 MB.

Change: request bodies and such responses are charged to the account of callers' memory. A larger one without memory is read to its end, dropped and refused as not run (no_memory, 503): a refusal in the middle of it reached its caller as a reset.

--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -52,7 +52,6 @@
     pub(crate) dialect: Arc<dyn dialect::Dialect>,
     pub(crate) pool: pool::Pool,
     pub(crate) peers: peers::Peers,
-    memory: buffer::Memory,
     /// Memory that is held for callers.
     readers: Arc<readers::Readers>,
     /// Limits the lines about requests.
@@ -72,7 +71,6 @@
             dialect,
             pool,
             peers: peers::Peers::default(),
-            memory: buffer::Memory::default(),
             readers: Arc::new(readers),
             log_limiter: log_limit::Limiter::default(),
             endpoint_log_limiter: log_limit::Limiter::default(),
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -17,7 +17,7 @@
     Reply, dialect, endpoint_connection, endpoints, failure, in_flight, response,
 };
 use crate::framing;
-use crate::gateway::request;
+use crate::gateway::{buffer, request};
 use crate::quarantine;
 use crate::reach;
 use crate::resends;
@@ -340,7 +340,7 @@
         } = reply;
         let (head, body) = response.into_parts();
         let timeout = duration::Span(self.deadline().since(self.now()).0 + DEADLINE_GRACE.0);
-        let reading = self.gateway.memory.read(body);
+        let reading = buffer::read(&self.gateway.readers, body);
         let whole = match tokio::time::timeout(timeout.to_std(), reading).await {
             Ok(Ok(whole)) => whole,
             Ok(Err(cause)) => {
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -41,6 +41,11 @@
     SlowBody,
     /// The body broke off; nobody is left to read the response.
     BrokenBody,
+    /// The body is large, and there is no memory for it now.
+    NoMemory {
+        /// Time after which there may be.
+        retry_after: duration::Span,
+    },
     /// The workspace is above its rate.
     OverRate {
         /// Time after which the request may be admitted.
@@ -109,6 +114,7 @@
             Self::TooLarge => "body_too_large",
             Self::SlowBody => "body_slow",
             Self::BrokenBody => "body_broken",
+            Self::NoMemory { .. } => "no_memory",
             Self::OverRate { .. } => "rate_exceeded",
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::NotRun { .. } => "not_run",
@@ -141,6 +147,7 @@
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
             Self::NoView { .. }
+            | Self::NoMemory { .. }
             | Self::NoEndpoint { .. }
             | Self::NotRun { .. }
             | Self::Quarantined { .. }
@@ -161,6 +168,7 @@
     pub(crate) fn retry_after(&self) -> Option<duration::Span> {
         match self {
             Self::NoView { retry_after }
+            | Self::NoMemory { retry_after }
             | Self::OverRate { retry_after }
             | Self::NoEndpoint { retry_after, .. }
             | Self::NotRun { retry_after }
--- a/crates/cranberrygap-entry/src/gateway/readers.rs
+++ b/crates/cranberrygap-entry/src/gateway/readers.rs
@@ -1,5 +1,6 @@
 //! Memory that the gateway holds for its callers, and the signals to connections that are cut.
 
+mod charge;
 mod signal;
 
 use std::collections::HashMap;
@@ -10,6 +11,7 @@
 use cranberrygap_policy::memory;
 use parking_lot::Mutex;
 
+pub(super) use charge::Charge;
 pub(super) use signal::Signal;
 
 /// Bytes that are held for callers without a setting.
@@ -93,6 +95,10 @@
         inner.account.close(holder);
         inner.signals.remove(&holder);
     }
+
+    fn open_transit(&self) -> memory::Holder {
+        self.inner.lock().account.open(memory::Content::Transit)
+    }
 }
 
 fn to_size(bytes: usize) -> size::Bytes {
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -27,6 +27,7 @@
 use super::dialect;
 use super::failure::{self, Failure};
 use super::forward;
+use super::readers;
 use super::response;
 use super::{Gateway, origins, request_log};
 
@@ -40,6 +41,10 @@
 /// first one by hand or script.
 const NO_PLAN_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
 
+/// Retry delay of callers for whose body there is no memory. Callers that read nothing are cut
+/// within a second, and bodies on their way end within a few.
+const NO_MEMORY_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
+
 /// Time after which callers leave a silent stream, also before its first event. It is the
 /// longest of this time, four objectives and eight of the pauses that they allow.
 const MIN_SILENCE_TIMEOUT: duration::Span = duration::Span::from_secs(2);
@@ -74,6 +79,8 @@
     pub host: SmolStr,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Memory for the body, which is held until the last attempt has ended.
+    _charge: readers::Charge,
     pub metadata: dialect::Metadata,
     pub chain: prefix_cache::Chain,
     pub arrived_at: duration::Instant,
@@ -309,8 +316,8 @@
     let metadata = gateway.dialect.read_headers(&head.headers);
     let metadata = metadata.map_err(Failure::Malformed)?;
     log.id.clone_from(&metadata.id);
-    let body = read_body(gateway, body).await?;
-    let mut received = to_request(arrived_at, head, body, metadata)?;
+    let (body, charge) = read_body(gateway, body).await?;
+    let mut received = to_request(arrived_at, head, body, charge, metadata)?;
     let view = serving_view(gateway)?;
     let resolution = received.resolve(&view)?;
     log.revision = view.revision().0;
@@ -384,6 +391,11 @@
     Failure::NoView { retry_after }
 }
 
+fn no_memory_failure() -> Failure {
+    let retry_after = failure::add_jitter(NO_MEMORY_RETRY_AFTER);
+    Failure::NoMemory { retry_after }
+}
+
 /// The view to serve from.
 pub(crate) fn serving_view(gateway: &Gateway) -> Result<Arc<view::Snapshot>, Failure> {
     let now = gateway.core.now();
@@ -398,6 +410,7 @@
     arrived_at: duration::Instant,
     head: request::Parts,
     body: Bytes,
+    charge: readers::Charge,
     metadata: dialect::Metadata,
 ) -> Result<Request, Failure> {
     let host = host_name(&head).ok_or_else(|| Failure::Malformed("the host is missing".into()))?;
@@ -419,6 +432,7 @@
         host,
         headers,
         body,
+        _charge: charge,
         metadata,
         chain,
         arrived_at,
@@ -452,9 +466,14 @@
     Some(name.to_ascii_lowercase().to_smolstr())
 }
 
-async fn read_body(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, Failure> {
+/// Reads a body to its end, so that no endpoint holds a part of it while the rest is on its way.
+async fn read_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+) -> Result<(Bytes, readers::Charge), Failure> {
+    let mut charge = readers::Charge::new(&gateway.readers);
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), charge));
     }
     let view = gateway.core.view.latest();
     let table = view.as_ref().and_then(|view| view.traffic());
@@ -464,17 +483,34 @@
     }
     let read_all = async {
         let mut whole = BytesMut::new();
+        let mut length = 0;
+        let mut has_memory = true;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_broken| Failure::BrokenBody)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if (whole.len() + data.len()) as u64 > max_bytes {
+            length += data.len();
+            if length as u64 > max_bytes {
                 return Err(Failure::TooLarge);
             }
+            if !has_memory {
+                continue;
+            }
+            if !charge.grow(length) {
+                // The rest is read and dropped. A caller that still sends would get a reset in
+                // place of the refusal, and not know that nothing ran.
+                has_memory = false;
+                whole = BytesMut::new();
+                charge.clear();
+                continue;
+            }
             whole.extend_from_slice(&data);
         }
-        Ok(whole.freeze())
+        if !has_memory {
+            return Err(no_memory_failure());
+        }
+        Ok((whole.freeze(), charge))
     };
     let result = tokio::time::timeout(BODY_TIMEOUT, read_all).await;
     result.unwrap_or(Err(Failure::SlowBody))
