--- a/crates/cranberrygap-routing/src/prompt/selection.rs
+++ b/crates/cranberrygap-routing/src/prompt/selection.rs
@@ -137,26 +137,6 @@
     best.map(|(_, choice)| choice)
 }
 
-/// The engines with the earliest first events, penalties included, the best first.
-#[must_use]
-pub fn rank<'known>(
-    request: &Request,
-    candidates: impl Iterator<Item = Candidate<'known>>,
-    most: usize,
-) -> Vec<Choice> {
-    let mut scored: Vec<(u64, Choice)> = score(request, candidates).collect();
-    scored.sort_by(compare);
-    scored.truncate(most);
-    scored.into_iter().map(|(_, choice)| choice).collect()
-}
-
-/// Cost of one candidate, penalties included, as waiting time in microseconds.
-#[must_use]
-pub fn cost(request: &Request, candidate: Candidate<'_>) -> u64 {
-    let mut scored = score(request, std::iter::once(candidate));
-    scored.next().map_or(u64::MAX, |(cost, _)| cost)
-}
-
 fn compare(left: &(u64, Choice), right: &(u64, Choice)) -> std::cmp::Ordering {
     (left.0, &left.1.endpoint).cmp(&(right.0, &right.1.endpoint))
 }
