Compare engines with their peers, and leave slots to urgent requests only where they are scarce

Cause: the learned times replaced the estimates by model, which lean to the slow side on purpose; and what an engine's load adds looked like its speed. Requests with time to spare were held to the limits of late ones even where slots were free.

Change: the home's figures tell how an engine compares with its peers, and scale the estimate by model; engines within a quarter of their peers count as alike, and three must be known.

Run: speed, admission, prompt and pacing tests of the routing crate.

--- a/crates/cranberrygap-entry/src/gateway/delivery/target.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/target.rs
@@ -368,47 +368,39 @@
         )
     }
 
-    /// Waits for an engine with slots to spare, as long as the request has time to spare.
-    async fn wait_patiently(
+    /// Leaves the slots of full engines to urgent requests, as long as the request has time to
+    /// spare. Returns the time from which it competes for one.
+    async fn leave_scarce_slots(
         &mut self,
         model: &id::Model,
-        patience: patience::Patience,
-    ) -> Result<Option<endpoints::Choice>, Failure> {
-        let mut is_logged = false;
+    ) -> Result<duration::Instant, Failure> {
+        let arrived_at = self.request.arrived_at;
+        let Some(patience) = self.patience(model) else {
+            return Ok(arrived_at);
+        };
+        let mut has_waited = false;
         while patience.lasts(self.now()) {
-            // The limits for late requests also hold for those that let others go first.
-            let choice = self.find_engine(model, true).await?;
-            let failure = self.check_overload(&choice, true).err();
-            let is_admitted = failure.is_none() && patience.admits(choice.running);
-            if is_admitted && self.take_room(&choice.destination).await {
-                self.reserve_prefill(&choice.destination, choice.prefill_time);
-                return Ok(Some(choice));
+            let choice = self.find_engine(model, false).await?;
+            if patience.admits(choice.running) {
+                break;
             }
-            if !is_logged {
-                let failure = failure.unwrap_or_else(|| {
-                    let cause = "more urgent requests come first";
-                    self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, cause)
-                });
+            if !has_waited {
+                let cause = "more urgent requests come first";
+                let failure = self.no_endpoint_failure(NO_CAPACITY_RETRY_AFTER, cause);
                 self.log_wait(&choice, &failure);
-                is_logged = true;
+                has_waited = true;
             }
             let interval = patience.interval(self.now(), rand::random());
             tokio::time::sleep(interval.to_std()).await;
         }
-        Ok(None)
+        Ok(if has_waited { self.now() } else { arrived_at })
     }
 
     /// The best engine that is not overloaded; waits a moment for one.
     async fn wait_for_capacity(&mut self, model: &id::Model) -> Result<endpoints::Choice, Failure> {
         let objective = self.resolution.route.objective;
         let wait = duration::Span(objective.0 / OVERLOAD_WAIT_DIVISOR).min(MAX_OVERLOAD_WAIT);
-        let mut competes_from = self.request.arrived_at;
-        if let Some(patience) = self.patience(model) {
-            competes_from = competes_from.max(patience.until());
-            if let Some(choice) = self.wait_patiently(model, patience).await? {
-                return Ok(choice);
-            }
-        }
+        let competes_from = self.leave_scarce_slots(model).await?;
         let late_from = competes_from.after(wait);
         let give_up_at = competes_from.after(MAX_LATE_WAIT);
         let give_up_at = give_up_at.min(self.latest_start(model));
--- a/crates/cranberrygap-routing/src/prompt/latency.rs
+++ b/crates/cranberrygap-routing/src/prompt/latency.rs
@@ -159,12 +159,8 @@
     /// This estimate at an engine whose own speed is known.
     #[must_use]
     pub fn at_speed(mut self, speed: &speed::Speed) -> Self {
-        let bounded = |micros: f64| micros.clamp(MIN_MICROS, MAX_MICROS);
-        if let Some(prefill) = speed.prefill_micros {
-            self.prefill_per_token.micros = bounded(prefill);
-        }
-        if let Some(event) = speed.event_micros {
-            self.event_interval.micros = bounded(event);
+        for quantile in [&mut self.prefill_per_token, &mut self.event_interval] {
+            quantile.micros = (quantile.micros * speed.slowness).clamp(MIN_MICROS, MAX_MICROS);
         }
         self
     }
--- a/crates/cranberrygap-routing/src/prompt/selection.rs
+++ b/crates/cranberrygap-routing/src/prompt/selection.rs
@@ -137,6 +137,13 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Cost of one candidate, penalties included, as waiting time in microseconds.
+#[must_use]
+pub fn cost(request: &Request, candidate: Candidate<'_>) -> u64 {
+    let mut scored = score(request, std::iter::once(candidate));
+    scored.next().map_or(u64::MAX, |(cost, _)| cost)
+}
+
 fn compare(left: &(u64, Choice), right: &(u64, Choice)) -> std::cmp::Ordering {
     (left.0, &left.1.endpoint).cmp(&(right.0, &right.1.endpoint))
 }
--- a/crates/cranberrygap-routing/src/prompt/speed.rs
+++ b/crates/cranberrygap-routing/src/prompt/speed.rs
@@ -44,13 +44,11 @@
     value.clamp(*bounds.start(), *bounds.end())
 }
 
-/// Speed of one engine with one model.
+/// Speed of one engine beside that of its peers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Speed {
-    /// Microseconds per prompt token; `None` if no prompt has shown it.
-    pub prefill_micros: Option<f64>,
-    /// Microseconds between two events of a stream; `None` if no stream has shown it.
-    pub event_micros: Option<f64>,
+    /// How many times longer the engine takes than its peers; 1 where they do not differ.
+    pub slowness: f64,
     /// How many times slower than usual the engine is in its slow spells; at least 1.
     pub spread: f64,
 }
--- a/crates/cranberrygap-routing/src/prompt/speed/known.rs
+++ b/crates/cranberrygap-routing/src/prompt/speed/known.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_model::duration;
 
-use super::{Report, Speed};
+use super::{ModelReport, Report, Speed};
 
 /// Half-life of what is known of an engine that shows nothing new. An engine that was slow gets
 /// requests again, as it counts more and more like its peers.
@@ -13,6 +13,12 @@
 /// Half-lives after which a report is forgotten.
 const FORGET_HALF_LIVES: u64 = 8;
 
+/// Engines whose times differ by less than this factor from their peers' count as alike.
+const ALIKE_RATIO: f64 = 1.25;
+
+/// Engines that must be known with a model for their median to say what is usual.
+const MIN_PEERS: usize = 3;
+
 /// Speeds that the homes of engines told.
 #[derive(Debug, Default)]
 pub struct Known {
@@ -22,9 +28,9 @@
 /// Median speed of all engines that are known with one model.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Peers {
-    /// Microseconds per prompt token; `None` if no engine is known.
+    /// Microseconds per prompt token; `None` if too few engines are known.
     pub prefill_micros: Option<f64>,
-    /// Microseconds between two events; `None` if no engine is known.
+    /// Microseconds between two events; `None` if too few engines are known.
     pub event_micros: Option<f64>,
 }
 
@@ -60,47 +66,54 @@
         }
     }
 
-    /// Speed of an engine with a model, drawn to that of its peers by the age of what is known.
+    /// Speed of an engine beside its peers with a model, drawn to theirs by the age of what is
+    /// known.
+    ///
+    /// Engines that hardly differ count as alike: what their streams show differs by their load.
     #[must_use]
     pub fn speed(&self, now: duration::Instant, engine: u32, model: u32, peers: &Peers) -> Speed {
-        let known = self.engines.get(&engine);
-        let spread = known.map_or(1.0, |(_, report)| {
-            1.0 + f64::from(report.spread_percent) / 100.0
-        });
-        let model = known.and_then(|(at, report)| {
-            let mut models = report.models.iter();
-            Some((at, models.find(|report| report.model == model)?))
-        });
-        let Some((at, report)) = model else {
+        let Some((at, report)) = self.engines.get(&engine) else {
             return Speed {
-                prefill_micros: peers.prefill_micros,
-                event_micros: peers.event_micros,
-                spread,
+                slowness: 1.0,
+                spread: 1.0,
             };
         };
-        let age = now.since(*at).0 + u64::from(report.age) * 10_000;
-        let weight = 0.5_f64.powf(age as f64 / HALF_LIFE.0 as f64);
-        let prefill = (report.prefill_nanos > 0).then(|| f64::from(report.prefill_nanos) / 1_000.0);
-        let event = (report.event_micros > 0).then(|| f64::from(report.event_micros));
-        Speed {
-            prefill_micros: blend(prefill, peers.prefill_micros, weight),
-            event_micros: blend(event, peers.event_micros, weight),
-            spread,
-        }
+        let spread = 1.0 + f64::from(report.spread_percent) / 100.0;
+        let mut models = report.models.iter();
+        let slowness = models
+            .find(|told| told.model == model)
+            .map_or(1.0, |told| slowness(now.since(*at), told, peers));
+        Speed { slowness, spread }
     }
 }
 
-/// Weighted geometric mean of what is known of an engine and its peers.
-fn blend(own: Option<f64>, peers: Option<f64>, weight: f64) -> Option<f64> {
-    match (own, peers) {
-        (Some(own), Some(peers)) => Some(own.powf(weight) * peers.powf(1.0 - weight)),
-        (own, peers) => own.or(peers),
+/// How many times longer than its peers an engine takes, as told some time ago.
+fn slowness(age: duration::Span, told: &ModelReport, peers: &Peers) -> f64 {
+    let prefill = ratio(
+        f64::from(told.prefill_nanos) / 1_000.0,
+        peers.prefill_micros,
+    );
+    let event = ratio(f64::from(told.event_micros), peers.event_micros);
+    let own = match (prefill, event) {
+        (Some(prefill), Some(event)) => (prefill * event).sqrt(),
+        (prefill, event) => prefill.or(event).unwrap_or(1.0),
+    };
+    let age = age.0 + u64::from(told.age) * 10_000;
+    let own = own.powf(0.5_f64.powf(age as f64 / HALF_LIFE.0 as f64));
+    if (1.0 / ALIKE_RATIO..ALIKE_RATIO).contains(&own) {
+        return 1.0;
     }
+    own
+}
+
+fn ratio(own: f64, peers: Option<f64>) -> Option<f64> {
+    let peers = peers.filter(|_| own > 0.0)?;
+    Some(own / peers)
 }
 
 fn median(values: impl Iterator<Item = u32>) -> Option<f64> {
     let mut known: Vec<u32> = values.filter(|value| *value > 0).collect();
-    if known.is_empty() {
+    if known.len() < MIN_PEERS {
         return None;
     }
     known.sort_unstable();
--- a/crates/cranberrygap-routing/tests/speed.rs
+++ b/crates/cranberrygap-routing/tests/speed.rs
@@ -42,8 +42,7 @@
 impl Fleet {
     fn speed(&self, engine: usize) -> speed::Speed {
         speed::Speed {
-            prefill_micros: Some(USUAL_PREFILL_MICROS * self.slowness[engine]),
-            event_micros: None,
+            slowness: self.slowness[engine],
             spread: 1.0,
         }
     }
@@ -135,8 +134,7 @@
         known.speed(now, engine, MODEL, &known.peers(MODEL))
     });
     let alike = fleet().on_time(|_, _, _, _| speed::Speed {
-        prefill_micros: Some(USUAL_PREFILL_MICROS),
-        event_micros: None,
+        slowness: 1.0,
         spread: 1.0,
     });
 
@@ -168,13 +166,10 @@
         known.record(millis(10_000), engine, report);
     }
     let peers = known.peers(MODEL);
-    let micros = |at| {
-        let speed = known.speed(millis(at), 1, MODEL, &peers);
-        speed.prefill_micros.expect("a speed")
-    };
+    let slowness = |at| known.speed(millis(at), 1, MODEL, &peers).slowness;
 
-    assert!(micros(10_000) > 200.0, "{}", micros(10_000));
-    assert!(micros(22_000) < 75.0, "{}", micros(22_000));
+    assert!(slowness(10_000) > 4.0, "{}", slowness(10_000));
+    assert!(slowness(22_000) < 1.5, "{}", slowness(22_000));
 }
 
 // A restarted engine would be chosen by what its predecessor did.
@@ -191,7 +186,27 @@
 
     let speed = known.speed(millis(10_000), 2, MODEL, &known.peers(MODEL));
 
-    assert_eq!(speed.prefill_micros, Some(50.0));
+    assert!((speed.slowness - 1.0).abs() < f64::EPSILON, "{speed:?}");
+}
+
+// Engines of one speed looked uneven by their load, and got requests by turns of luck.
+#[test]
+fn engines_that_hardly_differ_count_as_alike() {
+    let mut book = speed::book::Book::default();
+    let mut known = speed::known::Known::default();
+    for (engine, nanos) in [(1, 45_000), (2, 50_000), (3, 60_000)] {
+        observe(&mut book, engine, 0, 10, nanos);
+        let report = book.report(millis(10_000), engine).expect("a report");
+        known.record(millis(10_000), engine, report);
+    }
+    let peers = known.peers(MODEL);
+
+    let slowness = [1, 2, 3].map(|engine| {
+        let speed = known.speed(millis(10_000), engine, MODEL, &peers);
+        format!("{:.2}", speed.slowness)
+    });
+
+    assert_eq!(slowness, ["1.00", "1.00", "1.00"]);
 }
 
 // One engine with a broken clock must not draw or repel the requests of the others.
