--- a/review/1/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
     for place in range(3):
         address = (f"{fleet.net}.{101 + place}", 8080)
         zone = kit.ZONES[place]
-        runners.append(kit.Runner(record, "frame-app", place, address, zone, controls, work_s=0.03))
+        runners.append(kit.Runner(record, "ticket-core", place, address, zone, controls, work_s=0.03))
     leaving = runners[0]
     # The paths of the first runner to the control processes lead through proxies.
     proxies = {}
@@ -33,7 +33,7 @@
     leaving.route = lambda node: (f"{fleet.net}.{201 + controls.index(node)}", 8229)
 
     time.sleep(3.0)
-    clients = [kit.Client(record, entry, "ficu95.example", "/frame-app/2f", 0.07)
+    clients = [kit.Client(record, entry, "ficu95.example", "/ticket-core/2f", 0.07)
                for entry in fleet.entry_addresses() for _turn in range(8)]
     for client in clients:
         client.start()
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -27,7 +27,7 @@
     "config_apply_ms": 2000, "skew_max_ms": 5000, "strict_revoke": True, "revoke_ms": 5000,
     "lease_ms": 3000, "recovery_s": 12,
 }
-ZONES = ["oslo-a", "oslo-b", "oslo-c"]
+ZONES = ["gulf-east-a", "gulf-east-b", "gulf-east-c"]
 
 
 class CannotRun(Exception):
@@ -161,8 +161,8 @@
 
     def _add(self, role, name, ip, zone, binary):
         values = {
-            "node_name": name, "ip": ip, "zone": zone, "region": "oslo",
-            "zones": {zone: "oslo" for zone in ZONES},
+            "node_name": name, "ip": ip, "zone": zone, "region": "gulf-east",
+            "zones": {zone: "gulf-east" for zone in ZONES},
             "listen_addrs": {
                 "front": f"{ip}:8221", "ready": f"{ip}:8224", "directory": f"{ip}:8226",
                 "control": f"{ip}:8229"},
@@ -552,7 +552,7 @@
             time.sleep(self.gap_s)
 
 
-def config(version, services=("frame-app",), tenants=None, routes=None):
+def config(version, services=("ticket-core",), tenants=None, routes=None):
     """A config with one route to each plain service."""
     content = {
         "version": version,
