Refuse responses whose transfer coding is not known

What callers saw: an endpoint in trouble sent `Transfer-Encoding: chunkeq` (or another word, an empty value, a parameter, a second coding). Callers got 200 and a complete body that was not the endpoint's: the chunks with their sizes. A booking at /services kept them as its answer. A 503 with such a head was passed on as "not run", and its Retry-After was obeyed.

Cause: the HTTP library reads a body in a coding that it does not know until its connection ends, and framing::Framing took "cannot be understood" for "says nothing", which is allowed. Each reader of responses relied on the library.

Change: the crate cranberrygap-response checks heads. A Framing is made of a checked head only. The gateway checks in endpoint_connection::send, before the response is classified, so neither "not run" nor a statement is believed; the request goes on as after a connection that broke, and the connection is closed. The clients of the product's own API read upstream::Response, which is made of a checked head; reports, orders, calls of runners and the store's list check too. A warning names sender and defect, malformed_responses counts them.

Why it works: requests carry no TE, so exactly `chunked` is the only coding that a sound response may have; with it, the end of the body is known.

--- a/crates/cranberrygap-control/src/orders/endpoint_client.rs
+++ b/crates/cranberrygap-control/src/orders/endpoint_client.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use cranberrygap_model::address;
+use cranberrygap_response::defect::Defect;
+use cranberrygap_response::head;
 use cranberrygap_wire::endpoint;
 use futures_util::future::BoxFuture;
 
@@ -22,6 +24,8 @@
     Http(#[from] reqwest::Error),
     #[error("invalid response: {0}")]
     Malformed(#[from] serde_json::Error),
+    #[error(transparent)]
+    Head(#[from] Defect),
     #[error("the response has more than {MAX_RESPONSE_BYTES} bytes")]
     TooLarge,
 }
@@ -95,6 +99,7 @@
 }
 
 async fn read_body(response: reqwest::Response) -> Result<Vec<u8>, Error> {
+    head::Head::check(response.headers(), response.content_length())?;
     let mut response = response.error_for_status()?;
     let mut body = Vec::new();
     while let Some(chunk) = response.chunk().await? {
--- a/crates/cranberrygap-control/src/store.rs
+++ b/crates/cranberrygap-control/src/store.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use cranberrygap_model::address;
+use cranberrygap_response::defect::Defect;
+use cranberrygap_response::head;
 use cranberrygap_wire::endpoint;
 
 /// Timeout of one request.
@@ -23,6 +25,8 @@
 pub(crate) enum Error {
     #[error("the store does not answer: {0}")]
     Http(#[from] reqwest::Error),
+    #[error("the store's list is not believed: {0}")]
+    Head(#[from] Defect),
     #[error("the store's list is malformed: {0}")]
     Malformed(#[from] serde_json::Error),
     #[error("the store's list has more than {MAX_LIST_BYTES} bytes")]
@@ -44,6 +48,7 @@
 
     pub(crate) async fn list_models(&self) -> Result<Vec<endpoint::Weights>, Error> {
         let response = self.http.get(&self.url).send().await?;
+        head::Head::check(response.headers(), response.content_length())?;
         let mut response = response.error_for_status()?;
         let mut body = Vec::new();
         while let Some(chunk) = response.chunk().await? {
--- a/crates/cranberrygap-entry/src/caller/generate.rs
+++ b/crates/cranberrygap-entry/src/caller/generate.rs
@@ -17,7 +17,6 @@
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::relay;
-use crate::upstream;
 use crate::view;
 
 use super::{auth, body};
@@ -208,7 +207,7 @@
     loop {
         let answer = delivery.send(0).await?;
         let mut attempt = answer.attempt;
-        let body = upstream::read_body(answer.http, MAX_RESPONSE_BYTES).await;
+        let body = answer.http.read_body(MAX_RESPONSE_BYTES).await;
         let evidence = match body {
             Ok(bytes) => match serde_json::from_slice::<serde_json::Value>(&bytes) {
                 Ok(parsed) => {
--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -24,6 +24,7 @@
 use crate::refusal::Refusal;
 use crate::resends;
 use crate::route;
+use crate::upstream;
 use crate::view;
 
 use super::{auth, pattern};
@@ -333,9 +334,12 @@
         if let Some(key) = &call.key {
             builder = builder.header(IDEMPOTENCY_KEY, key.as_str());
         }
-        match builder.send().await {
+        match upstream::send(builder).await {
             Ok(response) => completion::read_response(response).await,
-            Err(cause) => completion::Completion::Failed(engine::evidence_of(&cause)),
+            Err(cause) => {
+                let about = call.about().at(&destination.endpoint);
+                completion::Completion::Failed(engine::evidence_of(&self.core, &about, &cause))
+            }
         }
     }
 }
--- a/crates/cranberrygap-entry/src/caller/services/completion.rs
+++ b/crates/cranberrygap-entry/src/caller/services/completion.rs
@@ -7,7 +7,6 @@
 use salvo::http::{HeaderValue, Response, StatusCode, header};
 
 use crate::booking;
-use crate::framing;
 use crate::upstream;
 
 /// Largest response of a call, in bytes.
@@ -26,7 +25,7 @@
 }
 
 /// Reads the whole response of an endpoint.
-pub(super) async fn read_response(response: reqwest::Response) -> Completion {
+pub(super) async fn read_response(response: upstream::Response) -> Completion {
     let status = response.status();
     let default = HeaderValue::from_static("application/octet-stream");
     let content_type = response
@@ -34,8 +33,8 @@
         .get(header::CONTENT_TYPE)
         .cloned()
         .unwrap_or(default);
-    let framing = framing::Framing::new(response.headers(), response.content_length());
-    match upstream::read_body(response, MAX_RESPONSE_BYTES).await {
+    let framing = response.framing();
+    match response.read_body(MAX_RESPONSE_BYTES).await {
         Ok(body) if !framing.is_whole(&body) => Completion::Failed(Evidence::CutAnswer),
         Ok(body) if reports_not_run(status, &body) => Completion::Failed(Evidence::EndpointRefused),
         Ok(body) => Completion::Answered {
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::caller::body;
+use crate::upstream;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use delivery::{Delivery, evidence_of};
@@ -51,7 +52,7 @@
 /// The response of an engine, whose body is still to be read.
 #[derive(Debug)]
 pub(crate) struct Response {
-    pub http: reqwest::Response,
+    pub http: upstream::Response,
     pub attempt_id: id::Attempt,
     pub attempt: Attempt,
 }
--- a/crates/cranberrygap-entry/src/engine/attempt.rs
+++ b/crates/cranberrygap-entry/src/engine/attempt.rs
@@ -58,6 +58,11 @@
         self.destination.address
     }
 
+    /// What the attempt is about, in notes.
+    pub(super) fn about(&self) -> &note::About {
+        &self.about
+    }
+
     /// Records that the whole response has arrived.
     pub(crate) fn record_complete(&mut self) {
         self.run.record_complete();
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -7,14 +7,17 @@
 use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::retry;
 use cranberrygap_routing::origin;
+use cranberrygap_trace::note;
 use salvo::http::{StatusCode, header};
 
 use crate::core;
+use crate::metric;
 use crate::quarantine;
 use crate::queue;
 use crate::refusal::Refusal;
 use crate::resends;
 use crate::route;
+use crate::upstream;
 
 use super::{
     ATTEMPT_ID_HEADER, Attempt, EXPECTED_SOFTWARE_HEADER, FIRST_BYTE_TIMEOUT, REQUEST_ID_HEADER,
@@ -291,7 +294,7 @@
             Some(software) => call.header(EXPECTED_SOFTWARE_HEADER, software.as_str()),
             None => call,
         };
-        let call = call.send();
+        let call = upstream::send(call);
         let timeout = if self.request.body.stream {
             FIRST_BYTE_TIMEOUT.min(self.remaining())
         } else {
@@ -299,7 +302,10 @@
         };
         let response = match tokio::time::timeout(timeout.to_std(), call).await {
             Err(_elapsed) => return Err((Evidence::Silence, attempt)),
-            Ok(Err(cause)) => return Err((evidence_of(&cause), attempt)),
+            Ok(Err(cause)) => {
+                let evidence = evidence_of(&self.core, attempt.about(), &cause);
+                return Err((evidence, attempt));
+            }
             Ok(Ok(response)) => response,
         };
         let echoed = response.headers().get(ATTEMPT_ID_HEADER);
@@ -319,8 +325,20 @@
     }
 }
 
-/// What an error of the HTTP client proves.
-pub(crate) fn evidence_of(cause: &reqwest::Error) -> Evidence {
+/// What the lack of a response proves. A response that is not believed is noted.
+pub(crate) fn evidence_of(
+    core: &core::Core,
+    about: &note::About,
+    cause: &upstream::Error,
+) -> Evidence {
+    let cause = match cause {
+        upstream::Error::Http(cause) => cause,
+        upstream::Error::Malformed(defect) => {
+            core.count(metric::MALFORMED_RESPONSES, defect.as_str());
+            core.trace.note(about, "malformed", defect, &[]);
+            return Evidence::CutAnswer;
+        }
+    };
     if cause.is_connect() {
         return Evidence::ConnectFailed;
     }
--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -6,22 +6,12 @@
 
 use std::fmt;
 
+use cranberrygap_response::head::{End, Head};
 use http::{HeaderMap, header};
 use serde::de::IgnoredAny;
 
 use crate::sse;
 
-/// What ends the body of a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum End {
-    /// The body has a known length.
-    Length,
-    /// The body comes in chunks, of which the last is marked.
-    Chunks,
-    /// The body ends with its connection.
-    Connection,
-}
-
 /// What a body holds, as far as it shows whether the body is whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Content {
@@ -40,19 +30,13 @@
 }
 
 impl Framing {
-    /// The framing of a response with these headers, whose body has `length` bytes if the HTTP
-    /// library knows.
+    /// The framing of a response with a sound head, which has these headers.
     #[must_use]
-    pub fn new(headers: &HeaderMap, length: Option<u64>) -> Self {
-        let end = if length.is_some() {
-            End::Length
-        } else if is_chunked(headers) {
-            End::Chunks
-        } else {
-            End::Connection
-        };
-        let content = content(headers);
-        Self { end, content }
+    pub fn new(head: Head, headers: &HeaderMap) -> Self {
+        Self {
+            end: head.end(),
+            content: content(headers),
+        }
     }
 
     /// Whether the response to a request for a stream holds server-sent events. Without a
@@ -124,13 +108,6 @@
     }
 }
 
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(header::TRANSFER_ENCODING);
-    let last = codings.iter().next_back();
-    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-}
-
 fn content(headers: &HeaderMap) -> Content {
     let Some(value) = headers.get(header::CONTENT_TYPE) else {
         return Content::Unspecified;
--- a/crates/cranberrygap-entry/src/gateway.rs
+++ b/crates/cranberrygap-entry/src/gateway.rs
@@ -36,13 +36,16 @@
 pub(crate) use listener::Listener;
 pub(crate) use origins::Origins;
 
+use std::fmt;
 use std::sync::Arc;
 
 use cranberrygap_link::traffic::Kind;
 use cranberrygap_model::size;
+use cranberrygap_response::defect::Defect;
 
 use crate::core;
 use crate::dial;
+use crate::metric;
 
 /// Least memory of an entry, in bytes, whose third holds a single response of any size.
 pub const MIN_MEMORY: size::Bytes = size::Bytes(3 * buffer::MAX_RESPONSE_BYTES as u64);
@@ -82,4 +85,17 @@
             endpoint_log_limiter: log_limit::Limiter::default(),
         })
     }
+
+    /// Records that an endpoint or another entry sent a response that is not believed.
+    fn record_defect(&self, sender: &dyn fmt::Display, defect: Defect) {
+        self.core
+            .count(metric::MALFORMED_RESPONSES, defect.as_str());
+        let now = self.core.now();
+        if let Some(dropped) = self.endpoint_log_limiter.take_line(now) {
+            spdlog::warn!(
+                "gateway: a response of {sender} is not believed: {defect}",
+                kv: { lines_dropped = dropped }
+            );
+        }
+    }
 }
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -8,7 +8,7 @@
 use cranberrygap_wire::traffic;
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use smol_str::SmolStr;
 
 use super::target::Target;
@@ -235,15 +235,23 @@
             service: self.resolution.service.clone(),
             software: target.destination.software.clone(),
         });
-        let response = match result {
-            Ok(Ok(response)) => {
-                connection.read_idle_timeout(response.headers());
-                response
+        let endpoint_connection::Received { response, framing } = match result {
+            Ok(Ok(received)) => {
+                connection.read_idle_timeout(received.response.headers());
+                received
             }
-            Ok(Err(_lost)) => {
+            Ok(Err(failed)) => {
                 in_flight.record_break();
                 self.mark_permit_used();
-                return Exchange::Done(Outcome::Unknown("the connection ended without an answer"));
+                let cause = match failed {
+                    endpoint_connection::Error::Malformed(defect) => {
+                        let endpoint = &target.destination.endpoint;
+                        self.gateway.record_defect(endpoint, defect);
+                        defect.cause()
+                    }
+                    _ => "the connection ended without an answer",
+                };
+                return Exchange::Done(Outcome::Unknown(cause));
             }
             Err(_elapsed) => {
                 in_flight.record_outcome(false);
@@ -260,8 +268,6 @@
         }
         let place = target.destination.place();
         quarantine::record_alive(&core, &place.incarnation(), sent_at);
-        let length = response.body().size_hint().exact();
-        let framing = framing::Framing::new(response.headers(), length);
         self.log.framing = Some(framing);
         let id = self.request.metadata.id.as_deref();
         let classification =
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -4,15 +4,18 @@
 
 use bytes::Bytes;
 use cranberrygap_model::address;
+use cranberrygap_response::defect::Defect;
+use cranberrygap_response::head;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time;
 
 use crate::dial;
+use crate::framing;
 
 use super::head_limit;
 
@@ -46,6 +49,13 @@
     idle_timeout: Option<Duration>,
 }
 
+/// A response with a sound head, whose body is still to be read.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) framing: framing::Framing,
+}
+
 /// Why a request got no response over a connection.
 #[derive(Debug)]
 pub(crate) enum Error {
@@ -53,6 +63,9 @@
     NotSent,
     /// The request was written, at least in part.
     Unknown,
+    /// A response came whose head cannot be trusted. Nothing that it says is known, not even
+    /// whether the request ran.
+    Malformed(Defect),
 }
 
 impl Drop for Connection {
@@ -104,10 +117,7 @@
     }
 
     /// Sends a request and waits for the head of its response.
-    pub(crate) async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Received, Error> {
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
@@ -115,7 +125,7 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.head.end();
-                Ok(response)
+                receive(response)
             }
             Err(mut failed) => match failed.take_message() {
                 Some(_unsent) => Err(Error::NotSent),
@@ -165,6 +175,13 @@
     }
 }
 
+fn receive(response: Response<Incoming>) -> Result<Received, Error> {
+    let body_length = response.body().size_hint().exact();
+    let head = head::Head::check(response.headers(), body_length).map_err(Error::Malformed)?;
+    let framing = framing::Framing::new(head, response.headers());
+    Ok(Received { response, framing })
+}
+
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -189,7 +189,7 @@
     let usage = gateway.peers.begin(peer);
     let opened = gateway.peers.pool.take(peer, true).await;
     let mut connection = opened.map_err(|_refused| Rejection::Failed)?;
-    let response = loop {
+    let endpoint_connection::Received { response, framing } = loop {
         // Opening a connection takes a part of the time that is handed on.
         let time_left = deadline.since(gateway.core.now());
         let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
@@ -197,12 +197,16 @@
         let outgoing = outgoing.ok_or(Rejection::Failed)?;
         let sent = tokio::time::timeout(timeout, connection.send(outgoing)).await;
         match sent {
-            Ok(Ok(response)) => break response,
+            Ok(Ok(received)) => break received,
             Ok(Err(endpoint_connection::Error::NotSent)) if connection.is_reused() => {
                 let opened = gateway.peers.pool.open(peer).await;
                 connection = opened.map_err(|_refused| Rejection::Failed)?;
             }
             Ok(Err(endpoint_connection::Error::NotSent)) => return Err(Rejection::Failed),
+            Ok(Err(endpoint_connection::Error::Malformed(defect))) => {
+                gateway.record_defect(&peer, defect);
+                return Err(Rejection::MayHaveRun);
+            }
             Ok(Err(endpoint_connection::Error::Unknown)) | Err(_) => {
                 return Err(Rejection::MayHaveRun);
             }
@@ -215,8 +219,6 @@
     }
     drain::record_mark(gateway, response.headers());
     connection.read_idle_timeout(response.headers());
-    let length = response.body().size_hint().exact();
-    let framing = framing::Framing::new(response.headers(), length);
     let (head, body) = response.into_parts();
     let relay = Relay {
         gateway: Arc::clone(gateway),
--- a/crates/cranberrygap-entry/src/load.rs
+++ b/crates/cranberrygap-entry/src/load.rs
@@ -141,14 +141,12 @@
     since: number::Sequence,
 ) -> Option<Response> {
     let url = format!("http://{address}/report?since={since}");
-    let request = core
-        .upstream
-        .pooled()
-        .get(url)
-        .timeout(REPORT_TIMEOUT)
-        .send();
-    let response = request.await.ok()?.error_for_status().ok()?;
-    let bytes = upstream::read_body(response, MAX_REPORT_BYTES).await.ok()?;
+    let request = core.upstream.pooled().get(url).timeout(REPORT_TIMEOUT);
+    let response = upstream::send(request).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let bytes = response.read_body(MAX_REPORT_BYTES).await.ok()?;
     let report = serde_json::from_slice(&bytes).ok()?;
     let size = bytes.len() as u64 + HEADER_BYTES;
     Some(Response { report, size })
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -41,6 +41,8 @@
 pub(crate) const STREAM_ORIGINS: &str = "stream_origins";
 /// Bytes that this entry sent and received.
 pub(crate) const TRAFFIC_BYTES: &str = "traffic_bytes";
+/// Number of responses that are not believed.
+pub(crate) const MALFORMED_RESPONSES: &str = "malformed_responses";
 /// Time since the view was last confirmed as the newest.
 pub(crate) const VIEW_AGE: &str = "view_age";
 
@@ -112,7 +114,7 @@
 ];
 
 /// All other metrics of an entry.
-pub const ALL: [Metric; 5] = [
+pub const ALL: [Metric; 6] = [
     Metric {
         name: REQUESTS,
         kind: "c",
@@ -143,6 +145,12 @@
         unit: "milliseconds",
         meaning: "time from a streamed request's arrival to its first token",
     },
+    Metric {
+        name: MALFORMED_RESPONSES,
+        kind: "c",
+        unit: "responses",
+        meaning: "responses of endpoints and other entries whose head cannot be trusted, tagged coding",
+    },
 ];
 
 /// Metrics of the bytes that an entry sends and receives.
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -56,7 +56,7 @@
         Self {
             delivery,
             progress: policy::Stream::new(response.attempt_id, max_tokens),
-            upstream: Box::pin(response.http.bytes_stream()),
+            upstream: Box::pin(response.http.into_stream()),
             attempt: Some(response.attempt),
             splitter: sse::Splitter::default(),
             permit,
@@ -221,7 +221,7 @@
             Err(refusal) => Some(self.error_event(&refusal)),
             Ok(response) => {
                 self.progress.resume(response.attempt_id);
-                self.upstream = Box::pin(response.http.bytes_stream());
+                self.upstream = Box::pin(response.http.into_stream());
                 self.attempt = Some(response.attempt);
                 self.splitter = sse::Splitter::default();
                 self.awaiting_first_byte = true;
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -3,6 +3,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cranberrygap_response::defect::Defect;
+use cranberrygap_response::head;
+use futures_util::Stream;
+use http::{HeaderMap, StatusCode};
+
+use crate::framing;
 
 /// Longest wait for a TCP connection. Endpoints are about a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -31,19 +37,66 @@
     TooLarge(usize),
 }
 
-/// Reads the body of a response that may have so many bytes at most.
-pub(crate) async fn read_body(
-    mut response: reqwest::Response,
-    max_bytes: usize,
-) -> Result<Bytes, BodyError> {
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = response.chunk().await? {
-        if whole.len() + chunk.len() > max_bytes {
-            return Err(BodyError::TooLarge(max_bytes));
+/// Why a request got no response.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// None arrived.
+    #[error("no response arrived: {0}")]
+    Http(#[from] reqwest::Error),
+    /// One arrived whose head cannot be trusted.
+    #[error(transparent)]
+    Malformed(#[from] Defect),
+}
+
+/// A response with a sound head, whose body is still to be read.
+#[derive(Debug)]
+pub(crate) struct Response {
+    http: reqwest::Response,
+    framing: framing::Framing,
+}
+
+/// Sends a request and waits for the head of its response.
+///
+/// # Errors
+///
+/// [`Error`] if none arrives that can be trusted.
+pub(crate) async fn send(request: reqwest::RequestBuilder) -> Result<Response, Error> {
+    let http = request.send().await?;
+    let head = head::Head::check(http.headers(), http.content_length())?;
+    let framing = framing::Framing::new(head, http.headers());
+    Ok(Response { http, framing })
+}
+
+impl Response {
+    pub(crate) fn status(&self) -> StatusCode {
+        self.http.status()
+    }
+
+    pub(crate) fn headers(&self) -> &HeaderMap {
+        self.http.headers()
+    }
+
+    /// How the end of the body is known.
+    pub(crate) const fn framing(&self) -> framing::Framing {
+        self.framing
+    }
+
+    /// Reads the body, which may have so many bytes at most.
+    pub(crate) async fn read_body(mut self, max_bytes: usize) -> Result<Bytes, BodyError> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.http.chunk().await? {
+            if whole.len() + chunk.len() > max_bytes {
+                return Err(BodyError::TooLarge(max_bytes));
+            }
+            whole.extend_from_slice(&chunk);
         }
-        whole.extend_from_slice(&chunk);
+        Ok(whole.freeze())
+    }
+
+    /// The body as it arrives.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = reqwest::Result<Bytes>> + Send {
+        self.http.bytes_stream()
     }
-    Ok(whole.freeze())
 }
 
 /// HTTP clients of one entry.
--- /dev/null
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -0,0 +1,60 @@
+//! Calls of services whose responses have broken heads.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a fixture that fails should fail its test"
+)]
+
+mod support;
+
+use cranberrygap_model::address;
+use serde_json::{Value, json};
+use support::{caller, fleet, raw, wait};
+
+const CHUNKED: &str = "5\r\n{\"sea\r\n5\r\nt\":4}\r\n0\r\n\r\n";
+
+async fn serving_fleet() -> (fleet::Fleet, caller::Caller, raw::Service) {
+    let shape = fleet::Shape::builder().engines(0).services(0).build();
+    let fleet = fleet::Fleet::start(shape).await;
+    let service = raw::Service::start(&fleet).await;
+    let secret = fleet.issue("statistics").await;
+    let caller = caller::Caller::new(secret.reveal());
+    service.respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    wait::until("the entry reaches the service", async || {
+        book(&caller, fleet.entries[0].callers, "probe").await == (200, "ok".to_owned())
+    })
+    .await;
+    (fleet, caller, service)
+}
+
+/// The status and body of a booking's answer.
+async fn book(caller: &caller::Caller, entry: address::Socket, key: &str) -> (u16, String) {
+    let path = format!("/services/{}/seats", raw::SERVICE);
+    let answer = caller.book(entry, &path, key, &json!({"row": 7})).await;
+    let answer = answer.unwrap();
+    (answer.status().as_u16(), answer.text().await.unwrap())
+}
+
+/// The code of a failure.
+fn code(body: &str) -> String {
+    let body: Value = serde_json::from_str(body).unwrap_or_default();
+    body["error"]["code"].as_str().unwrap_or_default().into()
+}
+
+// A transfer coding that is not known leaves the end of the body unknown: callers got the chunks
+// with their sizes as the answer to a booking, and got them again each time they asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_answered_with_an_unknown_transfer_coding_is_unknown() {
+    let (fleet, caller, service) = serving_fleet().await;
+    let heads = [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkeq\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+    ];
+
+    for (number, head) in heads.into_iter().enumerate() {
+        service.respond(&format!("{head}{CHUNKED}"));
+        let key = format!("coding-{number}");
+        let (_, body) = book(&caller, fleet.entries[0].callers, &key).await;
+        assert_eq!(code(&body), "booking_unknown", "{head:?}: {body}");
+    }
+}
--- a/crates/cranberrygap/tests/support/mod.rs
+++ b/crates/cranberrygap/tests/support/mod.rs
@@ -16,4 +16,5 @@
 pub mod fleet;
 pub mod group;
 pub mod process;
+pub mod raw;
 pub mod wait;
