Refuse responses that name a transfer coding and a length

What callers saw: an endpoint in trouble sent `Transfer-Encoding: chunked` and `Content-Length: 5`. Callers got 200 and the first five bytes of the body as all of it, on every kind of route, and the same on a 500. With a length that is no number their connections closed without any response. A booking at /services took a 503 with such a head for the promise that it did not run.

Cause: the HTTP library believes the chunks and ignores the length, and nothing here asked whether the head contradicts itself.

Change: head::Head::check refuses a head with both, whatever the length says.

Why it works: a head with two ends of one body is never made a Head, so no reader can choose one of them. RFC 9112, 6.3 asks for an error.

--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -6,6 +6,9 @@
     /// The body has another transfer coding than chunks. No request asks for one.
     #[error("the head of the response names a transfer coding that was not asked for")]
     Coding,
+    /// The body has a length and comes in chunks, which end it at different places.
+    #[error("the head of the response names both a transfer coding and a length")]
+    CodingAndLength,
 }
 
 impl Defect {
@@ -14,6 +17,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Coding => "coding",
+            Self::CodingAndLength => "coding_and_length",
         }
     }
 
@@ -22,6 +26,9 @@
     pub const fn cause(self) -> &'static str {
         match self {
             Self::Coding => "the head of the answer names an unknown transfer coding",
+            Self::CodingAndLength => {
+                "the head of the answer names both a transfer coding and a length"
+            }
         }
     }
 }
--- a/crates/cranberrygap-response/src/head.rs
+++ b/crates/cranberrygap-response/src/head.rs
@@ -33,6 +33,9 @@
     /// [`Defect`] if the head is no sound one.
     pub fn check(headers: &HeaderMap, body_length: Option<u64>) -> Result<Self, Defect> {
         let is_chunked = has_chunks(headers)?;
+        if is_chunked && headers.contains_key(header::CONTENT_LENGTH) {
+            return Err(Defect::CodingAndLength);
+        }
         let end = match (body_length, is_chunked) {
             (Some(_), _) => End::Length,
             (None, true) => End::Chunks,
--- a/crates/cranberrygap-response/tests/head.rs
+++ b/crates/cranberrygap-response/tests/head.rs
@@ -32,6 +32,22 @@
     }
 }
 
+// Two statements about the end of one body: readers that believe one of them differ.
+#[test]
+fn chunks_and_a_length_are_a_defect() {
+    for length in ["5", "0", "2x", ""] {
+        let lines: [Line<'_>; 2] = [
+            ("transfer-encoding", b"chunked"),
+            ("content-length", length.as_bytes()),
+        ];
+        assert_eq!(
+            check(&lines, None),
+            Err(Defect::CodingAndLength),
+            "{length:?}"
+        );
+    }
+}
+
 // A body in a coding that is not known passed for one that ends with its connection.
 #[test]
 fn coding_other_than_chunks_is_a_defect() {
--- a/crates/cranberrygap/tests/requests_heads.rs
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -58,3 +58,24 @@
         assert_eq!(code(&body), "booking_unknown", "{head:?}: {body}");
     }
 }
+
+// A head with chunks and a length says two things of the end of the body. A refusal with such a
+// head would promise that the booking did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_answered_with_chunks_and_a_length_is_unknown() {
+    let (fleet, caller, service) = serving_fleet().await;
+    let refusal = r#"{"outcome":"not_run"}"#;
+    let chunks = format!("{:x}\r\n{refusal}\r\n0\r\n\r\n", refusal.len());
+    let fields = "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n";
+    let answers = [
+        format!("HTTP/1.1 200 OK\r\n{fields}{CHUNKED}"),
+        format!("HTTP/1.1 503 Full\r\n{fields}{chunks}"),
+    ];
+
+    for (number, answer) in answers.iter().enumerate() {
+        service.respond(answer);
+        let key = format!("both-{number}");
+        let (_, body) = book(&caller, fleet.entries[0].callers, &key).await;
+        assert_eq!(code(&body), "booking_unknown", "{answer:?}: {body}");
+    }
+}
