Name the length of the body that is sent, not the endpoint's

What callers saw: their connections closed without any response where an endpoint repeated its length (`Content-Length: 20, 20`, or two equal lines), on every kind of route, although the body had arrived whole.

Cause: forwarded_headers kept the endpoint's Content-Length beside a body that the entry had read itself. The HTTP library's server trusts that header: it cuts the body to it, or writes no head where it is no single number. Equal lengths are one length for the library's client, as RFC 9112, 6.3 allows.

Change: the endpoint's length is dropped. Responses that are read whole name the number of bytes read, relayed ones what the library counts, streams none. The response to HEAD names the endpoint's length, as one number; Head::check parses it and refuses what is no number, also where the library does not look.

Why it works: the length that a caller gets is taken from the body that it gets, so the two cannot differ.

--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Framing {
     end: End,
+    /// The length that the head names, in bytes.
+    length: Option<u64>,
     content: Content,
 }
 
@@ -35,10 +37,17 @@
     pub fn new(head: Head, headers: &HeaderMap) -> Self {
         Self {
             end: head.end(),
+            length: head.length(),
             content: content(headers),
         }
     }
 
+    /// The length that the head names, in bytes. The body of some responses is not sent.
+    #[must_use]
+    pub const fn length(self) -> Option<u64> {
+        self.length
+    }
+
     /// Whether the response to a request for a stream holds server-sent events. Without a
     /// content type it is expected to.
     #[must_use]
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -366,9 +366,12 @@
         if framing.keeps_connection() {
             self.gateway.pool.put(connection);
         }
+        let sent = whole.len() as u64;
         let mut response = Response::new(response::full_body(whole));
         *response.status_mut() = head.status;
         *response.headers_mut() = response::forwarded_headers(head.headers);
+        let method = &self.request.method;
+        response::set_length(&mut response, method, framing.length(), Some(sent));
         Ok(response)
     }
 
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use futures_util::stream;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
@@ -220,6 +220,7 @@
     drain::record_mark(gateway, response.headers());
     connection.read_idle_timeout(response.headers());
     let (head, body) = response.into_parts();
+    let sent = body.size_hint().exact();
     let relay = Relay {
         gateway: Arc::clone(gateway),
         body,
@@ -233,6 +234,7 @@
     let mut response = relay.into_response();
     *response.status_mut() = head.status;
     *response.headers_mut() = response::forwarded_headers(head.headers);
+    response::set_length(&mut response, &request.method, framing.length(), sent);
     Ok(response)
 }
 
--- a/crates/cranberrygap-entry/src/gateway/response.rs
+++ b/crates/cranberrygap-entry/src/gateway/response.rs
@@ -1,7 +1,7 @@
 //! Bodies and headers of responses to callers.
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
 
@@ -50,11 +50,32 @@
     headers.remove("proxy-connection");
 }
 
-/// Headers of an endpoint's response that are forwarded to the caller.
+/// Headers of an endpoint's response that are forwarded to the caller. Its length is not: the body
+/// that is sent may have another one.
 pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
     // Only entries tell each other these.
     headers.remove(forward::REFUSAL);
     headers.remove(drain::DRAINING);
     headers
 }
+
+/// Names the length of the body that is sent. The response to a request for the head alone names
+/// the length that its endpoint `declared`.
+pub(super) fn set_length(
+    response: &mut Response<Body>,
+    method: &Method,
+    declared: Option<u64>,
+    sent: Option<u64>,
+) {
+    let length = match (method, response.status()) {
+        (&Method::HEAD, _) => declared,
+        (_, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) => None,
+        _ => sent,
+    };
+    if let Some(length) = length {
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    }
+}
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::duration;
 use futures_util::stream;
-use http::{Response, header};
+use http::Response;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -91,10 +91,6 @@
     *head.headers_mut() = headers;
     let is_event_stream = upstream.framing.is_event_stream();
     let can_continue = is_event_stream && delivery.is_repeatable();
-    if is_event_stream {
-        // The caller must see a cut also where all bytes of the first engine arrived.
-        head.headers_mut().remove(header::CONTENT_LENGTH);
-    }
     let last_event_id = delivery
         .request
         .metadata
--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -9,6 +9,9 @@
     /// The body has a length and comes in chunks, which end it at different places.
     #[error("the head of the response names both a transfer coding and a length")]
     CodingAndLength,
+    /// The length is no number, or there are several that differ.
+    #[error("the head of the response names a length that is not one number")]
+    Length,
 }
 
 impl Defect {
@@ -18,6 +21,7 @@
         match self {
             Self::Coding => "coding",
             Self::CodingAndLength => "coding_and_length",
+            Self::Length => "length",
         }
     }
 
@@ -29,6 +33,7 @@
             Self::CodingAndLength => {
                 "the head of the answer names both a transfer coding and a length"
             }
+            Self::Length => "the head of the answer names a length that is not one number",
         }
     }
 }
--- a/crates/cranberrygap-response/src/head.rs
+++ b/crates/cranberrygap-response/src/head.rs
@@ -22,6 +22,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Head {
     end: End,
+    length: Option<u64>,
 }
 
 impl Head {
@@ -36,12 +37,13 @@
         if is_chunked && headers.contains_key(header::CONTENT_LENGTH) {
             return Err(Defect::CodingAndLength);
         }
+        let length = declared_length(headers)?;
         let end = match (body_length, is_chunked) {
             (Some(_), _) => End::Length,
             (None, true) => End::Chunks,
             (None, false) => End::Connection,
         };
-        Ok(Self { end })
+        Ok(Self { end, length })
     }
 
     /// What ends the body.
@@ -49,6 +51,12 @@
     pub const fn end(self) -> End {
         self.end
     }
+
+    /// The length that the head names, in bytes. The body of some responses is not sent.
+    #[must_use]
+    pub const fn length(self) -> Option<u64> {
+        self.length
+    }
 }
 
 /// Whether the body comes in chunks, once and in no other coding.
@@ -63,3 +71,27 @@
     }
     Ok(true)
 }
+
+/// The length that the head names. It may be repeated, as long as it is the same.
+fn declared_length(headers: &HeaderMap) -> Result<Option<u64>, Defect> {
+    let mut declared = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        let text = value.to_str().map_err(|_no_text| Defect::Length)?;
+        for number in text.split(',') {
+            let length = parse_length(number.trim()).ok_or(Defect::Length)?;
+            if declared
+                .replace(length)
+                .is_some_and(|known| known != length)
+            {
+                return Err(Defect::Length);
+            }
+        }
+    }
+    Ok(declared)
+}
+
+/// A number of digits alone. The standard library's parser takes a sign, too.
+fn parse_length(text: &str) -> Option<u64> {
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| text.parse().ok()).flatten()
+}
--- a/crates/cranberrygap-response/tests/head.rs
+++ b/crates/cranberrygap-response/tests/head.rs
@@ -6,14 +6,19 @@
 
 type Line<'line> = (&'line str, &'line [u8]);
 
-/// The head with these lines, whose body has `body_length` bytes if the HTTP library knows.
+/// What ends the body after a head with these lines.
 fn check(lines: &[Line<'_>], body_length: Option<u64>) -> Result<End, Defect> {
+    head(lines, body_length).map(Head::end)
+}
+
+/// The head with these lines, whose body has `body_length` bytes if the HTTP library knows.
+fn head(lines: &[Line<'_>], body_length: Option<u64>) -> Result<Head, Defect> {
     let mut headers = HeaderMap::new();
     for (name, value) in lines {
         let name: HeaderName = name.parse().expect("a name");
         headers.append(name, HeaderValue::from_bytes(value).expect("a value"));
     }
-    Head::check(&headers, body_length).map(Head::end)
+    Head::check(&headers, body_length)
 }
 
 #[test]
@@ -32,6 +37,37 @@
     }
 }
 
+#[test]
+fn length_that_is_repeated_is_one() {
+    let cases: [&[Line<'_>]; 3] = [
+        &[("content-length", b"20, 20")],
+        &[("content-length", b"20"), ("content-length", b"20")],
+        &[("content-length", b"0020,20")],
+    ];
+
+    for lines in cases {
+        let head = head(lines, Some(20)).expect("a sound head");
+        assert_eq!(
+            (head.end(), head.length()),
+            (End::Length, Some(20)),
+            "{lines:?}"
+        );
+    }
+}
+
+// Libraries ignore the length of a response that has no body, and callers would get it as it came.
+#[test]
+fn length_that_is_not_one_number_is_a_defect() {
+    let lengths: [&[u8]; 9] = [
+        b"", b"2x", b"+20", b"-1", b"20.0", b"2 0", b"20, 21", b"20,", b"\xb2",
+    ];
+
+    for length in lengths {
+        let lines = [("content-length", length)];
+        assert_eq!(check(&lines, Some(0)), Err(Defect::Length), "{length:?}");
+    }
+}
+
 // Two statements about the end of one body: readers that believe one of them differ.
 #[test]
 fn chunks_and_a_length_are_a_defect() {
