Build the head of each response to a caller in one place

What callers saw: an endpoint of HTTP/1.0 named a length of 34 and died after 10 to 26 bytes of a stream. Callers of HTTP/1.1 got `HTTP/1.0 200` without a length, ended by the connection in good order: a complete answer of what had arrived.

Cause: stream::relay made the endpoint's head the head of the response to the caller, with its version, and a response of HTTP/1.0 has no chunks that could show the cut. The reset that shows it to callers of HTTP/1.0 goes by the version of the request.

Change: response::forwarded takes status and headers of the endpoint's head and nothing else; streams, whole responses and those of other entries use it.

Why it works: the HTTP library chooses version and framing by the caller's request alone.

--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -367,9 +367,7 @@
             self.gateway.pool.put(connection);
         }
         let sent = whole.len() as u64;
-        let mut response = Response::new(response::full_body(whole));
-        *response.status_mut() = head.status;
-        *response.headers_mut() = response::forwarded_headers(head.headers);
+        let mut response = response::forwarded(head, response::full_body(whole));
         let method = &self.request.method;
         response::set_length(&mut response, method, framing.length(), Some(sent));
         Ok(response)
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -231,9 +231,7 @@
         id: request.metadata.id.clone(),
         _usage: usage,
     };
-    let mut response = relay.into_response();
-    *response.status_mut() = head.status;
-    *response.headers_mut() = response::forwarded_headers(head.headers);
+    let mut response = response::forwarded(head, relay.into_body());
     response::set_length(&mut response, &request.method, framing.length(), sent);
     Ok(response)
 }
@@ -270,7 +268,7 @@
 }
 
 impl Relay {
-    fn into_response(self) -> Response<response::Body> {
+    fn into_body(self) -> response::Body {
         let frames = stream::unfold(self, |mut relay| async move {
             let next = relay.next_bytes().await?;
             if next.is_err() {
@@ -279,7 +277,7 @@
             }
             Some((next.map(Frame::data), relay))
         });
-        Response::new(StreamBody::new(frames).boxed_unsync())
+        StreamBody::new(frames).boxed_unsync()
     }
 
     async fn next_bytes(&mut self) -> Option<Result<Bytes, response::Error>> {
--- a/crates/cranberrygap-entry/src/gateway/response.rs
+++ b/crates/cranberrygap-entry/src/gateway/response.rs
@@ -1,6 +1,7 @@
 //! Bodies and headers of responses to callers.
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
@@ -50,9 +51,18 @@
     headers.remove("proxy-connection");
 }
 
+/// The response by which a caller gets an endpoint's. Its version is not that of the endpoint's: with
+/// it the caller would read the body in another way than it is sent.
+pub(super) fn forwarded(endpoint: Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = endpoint.status;
+    *response.headers_mut() = forwarded_headers(endpoint.headers);
+    response
+}
+
 /// Headers of an endpoint's response that are forwarded to the caller. Its length is not: the body
 /// that is sent may have another one.
-pub(super) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     // Only entries tell each other these.
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -86,9 +86,6 @@
     reply: delivery::Reply,
 ) -> Response<response::Body> {
     let (head, upstream) = split_reply(reply);
-    let mut head = Response::from_parts(head, ());
-    let headers = response::forwarded_headers(std::mem::take(head.headers_mut()));
-    *head.headers_mut() = headers;
     let is_event_stream = upstream.framing.is_event_stream();
     let can_continue = is_event_stream && delivery.is_repeatable();
     let last_event_id = delivery
@@ -116,7 +113,7 @@
         }
         Some((next.map(Frame::data), relay))
     });
-    head.map(|()| StreamBody::new(frames).boxed_unsync())
+    response::forwarded(head, StreamBody::new(frames).boxed_unsync())
 }
 
 fn split_reply(reply: delivery::Reply) -> (http::response::Parts, Upstream) {
