Refuse responses whose status is none of HTTP

What callers saw: an endpoint in trouble answered with 101, 600, 700 or 999, and callers got status and body as they came. After 101, which no request asks for, their connections ended.

Cause: the HTTP library takes each number of three digits from 100 on for a status, and 101 for a change of the protocol. It rejects 000 and others below 100, so those were refused before, by its default.

Change: head::Head::check takes the status and refuses what is outside of 200 to 599. The request goes on as after a connection that broke.

Why it works: RFC 9110, 15 calls other numbers invalid, to be handled as a failure of the server; interim responses are skipped by the library before the check.

--- a/crates/cranberrygap-control/src/orders/endpoint_client.rs
+++ b/crates/cranberrygap-control/src/orders/endpoint_client.rs
@@ -99,7 +99,11 @@
 }
 
 async fn read_body(response: reqwest::Response) -> Result<Vec<u8>, Error> {
-    head::Head::check(response.headers(), response.content_length())?;
+    head::Head::check(
+        response.status(),
+        response.headers(),
+        response.content_length(),
+    )?;
     let mut response = response.error_for_status()?;
     let mut body = Vec::new();
     while let Some(chunk) = response.chunk().await? {
--- a/crates/cranberrygap-control/src/store.rs
+++ b/crates/cranberrygap-control/src/store.rs
@@ -48,7 +48,11 @@
 
     pub(crate) async fn list_models(&self) -> Result<Vec<endpoint::Weights>, Error> {
         let response = self.http.get(&self.url).send().await?;
-        head::Head::check(response.headers(), response.content_length())?;
+        head::Head::check(
+            response.status(),
+            response.headers(),
+            response.content_length(),
+        )?;
         let mut response = response.error_for_status()?;
         let mut body = Vec::new();
         while let Some(chunk) = response.chunk().await? {
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -177,7 +177,8 @@
 
 fn receive(response: Response<Incoming>) -> Result<Received, Error> {
     let body_length = response.body().size_hint().exact();
-    let head = head::Head::check(response.headers(), body_length).map_err(Error::Malformed)?;
+    let head = head::Head::check(response.status(), response.headers(), body_length);
+    let head = head.map_err(Error::Malformed)?;
     let framing = framing::Framing::new(head, response.headers());
     Ok(Received { response, framing })
 }
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -62,7 +62,7 @@
 /// [`Error`] if none arrives that can be trusted.
 pub(crate) async fn send(request: reqwest::RequestBuilder) -> Result<Response, Error> {
     let http = request.send().await?;
-    let head = head::Head::check(http.headers(), http.content_length())?;
+    let head = head::Head::check(http.status(), http.headers(), http.content_length())?;
     let framing = framing::Framing::new(head, http.headers());
     Ok(Response { http, framing })
 }
--- a/crates/cranberrygap-entry/tests/framing.rs
+++ b/crates/cranberrygap-entry/tests/framing.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_entry::{framing, sse};
 use cranberrygap_response::head;
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 const CHUNKED: &str = "chunked";
 
@@ -17,7 +17,7 @@
             headers.insert(name, HeaderValue::from_str(value).expect("a header value"));
         }
     }
-    let head = head::Head::check(&headers, length).expect("a sound head");
+    let head = head::Head::check(StatusCode::OK, &headers, length).expect("a sound head");
     framing::Framing::new(head, &headers)
 }
 
--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -1,8 +1,13 @@
 //! Why the head of a response cannot be trusted.
 
+use http::StatusCode;
+
 /// A defect of the head of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Defect {
+    /// The status ends no request.
+    #[error("the status {0} of the response is not one of 200 to 599")]
+    Status(StatusCode),
     /// The body has another transfer coding than chunks. No request asks for one.
     #[error("the head of the response names a transfer coding that was not asked for")]
     Coding,
@@ -19,6 +24,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Status(_) => "status",
             Self::Coding => "coding",
             Self::CodingAndLength => "coding_and_length",
             Self::Length => "length",
@@ -29,6 +35,7 @@
     #[must_use]
     pub const fn cause(self) -> &'static str {
         match self {
+            Self::Status(_) => "the status of the answer is not one of 200 to 599",
             Self::Coding => "the head of the answer names an unknown transfer coding",
             Self::CodingAndLength => {
                 "the head of the answer names both a transfer coding and a length"
--- a/crates/cranberrygap-response/src/head.rs
+++ b/crates/cranberrygap-response/src/head.rs
@@ -1,9 +1,15 @@
 //! The head of a response that can be trusted.
 
-use http::{HeaderMap, header};
+use std::ops::RangeInclusive;
+
+use http::{HeaderMap, StatusCode, header};
 
 use crate::defect::Defect;
 
+/// Statuses that end a request. Lower ones announce another response, or a protocol that no request
+/// asks for; higher ones are not valid in HTTP (RFC 9110, 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What ends the body of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -26,13 +32,20 @@
 }
 
 impl Head {
-    /// Checks the head with these fields, whose body has `body_length` bytes if the HTTP library
-    /// knows.
+    /// Checks the head with this status and these fields, whose body has `body_length` bytes if the
+    /// HTTP library knows.
     ///
     /// # Errors
     ///
     /// [`Defect`] if the head is no sound one.
-    pub fn check(headers: &HeaderMap, body_length: Option<u64>) -> Result<Self, Defect> {
+    pub fn check(
+        status: StatusCode,
+        headers: &HeaderMap,
+        body_length: Option<u64>,
+    ) -> Result<Self, Defect> {
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(Defect::Status(status));
+        }
         let is_chunked = has_chunks(headers)?;
         if is_chunked && headers.contains_key(header::CONTENT_LENGTH) {
             return Err(Defect::CodingAndLength);
--- a/crates/cranberrygap-response/tests/head.rs
+++ b/crates/cranberrygap-response/tests/head.rs
@@ -2,7 +2,7 @@
 
 use cranberrygap_response::defect::Defect;
 use cranberrygap_response::head::{End, Head};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 type Line<'line> = (&'line str, &'line [u8]);
 
@@ -18,7 +18,17 @@
         let name: HeaderName = name.parse().expect("a name");
         headers.append(name, HeaderValue::from_bytes(value).expect("a value"));
     }
-    Head::check(&headers, body_length)
+    Head::check(StatusCode::OK, &headers, body_length)
+}
+
+// A status that is none of HTTP reached callers as it came.
+#[test]
+fn status_that_ends_no_request_is_a_defect() {
+    for number in (100..200).chain(600..1_000) {
+        let status = StatusCode::from_u16(number).expect("a number of three digits");
+        let head = Head::check(status, &HeaderMap::new(), Some(0));
+        assert_eq!(head, Err(Defect::Status(status)));
+    }
 }
 
 #[test]
