Refuse responses without content that name a body

What callers saw: with a status that was spoilt from 200 to 204, a success with a body reached them as an empty one.

Cause: the HTTP library reads no body after 204, whatever the head says, and nothing here asked whether status and fields agree.

Change: head::Head::check refuses 204 with chunks or a length other than 0.

Why it works: servers must not send either with 204 (RFC 9110, 8.6; RFC 9112, 6.1). A length of 0, which many send, contradicts nothing and stays allowed.

--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -8,6 +8,9 @@
     /// The status ends no request.
     #[error("the status {0} of the response is not one of 200 to 599")]
     Status(StatusCode),
+    /// The status says that there is no body, and a field says what ends it.
+    #[error("the head of the response has a status without content and names a body")]
+    Content,
     /// The body has another transfer coding than chunks. No request asks for one.
     #[error("the head of the response names a transfer coding that was not asked for")]
     Coding,
@@ -25,6 +28,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Status(_) => "status",
+            Self::Content => "content",
             Self::Coding => "coding",
             Self::CodingAndLength => "coding_and_length",
             Self::Length => "length",
@@ -36,6 +40,7 @@
     pub const fn cause(self) -> &'static str {
         match self {
             Self::Status(_) => "the status of the answer is not one of 200 to 599",
+            Self::Content => "the head of the answer has a status without content and names a body",
             Self::Coding => "the head of the answer names an unknown transfer coding",
             Self::CodingAndLength => {
                 "the head of the answer names both a transfer coding and a length"
--- a/crates/cranberrygap-response/src/head.rs
+++ b/crates/cranberrygap-response/src/head.rs
@@ -51,6 +51,10 @@
             return Err(Defect::CodingAndLength);
         }
         let length = declared_length(headers)?;
+        let names_body = is_chunked || length.is_some_and(|length| length > 0);
+        if status == StatusCode::NO_CONTENT && names_body {
+            return Err(Defect::Content);
+        }
         let end = match (body_length, is_chunked) {
             (Some(_), _) => End::Length,
             (None, true) => End::Chunks,
--- a/crates/cranberrygap-response/tests/head.rs
+++ b/crates/cranberrygap-response/tests/head.rs
@@ -47,6 +47,23 @@
     }
 }
 
+// A spoilt status made a success with a body look like one without.
+#[test]
+fn body_of_a_response_without_content_is_a_defect() {
+    let cases = [
+        ("content-length", "20", Err(Defect::Content)),
+        ("transfer-encoding", "chunked", Err(Defect::Content)),
+        ("content-length", "0", Ok(End::Length)),
+    ];
+
+    for (name, value, expected) in cases {
+        let name: HeaderName = name.parse().expect("a name");
+        let headers = HeaderMap::from_iter([(name, HeaderValue::from_static(value))]);
+        let head = Head::check(StatusCode::NO_CONTENT, &headers, Some(0));
+        assert_eq!(head.map(Head::end), expected, "{value}");
+    }
+}
+
 #[test]
 fn length_that_is_repeated_is_one() {
     let cases: [&[Line<'_>]; 3] = [
