Find the remnants of a broken head in bodies that end with their connection

What callers saw: with the name of a field spoilt (`Transfer-Encodinq: chunked`), or a blank line before Content-Length or Transfer-Encoding, they got 200 and a complete body that was not the endpoint's: chunks with their sizes, or the rest of the head and then the body.

Cause: such a head is valid and silent about the end of its body, which is allowed, and the end of the connection was believed for all but JSON. Events with the sizes of chunks between them still end between two events.

Change: framing::remnant::Scanner finds bodies that are in chunks from the first byte up to the last chunk, and bodies that begin with the rest of a head which tells an end. Whole responses are then not whole; streams are broken off, events before their caller has any of them. The first bytes of events are held until their first name is known.

Why it works: where the head is silent, what it should have said is in the body. A text is refused only if all of it is a valid chunked body, so texts that begin with a number stay answers.

--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -4,6 +4,8 @@
 //! an error. A body that ends with its connection just ends, also if the endpoint died; only its
 //! content can then tell that a part is missing.
 
+pub mod remnant;
+
 use std::fmt;
 
 use cranberrygap_response::head::{End, Head};
@@ -73,13 +75,25 @@
         self.end != End::Connection
     }
 
+    /// Looks for remnants of a broken head in the body; `None` if the head tells the end of it.
+    #[must_use]
+    pub fn remnants(self, is_event_stream: bool) -> Option<remnant::Scanner> {
+        (self.end == End::Connection).then(|| remnant::Scanner::new(is_event_stream))
+    }
+
     /// Whether a body that ended without an error is whole.
     ///
     /// An endpoint with nothing to say says so by a length, so an empty body that ends with its
-    /// connection is not whole. Neither is JSON that cannot be parsed. For other content, the end
-    /// of the connection has to be believed.
+    /// connection is not whole. Neither is JSON that cannot be parsed, nor a body with remnants of
+    /// a head. For other content, the end of the connection has to be believed.
     #[must_use]
     pub fn is_whole(self, body: &[u8]) -> bool {
+        if let Some(mut remnants) = self.remnants(self.content == Content::Events) {
+            remnants.read(body);
+            if remnants.has_found() {
+                return false;
+            }
+        }
         if self.content == Content::Events {
             let mut scanner = sse::Scanner::default();
             scanner.read(body);
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use crate::framing;
+use crate::framing::{self, remnant};
 use crate::metric;
 use crate::sse;
 
@@ -20,6 +20,9 @@
 /// Why a stream is not complete although its connection ended in good order.
 const CUT_STREAM: &str = "the stream ended without an event or within one";
 
+/// Why a stream is not the one that its endpoint meant.
+const BROKEN_HEAD: &str = "the body holds a part of its head or the sizes of chunks";
+
 /// Why a stream is given up that goes on without end.
 const ENDLESS_STREAM: &str = "the stream brings no events";
 
@@ -73,6 +76,10 @@
 struct Upstream {
     body: Incoming,
     framing: framing::Framing,
+    /// Looks for parts of a broken head in the body, if its end is not known otherwise.
+    remnants: Option<remnant::Scanner>,
+    /// The first bytes, while it is not known what they are.
+    held: BytesMut,
     connection: endpoint_connection::Connection,
     in_flight: in_flight::Request,
     /// Bytes that have arrived since the last event, and the number of that event.
@@ -118,9 +125,12 @@
 
 fn split_reply(reply: delivery::Reply) -> (http::response::Parts, Upstream) {
     let (head, body) = reply.response.into_parts();
+    let framing = reply.framing;
     let upstream = Upstream {
         body,
-        framing: reply.framing,
+        framing,
+        remnants: framing.remnants(framing.is_event_stream()),
+        held: BytesMut::new(),
         connection: reply.connection,
         in_flight: reply.in_flight,
         bytes_without_event: 0,
@@ -151,6 +161,12 @@
                     if time_left.0 == 0 {
                         self.bytes_after_deadline += length;
                     }
+                    let Some(data) = self.release(data) else {
+                        if !self.continue_elsewhere(BROKEN_HEAD).await {
+                            return Some(Err(self.interrupt(BROKEN_HEAD)));
+                        }
+                        continue;
+                    };
                     let taken = self.take_complete_events(data);
                     if !self.brings_events(length) {
                         if !self.continue_elsewhere(ENDLESS_STREAM).await {
@@ -215,6 +231,31 @@
         self.delivery.log.add_step(now, step);
     }
 
+    /// The bytes whose content is known, with those that were held back; `None` if they are a part
+    /// of a broken head.
+    fn release(&mut self, data: Bytes) -> Option<Bytes> {
+        let Some(upstream) = &mut self.upstream else {
+            return Some(data);
+        };
+        let Some(remnants) = &mut upstream.remnants else {
+            return Some(data);
+        };
+        remnants.read(&data);
+        if remnants.has_found() {
+            return None;
+        }
+        if remnants.is_undecided() {
+            upstream.held.extend_from_slice(&data);
+            return Some(Bytes::new());
+        }
+        if upstream.held.is_empty() {
+            return Some(data);
+        }
+        let mut held = std::mem::take(&mut upstream.held);
+        held.extend_from_slice(&data);
+        Some(held.freeze())
+    }
+
     /// The bytes that can be forwarded now.
     fn take_complete_events(&mut self, data: Bytes) -> Result<Bytes, Error> {
         let splitter = match &mut self.events {
--- a/crates/cranberrygap-entry/src/relay.rs
+++ b/crates/cranberrygap-entry/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::attainment;
 use crate::chunk;
 use crate::engine;
+use crate::framing::remnant;
 use crate::refusal::Refusal;
 use crate::sse;
 
@@ -32,6 +33,8 @@
 pub(crate) struct Relay {
     delivery: engine::Delivery,
     upstream: Upstream,
+    /// Looks for parts of a broken head in the body, if its end is not known otherwise.
+    remnants: Option<remnant::Scanner>,
     attempt: Option<engine::Attempt>,
     splitter: sse::Splitter,
     progress: policy::Stream,
@@ -56,6 +59,7 @@
         Self {
             delivery,
             progress: policy::Stream::new(response.attempt_id, max_tokens),
+            remnants: response.http.framing().remnants(true),
             upstream: Box::pin(response.http.into_stream()),
             attempt: Some(response.attempt),
             splitter: sse::Splitter::default(),
@@ -128,6 +132,12 @@
     fn accept_bytes(&mut self, bytes: &[u8]) -> Result<Bytes, Evidence> {
         self.awaiting_first_byte = false;
         self.count_late_bytes(bytes);
+        if let Some(remnants) = &mut self.remnants {
+            remnants.read(bytes);
+            if remnants.has_found() {
+                return Err(Evidence::CutAnswer);
+            }
+        }
         if self.splitter.push(bytes).is_err() {
             return Err(Evidence::CutAnswer);
         }
@@ -221,6 +231,7 @@
             Err(refusal) => Some(self.error_event(&refusal)),
             Ok(response) => {
                 self.progress.resume(response.attempt_id);
+                self.remnants = response.http.framing().remnants(true);
                 self.upstream = Box::pin(response.http.into_stream());
                 self.attempt = Some(response.attempt);
                 self.splitter = sse::Splitter::default();
--- a/crates/cranberrygap-entry/tests/framing.rs
+++ b/crates/cranberrygap-entry/tests/framing.rs
@@ -102,3 +102,74 @@
         );
     }
 }
+
+// Chunks with their sizes, or the rest of a head, passed for the body of a response whose head was
+// broken. They are found however the body arrives.
+#[test]
+fn remnants_of_a_head_are_found_in_bodies() {
+    let cases = [
+        ("5\r\nhello\r\n0\r\n\r\n", true, true),
+        ("5;a=\"b\"\r\nhello\r\n00\r\nX-Sum: 1\r\n\r\n", true, true),
+        ("0\r\n\r\n", true, true),
+        ("Content-Length: 5\r\n\r\nhello", true, true),
+        ("Vary: *\r\ntransfer-encoding:chunked\r\n\r\n", true, true),
+        ("Content-Length: 5\n\nhello", true, true),
+        // A text may begin with a number, an event does not.
+        ("5\r\nhello\r\n0\r\n\r\nmore", false, true),
+        ("5\r\nhello", false, true),
+        ("5\r\nhi", false, true),
+        ("5\nhello\n0\n\n", false, false),
+        ("12345678901234567\r\n", false, false),
+        ("Content-Length: 5\r\nhello", false, false),
+        ("Vary: *\r\n\r\nContent-Length: 5\r\n\r\n", false, false),
+        ("data: Content-Length: 5\r\n\r\n", false, false),
+        ("", false, false),
+    ];
+
+    for (body, in_text, in_events) in cases {
+        for (is_event_stream, expected) in [(false, in_text), (true, in_events)] {
+            for size in [1, 2, 7, body.len().max(1)] {
+                let mut remnants = framing(None, None, None)
+                    .remnants(is_event_stream)
+                    .expect("a body that ends with its connection");
+                for part in body.as_bytes().chunks(size) {
+                    remnants.read(part);
+                }
+                assert_eq!(remnants.has_found(), expected, "{body:?} {is_event_stream}");
+            }
+        }
+    }
+}
+
+// What may be a part of a head must not reach the caller; events must not wait longer than their
+// first name.
+#[test]
+fn first_bytes_of_events_are_held_until_they_are_known() {
+    let cases = [
+        ("", true),
+        ("2", true),
+        ("2b\r", true),
+        ("Content-Type: text/event-stream\r\n", true),
+        ("data", true),
+        ("data:", false),
+        ("id", true),
+        ("id:", false),
+        ("event:", false),
+        (": comment", false),
+        ("\u{feff}data", false),
+        ("\n", false),
+    ];
+
+    for (bytes, expected) in cases {
+        let mut remnants = framing(None, None, None).remnants(true).expect("a scanner");
+        remnants.read(bytes.as_bytes());
+        assert_eq!(remnants.is_undecided(), expected, "{bytes:?}");
+    }
+}
+
+#[test]
+fn body_whose_end_is_known_has_no_remnants() {
+    for (coding, length) in [(None, Some(1)), (Some(CHUNKED), None)] {
+        assert!(framing(coding, length, None).remnants(true).is_none());
+    }
+}
