Believe the length of a response only if nothing is left after its body

What callers saw: with a length smaller than the body, a blank line after the length, or a status without content, they got 200 and the first bytes of the body as all of it. A stream that the length ended between two events was complete.

Cause: the HTTP library reads as many bytes as the head tells. The rest fails the next use of the connection, and nobody asked for it when the body ended.

Change: endpoint_connection::Connection::has_ended_response asks the library's connection, once a body has ended, whether it is idle or has ended with bytes left. Those are the sign of a wrong length that RFC 9112, 6.3 names, unless they begin another response or are line ends. Whole responses are broken then; streams are cut before their end is forwarded, or go on elsewhere. A response of status 204 is read whole on streams too, since nothing in it could show a cut. A relayed response of another entry is checked alike.

Why it works: the bytes that contradict the length are in the library's buffer or in the kernel when its last one is read, and the library reads on before it says that it is idle. Nothing is awaited for bytes that may come; an endpoint that responds before it has read the request is not asked, as it is not idle.

--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -10,7 +10,7 @@
 use cranberrygap_model::{duration, id, software};
 use cranberrygap_routing::origin;
 use cranberrygap_wire::{traffic, view};
-use http::Response;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::admission;
@@ -285,7 +285,13 @@
                 .await;
             return Ok(None);
         }
-        if self.is_stream() && status.is_success() && !reply.framing.needs_whole_body() {
+        // Without content, a cut could not be shown to the caller.
+        let can_show_cut = status != StatusCode::NO_CONTENT;
+        if self.is_stream()
+            && status.is_success()
+            && can_show_cut
+            && !reply.framing.needs_whole_body()
+        {
             return Ok(Some(reply));
         }
         match self.buffer_response(reply).await {
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an endpoint, owned by the attempt that uses it.
 
+use std::future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,8 +43,10 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: tokio::task::JoinHandle<()>,
+    /// Ends with the bytes that were received and belong to no response.
+    driver: tokio::task::JoinHandle<Bytes>,
     head: head_limit::Budget,
+    congestion: head_limit::Congestion,
     address: address::Socket,
     is_reused: bool,
     idle_timeout: Option<Duration>,
@@ -87,20 +90,25 @@
         configure_socket(&stream)?;
         let head = head_limit::Budget::default();
         head.begin();
-        let io = TokioIo::new(head_limit::Limited::new(stream, head.clone(), counter));
+        let congestion = head_limit::Congestion::default();
+        let limited = head_limit::Limited::new(stream, head.clone(), congestion.clone(), counter);
+        let io = TokioIo::new(limited);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let handshake = builder.handshake::<_, Full<Bytes>>(io).await;
-        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        let (sender, mut connection) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
-            if let Err(cause) = connection.await {
+            let ended = future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            if let Err(cause) = ended {
                 spdlog::debug!("gateway: a connection to {address} ended: {cause}");
             }
+            connection.into_parts().read_buf
         });
         Ok(Self {
             sender,
             driver,
             head,
+            congestion,
             address,
             is_reused: false,
             idle_timeout: None,
@@ -134,6 +142,25 @@
         }
     }
 
+    /// Whether nothing follows the body that has ended, apart from another response.
+    ///
+    /// Other bytes are most likely the rest of the body, whose head then told a wrong length. Only
+    /// those are seen that have arrived by now.
+    pub(crate) async fn has_ended_response(&mut self) -> bool {
+        if self.congestion.is_present() {
+            // The endpoint responded before it read the whole request. Until it has, the HTTP
+            // library does not look at what follows.
+            return true;
+        }
+        match time::timeout(READY_TIMEOUT, self.sender.ready()).await {
+            Ok(Ok(())) | Err(_) => true,
+            Ok(Err(_ended)) => {
+                let rest = (&mut self.driver).await;
+                rest.is_ok_and(|rest| begins_response(&rest))
+            }
+        }
+    }
+
     /// Reads how long the endpoint keeps the connection open without a request.
     pub(crate) fn read_idle_timeout(&mut self, headers: &HeaderMap) {
         let value = headers.get("keep-alive");
@@ -175,6 +202,13 @@
     }
 }
 
+/// Whether bytes are nothing but line ends and the begin of a response, or a part of it.
+fn begins_response(bytes: &[u8]) -> bool {
+    const PROTOCOL: &[u8] = b"HTTP/";
+    let begin = bytes.trim_ascii_start();
+    begin.starts_with(PROTOCOL) || PROTOCOL.starts_with(begin)
+}
+
 fn receive(response: Response<Incoming>) -> Result<Received, Error> {
     let body_length = response.body().size_hint().exact();
     let head = head::Head::check(response.status(), response.headers(), body_length);
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -299,11 +299,14 @@
                     Err(_trailers) => continue,
                 },
                 Ok(None) => {
-                    let connection = self.connection.take();
-                    if self.framing.keeps_connection() {
-                        self.gateway.peers.pool.put(connection?);
+                    let mut connection = self.connection.take()?;
+                    if connection.has_ended_response().await {
+                        if self.framing.keeps_connection() {
+                            self.gateway.peers.pool.put(connection);
+                        }
+                        return None;
                     }
-                    return None;
+                    return Some(Err(self.interrupt("the other entry sent more than it told")));
                 }
                 Ok(Some(Err(_broken))) => "the other entry broke off",
                 Err(_elapsed) => "the deadline passed",
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use cranberrygap_link::traffic::{Flow, Kind};
@@ -18,6 +18,10 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Budget(Arc<AtomicUsize>);
 
+/// Whether the kernel has no room for what a connection writes.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Congestion(Arc<AtomicBool>);
+
 /// Counts the bytes of one connection.
 #[derive(Debug)]
 pub(crate) struct Counter {
@@ -30,9 +34,17 @@
 pub(super) struct Limited {
     stream: TcpStream,
     budget: Budget,
+    congestion: Congestion,
     counter: Counter,
 }
 
+impl Congestion {
+    /// Whether the last write had to wait.
+    pub(super) fn is_present(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 impl Budget {
     /// Awaits a head from now on.
     pub(super) fn begin(&self) {
@@ -46,15 +58,24 @@
 }
 
 impl Limited {
-    pub(super) const fn new(stream: TcpStream, budget: Budget, counter: Counter) -> Self {
+    pub(super) const fn new(
+        stream: TcpStream,
+        budget: Budget,
+        congestion: Congestion,
+        counter: Counter,
+    ) -> Self {
         Self {
             stream,
             budget,
+            congestion,
             counter,
         }
     }
 
     fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.congestion
+            .0
+            .store(written.is_pending(), Ordering::Release);
         if let Poll::Ready(Ok(bytes)) = &written {
             self.counter.flow.record_sent(self.counter.kind, *bytes);
         }
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::duration;
 use futures_util::stream;
-use http::Response;
+use http::{Method, Response};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -23,6 +23,9 @@
 /// Why a stream is not the one that its endpoint meant.
 const BROKEN_HEAD: &str = "the body holds a part of its head or the sizes of chunks";
 
+/// Why the end of a stream is not believed.
+const WRONG_LENGTH: &str = "the stream goes on after its length";
+
 /// Why a stream is given up that goes on without end.
 const ENDLESS_STREAM: &str = "the stream brings no events";
 
@@ -179,13 +182,13 @@
                         other => return Some(self.pass_on(other)),
                     }
                 }
-                Ok(None) if self.is_whole() => {
-                    self.finish();
-                    return self.take_rest().map(|rest| self.pass_on(Ok(rest)));
-                }
                 Ok(None) => {
-                    if !self.continue_elsewhere(CUT_STREAM).await {
-                        return Some(Err(self.interrupt(CUT_STREAM)));
+                    let Some(cause) = self.defect_at_end().await else {
+                        self.finish();
+                        return self.take_rest().map(|rest| self.pass_on(Ok(rest)));
+                    };
+                    if !self.continue_elsewhere(cause).await {
+                        return Some(Err(self.interrupt(cause)));
                     }
                 }
                 Ok(Some(Err(_broken))) => {
@@ -299,7 +302,18 @@
         upstream.bytes_without_event <= MAX_BYTES_WITHOUT_EVENT
     }
 
-    /// Whether a stream that ended is complete.
+    /// Why a stream that ended is not complete, if it is not.
+    async fn defect_at_end(&mut self) -> Option<&'static str> {
+        if !self.is_whole() {
+            return Some(CUT_STREAM);
+        }
+        let is_head_only = self.delivery.request.method == Method::HEAD;
+        let upstream = self.upstream.as_mut()?;
+        let has_ended = is_head_only || upstream.connection.has_ended_response().await;
+        (!has_ended).then_some(WRONG_LENGTH)
+    }
+
+    /// Whether a stream that ended is complete by its content.
     fn is_whole(&self) -> bool {
         match (&self.upstream, &self.events) {
             (Some(upstream), Some(events)) => upstream.framing.is_whole_stream(events.scanner()),
