Find the rest of a head also where a blank line is all that is left of its length

What callers saw: an endpoint that wrote a blank line in place of Content-Length or Transfer-Encoding left them with 200 and a body that began with a blank line, or with the other fields of the head.

Cause: the scanner of remnants looked for fields that tell the end of a body only, and for chunks at the first byte only. Where the blank line takes the field's place, neither is left.

Change: a body without a known end that begins with fields up to a blank line, or with a blank line, is not whole; lines have to end with CR LF, unless one of the fields tells the end of a body. Chunks are found behind blank lines too.

Why it works: the rest of a head is written like a head. Texts of models often begin with LF, and stay answers; one that begins with CR LF or with fields needs a length or chunks now.

--- a/crates/cranberrygap-entry/src/framing/remnant.rs
+++ b/crates/cranberrygap-entry/src/framing/remnant.rs
@@ -50,6 +50,6 @@
         } else {
             self.chunks.is_whole()
         };
-        is_chunked || self.fields.has_framing()
+        is_chunked || self.fields.has_head()
     }
 }
--- a/crates/cranberrygap-entry/src/framing/remnant/chunks.rs
+++ b/crates/cranberrygap-entry/src/framing/remnant/chunks.rs
@@ -6,8 +6,11 @@
 /// What comes next, if all before it were chunks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum Next {
-    /// Digits of a size, of which some have arrived.
+    /// The first size, behind blank lines that a broken head may leave.
     #[default]
+    Begin,
+    BeginLf,
+    /// Digits of a size, of which some have arrived.
     Size,
     /// The rest of the line with a size.
     Extension,
@@ -78,7 +81,9 @@
 
     fn read_byte(&mut self, byte: u8) -> Next {
         match (self.next, byte) {
-            (Next::Size, _) if byte.is_ascii_hexdigit() => self.read_digit(byte),
+            (Next::Begin, b'\r') => Next::BeginLf,
+            (Next::BeginLf, b'\n') => Next::Begin,
+            (Next::Begin | Next::Size, _) if byte.is_ascii_hexdigit() => self.read_digit(byte),
             (Next::Size, b'\r') if self.digits > 0 => Next::SizeEnd,
             (Next::Size, b';' | b' ' | b'\t') if self.digits > 0 => Next::Extension,
             (Next::Extension, b'\r') => Next::SizeEnd,
--- a/crates/cranberrygap-entry/src/framing/remnant/fields.rs
+++ b/crates/cranberrygap-entry/src/framing/remnant/fields.rs
@@ -32,8 +32,12 @@
     name: SmallVec<[u8; MAX_NAME_BYTES + 1]>,
     /// Whether one of the fields tells the end of a body.
     names_framing: bool,
-    /// Whether the blank line has arrived after such a field.
-    has_framing: bool,
+    /// Whether a line ended in another way than heads are written. Texts often have such lines.
+    has_bare_lf: bool,
+    /// The byte before.
+    last: u8,
+    /// Whether all lines up to the blank one belong to a head.
+    has_head: bool,
 }
 
 impl Scanner {
@@ -43,6 +47,7 @@
                 return;
             }
             self.next = self.read_byte(*byte);
+            self.last = *byte;
         }
     }
 
@@ -51,23 +56,29 @@
         self.next != Next::Anything
     }
 
-    /// Whether the body begins with fields, of which one tells the end of a body, and a blank line.
-    pub(super) const fn has_framing(&self) -> bool {
-        self.has_framing
+    /// Whether the body begins with the rest of a head: fields, or nothing, before a blank line.
+    pub(super) const fn has_head(&self) -> bool {
+        self.has_head
     }
 
     fn read_byte(&mut self, byte: u8) -> Next {
         match (self.next, byte) {
             (Next::Name, b':') if !self.name.is_empty() => self.end_name(),
             (Next::Name, b'\r') if self.name.is_empty() => Next::BlankEnd,
-            (Next::Name, b'\n') if self.name.is_empty() => self.end_fields(),
+            (Next::Name, b'\n') if self.name.is_empty() => {
+                self.has_bare_lf = true;
+                self.end_fields()
+            }
             (Next::Name, _) if is_name_byte(byte) => {
                 if self.name.len() <= MAX_NAME_BYTES {
                     self.name.push(byte.to_ascii_lowercase());
                 }
                 Next::Name
             }
-            (Next::Value, b'\n') => Next::Name,
+            (Next::Value, b'\n') => {
+                self.has_bare_lf |= self.last != b'\r';
+                Next::Name
+            }
             (Next::Value, _) => Next::Value,
             (Next::BlankEnd, b'\n') => self.end_fields(),
             _ => Next::Anything,
@@ -84,7 +95,7 @@
     }
 
     fn end_fields(&mut self) -> Next {
-        self.has_framing = self.names_framing;
+        self.has_head = self.names_framing || !self.has_bare_lf;
         Next::Anything
     }
 }
