Refuse heads whose blank line is the rest of a line end

What callers saw: with the CR of the blank line after a head changed to LF, and a body without a known end, they got 200 and a body that began with a line end that was not the endpoint's.

Cause: the HTTP library takes LF alone for a line end and does not tell. The body cannot show it: texts often begin with LF.

Change: the reader below the library that bounds heads follows their lines. A blank line of LF alone after a line with CR LF fails the connection as Defect::LineEnds.

Why it works: whoever ends a line with CR LF writes the blank line so, too; the LF is a part of a line end. Heads with LF alone, or in some lines, are read as before.

--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -137,6 +137,7 @@
             }
             Err(mut failed) => match failed.take_message() {
                 Some(_unsent) => Err(Error::NotSent),
+                None if self.head.is_torn() => Err(Error::Malformed(Defect::LineEnds)),
                 None => Err(Error::Unknown),
             },
         }
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -1,6 +1,8 @@
 //! A limit on the bytes that an endpoint may send before the head of a response is complete, and
 //! the count of what its connection carries.
 
+mod line_ends;
+
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -16,7 +18,16 @@
 
 /// Bytes that a connection may still read before a head.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Budget(Arc<AtomicUsize>);
+pub(super) struct Budget(Arc<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    left: AtomicUsize,
+    /// Number of heads that were awaited so far.
+    heads: AtomicUsize,
+    /// Whether a head was torn.
+    is_torn: AtomicBool,
+}
 
 /// Whether the kernel has no room for what a connection writes.
 #[derive(Debug, Clone, Default)]
@@ -36,6 +47,9 @@
     budget: Budget,
     congestion: Congestion,
     counter: Counter,
+    /// The line ends of the head with this number.
+    line_ends: line_ends::Scanner,
+    head: usize,
 }
 
 impl Congestion {
@@ -48,17 +62,23 @@
 impl Budget {
     /// Awaits a head from now on.
     pub(super) fn begin(&self) {
-        self.0.store(MAX_HEAD_BYTES, Ordering::Release);
+        self.0.heads.fetch_add(1, Ordering::AcqRel);
+        self.0.left.store(MAX_HEAD_BYTES, Ordering::Release);
     }
 
     /// Lifts the limit, since the head has arrived.
     pub(super) fn end(&self) {
-        self.0.store(usize::MAX, Ordering::Release);
+        self.0.left.store(usize::MAX, Ordering::Release);
+    }
+
+    /// Whether the connection failed since the lines of a head end in two ways.
+    pub(super) fn is_torn(&self) -> bool {
+        self.0.is_torn.load(Ordering::Acquire)
     }
 }
 
 impl Limited {
-    pub(super) const fn new(
+    pub(super) fn new(
         stream: TcpStream,
         budget: Budget,
         congestion: Congestion,
@@ -69,7 +89,23 @@
             budget,
             congestion,
             counter,
+            line_ends: line_ends::Scanner::default(),
+            head: 0,
+        }
+    }
+
+    /// Reads bytes of the head that is awaited; true if it is torn.
+    fn check_line_ends(&mut self, bytes: &[u8]) -> bool {
+        let head = self.budget.0.heads.load(Ordering::Acquire);
+        if std::mem::replace(&mut self.head, head) != head {
+            self.line_ends = line_ends::Scanner::default();
+        }
+        self.line_ends.read(bytes);
+        let is_torn = self.line_ends.is_torn();
+        if is_torn {
+            self.budget.0.is_torn.store(true, Ordering::Release);
         }
+        is_torn
     }
 
     fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -89,7 +125,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.budget.0.load(Ordering::Acquire);
+        let left = self.budget.0.left.load(Ordering::Acquire);
         if left == 0 {
             let message = "the head of the response does not end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -100,8 +136,13 @@
         if read > 0 {
             self.counter.flow.record_received(self.counter.kind, read);
         }
+        if left != usize::MAX && self.check_line_ends(&buf.filled()[before..]) {
+            buf.set_filled(before);
+            let message = "the lines of a head end in two ways";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
         // The limit may be lifted by another thread meanwhile, and must not come back then.
-        let _lifted = self.budget.0.compare_exchange(
+        let _lifted = self.budget.0.left.compare_exchange(
             left,
             left.saturating_sub(read),
             Ordering::AcqRel,
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -149,7 +149,7 @@
         name: MALFORMED_RESPONSES,
         kind: "c",
         unit: "responses",
-        meaning: "responses of endpoints and other entries whose head cannot be trusted, tagged status, content, coding, length or coding_and_length",
+        meaning: "responses of endpoints and other entries whose head cannot be trusted, tagged line_ends, status, content, coding, length or coding_and_length",
     },
 ];
 
--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -5,6 +5,9 @@
 /// A defect of the head of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Defect {
+    /// The last two lines end in two ways, so that the end of the head is not known.
+    #[error("the head of the response ends with LF after lines that end with CR LF")]
+    LineEnds,
     /// The status ends no request.
     #[error("the status {0} of the response is not one of 200 to 599")]
     Status(StatusCode),
@@ -27,6 +30,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::LineEnds => "line_ends",
             Self::Status(_) => "status",
             Self::Content => "content",
             Self::Coding => "coding",
@@ -39,6 +43,7 @@
     #[must_use]
     pub const fn cause(self) -> &'static str {
         match self {
+            Self::LineEnds => "the lines of the head of the answer end in two ways",
             Self::Status(_) => "the status of the answer is not one of 200 to 599",
             Self::Content => "the head of the answer has a status without content and names a body",
             Self::Coding => "the head of the answer names an unknown transfer coding",
