--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -153,13 +153,14 @@
             // library does not look at what follows.
             return true;
         }
-        match time::timeout(READY_TIMEOUT, self.sender.ready()).await {
-            Ok(Ok(())) | Err(_) => true,
-            Ok(Err(_ended)) => {
-                let rest = (&mut self.driver).await;
-                rest.is_ok_and(|rest| begins_response(&rest))
+        let look = async {
+            if self.sender.ready().await.is_ok() {
+                return true;
             }
-        }
+            let rest = (&mut self.driver).await;
+            rest.is_ok_and(|rest| begins_response(&rest))
+        };
+        time::timeout(READY_TIMEOUT, look).await.unwrap_or(true)
     }
 
     /// Reads how long the endpoint keeps the connection open without a request.
--- a/crates/cranberrygap-response/src/head.rs
+++ b/crates/cranberrygap-response/src/head.rs
@@ -69,7 +69,7 @@
         self.end
     }
 
-    /// The length that the head names, in bytes. The body of some responses is not sent.
+    /// The length that the head names, in bytes. The response to `HEAD` names one without a body.
     #[must_use]
     pub const fn length(self) -> Option<u64> {
         self.length
