--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -114,7 +114,7 @@
 ];
 
 /// All other metrics of an entry.
-pub const ALL: [Metric; 6] = [
+pub const ALL: [Metric; 5] = [
     Metric {
         name: REQUESTS,
         kind: "c",
@@ -145,14 +145,16 @@
         unit: "milliseconds",
         meaning: "time from a streamed request's arrival to its first token",
     },
-    Metric {
-        name: MALFORMED_RESPONSES,
-        kind: "c",
-        unit: "responses",
-        meaning: "responses of endpoints and other entries whose head cannot be trusted, tagged line_ends, status, content, coding, length or coding_and_length",
-    },
 ];
 
+/// Metrics of responses that are not believed. Endpoints that are sound cause none.
+pub const DEFECTS: [Metric; 1] = [Metric {
+    name: MALFORMED_RESPONSES,
+    kind: "c",
+    unit: "responses",
+    meaning: "responses of endpoints and other entries whose head cannot be trusted, tagged line_ends, status, content, coding, length or coding_and_length",
+}];
+
 /// Metrics of the bytes that an entry sends and receives.
 pub const TRAFFIC: [Metric; 1] = [Metric {
     name: TRAFFIC_BYTES,
--- a/crates/cranberrygap/tests/requests_heads.rs
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -14,8 +14,19 @@
 const CHUNKED: &str = "5\r\n{\"sea\r\n5\r\nt\":4}\r\n0\r\n\r\n";
 
 async fn serving_fleet() -> (fleet::Fleet, caller::Caller, raw::Service) {
-    let shape = fleet::Shape::builder().engines(0).services(0).build();
-    let fleet = fleet::Fleet::start(shape).await;
+    let (statsd, _socket) = fleet::statsd();
+    serving_fleet_with(statsd).await
+}
+
+/// A fleet that sends its metrics to `statsd`.
+async fn serving_fleet_with(
+    statsd: address::Socket,
+) -> (fleet::Fleet, caller::Caller, raw::Service) {
+    let shape = fleet::Shape::builder()
+        .engines(0)
+        .services(0)
+        .statsd(statsd);
+    let fleet = fleet::Fleet::start(shape.build()).await;
     let service = raw::Service::start(&fleet).await;
     let secret = fleet.issue("statistics").await;
     let caller = caller::Caller::new(secret.reveal());
@@ -79,3 +90,26 @@
         assert_eq!(code(&body), "booking_unknown", "{answer:?}: {body}");
     }
 }
+
+// Operators have to see that responses are refused, and why.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_that_are_not_believed_are_counted() {
+    let (statsd, socket) = fleet::statsd();
+    let (fleet, caller, service) = serving_fleet_with(statsd).await;
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkeq\r\n\r\n";
+    service.respond(&format!("{head}{CHUNKED}"));
+
+    book(&caller, fleet.entries[0].callers, "counted").await;
+
+    let mut metrics = String::new();
+    let mut datagram = vec![0; 65_536];
+    wait::until("the response is counted", async || {
+        while let Ok(size) = socket.recv(&mut datagram) {
+            metrics.push_str(&String::from_utf8_lossy(&datagram[..size]));
+            metrics.push('\n');
+        }
+        let mut lines = metrics.lines();
+        lines.any(|line| line.contains(".malformed_responses:1|c") && line.contains("coding"))
+    })
+    .await;
+}
