--- a/crates/cranberrygap-entry/src/framing/remnant.rs
+++ b/crates/cranberrygap-entry/src/framing/remnant.rs
@@ -1,8 +1,8 @@
 //! Finds what is left of a broken head in a body that ends with its connection.
 //!
 //! A head that was broken where it tells the end of its body may look like one that says nothing of
-//! it. The body then holds what the head should have explained: the sizes of chunks, or the rest of
-//! the head behind a blank line that does not belong there.
+//! it. The sizes of chunks are then a part of the body, or the rest of the head is, behind a blank
+//! line that does not belong there.
 
 mod chunks;
 mod fields;
@@ -39,7 +39,7 @@
         self.is_event_stream && (self.chunks.is_undecided() || self.fields.is_undecided())
     }
 
-    /// Whether the body cannot be the one that was sent.
+    /// Whether the body is known to hold remnants.
     ///
     /// Text may begin with a number, so that only a body of whole chunks, up to the last one, is
     /// known to be in chunks. An event never begins with the size of one.
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -20,7 +20,7 @@
 /// Why a stream is not complete although its connection ended in good order.
 const CUT_STREAM: &str = "the stream ended without an event or within one";
 
-/// Why a stream is not the one that its endpoint meant.
+/// Why a stream is given up whose head was broken.
 const BROKEN_HEAD: &str = "the body holds a part of its head or the sizes of chunks";
 
 /// Why the end of a stream is not believed.
