Refuse heads that begin with CR LF and end with LF

What callers saw: an endpoint that left out the blank line before its events gave them 200 and a complete stream without its first event, which had become fields of the head.

Cause: the blank line was compared with the line before it. Here the event's lines and the blank line after it end with LF, all of them, and only the lines of the head before them end with CR LF.

Change: the blank line is compared with the first line of the head.

Why it works: whoever writes the first line with CR LF writes the blank line so, too. Heads with LF in all lines, or in some between the two, are read as before.

--- a/crates/cranberrygap-entry/src/gateway/head_limit/line_ends.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit/line_ends.rs
@@ -25,8 +25,8 @@
     /// Number of bytes of the line that arrives.
     line_bytes: usize,
     last: u8,
-    /// Whether the line before ended with CR LF.
-    after_cr_lf: bool,
+    /// Whether the first line ended with CR LF.
+    has_cr_lf: bool,
     is_interim: bool,
     is_torn: bool,
 }
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Whether the blank line ends with LF alone, after a line that ends with CR LF. The LF is then
-    /// the rest of a line end, and the head ends too early or too late.
+    /// Whether the blank line ends with LF alone in a head whose first line ends with CR LF. The LF is
+    /// then the rest of a line end or a part of the body, and the head ends too early or too late.
     pub(super) const fn is_torn(&self) -> bool {
         self.is_torn
     }
@@ -52,7 +52,7 @@
         match (self.place, byte) {
             (Place::LineBegin, b'\r') => self.place = Place::BlankCr,
             (Place::LineBegin, b'\n') => {
-                self.is_torn = self.after_cr_lf;
+                self.is_torn = self.has_cr_lf;
                 self.end_head();
             }
             (Place::BlankCr, b'\n') => self.end_head(),
@@ -70,7 +70,9 @@
 
     fn end_line(&mut self) {
         self.place = Place::LineBegin;
-        self.after_cr_lf = self.last == b'\r';
+        if self.lines == 0 {
+            self.has_cr_lf = self.last == b'\r';
+        }
         self.lines += 1;
         self.line_bytes = 0;
     }
--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -5,8 +5,8 @@
 /// A defect of the head of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Defect {
-    /// The last two lines end in two ways, so that the end of the head is not known.
-    #[error("the head of the response ends with LF after lines that end with CR LF")]
+    /// The first and the blank line end in two ways, so that the end of the head is not known.
+    #[error("the head of the response begins with a line with CR LF and ends with LF")]
     LineEnds,
     /// The status ends no request.
     #[error("the status {0} of the response is not one of 200 to 599")]
