Keep the facts of a response's head in one place each

Nothing that callers see is meant to change. - Whether a request asked for the head alone is a fact of the connection that sent it; two callers exempted HEAD, and the relay of another entry's response did not. - The scanner of line ends begins where the budget of a head is untouched.

--- a/crates/cranberrygap-entry/src/framing.rs
+++ b/crates/cranberrygap-entry/src/framing.rs
@@ -8,8 +8,9 @@
 
 use std::fmt;
 
+use cranberrygap_response::defect::Defect;
 use cranberrygap_response::head::{End, Head};
-use http::{HeaderMap, header};
+use http::{HeaderMap, StatusCode, header};
 use serde::de::IgnoredAny;
 
 use crate::sse;
@@ -34,14 +35,23 @@
 }
 
 impl Framing {
-    /// The framing of a response with a sound head, which has these headers.
-    #[must_use]
-    pub fn new(head: Head, headers: &HeaderMap) -> Self {
-        Self {
+    /// The framing of a response with this status and these headers, whose body has `body_length`
+    /// bytes if the HTTP library knows.
+    ///
+    /// # Errors
+    ///
+    /// [`Defect`] if the head is no sound one.
+    pub fn new(
+        status: StatusCode,
+        headers: &HeaderMap,
+        body_length: Option<u64>,
+    ) -> Result<Self, Defect> {
+        let head = Head::check(status, headers, body_length)?;
+        Ok(Self {
             end: head.end(),
             length: head.length(),
             content: content(headers),
-        }
+        })
     }
 
     /// The length that the head names, in bytes. The response to `HEAD` names one without a body.
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -6,7 +6,7 @@
 use cranberrygap_model::duration;
 use cranberrygap_routing::origin;
 use cranberrygap_wire::traffic;
-use http::{Method, Request, Response, Uri};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -359,8 +359,7 @@
             in_flight.record_break();
             return Err("the answer ended with its connection and is not whole");
         }
-        // Endpoints may send the body to a request for the head, too.
-        if self.request.method != Method::HEAD && !connection.has_ended_response().await {
+        if !connection.has_ended_response().await {
             in_flight.record_break();
             return Err("the answer is longer than its head tells");
         }
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use cranberrygap_model::address;
 use cranberrygap_response::defect::Defect;
-use cranberrygap_response::head;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1;
@@ -49,6 +48,8 @@
     congestion: head_limit::Congestion,
     address: address::Socket,
     is_reused: bool,
+    /// Whether the last request asked for the head of its response alone.
+    is_head_only: bool,
     idle_timeout: Option<Duration>,
 }
 
@@ -111,6 +112,7 @@
             congestion,
             address,
             is_reused: false,
+            is_head_only: false,
             idle_timeout: None,
         })
     }
@@ -129,6 +131,7 @@
         if self.sender.ready().await.is_err() {
             return Err(Error::NotSent);
         }
+        self.is_head_only = request.method() == Method::HEAD;
         self.head.begin();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
@@ -148,9 +151,9 @@
     /// Other bytes are most likely the rest of the body, whose head then told a wrong length. Only
     /// those are seen that have arrived by now.
     pub(crate) async fn has_ended_response(&mut self) -> bool {
-        if self.congestion.is_present() {
-            // The endpoint responded before it read the whole request. Until it has, the HTTP
-            // library does not look at what follows.
+        // Endpoints may send the body although only the head was asked for. One that responds before
+        // it has read the whole request keeps the HTTP library from looking at what follows.
+        if self.is_head_only || self.congestion.is_present() {
             return true;
         }
         let look = async {
@@ -213,9 +216,8 @@
 
 fn receive(response: Response<Incoming>) -> Result<Received, Error> {
     let body_length = response.body().size_hint().exact();
-    let head = head::Head::check(response.status(), response.headers(), body_length);
-    let head = head.map_err(Error::Malformed)?;
-    let framing = framing::Framing::new(head, response.headers());
+    let framing = framing::Framing::new(response.status(), response.headers(), body_length);
+    let framing = framing.map_err(Error::Malformed)?;
     Ok(Received { response, framing })
 }
 
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -23,8 +23,6 @@
 #[derive(Debug, Default)]
 struct State {
     left: AtomicUsize,
-    /// Number of heads that were awaited so far.
-    heads: AtomicUsize,
     /// Whether a head was torn.
     is_torn: AtomicBool,
 }
@@ -47,9 +45,7 @@
     budget: Budget,
     congestion: Congestion,
     counter: Counter,
-    /// The line ends of the head with this number.
     line_ends: line_ends::Scanner,
-    head: usize,
 }
 
 impl Congestion {
@@ -62,7 +58,6 @@
 impl Budget {
     /// Awaits a head from now on.
     pub(super) fn begin(&self) {
-        self.0.heads.fetch_add(1, Ordering::AcqRel);
         self.0.left.store(MAX_HEAD_BYTES, Ordering::Release);
     }
 
@@ -90,14 +85,13 @@
             congestion,
             counter,
             line_ends: line_ends::Scanner::default(),
-            head: 0,
         }
     }
 
-    /// Reads bytes of the head that is awaited; true if it is torn.
-    fn check_line_ends(&mut self, bytes: &[u8]) -> bool {
-        let head = self.budget.0.heads.load(Ordering::Acquire);
-        if std::mem::replace(&mut self.head, head) != head {
+    /// Reads bytes of the head of which `left` may still come; true if it is torn.
+    fn check_line_ends(&mut self, left: usize, bytes: &[u8]) -> bool {
+        if left == MAX_HEAD_BYTES {
+            // None of the head has arrived before.
             self.line_ends = line_ends::Scanner::default();
         }
         self.line_ends.read(bytes);
@@ -136,7 +130,7 @@
         if read > 0 {
             self.counter.flow.record_received(self.counter.kind, read);
         }
-        if left != usize::MAX && self.check_line_ends(&buf.filled()[before..]) {
+        if left != usize::MAX && self.check_line_ends(left, &buf.filled()[before..]) {
             buf.set_filled(before);
             let message = "the lines of a head end in two ways";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
--- a/crates/cranberrygap-entry/src/gateway/stream.rs
+++ b/crates/cranberrygap-entry/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use cranberrygap_model::duration;
 use futures_util::stream;
-use http::{Method, Response};
+use http::Response;
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -307,10 +307,8 @@
         if !self.is_whole() {
             return Some(CUT_STREAM);
         }
-        let is_head_only = self.delivery.request.method == Method::HEAD;
-        let upstream = self.upstream.as_mut()?;
-        let has_ended = is_head_only || upstream.connection.has_ended_response().await;
-        (!has_ended).then_some(WRONG_LENGTH)
+        let connection = &mut self.upstream.as_mut()?.connection;
+        (!connection.has_ended_response().await).then_some(WRONG_LENGTH)
     }
 
     /// Whether a stream that ended is complete by its content.
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -4,7 +4,6 @@
 
 use bytes::{Bytes, BytesMut};
 use cranberrygap_response::defect::Defect;
-use cranberrygap_response::head;
 use futures_util::Stream;
 use http::{HeaderMap, StatusCode};
 
@@ -62,8 +61,7 @@
 /// [`Error`] if none arrives that can be trusted.
 pub(crate) async fn send(request: reqwest::RequestBuilder) -> Result<Response, Error> {
     let http = request.send().await?;
-    let head = head::Head::check(http.status(), http.headers(), http.content_length())?;
-    let framing = framing::Framing::new(head, http.headers());
+    let framing = framing::Framing::new(http.status(), http.headers(), http.content_length())?;
     Ok(Response { http, framing })
 }
 
--- a/crates/cranberrygap-entry/tests/framing.rs
+++ b/crates/cranberrygap-entry/tests/framing.rs
@@ -1,7 +1,6 @@
 //! Responses that end, and whether they are whole.
 
 use cranberrygap_entry::{framing, sse};
-use cranberrygap_response::head;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 const CHUNKED: &str = "chunked";
@@ -17,8 +16,7 @@
             headers.insert(name, HeaderValue::from_str(value).expect("a header value"));
         }
     }
-    let head = head::Head::check(StatusCode::OK, &headers, length).expect("a sound head");
-    framing::Framing::new(head, &headers)
+    framing::Framing::new(StatusCode::OK, &headers, length).expect("a sound head")
 }
 
 fn scanner(bytes: &str) -> sse::Scanner {
--- a/crates/cranberrygap-response/src/defect.rs
+++ b/crates/cranberrygap-response/src/defect.rs
@@ -1,27 +1,24 @@
 //! Why the head of a response cannot be trusted.
 
+use std::error;
+use std::fmt;
+
 use http::StatusCode;
 
 /// A defect of the head of a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Defect {
     /// The first and the blank line end in two ways, so that the end of the head is not known.
-    #[error("the head of the response begins with a line with CR LF and ends with LF")]
     LineEnds,
     /// The status ends no request.
-    #[error("the status {0} of the response is not one of 200 to 599")]
     Status(StatusCode),
     /// The status says that there is no body, and a field says what ends it.
-    #[error("the head of the response has a status without content and names a body")]
     Content,
     /// The body has another transfer coding than chunks. No request asks for one.
-    #[error("the head of the response names a transfer coding that was not asked for")]
     Coding,
     /// The body has a length and comes in chunks, which end it at different places.
-    #[error("the head of the response names both a transfer coding and a length")]
     CodingAndLength,
     /// The length is no number, or there are several that differ.
-    #[error("the head of the response names a length that is not one number")]
     Length,
 }
 
@@ -54,3 +51,14 @@
         }
     }
 }
+
+impl fmt::Display for Defect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status(status) => write!(f, "{}: {}", self.cause(), status.as_u16()),
+            _ => f.write_str(self.cause()),
+        }
+    }
+}
+
+impl error::Error for Defect {}
