Read the responses of services over the connections of routes

What callers saw: a service answered a booking with a length that was too small, and the caller got the first bytes of the answer as all of it, with the status of a good one. The claim kept them, so each later call with the same key got them again. A refusal that went on after its end was believed too, and the caller was told that the booking had not run. A head whose last line end was torn put the rest of that line end in front of the answer.

Cause: routes refuse such responses since they own their connections and look at what follows a body and at how lines end. Calls at /services were sent by a client that hides both.

Change: these calls go over endpoint_connection::Connection and a pool of their own. A booking and a call that is sent again still open a connection, other calls may take an idle one. What the calls carry counts as traffic to endpoints now. engine::evidence_of no longer records what it names the evidence of.

What is left with a client that hides these is parsed: engines at the product's own API, load reports, orders and the store's list are JSON or events with an end mark.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -1,18 +1,20 @@
 //! `/services/{name}/...`: forwards calls to plain services.
 
 mod completion;
+mod exchange;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranberrygap_model::{duration, id, token};
+use cranberrygap_model::{address, duration, id, token};
 use cranberrygap_policy::outcome::{Evidence, Outcome};
 use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::{claims, retry};
 use cranberrygap_routing::origin;
 use cranberrygap_trace::note;
 use cranberrygap_wire::{claim, configuration};
+use http_body_util::Full;
 use salvo::http::{HeaderValue, Request, Response, header};
 use salvo::{Depot, FlowCtrl, Handler};
 use smol_str::SmolStr;
@@ -24,7 +26,6 @@
 use crate::refusal::Refusal;
 use crate::resends;
 use crate::route;
-use crate::upstream;
 use crate::view;
 
 use super::{auth, pattern};
@@ -38,6 +39,9 @@
 /// Retry delay that callers are given when no endpoint can take the call.
 const NO_ENDPOINT_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
 
+/// Time between two sweeps that close expired idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Handler that forwards calls to plain services.
 #[derive(Debug)]
 pub(crate) struct Services {
@@ -73,6 +77,22 @@
         ]
     }
 
+    /// The request that an endpoint receives.
+    fn request(&self, address: address::Socket) -> http::Result<http::Request<Full<Bytes>>> {
+        let mut builder = http::Request::builder()
+            .method(self.method.clone())
+            .uri(self.path.as_str())
+            .header(header::HOST, address.to_string())
+            .header(engine::REQUEST_ID_HEADER, self.id.as_str());
+        if let Some(content_type) = &self.content_type {
+            builder = builder.header(header::CONTENT_TYPE, content_type);
+        }
+        if let Some(key) = &self.key {
+            builder = builder.header(IDEMPOTENCY_KEY, key.as_str());
+        }
+        builder.body(Full::new(Bytes::clone(&self.body)))
+    }
+
     fn about(&self) -> note::About {
         note::About {
             workspace: Some(self.workspace.clone()),
@@ -172,16 +192,17 @@
             let Some(destination) = self.choose_untried(call, &mut tried) else {
                 break;
             };
-            let client = if number > 1 {
-                self.core.upstream.unpooled()
+            // After a failure, the idle connections may be dead as well.
+            let reuse = if number > 1 {
+                exchange::Reuse::Forbidden
             } else {
-                self.core.upstream.pooled()
+                exchange::Reuse::Allowed
             };
             match resend.take() {
                 Some(resend) => resend.use_up(),
                 None => resends::record_first_send(&self.core, &scope),
             }
-            let completion = self.dispatch(call, &destination, client).await;
+            let completion = self.dispatch(call, &destination, reuse).await;
             let completion::Completion::Failed(evidence) = completion else {
                 return Ok(completion);
             };
@@ -276,8 +297,8 @@
         let Some(destination) = self.choose(call, &route::Tried::new()) else {
             return claims::Input::Ended(Evidence::NeverDispatched);
         };
-        let client = self.core.upstream.unpooled();
-        let completion = self.dispatch(call, &destination, client).await;
+        let reuse = exchange::Reuse::Forbidden;
+        let completion = self.dispatch(call, &destination, reuse).await;
         completion::to_input(&completion)
     }
 
@@ -295,12 +316,12 @@
         &self,
         call: &Call,
         destination: &route::Destination,
-        client: &reqwest::Client,
+        reuse: exchange::Reuse,
     ) -> completion::Completion {
         let about = call.about().at(&destination.endpoint);
         let sentence = "sent to the endpoint";
         self.core.trace.note(&about, "sent", sentence, &[]);
-        let completion = self.send(call, destination, client).await;
+        let completion = self.send(call, destination, reuse).await;
         let sentence = match &completion {
             completion::Completion::Answered { .. } => "the endpoint answered",
             completion::Completion::Failed(evidence) => match Outcome::from_evidence(*evidence) {
@@ -320,30 +341,40 @@
         &self,
         call: &Call,
         destination: &route::Destination,
-        client: &reqwest::Client,
+        reuse: exchange::Reuse,
     ) -> completion::Completion {
-        let url = format!("http://{}{}", destination.address, call.path);
-        let mut builder = client
-            .request(call.method.clone(), url)
-            .timeout(Duration::from_micros(call.deadline.0))
-            .header(engine::REQUEST_ID_HEADER, call.id.as_str())
-            .body(Bytes::clone(&call.body));
-        if let Some(content_type) = &call.content_type {
-            builder = builder.header(header::CONTENT_TYPE, content_type);
-        }
-        if let Some(key) = &call.key {
-            builder = builder.header(IDEMPOTENCY_KEY, key.as_str());
-        }
-        match upstream::send(builder).await {
-            Ok(response) => completion::read_response(response).await,
-            Err(cause) => {
+        let Ok(request) = call.request(destination.address) else {
+            return completion::Completion::Failed(Evidence::NeverDispatched);
+        };
+        let connections = &self.core.service_connections;
+        let time_limit = call.deadline.to_std();
+        let exchanging = exchange::exchange(
+            connections,
+            destination.address,
+            &request,
+            reuse,
+            time_limit,
+        );
+        match exchanging.await {
+            Ok(response) => completion::from_response(response),
+            Err(exchange::Error::Failed(evidence)) => completion::Completion::Failed(evidence),
+            Err(exchange::Error::Malformed(defect)) => {
                 let about = call.about().at(&destination.endpoint);
-                completion::Completion::Failed(engine::evidence_of(&self.core, &about, &cause))
+                engine::record_defect(&self.core, &about, defect);
+                completion::Completion::Failed(Evidence::CutAnswer)
             }
         }
     }
 }
 
+/// Closes idle connections to services that have expired.
+pub(crate) async fn sweep_connections(core: Arc<core::Core>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        core.service_connections.close_expired();
+    }
+}
+
 fn is_not_run(refusal: &Refusal) -> bool {
     refusal.outcome() == cranberrygap_wire::caller::Outcome::NotRun
 }
--- a/crates/cranberrygap-entry/src/caller/services/completion.rs
+++ b/crates/cranberrygap-entry/src/caller/services/completion.rs
@@ -4,13 +4,9 @@
 use cranberrygap_policy::claims;
 use cranberrygap_policy::outcome::Evidence;
 use cranberrygap_wire::claim;
-use salvo::http::{HeaderValue, Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::booking;
-use crate::upstream;
-
-/// Largest response of a call, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Result of sending a call to an endpoint.
 #[derive(Debug)]
@@ -24,25 +20,18 @@
     Failed(Evidence),
 }
 
-/// Reads the whole response of an endpoint.
-pub(super) async fn read_response(response: upstream::Response) -> Completion {
+/// Converts the whole response of an endpoint.
+pub(super) fn from_response(response: Response<Bytes>) -> Completion {
     let status = response.status();
+    if reports_not_run(status, response.body()) {
+        return Completion::Failed(Evidence::EndpointRefused);
+    }
     let default = HeaderValue::from_static("application/octet-stream");
-    let content_type = response
-        .headers()
-        .get(header::CONTENT_TYPE)
-        .cloned()
-        .unwrap_or(default);
-    let framing = response.framing();
-    match response.read_body(MAX_RESPONSE_BYTES).await {
-        Ok(body) if !framing.is_whole(&body) => Completion::Failed(Evidence::CutAnswer),
-        Ok(body) if reports_not_run(status, &body) => Completion::Failed(Evidence::EndpointRefused),
-        Ok(body) => Completion::Answered {
-            status,
-            content_type,
-            body,
-        },
-        Err(_cause) => Completion::Failed(Evidence::CutAnswer),
+    let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
+    Completion::Answered {
+        status,
+        content_type: content_type.unwrap_or(default),
+        body: response.into_body(),
     }
 }
 
@@ -89,7 +78,7 @@
 }
 
 /// Writes an endpoint's response to the caller; a failure writes nothing.
-pub(super) fn write(completion: Completion, response: &mut Response) {
+pub(super) fn write(completion: Completion, response: &mut salvo::http::Response) {
     if let Completion::Answered {
         status,
         content_type,
--- a/crates/cranberrygap-entry/src/core.rs
+++ b/crates/cranberrygap-entry/src/core.rs
@@ -16,7 +16,7 @@
 use crate::announce;
 use crate::control;
 use crate::dial;
-use crate::gateway;
+use crate::gateway::{self, pool};
 use crate::outbox;
 use crate::quarantine;
 use crate::queue;
@@ -51,6 +51,8 @@
     pub(crate) origins: gateway::Origins,
     /// Opens connections to the endpoints of the traffic plan's services.
     pub(crate) dialer: Arc<dyn dial::Dial>,
+    /// Idle connections to the endpoints of plain services.
+    pub(crate) service_connections: pool::Pool,
     pub(crate) reach: reach::Reach,
     pub(crate) startup: startup::Startup,
     /// Budget of requests that are sent to endpoints once more.
--- a/crates/cranberrygap-entry/src/engine.rs
+++ b/crates/cranberrygap-entry/src/engine.rs
@@ -11,7 +11,7 @@
 use crate::upstream;
 
 pub(crate) use attempt::Attempt;
-pub(crate) use delivery::{Delivery, evidence_of};
+pub(crate) use delivery::{Delivery, record_defect};
 
 /// Header with the id of one attempt. An engine that echoes it shows that the response
 /// belongs to the request.
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -6,6 +6,7 @@
 use cranberrygap_policy::outcome::{Evidence, Outcome};
 use cranberrygap_policy::resend::scope;
 use cranberrygap_policy::retry;
+use cranberrygap_response::defect::Defect;
 use cranberrygap_routing::origin;
 use cranberrygap_trace::note;
 use salvo::http::{StatusCode, header};
@@ -303,8 +304,10 @@
         let response = match tokio::time::timeout(timeout.to_std(), call).await {
             Err(_elapsed) => return Err((Evidence::Silence, attempt)),
             Ok(Err(cause)) => {
-                let evidence = evidence_of(&self.core, attempt.about(), &cause);
-                return Err((evidence, attempt));
+                if let upstream::Error::Malformed(defect) = cause {
+                    record_defect(&self.core, attempt.about(), defect);
+                }
+                return Err((evidence_of(&cause), attempt));
             }
             Ok(Ok(response)) => response,
         };
@@ -325,19 +328,17 @@
     }
 }
 
-/// What the lack of a response proves. A response that is not believed is noted.
-pub(crate) fn evidence_of(
-    core: &core::Core,
-    about: &note::About,
-    cause: &upstream::Error,
-) -> Evidence {
+/// Counts and notes a response that is not believed.
+pub(crate) fn record_defect(core: &core::Core, about: &note::About, defect: Defect) {
+    core.count(metric::MALFORMED_RESPONSES, defect.as_str());
+    core.trace.note(about, "malformed", defect, &[]);
+}
+
+/// What the lack of a response proves.
+fn evidence_of(cause: &upstream::Error) -> Evidence {
     let cause = match cause {
         upstream::Error::Http(cause) => cause,
-        upstream::Error::Malformed(defect) => {
-            core.count(metric::MALFORMED_RESPONSES, defect.as_str());
-            core.trace.note(about, "malformed", defect, &[]);
-            return Evidence::CutAnswer;
-        }
+        upstream::Error::Malformed(_) => return Evidence::CutAnswer,
     };
     if cause.is_connect() {
         return Evidence::ConnectFailed;
--- a/crates/cranberrygap-entry/src/process.rs
+++ b/crates/cranberrygap-entry/src/process.rs
@@ -6,6 +6,7 @@
 
 use cadence::StatsdClient;
 use cranberrygap_link::clock;
+use cranberrygap_link::traffic::Kind;
 use cranberrygap_link::{credential, server as link_server};
 use cranberrygap_model::{address, duration, number};
 use cranberrygap_wire::settings;
@@ -17,11 +18,12 @@
 use crate::admin;
 use crate::admission;
 use crate::announce;
+use crate::caller::services;
 use crate::control;
 use crate::core;
 use crate::dial;
 use crate::discovery;
-use crate::gateway::{self, dialect};
+use crate::gateway::{self, dialect, pool};
 use crate::load;
 use crate::outbox;
 use crate::quarantine;
@@ -160,6 +162,7 @@
             tokio::spawn(report_drains(Arc::clone(&core))),
             tokio::spawn(traffic::report(Arc::clone(&core))),
             tokio::spawn(Arc::clone(&core).watch_stalls()),
+            tokio::spawn(services::sweep_connections(Arc::clone(&core))),
         ];
         if gateway.is_none() {
             // The load of a traffic plan's endpoints is estimated from the requests sent.
@@ -391,6 +394,11 @@
         lending_address: lending,
         router: Arc::new(route::least_loaded::Router::new(rand::random())),
         dialer: Arc::new(dial::Tcp),
+        service_connections: pool::Pool::new(
+            Arc::new(dial::Tcp),
+            Arc::clone(&traffic),
+            Kind::Endpoints,
+        ),
         reach: reach::Reach::default(),
         startup: startup::Startup::default(),
         resends: resends::Resends::default(),
--- a/crates/cranberrygap-entry/src/upstream.rs
+++ b/crates/cranberrygap-entry/src/upstream.rs
@@ -1,4 +1,4 @@
-//! HTTP clients for requests to endpoints.
+//! HTTP clients for requests to engines.
 
 use std::time::Duration;
 
@@ -117,11 +117,8 @@
         &self.pooled
     }
 
-    /// Client that opens a connection for each request, for bookings, retries and
-    /// liveness checks.
-    ///
-    /// A reused connection may be dead without an error, and the outcome of a booking sent
-    /// over it would be unknown.
+    /// Client that opens a connection for each request, for retries: after a failure, the
+    /// pooled connections may be dead as well.
     pub(crate) fn unpooled(&self) -> &reqwest::Client {
         &self.unpooled
     }
--- a/crates/cranberrygap/tests/requests_heads.rs
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -91,6 +91,56 @@
     }
 }
 
+// A length that is too small cuts the answer to a booking, and the claim kept what was left of it for
+// each later call with its key. A refusal that goes on after its end is not believed either.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_answered_with_more_than_its_length_is_unknown() {
+    let (fleet, caller, service) = serving_fleet().await;
+    let refusal = r#"{"outcome":"not_run"}"#;
+    let answers = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"seat\":4}".to_owned(),
+        format!("HTTP/1.1 503 Full\r\nContent-Length: 21\r\n\r\n{refusal}, not"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n{CHUNKED}"),
+    ];
+
+    for (number, answer) in answers.iter().enumerate() {
+        service.respond(answer);
+        let key = format!("length-{number}");
+        let (_, body) = book(&caller, fleet.entries[0].callers, &key).await;
+        assert_eq!(code(&body), "booking_unknown", "{answer:?}: {body}");
+    }
+}
+
+// The rest of a torn line end became the begin of the answer to a booking.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_answered_with_a_torn_line_end_is_unknown() {
+    let (fleet, caller, service) = serving_fleet().await;
+    service.respond("HTTP/1.1 200 OK\r\nConnection: close\r\n\n\nseat 4");
+
+    let (_, body) = book(&caller, fleet.entries[0].callers, "torn").await;
+
+    assert_eq!(code(&body), "booking_unknown", "{body}");
+}
+
+// A call that may be repeated is sent again, and fails if no answer is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_answered_with_more_than_its_length_fails() {
+    let (fleet, caller, service) = serving_fleet().await;
+    let exception = format!(
+        "[exception service {}]\n reason = lookups only read\n idempotent = GET /lookup/*\n",
+        raw::SERVICE
+    );
+    let revision = fleet.apply(&exception).await;
+    fleet.in_force(revision).await;
+    service.respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"seat\":4}");
+
+    let path = format!("/services/{}/lookup/1", raw::SERVICE);
+    let answer = caller.get(fleet.entries[0].callers, &path).await.unwrap();
+
+    let body = answer.text().await.unwrap();
+    assert_eq!(code(&body), "endpoint_failed", "{body}");
+}
+
 // Operators have to see that responses are refused, and why.
 #[tokio::test(flavor = "multi_thread")]
 async fn responses_that_are_not_believed_are_counted() {
