Show that lookups outlive the connections that a service closes

A service that closes each connection after its response, without saying so, must not make the next lookup fail: 50 lookups in a row are answered. exchange::exchange is exchange::run, and the tests of lookups share their configuration.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -347,15 +347,8 @@
             return completion::Completion::Failed(Evidence::NeverDispatched);
         };
         let connections = &self.core.service_connections;
-        let time_limit = call.deadline.to_std();
-        let exchanging = exchange::exchange(
-            connections,
-            destination.address,
-            &request,
-            reuse,
-            time_limit,
-        );
-        match exchanging.await {
+        let (address, time_limit) = (destination.address, call.deadline.to_std());
+        match exchange::run(connections, address, &request, reuse, time_limit).await {
             Ok(response) => completion::from_response(response),
             Err(exchange::Error::Failed(evidence)) => completion::Completion::Failed(evidence),
             Err(exchange::Error::Malformed(defect)) => {
--- a/crates/cranberrygap-entry/src/caller/services/exchange.rs
+++ b/crates/cranberrygap-entry/src/caller/services/exchange.rs
@@ -36,7 +36,7 @@
 }
 
 /// Sends a call and reads its whole response, within `time_limit`.
-pub(super) async fn exchange(
+pub(super) async fn run(
     connections: &pool::Pool,
     address: address::Socket,
     request: &Request<Full<Bytes>>,
--- a/crates/cranberrygap/tests/requests_heads.rs
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -46,6 +46,23 @@
     (answer.status().as_u16(), answer.text().await.unwrap())
 }
 
+/// Lets calls of the service be sent again.
+async fn allow_lookups(fleet: &fleet::Fleet) {
+    let exception = format!(
+        "[exception service {}]\n reason = lookups only read\n idempotent = GET /lookup/*\n",
+        raw::SERVICE
+    );
+    let revision = fleet.apply(&exception).await;
+    fleet.in_force(revision).await;
+}
+
+/// The status and body of a lookup's answer.
+async fn look_up(caller: &caller::Caller, entry: address::Socket) -> (u16, String) {
+    let path = format!("/services/{}/lookup/1", raw::SERVICE);
+    let answer = caller.get(entry, &path).await.unwrap();
+    (answer.status().as_u16(), answer.text().await.unwrap())
+}
+
 /// The code of a failure.
 fn code(body: &str) -> String {
     let body: Value = serde_json::from_str(body).unwrap_or_default();
@@ -126,21 +143,27 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lookup_answered_with_more_than_its_length_fails() {
     let (fleet, caller, service) = serving_fleet().await;
-    let exception = format!(
-        "[exception service {}]\n reason = lookups only read\n idempotent = GET /lookup/*\n",
-        raw::SERVICE
-    );
-    let revision = fleet.apply(&exception).await;
-    fleet.in_force(revision).await;
+    allow_lookups(&fleet).await;
     service.respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"seat\":4}");
 
-    let path = format!("/services/{}/lookup/1", raw::SERVICE);
-    let answer = caller.get(fleet.entries[0].callers, &path).await.unwrap();
+    let (_, body) = look_up(&caller, fleet.entries[0].callers).await;
 
-    let body = answer.text().await.unwrap();
     assert_eq!(code(&body), "endpoint_failed", "{body}");
 }
 
+// An entry that keeps the connection of an answer finds it closed at the next call.
+#[tokio::test(flavor = "multi_thread")]
+async fn lookups_at_a_service_that_closes_connections_are_answered() {
+    let (fleet, caller, service) = serving_fleet().await;
+    allow_lookups(&fleet).await;
+    service.respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+
+    for number in 0..50 {
+        let answer = look_up(&caller, fleet.entries[0].callers).await;
+        assert_eq!(answer, (200, "ok".to_owned()), "lookup {number}");
+    }
+}
+
 // Operators have to see that responses are refused, and why.
 #[tokio::test(flavor = "multi_thread")]
 async fn responses_that_are_not_believed_are_counted() {
