Read the stream whose metrics a test waits for

The metrics first_token and tokens were missing.

Cause: the test takes the head of a stream for a served request and drops the stream once a booking is answered. If that is before the first token, the entry ends the stream and rightly counts no token, and nothing in the test asks for another one.

--- a/crates/cranberrygap/tests/secrets.rs
+++ b/crates/cranberrygap/tests/secrets.rs
@@ -54,6 +54,15 @@
     text
 }
 
+/// Whether an answer is a success and all of it arrives. A stream that is dropped earlier may end
+/// before its first token, and the entry then has none to count.
+async fn is_read(answer: reqwest::Result<reqwest::Response>) -> bool {
+    let Ok(answer) = answer else {
+        return false;
+    };
+    answer.status().is_success() && answer.bytes().await.is_ok()
+}
+
 /// Books a draw with the secret in a header that is passed on.
 async fn marked(entry: address::Socket, secret: &str, header: &str) -> reqwest::Response {
     let request = reqwest::Client::new().post(format!("http://{entry}/services/draws/draws"));
@@ -116,10 +125,7 @@
     wait::until("served", async || {
         let chat = caller.chat(entry, MODEL, "hello", true).await;
         let draw = caller.draw(entry, "draw-1", 40).await;
-        let served = |answer: reqwest::Result<reqwest::Response>| {
-            answer.is_ok_and(|answer| answer.status().is_success())
-        };
-        served(chat) && served(draw)
+        is_read(chat).await && is_read(draw).await
     })
     .await;
 
