Read the bodies of the control process in one place

The check of a head was added to two copies of one loop: the store's list and the answers of endpoints are read by the same lines up to their limits. body::read serves both. Messages of errors and limits are as before; no behaviour is meant to change.

upstream::Response::read_body of the entry stays: a reader for both crates would have to live below them, with an HTTP client of its own.

--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod state_machine;
 pub mod transport;
 
+mod body;
 mod boots;
 mod evacuation;
 mod operators;
--- a/crates/cranberrygap-control/src/orders/endpoint_client.rs
+++ b/crates/cranberrygap-control/src/orders/endpoint_client.rs
@@ -6,10 +6,11 @@
 
 use cranberrygap_model::address;
 use cranberrygap_response::defect::Defect;
-use cranberrygap_response::head;
 use cranberrygap_wire::endpoint;
 use futures_util::future::BoxFuture;
 
+use crate::body;
+
 /// Timeout of one call. An endpoint that takes longer is asked again, and its late answer is
 /// ignored.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -99,18 +100,6 @@
 }
 
 async fn read_body(response: reqwest::Response) -> Result<Vec<u8>, Error> {
-    head::Head::check(
-        response.status(),
-        response.headers(),
-        response.content_length(),
-    )?;
-    let mut response = response.error_for_status()?;
-    let mut body = Vec::new();
-    while let Some(chunk) = response.chunk().await? {
-        body.extend_from_slice(&chunk);
-        if body.len() > MAX_RESPONSE_BYTES {
-            return Err(Error::TooLarge);
-        }
-    }
-    Ok(body)
+    let body = body::read::<Error>(response, MAX_RESPONSE_BYTES).await?;
+    body.ok_or(Error::TooLarge)
 }
--- a/crates/cranberrygap-control/src/store.rs
+++ b/crates/cranberrygap-control/src/store.rs
@@ -4,9 +4,10 @@
 
 use cranberrygap_model::address;
 use cranberrygap_response::defect::Defect;
-use cranberrygap_response::head;
 use cranberrygap_wire::endpoint;
 
+use crate::body;
+
 /// Timeout of one request.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -48,19 +49,8 @@
 
     pub(crate) async fn list_models(&self) -> Result<Vec<endpoint::Weights>, Error> {
         let response = self.http.get(&self.url).send().await?;
-        head::Head::check(
-            response.status(),
-            response.headers(),
-            response.content_length(),
-        )?;
-        let mut response = response.error_for_status()?;
-        let mut body = Vec::new();
-        while let Some(chunk) = response.chunk().await? {
-            body.extend_from_slice(&chunk);
-            if body.len() > MAX_LIST_BYTES {
-                return Err(Error::TooLarge);
-            }
-        }
+        let body = body::read::<Error>(response, MAX_LIST_BYTES).await?;
+        let body = body.ok_or(Error::TooLarge)?;
         let listing: endpoint::Listing = serde_json::from_slice(&body)?;
         Ok(listing.models)
     }
