Share one handle between a connection and its driver

A connection and the task that drives it shared two handles, the budget of a head and the congestion of writes; Monitor is both. Each of three callers read the idle timeout of a response after Connection::send, which reads it now. No behaviour is meant to change.

--- a/crates/cranberrygap-entry/src/caller/services.rs
+++ b/crates/cranberrygap-entry/src/caller/services.rs
@@ -4,7 +4,6 @@
 mod exchange;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cranberrygap_model::{address, duration, id, token};
@@ -23,6 +22,7 @@
 use crate::booking;
 use crate::core;
 use crate::engine;
+use crate::gateway::pool;
 use crate::refusal::Refusal;
 use crate::resends;
 use crate::route;
@@ -39,9 +39,6 @@
 /// Retry delay that callers are given when no endpoint can take the call.
 const NO_ENDPOINT_RETRY_AFTER: duration::Span = duration::Span::from_secs(1);
 
-/// Time between two sweeps that close expired idle connections.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Handler that forwards calls to plain services.
 #[derive(Debug)]
 pub(crate) struct Services {
@@ -363,7 +360,7 @@
 /// Closes idle connections to services that have expired.
 pub(crate) async fn sweep_connections(core: Arc<core::Core>) {
     loop {
-        tokio::time::sleep(SWEEP_INTERVAL).await;
+        tokio::time::sleep(pool::SWEEP_INTERVAL).await;
         core.service_connections.close_expired();
     }
 }
--- a/crates/cranberrygap-entry/src/caller/services/exchange.rs
+++ b/crates/cranberrygap-entry/src/caller/services/exchange.rs
@@ -74,10 +74,7 @@
             connection.send(request.clone()).await
         };
         match sent {
-            Ok(received) => {
-                connection.read_idle_timeout(received.response.headers());
-                return Ok((connection, received));
-            }
+            Ok(received) => return Ok((connection, received)),
             // The endpoint closed an idle connection; nothing of the request arrived.
             Err(endpoint_connection::Error::NotSent) if connection.is_reused() => {
                 let opened = connections.open(address).await;
--- a/crates/cranberrygap-entry/src/gateway/delivery/send.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery/send.rs
@@ -236,10 +236,7 @@
             software: target.destination.software.clone(),
         });
         let endpoint_connection::Received { response, framing } = match result {
-            Ok(Ok(received)) => {
-                connection.read_idle_timeout(received.response.headers());
-                received
-            }
+            Ok(Ok(received)) => received,
             Ok(Err(failed)) => {
                 in_flight.record_break();
                 self.mark_permit_used();
--- a/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
+++ b/crates/cranberrygap-entry/src/gateway/endpoint_connection.rs
@@ -44,8 +44,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Ends with the bytes that were received and belong to no response.
     driver: tokio::task::JoinHandle<Bytes>,
-    head: head_limit::Budget,
-    congestion: head_limit::Congestion,
+    monitor: head_limit::Monitor,
     address: address::Socket,
     is_reused: bool,
     /// Whether the last request asked for the head of its response alone.
@@ -89,10 +88,9 @@
         let stream = time::timeout(CONNECT_TIMEOUT, connecting).await;
         let stream = stream.map_err(|_elapsed| std::io::ErrorKind::TimedOut)??;
         configure_socket(&stream)?;
-        let head = head_limit::Budget::default();
-        head.begin();
-        let congestion = head_limit::Congestion::default();
-        let limited = head_limit::Limited::new(stream, head.clone(), congestion.clone(), counter);
+        let monitor = head_limit::Monitor::default();
+        monitor.begin_head();
+        let limited = head_limit::Limited::new(stream, monitor.clone(), counter);
         let io = TokioIo::new(limited);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
@@ -108,8 +106,7 @@
         Ok(Self {
             sender,
             driver,
-            head,
-            congestion,
+            monitor,
             address,
             is_reused: false,
             is_head_only: false,
@@ -132,15 +129,17 @@
             return Err(Error::NotSent);
         }
         self.is_head_only = request.method() == Method::HEAD;
-        self.head.begin();
+        self.monitor.begin_head();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.head.end();
-                receive(response)
+                self.monitor.end_head();
+                let received = receive(response)?;
+                self.read_idle_timeout(received.response.headers());
+                Ok(received)
             }
             Err(mut failed) => match failed.take_message() {
                 Some(_unsent) => Err(Error::NotSent),
-                None if self.head.is_torn() => Err(Error::Malformed(Defect::LineEnds)),
+                None if self.monitor.is_torn() => Err(Error::Malformed(Defect::LineEnds)),
                 None => Err(Error::Unknown),
             },
         }
@@ -153,7 +152,7 @@
     pub(crate) async fn has_ended_response(&mut self) -> bool {
         // Endpoints may send the body although only the head was asked for. One that responds before
         // it has read the whole request keeps the HTTP library from looking at what follows.
-        if self.is_head_only || self.congestion.is_present() {
+        if self.is_head_only || self.monitor.is_congested() {
             return true;
         }
         let look = async {
@@ -167,7 +166,7 @@
     }
 
     /// Reads how long the endpoint keeps the connection open without a request.
-    pub(crate) fn read_idle_timeout(&mut self, headers: &HeaderMap) {
+    fn read_idle_timeout(&mut self, headers: &HeaderMap) {
         let value = headers.get("keep-alive");
         let value = value.and_then(|value| value.to_str().ok());
         let timeout = value.and_then(|text| {
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -218,7 +218,6 @@
         _ => {}
     }
     drain::record_mark(gateway, response.headers());
-    connection.read_idle_timeout(response.headers());
     let (head, body) = response.into_parts();
     let sent = body.size_hint().exact();
     let relay = Relay {
--- a/crates/cranberrygap-entry/src/gateway/head_limit.rs
+++ b/crates/cranberrygap-entry/src/gateway/head_limit.rs
@@ -16,21 +16,20 @@
 /// Bytes up to the end of a head, interim responses included. Heads have about one kilobyte.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Bytes that a connection may still read before a head.
+/// What the owner of a connection and its driver tell each other.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Budget(Arc<State>);
+pub(super) struct Monitor(Arc<State>);
 
 #[derive(Debug, Default)]
 struct State {
+    /// Bytes that may still be read before a head.
     left: AtomicUsize,
     /// Whether a head was torn.
     is_torn: AtomicBool,
+    /// Whether the kernel has no room for what is written.
+    is_congested: AtomicBool,
 }
 
-/// Whether the kernel has no room for what a connection writes.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Congestion(Arc<AtomicBool>);
-
 /// Counts the bytes of one connection.
 #[derive(Debug)]
 pub(crate) struct Counter {
@@ -42,27 +41,19 @@
 #[derive(Debug)]
 pub(super) struct Limited {
     stream: TcpStream,
-    budget: Budget,
-    congestion: Congestion,
+    monitor: Monitor,
     counter: Counter,
     line_ends: line_ends::Scanner,
 }
 
-impl Congestion {
-    /// Whether the last write had to wait.
-    pub(super) fn is_present(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
-}
-
-impl Budget {
+impl Monitor {
     /// Awaits a head from now on.
-    pub(super) fn begin(&self) {
+    pub(super) fn begin_head(&self) {
         self.0.left.store(MAX_HEAD_BYTES, Ordering::Release);
     }
 
     /// Lifts the limit, since the head has arrived.
-    pub(super) fn end(&self) {
+    pub(super) fn end_head(&self) {
         self.0.left.store(usize::MAX, Ordering::Release);
     }
 
@@ -70,19 +61,18 @@
     pub(super) fn is_torn(&self) -> bool {
         self.0.is_torn.load(Ordering::Acquire)
     }
+
+    /// Whether the last write had to wait.
+    pub(super) fn is_congested(&self) -> bool {
+        self.0.is_congested.load(Ordering::Acquire)
+    }
 }
 
 impl Limited {
-    pub(super) fn new(
-        stream: TcpStream,
-        budget: Budget,
-        congestion: Congestion,
-        counter: Counter,
-    ) -> Self {
+    pub(super) fn new(stream: TcpStream, monitor: Monitor, counter: Counter) -> Self {
         Self {
             stream,
-            budget,
-            congestion,
+            monitor,
             counter,
             line_ends: line_ends::Scanner::default(),
         }
@@ -97,15 +87,14 @@
         self.line_ends.read(bytes);
         let is_torn = self.line_ends.is_torn();
         if is_torn {
-            self.budget.0.is_torn.store(true, Ordering::Release);
+            self.monitor.0.is_torn.store(true, Ordering::Release);
         }
         is_torn
     }
 
     fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.congestion
-            .0
-            .store(written.is_pending(), Ordering::Release);
+        let is_congested = &self.monitor.0.is_congested;
+        is_congested.store(written.is_pending(), Ordering::Release);
         if let Poll::Ready(Ok(bytes)) = &written {
             self.counter.flow.record_sent(self.counter.kind, *bytes);
         }
@@ -119,7 +108,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.budget.0.left.load(Ordering::Acquire);
+        let left = self.monitor.0.left.load(Ordering::Acquire);
         if left == 0 {
             let message = "the head of the response does not end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -136,7 +125,7 @@
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
         // The limit may be lifted by another thread meanwhile, and must not come back then.
-        let _lifted = self.budget.0.left.compare_exchange(
+        let _lifted = self.monitor.0.left.compare_exchange(
             left,
             left.saturating_sub(read),
             Ordering::AcqRel,
--- a/crates/cranberrygap-entry/src/gateway/listener.rs
+++ b/crates/cranberrygap-entry/src/gateway/listener.rs
@@ -11,14 +11,11 @@
 
 use crate::server::socket;
 
-use super::{Gateway, caller_connection};
+use super::{Gateway, caller_connection, pool};
 
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Time between two sweeps that close expired idle connections to endpoints.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Connections of callers; file descriptors must remain for endpoints.
 const MAX_CONNECTIONS: usize = 2_200;
 
@@ -111,7 +108,7 @@
 
 async fn sweep_pool(gateway: Arc<Gateway>) {
     loop {
-        time::sleep(SWEEP_INTERVAL).await;
+        time::sleep(pool::SWEEP_INTERVAL).await;
         gateway.pool.close_expired();
         gateway.peers.pool.close_expired();
         log_ended_rests(&gateway);
--- a/crates/cranberrygap-entry/src/gateway/pool.rs
+++ b/crates/cranberrygap-entry/src/gateway/pool.rs
@@ -21,6 +21,9 @@
 /// Time that a connection stays idle before any other request.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
+/// Time between two sweeps that close expired connections.
+pub(crate) const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Idle connections for one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
