Tell the size of a refused change, and when a plan is committed and in force

The log of the leader has one line of it, at 3.264 s: "the change is larger than 524288 bytes". It does not say by how much, and for a change that is accepted it does not say how long the commit took and how long the wait for all entries.

Three hypotheses were open: the log refuses the change by its size; it is committed, and entries do not confirm it in time; encoding it costs the leader its lease. The line above is in favour of the first one, and nothing could be said on what comes after it.

Change: the refusal names the size and the limit. A plan is logged with its routes and the size of its text when it arrives, and with the time since then when it is committed and when it is in force.

--- a/crates/cranberrygap-agreement/src/node/leader.rs
+++ b/crates/cranberrygap-agreement/src/node/leader.rs
@@ -136,8 +136,9 @@
     fn check_proposals(&self, payloads: &[Bytes]) -> Result<(), output::Refusal> {
         let leader = self.active_leader()?;
         let limit = self.limits.proposal_bytes;
-        if payloads.iter().any(|payload| payload.len() > limit) {
-            return Err(output::Refusal::TooLarge { limit });
+        let largest = payloads.iter().map(Bytes::len).max();
+        if let Some(size) = largest.filter(|size| *size > limit) {
+            return Err(output::Refusal::TooLarge { size, limit });
         }
         let size: usize = payloads.iter().map(Bytes::len).sum();
         if leader.uncommitted_bytes + size > self.limits.uncommitted_bytes {
--- a/crates/cranberrygap-agreement/src/output.rs
+++ b/crates/cranberrygap-agreement/src/output.rs
@@ -17,8 +17,10 @@
     #[error("leadership is being handed over")]
     Transferring,
     /// A proposal is larger than allowed.
-    #[error("the proposal is larger than {limit} bytes")]
+    #[error("the proposal has {size} bytes, the largest has {limit}")]
     TooLarge {
+        /// Size of the proposal, in bytes.
+        size: usize,
         /// Largest proposal, in bytes.
         limit: usize,
     },
--- a/crates/cranberrygap-control/src/log.rs
+++ b/crates/cranberrygap-control/src/log.rs
@@ -20,8 +20,10 @@
     #[error("too many changes are waiting to be committed")]
     Full,
     /// The proposal is too large and was not accepted.
-    #[error("the change is larger than {limit} bytes")]
+    #[error("the change has {size} bytes, the largest has {limit}")]
     TooLarge {
+        /// Size of the proposal, in bytes.
+        size: usize,
         /// Largest proposal, in bytes.
         limit: usize,
     },
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -3,6 +3,7 @@
 //! An adapter parses a call of its own protocol, uses this interface, and writes the response.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use cranberrygap_link::server;
 use cranberrygap_model::{address, id, number};
@@ -59,12 +60,22 @@
             // The plan is already committed, or replaced by one with a higher version.
             return self.wait_until_in_force().await;
         }
+        let begun = Instant::now();
+        spdlog::info!(
+            "traffic: plan {version} has {} routes, its text {} bytes",
+            plan.routes.len(),
+            source.len()
+        );
         let step = state::Step { plan, source };
         let command = command::Command::Traffic(Box::new(step));
         let outcome = self.context.proposer.propose(command).await;
         outcome.map(drop).map_err(|fault| to_refusal(&fault))?;
-        spdlog::info!("traffic: plan {version} is committed");
-        self.wait_until_in_force().await
+        let committed = begun.elapsed().as_millis();
+        spdlog::info!("traffic: plan {version} is committed after {committed} ms");
+        self.wait_until_in_force().await?;
+        let in_force = begun.elapsed().as_millis();
+        spdlog::info!("traffic: plan {version} is in force after {in_force} ms");
+        Ok(())
     }
 
     /// Waits until everything committed by now is in force at all entries.
--- a/crates/cranberrygap-control/src/replica.rs
+++ b/crates/cranberrygap-control/src/replica.rs
@@ -232,6 +232,7 @@
     async fn propose_payload(&self, payload: Bytes) -> Result<log::Committed, log::Error> {
         if payload.len() > self.max_proposal_bytes {
             return Err(log::Error::TooLarge {
+                size: payload.len(),
                 limit: self.max_proposal_bytes,
             });
         }
--- a/crates/cranberrygap-control/src/replica/task/membership.rs
+++ b/crates/cranberrygap-control/src/replica/task/membership.rs
@@ -31,7 +31,10 @@
     pub(super) fn to_log_error(&self, refusal: &output::Refusal) -> log::Error {
         match refusal {
             output::Refusal::Full => log::Error::Full,
-            output::Refusal::TooLarge { limit } => log::Error::TooLarge { limit: *limit },
+            output::Refusal::TooLarge { size, limit } => log::Error::TooLarge {
+                size: *size,
+                limit: *limit,
+            },
             output::Refusal::NotLeader { leader } => log::Error::NotLeader {
                 leader: leader.and_then(|id| self.peer_of(id)),
             },
