Commit changes of the traffic plan in parts

Cause: a change of the plan was one entry of the log with the whole plan and the whole text, both as JSON, so its size and work grew with the configuration and nothing bounded them but the log's refusal of 512 KiB.

Change: - The leader works out what differs from the plan in force, and what differs in the text, in a thread of its own, and commits it as parts of about 32 KiB, one after the other. They are kept apart in the state and at the entries. The last one puts all in force at once, if the plan is still the one that the change starts from; else the change is made anew. Part 0 replaces what a dead leader left. An item above a part (an engine with thousands of models) travels as fragments of its JSON. Proposals of 4 KiB and more are compressed once, in place of once for each message that carries them. - Publication goes on when its caller has gone, so that a caller that repeats its call finds the change further on. While one plan is committed, the one with the highest version waits; those in between are answered with it. - Differences and merges look names up in hash tables: linear in place of quadratic, also for the whole plans of earlier versions of the program. Routes are told apart by host and prefix, as their names are for people. - Whether streams may have begun where a route led before is decided from what changed. A longer route that was there before no longer counts as a move. - A process that does not lead no longer reads the body before it redirects.

Why it works: no step of any process is longer than a part, so leases, heartbeats and other changes wait for one part at most. What still grows with the plan, linearly, is reading the body and making the difference at the leader (in a thread), and the merge when the change is put in force.

Groups of old and new programs: an old program cannot read the new commands, as with each new command before; entries go first, then control processes.

--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -154,6 +154,7 @@
         residencies: Vec::new(),
         lenders: Vec::new(),
         former_routes: Vec::new(),
+        staged: None,
         versions: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
--- a/crates/cranberrygap-bench/src/soak.rs
+++ b/crates/cranberrygap-bench/src/soak.rs
@@ -70,6 +70,7 @@
         Box::new(origins::Origins),
         Box::new(view::View::default()),
         Box::new(view::Minority),
+        Box::new(view::Plans::default()),
         Box::new(view::Quiet::default()),
         Box::new(demand::Demand::default()),
         Box::new(placement::Placement::new(placement::Variant::Sound)),
--- a/crates/cranberrygap-bench/src/soak/view.rs
+++ b/crates/cranberrygap-bench/src/soak/view.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod flaw;
 mod packet;
+mod plans;
 mod tally;
 mod trouble;
 mod world;
@@ -46,6 +47,29 @@
     }
 }
 
+/// Plans whose changes are committed in parts, whole or with a flaw.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Plans {
+    /// What is deliberately wrong, to show that the checks see it.
+    pub flaw: Flaw,
+}
+
+impl Part for Plans {
+    fn name(&self) -> &'static str {
+        "plans"
+    }
+
+    fn description(&self) -> &'static str {
+        "as view, and each change of the plan is committed in parts, between which leaders change \
+         and entries subscribe: nobody ever has a part of a plan in force"
+    }
+
+    /// A step is a hundredth of a second.
+    fn run(&self, seed: u64, steps: u64) -> Result<serde_json::Value, Violation> {
+        play(seed, steps, self.flaw, day::Day::PARTS)
+    }
+}
+
 /// Minorities that are cut off and miss changes, beside all other troubles.
 #[derive(Debug, Clone, Copy)]
 pub struct Minority;
--- a/crates/cranberrygap-bench/src/soak/view/checks.rs
+++ b/crates/cranberrygap-bench/src/soak/view/checks.rs
@@ -7,6 +7,7 @@
 
 use super::control::{Control, Pending};
 use super::packet::Place;
+use super::plans;
 use super::world::{SECOND, World};
 
 /// Endpoints of the fleet, and adapters that they load in turn.
@@ -25,6 +26,11 @@
 impl World {
     /// The operator sends a change to whoever leads.
     pub fn operate(&mut self) {
+        for place in 0..self.controls.len() {
+            if self.controls[place].frozen_until <= self.now {
+                self.go_on_with_publication(place);
+            }
+        }
         if self.now < self.next_change {
             return;
         }
@@ -35,7 +41,9 @@
             let clock = control.clock(now);
             control.frozen_until <= now
                 && running.is_some_and(|running| {
-                    running.node.may_grant(clock) && running.pending.len() < UNDER_WAY
+                    running.node.may_grant(clock)
+                        && running.pending.len() < UNDER_WAY
+                        && running.publication.is_none()
                 })
         };
         let Some(place) = self.controls.iter().position(leads) else {
@@ -43,6 +51,10 @@
         };
         self.version += 1;
         let version = self.version;
+        if self.day.parts {
+            self.begin_publication(place, version);
+            return;
+        }
         if let Some(running) = &mut self.controls[place].running {
             running.pending.push(Pending {
                 index: running.node.log().last().index.next(),
@@ -78,6 +90,10 @@
                 continue;
             }
             let version = entry.decides_by(self.now);
+            let plan = entry.plan(self.now).filter(|_| self.day.parts);
+            if let Some(mistake) = plan.as_ref().and_then(plans::mistake) {
+                return Err(format!("{mistake}, at entry {number}"));
+            }
             let before = entry.served;
             entry.served = before.max(version.unwrap_or(0));
             let sends = entry.poll(self.now, controls);
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -13,6 +13,7 @@
 
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
+use super::plans;
 
 /// What is on the disk.
 #[derive(Debug, Default)]
@@ -59,6 +60,8 @@
     pub office: Option<leadership::Leadership>,
     pub subscribers: Vec<Subscriber>,
     pub pending: Vec<Pending>,
+    /// Change that is being proposed in parts.
+    pub publication: Option<plans::Publication>,
     pub newcomers: BTreeMap<id::Instance, (formation::Hello, duration::Instant)>,
     pub since: BTreeMap<replica::Id, duration::Instant>,
     /// Heartbeats that wait until their sender is known.
@@ -123,6 +126,7 @@
             office: None,
             subscribers: Vec::new(),
             pending: Vec::new(),
+            publication: None,
             newcomers: BTreeMap::new(),
             since: BTreeMap::new(),
             confirms: Vec::new(),
--- a/crates/cranberrygap-bench/src/soak/view/day.rs
+++ b/crates/cranberrygap-bench/src/soak/view/day.rs
@@ -20,6 +20,8 @@
     pub changes: u64,
     /// Microseconds between two news of what an endpoint holds, if there are any.
     pub news: Option<u64>,
+    /// Whether changes of the plan are committed in parts.
+    pub parts: bool,
 }
 
 impl Day {
@@ -32,9 +34,16 @@
         minorities: false,
         changes: 33_000,
         news: None,
+        parts: false,
     };
 
-    /// The same, with minorities that miss changes.
+    /// The same, with plans whose changes are committed in parts.
+    pub const PARTS: Self = Self {
+        parts: true,
+        ..Self::TROUBLED
+    };
+
+    /// The same as the first, with minorities that miss changes.
     pub const MINORITIES: Self = Self {
         minorities: true,
         ..Self::TROUBLED
@@ -51,6 +60,7 @@
             minorities: false,
             changes: SECOND / 3,
             news: Some(20_000),
+            parts: false,
         }
     }
 }
--- a/crates/cranberrygap-bench/src/soak/view/duties.rs
+++ b/crates/cranberrygap-bench/src/soak/view/duties.rs
@@ -10,6 +10,7 @@
 use super::control::{Subscriber, Waiting};
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
+use super::plans;
 use super::world::{SECOND, STEP, World};
 
 /// Times of a control process's tasks.
@@ -234,6 +235,11 @@
         if running.office(clock, self.flaw).is_none() {
             return Ok(());
         }
+        if self.day.parts
+            && let Some(mistake) = plans::replica_mistake(&running.fleet.traffic)
+        {
+            return Err(format!("{mistake}, at control {place}"));
+        }
         let version = running.fleet.traffic.version().unwrap_or_default();
         if version < highest {
             return Err(format!(
--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -4,7 +4,7 @@
 use cranberrygap_entry::view::source;
 use cranberrygap_model::{duration, number};
 use cranberrygap_policy::leader_calls;
-use cranberrygap_wire::view;
+use cranberrygap_wire::{traffic, view};
 
 use super::flaw::Flaw;
 use super::packet::{Packet, Place};
@@ -263,4 +263,10 @@
         let current = self.holder.current(self.clock(now))?;
         Some(current.traffic().map_or(0, |table| table.plan().version))
     }
+
+    /// The plan that this entry decides by.
+    pub fn plan(&self, now: u64) -> Option<traffic::Plan> {
+        let current = self.holder.current(self.clock(now))?;
+        current.traffic().map(|table| table.plan().clone())
+    }
 }
--- a/crates/cranberrygap-bench/src/soak/view/flaw.rs
+++ b/crates/cranberrygap-bench/src/soak/view/flaw.rs
@@ -16,4 +16,6 @@
     EachRevisionBinds,
     /// Entries get leases however far their view is behind.
     LeaseWhileBehind,
+    /// A change in parts lacks one.
+    PartLeftOut,
 }
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -120,3 +120,28 @@
     let violation = violation.expect_err("a leader without time is caught");
     assert!(violation.invariant.starts_with("serving"), "{violation}");
 }
+
+// A leader dies between two parts of a change, or an entry subscribes there. What is in force must
+// be one whole plan everywhere, and its text the one that was sent.
+#[test]
+fn plan_that_is_committed_in_parts_is_in_force_whole_or_not_at_all() {
+    for seed in 1..=6 {
+        let outcome = view::Plans::default().run(seed, STEPS);
+
+        let tally = outcome.unwrap_or_else(|violation| panic!("{violation}"));
+        assert!(tally["acknowledged"].as_u64() > Some(50), "{tally}");
+    }
+}
+
+#[test]
+fn plan_that_lacks_a_part_is_caught() {
+    let flaw = view::Flaw::PartLeftOut;
+
+    let violation = view::Plans { flaw }.run(1, STEPS);
+
+    let violation = violation.expect_err("a plan without a part is caught");
+    assert!(
+        violation.invariant.starts_with("whole plans"),
+        "{violation}"
+    );
+}
--- a/crates/cranberrygap-control/src/delta.rs
+++ b/crates/cranberrygap-control/src/delta.rs
@@ -142,6 +142,8 @@
             Some(Key::Evacuation(domain.clone()))
         }
         view::Change::Amended { .. }
+        | view::Change::Staged { .. }
+        | view::Change::Adopted { .. }
         | view::Change::KeyIssued { .. }
         | view::Change::KeyWithdrawn { .. }
         | view::Change::EndpointRemoved { .. }
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -30,6 +30,7 @@
 mod orders;
 mod peers;
 mod permission;
+mod plans;
 mod throttle;
 
 mod reconciler;
--- a/crates/cranberrygap-control/src/peers.rs
+++ b/crates/cranberrygap-control/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::objections;
 use crate::orders;
 use crate::permission;
+use crate::plans;
 use crate::proposer;
 use crate::redirect;
 use crate::relay;
@@ -39,6 +40,7 @@
     pub(crate) detector: Arc<detector::Detector>,
     pub(crate) confirmation_handler: confirmation::Handler,
     pub(crate) evacuation_handler: evacuation::Handler,
+    pub(crate) plans: Arc<plans::Publisher>,
     pub(crate) shares: Arc<shares::Coordinator>,
     pub(crate) permissions: permission::Permissions,
     pub(crate) orders: Arc<orders::Coordinator>,
--- a/crates/cranberrygap-control/src/process.rs
+++ b/crates/cranberrygap-control/src/process.rs
@@ -20,6 +20,7 @@
 use crate::origins;
 use crate::peers;
 use crate::permission;
+use crate::plans;
 use crate::proposer;
 use crate::public;
 use crate::reconciler;
@@ -260,6 +261,7 @@
             proposer.clone(),
             settings.group.domains.iter().chain(own_domain),
         );
+        let plans = plans::Publisher::new(Arc::clone(&state), proposer.clone());
         let objections = objections::Recorder::new(Arc::clone(&state), metrics.clone());
         let context = peers::Context {
             state,
@@ -269,6 +271,7 @@
             detector,
             confirmation_handler: confirmations,
             evacuation_handler: evacuations,
+            plans: Arc::new(plans),
             shares: Arc::new(shares),
             permissions,
             orders: Arc::new(orders),
@@ -309,6 +312,7 @@
             tokio::spawn(Arc::clone(detector).run()),
             tokio::spawn(Arc::clone(&self.context.shares).run()),
             tokio::spawn(Arc::clone(&self.context.relay).run()),
+            tokio::spawn(Arc::clone(&self.context.plans).run()),
             tokio::spawn(
                 self.context
                     .metrics
--- a/crates/cranberrygap-control/src/proposer.rs
+++ b/crates/cranberrygap-control/src/proposer.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use cranberrygap_link::clock;
 use cranberrygap_link::server;
 use cranberrygap_model::address;
@@ -59,9 +58,8 @@
     ) -> Result<answer::Answer, server::Fault> {
         self.check_leads()?;
         let at = clock::unix_millis();
-        let proposal = command::Proposal { at, command };
-        let payload = serde_json::to_vec(&proposal).expect("commands have text keys only");
-        let committed = self.log.propose(Bytes::from(payload)).await;
+        let payload = replicated::encode(&command::Proposal { at, command });
+        let committed = self.log.propose(payload).await;
         let committed = committed.map_err(|cause| to_fault(&cause))?;
         match replicated::decode_answer(&committed.answer) {
             answer::Answer::Refused(reason) => Err(server::Fault::new(method::REFUSED, reason)),
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -51,7 +51,13 @@
     ///
     /// The plan has an error, or this process cannot commit it.
     pub async fn replace_plan(&self, plan: traffic::Plan, source: SmolStr) -> Result<(), Refusal> {
-        if let Some(error) = state::check(&plan).first() {
+        let check = move || (state::check(&plan).into_iter().next(), plan);
+        let checked = tokio::task::spawn_blocking(check).await;
+        let (error, plan) = checked.map_err(|cause| {
+            let message = format!("the plan could not be checked: {cause}");
+            Refusal::Unavailable(message.into())
+        })?;
+        if let Some(error) = error {
             return Err(Refusal::Invalid(SmolStr::new(error.to_string())));
         }
         let version = plan.version;
@@ -60,21 +66,12 @@
             // The plan is already committed, or replaced by one with a higher version.
             return self.wait_until_in_force().await;
         }
-        let begun = Instant::now();
-        spdlog::info!(
-            "traffic: plan {version} has {} routes, its text {} bytes",
-            plan.routes.len(),
-            source.len()
-        );
-        let step = state::Step { plan, source };
-        let command = command::Command::Traffic(Box::new(step));
-        let outcome = self.context.proposer.propose(command).await;
-        outcome.map(drop).map_err(|fault| to_refusal(&fault))?;
-        let committed = begun.elapsed().as_millis();
-        spdlog::info!("traffic: plan {version} is committed after {committed} ms");
+        let published = self.context.plans.publish(plan, source).await;
+        published.map_err(|fault| to_refusal(&fault))?;
+        let committed = Instant::now();
         self.wait_until_in_force().await?;
-        let in_force = begun.elapsed().as_millis();
-        spdlog::info!("traffic: plan {version} is in force after {in_force} ms");
+        let in_force = committed.elapsed().as_millis();
+        spdlog::info!("traffic: plan {version} is in force {in_force} ms after its commit");
         Ok(())
     }
 
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cranberrygap_link::compression;
 use cranberrygap_model::number;
 use cranberrygap_state::{answer, command, fleet};
 use cranberrygap_wire::view;
@@ -16,6 +17,23 @@
 /// Updates that a slow subscriber may be behind before it gets a new snapshot.
 const MAX_BUFFERED_UPDATES: usize = 1_024;
 
+/// Least size of a proposal that is compressed: once for all replicas and the disk, in place of
+/// once for each message that carries it.
+const MIN_PACKED_BYTES: usize = 4 << 10;
+
+/// Largest size of a proposal that is compressed. What is larger is for the log to refuse by its
+/// size, since applying it takes time by the size of its JSON.
+const MAX_PACKED_BYTES: usize = 512 << 10;
+
+/// Reason why a proposal of the log cannot be read.
+#[derive(Debug, thiserror::Error)]
+enum Malformed {
+    #[error("it cannot be decompressed: {0}")]
+    Content(#[from] std::io::Error),
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
 /// Update of the state.
 #[derive(Debug, Clone)]
 pub enum Update {
@@ -120,7 +138,7 @@
 
 impl State {
     fn apply_payload(&self, index: number::Index, payload: &[u8]) -> Bytes {
-        let answer = match serde_json::from_slice::<command::Proposal>(payload) {
+        let answer = match decode(payload) {
             Ok(proposal) => {
                 let subject = proposal.command.subject();
                 self.metrics.count(metric::STEPS, subject, 1);
@@ -145,6 +163,27 @@
     }
 }
 
+/// Encodes a proposal for the log.
+///
+/// # Panics
+///
+/// Never; commands have text keys only.
+#[must_use]
+pub fn encode(proposal: &command::Proposal) -> Bytes {
+    let json = serde_json::to_vec(proposal).expect("commands have text keys only");
+    let is_packed = (MIN_PACKED_BYTES..=MAX_PACKED_BYTES).contains(&json.len());
+    let packed = is_packed.then(|| compression::compress(&json)).flatten();
+    Bytes::from(packed.unwrap_or(json))
+}
+
+/// Decodes what [`encode`] returned.
+fn decode(payload: &[u8]) -> Result<command::Proposal, Malformed> {
+    if payload.first() == Some(&b'{') {
+        return Ok(serde_json::from_slice(payload)?);
+    }
+    Ok(serde_json::from_slice(&compression::decompress(payload)?)?)
+}
+
 /// Decodes the answer of [`state_machine::StateMachine::apply`].
 ///
 /// # Panics
--- a/crates/cranberrygap-entry/src/view.rs
+++ b/crates/cranberrygap-entry/src/view.rs
@@ -4,6 +4,7 @@
 mod recovery;
 mod snapshot;
 pub mod source;
+mod staged;
 mod status;
 pub mod traffic;
 
@@ -52,6 +53,9 @@
     /// A delta arrived before any snapshot.
     #[error("a delta came before a snapshot")]
     NoSnapshot,
+    /// A plan came into force before all of its parts arrived.
+    #[error("parts of a plan are missing")]
+    MissingParts,
     /// The frame is older than the revision that this entry holds.
     #[error("revision {offered} is older than {held}")]
     Older {
@@ -145,7 +149,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the frame is out of order; the subscription must then be restarted.
+    /// Fails when the frame is out of order or needs one that is missing; the subscription must then
+    /// be restarted.
     pub fn apply_frame(&self, frame: view::Frame) -> Result<(), Error> {
         let mut inner = self.inner.write();
         let held = inner.snapshot.as_ref().map(|snapshot| snapshot.revision());
@@ -158,7 +163,7 @@
             view::Frame::Delta { revision, changes } => {
                 let base = inner.snapshot.as_ref().ok_or(Error::NoSnapshot)?;
                 check_order(revision, base.revision())?;
-                base.with_changes(revision, changes)
+                base.with_changes(revision, changes)?
             }
         };
         inner.replace(Arc::new(next));
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{address, id, number};
-use cranberrygap_state::traffic::amendment;
-use cranberrygap_wire::{binding, configuration, endpoint, view};
+use cranberrygap_state::traffic::{amendment, part};
+use cranberrygap_wire::{binding, configuration, endpoint, traffic as wire, view};
 use smol_str::SmolStr;
 
-use super::traffic;
+use super::{Error, staged, traffic};
 
 /// Immutable view at one revision.
 ///
@@ -26,6 +26,7 @@
     quarantines: Arc<BTreeMap<SmolStr, view::Quarantine>>,
     workspaces: Arc<Vec<id::Workspace>>,
     traffic: Option<Arc<traffic::Table>>,
+    staged: Option<Arc<staged::Staged>>,
     residencies: Arc<BTreeMap<id::Endpoint, view::Residency>>,
     lenders: Arc<BTreeMap<id::Workspace, id::Instance>>,
     versions: Arc<Vec<view::Versions>>,
@@ -57,26 +58,65 @@
             traffic: state
                 .traffic
                 .map(|plan| Arc::new(traffic::Table::new(plan))),
+            staged: state.staged.map(|staged| Arc::new(staged.into())),
         }
     }
 
+    /// Returns the view after `changes`.
+    ///
+    /// # Errors
+    ///
+    /// A change needs an earlier one that is missing.
     pub(super) fn with_changes(
         &self,
         revision: number::Revision,
         changes: Vec<view::Change>,
-    ) -> Self {
+    ) -> Result<Self, Error> {
         let mut next = self.clone();
         next.revision = revision;
         if changes.iter().any(binding::is_binding) {
             next.binding_revision = revision;
         }
         for change in changes {
-            next.apply_change(change);
+            next.apply_change(change)?;
         }
-        next
+        Ok(next)
     }
 
-    fn apply_change(&mut self, change: view::Change) {
+    /// Keeps a part of the next plan.
+    fn stage(&mut self, stage: &wire::Stage, number: u32, part: wire::Part) -> Result<(), Error> {
+        if number == 0 {
+            self.staged = Some(Arc::new(staged::Staged::new(stage.clone())));
+        }
+        let staged = self.staged.as_mut();
+        let staged = staged.filter(|staged| staged.has_all_before(stage, number));
+        Arc::make_mut(staged.ok_or(Error::MissingParts)?).push(part);
+        Ok(())
+    }
+
+    /// Puts the plan in force whose parts are staged.
+    fn adopt(
+        &mut self,
+        stage: &wire::Stage,
+        parts: u32,
+        version: u64,
+        bounds: wire::Bounds,
+    ) -> Result<(), Error> {
+        let staged = self.staged.take();
+        let staged = staged.filter(|staged| staged.has_all_before(stage, parts));
+        let change = staged.ok_or(Error::MissingParts)?.joined();
+        let mut plan = match &self.traffic {
+            Some(table) => table.plan().clone(),
+            None => part::empty_plan(version, bounds.clone()),
+        };
+        plan.version = version;
+        plan.bounds = bounds;
+        part::apply(&mut plan, change);
+        self.traffic = Some(Arc::new(traffic::Table::new(plan)));
+        Ok(())
+    }
+
+    fn apply_change(&mut self, change: view::Change) -> Result<(), Error> {
         match change {
             view::Change::Configured { configuration } => {
                 self.configuration = Arc::new(configuration);
@@ -143,10 +183,22 @@
                     Arc::new(traffic::Table::new(plan))
                 });
             }
+            view::Change::Staged {
+                stage,
+                number,
+                part,
+            } => self.stage(&stage, number, part)?,
+            view::Change::Adopted {
+                stage,
+                parts,
+                version,
+                bounds,
+            } => self.adopt(&stage, parts, version, bounds)?,
             view::Change::WorkspaceAdded { workspace } => {
                 Arc::make_mut(&mut self.workspaces).push(workspace);
             }
         }
+        Ok(())
     }
 
     /// The revision of this view.
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -14,6 +14,7 @@
         lenders: Vec::new(),
         versions: Vec::new(),
         former_routes: Vec::new(),
+        staged: None,
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
@@ -318,3 +319,106 @@
     assert!(table.route("host.example", "/new/x").is_some());
     assert_eq!(holder.binding_revision(), number::Revision(3));
 }
+
+fn stage() -> traffic::Stage {
+    traffic::Stage {
+        term: number::Term(1),
+        version: 2,
+    }
+}
+
+fn staged(number: u32, prefix: &str) -> wire_view::Change {
+    wire_view::Change::Staged {
+        stage: stage(),
+        number,
+        part: traffic::Part {
+            routes: plan(2, prefix).routes,
+            ..traffic::Part::default()
+        },
+    }
+}
+
+fn adopted(parts: u32) -> wire_view::Change {
+    let next = plan(2, "/unused/");
+    wire_view::Change::Adopted {
+        stage: stage(),
+        parts,
+        version: next.version,
+        bounds: next.bounds,
+    }
+}
+
+fn leads(holder: &view::Holder, path: &str) -> bool {
+    let view = holder.latest().unwrap();
+    let table = view.traffic();
+    table.is_some_and(|table| table.route("host.example", path).is_some())
+}
+
+#[test]
+fn plan_in_parts_is_in_force_with_its_last_one() {
+    let holder = view::Holder::default();
+    holder.apply_frame(snapshot(1)).unwrap();
+    let first = wire_view::Change::Rerouted {
+        plan: plan(1, "/old/"),
+    };
+    holder.apply_frame(delta(2, vec![first])).unwrap();
+
+    holder
+        .apply_frame(delta(3, vec![staged(0, "/a/")]))
+        .unwrap();
+    holder
+        .apply_frame(delta(4, vec![staged(1, "/b/")]))
+        .unwrap();
+    let before = (leads(&holder, "/a/x"), holder.binding_revision());
+    holder.apply_frame(delta(5, vec![adopted(2)])).unwrap();
+
+    assert_eq!(before, (false, number::Revision(2)));
+    assert!(leads(&holder, "/old/x") && leads(&holder, "/a/x") && leads(&holder, "/b/x"));
+    assert_eq!(holder.binding_revision(), number::Revision(5));
+}
+
+// An entry subscribes between two parts. The parts before must come with the snapshot, or it would
+// serve without their routes.
+#[test]
+fn snapshot_between_two_parts_holds_the_first() {
+    let holder = view::Holder::default();
+    let mut state = state();
+    state.traffic = Some(plan(1, "/old/"));
+    state.staged = Some(wire_view::Staged {
+        stage: stage(),
+        parts: vec![traffic::Part {
+            routes: plan(2, "/a/").routes,
+            ..traffic::Part::default()
+        }],
+    });
+    let frame = wire_view::Frame::Snapshot {
+        revision: number::Revision(3),
+        state,
+    };
+    holder.apply_frame(frame).unwrap();
+
+    holder
+        .apply_frame(delta(4, vec![staged(1, "/b/"), adopted(2)]))
+        .unwrap();
+
+    assert!(leads(&holder, "/old/x") && leads(&holder, "/a/x") && leads(&holder, "/b/x"));
+}
+
+// Serving without the routes of a part that is missing would look like their removal.
+#[test]
+fn plan_with_a_missing_part_is_not_in_force() {
+    for changes in [
+        vec![staged(1, "/b/")],
+        vec![staged(0, "/a/"), adopted(2)],
+        vec![staged(0, "/a/"), staged(2, "/c/")],
+        vec![adopted(1)],
+    ] {
+        let holder = view::Holder::default();
+        holder.apply_frame(snapshot(1)).unwrap();
+
+        let applied = holder.apply_frame(delta(2, changes));
+
+        assert_eq!(applied, Err(view::Error::MissingParts));
+        assert_eq!(holder.revision(), number::Revision(1));
+    }
+}
--- a/crates/cranberrygap-state/src/answer.rs
+++ b/crates/cranberrygap-state/src/answer.rs
@@ -12,6 +12,8 @@
     Done,
     /// Nothing was changed, for this reason.
     Refused(SmolStr),
+    /// Nothing was changed, since the state is not the one that the command was made for.
+    Outdated,
     /// Answer to a configuration.
     Applied(operator::Applied),
     /// Answer to a new key.
--- a/crates/cranberrygap-state/src/audit_event.rs
+++ b/crates/cranberrygap-state/src/audit_event.rs
@@ -80,6 +80,13 @@
                 "traffic": step.plan.version, "text": full_hash(&step.source),
             }),
         ),
+        command::Command::TrafficAdoption(adoption) if !changes.is_empty() => (
+            "configuration",
+            SmolStr::new_static("operator"),
+            serde_json::json!({
+                "traffic": adoption.version, "text": adoption.text_hash,
+            }),
+        ),
         command::Command::Order(record) => (
             "order",
             SmolStr::new_static("leader"),
@@ -92,6 +99,8 @@
         | command::Command::Quarantine(_)
         | command::Command::Share(_)
         | command::Command::Traffic(_)
+        | command::Command::TrafficPart(_)
+        | command::Command::TrafficAdoption(_)
         | command::Command::FormerRoutes(_)
         | command::Command::Residency(_)
         | command::Command::Catalogue(_)
--- a/crates/cranberrygap-state/src/command.rs
+++ b/crates/cranberrygap-state/src/command.rs
@@ -49,8 +49,12 @@
     Lender(lender::Step),
     /// Orders to endpoints.
     Order(journal::Record),
-    /// A new traffic plan.
+    /// A new traffic plan as a whole, as earlier versions of the program propose it.
     Traffic(Box<traffic::Step>),
+    /// Part of a change of the traffic plan.
+    TrafficPart(Box<traffic::stage::Part>),
+    /// Last part of a change of the traffic plan, which puts it in force.
+    TrafficAdoption(Box<traffic::stage::Adoption>),
     /// Streams that began where routes led before the plan of this revision are over.
     FormerRoutes(number::Revision),
     /// Models and adapters that are being loaded or dropped at an endpoint.
@@ -82,6 +86,8 @@
             | Self::Order(_)
             | Self::Quarantine(_)
             | Self::Traffic(_)
+            | Self::TrafficPart(_)
+            | Self::TrafficAdoption(_)
             | Self::FormerRoutes(_)
             | Self::Residency(_)
             | Self::Share(_) => None,
@@ -103,7 +109,10 @@
             Self::Share(_) => "share",
             Self::Lender(_) => "lender",
             Self::Order(_) => "order",
-            Self::Traffic(_) | Self::FormerRoutes(_) => "traffic",
+            Self::Traffic(_)
+            | Self::TrafficPart(_)
+            | Self::TrafficAdoption(_)
+            | Self::FormerRoutes(_) => "traffic",
             Self::Residency(_) => "residency",
             Self::Drain(_) => "drain",
             Self::Evacuation(_) => "evacuation",
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -143,6 +143,8 @@
                 (answer::Answer::Done, self.residencies.apply(residency))
             }
             command::Command::Traffic(step) => self.traffic.apply(revision, step),
+            command::Command::TrafficPart(part) => self.traffic.stage(part),
+            command::Command::TrafficAdoption(adoption) => self.traffic.adopt(revision, adoption),
             command::Command::FormerRoutes(until) => {
                 (answer::Answer::Done, self.traffic.retire(*until))
             }
@@ -247,6 +249,7 @@
                 .collect(),
             workspaces: self.keys.workspaces().cloned().collect(),
             traffic: self.traffic.plan().cloned(),
+            staged: self.traffic.staged().map(traffic::stage::Staged::view),
             residencies: self.residencies.iter().cloned().collect(),
             lenders: self.lenders.view().collect(),
             versions: self.endpoints.versions().view().collect(),
@@ -279,11 +282,10 @@
         for key in &mut view.keys {
             key.hash = SmolStr::default();
         }
-        let workspaces = view
-            .traffic
-            .iter_mut()
-            .flat_map(|plan| &mut plan.workspaces);
-        for workspace in workspaces {
+        let planned = view.traffic.iter_mut().map(|plan| &mut plan.workspaces);
+        let staged = view.staged.iter_mut().flat_map(|staged| &mut staged.parts);
+        let staged = staged.map(|part| &mut part.workspaces);
+        for workspace in planned.chain(staged).flatten() {
             workspace.keys.fill(SmolStr::default());
         }
         view
@@ -332,7 +334,10 @@
 }
 
 fn is_accepted(answer: &answer::Answer) -> bool {
-    let refused = matches!(answer, answer::Answer::Refused(_));
+    let refused = matches!(
+        answer,
+        answer::Answer::Refused(_) | answer::Answer::Outdated
+    );
     let conflict = matches!(
         answer,
         answer::Answer::Applied(operator::Applied::Conflict { .. })
--- a/crates/cranberrygap-state/src/traffic.rs
+++ b/crates/cranberrygap-state/src/traffic.rs
@@ -2,8 +2,13 @@
 
 pub mod amendment;
 mod former;
+mod merge;
+pub mod part;
+pub mod stage;
+pub mod text;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use cranberrygap_model::{duration, number};
 use cranberrygap_wire::{traffic, view};
@@ -18,14 +23,17 @@
 /// The plan in force and the text that it was read from.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    plan: Option<traffic::Plan>,
+    plan: Option<Arc<traffic::Plan>>,
     source: SmolStr,
     /// Where routes led before, while streams that began there may last.
     #[serde(default)]
     former_routes: Vec<view::FormerRoute>,
+    /// Parts of the next plan that have arrived so far.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    staged: Option<stage::Staged>,
 }
 
-/// A new plan, already parsed and checked.
+/// A new plan as a whole, already parsed and checked.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// The plan.
@@ -99,23 +107,90 @@
             return (answer::Answer::Done, Vec::new());
         }
         let plan = step.plan.clone();
-        let has_moved = self
-            .plan
-            .as_ref()
-            .is_some_and(|old| former::add(&mut self.former_routes, revision, old, &plan));
-        let change = match &self.plan {
+        let old = self.plan.as_deref();
+        let has_moved = old.is_some_and(|old| {
+            let change = part::between(Some(old), &plan);
+            former::add(&mut self.former_routes, revision, old, &change)
+        });
+        let change = match old {
             Some(old) if has_distinct_names(old) && has_distinct_names(&plan) => {
                 let amendment = amendment::between(old, &plan);
                 view::Change::Amended { amendment }
             }
-            _ => view::Change::Rerouted { plan },
+            _ => view::Change::Rerouted { plan: plan.clone() },
         };
-        self.plan = Some(step.plan.clone());
+        self.plan = Some(Arc::new(plan));
         self.source = step.source.clone();
-        // Entries must not take the plan for proof before they know where its routes led.
+        (answer::Answer::Done, self.with_moves(has_moved, change))
+    }
+
+    /// Keeps a part of a change; nothing is in force before [`Self::adopt`].
+    pub fn stage(&mut self, part: &stage::Part) -> (answer::Answer, Vec<view::Change>) {
+        if part.number == 0 {
+            self.staged = Some(stage::Staged::new(part.stage.clone()));
+        }
+        let staged = self.staged.as_mut();
+        let Some(staged) = staged.filter(|staged| staged.expects(part)) else {
+            return (answer::Answer::Outdated, Vec::new());
+        };
+        match staged.push(part) {
+            Ok(change) => (answer::Answer::Done, vec![change]),
+            Err(cause) => (to_refusal(&cause), Vec::new()),
+        }
+    }
+
+    /// Puts a change in force whose other parts are staged.
+    ///
+    /// As with [`Self::apply`], nothing changes if the version is not higher than the one in force.
+    /// The answer is [`answer::Answer::Outdated`] if the change starts from another plan than the
+    /// one in force.
+    pub fn adopt(
+        &mut self,
+        revision: number::Revision,
+        adoption: &stage::Adoption,
+    ) -> (answer::Answer, Vec<view::Change>) {
+        let version = adoption.version;
+        if self.version() >= Some(version) {
+            return (answer::Answer::Done, Vec::new());
+        }
+        if self.version() != adoption.base {
+            return (answer::Answer::Outdated, Vec::new());
+        }
+        let (answer, mut changes) = self.stage(&adoption.last);
+        let Some(staged) = self.staged.take_if(|_| answer == answer::Answer::Done) else {
+            return (answer, changes);
+        };
+        match text::apply(&self.source, staged.edits()) {
+            Ok(source) => self.source = SmolStr::from(source),
+            Err(cause) => return (to_refusal(&cause), changes),
+        }
+        let change = part::join(staged.parts());
+        let old = self.plan.as_deref();
+        let has_moved =
+            old.is_some_and(|old| former::add(&mut self.former_routes, revision, old, &change));
+        let bounds = adoption.bounds.clone();
+        let plan = self
+            .plan
+            .get_or_insert_with(|| Arc::new(part::empty_plan(version, bounds.clone())));
+        let plan = Arc::make_mut(plan);
+        plan.version = version;
+        plan.bounds = bounds.clone();
+        part::apply(plan, change);
+        let adopted = view::Change::Adopted {
+            stage: adoption.last.stage.clone(),
+            parts: adoption.last.number + 1,
+            version,
+            bounds,
+        };
+        changes.extend(self.with_moves(has_moved, adopted));
+        (answer, changes)
+    }
+
+    /// Returns `change` after what entries must know before they take the plan for proof of where
+    /// its routes led.
+    fn with_moves(&self, has_moved: bool, change: view::Change) -> Vec<view::Change> {
         let moved = has_moved.then(|| self.moved());
-        let changes = moved.into_iter().chain(std::iter::once(change));
-        (answer::Answer::Done, changes.collect())
+        moved.into_iter().chain(std::iter::once(change)).collect()
     }
 
     /// Forgets where routes led before the plan of a revision: the streams that began there are
@@ -145,10 +220,22 @@
 
     /// Returns the plan in force.
     #[must_use]
-    pub const fn plan(&self) -> Option<&traffic::Plan> {
+    pub fn plan(&self) -> Option<&traffic::Plan> {
+        self.plan.as_deref()
+    }
+
+    /// Returns the plan in force, shared with this state.
+    #[must_use]
+    pub const fn shared_plan(&self) -> Option<&Arc<traffic::Plan>> {
         self.plan.as_ref()
     }
 
+    /// Returns the parts of the next plan that have arrived so far.
+    #[must_use]
+    pub const fn staged(&self) -> Option<&stage::Staged> {
+        self.staged.as_ref()
+    }
+
     /// Returns the text of the plan in force; empty before the first.
     #[must_use]
     pub const fn source(&self) -> &SmolStr {
@@ -156,6 +243,10 @@
     }
 }
 
+fn to_refusal(cause: &dyn std::fmt::Display) -> answer::Answer {
+    answer::Answer::Refused(format_smolstr!("{cause}"))
+}
+
 /// Returns whether the routes of a plan can be told apart by their names, which are for people.
 fn has_distinct_names(plan: &traffic::Plan) -> bool {
     let names: BTreeSet<&SmolStr> = plan.routes.iter().map(|route| &route.name).collect();
@@ -173,6 +264,12 @@
     )
 }
 
+/// Returns the hash under which the audit trail names the text of a plan.
+#[must_use]
+pub fn text_hash(text: &str) -> SmolStr {
+    SmolStr::new(blake3::hash(text.as_bytes()).to_hex().as_str())
+}
+
 /// Returns all mistakes of a plan that its schema cannot find.
 #[must_use]
 pub fn check(plan: &traffic::Plan) -> Vec<Error> {
--- a/crates/cranberrygap-state/src/traffic/former.rs
+++ b/crates/cranberrygap-state/src/traffic/former.rs
@@ -1,6 +1,6 @@
 //! Services that routes led to before, while streams that began there may last.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use cranberrygap_model::{id, number};
 use cranberrygap_wire::{traffic, view};
@@ -12,43 +12,59 @@
 /// Host and prefix of a route.
 type Place = (SmolStr, SmolStr);
 
-/// Adds to `former` where paths led by the plan `from` and not by `to`, as of `revision`. Returns
-/// whether anything was added.
+/// Adds to `former` where paths led by the plan `from` and not after `change`, as of `revision`.
+/// Returns whether anything was added.
 pub(super) fn add(
     former: &mut Vec<view::FormerRoute>,
     revision: number::Revision,
     from: &traffic::Plan,
-    to: &traffic::Plan,
+    change: &traffic::Part,
 ) -> bool {
-    let old = resumable_services(from);
-    let kept = resumable_services(to);
-    let new = services(to);
-    let mut moved: BTreeSet<&Place> = BTreeSet::new();
-    for (place, led_to) in &old {
-        let leads_to = kept.get(place);
-        if leads_to.is_none_or(|leads_to| !leads_to.is_superset(led_to)) {
-            moved.insert(place);
+    let changed: HashMap<Place, &traffic::Route> = by_place(&change.routes).collect();
+    let removed: HashSet<Place> = change
+        .removed_routes
+        .iter()
+        .map(|place| (place.host.clone(), place.prefix.clone()))
+        .collect();
+    let old: HashMap<Place, &traffic::Route> = by_place(&from.routes).collect();
+    let mut moved: BTreeMap<Place, &traffic::Route> = BTreeMap::new();
+    for (place, route) in &old {
+        let kept = changed.get(place);
+        let is_touched = kept.is_some() || removed.contains(place);
+        if !is_touched || !is_resumable(route) {
+            continue;
+        }
+        let kept = kept.filter(|route| is_resumable(route));
+        if kept.is_none_or(|kept| !services(kept).is_superset(&services(route))) {
+            moved.insert(place.clone(), route);
         }
     }
     // A longer prefix takes paths of a shorter one over.
-    let added = new.iter().filter(|(place, _)| !old.contains_key(*place));
-    for ((host, prefix), leads_to) in added {
+    let added = changed.iter().filter(|(place, _)| {
+        let before = old.get(*place);
+        before.is_none_or(|route| !is_resumable(route))
+    });
+    for ((host, prefix), route) in added {
+        let leads_to = services(route);
         for shorter in shorter_prefixes(prefix) {
             let place = (host.clone(), shorter);
-            if let Some((place, led_to)) = old.get_key_value(&place)
-                && !leads_to.is_superset(led_to)
+            if let Some(route) = old.get(&place)
+                && is_resumable(route)
+                && !leads_to.is_superset(&services(route))
             {
-                moved.insert(place);
+                moved.insert(place, route);
             }
         }
     }
     let has_moved = !moved.is_empty();
-    let moved = moved.into_iter().map(|place| view::FormerRoute {
-        host: place.0.clone(),
-        prefix: place.1.clone(),
-        services: old[place].iter().cloned().collect(),
-        revision,
-    });
+    let moved = moved
+        .into_iter()
+        .map(|((host, prefix), route)| view::FormerRoute {
+            host,
+            prefix,
+            services: services(route).into_iter().collect(),
+            revision,
+        });
     let mut merged = merge(former.drain(..).chain(moved));
     if merged.len() > MAX_ROUTES {
         merged = merge(merged.into_iter().map(|route| view::FormerRoute {
@@ -84,22 +100,19 @@
     merged.into_values().collect()
 }
 
-/// Services of the routes on which streams may be resumed.
-fn resumable_services(plan: &traffic::Plan) -> BTreeMap<Place, BTreeSet<id::Service>> {
-    let routes = plan.routes.iter();
-    let resumable = routes.filter(|route| route.kind == traffic::Kind::Resumable);
-    resumable.map(place_and_services).collect()
+fn by_place(routes: &[traffic::Route]) -> impl Iterator<Item = (Place, &traffic::Route)> {
+    let places = routes.iter();
+    places.map(|route| ((route.host.clone(), route.prefix.clone()), route))
 }
 
-fn services(plan: &traffic::Plan) -> BTreeMap<Place, BTreeSet<id::Service>> {
-    plan.routes.iter().map(place_and_services).collect()
+/// Whether streams on a route may be resumed.
+fn is_resumable(route: &traffic::Route) -> bool {
+    route.kind == traffic::Kind::Resumable
 }
 
-fn place_and_services(route: &traffic::Route) -> (Place, BTreeSet<id::Service>) {
+fn services(route: &traffic::Route) -> BTreeSet<id::Service> {
     let splits = route.splits.iter().filter(|split| split.weight > 0);
-    let services = splits.map(|split| split.service.clone());
-    let place = (route.host.clone(), route.prefix.clone());
-    (place, services.collect())
+    splits.map(|split| split.service.clone()).collect()
 }
 
 /// Returns the prefixes of the paths that `prefix` lies in, without itself.
--- a/crates/cranberrygap-wire/src/binding.rs
+++ b/crates/cranberrygap-wire/src/binding.rs
@@ -19,6 +19,7 @@
         | view::Change::Quarantined { .. }
         | view::Change::Rerouted { .. }
         | view::Change::Amended { .. }
+        | view::Change::Adopted { .. }
         | view::Change::Versioned { .. }
         | view::Change::Moved { .. }
         | view::Change::Evacuated { .. }
@@ -32,6 +33,7 @@
         }
         view::Change::MemberChanged { .. }
         | view::Change::Released { .. }
+        | view::Change::Staged { .. }
         | view::Change::Lent { .. }
         | view::Change::Resided { .. } => false,
     }
