Bound the size of a view frame

What callers would see: none have been seen to. A subscriber that is behind by a large plan got all of its parts in one frame. Encoding, compressing and applying that is one step again, and no heartbeat comes before it has arrived, so that an entry with a slow link leaves its source after 0.8 s and starts anew at another.

Cause: the buffer of a subscriber handed out everything that waited.

Change: a frame holds the updates whose changes have up to 64 KiB of JSON without what later ones in it make obsolete, and at least one; the rest follows at the usual interval. The revision of a frame is that of its last update, so an entry never confirms a change that it has not got.

--- a/crates/cranberrygap-control/src/delta.rs
+++ b/crates/cranberrygap-control/src/delta.rs
@@ -1,6 +1,6 @@
 //! Changes of the view that wait for the next delta frame to one subscriber.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id, number};
@@ -11,15 +11,26 @@
 
 use crate::encoded;
 
+/// JSON of the changes in one frame, in bytes; a single update always fits. Encoding, compressing
+/// and applying it takes a few milliseconds of the smallest processor shares, and heartbeats and
+/// changes of other subjects wait behind it.
+const FRAME_BYTES: usize = 64 << 10;
+
 /// Buffer of the changes since the last frame.
 ///
 /// One frame per change would cost more the more subscribers a process has. The gap between frames
 /// grows with the number of subscribers, which bounds the frames sent per second.
 #[derive(Debug, Clone, Default)]
 pub struct Buffer {
+    updates: VecDeque<Update>,
+    last_sent: Option<duration::Instant>,
+}
+
+/// Changes that lead to a revision.
+#[derive(Debug, Clone)]
+struct Update {
     revision: number::Revision,
     changes: Vec<Arc<encoded::Change>>,
-    last_sent: Option<duration::Instant>,
 }
 
 /// Changes up to a revision, serialized as a delta frame.
@@ -50,13 +61,13 @@
 impl Buffer {
     /// Adds the changes that lead to `revision`.
     pub fn push(&mut self, revision: number::Revision, changes: &[Arc<encoded::Change>]) {
-        self.revision = revision;
-        self.changes.extend(changes.iter().cloned());
+        let changes = changes.to_vec();
+        self.updates.push_back(Update { revision, changes });
     }
 
     /// Discards the buffered changes, which a snapshot sent at `now` includes.
     pub fn reset(&mut self, now: duration::Instant) {
-        self.changes.clear();
+        self.updates.clear();
         self.last_sent = Some(now);
     }
 
@@ -65,7 +76,7 @@
     /// The time depends on the number of subscribers of the process.
     #[must_use]
     pub fn next_due(&self, subscribers: usize) -> Option<duration::Instant> {
-        if self.changes.is_empty() {
+        if self.updates.is_empty() {
             return None;
         }
         let earliest = self
@@ -74,16 +85,34 @@
         Some(earliest.unwrap_or_default())
     }
 
-    /// Returns a frame with all buffered changes, sent at `now`; `None` if there are none.
+    /// Returns a frame with the buffered changes that fit, sent at `now`; `None` if there are none.
     pub fn take_delta(&mut self, now: duration::Instant) -> Option<Delta> {
-        if self.changes.is_empty() {
-            return None;
-        }
+        let count = self.fitting_updates();
+        let revision = self.updates.get(count.checked_sub(1)?)?.revision;
         self.last_sent = Some(now);
-        let changes = drop_obsolete(std::mem::take(&mut self.changes));
-        let revision = self.revision;
+        let updates = self.updates.drain(..count);
+        let changes = updates.flat_map(|update| update.changes).collect();
+        let changes = drop_obsolete(changes);
         Some(Delta { revision, changes })
     }
+
+    /// Returns how many updates fit into one frame without what later ones make obsolete.
+    fn fitting_updates(&self) -> usize {
+        let mut sizes: BTreeMap<Key, usize> = BTreeMap::new();
+        let mut bytes = 0;
+        for (count, update) in self.updates.iter().enumerate() {
+            for change in &update.changes {
+                let size = change.json_bytes();
+                let obsolete =
+                    replaced_key(change.change()).and_then(|key| sizes.insert(key, size));
+                bytes = bytes + size - obsolete.unwrap_or_default();
+            }
+            if bytes > FRAME_BYTES && count > 0 {
+                return count;
+            }
+        }
+        self.updates.len()
+    }
 }
 
 impl Delta {
--- a/crates/cranberrygap-control/src/encoded.rs
+++ b/crates/cranberrygap-control/src/encoded.rs
@@ -31,6 +31,12 @@
     pub const fn change(&self) -> &view::Change {
         &self.change
     }
+
+    /// Returns the length of its JSON, in bytes.
+    #[must_use]
+    pub fn json_bytes(&self) -> usize {
+        self.json.get().len()
+    }
 }
 
 impl Serialize for Change {
