Find routes by their prefix in place of searching those of the host

What callers would see: time added to each request by the number of routes of its host, which a configuration of thousands of routes makes long.

Cause: the entry's table held the routes of a host in a list, the longest prefix first, and compared the path with each.

Change: the routes of a host are indexed by prefix. The path is cut at its slashes from the longest known prefix down; prefixes begin and end with a slash.

No behaviour changes: longest_prefix_of_whole_parts_leads passes before and after.

--- a/crates/cranberrygap-entry/src/view/traffic.rs
+++ b/crates/cranberrygap-entry/src/view/traffic.rs
@@ -1,31 +1,37 @@
 //! The traffic plan, indexed for request handling.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use cranberrygap_model::id;
 use cranberrygap_wire::traffic;
 use smol_str::SmolStr;
 
-/// Traffic plan, indexed by host, service and key.
+/// Traffic plan, indexed by host, prefix, service and key.
 #[derive(Debug, Clone)]
 pub struct Table {
     plan: traffic::Plan,
-    /// Routes of each host, the longest prefix first.
-    hosts: BTreeMap<SmolStr, Vec<usize>>,
+    hosts: HashMap<SmolStr, Host>,
     services: BTreeMap<id::Service, usize>,
-    keys: BTreeMap<SmolStr, usize>,
+    keys: HashMap<SmolStr, usize>,
+}
+
+/// Routes of one host.
+#[derive(Debug, Clone, Default)]
+struct Host {
+    routes: HashMap<SmolStr, usize>,
+    /// Length of the longest prefix, in bytes.
+    longest: usize,
 }
 
 impl Table {
     /// Indexes `plan`.
     #[must_use]
     pub fn new(plan: traffic::Plan) -> Self {
-        let mut hosts: BTreeMap<SmolStr, Vec<usize>> = BTreeMap::new();
+        let mut hosts: HashMap<SmolStr, Host> = HashMap::new();
         for (index, route) in plan.routes.iter().enumerate() {
-            hosts.entry(route.host.clone()).or_default().push(index);
-        }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|index| std::cmp::Reverse(plan.routes[*index].prefix.len()));
+            let host = hosts.entry(route.host.clone()).or_default();
+            host.routes.insert(route.prefix.clone(), index);
+            host.longest = host.longest.max(route.prefix.len());
         }
         let services = plan.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.service.clone(), index));
@@ -51,10 +57,12 @@
     /// The host's route with the longest prefix that matches `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&traffic::Route> {
-        let routes = self.hosts.get(host)?;
-        let routes = routes.iter().map(|index| &self.plan.routes[*index]);
-        let mut matching = routes.filter(|route| path.starts_with(route.prefix.as_str()));
-        matching.next()
+        let host = self.hosts.get(host)?;
+        // Prefixes consist of whole parts of a path.
+        let known = &path[..path.floor_char_boundary(host.longest)];
+        let mut ends = known.rmatch_indices('/').map(|(at, _)| at + 1);
+        let found = ends.find_map(|end| host.routes.get(&path[..end]));
+        found.map(|index| &self.plan.routes[*index])
     }
 
     /// A service by name.
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -422,3 +422,31 @@
         assert_eq!(holder.revision(), number::Revision(1));
     }
 }
+
+#[test]
+fn longest_prefix_of_whole_parts_leads() {
+    let mut plan = plan(1, "/a/");
+    for prefix in ["/", "/a/b/", "/ä/"] {
+        let mut route = plan.routes[0].clone();
+        route.prefix = prefix.into();
+        plan.routes.push(route);
+    }
+    let table = view::traffic::Table::new(plan);
+
+    for (path, prefix) in [
+        ("/", "/"),
+        ("/a", "/"),
+        ("/a/", "/a/"),
+        ("/a/b", "/a/"),
+        ("/a/b/c/d", "/a/b/"),
+        ("/ab/c", "/"),
+        ("/ä/x", "/ä/"),
+        ("/äöü/x", "/"),
+        ("//a/", "/"),
+    ] {
+        let found = table.route("host.example", path);
+        assert_eq!(found.map(|route| route.prefix.as_str()), Some(prefix));
+    }
+    assert!(table.route("host.example", "").is_none());
+    assert!(table.route("other.example", "/a/").is_none());
+}
