--- a/crates/cranberrygap-bench/src/measure.rs
+++ b/crates/cranberrygap-bench/src/measure.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod load;
 pub mod path;
+pub mod plans;
 pub mod policy;
 pub mod processor;
 pub mod slopes;
@@ -37,6 +38,7 @@
         Box::new(leader::Leader),
         Box::new(limits::Limits),
         Box::new(path::Path),
+        Box::new(plans::Plans),
         Box::new(policy::Policy),
         Box::new(slopes::Slopes),
     ]
