Read and commit a plan in one piece of work that outlives its callers

What callers would see: an operator waits a second for an answer and then sends the same configuration again. Where reading it takes longer than that, it is never committed: a caller that left ended the reading, and each call began anew.

Cause: only the commit was independent of the caller. Reading and checking the text were part of the call, and each call did both, also after the commit.

Change: a text is read, checked and committed by a task of its own, one text at a time. A call with the same text joins it, and one with the text in force is answered without reading it. The adapter hands over how to read the text.

--- a/crates/cranberrygap-control/src/plans.rs
+++ b/crates/cranberrygap-control/src/plans.rs
@@ -12,7 +12,7 @@
 use cranberrygap_wire::{method, traffic};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, Semaphore, oneshot, watch};
 
 use crate::proposer;
 use crate::replicated;
@@ -25,6 +25,9 @@
 /// earlier leader proposed can replace it.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Texts that may be read and committed at a time; operators send a few.
+const MAX_CALLS: usize = 32;
+
 type Outcome = Result<(), server::Fault>;
 
 /// A plan with the text that it was read from.
@@ -50,11 +53,24 @@
     waiters: Vec<Waiter>,
 }
 
+/// Reads a plan from its text; the error tells what is wrong with it.
+pub(crate) type Reader = Box<dyn FnOnce(&str) -> Result<traffic::Plan, SmolStr> + Send>;
+
+/// A text that is being read or committed.
+#[derive(Debug)]
+struct Call {
+    source: SmolStr,
+    outcome: watch::Receiver<Option<Outcome>>,
+}
+
 /// Publisher of one process, which works while the process leads.
 #[derive(Debug)]
 pub(crate) struct Publisher {
     state: Arc<replicated::State>,
     proposer: proposer::Proposer,
+    calls: Mutex<Vec<Call>>,
+    /// Permit to read a text; one is read at a time.
+    reading: Semaphore,
     queue: Mutex<Queue>,
     arrived: Notify,
 }
@@ -64,28 +80,77 @@
         Self {
             state,
             proposer,
+            calls: Mutex::default(),
+            reading: Semaphore::new(1),
             queue: Mutex::default(),
             arrived: Notify::new(),
         }
     }
 
-    /// Commits a plan, and returns once one of its version or a higher one is committed.
+    /// Commits the plan that `read` finds in `source`, and returns once a plan of its version or a
+    /// higher one is committed.
     ///
-    /// The work goes on if the caller does not wait for its end, so that a caller that sends the
-    /// plan again finds it further on.
+    /// The work goes on if the caller leaves. A caller that sends the same text meanwhile waits for
+    /// the same outcome, so that repeated calls do not take the time of each other.
     ///
     /// # Errors
     ///
-    /// A fault when this process cannot commit it.
-    pub(crate) async fn publish(&self, plan: traffic::Plan, source: SmolStr) -> Outcome {
+    /// A fault when the text is no valid plan, or this process cannot commit it.
+    pub(crate) async fn publish(self: &Arc<Self>, source: SmolStr, read: Reader) -> Outcome {
         self.proposer.check_leads()?;
+        let is_in_force =
+            |state: &state::State| state.version().is_some() && *state.source() == source;
+        if self.state.read(|fleet| is_in_force(&fleet.traffic)) {
+            return Ok(());
+        }
+        let mut outcome = self.begin(source, read)?;
+        let ended = outcome.wait_for(Option::is_some).await;
+        let ended = ended.ok().and_then(|outcome| outcome.clone());
+        ended.unwrap_or_else(|| Err(unavailable("this control process stops")))
+    }
+
+    /// Begins a call, or joins the one with the same text.
+    fn begin(
+        self: &Arc<Self>,
+        source: SmolStr,
+        read: Reader,
+    ) -> Result<watch::Receiver<Option<Outcome>>, server::Fault> {
+        let mut calls = self.calls.lock();
+        if let Some(same) = calls.iter().find(|call| call.source == source) {
+            return Ok(same.outcome.clone());
+        }
+        if calls.len() >= MAX_CALLS {
+            return Err(unavailable("too many plans are being read"));
+        }
+        let (sender, outcome) = watch::channel(None);
+        calls.push(Call {
+            source: source.clone(),
+            outcome: outcome.clone(),
+        });
+        drop(calls);
+        let publisher = Arc::clone(self);
+        tokio::spawn(async move {
+            let ended = publisher.read_and_commit(source.clone(), read).await;
+            publisher.calls.lock().retain(|call| call.source != source);
+            sender.send_replace(Some(ended));
+        });
+        Ok(outcome)
+    }
+
+    async fn read_and_commit(&self, source: SmolStr, read: Reader) -> Outcome {
+        let permit = self.reading.acquire().await;
+        let text = source.clone();
+        let plan = in_thread(move || read_checked(&text, read)).await??;
+        drop(permit);
+        if self.state.read(|fleet| fleet.traffic.version()) >= Some(plan.version) {
+            // The plan is already committed, or replaced by one with a higher version.
+            return Ok(());
+        }
         let (reply, committed) = oneshot::channel();
         self.queue.lock().add(Request { plan, source }, reply);
         self.arrived.notify_one();
-        committed.await.unwrap_or_else(|_dropped| {
-            let message = "this control process stops";
-            Err(server::Fault::new(method::NO_QUORUM, message))
-        })
+        let ended = committed.await;
+        ended.unwrap_or_else(|_dropped| Err(unavailable("this control process stops")))
     }
 
     /// Commits plans until the process stops.
@@ -134,8 +199,7 @@
             }
             spdlog::info!("traffic: plan {version} starts anew from another plan");
         }
-        let message = "the plan was replaced by others meanwhile";
-        Err(server::Fault::new(method::NO_QUORUM, message))
+        Err(unavailable("the plan was replaced by others meanwhile"))
     }
 
     /// Makes the commands of a change, in a thread of its own: this takes long for a large plan.
@@ -148,12 +212,7 @@
             let plan = fleet.traffic.shared_plan().cloned();
             (plan, fleet.traffic.source().clone())
         });
-        let make = move || Change::new(&stage, base.as_deref(), &source, &request);
-        let change = tokio::task::spawn_blocking(make).await;
-        change.map_err(|cause| {
-            let message = format!("the change of the plan could not be made: {cause}");
-            server::Fault::new(method::NO_QUORUM, message)
-        })
+        in_thread(move || Change::new(&stage, base.as_deref(), &source, &request)).await
     }
 
     /// Commits a change; returns whether it started from the plan in force.
@@ -227,3 +286,25 @@
         Self { parts, adoption }
     }
 }
+
+/// Reads a plan, and checks what its schema cannot.
+fn read_checked(source: &str, read: Reader) -> Result<traffic::Plan, server::Fault> {
+    let invalid = |cause: SmolStr| server::Fault::new(method::REFUSED, cause);
+    let plan = read(source).map_err(invalid)?;
+    match state::check(&plan).first() {
+        Some(error) => Err(invalid(SmolStr::new(error.to_string()))),
+        None => Ok(plan),
+    }
+}
+
+/// Does work that takes long for a large plan in a thread of its own.
+async fn in_thread<R: Send + 'static>(
+    work: impl FnOnce() -> R + Send + 'static,
+) -> Result<R, server::Fault> {
+    let worked = tokio::task::spawn_blocking(work).await;
+    worked.map_err(|cause| unavailable(&format!("the plan could not be prepared: {cause}")))
+}
+
+fn unavailable(message: &str) -> server::Fault {
+    server::Fault::new(method::NO_QUORUM, message)
+}
--- a/crates/cranberrygap-control/src/public.rs
+++ b/crates/cranberrygap-control/src/public.rs
@@ -7,7 +7,7 @@
 
 use cranberrygap_link::server;
 use cranberrygap_model::{address, id, number};
-use cranberrygap_state::{command, endpoint, evacuation, traffic as state};
+use cranberrygap_state::{command, endpoint, evacuation};
 use cranberrygap_wire::{endpoint as announced, method, traffic, view};
 use smol_str::SmolStr;
 
@@ -44,34 +44,26 @@
         Self { context }
     }
 
-    /// Applies a traffic plan and waits until it is in force at all entries. A plan whose version
-    /// is not higher than the current one changes nothing.
+    /// Applies the traffic plan that `read` finds in `source`, and waits until it is in force at
+    /// all entries. A plan whose version is not higher than the current one changes nothing.
+    ///
+    /// The plan is applied also if the caller does not wait for the end. Only the leader reads it,
+    /// in a thread of its own.
     ///
     /// # Errors
     ///
     /// The plan has an error, or this process cannot commit it.
-    pub async fn replace_plan(&self, plan: traffic::Plan, source: SmolStr) -> Result<(), Refusal> {
-        let check = move || (state::check(&plan).into_iter().next(), plan);
-        let checked = tokio::task::spawn_blocking(check).await;
-        let (error, plan) = checked.map_err(|cause| {
-            let message = format!("the plan could not be checked: {cause}");
-            Refusal::Unavailable(message.into())
-        })?;
-        if let Some(error) = error {
-            return Err(Refusal::Invalid(SmolStr::new(error.to_string())));
-        }
-        let version = plan.version;
-        let current_version = self.read_as_leader(|fleet| fleet.traffic.version())?;
-        if current_version >= Some(version) {
-            // The plan is already committed, or replaced by one with a higher version.
-            return self.wait_until_in_force().await;
-        }
-        let published = self.context.plans.publish(plan, source).await;
+    pub async fn replace_plan(
+        &self,
+        source: SmolStr,
+        read: impl FnOnce(&str) -> Result<traffic::Plan, SmolStr> + Send + 'static,
+    ) -> Result<(), Refusal> {
+        let published = self.context.plans.publish(source, Box::new(read)).await;
         published.map_err(|fault| to_refusal(&fault))?;
         let committed = Instant::now();
         self.wait_until_in_force().await?;
         let in_force = committed.elapsed().as_millis();
-        spdlog::info!("traffic: plan {version} is in force {in_force} ms after its commit");
+        spdlog::info!("traffic: a plan is in force {in_force} ms after its commit");
         Ok(())
     }
 
--- a/crates/cranberrygap-control/tests/large_plans.rs
+++ b/crates/cranberrygap-control/tests/large_plans.rs
@@ -3,7 +3,9 @@
 
 mod fleet;
 
-use cranberrygap_control::public;
+use std::time::Duration;
+
+use cranberrygap_control::{process, public};
 use cranberrygap_model::{duration, token};
 use cranberrygap_state::traffic as state;
 use cranberrygap_wire::traffic;
@@ -11,6 +13,11 @@
 /// Routes whose plan and text together have about four times the size of the largest proposal.
 const ROUTES: usize = 5_000;
 
+/// Time that a caller waits, far less than a large plan takes.
+const SHORT: Duration = Duration::from_millis(50);
+
+const PAUSE: Duration = Duration::from_millis(5);
+
 fn route(number: usize) -> traffic::Route {
     traffic::Route {
         name: format!("r-{number:07}").into(),
@@ -72,7 +79,8 @@
     loop {
         let position = group.leader().await;
         let api = group.running[position].as_ref().unwrap().public_api();
-        let outcome = api.replace_plan(plan.clone(), source.as_str().into()).await;
+        let sent = plan.clone();
+        let outcome = api.replace_plan(source.as_str().into(), |_| Ok(sent)).await;
         match outcome {
             Ok(()) | Err(public::Refusal::Invalid(_)) => return outcome,
             Err(_) => assert!(tokio::time::Instant::now() < deadline, "{outcome:?}"),
@@ -80,6 +88,15 @@
     }
 }
 
+/// Waits until a process has some parts of a change that is not in force.
+async fn until_staged(process: &process::Process) {
+    let deadline = tokio::time::Instant::now() + fleet::TIMEOUT;
+    while process.dump().await["fleet"]["view"]["staged"].is_null() {
+        assert!(tokio::time::Instant::now() < deadline, "nothing is staged");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 async fn read_back(group: &fleet::Group) -> String {
     let position = group.leader().await;
     let api = group.running[position].as_ref().unwrap().public_api();
@@ -109,3 +126,82 @@
         "the text differs"
     );
 }
+
+// An operator that waits a second for an answer would begin anew with each call, and never come to
+// the end of a plan that takes longer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn plan_is_committed_though_no_caller_waits_for_it() {
+    let group = fleet::Group::start(1).await;
+    let large = plan(7, ROUTES, &["kept"]);
+    let deadline = tokio::time::Instant::now() + fleet::TIMEOUT;
+
+    let outcome = loop {
+        let called = tokio::time::timeout(SHORT, put(&group, &large)).await;
+        if let Ok(outcome) = called {
+            break outcome;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "never committed");
+    };
+
+    assert_eq!(outcome, Ok(()));
+    assert!(read_back(&group).await == text(&large), "the text differs");
+}
+
+// A leader ends between two parts. The plan that was acknowledged before must stay in force, and
+// the next leader must take the change that is sent again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_that_ends_between_two_parts_leaves_the_plan_in_force() {
+    let mut group = fleet::Group::start(3).await;
+    let (small, large) = (plan(3, 20, &["kept"]), plan(7, ROUTES, &["kept"]));
+    assert_eq!(put(&group, &small).await, Ok(()));
+    let position = group.leader().await;
+    let leader = group.running[position].as_ref().unwrap();
+    let (api, source) = (leader.public_api(), text(&large));
+    let sent = large.clone();
+    let call = tokio::spawn(async move { api.replace_plan(source.into(), |_| Ok(sent)).await });
+    until_staged(leader).await;
+
+    group.stop(position).await;
+    let interrupted = call.await.unwrap();
+    let between = read_back(&group).await;
+    let again = put(&group, &large).await;
+
+    assert!(interrupted.is_err(), "the change was over before the stop");
+    assert!(between == text(&small), "the text differs");
+    assert_eq!(again, Ok(()));
+    assert!(read_back(&group).await == text(&large), "the text differs");
+}
+
+// All control processes end right after an acknowledgement.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn acknowledged_large_plan_outlives_all_processes() {
+    let mut group = fleet::Group::start(3).await;
+    let large = plan(7, ROUTES, &["kept"]);
+
+    assert_eq!(put(&group, &large).await, Ok(()));
+    for position in 0..3 {
+        group.stop(position).await;
+    }
+    for position in 0..3 {
+        group.run(position).await;
+    }
+
+    assert!(read_back(&group).await == text(&large), "the text differs");
+}
+
+// Several operators send plans at a time. Each is answered once its plan or a later one is in force,
+// and the latest one stays.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn plans_that_are_sent_together_end_with_the_highest_version() {
+    let group = fleet::Group::start(1).await;
+    let plans: Vec<_> = (1..=8).map(|version| plan(version, 600, &[])).collect();
+
+    let calls = plans.iter().map(|plan| put(&group, plan));
+    let outcomes = futures_util::future::join_all(calls).await;
+
+    assert_eq!(outcomes, vec![Ok(()); 8]);
+    assert!(
+        read_back(&group).await == text(&plans[7]),
+        "the text differs"
+    );
+}
