--- a/crates/cranberrygap/tests/requests_heads.rs
+++ b/crates/cranberrygap/tests/requests_heads.rs
@@ -189,3 +189,46 @@
     })
     .await;
 }
+
+/// What services in trouble sent in place of a status, and what resembles it.
+const NO_STATUSES: [&str; 13] = [
+    "000", "0", "099", "20", "2000", "2x0", "", "-200", "100", "101", "199", "600", "999",
+];
+
+fn answer_with(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: 10\r\n\r\n{{\"seat\":4}}")
+}
+
+// A status that is none tells nothing of the booking: its caller must get neither the answer nor a
+// promise, and the claim must not keep it for the next call with the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_answered_with_no_status_is_unknown_and_stays_so() {
+    let (fleet, caller, service) = serving_fleet().await;
+
+    for (number, status) in NO_STATUSES.into_iter().enumerate() {
+        service.respond(&answer_with(status));
+        for attempt in ["first", "again"] {
+            let key = format!("no-status-{number}");
+            let (_, body) = book(&caller, fleet.entries[0].callers, &key).await;
+            assert_eq!(
+                code(&body),
+                "booking_unknown",
+                "{status:?}, {attempt}: {body}"
+            );
+            assert!(!body.contains("seat"), "{status:?}, {attempt}: {body}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_answered_with_no_status_fails() {
+    let (fleet, caller, service) = serving_fleet().await;
+    allow_lookups(&fleet).await;
+
+    for status in NO_STATUSES {
+        service.respond(&answer_with(status));
+        let (_, body) = look_up(&caller, fleet.entries[0].callers).await;
+        assert_eq!(code(&body), "endpoint_failed", "{status:?}: {body}");
+        assert!(!body.contains("\"seat\""), "{status:?}: {body}");
+    }
+}
