Let entries go on from the view that they hold

What callers saw: refusals after a large change.

Cause: the step that puts the change in force makes entries lag for a moment, and an entry that lags subscribes anew, here or elsewhere. Each subscription got the whole state: 4.5 MB and 320 ms of a control process at its share, in the thread that renews leases (work frame 969,584 us for three frames in the metrics of 5 s). Entries leave a source that is silent for 0.8 s and begin anew with the next one.

An entry names the revision and the history of its view, and gets the updates that it lacks; the whole state only if they are not kept, or if the history is another one. The history is told by the time of the log's first command. - An entry that changes to a better source goes on too. - The whole state is encoded, compressed and sealed in threads of their own. - Joining the parts of a change moves them, and the places of routes are compared without copies.

--- a/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
+++ b/crates/cranberrygap-bench/src/measure/capacity/fixture.rs
@@ -155,6 +155,7 @@
         lenders: Vec::new(),
         former_routes: Vec::new(),
         staged: None,
+        founded: None,
         versions: Vec::new(),
         configuration: configuration::Configuration {
             revision: number::Revision(1),
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -6,7 +6,7 @@
 use cranberrygap_agreement::{
     entry, formation, hard, input, limits, message, node, output, reconciler, replica, write,
 };
-use cranberrygap_control::{delta, encoded, leadership};
+use cranberrygap_control::{delta, encoded, leadership, recent};
 use cranberrygap_model::{address, duration, id, number};
 use cranberrygap_state::{command, fleet, member};
 use cranberrygap_wire::view;
@@ -57,6 +57,7 @@
 pub struct Running {
     pub node: node::Node,
     pub fleet: fleet::Fleet,
+    pub recent: recent::Updates,
     pub office: Option<leadership::Leadership>,
     pub subscribers: Vec<Subscriber>,
     pub pending: Vec<Pending>,
@@ -123,6 +124,7 @@
         self.running = Some(Running {
             node: node::Node::new(start, self.clock(now)),
             fleet: fleet::Fleet::default(),
+            recent: recent::Updates::default(),
             office: None,
             subscribers: Vec::new(),
             pending: Vec::new(),
@@ -215,6 +217,10 @@
         }
         let changes = changes.into_iter().map(encoded::Change::new);
         let changes: Vec<_> = changes.map(Arc::new).collect();
+        self.recent.push(recent::Update {
+            revision,
+            changes: Arc::new(changes.clone()),
+        });
         for subscriber in &mut self.subscribers {
             subscriber.gap |= hung;
             if !subscriber.gap {
--- a/crates/cranberrygap-bench/src/soak/view/duties.rs
+++ b/crates/cranberrygap-bench/src/soak/view/duties.rs
@@ -85,7 +85,20 @@
             } else {
                 let gap = false;
                 let mut gather = delta::Buffer::default();
-                gather.reset(clock);
+                let is_known = wanted.founded.is_some() && wanted.founded == running.fleet.founded;
+                let missed = running.recent.after(wanted.revision);
+                let missed = missed.filter(|_| is_known).map(Iterator::collect::<Vec<_>>);
+                let frame = if let Some(missed) = missed {
+                    let skipped = usize::from(self.flaw == Flaw::UpdateSkipped);
+                    for update in missed.into_iter().skip(skipped) {
+                        gather.push(update.revision, &update.changes);
+                    }
+                    let revision = wanted.revision;
+                    view::Frame::Heartbeat { revision }
+                } else {
+                    gather.reset(clock);
+                    running.snapshot()
+                };
                 let subscriber = Subscriber {
                     entry,
                     call,
@@ -93,7 +106,7 @@
                     gather,
                 };
                 running.subscribers.push(subscriber);
-                let frame = Box::new(running.snapshot());
+                let frame = Box::new(frame);
                 Packet::Frame { call, frame }
             };
         self.send(Place::Control(place), Place::Entry(entry), packet);
--- a/crates/cranberrygap-bench/src/soak/view/entry.rs
+++ b/crates/cranberrygap-bench/src/soak/view/entry.rs
@@ -58,10 +58,12 @@
     flaw: Flaw,
     /// Heartbeats without an answer in time.
     pub unanswered: u64,
+    /// Whether it asks a source for what it lacks only.
+    pub resumes: bool,
 }
 
 impl Entry {
-    pub fn new(number: usize, boot: u64, offset: u64, flaw: Flaw) -> Self {
+    pub fn new(number: usize, boot: u64, offset: u64, resumes: bool, flaw: Flaw) -> Self {
         Self {
             number,
             boot,
@@ -84,6 +86,7 @@
             calls: boot << 32,
             flaw,
             unanswered: 0,
+            resumes,
         }
     }
 
@@ -180,6 +183,11 @@
                 .expect("a plain name"),
             boot: number::Boot(self.boot),
             revision: self.holder.revision(),
+            founded: self
+                .holder
+                .latest()
+                .and_then(|held| held.founded())
+                .filter(|_| self.resumes),
         };
         let call = self.calls;
         let packet = Packet::Subscribe { call, wanted };
--- a/crates/cranberrygap-bench/src/soak/view/flaw.rs
+++ b/crates/cranberrygap-bench/src/soak/view/flaw.rs
@@ -18,4 +18,6 @@
     LeaseWhileBehind,
     /// A change in parts lacks one.
     PartLeftOut,
+    /// A source that an entry goes on at leaves out the first update that it lacks.
+    UpdateSkipped,
 }
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -87,7 +87,7 @@
         let mut world = Self {
             next_id: voters as u64 + 1,
             entries: (0..day.entries)
-                .map(|number| Entry::new(number, 1, rng.random_range(0..SECOND), flaw))
+                .map(|number| Entry::new(number, 1, rng.random_range(0..SECOND), day.parts, flaw))
                 .collect(),
             rng,
             now: 0,
@@ -263,7 +263,8 @@
         }
         for entry in &mut self.entries {
             if entry.starts_at.is_some_and(|at| at <= now) {
-                *entry = Entry::new(entry.number, entry.boot + 1, entry.offset, self.flaw);
+                let (boot, resumes) = (entry.boot + 1, entry.resumes);
+                *entry = Entry::new(entry.number, boot, entry.offset, resumes, self.flaw);
             }
         }
     }
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -145,3 +145,14 @@
         "{violation}"
     );
 }
+
+// An entry that goes on at another source without a change that it lacks.
+#[test]
+fn update_that_is_skipped_is_caught() {
+    let flaw = view::Flaw::UpdateSkipped;
+
+    let violations = (1..=20).filter_map(|seed| view::Plans { flaw }.run(seed, STEPS).err());
+
+    let invariants: Vec<String> = violations.map(|found| found.invariant).collect();
+    assert!(!invariants.is_empty());
+}
--- a/crates/cranberrygap-control/src/lib.rs
+++ b/crates/cranberrygap-control/src/lib.rs
@@ -33,6 +33,7 @@
 mod plans;
 mod throttle;
 
+pub mod recent;
 mod reconciler;
 mod store;
 mod subscription;
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -7,11 +7,12 @@
 use cranberrygap_model::number;
 use cranberrygap_state::{answer, command, fleet};
 use cranberrygap_wire::view;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::broadcast;
 
 use crate::encoded;
 use crate::metric;
+use crate::recent;
 use crate::state_machine;
 
 /// Updates that a slow subscriber may be behind before it gets a new snapshot.
@@ -48,6 +49,8 @@
 pub struct State {
     fleet: RwLock<fleet::Fleet>,
     updates: broadcast::Sender<Update>,
+    /// Recent updates; changed only while `fleet` is locked for writing.
+    recent: Mutex<recent::Updates>,
     metrics: metric::Recorder,
 }
 
@@ -59,6 +62,7 @@
             metrics,
             fleet: RwLock::default(),
             updates: broadcast::Sender::new(MAX_BUFFERED_UPDATES),
+            recent: Mutex::default(),
         }
     }
 
@@ -80,6 +84,21 @@
         (frame, update)
     }
 
+    /// Returns the updates that a view lacks which is at `revision` of the history that began at
+    /// `founded`, and a receiver of all later ones; `None` if some are not kept any more.
+    #[must_use]
+    pub fn resume(
+        &self,
+        founded: u64,
+        revision: number::Revision,
+    ) -> Option<(Vec<recent::Update>, broadcast::Receiver<Update>)> {
+        let fleet = self.fleet.read();
+        let is_known = fleet.founded == Some(founded) && revision <= fleet.view_revision;
+        let recent = self.recent.lock();
+        let missed = recent.after(revision).filter(|_| is_known)?;
+        Some((missed.cloned().collect(), self.updates.subscribe()))
+    }
+
     /// Returns the number of control processes besides one.
     #[must_use]
     pub fn other_controls(&self) -> usize {
@@ -131,6 +150,7 @@
         let restored = fleet::Fleet::restore(snapshot).map_err(|cause| cause.to_string())?;
         let mut fleet = self.fleet.write();
         *fleet = restored;
+        *self.recent.lock() = recent::Updates::starting_after(fleet.view_revision);
         drop(self.updates.send(Update::Replaced));
         Ok(())
     }
@@ -148,7 +168,12 @@
                     let changes = changes
                         .into_iter()
                         .map(|change| Arc::new(encoded::Change::new(change)));
-                    let update = Update::Changed(fleet.view_revision, Arc::new(changes.collect()));
+                    let update = recent::Update {
+                        revision: fleet.view_revision,
+                        changes: Arc::new(changes.collect()),
+                    };
+                    self.recent.lock().push(update.clone());
+                    let update = Update::Changed(update.revision, update.changes);
                     // The update is sent under the lock, so that no subscriber misses it. Sending
                     // fails only if there are no subscribers.
                     drop(self.updates.send(update));
--- a/crates/cranberrygap-control/src/subscription.rs
+++ b/crates/cranberrygap-control/src/subscription.rs
@@ -94,16 +94,30 @@
             return Err(server::Fault::new(method::NO_QUORUM, message));
         }
     }
-    spdlog::info!("view: {} subscribes", wanted.instance);
-    let (snapshot, update) = state.subscribe();
+    let mut buffer = delta::Buffer::default();
+    let resumed = wanted
+        .founded
+        .and_then(|founded| state.resume(founded, wanted.revision));
+    let (updates, next_snapshot) = if let Some((missed, updates)) = resumed {
+        let from = wanted.revision;
+        spdlog::info!("view: {} goes on from revision {from}", wanted.instance);
+        for update in missed {
+            buffer.push(update.revision, &update.changes);
+        }
+        (updates, None)
+    } else {
+        spdlog::info!("view: {} subscribes", wanted.instance);
+        let (snapshot, updates) = state.subscribe();
+        (updates, Some(snapshot))
+    };
     let subscription = Subscription {
         state: Arc::clone(state),
         proposer: proposer.clone(),
-        updates: update,
+        updates,
         clock: clock::Clock::start(),
-        buffer: delta::Buffer::default(),
-        next_snapshot: Some(snapshot),
-        revision: number::Revision(0),
+        buffer,
+        next_snapshot,
+        revision: wanted.revision,
         leader_known_at: time::Instant::now(),
         leading_since: None,
         served_by_leader: leads && redirect::is_allowed(other_controls),
@@ -129,7 +143,7 @@
         if self.should_redirect() {
             return None;
         }
-        Some(self.encode(&frame))
+        Some(self.encode(frame).await)
     }
 
     /// Returns whether this process has led for a while and others can serve the subscriber.
@@ -177,8 +191,8 @@
         }
     }
 
-    fn encode(mut self, frame: &Outgoing) -> (Box<RawValue>, Self) {
-        let (revision, kind) = match frame {
+    async fn encode(mut self, frame: Outgoing) -> (Box<RawValue>, Self) {
+        let (revision, kind) = match &frame {
             Outgoing::Delta(delta) => (delta.revision, "delta"),
             Outgoing::Whole(frame) => match **frame {
                 view::Frame::Snapshot { revision, .. } => (revision, "snapshot"),
@@ -187,9 +201,19 @@
             },
         };
         self.revision = revision;
-        let encode = || serde_json::value::to_raw_value(frame);
-        let encoded = self.metrics.measure(metric::Work::Frame, encode);
-        let encoded = encoded.expect("frames have text keys only");
+        let metrics = self.metrics.clone();
+        let encode = move || {
+            let encode = || serde_json::value::to_raw_value(&frame);
+            let encoded = metrics.measure(metric::Work::Frame, encode);
+            encoded.expect("frames have text keys only")
+        };
+        let encoded = if kind == "snapshot" {
+            // The whole state takes long to encode where the traffic plan is large.
+            tokio::task::spawn_blocking(encode).await
+        } else {
+            Ok(encode())
+        };
+        let encoded = encoded.expect("encoding does not panic");
         self.metrics.count(metric::FRAMES, kind, 1);
         self.metrics
             .count(metric::FRAME_BYTES, kind, encoded.get().len());
--- a/crates/cranberrygap-control/tests/process.rs
+++ b/crates/cranberrygap-control/tests/process.rs
@@ -20,6 +20,7 @@
 
 fn wanted(revision: number::Revision) -> view::Subscribe {
     view::Subscribe {
+        founded: None,
         instance: "entry-1".parse().unwrap(),
         boot: number::Boot(1),
         revision,
--- a/crates/cranberrygap-entry/src/control/subscription.rs
+++ b/crates/cranberrygap-entry/src/control/subscription.rs
@@ -74,7 +74,7 @@
 
     /// Follows a control process, and then each better one, until one fails.
     async fn follow_from(&mut self, first: address::Peer) {
-        let mut next = self.open(&first).await;
+        let mut next = self.open(&first, self.core.view.latest()).await;
         let mut peer = first;
         loop {
             let ended = match next {
@@ -97,10 +97,11 @@
             .record_failure(self.core.now(), &peer.instance);
     }
 
-    /// Opens the stream of a control process.
+    /// Opens the stream of a control process, which goes on from `held` if the process can.
     fn open(
         &self,
         peer: &address::Peer,
+        held: Option<Arc<view::Snapshot>>,
     ) -> impl Future<Output = Result<Stream, error::Error>> + Send + 'static {
         let (core, secret, peer) = (
             Arc::clone(&self.core),
@@ -115,7 +116,11 @@
             let request = wire_view::Subscribe {
                 instance: core.instance().clone(),
                 boot: core.boot,
-                revision: core.view.revision(),
+                revision: held
+                    .as_ref()
+                    .map(|held| held.revision())
+                    .unwrap_or_default(),
+                founded: held.and_then(|held| held.founded()),
             };
             let frames = client
                 .subscribe::<_, wire_view::Frame>(method::VIEW_SUBSCRIBE, &request)
@@ -140,10 +145,15 @@
         peer: &address::Peer,
     ) -> impl Future<Output = Result<Stream, error::Error>> + Send + 'static {
         let core = Arc::clone(&self.core);
-        let opening = self.open(peer);
+        let held = core.view.latest();
+        let opening = self.open(peer, held.clone());
         async move {
             let mut stream = opening.await?;
             let separate = view::Holder::default();
+            if let Some(held) = held {
+                // A view is never older than none.
+                let _adopted = separate.adopt(held);
+            }
             loop {
                 let frame = stream.frames.next().await.ok_or(error::Error::Closed)??;
                 separate
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone)]
 pub struct Snapshot {
     revision: number::Revision,
+    /// Tells the history that the revision belongs to.
+    founded: Option<u64>,
     /// Revision of the last change that this entry must confirm at once.
     binding_revision: number::Revision,
     configuration: Arc<configuration::Configuration>,
@@ -38,6 +40,7 @@
     pub(super) fn new(revision: number::Revision, state: view::State) -> Self {
         Self {
             revision,
+            founded: state.founded,
             binding_revision: revision,
             configuration: Arc::new(state.configuration),
             catalogue: Arc::new(index_catalogue(state.catalogue)),
@@ -207,6 +210,12 @@
         self.revision
     }
 
+    /// What tells the history of this view from others, if its source told it.
+    #[must_use]
+    pub fn founded(&self) -> Option<u64> {
+        self.founded
+    }
+
     /// Revision of the last change that the leader waits for this entry to confirm.
     #[must_use]
     pub fn binding_revision(&self) -> number::Revision {
--- a/crates/cranberrygap-entry/src/view/staged.rs
+++ b/crates/cranberrygap-entry/src/view/staged.rs
@@ -31,7 +31,7 @@
 
     /// Returns all parts as one.
     pub(super) fn joined(&self) -> traffic::Part {
-        part::join(self.parts.iter().map(Arc::as_ref))
+        part::join(self.parts.iter().map(|part| (**part).clone()))
     }
 }
 
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -15,6 +15,7 @@
         versions: Vec::new(),
         former_routes: Vec::new(),
         staged: None,
+        founded: None,
         configuration: configuration::Configuration {
             revision: number::Revision(1),
             defaults: configuration::Defaults::default(),
--- a/crates/cranberrygap-link/src/server/stream.rs
+++ b/crates/cranberrygap-link/src/server/stream.rs
@@ -13,6 +13,10 @@
 use crate::session;
 use crate::traffic;
 
+/// Size from which a frame is compressed and sealed in a thread of its own, in bytes. Larger ones
+/// would keep this thread from the heartbeats of others.
+const LARGE_BODY_BYTES: usize = 256 << 10;
+
 struct Writer {
     sink: SubscriptionSink,
     connection: Arc<Connection>,
@@ -111,8 +115,16 @@
     async fn send(&mut self, response: &message::Response) -> bool {
         let purpose = session::Purpose::Frame;
         let body = message::to_raw_json(response);
-        let keys = &self.caller.keys;
-        let envelope = keys.seal(purpose, self.counter, self.sequence, body);
+        let keys = self.caller.keys.clone();
+        let (counter, sequence) = (self.counter, self.sequence);
+        let is_large = body.get().len() > LARGE_BODY_BYTES;
+        let seal = move || keys.seal(purpose, counter, sequence, body);
+        let envelope = if is_large {
+            let sealed = tokio::task::spawn_blocking(seal).await;
+            sealed.expect("sealing does not panic")
+        } else {
+            seal()
+        };
         self.connection.record_sent(self.kind, &envelope);
         self.sequence += 1;
         self.sink
--- a/crates/cranberrygap-state/src/fleet.rs
+++ b/crates/cranberrygap-state/src/fleet.rs
@@ -14,6 +14,10 @@
 /// Replicated state of the fleet.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
+    /// Time of the first command in Unix milliseconds, which tells histories of the state apart;
+    /// `None` for a state from an earlier version of the program.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub founded: Option<u64>,
     /// Index of the last command that was applied.
     pub revision: number::Revision,
     /// Index of the last command that changed the view of entries.
@@ -70,6 +74,9 @@
 impl Fleet {
     /// Applies a committed command; returns its answer and the changes of the view.
     pub fn apply(&mut self, index: number::Index, proposal: &command::Proposal) -> Outcome {
+        if self.revision == number::Revision(0) {
+            self.founded = Some(proposal.at);
+        }
         self.revision = number::Revision(index.0);
         self.clock = self.clock.max(proposal.at);
         let command = &proposal.command;
@@ -255,6 +262,7 @@
             versions: self.endpoints.versions().view().collect(),
             evacuated: self.evacuations.domains().cloned().collect(),
             former_routes: self.traffic.former_routes().to_vec(),
+            founded: self.founded,
         }
     }
 
--- a/crates/cranberrygap-state/src/traffic.rs
+++ b/crates/cranberrygap-state/src/traffic.rs
@@ -164,7 +164,7 @@
             Ok(source) => self.source = SmolStr::from(source),
             Err(cause) => return (to_refusal(&cause), changes),
         }
-        let change = part::join(staged.parts());
+        let change = part::join(staged.into_parts());
         let old = self.plan.as_deref();
         let has_moved =
             old.is_some_and(|old| former::add(&mut self.former_routes, revision, old, &change));
--- a/crates/cranberrygap-state/src/traffic/former.rs
+++ b/crates/cranberrygap-state/src/traffic/former.rs
@@ -10,7 +10,7 @@
 const MAX_ROUTES: usize = 1_024;
 
 /// Host and prefix of a route.
-type Place = (SmolStr, SmolStr);
+type Place<'plan> = (&'plan str, &'plan str);
 
 /// Adds to `former` where paths led by the plan `from` and not after `change`, as of `revision`.
 /// Returns whether anything was added.
@@ -21,10 +21,9 @@
     change: &traffic::Part,
 ) -> bool {
     let changed: HashMap<Place, &traffic::Route> = by_place(&change.routes).collect();
-    let removed: HashSet<Place> = change
-        .removed_routes
-        .iter()
-        .map(|place| (place.host.clone(), place.prefix.clone()))
+    let removed = change.removed_routes.iter();
+    let removed: HashSet<Place> = removed
+        .map(|place| (place.host.as_str(), place.prefix.as_str()))
         .collect();
     let old: HashMap<Place, &traffic::Route> = by_place(&from.routes).collect();
     let mut moved: BTreeMap<Place, &traffic::Route> = BTreeMap::new();
@@ -36,7 +35,7 @@
         }
         let kept = kept.filter(|route| is_resumable(route));
         if kept.is_none_or(|kept| !services(kept).is_superset(&services(route))) {
-            moved.insert(place.clone(), route);
+            moved.insert(*place, route);
         }
     }
     // A longer prefix takes paths of a shorter one over.
@@ -47,7 +46,7 @@
     for ((host, prefix), route) in added {
         let leads_to = services(route);
         for shorter in shorter_prefixes(prefix) {
-            let place = (host.clone(), shorter);
+            let place = (*host, shorter);
             if let Some(route) = old.get(&place)
                 && is_resumable(route)
                 && !leads_to.is_superset(&services(route))
@@ -60,8 +59,8 @@
     let moved = moved
         .into_iter()
         .map(|((host, prefix), route)| view::FormerRoute {
-            host,
-            prefix,
+            host: host.into(),
+            prefix: prefix.into(),
             services: services(route).into_iter().collect(),
             revision,
         });
@@ -85,7 +84,7 @@
 
 /// Makes one of all routes with the same host and prefix.
 fn merge(routes: impl Iterator<Item = view::FormerRoute>) -> Vec<view::FormerRoute> {
-    let mut merged: BTreeMap<Place, view::FormerRoute> = BTreeMap::new();
+    let mut merged: BTreeMap<(SmolStr, SmolStr), view::FormerRoute> = BTreeMap::new();
     for route in routes {
         let place = (route.host.clone(), route.prefix.clone());
         let Some(known) = merged.get_mut(&place) else {
@@ -100,9 +99,9 @@
     merged.into_values().collect()
 }
 
-fn by_place(routes: &[traffic::Route]) -> impl Iterator<Item = (Place, &traffic::Route)> {
+fn by_place(routes: &[traffic::Route]) -> impl Iterator<Item = (Place<'_>, &traffic::Route)> {
     let places = routes.iter();
-    places.map(|route| ((route.host.clone(), route.prefix.clone()), route))
+    places.map(|route| ((route.host.as_str(), route.prefix.as_str()), route))
 }
 
 /// Whether streams on a route may be resumed.
@@ -116,10 +115,10 @@
 }
 
 /// Returns the prefixes of the paths that `prefix` lies in, without itself.
-fn shorter_prefixes(prefix: &str) -> impl Iterator<Item = SmolStr> + '_ {
+fn shorter_prefixes(prefix: &str) -> impl Iterator<Item = &str> {
     let ends = prefix
         .match_indices('/')
         .map(|(at, slash)| at + slash.len());
     let ends = ends.filter(|end| *end < prefix.len());
-    ends.map(|end| SmolStr::new(&prefix[..end]))
+    ends.map(|end| &prefix[..end])
 }
--- a/crates/cranberrygap-state/src/traffic/part.rs
+++ b/crates/cranberrygap-state/src/traffic/part.rs
@@ -27,21 +27,15 @@
 
 /// Returns one part with all that `parts` contain.
 #[must_use]
-pub fn join<'parts>(parts: impl IntoIterator<Item = &'parts traffic::Part>) -> traffic::Part {
+pub fn join(parts: impl IntoIterator<Item = traffic::Part>) -> traffic::Part {
     let mut joined = traffic::Part::default();
     for part in parts {
-        joined.routes.extend_from_slice(&part.routes);
-        joined.services.extend_from_slice(&part.services);
-        joined.workspaces.extend_from_slice(&part.workspaces);
-        joined
-            .removed_routes
-            .extend_from_slice(&part.removed_routes);
-        joined
-            .removed_services
-            .extend_from_slice(&part.removed_services);
-        joined
-            .removed_workspaces
-            .extend_from_slice(&part.removed_workspaces);
+        joined.routes.extend(part.routes);
+        joined.services.extend(part.services);
+        joined.workspaces.extend(part.workspaces);
+        joined.removed_routes.extend(part.removed_routes);
+        joined.removed_services.extend(part.removed_services);
+        joined.removed_workspaces.extend(part.removed_workspaces);
     }
     joined
 }
--- a/crates/cranberrygap-state/src/traffic/stage.rs
+++ b/crates/cranberrygap-state/src/traffic/stage.rs
@@ -106,8 +106,8 @@
         })
     }
 
-    pub(super) fn parts(&self) -> &[traffic::Part] {
-        &self.parts
+    pub(super) fn into_parts(self) -> Vec<traffic::Part> {
+        self.parts
     }
 
     pub(super) fn edits(&self) -> &[text::Edit] {
--- a/crates/cranberrygap-state/tests/plan_parts.rs
+++ b/crates/cranberrygap-state/tests/plan_parts.rs
@@ -142,7 +142,7 @@
                 let empty = part::empty_plan(version, bounds.clone());
                 let entry = self.entry.get_or_insert(empty);
                 (entry.version, entry.bounds) = (version, bounds);
-                part::apply(entry, part::join(&self.staged));
+                part::apply(entry, part::join(self.staged.clone()));
             }
             _ => {}
         }
