--- a/crates/cranberrygap-bench/src/measure/agreement/replicas.rs
+++ b/crates/cranberrygap-bench/src/measure/agreement/replicas.rs
@@ -25,10 +25,13 @@
         Bytes::new()
     }
 
-    fn snapshot(&self) -> Bytes {
-        let mut state = vec![0; STATE];
-        state[..8].copy_from_slice(&self.0.load(Ordering::Relaxed).to_le_bytes());
-        Bytes::from(state)
+    fn capture(&self) -> state_machine::Capture {
+        let count = self.0.load(Ordering::Relaxed);
+        Box::new(move || {
+            let mut state = vec![0; STATE];
+            state[..8].copy_from_slice(&count.to_le_bytes());
+            Bytes::from(state)
+        })
     }
 
     fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
--- a/crates/cranberrygap-control/src/replica/task.rs
+++ b/crates/cranberrygap-control/src/replica/task.rs
@@ -11,7 +11,7 @@
     entry, formation, input, message, node, output, packet, replica, snapshot,
 };
 use cranberrygap_link::clock;
-use cranberrygap_model::{address, duration};
+use cranberrygap_model::{address, duration, number};
 use cranberrygap_storage::recovered;
 use parking_lot::RwLock;
 use tokio::sync::mpsc as channel;
@@ -73,6 +73,16 @@
     applied_bytes: u64,
     /// Size of the last snapshot taken or restored here, in bytes.
     snapshot_bytes: u64,
+    /// Whether a snapshot is being serialized.
+    is_serializing: bool,
+    serialized: channel::UnboundedSender<Serialized>,
+    serialized_receiver: Option<channel::UnboundedReceiver<Serialized>>,
+}
+
+/// A snapshot that was serialized in a thread of its own.
+struct Serialized {
+    index: number::Index,
+    data: Bytes,
 }
 
 impl Task {
@@ -107,6 +117,7 @@
                 environment.settings.voters.clone(),
             )),
         };
+        let (serialized, serialized_receiver) = channel::unbounded_channel();
         Self {
             environment,
             id,
@@ -122,6 +133,9 @@
             backlog_logged: false,
             applied_bytes: 0,
             snapshot_bytes,
+            is_serializing: false,
+            serialized,
+            serialized_receiver: Some(serialized_receiver),
         }
     }
 
@@ -135,6 +149,9 @@
             self.id,
             self.environment.settings.own
         );
+        let Some(mut serialized) = self.serialized_receiver.take() else {
+            return;
+        };
         self.present();
         self.try_form_group();
         self.step(input::Input::Tick);
@@ -142,6 +159,7 @@
             let wake = tokio::time::Instant::from_std(self.next_wake());
             tokio::select! {
                 Some(done) = done.recv() => self.handle_done(done),
+                Some(snapshot) = serialized.recv() => self.keep_snapshot(snapshot),
                 request = requests.recv() => {
                     let Some(request) = request else { return };
                     if !self.handle_requests(request, &mut requests) {
@@ -343,11 +361,28 @@
         let threshold = settings
             .snapshot_bytes
             .max(self.snapshot_bytes * LOG_BYTES_PER_SNAPSHOT_BYTE);
-        if entries_since < settings.snapshot_after && self.applied_bytes < threshold {
+        let is_due = entries_since >= settings.snapshot_after || self.applied_bytes >= threshold;
+        if !is_due || self.is_serializing {
             return;
         }
-        let data = self.environment.state_machine.snapshot();
+        // Serializing a large state takes longer than followers wait for a heartbeat.
+        self.is_serializing = true;
         self.applied_bytes = 0;
+        let serialize = self.environment.state_machine.capture();
+        let serialized = self.serialized.clone();
+        tokio::task::spawn_blocking(move || {
+            let data = serialize();
+            // Fails if the task has ended.
+            drop(serialized.send(Serialized { index, data }));
+        });
+    }
+
+    fn keep_snapshot(&mut self, snapshot: Serialized) {
+        self.is_serializing = false;
+        let Serialized { index, data } = snapshot;
+        let Phase::Running(node) = &mut self.phase else {
+            return;
+        };
         self.snapshot_bytes = data.len() as u64;
         spdlog::debug!(
             "agreement: snapshot of {} bytes up to entry {index}",
--- a/crates/cranberrygap-control/src/replicated.rs
+++ b/crates/cranberrygap-control/src/replicated.rs
@@ -141,9 +141,13 @@
             .measure(metric::Work::Apply, || self.apply_payload(index, payload))
     }
 
-    fn snapshot(&self) -> Bytes {
-        let snapshot = || Bytes::from(self.fleet.read().snapshot());
-        self.metrics.measure(metric::Work::Snapshot, snapshot)
+    fn capture(&self) -> state_machine::Capture {
+        let fleet = self.fleet.read().clone();
+        let metrics = self.metrics.clone();
+        Box::new(move || {
+            let snapshot = || Bytes::from(fleet.snapshot());
+            metrics.measure(metric::Work::Snapshot, snapshot)
+        })
     }
 
     fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
--- a/crates/cranberrygap-control/tests/recent.rs
+++ b/crates/cranberrygap-control/tests/recent.rs
@@ -69,7 +69,7 @@
 fn subscriber_from_before_a_snapshot_gets_the_whole_state() {
     let replica = state(2);
     replica
-        .restore(number::Index(5), &state(5).snapshot())
+        .restore(number::Index(5), &state(5).capture()())
         .expect("a snapshot");
     apply(&replica, 6);
 
--- a/crates/cranberrygap-control/tests/replica.rs
+++ b/crates/cranberrygap-control/tests/replica.rs
@@ -335,3 +335,35 @@
     assert!(fourth.replica.status().leads);
     back.replica.stop().await;
 }
+
+// Serializing a large state takes longer than followers wait for a heartbeat. The leader was replaced
+// meanwhile, and no change was committed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_commit_while_a_snapshot_is_serialized() {
+    let group = support::group(3, 10);
+    let running = group.start_all();
+    let leader = support::await_leader(&running).await;
+    let hold = |are_held| {
+        for replica in &running {
+            let recorder = &replica.recorder;
+            recorder
+                .snapshots_are_held
+                .store(are_held, Ordering::SeqCst);
+        }
+    };
+    hold(true);
+
+    for number in 0..60 {
+        support::commit(&running, &number.to_string()).await;
+    }
+    let during = leader.replica.dump().await;
+    hold(false);
+    support::wait_until("the snapshot is kept", async || {
+        let dump = leader.replica.dump().await;
+        dump["state"]["snapshot"]["index"].as_u64() > Some(0)
+    })
+    .await;
+
+    assert_eq!(during["state"]["snapshot"]["index"].as_u64(), Some(0));
+    assert!(leader.replica.status().leads);
+}
--- a/crates/cranberrygap-control/tests/support/mod.rs
+++ b/crates/cranberrygap-control/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cranberrygap_agreement::limits;
@@ -16,6 +16,9 @@
 use cranberrygap_storage::{disk, files};
 use parking_lot::Mutex;
 
+/// Longest time for which a snapshot is held; it only bounds a failing test.
+const MAX_SNAPSHOT_TIME: Duration = Duration::from_secs(30);
+
 /// State machine that keeps all payloads and answers with their number.
 #[derive(Debug, Default)]
 pub struct Recorder {
@@ -24,6 +27,8 @@
     pub apply_time: Duration,
     /// Whether only the last payload is kept, for changes that each replace the previous one.
     pub keep_last_only: bool,
+    /// Whether snapshots wait before they are serialized.
+    pub snapshots_are_held: Arc<AtomicBool>,
     /// Entries applied since the start.
     pub applied: AtomicUsize,
 }
@@ -42,8 +47,16 @@
         Bytes::from(payloads.len().to_string())
     }
 
-    fn snapshot(&self) -> Bytes {
-        Bytes::from(serde_json::to_vec(&*self.payloads.lock()).unwrap())
+    fn capture(&self) -> state_machine::Capture {
+        let payloads = self.payloads.lock().clone();
+        let are_held = Arc::clone(&self.snapshots_are_held);
+        Box::new(move || {
+            let begun = Instant::now();
+            while are_held.load(Ordering::SeqCst) && begun.elapsed() < MAX_SNAPSHOT_TIME {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            Bytes::from(serde_json::to_vec(&payloads).unwrap())
+        })
     }
 
     fn restore(&self, _index: number::Index, snapshot: &[u8]) -> Result<(), String> {
