--- a/crates/cranberrygap-bench/src/measure/plans.rs
+++ b/crates/cranberrygap-bench/src/measure/plans.rs
@@ -7,7 +7,7 @@
 use cranberrygap_entry::view as held;
 use cranberrygap_link::compression;
 use cranberrygap_model::{duration, number};
-use cranberrygap_state::traffic::{self as state, part, stage, text};
+use cranberrygap_state::traffic::{change, part};
 use cranberrygap_state::{command, fleet};
 use cranberrygap_wire::{traffic, view};
 use serde_json::{Value, json};
@@ -160,21 +160,10 @@
             term: number::Term(1),
             version: to.version,
         };
-        let base = self.fleet.traffic.plan();
-        let change = part::between(base, to);
-        let edits = text::between(self.fleet.traffic.source(), source);
-        let mut parts = stage::split(&stage, change, edits, part_bytes);
-        let last = parts.pop().map(|last| stage::Adoption {
-            last,
-            base: base.map(|plan| plan.version),
-            version: to.version,
-            bounds: to.bounds.clone(),
-            text_hash: state::text_hash(source),
-        });
-        let parts = parts.into_iter().map(Box::new);
-        let adoption = last.map(Box::new).map(command::Command::TrafficAdoption);
-        let parts = parts.map(command::Command::TrafficPart);
-        parts.chain(adoption).collect()
+        let to = change::Version { plan: to, source };
+        let from = self.fleet.traffic.current();
+        let change = change::Change::new(&stage, from, to, part_bytes);
+        change.into_commands().collect()
     }
 }
 
--- a/crates/cranberrygap-bench/src/soak/view/plans.rs
+++ b/crates/cranberrygap-bench/src/soak/view/plans.rs
@@ -4,7 +4,7 @@
 
 use cranberrygap_model::{duration, number};
 use cranberrygap_state::command;
-use cranberrygap_state::traffic::{self as state, part, stage, text};
+use cranberrygap_state::traffic::{self as state, change};
 use cranberrygap_wire::traffic;
 
 use super::control::{Pending, Running};
@@ -91,27 +91,22 @@
             term: self.node.hard().term,
             version,
         };
-        let (base, to) = (self.fleet.traffic.plan(), plan(version));
-        let change = part::between(base, &to);
-        let edits = text::between(self.fleet.traffic.source(), &source(&to));
-        let mut parts = stage::split(&stage, change, edits, PART_BYTES);
-        if flaw == Flaw::PartLeftOut && parts.len() > 1 {
-            parts.remove(0);
-            for (number, part) in (0..).zip(&mut parts) {
+        let plan = plan(version);
+        let source = source(&plan);
+        let to = change::Version {
+            plan: &plan,
+            source: &source,
+        };
+        let from = self.fleet.traffic.current();
+        let mut change = change::Change::new(&stage, from, to, PART_BYTES);
+        if flaw == Flaw::PartLeftOut && !change.parts.is_empty() {
+            change.parts.remove(0);
+            let last = std::iter::once(&mut change.adoption.last);
+            for (number, part) in (0..).zip(change.parts.iter_mut().chain(last)) {
                 part.number = number;
             }
         }
-        let adoption = stage::Adoption {
-            last: parts.pop().expect("a change has at least one part"),
-            base: base.map(|plan| plan.version),
-            version,
-            bounds: to.bounds.clone(),
-            text_hash: state::text_hash(""),
-        };
-        let parts = parts.into_iter().map(Box::new);
-        let commands = parts.map(command::Command::TrafficPart);
-        let adoption = command::Command::TrafficAdoption(Box::new(adoption));
-        commands.chain([adoption]).collect()
+        change.into_commands().collect()
     }
 }
 
--- a/crates/cranberrygap-control/src/plans.rs
+++ b/crates/cranberrygap-control/src/plans.rs
@@ -3,16 +3,18 @@
 //! A part is committed only once the one before it is. Leases, heartbeats and small changes of
 //! other subjects thus wait for one part at most, however large a plan is.
 
+mod queue;
+
 use std::sync::Arc;
 use std::time::Instant;
 
 use cranberrygap_link::server;
-use cranberrygap_state::traffic::{self as state, part, stage, text};
-use cranberrygap_state::{answer, command};
+use cranberrygap_state::answer;
+use cranberrygap_state::traffic::{self as state, change};
 use cranberrygap_wire::{method, traffic};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
-use tokio::sync::{Notify, Semaphore, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::proposer;
 use crate::replicated;
@@ -28,31 +30,6 @@
 /// Texts that may be read and committed at a time; operators send a few.
 const MAX_CALLS: usize = 32;
 
-type Outcome = Result<(), server::Fault>;
-
-/// A plan with the text that it was read from.
-#[derive(Debug)]
-struct Request {
-    plan: traffic::Plan,
-    source: SmolStr,
-}
-
-/// A caller that waits for a plan of its version or a higher one.
-#[derive(Debug)]
-struct Waiter {
-    version: u64,
-    reply: oneshot::Sender<Outcome>,
-}
-
-#[derive(Debug, Default)]
-struct Queue {
-    /// Version of the plan that is being committed.
-    committing: Option<u64>,
-    /// Plan with the highest version among those that wait.
-    next: Option<Request>,
-    waiters: Vec<Waiter>,
-}
-
 /// Reads a plan from its text; the error tells what is wrong with it.
 pub(crate) type Reader = Box<dyn FnOnce(&str) -> Result<traffic::Plan, SmolStr> + Send>;
 
@@ -60,7 +37,7 @@
 #[derive(Debug)]
 struct Call {
     source: SmolStr,
-    outcome: watch::Receiver<Option<Outcome>>,
+    outcome: watch::Receiver<Option<queue::Outcome>>,
 }
 
 /// Publisher of one process, which works while the process leads.
@@ -71,7 +48,7 @@
     calls: Mutex<Vec<Call>>,
     /// Permit to read a text; one is read at a time.
     reading: Semaphore,
-    queue: Mutex<Queue>,
+    queue: Mutex<queue::Queue>,
     arrived: Notify,
 }
 
@@ -96,7 +73,7 @@
     /// # Errors
     ///
     /// A fault when the text is no valid plan, or this process cannot commit it.
-    pub(crate) async fn publish(self: &Arc<Self>, source: SmolStr, read: Reader) -> Outcome {
+    pub(crate) async fn publish(self: &Arc<Self>, source: SmolStr, read: Reader) -> queue::Outcome {
         self.proposer.check_leads()?;
         let is_in_force =
             |state: &state::State| state.version().is_some() && *state.source() == source;
@@ -114,7 +91,7 @@
         self: &Arc<Self>,
         source: SmolStr,
         read: Reader,
-    ) -> Result<watch::Receiver<Option<Outcome>>, server::Fault> {
+    ) -> Result<watch::Receiver<Option<queue::Outcome>>, server::Fault> {
         let mut calls = self.calls.lock();
         if let Some(same) = calls.iter().find(|call| call.source == source) {
             return Ok(same.outcome.clone());
@@ -137,7 +114,7 @@
         Ok(outcome)
     }
 
-    async fn read_and_commit(&self, source: SmolStr, read: Reader) -> Outcome {
+    async fn read_and_commit(&self, source: SmolStr, read: Reader) -> queue::Outcome {
         let permit = self.reading.acquire().await;
         let text = source.clone();
         let plan = in_thread(move || read_checked(&text, read)).await??;
@@ -146,8 +123,8 @@
             // The plan is already committed, or replaced by one with a higher version.
             return Ok(());
         }
-        let (reply, committed) = oneshot::channel();
-        self.queue.lock().add(Request { plan, source }, reply);
+        let request = queue::Request { plan, source };
+        let committed = self.queue.lock().add(request);
         self.arrived.notify_one();
         let ended = committed.await;
         ended.unwrap_or_else(|_dropped| Err(unavailable("this control process stops")))
@@ -174,7 +151,7 @@
         }
     }
 
-    async fn commit(&self, request: Request) -> Outcome {
+    async fn commit(&self, request: queue::Request) -> queue::Outcome {
         let version = request.plan.version;
         let request = Arc::new(request);
         let begun = Instant::now();
@@ -206,84 +183,29 @@
     async fn prepare(
         &self,
         stage: traffic::Stage,
-        request: Arc<Request>,
-    ) -> Result<Change, server::Fault> {
+        request: Arc<queue::Request>,
+    ) -> Result<change::Change, server::Fault> {
         let (base, source) = self.state.read(|fleet| {
             let plan = fleet.traffic.shared_plan().cloned();
             (plan, fleet.traffic.source().clone())
         });
-        in_thread(move || Change::new(&stage, base.as_deref(), &source, &request)).await
+        let make = move || {
+            let plan = base.as_deref();
+            let source = source.as_str();
+            let from = plan.map(|plan| change::Version { plan, source });
+            change::Change::new(&stage, from, request.version(), PART_BYTES)
+        };
+        in_thread(make).await
     }
 
     /// Commits a change; returns whether it started from the plan in force.
-    async fn propose(&self, change: Change) -> Result<bool, server::Fault> {
-        for part in change.parts {
-            let command = command::Command::TrafficPart(Box::new(part));
+    async fn propose(&self, change: change::Change) -> Result<bool, server::Fault> {
+        for command in change.into_commands() {
             if self.proposer.propose(command).await? == answer::Answer::Outdated {
                 return Ok(false);
             }
         }
-        let command = command::Command::TrafficAdoption(Box::new(change.adoption));
-        let answer = self.proposer.propose(command).await?;
-        Ok(answer != answer::Answer::Outdated)
-    }
-}
-
-impl Queue {
-    fn add(&mut self, request: Request, reply: oneshot::Sender<Outcome>) {
-        let version = request.plan.version;
-        self.waiters.push(Waiter { version, reply });
-        let next = self.next.as_ref().map(|next| next.plan.version);
-        if self.committing.max(next) < Some(version) {
-            self.next = Some(request);
-        }
-    }
-
-    fn take(&mut self) -> Option<Request> {
-        let request = self.next.take()?;
-        self.committing = Some(request.plan.version);
-        Some(request)
-    }
-
-    /// Answers the callers whose plans have this version or were replaced by it.
-    fn finish(&mut self, version: u64, outcome: &Outcome) {
-        self.committing = None;
-        let answered = self
-            .waiters
-            .extract_if(.., |waiter| waiter.version <= version);
-        for waiter in answered {
-            // Fails if the caller no longer waits.
-            drop(waiter.reply.send(outcome.clone()));
-        }
-    }
-}
-
-/// Commands that turn the plan in force into the next one.
-#[derive(Debug)]
-struct Change {
-    parts: Vec<stage::Part>,
-    adoption: stage::Adoption,
-}
-
-impl Change {
-    fn new(
-        stage: &traffic::Stage,
-        base: Option<&traffic::Plan>,
-        source: &str,
-        request: &Request,
-    ) -> Self {
-        let change = part::between(base, &request.plan);
-        let edits = text::between(source, &request.source);
-        let mut parts = stage::split(stage, change, edits, PART_BYTES);
-        let last = parts.pop().expect("a change has at least one part");
-        let adoption = stage::Adoption {
-            last,
-            base: base.map(|plan| plan.version),
-            version: request.plan.version,
-            bounds: request.plan.bounds.clone(),
-            text_hash: state::text_hash(&request.source),
-        };
-        Self { parts, adoption }
+        Ok(true)
     }
 }
 
--- a/crates/cranberrygap-state/src/traffic.rs
+++ b/crates/cranberrygap-state/src/traffic.rs
@@ -1,9 +1,11 @@
 //! The traffic plan: routes, services, models and workspaces; the highest version wins.
 
 pub mod amendment;
+pub mod change;
 mod former;
 mod merge;
 pub mod part;
+mod split;
 pub mod stage;
 pub mod text;
 
@@ -230,6 +232,13 @@
         self.plan.as_ref()
     }
 
+    /// Returns the plan in force with its text.
+    #[must_use]
+    pub fn current(&self) -> Option<change::Version<'_>> {
+        let source = self.source.as_str();
+        self.plan().map(|plan| change::Version { plan, source })
+    }
+
     /// Returns the parts of the next plan that have arrived so far.
     #[must_use]
     pub const fn staged(&self) -> Option<&stage::Staged> {
@@ -264,12 +273,6 @@
     )
 }
 
-/// Returns the hash under which the audit trail names the text of a plan.
-#[must_use]
-pub fn text_hash(text: &str) -> SmolStr {
-    SmolStr::new(blake3::hash(text.as_bytes()).to_hex().as_str())
-}
-
 /// Returns all mistakes of a plan that its schema cannot find.
 #[must_use]
 pub fn check(plan: &traffic::Plan) -> Vec<Error> {
--- a/crates/cranberrygap-state/tests/plan_parts.rs
+++ b/crates/cranberrygap-state/tests/plan_parts.rs
@@ -1,7 +1,7 @@
 //! Changes of the traffic plan that are committed in parts.
 
 use cranberrygap_model::{duration, number, token};
-use cranberrygap_state::traffic::{self as state, part, stage, text};
+use cranberrygap_state::traffic::{self as state, change, part, text};
 use cranberrygap_state::{answer, command, fleet};
 use cranberrygap_wire::{traffic, view};
 use proptest::prelude::*;
@@ -154,22 +154,10 @@
             term: number::Term(term),
             version: to.version,
         };
-        let base = self.fleet.traffic.plan();
-        let change = part::between(base, to);
-        let edits = text::between(self.fleet.traffic.source(), source);
-        let mut parts = stage::split(&stage, change, edits, PART_BYTES);
-        let adoption = stage::Adoption {
-            last: parts.pop().expect("a part"),
-            base: base.map(|plan| plan.version),
-            version: to.version,
-            bounds: to.bounds.clone(),
-            text_hash: state::text_hash(source),
-        };
-        let parts = parts
-            .into_iter()
-            .map(|part| command::Command::TrafficPart(Box::new(part)));
-        let adoption = command::Command::TrafficAdoption(Box::new(adoption));
-        parts.chain([adoption]).collect()
+        let to = change::Version { plan: to, source };
+        let from = self.fleet.traffic.current();
+        let change = change::Change::new(&stage, from, to, PART_BYTES);
+        change.into_commands().collect()
     }
 
     fn replace(&mut self, term: u64, to: &traffic::Plan) {
