Ask for keys while the list of tenants is empty

Cause: the reader of configurations gave the list of tenants a default of an empty one, the plan had only the list, and an entry asked for a key if the list had anything in it. An empty list was read as permission.

Change: whether a plan asks for keys is a fact of its own, `access`. A change that does not tell it comes from an earlier release; it replaces what was known, and entries refuse requests (503, access_unknown) by such a plan without workspaces.

The seeded run of plans draws tenants, keys, routes, services and models, so that the last of each is taken out and put back, and sees a planted "empty admits anyone".

Why it works: no place decides by a list being empty any more; what says "anyone" is written only where the operator's text has no list, and every step that could lose it ends closed.

--- a/crates/cranberrygap-bench/src/soak/view/checks.rs
+++ b/crates/cranberrygap-bench/src/soak/view/checks.rs
@@ -94,6 +94,14 @@
             if let Some(mistake) = plan.as_ref().and_then(plans::mistake) {
                 return Err(format!("{mistake}, at entry {number}"));
             }
+            let revision = entry.holder.revision();
+            let sent = self.versions.get(&revision).copied();
+            if self.day.parts && version.is_some() && sent.is_some() && version != sent {
+                return Err(format!(
+                    "skipped: entry {number} serves by version {version:?} at {revision}, which \
+                     has {sent:?}"
+                ));
+            }
             let before = entry.served;
             entry.served = before.max(version.unwrap_or(0));
             let sends = entry.poll(self.now, controls);
@@ -189,5 +197,6 @@
             header_time: duration::Span::from_secs(1),
             idle: duration::Span::from_secs(1),
         },
+        access: None,
     }
 }
--- a/crates/cranberrygap-bench/src/soak/view/control.rs
+++ b/crates/cranberrygap-bench/src/soak/view/control.rs
@@ -101,6 +101,8 @@
     pub notes: Vec<String>,
     /// Commands that were applied.
     pub applied: u64,
+    /// Version of the plan at each revision that was reached; 0 without one.
+    pub versions: Vec<(number::Revision, u64)>,
 }
 
 impl Control {
@@ -155,6 +157,9 @@
                     for entry in entries {
                         effects.applied += 1;
                         running.apply(&entry, hung);
+                        let fleet = &running.fleet;
+                        let version = fleet.traffic.version().unwrap_or(0);
+                        effects.versions.push((fleet.view_revision, version));
                     }
                 }
                 output::Output::VoteEvent(ballot) => effects.notes.push(ballot.to_string()),
--- a/crates/cranberrygap-bench/src/soak/view/flaw.rs
+++ b/crates/cranberrygap-bench/src/soak/view/flaw.rs
@@ -20,4 +20,6 @@
     PartLeftOut,
     /// A source that an entry goes on at leaves out the first update that it lacks.
     UpdateSkipped,
+    /// A plan without workspaces is taken for one that asks for no keys.
+    EmptyAdmitsAnyone,
 }
--- a/crates/cranberrygap-bench/src/soak/view/plans.rs
+++ b/crates/cranberrygap-bench/src/soak/view/plans.rs
@@ -2,10 +2,13 @@
 
 use std::collections::VecDeque;
 
-use cranberrygap_model::{duration, number};
+use cranberrygap_entry::view::traffic as table;
+use cranberrygap_model::{duration, number, size, token};
 use cranberrygap_state::command;
 use cranberrygap_state::traffic::{self as state, change};
 use cranberrygap_wire::traffic;
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
 
 use super::control::{Pending, Running};
 use super::flaw::Flaw;
@@ -15,6 +18,12 @@
 const ROUTES: u64 = 12;
 const PLACES: u64 = 17;
 
+/// Workspaces, keys of each, services and models of each that a plan has at most.
+const WORKSPACES: u64 = 2;
+const KEYS: u64 = 2;
+const SERVICES: u64 = 2;
+const MODELS: u64 = 2;
+
 /// JSON of one part, in bytes; two routes fit.
 const PART_BYTES: usize = 500;
 
@@ -106,6 +115,9 @@
                 part.number = number;
             }
         }
+        if flaw == Flaw::EmptyAdmitsAnyone && plan.workspaces.is_empty() {
+            change.adoption.access = Some(traffic::Access::Anyone);
+        }
         change.into_commands().collect()
     }
 }
@@ -121,34 +133,161 @@
 
 /// Returns what is wrong with a plan, if anything is.
 pub fn mistake(held: &traffic::Plan) -> Option<String> {
-    let sorted = |plan: &traffic::Plan| {
-        let routes = plan.routes.iter().map(|route| route.prefix.clone());
-        let mut prefixes: Vec<_> = routes.collect();
-        prefixes.sort();
-        prefixes
-    };
-    let sent = plan(held.version);
-    (sorted(held) != sorted(&sent)).then(|| {
-        let version = held.version;
-        let (held, sent) = (sorted(held), sorted(&sent));
-        format!("whole plans: version {version} has the routes {held:?}, {sent:?} were sent")
+    let version = held.version;
+    let sent = plan(version);
+    let (lists, sent) = (sorted_lists(held), sorted_lists(&sent));
+    if lists != sent {
+        return Some(format!(
+            "whole plans: version {version} has {lists:?}, {sent:?} were sent"
+        ));
+    }
+    admission_mistake(held)
+}
+
+/// Returns for whom requests run although the operator did not mean it, or the other way round.
+fn admission_mistake(held: &traffic::Plan) -> Option<String> {
+    let version = held.version;
+    let draw = Draw::new(version);
+    let table = table::Table::new(held.clone());
+    let mut keys = (0..WORKSPACES * KEYS).map(Some).chain([None]);
+    keys.find_map(|key| {
+        let has_workspace = |key| table.workspace(&state::key_hash(&key_text(key))).is_some();
+        let is_admitted = match table.access() {
+            Some(traffic::Access::Anyone) => true,
+            Some(traffic::Access::KeyHolders) => key.is_some_and(has_workspace),
+            None => false,
+        };
+        let is_meant = draw.workspaces.is_none() || key.is_some_and(|key| draw.has_key(key));
+        (is_admitted != is_meant).then(|| {
+            format!(
+                "admission: version {version} admits key {key:?}: {is_admitted}; meant: {is_meant}"
+            )
+        })
     })
 }
 
-/// The routes of each version differ from those of the one before in several places.
+fn sorted_lists(
+    plan: &traffic::Plan,
+) -> (
+    Vec<traffic::Route>,
+    Vec<traffic::Service>,
+    Vec<traffic::Workspace>,
+) {
+    let mut routes = plan.routes.clone();
+    let mut services = plan.services.clone();
+    let mut workspaces = plan.workspaces.clone();
+    routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+    services.sort_by(|a, b| a.service.cmp(&b.service));
+    workspaces.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+    (routes, services, workspaces)
+}
+
+/// What a plan has of each kind. Small numbers are drawn, so that the last one of a kind is often
+/// taken out and put back.
+struct Draw {
+    /// Keys of each workspace; `None` where the operator names no list of workspaces.
+    workspaces: Option<Vec<u64>>,
+    routes: u64,
+    /// Models of each service.
+    services: Vec<u64>,
+}
+
+impl Draw {
+    fn new(version: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(version);
+        let is_keyless = rng.random_ratio(1, 4);
+        let workspaces = 0..rng.random_range(0..=WORKSPACES);
+        let workspaces: Vec<u64> = workspaces.map(|_| rng.random_range(0..=KEYS)).collect();
+        let services = 0..rng.random_range(0..=SERVICES);
+        Self {
+            workspaces: (!is_keyless).then_some(workspaces),
+            routes: if rng.random_ratio(1, 6) {
+                0
+            } else {
+                rng.random_range(1..=ROUTES)
+            },
+            services: services.map(|_| rng.random_range(0..=MODELS)).collect(),
+        }
+    }
+
+    fn has_key(&self, key: u64) -> bool {
+        let keys = self.workspaces.iter().flatten();
+        let mut held = (0..).zip(keys);
+        held.any(|(workspace, keys)| key / KEYS == workspace && key % KEYS < *keys)
+    }
+}
+
 fn plan(version: u64) -> traffic::Plan {
-    let count = version % ROUTES;
+    let draw = Draw::new(version);
+    let access = match draw.workspaces {
+        Some(_) => traffic::Access::KeyHolders,
+        None => traffic::Access::Anyone,
+    };
+    let keys = (0..).zip(draw.workspaces.iter().flatten());
+    let models = (0..).zip(&draw.services);
     traffic::Plan {
         version,
-        routes: (0..count).map(|number| route(version, number)).collect(),
-        services: Vec::new(),
-        workspaces: Vec::new(),
+        routes: (0..draw.routes)
+            .map(|number| route(version, number))
+            .collect(),
+        services: models
+            .map(|(number, models)| service(number, *models))
+            .collect(),
+        workspaces: keys
+            .map(|(number, keys)| workspace(number, *keys))
+            .collect(),
         bounds: traffic::Bounds {
             body: 1,
             header: 1,
             header_time: duration::Span::from_secs(1),
             idle: duration::Span::from_secs(1),
         },
+        access: Some(access),
+    }
+}
+
+fn workspace(number: u64, keys: u64) -> traffic::Workspace {
+    let keys = (0..keys).map(|key| key_text(number * KEYS + key));
+    traffic::Workspace {
+        workspace: format!("workspace-{number}").parse().expect("a plain name"),
+        keys: keys.map(|key| state::key_hash(&key)).collect(),
+        priority: None,
+        rate: token::Rate(0.0),
+        burst: token::Count(0),
+        plain_cost: 1,
+        by_tokens: false,
+    }
+}
+
+fn key_text(number: u64) -> String {
+    format!("key-{number}")
+}
+
+fn service(number: u64, models: u64) -> traffic::Service {
+    let model = |model| traffic::Model {
+        model: format!("model-{model}").parse().expect("a plain name"),
+        size: size::Bytes(1),
+        load: duration::Span::from_secs(1),
+        warm: duration::Span::from_secs(1),
+        disk: duration::Span::from_secs(1),
+        adapters: 0,
+        adapter_size: size::Bytes(0),
+    };
+    traffic::Service {
+        service: format!("service-{number}").parse().expect("a plain name"),
+        health: "/health".into(),
+        connections: 1,
+        cold_limit: None,
+        engine: Some(traffic::Engine {
+            slots: 1,
+            cache: 1,
+            memory: size::Bytes(1),
+            adapter_slots: 1,
+            host: size::Bytes(0),
+            disk: size::Bytes(0),
+            store_rate: 1.0,
+            models: (0..models).map(model).collect(),
+        }),
     }
 }
 
--- a/crates/cranberrygap-bench/src/soak/view/world.rs
+++ b/crates/cranberrygap-bench/src/soak/view/world.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cranberrygap_agreement::{formation, input, member, members, replica, write};
+use cranberrygap_model::number;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -64,6 +65,8 @@
     pub next_news: u64,
     pub version: u64,
     pub acknowledged: VecDeque<(u64, u64)>,
+    /// Version of the plan at each revision of the view.
+    pub versions: BTreeMap<number::Revision, u64>,
     /// Highest version that must be in force, and that was ever acknowledged.
     pub due: u64,
     pub highest: u64,
@@ -113,6 +116,7 @@
             next_news: 0,
             version: 0,
             acknowledged: VecDeque::new(),
+            versions: BTreeMap::new(),
             due: 0,
             highest: 0,
             trace: VecDeque::new(),
@@ -237,6 +241,7 @@
 
     pub fn carry_out(&mut self, place: usize, effects: Effects) {
         self.spend(place, budget::applying(effects.applied));
+        self.versions.extend(effects.versions);
         for (to, packet) in effects.sends {
             self.send(Place::Control(place), to, packet);
         }
--- a/crates/cranberrygap-bench/tests/soak_view.rs
+++ b/crates/cranberrygap-bench/tests/soak_view.rs
@@ -146,12 +146,24 @@
     );
 }
 
+// The last workspace is taken out, and an empty list is read as "no keys are asked for".
+#[test]
+fn plan_that_admits_anyone_without_workspaces_is_caught() {
+    let flaw = view::Flaw::EmptyAdmitsAnyone;
+
+    let violation = view::Plans { flaw }.run(1, STEPS);
+
+    let violation = violation.expect_err("routes that are open to everybody are caught");
+    assert!(violation.invariant.starts_with("admission"), "{violation}");
+}
+
 // An entry that goes on at another source without a change that it lacks.
 #[test]
 fn update_that_is_skipped_is_caught() {
     let flaw = view::Flaw::UpdateSkipped;
 
-    let mut violations = (1..=20).filter_map(|seed| view::Plans { flaw }.run(seed, STEPS).err());
+    let violation = (1..=20).find_map(|seed| view::Plans { flaw }.run(seed, STEPS).err());
 
-    assert!(violations.next().is_some(), "a skipped update is caught");
+    let violation = violation.expect("a skipped update is caught");
+    assert!(violation.invariant.starts_with("skipped"), "{violation}");
 }
--- a/crates/cranberrygap-control/tests/large_plans.rs
+++ b/crates/cranberrygap-control/tests/large_plans.rs
@@ -64,6 +64,7 @@
             header_time: duration::Span::from_secs(3),
             idle: duration::Span::from_secs(15),
         },
+        access: Some(traffic::Access::KeyHolders),
     }
 }
 
--- a/crates/cranberrygap-control/tests/shares.rs
+++ b/crates/cranberrygap-control/tests/shares.rs
@@ -79,6 +79,7 @@
             header_time: duration::Span::from_secs(1),
             idle: duration::Span::from_secs(1),
         },
+        access: Some(traffic::Access::KeyHolders),
     }
 }
 
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -29,6 +29,11 @@
         /// Time until a plan is expected.
         retry_after: duration::Span,
     },
+    /// The plan does not tell whether its routes ask for keys; nothing ran.
+    UnknownAccess {
+        /// Time until a plan that tells it may be in force.
+        retry_after: duration::Span,
+    },
     /// No route of the plan matches.
     NoRoute,
     /// The key is missing or invalid.
@@ -108,6 +113,7 @@
     pub(crate) const fn code(&self) -> &'static str {
         match self {
             Self::NoView { .. } => "no_view",
+            Self::UnknownAccess { .. } => "access_unknown",
             Self::NoRoute => "route_unknown",
             Self::NoKey => "key_unknown",
             Self::Malformed(_) => "malformed",
@@ -147,6 +153,7 @@
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
             Self::NoView { .. }
+            | Self::UnknownAccess { .. }
             | Self::NoMemory { .. }
             | Self::NoEndpoint { .. }
             | Self::NotRun { .. }
@@ -168,6 +175,7 @@
     pub(crate) fn retry_after(&self) -> Option<duration::Span> {
         match self {
             Self::NoView { retry_after }
+            | Self::UnknownAccess { retry_after }
             | Self::NoMemory { retry_after }
             | Self::OverRate { retry_after }
             | Self::NoEndpoint { retry_after, .. }
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -166,9 +166,17 @@
         table: &table::Table,
         route: &traffic::Route,
     ) -> Result<Option<Workspace>, Failure> {
-        if route.public || !table.has_workspaces() {
+        if route.public {
             return Ok(None);
         }
+        match table.access() {
+            Some(traffic::Access::Anyone) => return Ok(None),
+            Some(traffic::Access::KeyHolders) => {}
+            None => {
+                let retry_after = failure::add_jitter(NO_PLAN_RETRY_AFTER);
+                return Err(Failure::UnknownAccess { retry_after });
+            }
+        }
         let key = self.metadata.key.as_ref().ok_or(Failure::NoKey)?;
         let key = state::key_hash(key);
         let workspace = table.workspace(&key).ok_or(Failure::NoKey)?;
--- a/crates/cranberrygap-entry/src/view/snapshot.rs
+++ b/crates/cranberrygap-entry/src/view/snapshot.rs
@@ -104,6 +104,7 @@
         parts: u32,
         base: Option<u64>,
         bounds: wire::Bounds,
+        access: Option<wire::Access>,
     ) -> Result<(), Error> {
         let version = stage.version;
         if self.traffic.as_ref().map(|table| table.plan().version) != base {
@@ -116,9 +117,7 @@
             Some(table) => table.plan().clone(),
             None => part::empty_plan(version, bounds.clone()),
         };
-        plan.version = version;
-        plan.bounds = bounds;
-        part::apply(&mut plan, change);
+        part::adopt(&mut plan, version, bounds, access, change);
         self.traffic = Some(Arc::new(traffic::Table::new(plan)));
         Ok(())
     }
@@ -200,7 +199,8 @@
                 parts,
                 base,
                 bounds,
-            } => self.adopt(&stage, parts, base, bounds)?,
+                access,
+            } => self.adopt(&stage, parts, base, bounds, access)?,
             view::Change::WorkspaceAdded { workspace } => {
                 Arc::make_mut(&mut self.workspaces).push(workspace);
             }
--- a/crates/cranberrygap-entry/src/view/traffic.rs
+++ b/crates/cranberrygap-entry/src/view/traffic.rs
@@ -81,10 +81,15 @@
             .map(|index| &self.plan.workspaces[*index])
     }
 
-    /// Whether the plan has workspaces, so that callers must present a key.
+    /// Who may use the routes that are not public; `None` if the plan does not tell.
+    ///
+    /// Plans of earlier releases do not. One that has workspaces asks for their keys. One that has
+    /// none may have lost its last workspace, and is not taken for a plan that asks for no keys.
     #[must_use]
-    pub fn has_workspaces(&self) -> bool {
-        !self.plan.workspaces.is_empty()
+    pub fn access(&self) -> Option<traffic::Access> {
+        let has_workspaces = !self.plan.workspaces.is_empty();
+        let implied = has_workspaces.then_some(traffic::Access::KeyHolders);
+        self.plan.access.or(implied)
     }
 
     /// A model that the engines of a service can load.
--- a/crates/cranberrygap-entry/tests/view.rs
+++ b/crates/cranberrygap-entry/tests/view.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a fixture that fails fails its test")]
 
 use cranberrygap_entry::view::{self, source};
-use cranberrygap_model::{duration, number};
+use cranberrygap_model::{duration, number, token};
 use cranberrygap_state::traffic::amendment;
 use cranberrygap_wire::{configuration, traffic, view as wire_view};
 
@@ -297,6 +297,7 @@
             header_time: duration::Span::from_secs(3),
             idle: duration::Span::from_secs(15),
         },
+        access: None,
     }
 }
 
@@ -346,6 +347,7 @@
         parts,
         base,
         bounds: next.bounds,
+        access: next.access,
     }
 }
 
@@ -473,3 +475,63 @@
         assert!(leads(&holder, "/old/x") && !leads(&holder, "/a/x"));
     }
 }
+
+/// What a view shows of who may use its routes, whole and after an amendment to another access.
+fn access_after(
+    first: Option<traffic::Access>,
+    second: Option<traffic::Access>,
+    workspaces: &[traffic::Workspace],
+) -> [Option<traffic::Access>; 2] {
+    let plan = |version, access| traffic::Plan {
+        access,
+        workspaces: workspaces.to_vec(),
+        ..plan(version, "/a/")
+    };
+    let holder = view::Holder::default();
+    let mut state = state();
+    state.traffic = Some(plan(1, first));
+    let revision = number::Revision(1);
+    let frame = wire_view::Frame::Snapshot { revision, state };
+    holder.apply_frame(frame).unwrap();
+    let shown = || holder.latest().unwrap().traffic().unwrap().access();
+    let whole = shown();
+    let amendment = amendment::between(&plan(1, first), &plan(2, second));
+    let change = wire_view::Change::Amended { amendment };
+    holder.apply_frame(delta(2, vec![change])).unwrap();
+    [whole, shown()]
+}
+
+// The operator takes the last workspace out. Read as "no keys are asked for", an empty list opens
+// each route to everybody.
+#[test]
+fn routes_without_workspaces_open_only_if_the_plan_says_so() {
+    let (anyone, holders) = (traffic::Access::Anyone, traffic::Access::KeyHolders);
+
+    for (first, second) in [
+        (Some(anyone), Some(holders)),
+        (Some(holders), Some(anyone)),
+        (Some(anyone), None),
+        (None, Some(anyone)),
+    ] {
+        assert_eq!(access_after(first, second, &[]), [first, second]);
+    }
+}
+
+// A plan of an earlier release does not tell whether it asks for keys. One that has workspaces does.
+#[test]
+fn plan_that_does_not_tell_its_access_asks_for_the_keys_that_it_has() {
+    let workspace = traffic::Workspace {
+        workspace: "rink-a".parse().unwrap(),
+        keys: vec!["hash-1".into()],
+        priority: None,
+        rate: token::Rate(0.0),
+        burst: token::Count(0),
+        plain_cost: 1,
+        by_tokens: true,
+    };
+
+    let access = access_after(None, None, &[workspace]);
+
+    assert_eq!(access, [Some(traffic::Access::KeyHolders); 2]);
+    assert_eq!(access_after(None, None, &[]), [None; 2]);
+}
--- a/crates/cranberrygap-state/src/traffic.rs
+++ b/crates/cranberrygap-state/src/traffic.rs
@@ -175,14 +175,14 @@
             .plan
             .get_or_insert_with(|| Arc::new(part::empty_plan(version, bounds.clone())));
         let plan = Arc::make_mut(plan);
-        plan.version = version;
-        plan.bounds = bounds.clone();
-        part::apply(plan, change);
+        let access = adoption.access;
+        part::adopt(plan, version, bounds.clone(), access, change);
         let adopted = view::Change::Adopted {
             stage: adoption.last.stage.clone(),
             parts: adoption.last.number + 1,
             base: adoption.base,
             bounds,
+            access,
         };
         changes.extend(self.with_moves(has_moved, adopted));
         (answer, changes)
--- a/crates/cranberrygap-state/src/traffic/amendment.rs
+++ b/crates/cranberrygap-state/src/traffic/amendment.rs
@@ -15,6 +15,7 @@
     traffic::Amendment {
         version: to.version,
         bounds: to.bounds.clone(),
+        access: to.access,
         routes: merge::changed(&from.routes, &to.routes, route_name),
         services: merge::changed(&from.services, &to.services, service_name),
         workspaces: merge::changed(&from.workspaces, &to.workspaces, workspace_name),
@@ -30,6 +31,7 @@
     let mut plan = plan.clone();
     plan.version = amendment.version;
     plan.bounds = amendment.bounds;
+    plan.access = amendment.access;
     merge::replace(
         &mut plan.routes,
         amendment.routes,
--- a/crates/cranberrygap-state/src/traffic/change.rs
+++ b/crates/cranberrygap-state/src/traffic/change.rs
@@ -49,6 +49,7 @@
             base: base.map(|plan| plan.version),
             version: to.plan.version,
             bounds: to.plan.bounds.clone(),
+            access: to.plan.access,
             text_hash: SmolStr::new(blake3::hash(to.source.as_bytes()).to_hex().as_str()),
         };
         Self { parts, adoption }
--- a/crates/cranberrygap-state/src/traffic/part.rs
+++ b/crates/cranberrygap-state/src/traffic/part.rs
@@ -40,6 +40,23 @@
     joined
 }
 
+/// Makes a plan of version `version` with these bounds and this access out of `plan`.
+///
+/// An `access` of `None` replaces a known one: it comes from an earlier release, which does not tell
+/// whether its plan asks for keys.
+pub fn adopt(
+    plan: &mut traffic::Plan,
+    version: u64,
+    bounds: traffic::Bounds,
+    access: Option<traffic::Access>,
+    change: traffic::Part,
+) {
+    plan.version = version;
+    plan.bounds = bounds;
+    plan.access = access;
+    apply(plan, change);
+}
+
 /// Changes the routes, services and workspaces of a plan.
 pub fn apply(plan: &mut traffic::Plan, part: traffic::Part) {
     let (service, workspace) = (amendment::service_name, amendment::workspace_name);
@@ -69,6 +86,7 @@
         services: Vec::new(),
         workspaces: Vec::new(),
         bounds,
+        access: None,
     }
 }
 
--- a/crates/cranberrygap-state/src/traffic/stage.rs
+++ b/crates/cranberrygap-state/src/traffic/stage.rs
@@ -48,6 +48,9 @@
     pub version: u64,
     /// Bounds of the new plan.
     pub bounds: traffic::Bounds,
+    /// Who may use its routes; `None` from an earlier release, which did not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub access: Option<traffic::Access>,
     /// Hash of the new text, for the audit trail.
     pub text_hash: SmolStr,
 }
--- a/crates/cranberrygap-state/tests/plan_parts.rs
+++ b/crates/cranberrygap-state/tests/plan_parts.rs
@@ -86,6 +86,7 @@
             header_time: duration::Span::from_secs(3),
             idle: duration::Span::from_secs(15),
         },
+        access: Some(traffic::Access::KeyHolders),
     }
 }
 
@@ -137,6 +138,7 @@
                 parts,
                 base,
                 bounds,
+                access,
             } => {
                 let version = stage.version;
                 let held = self.entry.as_ref().map(|entry| entry.version);
@@ -144,8 +146,8 @@
                 assert_eq!(self.staged.len() as u64, u64::from(parts));
                 let empty = part::empty_plan(version, bounds.clone());
                 let entry = self.entry.get_or_insert(empty);
-                (entry.version, entry.bounds) = (version, bounds);
-                part::apply(entry, part::join(self.staged.clone()));
+                let change = part::join(self.staged.clone());
+                part::adopt(entry, version, bounds, access, change);
             }
             _ => {}
         }
@@ -317,14 +319,69 @@
     assert!(shown.contains("\"staged\""), "{shown}");
 }
 
+fn plan_of(version: u64, access: Option<traffic::Access>) -> traffic::Plan {
+    let workspaces = Vec::new();
+    traffic::Plan {
+        access,
+        workspaces,
+        ..plan(version, routes(0..2))
+    }
+}
+
+// A version that changes nothing but who may use the routes must not look like no change.
+#[test]
+fn change_of_access_alone_is_in_force() {
+    let (anyone, holders) = (traffic::Access::Anyone, traffic::Access::KeyHolders);
+    let mut replica = Replica::default();
+
+    for (version, access) in [(1, anyone), (2, holders), (3, anyone), (4, holders)] {
+        let to = plan_of(version, Some(access));
+        replica.replace(version, &to);
+        replica.restore();
+
+        let held = replica.fleet.traffic.plan();
+        assert_eq!(held.and_then(|plan| plan.access), Some(access));
+        let entry = replica.entry.as_ref();
+        assert_eq!(entry.and_then(|plan| plan.access), Some(access));
+    }
+}
+
+// A leader of an earlier release takes the last workspace out and does not tell who may use the
+// routes. What was known of the plan before does not hold for this one.
+#[test]
+fn access_that_a_change_does_not_tell_is_not_the_one_before() {
+    let mut replica = Replica::default();
+    replica.replace(1, &plan_of(1, Some(traffic::Access::Anyone)));
+    let commands = replica.commands(2, &plan_of(2, None), "text");
+
+    for command in commands {
+        let stored = serde_json::to_value(&command).expect("a command has text keys only");
+        assert!(!stored.to_string().contains("\"access\""), "{stored}");
+        let read = serde_json::from_value(stored).expect("a command of an earlier release");
+        assert_eq!(replica.apply(read), answer::Answer::Done);
+    }
+
+    let held = replica.fleet.traffic.plan().expect("a plan");
+    let entry = replica.entry.as_ref().expect("a plan");
+    assert_eq!((held.version, held.access), (2, None));
+    assert_eq!((entry.version, entry.access), (2, None));
+}
+
 fn any_plan(version: u64) -> impl Strategy<Value = traffic::Plan> {
     let services = prop::sample::select(vec!["app", "engines"]);
     let routes = prop::collection::btree_map(0_u32..80, services, 0..60);
     let names = prop::sample::subsequence(vec!["one", "two", "three"], 0..=3);
-    (routes, names, 0_u32..40, 0_u32..30).prop_map(move |(routes, names, models, keys)| {
+    let access = prop::sample::select(vec![
+        None,
+        Some(traffic::Access::Anyone),
+        Some(traffic::Access::KeyHolders),
+    ]);
+    let numbers = (0_u32..40, 0_u32..30);
+    (routes, names, numbers, access).prop_map(move |(routes, names, (models, keys), access)| {
         let mut any = plan(version, routes);
         any.services[1] = service("engines", models);
         any.workspaces = names.iter().map(|name| workspace(name, keys)).collect();
+        any.access = access;
         any
     })
 }
--- a/crates/cranberrygap-state/tests/traffic.rs
+++ b/crates/cranberrygap-state/tests/traffic.rs
@@ -54,6 +54,7 @@
             header_time: duration::Span::from_secs(3),
             idle: duration::Span::from_secs(15),
         },
+        access: Some(traffic::Access::KeyHolders),
     }
 }
 
@@ -266,6 +267,7 @@
     other.routes = vec![route("late", "/late/", "bookings")];
     other.services[0].service = "bookings".parse().expect("a name");
     other.workspaces.clear();
+    other.access = Some(traffic::Access::Anyone);
 
     for (from, to) in [(large_plan(1), other.clone()), (other, large_plan(12))] {
         let (result, _) = amended(&from, &to);
