Withhold statuses that would promise "not run" after a run

Callers saw: an endpoint ran bookings and failed part of them with 503, without evidence that it did not run them.

Cause: the gateway told evidence of "not run" from an answer and passed each answer on with its status. On the way from one to the other nothing asked what the status means to a caller.

Change: policy::outcome::may_pass_on decides by status and class of the request. On routes that run a request at most once callers get our own 502 without the endpoint's head and body; on the others the status is unchanged, with its Retry-After. What the endpoint says of itself is read before. An entry marks its refusals of forwarded requests, and a promise without the mark is not believed: it is an endpoint's, passed on by an entry of an earlier release. Failures bear the mark of a drain to the entry that forwarded the request. New counter gateway_withheld_statuses, and the status as the cause in the request's line.

Why it works: a promise leaves the gateway only as a refusal of its own, and these say "not run" by evidence.

--- a/crates/cranberrygap-arrivals/src/check.rs
+++ b/crates/cranberrygap-arrivals/src/check.rs
@@ -6,6 +6,7 @@
 mod drains;
 mod endpoints;
 mod pairs;
+mod promises;
 mod rests;
 mod returns;
 mod versions;
@@ -21,6 +22,7 @@
 pub use deadline::Deadline;
 pub use drains::Drains;
 pub use endpoints::Endpoints;
+pub use promises::Promises;
 pub use rests::Rests;
 pub use returns::Returns;
 pub use versions::Versions;
@@ -40,7 +42,7 @@
 
 /// All checks.
 #[must_use]
-pub fn registry() -> [Box<dyn Check>; 8] {
+pub fn registry() -> [Box<dyn Check>; 9] {
     [
         Box::new(Budget),
         Box::new(Endpoints),
@@ -50,6 +52,7 @@
         Box::new(Returns),
         Box::new(Rests),
         Box::new(Drains),
+        Box::new(Promises),
     ]
 }
 
--- a/crates/cranberrygap-arrivals/src/record.rs
+++ b/crates/cranberrygap-arrivals/src/record.rs
@@ -19,6 +19,8 @@
     pub attempts: Vec<attempt::Attempt>,
     /// What endpoints received.
     pub arrivals: Vec<arrival::Arrival>,
+    /// Attempts that may run at most once and whose callers were promised that they did not run.
+    pub promised: Vec<SmolStr>,
     /// Streams as their callers received them.
     pub streams: Vec<stream::Stream>,
     /// When entries had faults.
--- a/crates/cranberrygap-arrivals/tests/checks.rs
+++ b/crates/cranberrygap-arrivals/tests/checks.rs
@@ -401,3 +401,25 @@
 
     assert_eq!(check::Drains.run(&record, &rules()), []);
 }
+
+// A caller takes the promise for its word and sends the request again.
+#[test]
+fn attempt_that_ran_after_a_promise_is_found() {
+    let mut record = record::Record::default();
+    for number in 0..4 {
+        record.attempts.push(attempt(number, 1.0));
+        record.promised.push(format!("a-{number}").into());
+    }
+    let mut rejected = arrival(1, "i-1", 1.1);
+    rejected.end = arrival::End::Rejected;
+    record.arrivals.push(rejected);
+    let clean = check::findings(&record, &rules());
+    record.arrivals.push(arrival(2, "i-1", 1.2));
+    record.arrivals.push(arrival(7, "i-1", 1.2));
+
+    let found = check::findings(&record, &rules());
+
+    assert_eq!(clean, []);
+    assert_eq!(names(&found), ["promises"]);
+    assert_eq!((found[0].seen, found[0].subject.as_str()), (1.0, "a-2"));
+}
--- a/crates/cranberrygap-entry/src/gateway/delivery.rs
+++ b/crates/cranberrygap-entry/src/gateway/delivery.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use cranberrygap_model::{duration, id, software};
+use cranberrygap_policy::{outcome, retry};
 use cranberrygap_routing::origin;
 use cranberrygap_wire::{traffic, view};
 use http::{Response, StatusCode};
@@ -92,6 +93,16 @@
     pub(super) in_flight: in_flight::Request,
 }
 
+/// How a request failed.
+#[derive(Debug)]
+pub(super) struct Failed {
+    pub(super) log: request_log::Log,
+    pub(super) failure: Failure,
+    /// The process of the last response, if it drains and the entry that forwarded the request has
+    /// to know it.
+    pub(super) draining: Option<view::Draining>,
+}
+
 /// How a request ended before a stream began.
 enum Completion {
     /// With a complete response.
@@ -148,11 +159,8 @@
     }
 
     /// Whether running the request again does no harm.
-    pub(super) const fn is_repeatable(&self) -> bool {
-        matches!(
-            self.kind(),
-            traffic::Kind::Idempotent | traffic::Kind::Resumable
-        )
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.resolution.class() == retry::Class::Idempotent
     }
 
     const fn is_stream(&self) -> bool {
@@ -163,11 +171,7 @@
     }
 
     /// Sends the request until it has a response or no attempt is left.
-    ///
-    /// A failure returns the request's log.
-    pub(super) async fn run(
-        mut self,
-    ) -> Result<Response<response::Body>, (request_log::Log, Failure)> {
+    pub(super) async fn run(mut self) -> Result<Response<response::Body>, Box<Failed>> {
         let counted_demand = self.count_demand();
         match self.send_until_response().await {
             Ok(reply) => {
@@ -197,7 +201,12 @@
                 }
                 self.record_unversioned(&failure);
                 let failure = self.truthful(failure);
-                Err((self.log, failure))
+                let draining = self.drain_mark();
+                Err(Box::new(Failed {
+                    log: self.log,
+                    failure,
+                    draining,
+                }))
             }
         }
     }
@@ -276,6 +285,11 @@
     async fn handle_response(&mut self, reply: Reply) -> Result<Option<Reply>, Completion> {
         let status = reply.response.status();
         reply.in_flight.record_outcome(!status.is_server_error());
+        if !outcome::may_pass_on(status.as_u16(), self.resolution.class()) {
+            self.discard_body(reply.response.into_body(), reply.framing, reply.connection)
+                .await;
+            return Err(Failure::Withheld(status).into());
+        }
         if status.is_server_error()
             && self.is_repeatable()
             && self.try_take_resend(resends::Cause::Failed)
--- a/crates/cranberrygap-entry/src/gateway/failure.rs
+++ b/crates/cranberrygap-entry/src/gateway/failure.rs
@@ -4,7 +4,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use smol_str::SmolStr;
 
-use super::{forward, response};
+use super::response;
 
 /// Shortest retry delay that callers are given, so that they do not all come back at once.
 const MIN_RETRY_AFTER: duration::Span = duration::Span::from_millis(200);
@@ -93,6 +93,9 @@
     },
     /// An endpoint broke off; the request may have run.
     Broken(&'static str),
+    /// An endpoint failed the request with a status that would promise that it did not run, and
+    /// nothing proves that; the request may have run.
+    Withheld(StatusCode),
     /// The deadline passed while an endpoint was at work.
     DeadlineExceeded,
 }
@@ -130,6 +133,7 @@
             Self::NoPath { .. } => "no_path",
             Self::OtherPlan { .. } => "other_plan",
             Self::Broken(_) => "endpoint_broke",
+            Self::Withheld(_) => "status_withheld",
             Self::DeadlineExceeded => "deadline_exceeded",
         }
     }
@@ -138,6 +142,7 @@
     pub(crate) fn cause(&self) -> &str {
         match self {
             Self::Malformed(cause) => cause,
+            Self::Withheld(status) => status.as_str(),
             _ => self.static_cause(),
         }
     }
@@ -167,7 +172,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody | Self::BrokenBody => StatusCode::REQUEST_TIMEOUT,
             Self::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::Broken(_) => StatusCode::BAD_GATEWAY,
+            Self::Broken(_) | Self::Withheld(_) => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -190,7 +195,10 @@
 
     /// Whether the caller is told that no endpoint ran the request.
     pub(crate) const fn says_not_run(&self) -> bool {
-        !matches!(self, Self::Broken(_) | Self::DeadlineExceeded)
+        !matches!(
+            self,
+            Self::Broken(_) | Self::Withheld(_) | Self::DeadlineExceeded
+        )
     }
 
     /// The response to the caller.
@@ -212,9 +220,6 @@
                 headers.insert(header::RETRY_AFTER, value);
             }
         }
-        if matches!(self, Self::NoPath { .. } | Self::OtherPlan { .. }) {
-            forward::mark_refusal(headers, self.code());
-        }
         response
     }
 }
--- a/crates/cranberrygap-entry/src/gateway/forward.rs
+++ b/crates/cranberrygap-entry/src/gateway/forward.rs
@@ -9,9 +9,10 @@
 
 use bytes::Bytes;
 use cranberrygap_model::{address, duration, id};
+use cranberrygap_policy::outcome;
 use cranberrygap_routing::peers;
 use futures_util::stream;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use smallvec::SmallVec;
@@ -28,7 +29,9 @@
 /// Marks a request that another entry forwarded; holds the version of that entry's plan.
 const FORWARDED: HeaderName = HeaderName::from_static("cranberrygap-forwarded");
 
-/// Names why an entry cannot take a forwarded request.
+/// Names why an entry did not run a forwarded request and never will. Without it, a status that
+/// promises the same is that of an endpoint, or of an entry of an earlier release, which passed such
+/// statuses on after a run.
 pub(super) const REFUSAL: HeaderName = HeaderName::from_static("cranberrygap-refusal");
 
 /// Entries that a request is offered to.
@@ -53,6 +56,13 @@
     OtherPlan,
     /// The request was sent there and may have run.
     MayHaveRun,
+    /// It was answered with a status that would promise that it did not run, and may have run.
+    Withheld(StatusCode),
+}
+
+/// Whether a request was forwarded by another entry.
+pub(super) fn is_marked(headers: &HeaderMap) -> bool {
+    headers.contains_key(FORWARDED)
 }
 
 /// The version of the plan by which another entry forwarded a request. The header is removed.
@@ -75,7 +85,7 @@
     Ok(())
 }
 
-/// Tells a forwarding entry why its request is not taken.
+/// Tells a forwarding entry why its request was not run.
 pub(super) fn mark_refusal(headers: &mut HeaderMap, code: &'static str) {
     headers.insert(REFUSAL, HeaderValue::from_static(code));
 }
@@ -109,7 +119,7 @@
             break;
         };
         drop(view);
-        let offered = offer(gateway, peer, request, resolution.plan_version, deadline).await;
+        let offered = offer(gateway, peer, request, resolution, deadline).await;
         let core = &gateway.core;
         let now = core.now();
         let rejection = match offered {
@@ -151,6 +161,16 @@
                 }
                 return Err(Failure::Broken("the other entry broke off"));
             }
+            Rejection::Withheld(status) => {
+                core.reach.peers().record_taken(now, peer);
+                core.startup.record_response();
+                log.add_step(
+                    now,
+                    format_args!("the entry at {peer} responded with {status}, not as its own"),
+                );
+                core.count(metric::GATEWAY_SENDS, "forwarded");
+                return Err(Failure::Withheld(status));
+            }
         }
     }
     Err(no_path())
@@ -183,7 +203,7 @@
     gateway: &Arc<Gateway>,
     peer: address::Socket,
     request: &request::Request,
-    plan_version: u64,
+    resolution: &request::Resolution,
     deadline: duration::Instant,
 ) -> Result<Response<response::Body>, Rejection> {
     let usage = gateway.peers.begin(peer);
@@ -193,7 +213,7 @@
         // Opening a connection takes a part of the time that is handed on.
         let time_left = deadline.since(gateway.core.now());
         let timeout = duration::Span(time_left.0 + DEADLINE_GRACE.0).to_std();
-        let outgoing = build(gateway, request, plan_version, time_left);
+        let outgoing = build(gateway, request, resolution.plan_version, time_left);
         let outgoing = outgoing.ok_or(Rejection::Failed)?;
         let sent = tokio::time::timeout(timeout, connection.send(outgoing)).await;
         match sent {
@@ -212,12 +232,17 @@
             }
         }
     };
-    match response.headers().get(REFUSAL).map(HeaderValue::as_bytes) {
+    let refusal = response.headers().get(REFUSAL);
+    match refusal.map(HeaderValue::as_bytes) {
         Some(b"no_path") => return Err(Rejection::Cut),
         Some(b"other_plan") => return Err(Rejection::OtherPlan),
         _ => {}
     }
     drain::record_mark(gateway, response.headers());
+    let status = response.status();
+    if refusal.is_none() && !outcome::may_pass_on(status.as_u16(), resolution.class()) {
+        return Err(Rejection::Withheld(status));
+    }
     let (head, body) = response.into_parts();
     let sent = body.size_hint().exact();
     let relay = Relay {
--- a/crates/cranberrygap-entry/src/gateway/request.rs
+++ b/crates/cranberrygap-entry/src/gateway/request.rs
@@ -7,10 +7,11 @@
 use cranberrygap_model::{duration, id, subject, token};
 use cranberrygap_policy::limits::holder;
 use cranberrygap_policy::resend::scope;
+use cranberrygap_policy::retry;
 use cranberrygap_routing::origin;
 use cranberrygap_routing::prompt::{backlog, prefix_cache};
 use cranberrygap_state::traffic as state;
-use cranberrygap_wire::traffic;
+use cranberrygap_wire::{traffic, view as wire};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request as HttpRequest, Response, header, request};
 use http_body_util::BodyExt as _;
@@ -25,6 +26,7 @@
 
 use super::delivery;
 use super::dialect;
+use super::drain;
 use super::failure::{self, Failure};
 use super::forward;
 use super::readers;
@@ -118,6 +120,14 @@
 }
 
 impl Resolution {
+    /// Whether the request may run more than once.
+    pub(crate) const fn class(&self) -> retry::Class {
+        match self.route.kind {
+            traffic::Kind::Idempotent | traffic::Kind::Resumable => retry::Class::Idempotent,
+            traffic::Kind::Once | traffic::Kind::Stream => retry::Class::AtMostOnce,
+        }
+    }
+
     /// What pays for resends of the request.
     pub(crate) fn scope(&self) -> scope::Scope {
         scope::Scope::Service(self.service.clone())
@@ -286,18 +296,21 @@
 ) -> Response<response::Body> {
     let arrived_at = gateway.core.arrival_time();
     let (head, body) = request.into_parts();
+    let is_forwarded = forward::is_marked(&head.headers);
     let mut log = request_log::Log::new(arrived_at, None);
-    let mut response = match respond(&gateway, arrived_at, head, body, &mut log).await {
-        Ok(response) => response,
-        Err(failure) => {
-            let now = gateway.core.now();
-            let (code, cause, retry_after) =
-                (failure.code(), failure.cause(), failure.retry_after());
-            log.log_failure(&gateway.log_limiter, now, code, cause, retry_after);
-            gateway.core.count(metric::GATEWAY_FAILURES, code);
-            failure.to_response()
+    let mut draining = None;
+    let responded = respond(&gateway, arrived_at, head, body, &mut log, &mut draining).await;
+    let mut response = responded.unwrap_or_else(|failure| {
+        record_failure(&gateway, &log, &failure);
+        let mut response = failure.to_response();
+        if is_forwarded && failure.says_not_run() {
+            forward::mark_refusal(response.headers_mut(), failure.code());
         }
-    };
+        if let Some(draining) = &draining {
+            drain::mark(response.headers_mut(), draining);
+        }
+        response
+    });
     if let Some(id) = log.id.take() {
         response.extensions_mut().insert(Id(id));
     }
@@ -314,12 +327,28 @@
     response
 }
 
+fn record_failure(gateway: &Gateway, log: &request_log::Log, failure: &Failure) {
+    let now = gateway.core.now();
+    let (code, cause, retry_after) = (failure.code(), failure.cause(), failure.retry_after());
+    log.log_failure(&gateway.log_limiter, now, code, cause, retry_after);
+    gateway.core.count(metric::GATEWAY_FAILURES, code);
+    if let Failure::Withheld(status) = failure {
+        let status = status.as_str();
+        gateway
+            .core
+            .count(metric::GATEWAY_WITHHELD_STATUSES, status);
+    }
+}
+
+/// The response to a request; a failure leaves its log and the process that drains, if the response
+/// has to name one.
 async fn respond(
     gateway: &Arc<Gateway>,
     arrived_at: duration::Instant,
     head: request::Parts,
     body: Incoming,
     log: &mut request_log::Log,
+    draining: &mut Option<wire::Draining>,
 ) -> Result<Response<response::Body>, Failure> {
     let metadata = gateway.dialect.read_headers(&head.headers);
     let metadata = metadata.map_err(Failure::Malformed)?;
@@ -364,13 +393,11 @@
     let id = log.id.clone();
     let taken_log = std::mem::replace(log, request_log::Log::new(arrived_at, id));
     let delivery = delivery::Delivery::new(gateway, received, resolution, permit, taken_log);
-    match delivery.run().await {
-        Ok(response) => Ok(response),
-        Err((returned_log, failure)) => {
-            *log = returned_log;
-            Err(failure)
-        }
-    }
+    delivery.run().await.map_err(|failed| {
+        *log = failed.log;
+        *draining = failed.draining;
+        failed.failure
+    })
 }
 
 fn log_resolution(log: &mut request_log::Log, received: &Request, resolution: &Resolution) {
--- a/crates/cranberrygap-entry/src/metric.rs
+++ b/crates/cranberrygap-entry/src/metric.rs
@@ -19,6 +19,8 @@
 pub(crate) const GATEWAY_REQUESTS: &str = "gateway_requests";
 /// Number of requests of routes that failed at this entry.
 pub(crate) const GATEWAY_FAILURES: &str = "gateway_failures";
+/// Number of responses whose status was withheld from their callers.
+pub(crate) const GATEWAY_WITHHELD_STATUSES: &str = "gateway_withheld_statuses";
 /// Number of requests sent to endpoints.
 pub(crate) const GATEWAY_SENDS: &str = "gateway_sends";
 /// Number of requests sent to an endpoint for the first time.
@@ -50,7 +52,7 @@
 pub(crate) const STARTUP: &str = "startup";
 
 /// Metrics of the gateway. An entry without a traffic plan does not send them.
-pub const GATEWAY: [Metric; 10] = [
+pub const GATEWAY: [Metric; 11] = [
     Metric {
         name: STARTUP,
         kind: "ms",
@@ -75,6 +77,12 @@
         unit: "requests",
         meaning: "requests of routes that failed here, tagged with the code of the log line",
     },
+    Metric {
+        name: GATEWAY_WITHHELD_STATUSES,
+        kind: "c",
+        unit: "responses",
+        meaning: "failures of endpoints on routes that run a request at most once, tagged with their status, which would have promised that the request did not run; callers got 502",
+    },
     Metric {
         name: GATEWAY_SENDS,
         kind: "c",
--- a/crates/cranberrygap-policy/src/outcome.rs
+++ b/crates/cranberrygap-policy/src/outcome.rs
@@ -6,6 +6,11 @@
 use cranberrygap_model::ParseError;
 use serde::{Deserialize, Serialize};
 
+use crate::retry;
+
+/// HTTP statuses that promise a caller that its request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
 /// Result of one dispatch, as far as this process has seen it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -77,6 +82,16 @@
     }
 }
 
+/// Whether a caller may get the status of a response that nothing proves to be one of "not run".
+///
+/// An endpoint may fail a request with any status after it has run it. The caller of a request that
+/// runs at most once takes some of them for a promise and sends the request again. Callers of
+/// idempotent requests repeat them after any failure, and need the status as the endpoint gave it.
+#[must_use]
+pub fn may_pass_on(status: u16, class: retry::Class) -> bool {
+    class == retry::Class::Idempotent || !PROMISES.contains(&status)
+}
+
 impl fmt::Display for Outcome {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(match self {
