Believe an engine's "not run" by its statement, not by its status

Callers saw: at the product's own API an engine failed a request with 404, 429 or 503 after it had run it, and the refusal said `"outcome":"not_run"`.

Cause: engine/delivery.rs took these statuses alone for evidence, while plain services are believed by the statement in the body only.

A refusal whose body is cut, held up or has no statement counts as one that may have run; the request is sent again as before, since generations may be repeated.

Refusals with the statement stay not_run, before and now.

Why it works: "not run" is told by proof alone, as on routes of a plan.

--- a/crates/cranberrygap-entry/src/caller/services/completion.rs
+++ b/crates/cranberrygap-entry/src/caller/services/completion.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::booking;
+use crate::not_run;
 
 /// Result of sending a call to an endpoint.
 #[derive(Debug)]
@@ -36,18 +37,12 @@
 }
 
 /// Whether the service itself reports that it did not run the call.
-///
-/// The status alone proves nothing, as a proxy in between may have set it.
 fn reports_not_run(status: StatusCode, body: &[u8]) -> bool {
     let refusal_statuses = [
         StatusCode::SERVICE_UNAVAILABLE,
         StatusCode::TOO_MANY_REQUESTS,
     ];
-    if !refusal_statuses.contains(&status) {
-        return false;
-    }
-    let parsed = serde_json::from_slice::<serde_json::Value>(body);
-    parsed.is_ok_and(|parsed| parsed["outcome"] == "not_run")
+    refusal_statuses.contains(&status) && not_run::is_stated(body)
 }
 
 /// Converts the result into the input of a booking's state machine.
--- a/crates/cranberrygap-entry/src/engine/delivery.rs
+++ b/crates/cranberrygap-entry/src/engine/delivery.rs
@@ -1,6 +1,7 @@
 //! The delivery of one request: all its attempts and their combined outcome.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cranberrygap_model::{duration, id};
 use cranberrygap_policy::outcome::{Evidence, Outcome};
@@ -13,6 +14,7 @@
 
 use crate::core;
 use crate::metric;
+use crate::not_run;
 use crate::quarantine;
 use crate::queue;
 use crate::refusal::Refusal;
@@ -35,6 +37,11 @@
 /// the culprit; a third engine must not be lost to it.
 const MAX_CRASHES: u32 = 2;
 
+/// Largest body of a refusal that is read, in bytes, and the longest wait for it. Engines send a few
+/// hundred bytes at once.
+const MAX_STATEMENT_BYTES: usize = 16 << 10;
+const STATEMENT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// When a request runs only alone. Its deadline leaves time to wait for an engine, and the other
 /// requests of a crashed engine are not lost to the same culprit a second time.
 const ISOLATION: quarantine::Isolation = quarantine::Isolation::AfterFirstCrash;
@@ -317,8 +324,8 @@
         if !is_own {
             return Err((Evidence::CrossedAnswer, attempt));
         }
-        if let Some(evidence) = evidence_of_status(response.status()) {
-            return Err((evidence, attempt));
+        if response.status() != StatusCode::OK {
+            return Err((evidence_of_failure(response).await, attempt));
         }
         Ok(Response {
             http: response,
@@ -349,15 +356,27 @@
     Evidence::ConnectionBroke
 }
 
-/// What a status other than success proves.
-fn evidence_of_status(status: StatusCode) -> Option<Evidence> {
-    match status {
-        StatusCode::OK => None,
-        // With these statuses, the engine itself says that it did not run the request.
-        StatusCode::NOT_FOUND
-        | StatusCode::MISDIRECTED_REQUEST
-        | StatusCode::TOO_MANY_REQUESTS
-        | StatusCode::SERVICE_UNAVAILABLE => Some(Evidence::EndpointRefused),
-        _ => Some(Evidence::CutAnswer),
+/// What a response other than success proves.
+async fn evidence_of_failure(response: upstream::Response) -> Evidence {
+    let may_state = [
+        StatusCode::NOT_FOUND,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    let status = response.status();
+    // An engine of another version gives 421, which has no other meaning.
+    if status == StatusCode::MISDIRECTED_REQUEST
+        || (may_state.contains(&status) && states_not_run(response).await)
+    {
+        return Evidence::EndpointRefused;
     }
+    Evidence::CutAnswer
+}
+
+/// Whether the body of a refusal states that the engine did not run the request.
+async fn states_not_run(response: upstream::Response) -> bool {
+    let framing = response.framing();
+    let reading = response.read_body(MAX_STATEMENT_BYTES);
+    let body = tokio::time::timeout(STATEMENT_TIMEOUT, reading).await;
+    matches!(body, Ok(Ok(body)) if framing.is_whole(&body) && not_run::is_stated(&body))
 }
--- a/crates/cranberrygap-entry/src/lib.rs
+++ b/crates/cranberrygap-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod digest;
 mod engine;
 mod load;
+mod not_run;
 mod outbox;
 mod quarantine;
 mod reach;
--- a/crates/cranberrygap-standin/src/engine/fault.rs
+++ b/crates/cranberrygap-standin/src/engine/fault.rs
@@ -24,6 +24,11 @@
     },
     /// Requests are refused before they run.
     Refuse,
+    /// Requests fail after they have run.
+    Fail {
+        /// HTTP status of the response.
+        status: u16,
+    },
 }
 
 /// What goes wrong with orders.
--- a/crates/cranberrygap-standin/src/engine/handler.rs
+++ b/crates/cranberrygap-standin/src/engine/handler.rs
@@ -168,6 +168,13 @@
         call,
         fault,
     };
+    if let fault::Fault::Fail { status } = fault {
+        let _answer = whole(&work, &prompt).await;
+        res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+        return res.render(Json(
+            json!({"error": {"code": "failed", "message": "failed"}}),
+        ));
+    }
     if work.call.stream {
         let kind = HeaderValue::from_static("text/event-stream");
         res.headers_mut().insert(CONTENT_TYPE, kind);
