Keep the change of a plan's lists inside the step that adopts it

Cause: part::adopt took over both callers of part::apply, which stayed public. A caller that used it alone would change the lists and keep the access of the plan before, the mistake that adopt is there to rule out.

Change: apply is private to its module. Behaviour is the same.

Checks: formatter, clippy over the workspace, the generated code, and the tests of plan parts and of traffic plans in the state crate pass.

--- a/crates/cranberrygap-state/src/traffic/part.rs
+++ b/crates/cranberrygap-state/src/traffic/part.rs
@@ -58,7 +58,7 @@
 }
 
 /// Changes the routes, services and workspaces of a plan.
-pub fn apply(plan: &mut traffic::Plan, part: traffic::Part) {
+fn apply(plan: &mut traffic::Plan, part: traffic::Part) {
     let (service, workspace) = (amendment::service_name, amendment::workspace_name);
     let removed = part.removed_routes.into_iter();
     let removed = removed.map(|place| (place.host, place.prefix)).collect();
